--- /dev/null
+++ b/src/core/hash.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace comfreyspring::core {
+
+/** 64-bit XXH3 hash; the same on every machine. */
+std::uint64_t Hash64(std::string_view data, std::uint64_t seed = 0);
+
+/**
+ * Weight of a member for a key in rendezvous hashing; the highest weight wins.
+ *
+ * Example: the home of a key is the member with the greatest
+ * `RendezvousWeight(key, member)`.
+ */
+std::uint64_t RendezvousWeight(std::string_view key, std::string_view member);
+
+}  // namespace comfreyspring::core
--- /dev/null
+++ b/src/core/ids.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace comfreyspring::core {
+
+/**
+ * A string id that cannot be mixed up with an id of another kind.
+ *
+ * Example: `endpoint_id id("engine-porto-a-1");`
+ */
+template <class Tag>
+class strong_id {
+ public:
+  strong_id() = default;
+  explicit strong_id(std::string value) : value_(std::move(value)) {}
+
+  const std::string& Value() const { return value_; }
+  bool empty() const { return value_.empty(); }
+
+  friend auto operator<=>(const strong_id&, const strong_id&) = default;
+  friend std::ostream& operator<<(std::ostream& out, const strong_id& id) {
+    return out << id.value_;
+  }
+
+ private:
+  std::string value_;
+};
+
+/** A VM as the platform's list names it. */
+using vm_id = strong_id<struct vm_tag>;
+/** A data centre, such as `porto-a`. */
+using data_centre_id = strong_id<struct data_centre_tag>;
+/** A model engine or a plain service instance. */
+using endpoint_id = strong_id<struct endpoint_tag>;
+/** A plain service that several endpoints provide. */
+using service_id = strong_id<struct service_tag>;
+/** A shared base model. */
+using model_id = strong_id<struct model_tag>;
+/** A LoRA adapter. */
+using adapter_id = strong_id<struct adapter_tag>;
+/** A version of an adapter. */
+using version_id = strong_id<struct version_tag>;
+/** One request of a caller, unique across entries. */
+using request_id = strong_id<struct request_tag>;
+/** One try of a request at one endpoint; a request may have several. */
+using attempt_id = strong_id<struct attempt_tag>;
+/** A process of this system; stays the same across its restarts. */
+using process_id = strong_id<struct process_tag>;
+/** Caller-chosen key of a call that may not be repeated. */
+using idempotency_key = strong_id<struct idempotency_tag>;
+
+}  // namespace comfreyspring::core
+
+template <class Tag>
+struct std::hash<comfreyspring::core::strong_id<Tag>> {
+  std::size_t operator()(
+      const comfreyspring::core::strong_id<Tag>& id) const noexcept {
+    return std::hash<std::string>()(id.Value());
+  }
+};
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/ids.h"
+
+namespace comfreyspring::core {
+
+/** A number of tokens. */
+struct token_count {
+  std::int64_t value = 0;
+  friend auto operator<=>(const token_count&, const token_count&) = default;
+};
+
+/** An adapter together with one of its versions. */
+struct adapter_reference {
+  adapter_id adapter;
+  version_id version;
+  friend auto operator<=>(const adapter_reference&,
+                          const adapter_reference&) = default;
+};
+
+/** Renders `adapter@version`. */
+std::string ToString(const adapter_reference& reference);
+
+/** Whether work is wanted now or may wait. */
+enum class priority_class { urgent, may_wait };
+
+/** What is known about the execution of a request that got no full answer. */
+enum class outcome {
+  /** Proved not to have run; asking again is safe. */
+  not_run,
+  /** May have run; only the endpoint's own record can tell. */
+  unknown,
+  /** Ran in part; the answer broke off. */
+  incomplete,
+};
+
+/** The two kinds of work that endpoints do. */
+enum class request_kind { completion, service_call };
+
+/** The two kinds of endpoint. */
+enum class endpoint_kind { engine, plain_service };
+
+/**
+ * Version of a configuration set. The hash decides between two sets that were
+ * published with the same generation, so that all processes pick the same one.
+ */
+struct config_version {
+  std::uint64_t generation = 0;
+  std::uint64_t manifest_hash = 0;
+  friend auto operator<=>(const config_version&,
+                          const config_version&) = default;
+};
+
+/** Renders `generation.hash` with the hash in hexadecimal. */
+std::string ToString(const config_version& version);
+
+/** Fixed names used on the wire, in documents and in dumps. */
+std::string_view ToString(priority_class value);
+std::string_view ToString(outcome value);
+std::string_view ToString(request_kind value);
+std::string_view ToString(endpoint_kind value);
+
+/** Inverse of ToString. @throws invalid_value_error on any other text. */
+priority_class ParsePriorityClass(std::string_view text);
+outcome ParseOutcome(std::string_view text);
+request_kind ParseRequestKind(std::string_view text);
+endpoint_kind ParseEndpointKind(std::string_view text);
+
+}  // namespace comfreyspring::core
+
+template <>
+struct std::hash<comfreyspring::core::adapter_reference> {
+  std::size_t operator()(
+      const comfreyspring::core::adapter_reference& reference) const noexcept {
+    const std::size_t first =
+        std::hash<std::string>()(reference.adapter.Value());
+    const std::size_t second =
+        std::hash<std::string>()(reference.version.Value());
+    return first ^ (second + 0x9e3779b97f4a7c15ULL + (first << 6));
+  }
+};
--- /dev/null
+++ b/src/net/event_loop.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "core/error.h"
+#include "core/time.h"
+
+class ACE_Reactor;
+
+namespace comfreyspring::net {
+
+/** A socket that could not be opened, bound or connected. */
+class net_error : public core::error {
+ public:
+  using core::error::error;
+};
+
+/** Handle of a timer; 0 is never a valid handle. */
+using timer_id = std::uint64_t;
+
+/** Single-threaded event loop on an epoll reactor. */
+class event_loop {
+ public:
+  event_loop();
+  ~event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  // Time.
+
+  core::time_point Now() const;
+  core::wall_time WallNow() const;
+
+  // Timers and deferred calls.
+
+  /** Runs `callback` once after `delay`. */
+  timer_id Schedule(core::milliseconds delay, std::function<void()> callback);
+  /** Runs `callback` every `period` until cancelled. */
+  timer_id SchedulePeriodic(core::milliseconds period,
+                            std::function<void()> callback);
+  /** Cancels a timer; an unknown or expired handle is ignored. */
+  void Cancel(timer_id timer);
+  /** Runs `callback` in the next turn of the loop. */
+  void Post(std::function<void()> callback);
+
+  // Process events.
+
+  /**
+   * Calls `callback` with the delay when a turn of the loop starts more than
+   * `threshold` later than it was due: the process or its VM was paused.
+   */
+  void OnPause(core::milliseconds threshold,
+               std::function<void(core::milliseconds)> callback);
+  /** Calls `callback` on the loop when the process receives the signal. */
+  void OnSignal(int signal_number, std::function<void()> callback);
+
+  // Running.
+
+  /** Runs until Stop is called. */
+  void Run();
+  /** Ends Run after the current turn. */
+  void Stop();
+  /** Runs turns until `done()` is true or `limit` has passed; for tests. */
+  bool RunUntil(const std::function<bool()>& done, core::milliseconds limit);
+
+  /** The reactor, for classes of this module only. */
+  ACE_Reactor* Reactor();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/time.h"
+#include "net/event_loop.h"
+#include "net/http_server.h"
+
+namespace comfreyspring::net {
+
+/** Handle of a running call; 0 is never a valid handle. */
+using http_call_id = std::uint64_t;
+
+struct http_call {
+  std::string method = "GET";
+  std::string url;
+  header_map headers;
+  std::string body;
+  core::milliseconds connect_timeout{1000};
+  /** Limit for the whole call; 0 for none (streams). */
+  core::milliseconds total_timeout{10000};
+  /** Ends the call when no byte arrives for this long; 0 for none. */
+  core::milliseconds idle_timeout{0};
+  /** Opens a new connection instead of reusing an idle one. */
+  bool fresh_connection = false;
+};
+
+/** How far a failed call may have got. */
+enum class http_failure {
+  none,
+  /** No connection was made: the peer saw nothing of the call. */
+  not_sent,
+  /** The connection broke or timed out after bytes may have been sent. */
+  broken,
+};
+
+struct http_result {
+  http_failure failure = http_failure::none;
+  /** 0 if no status line arrived. */
+  int status = 0;
+  header_map headers;
+  /** Whole body; empty if `on_data` was set. */
+  std::string body;
+  std::string error_message;
+};
+
+struct http_callbacks {
+  /** Optional; called when the headers are complete. */
+  std::function<void(int status, const header_map& headers)> on_headers;
+  /** Optional; receives the body piece by piece. */
+  std::function<void(std::string_view data)> on_data;
+  /** Called exactly once unless the call is cancelled. */
+  std::function<void(const http_result& result)> on_done;
+};
+
+/** Interface that applications depend on, so that tests can mock it. */
+class http_client_interface {
+ public:
+  virtual ~http_client_interface() = default;
+  virtual http_call_id Start(http_call call, http_callbacks callbacks) = 0;
+  /** Drops a call without calling `on_done`; closes its connection. */
+  virtual void Cancel(http_call_id call) = 0;
+};
+
+/** libcurl multi-socket client on an event loop. */
+class http_client : public http_client_interface {
+ public:
+  explicit http_client(event_loop& loop);
+  ~http_client() override;
+
+  http_call_id Start(http_call call, http_callbacks callbacks) override;
+  void Cancel(http_call_id call) override;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/time.h"
+#include "net/event_loop.h"
+
+namespace comfreyspring::net {
+
+/** Header names in lower case. */
+using header_map = std::map<std::string, std::string>;
+
+struct http_request {
+  std::string method;
+  /** Path without the query string, percent-decoded. */
+  std::string path;
+  std::map<std::string, std::string> query;
+  header_map headers;
+  std::string body;
+};
+
+struct http_response {
+  int status = 200;
+  header_map headers;
+  std::string body;
+};
+
+/**
+ * One request being answered. Hold the shared pointer until the answer is
+ * complete. Calls after the client has gone are ignored.
+ */
+class http_exchange {
+ public:
+  virtual ~http_exchange() = default;
+
+  virtual const http_request& Request() const = 0;
+  /** Sends a whole answer. */
+  virtual void Respond(http_response response) = 0;
+  /** Starts a streamed answer of unknown length. */
+  virtual void BeginStream(int status, header_map headers) = 0;
+  /** Appends to a streamed answer. */
+  virtual void Write(std::string data) = 0;
+  /** Ends a streamed answer. */
+  virtual void EndStream() = 0;
+  /** Breaks the connection so that the client sees a truncated answer. */
+  virtual void Abort() = 0;
+  /** Called once if the client disconnects before the answer is complete. */
+  virtual void OnClientGone(std::function<void()> callback) = 0;
+  /** Bytes written and not yet taken by the client's connection. */
+  virtual std::size_t PendingBytes() const = 0;
+};
+
+struct http_server_options {
+  /** IP address to listen on. */
+  std::string address = "127.0.0.1";
+  /** 0 lets the system choose. */
+  std::uint16_t port = 0;
+  /** A larger body is answered 413 before the handler is called. */
+  std::size_t maximum_body_bytes = 1024 * 1024;
+  /** Memory for the request line and headers of one connection. */
+  std::size_t maximum_header_bytes = 32 * 1024;
+  unsigned maximum_connections = 4096;
+  /** An idle connection, or one with half a header, is closed after this. */
+  core::seconds idle_timeout{60};
+};
+
+/** HTTP/1.1 server on an event loop. */
+class http_server {
+ public:
+  using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+  /** @throws net_error if the address cannot be bound. */
+  http_server(event_loop& loop, http_server_options options,
+              handler on_request);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  std::uint16_t Port() const;
+  /** Stops accepting connections; open ones go on. */
+  void StopAccepting();
+  /** Open connections. */
+  std::size_t ConnectionCount() const;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/wire/codec_test.cc
@@ -0,0 +1,70 @@
+#include "wire/codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace comfreyspring::wire {
+namespace {
+
+submit AnySubmit() {
+  submit value;
+  value.attempt = core::attempt_id("r1.1");
+  value.adapter = {core::adapter_id("straps"), core::version_id("v2")};
+  value.version = {7, 0xffffffffffffffffULL};
+  value.remaining = core::milliseconds(1200);
+  value.body = std::string("{\"a\":1}\0\xff", 9);
+  return value;
+}
+
+// Guards against payload bytes that are not UTF-8 being lost or refused.
+TEST(Codec, KeepsEveryFieldOfSubmit) {
+  const message original = AnySubmit();
+  EXPECT_EQ(Decode(Encode(original)), original);
+}
+
+TEST(Codec, KeepsEveryMessageType) {
+  const std::vector<message> all = {
+      hello{.process = core::process_id("e"), .report = endpoint_report{}},
+      heartbeat{.nonce = 9},
+      heartbeat_reply{.nonce = 9},
+      config_request{},
+      config_request{.hash = 12},
+      config_part{.manifest = true, .hash = 3, .bytes = "\xfe"},
+      vm_list{.revision = 4, .vms = {{core::vm_id("vm-1"), vm_state::leaving}}},
+      peer_versions{.peers = {{core::endpoint_id("desk-1"), 5, {1, 2}}}},
+      accepted{.attempt = core::attempt_id("a")},
+      chunk{.attempt = core::attempt_id("a"), .sequence = 1, .data = "\x80"},
+      finished{.attempt = core::attempt_id("a"), .chunk_count = 2},
+      refused{.attempt = core::attempt_id("a"), .reason = "queue_full"},
+      withdraw{.attempt = core::attempt_id("a")},
+      withdrawn{.attempt = core::attempt_id("a")},
+      resume{.attempt = core::attempt_id("a"), .next_sequence = 3},
+      leaving{}};
+  for (const message& original : all) {
+    EXPECT_EQ(Decode(Encode(original)), original);
+  }
+}
+
+// Guards against a broken peer ending the process with another exception.
+RC_GTEST_PROP(Codec, AnswersArbitraryBytesWithWireError,
+              (const std::string& bytes)) {
+  try {
+    Decode(bytes);
+  } catch (const wire_error&) {
+  }
+}
+
+// Guards against a truncated or changed frame passing as another message type.
+RC_GTEST_PROP(Codec, AnswersDamagedFramesWithWireErrorOrAMessage, ()) {
+  std::string frame = Encode(AnySubmit());
+  const auto position = *rc::gen::inRange<std::size_t>(0, frame.size());
+  frame[position] = *rc::gen::arbitrary<char>();
+  frame.resize(*rc::gen::inRange<std::size_t>(0, frame.size() + 1));
+  try {
+    Decode(frame);
+  } catch (const wire_error&) {
+  }
+}
+
+}  // namespace
+}  // namespace comfreyspring::wire
