--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -65,6 +65,11 @@
   /** Runs turns until `done()` is true or `limit` has passed; for tests. */
   bool RunUntil(const std::function<bool()>& done, core::milliseconds limit);
 
+  /**
+   * Runs `callback` at the end of the current turn, before the loop waits; for
+   * classes of this module only, which flush their writes there.
+   */
+  void AtEndOfTurn(std::function<void()> callback);
   /** The reactor, for classes of this module only. */
   ACE_Reactor* Reactor();
 
