--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,211 @@
+#include "net/http_client.h"
+
+#include <curl/curl.h>
+
+#include <cassert>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "net/http_transfer.h"
+#include "net/io_watcher.h"
+
+namespace comfreyspring::net {
+namespace {
+
+// Idle connections kept for reuse.
+constexpr long kMaximumIdleConnections = 512;
+
+}  // namespace
+
+struct http_client::impl {
+  explicit impl(event_loop& owning_loop)
+      : loop(owning_loop), multi(curl_multi_init()) {
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &impl::OnSocket);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &impl::OnTimer);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaximumIdleConnections);
+  }
+
+  ~impl() {
+    *alive = false;
+    loop.Cancel(timer);
+    for (const auto& [id, transfer] : transfers) {
+      curl_multi_remove_handle(multi, transfer->Easy());
+    }
+    transfers.clear();
+    curl_multi_cleanup(multi);
+    watchers.clear();
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  // Calls. Inside a callback of the library no transfer can be added or
+  // removed, so both are put off to the end of the turn.
+
+  http_call_id Start(http_call call, http_callbacks callbacks) {
+    const http_call_id id = ++last_id;
+    auto transfer = std::make_unique<http_transfer>(loop, id, std::move(call),
+                                                    std::move(callbacks));
+    transfer->OnIdle([this, id] { Expire(id); });
+    http_transfer& reference = *transfer;
+    transfers[id] = std::move(transfer);
+    if (inside_library) {
+      Defer([this, id] {
+        const auto found = transfers.find(id);
+        if (found != transfers.end()) Add(*found->second);
+      });
+    } else {
+      Add(reference);
+    }
+    return id;
+  }
+
+  void Add(http_transfer& transfer) {
+    if (transfer.Easy() == nullptr ||
+        curl_multi_add_handle(multi, transfer.Easy()) != CURLM_OK) {
+      Defer([this, id = transfer.Id()] { Finish(id, CURLE_FAILED_INIT); });
+    }
+  }
+
+  void Cancel(http_call_id id) {
+    const auto found = transfers.find(id);
+    if (found == transfers.end()) return;
+    found->second->MarkCancelled();
+    if (inside_library) {
+      Defer([this, id] { Remove(id); });
+    } else {
+      Remove(id);
+    }
+  }
+
+  std::unique_ptr<http_transfer> Remove(http_call_id id) {
+    const auto found = transfers.find(id);
+    if (found == transfers.end()) return nullptr;
+    auto transfer = std::move(found->second);
+    transfers.erase(found);
+    if (transfer->Easy() != nullptr) {
+      curl_multi_remove_handle(multi, transfer->Easy());
+    }
+    return transfer;
+  }
+
+  void Finish(http_call_id id, CURLcode code) {
+    const auto transfer = Remove(id);
+    if (transfer) transfer->ReportDone(code);
+  }
+
+  void Expire(http_call_id id) { Finish(id, CURLE_OPERATION_TIMEDOUT); }
+
+  void Defer(std::function<void()> action) {
+    loop.AtEndOfTurn(
+        [still_alive = std::weak_ptr<bool>(alive), action = std::move(action)] {
+          if (still_alive.lock()) action();
+        });
+  }
+
+  // Events.
+
+  void Act(curl_socket_t socket, int events) {
+    int running = 0;
+    inside_library = true;
+    curl_multi_socket_action(multi, socket, events, &running);
+    inside_library = false;
+    ReportFinished();
+  }
+
+  void ReportFinished() {
+    std::vector<std::pair<http_call_id, CURLcode>> finished;
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      finished.emplace_back(http_transfer::IdOf(message->easy_handle),
+                            message->data.result);
+    }
+    const std::weak_ptr<bool> still_alive = alive;
+    for (const auto& [id, code] : finished) {
+      if (!still_alive.lock()) return;
+      Finish(id, code);
+    }
+  }
+
+  static int OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) noexcept {
+    auto* client = static_cast<impl*>(self);
+    client->loop.Cancel(client->timer);
+    client->timer = 0;
+    ++client->timer_generation;
+    if (timeout_ms < 0) return 0;
+    if (timeout_ms == 0) {
+      client->Defer([client, generation = client->timer_generation] {
+        if (generation != client->timer_generation) return;
+        client->Act(CURL_SOCKET_TIMEOUT, 0);
+      });
+      return 0;
+    }
+    client->timer =
+        client->loop.Schedule(core::milliseconds(timeout_ms), [client] {
+          client->timer = 0;
+          client->Act(CURL_SOCKET_TIMEOUT, 0);
+        });
+    return 0;
+  }
+
+  static int OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
+                      void* self, void* /*socket_data*/) noexcept {
+    auto* client = static_cast<impl*>(self);
+    if (what == CURL_POLL_REMOVE) {
+      client->watchers.erase(socket);
+      return 0;
+    }
+    if (what == CURL_POLL_NONE) return 0;
+    try {
+      client->Watch(socket, what);
+    } catch (const net_error&) {
+      return -1;  // The library fails the transfer.
+    }
+    return 0;
+  }
+
+  void Watch(curl_socket_t socket, int what) {
+    const io_interest interest = what == CURL_POLL_IN ? io_interest::read
+                                 : what == CURL_POLL_OUT
+                                     ? io_interest::write
+                                     : io_interest::read_write;
+    const auto found = watchers.find(socket);
+    if (found != watchers.end()) {
+      found->second->SetInterest(interest);
+      return;
+    }
+    watchers[socket] = std::make_unique<io_watcher>(
+        loop, socket, interest,
+        io_watcher::callbacks{
+            [this, socket] { Act(socket, CURL_CSELECT_IN); },
+            [this, socket] { Act(socket, CURL_CSELECT_OUT); }});
+  }
+
+  event_loop& loop;
+  CURLM* multi;
+  std::unordered_map<http_call_id, std::unique_ptr<http_transfer>> transfers;
+  std::map<curl_socket_t, std::unique_ptr<io_watcher>> watchers;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  http_call_id last_id = 0;
+  timer_id timer = 0;
+  std::uint64_t timer_generation = 0;
+  bool inside_library = false;
+};
+
+http_client::http_client(event_loop& loop)
+    : impl_(std::make_unique<impl>(loop)) {}
+
+http_client::~http_client() = default;
+
+http_call_id http_client::Start(http_call call, http_callbacks callbacks) {
+  return impl_->Start(std::move(call), std::move(callbacks));
+}
+
+void http_client::Cancel(http_call_id call) { impl_->Cancel(call); }
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_client_test.cc
@@ -0,0 +1,233 @@
+#include "net/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+
+#include "net/test_peer.h"
+
+namespace comfreyspring::net {
+namespace {
+
+using core::milliseconds;
+
+constexpr milliseconds kLimit{5000};
+
+class http_client_test : public ::testing::Test {
+ protected:
+  std::string Url() const {
+    return "http://127.0.0.1:" + std::to_string(listener_.Port()) + "/";
+  }
+  http_call_id Start(http_call call) {
+    result_.reset();
+    http_callbacks callbacks;
+    callbacks.on_done = [this](const http_result& result) {
+      ++done_;
+      result_ = result;
+    };
+    return client_.Start(std::move(call), callbacks);
+  }
+  bool WaitForResult() {
+    return loop_.RunUntil([this] { return result_.has_value(); }, kLimit);
+  }
+  bool WaitForBytes(const test_peer& peer, const std::string& text) {
+    return loop_.RunUntil(
+        [&] { return peer.Received().find(text) != std::string::npos; },
+        kLimit);
+  }
+
+  event_loop loop_;
+  test_listener listener_{loop_};
+  http_client client_{loop_};
+  std::optional<http_result> result_;
+  int done_ = 0;
+};
+
+// Guards the proof that a request was not run.
+TEST_F(http_client_test, ReportsARefusedConnectionAsNotSent) {
+  std::string url;
+  {
+    const test_listener closed(loop_);
+    url = "http://127.0.0.1:" + std::to_string(closed.Port()) + "/";
+  }
+  Start({.url = url});
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::not_sent);
+  EXPECT_FALSE(result_->error_message.empty());
+  Start({.url = "not a url"});
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::not_sent);
+}
+
+TEST_F(http_client_test, ReportsAClosedConnectionAsBroken) {
+  Start({.url = Url()});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Close();
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::broken);
+  EXPECT_EQ(result_->status, 0);
+}
+
+TEST_F(http_client_test, ReportsATruncatedBodyAsBroken) {
+  Start({.url = Url()});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  loop_.RunUntil([] { return false; }, milliseconds(20));
+  peer->Close();
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::broken);
+  EXPECT_EQ(result_->status, 200);
+}
+
+TEST_F(http_client_test, ReportsGarbageAsBroken) {
+  Start({.url = Url()});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send(std::string(1000, '\x01') + "\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::broken);
+}
+
+// Guards against a second run of a non-repeatable call: the library would send
+// a request again when a reused connection ends without an answer.
+TEST_F(http_client_test, NeverRepeatsAPostOnAReusedConnection) {
+  Start({.method = "POST", .url = Url(), .body = "first"});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "first"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  ASSERT_EQ(result_->status, 200);
+
+  Start({.method = "POST", .url = Url(), .body = "second"});
+  ASSERT_TRUE(WaitForBytes(*peer, "second"));
+  peer->Close();
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::broken);
+  EXPECT_EQ(done_, 2);
+  // The library may already have opened a connection, but sends nothing on it.
+  const auto other = listener_.Accept();
+  if (other) {
+    loop_.RunUntil([] { return false; }, milliseconds(50));
+    EXPECT_EQ(other->Received(), "");
+  }
+}
+
+TEST_F(http_client_test, FreshConnectionLeavesIdleOnesAlone) {
+  Start({.url = Url()});
+  const auto first = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*first, "\r\n\r\n"));
+  first->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  Start({.url = Url(), .fresh_connection = true});
+  const auto second = listener_.Accept();
+  ASSERT_TRUE(second);
+  ASSERT_TRUE(WaitForBytes(*second, "\r\n\r\n"));
+  second->Send("HTTP/1.1 204 No Content\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->status, 204);
+}
+
+// Guards against a peer that keeps a connection open and says nothing.
+TEST_F(http_client_test, IdleTimeoutEndsASilentStream) {
+  Start({.url = Url(),
+         .total_timeout = milliseconds(0),
+         .idle_timeout = milliseconds(100)});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send("HTTP/1.1 200 OK\r\n\r\n");
+  int sent = 0;
+  const timer_id timer = loop_.SchedulePeriodic(milliseconds(40), [&] {
+    if (++sent <= 5) peer->Send("x");
+  });
+  ASSERT_TRUE(WaitForResult());
+  loop_.Cancel(timer);
+  EXPECT_EQ(result_->failure, http_failure::broken);
+  EXPECT_EQ(result_->status, 200);
+  EXPECT_EQ(result_->body, "xxxxx");
+  EXPECT_TRUE(loop_.RunUntil([&] { return peer->IsClosedByPeer(); }, kLimit));
+}
+
+TEST_F(http_client_test, TotalTimeoutEndsACall) {
+  Start({.url = Url(), .total_timeout = milliseconds(50)});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::broken);
+}
+
+TEST_F(http_client_test, CancelClosesTheConnectionWithoutACallback) {
+  const http_call_id call = Start({.url = Url()});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  client_.Cancel(call);
+  EXPECT_TRUE(loop_.RunUntil([&] { return peer->IsClosedByPeer(); }, kLimit));
+  EXPECT_EQ(done_, 0);
+  client_.Cancel(call);
+  client_.Cancel(0);
+}
+
+// Guards against a change of the library's handles inside its own callbacks,
+// which it refuses.
+TEST_F(http_client_test, CancelsAndStartsCallsInsideADataCallback) {
+  http_call_id call = 0;
+  int pieces = 0;
+  http_callbacks callbacks;
+  callbacks.on_data = [&](std::string_view) {
+    ++pieces;
+    client_.Cancel(call);
+    Start({.url = Url()});
+  };
+  callbacks.on_done = [&](const http_result&) { ADD_FAILURE(); };
+  call = client_.Start({.url = Url()}, callbacks);
+  const auto first = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*first, "\r\n\r\n"));
+  first->Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nsome");
+  const auto second = listener_.Accept();
+  ASSERT_TRUE(second);
+  ASSERT_TRUE(WaitForBytes(*second, "\r\n\r\n"));
+  second->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->body, "ok");
+  EXPECT_EQ(pieces, 1);
+}
+
+TEST_F(http_client_test, ReportsHeadersOnceAndSkipsInterimAnswers) {
+  int reports = 0;
+  bool done = false;
+  http_callbacks callbacks;
+  callbacks.on_headers = [&](int status, const header_map& headers) {
+    ++reports;
+    EXPECT_EQ(status, 200);
+    EXPECT_EQ(headers.at("x-value"), "1");
+  };
+  callbacks.on_done = [&](const http_result&) { done = true; };
+  client_.Start({.url = Url()}, callbacks);
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send(
+      "HTTP/1.1 103 Early Hints\r\nX-Value: 0\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nX-Value: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\nX-Trailer: 2\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return done; }, kLimit));
+  EXPECT_EQ(reports, 1);
+}
+
+// Guards against callbacks of a destroyed client.
+TEST_F(http_client_test, CanBeDestroyedWithCallsInFlight) {
+  int done = 0;
+  {
+    http_client client(loop_);
+    http_callbacks callbacks;
+    callbacks.on_done = [&](const http_result&) { ++done; };
+    for (int i = 0; i < 3; ++i) client.Start({.url = Url()}, callbacks);
+    loop_.RunUntil([] { return false; }, milliseconds(20));
+    client.Start({.url = Url()}, callbacks);
+  }
+  loop_.RunUntil([] { return false; }, milliseconds(20));
+  EXPECT_EQ(done, 0);
+}
+
+}  // namespace
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_exchange_state.cc
@@ -0,0 +1,270 @@
+#include "net/http_exchange_state.h"
+
+#include <microhttpd.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+namespace comfreyspring::net {
+namespace {
+
+// Read by the daemon in one call; larger pieces are sent in several.
+constexpr std::size_t kStreamBlockBytes = 16 * 1024;
+// A body that exceeds the limit this many times is not read to its end.
+constexpr std::size_t kDiscardFactor = 4;
+
+std::string ToLower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+MHD_Result AddHeader(void* target, MHD_ValueKind /*kind*/, const char* key,
+                     const char* value) {
+  auto& headers = *static_cast<header_map*>(target);
+  headers[ToLower(key)] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+MHD_Result AddArgument(void* target, MHD_ValueKind /*kind*/, const char* key,
+                       const char* value) {
+  auto& query = *static_cast<std::map<std::string, std::string>*>(target);
+  query[key] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+struct response_deleter {
+  void operator()(MHD_Response* response) const {
+    MHD_destroy_response(response);
+  }
+};
+using response_pointer = std::unique_ptr<MHD_Response, response_deleter>;
+
+bool Queue(MHD_Connection* connection, int status, const header_map& headers,
+           const response_pointer& response) {
+  for (const auto& [name, value] : headers) {
+    MHD_add_response_header(response.get(), name.c_str(), value.c_str());
+  }
+  return MHD_queue_response(connection, static_cast<unsigned>(status),
+                            response.get()) == MHD_YES;
+}
+
+}  // namespace
+
+http_exchange_state::http_exchange_state(http_daemon& daemon,
+                                         MHD_Connection* connection)
+    : daemon_(&daemon), connection_(connection) {}
+
+// The request.
+
+void http_exchange_state::ReadHead(const char* url, const char* method) {
+  request_.method = method;
+  request_.path = url;
+  MHD_get_connection_values(connection_, MHD_HEADER_KIND, &AddHeader,
+                            &request_.headers);
+  MHD_get_connection_values(connection_, MHD_GET_ARGUMENT_KIND, &AddArgument,
+                            &request_.query);
+}
+
+std::size_t http_exchange_state::AnnouncedBodyBytes() const {
+  const auto found = request_.headers.find("content-length");
+  if (found == request_.headers.end()) return 0;
+  const std::string& text = found->second;
+  std::size_t bytes = 0;
+  std::from_chars(text.data(), text.data() + text.size(), bytes);
+  return bytes;
+}
+
+bool http_exchange_state::AppendBody(std::string_view data,
+                                     std::size_t maximum_bytes) {
+  if (queued_) return true;
+  body_bytes_ += data.size();
+  if (body_bytes_ <= maximum_bytes) {
+    request_.body.append(data);
+    return true;
+  }
+  // The daemon takes an answer only at the end of the body.
+  RefuseBody();
+  return body_bytes_ <= maximum_bytes * kDiscardFactor;
+}
+
+void http_exchange_state::RefuseBody() {
+  if (body_refused_) return;
+  body_refused_ = true;
+  dispatched_ = true;
+  response_ = http_response{
+      413,
+      {{"content-type", "application/json"}, {"connection", "close"}},
+      R"({"error":{"type":"body_too_large","message":"The body is too large.",)"
+      R"("outcome":"not_run"}})"};
+}
+
+// The answer.
+
+bool http_exchange_state::Answer() {
+  if (aborted_ || gone_) return false;
+  if (queued_) return true;
+  if (response_) return QueueWhole();
+  if (streaming_) return QueueStream();
+  Suspend();
+  return true;
+}
+
+bool http_exchange_state::QueueWhole() {
+  queued_ = true;
+  const response_pointer response(MHD_create_response_from_buffer(
+      response_->body.size(), response_->body.data(), MHD_RESPMEM_MUST_COPY));
+  return Queue(connection_, response_->status, response_->headers, response);
+}
+
+bool http_exchange_state::QueueStream() {
+  queued_ = true;
+  // The response keeps the state alive until the daemon has ended it.
+  auto kept = std::make_unique<std::shared_ptr<http_exchange_state>>(
+      shared_from_this());
+  const response_pointer response(MHD_create_response_from_callback(
+      MHD_SIZE_UNKNOWN, kStreamBlockBytes, &http_exchange_state::ReadStream,
+      kept.release(), [](void* self) {
+        const std::unique_ptr<std::shared_ptr<http_exchange_state>> ended(
+            static_cast<std::shared_ptr<http_exchange_state>*>(self));
+      }));
+  return Queue(connection_, stream_status_, stream_headers_, response);
+}
+
+ssize_t http_exchange_state::ReadStream(void* self, std::uint64_t /*position*/,
+                                        char* target,
+                                        std::size_t capacity) noexcept {
+  http_exchange_state& state =
+      **static_cast<std::shared_ptr<http_exchange_state>*>(self);
+  if (state.aborted_ || state.gone_) return MHD_CONTENT_READER_END_WITH_ERROR;
+  const std::size_t bytes = std::min(capacity, state.PendingBytes());
+  if (bytes > 0) {
+    std::memcpy(target, state.stream_data_.data() + state.stream_sent_, bytes);
+    state.stream_sent_ += bytes;
+    if (state.PendingBytes() == 0) {
+      state.stream_data_.clear();
+      state.stream_sent_ = 0;
+    }
+    return static_cast<ssize_t>(bytes);
+  }
+  if (state.stream_ended_) return MHD_CONTENT_READER_END_OF_STREAM;
+  state.Suspend();
+  return 0;
+}
+
+void http_exchange_state::Respond(http_response response) {
+  if (IsAnswered()) return;
+  response_ = std::move(response);
+  Resume();
+}
+
+void http_exchange_state::BeginStream(int status, header_map headers) {
+  if (IsAnswered()) return;
+  streaming_ = true;
+  stream_status_ = status;
+  stream_headers_ = std::move(headers);
+  Resume();
+}
+
+void http_exchange_state::Write(std::string data) {
+  if (connection_ == nullptr || gone_ || !streaming_ || stream_ended_) return;
+  if (stream_data_.empty()) {
+    stream_data_ = std::move(data);
+  } else {
+    stream_data_ += data;
+  }
+  Resume();
+}
+
+void http_exchange_state::EndStream() {
+  if (!streaming_) return;
+  stream_ended_ = true;
+  Resume();
+}
+
+void http_exchange_state::Abort() {
+  aborted_ = true;
+  on_gone_ = nullptr;
+  Resume();
+}
+
+// Suspension and disconnects.
+
+void http_exchange_state::Suspend() {
+  if (suspended_) return;
+  suspended_ = true;
+  MHD_suspend_connection(connection_);
+  WatchForDisconnect();
+}
+
+void http_exchange_state::Resume() {
+  if (!suspended_ || connection_ == nullptr) return;
+  suspended_ = false;
+  MHD_resume_connection(connection_);
+  daemon_->RequestRun();
+}
+
+void http_exchange_state::WatchForDisconnect() {
+  if (disconnect_watcher_ || watch_ended_) return;
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+  const auto on_readable = [self = weak_from_this()] {
+    if (const auto state = self.lock()) state->CheckForDisconnect();
+  };
+  disconnect_watcher_.emplace(daemon_->Loop(), info->connect_fd,
+                              io_interest::read,
+                              io_watcher::callbacks{on_readable, nullptr});
+}
+
+void http_exchange_state::CheckForDisconnect() {
+  if (connection_ == nullptr) return;
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte = 0;
+  const ssize_t size =
+      recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  // Readable data is a pipelined request: it stays readable, so the watch
+  // would spin; the daemon reads it after this answer.
+  watch_ended_ = true;
+  disconnect_watcher_.reset();
+  if (size > 0) return;
+  Resume();
+  ReportGone();
+}
+
+void http_exchange_state::Detach() {
+  disconnect_watcher_.reset();
+  watch_ended_ = true;
+  connection_ = nullptr;
+  daemon_ = nullptr;
+}
+
+void http_exchange_state::ReportGone() {
+  if (gone_) return;
+  gone_ = true;
+  const auto callback = std::move(on_gone_);
+  on_gone_ = nullptr;
+  if (callback) callback();
+}
+
+void http_exchange_state::OnClientGone(std::function<void()> callback) {
+  if (gone_) {
+    callback();
+    return;
+  }
+  on_gone_ = std::move(callback);
+}
+
+http_exchange_handle::~http_exchange_handle() {
+  if (state_->IsAnswered()) return;
+  state_->Respond({500, {}, "The request was dropped without an answer.\n"});
+}
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_exchange_state.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "net/http_server.h"
+#include "net/io_watcher.h"
+
+struct MHD_Connection;
+
+namespace comfreyspring::net {
+
+/** What an exchange needs of its server. */
+class http_daemon {
+ public:
+  virtual ~http_daemon() = default;
+  virtual event_loop& Loop() = 0;
+  /** Lets the daemon handle resumed connections at the end of the turn. */
+  virtual void RequestRun() = 0;
+};
+
+/**
+ * Server side of one request. The connection is suspended while there is
+ * nothing to send, and resumed when an answer or more data arrives.
+ */
+class http_exchange_state
+    : public std::enable_shared_from_this<http_exchange_state> {
+ public:
+  http_exchange_state(http_daemon& daemon, MHD_Connection* connection);
+
+  // Called by the server.
+
+  /** Reads the method, path, query and headers. */
+  void ReadHead(const char* url, const char* method);
+  std::size_t AnnouncedBodyBytes() const;
+  /** @returns false if the connection is to be closed. */
+  bool AppendBody(std::string_view data, std::size_t maximum_bytes);
+  /** Sets the answer 413. */
+  void RefuseBody();
+  void MarkDispatched() { dispatched_ = true; }
+  bool IsDispatched() const { return dispatched_; }
+  bool IsAnswered() const { return response_ || streaming_ || aborted_; }
+  /**
+   * Gives the daemon the answer, or suspends the connection until there is
+   * one. @returns false if the connection is to be closed.
+   */
+  bool Answer();
+  /** The daemon has ended the request and forgets the connection. */
+  void Detach();
+  void ReportGone();
+
+  // Called through the handle.
+
+  const http_request& Request() const { return request_; }
+  void Respond(http_response response);
+  void BeginStream(int status, header_map headers);
+  void Write(std::string data);
+  void EndStream();
+  void Abort();
+  void OnClientGone(std::function<void()> callback);
+  std::size_t PendingBytes() const {
+    return stream_data_.size() - stream_sent_;
+  }
+
+ private:
+  static ssize_t ReadStream(void* self, std::uint64_t position, char* target,
+                            std::size_t capacity) noexcept;
+
+  bool QueueWhole();
+  bool QueueStream();
+  void Suspend();
+  void Resume();
+  void WatchForDisconnect();
+  void CheckForDisconnect();
+
+  http_daemon* daemon_;
+  MHD_Connection* connection_;
+  http_request request_;
+  std::size_t body_bytes_ = 0;
+  bool body_refused_ = false;
+  bool dispatched_ = false;
+
+  // The answer: whole, or streamed.
+  std::optional<http_response> response_;
+  bool streaming_ = false;
+  int stream_status_ = 200;
+  header_map stream_headers_;
+  std::string stream_data_;
+  std::size_t stream_sent_ = 0;
+  bool stream_ended_ = false;
+  bool aborted_ = false;
+  bool queued_ = false;
+
+  // A suspended connection is not polled by the daemon.
+  bool suspended_ = false;
+  std::optional<io_watcher> disconnect_watcher_;
+  bool watch_ended_ = false;
+  bool gone_ = false;
+  std::function<void()> on_gone_;
+};
+
+/**
+ * What the handler receives. A handle that is dropped without an answer
+ * answers 500, so that the client does not wait forever.
+ */
+class http_exchange_handle final : public http_exchange {
+ public:
+  explicit http_exchange_handle(std::shared_ptr<http_exchange_state> state)
+      : state_(std::move(state)) {}
+  ~http_exchange_handle() override;
+  http_exchange_handle(const http_exchange_handle&) = delete;
+  http_exchange_handle& operator=(const http_exchange_handle&) = delete;
+
+  const http_request& Request() const override { return state_->Request(); }
+  void Respond(http_response response) override {
+    state_->Respond(std::move(response));
+  }
+  void BeginStream(int status, header_map headers) override {
+    state_->BeginStream(status, std::move(headers));
+  }
+  void Write(std::string data) override { state_->Write(std::move(data)); }
+  void EndStream() override { state_->EndStream(); }
+  void Abort() override { state_->Abort(); }
+  void OnClientGone(std::function<void()> callback) override {
+    state_->OnClientGone(std::move(callback));
+  }
+  std::size_t PendingBytes() const override { return state_->PendingBytes(); }
+
+ private:
+  std::shared_ptr<http_exchange_state> state_;
+};
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,189 @@
+#include "net/http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <exception>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include "net/http_exchange_state.h"
+#include "net/io_watcher.h"
+#include "net/socket_address.h"
+
+namespace comfreyspring::net {
+
+/**
+ * The daemon has no thread: MHD_run is called when its epoll descriptor is
+ * readable, when its timeout has passed, and after connections were resumed.
+ */
+struct http_server::impl : public http_daemon {
+  impl(event_loop& owning_loop, http_server_options settings,
+       handler request_handler)
+      : loop(owning_loop),
+        options(std::move(settings)),
+        on_request(std::move(request_handler)) {
+    StartDaemon();
+    const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    watcher.emplace(loop, info->epoll_fd, io_interest::read,
+                    io_watcher::callbacks{[this] { RunDaemon(); }, nullptr});
+    info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
+    port = info->port;
+  }
+
+  ~impl() {
+    *alive = false;
+    loop.Cancel(timeout_timer);
+    watcher.reset();
+    // The daemon cannot stop while connections are suspended.
+    for (const auto& [key, exchange] : exchanges) exchange->Abort();
+    MHD_run(daemon);
+    MHD_stop_daemon(daemon);
+    for (const auto& [key, exchange] : exchanges) exchange->Detach();
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  void StartDaemon() {
+    socket_address address(options.address, options.port);
+    unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+    if (address.IsIpv6()) flags |= MHD_USE_IPv6;
+    daemon = MHD_start_daemon(
+        flags, options.port, nullptr, nullptr, &impl::OnAccess, this,
+        MHD_OPTION_SOCK_ADDR, address.Get(), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        options.maximum_header_bytes, MHD_OPTION_CONNECTION_LIMIT,
+        options.maximum_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(options.idle_timeout.count()),
+        MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, this, MHD_OPTION_END);
+    if (daemon == nullptr) {
+      throw net_error("cannot listen on " + options.address + " port " +
+                      std::to_string(options.port));
+    }
+  }
+
+  event_loop& Loop() override { return loop; }
+
+  void RequestRun() override {
+    if (run_requested) return;
+    run_requested = true;
+    loop.AtEndOfTurn([this, still_alive = alive] {
+      if (!*still_alive) return;
+      run_requested = false;
+      RunDaemon();
+    });
+  }
+
+  void RunDaemon() {
+    MHD_run(daemon);
+    loop.Cancel(timeout_timer);
+    timeout_timer = 0;
+    MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+    if (MHD_get_timeout(daemon, &timeout_ms) != MHD_YES) return;
+    if (timeout_ms == 0) {
+      RequestRun();
+      return;
+    }
+    timeout_timer = loop.Schedule(core::milliseconds(timeout_ms), [this] {
+      timeout_timer = 0;
+      RunDaemon();
+    });
+  }
+
+  /** Called by the daemon once for the headers, for body data, at the end. */
+  static MHD_Result OnAccess(void* self, MHD_Connection* connection,
+                             const char* url, const char* method,
+                             const char* /*version*/, const char* data,
+                             std::size_t* size, void** context) noexcept {
+    auto* server = static_cast<impl*>(self);
+    if (*context == nullptr) {
+      return server->BeginRequest(connection, url, method, context);
+    }
+    auto& exchange = *static_cast<http_exchange_state*>(*context);
+    if (*size > 0) {
+      const bool accepted = exchange.AppendBody(
+          {data, *size}, server->options.maximum_body_bytes);
+      *size = 0;
+      return accepted ? MHD_YES : MHD_NO;
+    }
+    if (!exchange.IsDispatched()) server->Dispatch(exchange);
+    return exchange.Answer() ? MHD_YES : MHD_NO;
+  }
+
+  MHD_Result BeginRequest(MHD_Connection* connection, const char* url,
+                          const char* method, void** context) {
+    auto exchange = std::make_shared<http_exchange_state>(*this, connection);
+    exchange->ReadHead(url, method);
+    *context = exchange.get();
+    const bool oversized =
+        exchange->AnnouncedBodyBytes() > options.maximum_body_bytes;
+    http_exchange_state& reference = *exchange;
+    exchanges[connection] = std::move(exchange);
+    if (!oversized) return MHD_YES;
+    reference.RefuseBody();
+    return reference.Answer() ? MHD_YES : MHD_NO;
+  }
+
+  void Dispatch(http_exchange_state& exchange) {
+    exchange.MarkDispatched();
+    if (exchange.IsAnswered()) return;
+    try {
+      on_request(
+          std::make_shared<http_exchange_handle>(exchange.shared_from_this()));
+    } catch (const std::exception& failure) {
+      exchange.Respond({500, {}, failure.what()});
+    }
+  }
+
+  static void OnCompleted(void* self, MHD_Connection* connection,
+                          void** /*context*/,
+                          MHD_RequestTerminationCode code) noexcept {
+    auto* server = static_cast<impl*>(self);
+    const auto found = server->exchanges.find(connection);
+    if (found == server->exchanges.end()) return;
+    const auto exchange = found->second;
+    server->exchanges.erase(found);
+    exchange->Detach();
+    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) exchange->ReportGone();
+  }
+
+  event_loop& loop;
+  http_server_options options;
+  handler on_request;
+  MHD_Daemon* daemon = nullptr;
+  std::optional<io_watcher> watcher;
+  std::uint16_t port = 0;
+  timer_id timeout_timer = 0;
+  bool run_requested = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  std::unordered_map<MHD_Connection*, std::shared_ptr<http_exchange_state>>
+      exchanges;
+};
+
+http_server::http_server(event_loop& loop, http_server_options options,
+                         handler on_request)
+    : impl_(std::make_unique<impl>(loop, std::move(options),
+                                   std::move(on_request))) {}
+
+http_server::~http_server() = default;
+
+std::uint16_t http_server::Port() const { return impl_->port; }
+
+void http_server::StopAccepting() {
+  const MHD_socket listener = MHD_quiesce_daemon(impl_->daemon);
+  if (listener != MHD_INVALID_SOCKET) ::close(listener);
+}
+
+std::size_t http_server::ConnectionCount() const {
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(impl_->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  return info == nullptr ? 0 : info->num_connections;
+}
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_server_test.cc
@@ -0,0 +1,395 @@
+#include "net/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+#include "net/http_client.h"
+#include "net/test_peer.h"
+
+namespace comfreyspring::net {
+namespace {
+
+using core::milliseconds;
+
+constexpr milliseconds kLimit{5000};
+
+class http_server_test : public ::testing::Test {
+ protected:
+  void StartServer(http_server_options options, http_server::handler handler) {
+    server_ = std::make_unique<http_server>(loop_, std::move(options),
+                                            std::move(handler));
+  }
+  void StartServer(http_server::handler handler) {
+    StartServer(http_server_options{}, std::move(handler));
+  }
+
+  std::string Url(const std::string& path) const {
+    return "http://127.0.0.1:" + std::to_string(server_->Port()) + path;
+  }
+
+  http_result Call(http_call call) {
+    std::optional<http_result> result;
+    http_callbacks callbacks;
+    callbacks.on_done = [&](const http_result& done) { result = done; };
+    client_.Start(std::move(call), std::move(callbacks));
+    EXPECT_TRUE(loop_.RunUntil([&] { return result.has_value(); }, kLimit));
+    return result.value_or(http_result{});
+  }
+  http_result Get(const std::string& path) { return Call({.url = Url(path)}); }
+
+  /** Fails the test unless the server still answers a new client. */
+  void ExpectAlive() { EXPECT_EQ(Get("/alive").status, 200); }
+
+  static void Echo(const std::shared_ptr<http_exchange>& exchange) {
+    exchange->Respond({200, {}, exchange->Request().body});
+  }
+
+  event_loop loop_;
+  std::unique_ptr<http_server> server_;
+  http_client client_{loop_};
+};
+
+TEST_F(http_server_test, PassesTheWholeRequestAndAnswer) {
+  http_request seen;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    seen = exchange->Request();
+    exchange->Respond({201, {{"x-answer", "yes"}}, "made"});
+  });
+  const http_result result = Call({.method = "PUT",
+                                   .url = Url("/a%20b/c?key=v%3D1&empty="),
+                                   .headers = {{"X-Mixed-Case", "Value"}},
+                                   .body = std::string("bo\0dy", 5)});
+  EXPECT_EQ(seen.method, "PUT");
+  EXPECT_EQ(seen.path, "/a b/c");
+  EXPECT_EQ(seen.query.at("key"), "v=1");
+  EXPECT_EQ(seen.query.at("empty"), "");
+  EXPECT_EQ(seen.headers.at("x-mixed-case"), "Value");
+  EXPECT_EQ(seen.body, std::string("bo\0dy", 5));
+  EXPECT_EQ(result.failure, http_failure::none);
+  EXPECT_EQ(result.status, 201);
+  EXPECT_EQ(result.headers.at("x-answer"), "yes");
+  EXPECT_EQ(result.body, "made");
+}
+
+// Guards requests whose answer comes turns later, from a timer.
+TEST_F(http_server_test, AnswersLater) {
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    loop_.Schedule(milliseconds(20), [exchange] {
+      exchange->Respond({200, {}, "late"});
+    });
+  });
+  EXPECT_EQ(Get("/").body, "late");
+  EXPECT_EQ(Get("/").body, "late");
+}
+
+// Guards against a lost or doubled piece between suspension and resumption.
+TEST_F(http_server_test, StreamsPiecesAsTheyAreWritten) {
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->BeginStream(200, {{"content-type", "text/event-stream"}});
+    for (int i = 0; i < 20; ++i) {
+      loop_.Schedule(milliseconds(i), [exchange, i] {
+        exchange->Write("piece" + std::to_string(i) + ";");
+        if (i == 19) exchange->EndStream();
+      });
+    }
+  });
+  std::string body;
+  int pieces = 0;
+  bool done = false;
+  http_callbacks callbacks;
+  callbacks.on_data = [&](std::string_view data) {
+    body += data;
+    ++pieces;
+  };
+  callbacks.on_done = [&](const http_result& result) {
+    EXPECT_EQ(result.failure, http_failure::none);
+    EXPECT_EQ(result.headers.at("content-type"), "text/event-stream");
+    done = true;
+  };
+  client_.Start({.url = Url("/")}, callbacks);
+  ASSERT_TRUE(loop_.RunUntil([&] { return done; }, kLimit));
+  std::string expected;
+  for (int i = 0; i < 20; ++i) expected += "piece" + std::to_string(i) + ";";
+  EXPECT_EQ(body, expected);
+  EXPECT_GT(pieces, 1);
+}
+
+// Guards bodies that are larger than the daemon's block and socket buffers.
+TEST_F(http_server_test, StreamsAndAnswersLargeBodies) {
+  const std::string large(3 * 1024 * 1024, 'x');
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    if (exchange->Request().path == "/whole") {
+      exchange->Respond({200, {}, large});
+      return;
+    }
+    exchange->BeginStream(200, {});
+    exchange->Write(large);
+    exchange->EndStream();
+  });
+  EXPECT_EQ(Get("/whole").body, large);
+  EXPECT_EQ(Get("/stream").body, large);
+}
+
+// Guards against an aborted stream that looks like a complete answer.
+TEST_F(http_server_test, AbortBreaksTheStream) {
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->BeginStream(200, {});
+    exchange->Write("half");
+    loop_.Schedule(milliseconds(10), [exchange] { exchange->Abort(); });
+  });
+  const http_result result = Get("/");
+  EXPECT_EQ(result.failure, http_failure::broken);
+  EXPECT_EQ(result.status, 200);
+  EXPECT_EQ(result.body, "half");
+}
+
+// Guards against work for a client that has gone while its connection was
+// suspended, which the HTTP library does not poll.
+TEST_F(http_server_test, ReportsAClientThatLeavesMidStream) {
+  bool gone = false;
+  std::shared_ptr<http_exchange> kept;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    if (exchange->Request().path == "/alive") {
+      Echo(exchange);
+      return;
+    }
+    kept = exchange;
+    exchange->OnClientGone([&] { gone = true; });
+    exchange->BeginStream(200, {});
+    exchange->Write("first");
+  });
+  test_peer peer(loop_, server_->Port());
+  peer.Send("GET /stream HTTP/1.1\r\nHost: test\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return peer.Received().find("first") != std::string::npos; },
+      kLimit));
+  EXPECT_FALSE(gone);
+  peer.Close();
+  ASSERT_TRUE(loop_.RunUntil([&] { return gone; }, kLimit));
+  kept->Write("ignored");
+  kept->EndStream();
+  ExpectAlive();
+  EXPECT_LE(server_->ConnectionCount(), 1U);
+}
+
+TEST_F(http_server_test, ReportsAClientThatLeavesBeforeTheAnswer) {
+  bool gone = false;
+  std::shared_ptr<http_exchange> kept;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    if (exchange->Request().path == "/alive") {
+      Echo(exchange);
+      return;
+    }
+    kept = exchange;
+    exchange->OnClientGone([&] { gone = true; });
+  });
+  test_peer peer(loop_, server_->Port());
+  peer.Send("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return kept != nullptr; }, kLimit));
+  peer.Close();
+  ASSERT_TRUE(loop_.RunUntil([&] { return gone; }, kLimit));
+  kept->Respond({200, {}, "nobody reads this"});
+  ExpectAlive();
+}
+
+// Guards against a client that waits forever for a forgotten request.
+TEST_F(http_server_test, AnswersForADroppedExchange) {
+  StartServer([](const std::shared_ptr<http_exchange>&) {});
+  EXPECT_EQ(Get("/").status, 500);
+}
+
+TEST_F(http_server_test, AnswersForAHandlerThatThrows) {
+  StartServer([](const std::shared_ptr<http_exchange>&) {
+    throw std::runtime_error("fault in the handler");
+  });
+  EXPECT_EQ(Get("/").status, 500);
+}
+
+// Guards the memory bound of one request: the handler must not see it.
+TEST_F(http_server_test, RefusesAnOversizedBody) {
+  int handled = 0;
+  http_server_options options;
+  options.maximum_body_bytes = 1000;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    Echo(exchange);
+  });
+  http_call call{.method = "POST", .url = Url("/")};
+  call.body = std::string(1001, 'x');
+  EXPECT_EQ(Call(call).status, 413);
+  EXPECT_EQ(handled, 0);
+  call.body = std::string(1000, 'x');
+  EXPECT_EQ(Call(call).body.size(), 1000U);
+  EXPECT_EQ(handled, 1);
+}
+
+// The same for a body that does not announce its length.
+TEST_F(http_server_test, RefusesAnOversizedChunkedBody) {
+  int handled = 0;
+  http_server_options options;
+  options.maximum_body_bytes = 1000;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    Echo(exchange);
+  });
+  test_peer peer(loop_, server_->Port());
+  peer.Send(
+      "POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < 3; ++i) {
+    peer.Send("1f4\r\n" + std::string(500, 'x') + "\r\n");
+  }
+  peer.Send("0\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, kLimit));
+  EXPECT_EQ(peer.Received().rfind("HTTP/1.1 413", 0), 0U);
+  EXPECT_EQ(handled, 0);
+
+  test_peer endless(loop_, server_->Port());
+  endless.Send(
+      "POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < 100; ++i) {
+    endless.Send("1f4\r\n" + std::string(500, 'x') + "\r\n");
+  }
+  ASSERT_TRUE(loop_.RunUntil([&] { return endless.IsClosedByPeer(); }, kLimit));
+  EXPECT_EQ(handled, 0);
+  ExpectAlive();
+}
+
+TEST_F(http_server_test, RefusesOversizedHeaders) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  test_peer peer(loop_, server_->Port());
+  peer.Send("GET / HTTP/1.1\r\nHost: test\r\nX-Large: " +
+            std::string(64 * 1024, 'x') + "\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, kLimit));
+  EXPECT_EQ(peer.Received().find("HTTP/1.1 2"), std::string::npos);
+  ExpectAlive();
+}
+
+TEST_F(http_server_test, SurvivesGarbage) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  test_peer peer(loop_, server_->Port());
+  std::string garbage;
+  for (int i = 0; i < 4096; ++i) garbage += static_cast<char>(i * 37);
+  peer.Send(garbage + "\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, kLimit));
+  ExpectAlive();
+}
+
+// Guards against connections that are held open with half a header.
+TEST_F(http_server_test, ClosesAConnectionWithHalfAHeader) {
+  http_server_options options;
+  options.idle_timeout = core::seconds(1);
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  test_peer peer(loop_, server_->Port());
+  peer.Send("GET / HTTP/1.1\r\nHost: te");
+  test_peer silent(loop_, server_->Port());
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return peer.IsClosedByPeer() && silent.IsClosedByPeer(); },
+      kLimit));
+  ExpectAlive();
+}
+
+// Guards against an idle timeout that ends requests which wait for an answer.
+TEST_F(http_server_test, KeepsAWaitingRequestBeyondTheIdleTimeout) {
+  http_server_options options;
+  options.idle_timeout = core::seconds(1);
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    loop_.Schedule(milliseconds(2200), [exchange] {
+      exchange->Respond({200, {}, "patient"});
+    });
+  });
+  EXPECT_EQ(Get("/").body, "patient");
+}
+
+// Guards against a spinning watch or a lost answer when a client sends its next
+// request early.
+TEST_F(http_server_test, AnswersPipelinedRequestsInOrder) {
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    loop_.Schedule(milliseconds(20), [exchange] {
+      exchange->Respond({200, {}, "answer " + exchange->Request().path});
+    });
+  });
+  test_peer peer(loop_, server_->Port());
+  peer.Send(
+      "GET /1 HTTP/1.1\r\nHost: test\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nHost: test\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return peer.Received().find("answer /2") != std::string::npos; },
+      kLimit));
+  EXPECT_LT(peer.Received().find("answer /1"),
+            peer.Received().find("answer /2"));
+}
+
+// Guards the drain: open requests end normally, new connections are refused.
+TEST_F(http_server_test, StopAcceptingLetsOpenRequestsFinish) {
+  std::shared_ptr<http_exchange> kept;
+  StartServer(
+      [&](const std::shared_ptr<http_exchange>& exchange) { kept = exchange; });
+  test_peer peer(loop_, server_->Port());
+  peer.Send("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return kept != nullptr; }, kLimit));
+  server_->StopAccepting();
+  EXPECT_EQ(Get("/").failure, http_failure::not_sent);
+  kept->Respond({200, {}, "finished"});
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return peer.Received().find("finished") != std::string::npos; },
+      kLimit));
+}
+
+// Guards against use of a destroyed server by exchanges that outlive it.
+TEST_F(http_server_test, StopsWithOpenRequests) {
+  std::vector<std::shared_ptr<http_exchange>> kept;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    if (exchange->Request().path == "/stream") exchange->BeginStream(200, {});
+    kept.push_back(exchange);
+  });
+  test_peer waiting(loop_, server_->Port());
+  waiting.Send("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  test_peer streaming(loop_, server_->Port());
+  streaming.Send("GET /stream HTTP/1.1\r\nHost: test\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return kept.size() == 2; }, kLimit));
+  server_.reset();
+  for (const auto& exchange : kept) {
+    exchange->Write("late");
+    exchange->EndStream();
+    exchange->Respond({});
+  }
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return waiting.IsClosedByPeer() && streaming.IsClosedByPeer(); },
+      kLimit));
+}
+
+TEST_F(http_server_test, RefusesAnAddressInUse) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  http_server_options options;
+  options.port = server_->Port();
+  EXPECT_THROW(http_server(loop_, options, nullptr), net_error);
+  options.address = "not an address";
+  EXPECT_THROW(http_server(loop_, options, nullptr), net_error);
+}
+
+// Guards the connection count and the order of answers under parallel calls.
+TEST_F(http_server_test, AnswersManyClientsAtOnce) {
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    loop_.Schedule(milliseconds(5), [exchange] { Echo(exchange); });
+  });
+  int correct = 0;
+  int done = 0;
+  for (int i = 0; i < 200; ++i) {
+    http_callbacks callbacks;
+    callbacks.on_done = [&, i](const http_result& result) {
+      ++done;
+      if (result.body == std::to_string(i)) ++correct;
+    };
+    client_.Start(
+        {.method = "POST", .url = Url("/"), .body = std::to_string(i)},
+        callbacks);
+  }
+  ASSERT_TRUE(loop_.RunUntil([&] { return done == 200; }, kLimit));
+  EXPECT_EQ(correct, 200);
+}
+
+}  // namespace
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_transfer.cc
@@ -0,0 +1,223 @@
+#include "net/http_transfer.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdint>
+#include <utility>
+
+namespace comfreyspring::net {
+namespace {
+
+// A connection that was idle for longer may have been dropped on the way
+// without notice.
+constexpr long kMaximumIdleSeconds = 30;
+constexpr long kKeepaliveSeconds = 10;
+// A larger answer fails the call; a streamed answer is passed on without limit.
+constexpr std::size_t kMaximumBodyBytes = 64UL * 1024 * 1024;
+
+template <class Value>
+void SetOption(CURL* easy, CURLoption option, Value value) {
+  curl_easy_setopt(easy, option, value);
+}
+
+}  // namespace
+
+http_transfer::http_transfer(event_loop& loop, http_call_id id, http_call call,
+                             http_callbacks callbacks)
+    : loop_(loop),
+      id_(id),
+      call_(std::move(call)),
+      callbacks_(std::move(callbacks)),
+      easy_(curl_easy_init()),
+      last_activity_(loop.Now()) {
+  if (!easy_) return;
+  SetUrlAndMethod();
+  SetHeaders();
+  SetLimits();
+  CURL* easy = easy_.get();
+  SetOption(easy, CURLOPT_PRIVATE, reinterpret_cast<void*>(id_));
+  SetOption(easy, CURLOPT_ERRORBUFFER, error_text_.data());
+  SetOption(easy, CURLOPT_HEADERFUNCTION, &http_transfer::OnHeader);
+  SetOption(easy, CURLOPT_HEADERDATA, this);
+  SetOption(easy, CURLOPT_WRITEFUNCTION, &http_transfer::OnBody);
+  SetOption(easy, CURLOPT_WRITEDATA, this);
+  SetOption(easy, CURLOPT_PREREQFUNCTION, &http_transfer::OnBeforeRequest);
+  SetOption(easy, CURLOPT_PREREQDATA, this);
+}
+
+http_transfer::~http_transfer() { loop_.Cancel(idle_timer_); }
+
+http_call_id http_transfer::IdOf(CURL* easy) {
+  void* id = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &id);
+  return reinterpret_cast<std::uintptr_t>(id);
+}
+
+// Options.
+
+void http_transfer::SetUrlAndMethod() {
+  CURL* easy = easy_.get();
+  SetOption(easy, CURLOPT_URL, call_.url.c_str());
+  SetOption(easy, CURLOPT_PROTOCOLS_STR, "http");
+  SetOption(easy, CURLOPT_NOPROXY, "*");
+  SetOption(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  if (call_.method == "HEAD") {
+    SetOption(easy, CURLOPT_NOBODY, 1L);
+  } else if (call_.method != "GET" || !call_.body.empty()) {
+    SetOption(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+              static_cast<curl_off_t>(call_.body.size()));
+    SetOption(easy, CURLOPT_POSTFIELDS, call_.body.data());
+    SetOption(easy, CURLOPT_CUSTOMREQUEST, call_.method.c_str());
+  }
+}
+
+void http_transfer::SetHeaders() {
+  const auto append = [this](const std::string& line) {
+    // On failure the list is unchanged and still owned.
+    curl_slist* longer = curl_slist_append(header_list_.get(), line.c_str());
+    if (longer == nullptr) return;
+    static_cast<void>(header_list_.release());
+    header_list_.reset(longer);
+  };
+  // Otherwise the library waits a second for a peer that does not answer
+  // "100 Continue", and adds a form content type.
+  append("Expect:");
+  if (call_.headers.count("content-type") == 0) append("Content-Type:");
+  for (const auto& [name, value] : call_.headers) {
+    append(value.empty() ? name + ';' : name + ": " + value);
+  }
+  SetOption(easy_.get(), CURLOPT_HTTPHEADER, header_list_.get());
+}
+
+void http_transfer::SetLimits() {
+  CURL* easy = easy_.get();
+  SetOption(easy, CURLOPT_NOSIGNAL, 1L);
+  SetOption(easy, CURLOPT_TCP_NODELAY, 1L);
+  SetOption(easy, CURLOPT_CONNECTTIMEOUT_MS,
+            static_cast<long>(call_.connect_timeout.count()));
+  SetOption(easy, CURLOPT_TIMEOUT_MS,
+            static_cast<long>(call_.total_timeout.count()));
+  SetOption(easy, CURLOPT_FRESH_CONNECT, call_.fresh_connection ? 1L : 0L);
+  SetOption(easy, CURLOPT_MAXAGE_CONN, kMaximumIdleSeconds);
+  SetOption(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  SetOption(easy, CURLOPT_TCP_KEEPIDLE, kKeepaliveSeconds);
+  SetOption(easy, CURLOPT_TCP_KEEPINTVL, kKeepaliveSeconds);
+}
+
+bool http_transfer::IsSafeToRepeat() const {
+  return call_.method == "GET" || call_.method == "HEAD";
+}
+
+// Library callbacks.
+
+int http_transfer::OnBeforeRequest(void* self, char* /*peer_address*/,
+                                   char* /*local_address*/, int /*peer_port*/,
+                                   int /*local_port*/) noexcept {
+  auto& transfer = *static_cast<http_transfer*>(self);
+  if (transfer.cancelled_) return CURL_PREREQFUNC_ABORT;
+  // The library sends a request again when a reused connection ends without an
+  // answer. The peer may have run it, so only safe methods may be repeated.
+  if (transfer.times_sent_ > 0 && !transfer.IsSafeToRepeat()) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  ++transfer.times_sent_;
+  transfer.last_activity_ = transfer.loop_.Now();
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t http_transfer::OnHeader(char* data, std::size_t size,
+                                    std::size_t count, void* self) noexcept {
+  auto& transfer = *static_cast<http_transfer*>(self);
+  if (transfer.cancelled_) return 0;
+  transfer.last_activity_ = transfer.loop_.Now();
+  transfer.ReadHeaderLine(std::string(data, size * count));
+  return transfer.cancelled_ ? 0 : size * count;
+}
+
+void http_transfer::ReadHeaderLine(std::string line) {
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+    line.pop_back();
+  }
+  if (line.rfind("HTTP/", 0) == 0) {
+    // Replaces the head of an interim answer.
+    long status = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    result_.status = static_cast<int>(status);
+    result_.headers.clear();
+    return;
+  }
+  if (line.empty()) {
+    // Not for interim answers, and not again for the trailers of a body.
+    const bool is_first = result_.status >= 200 && !headers_reported_;
+    if (is_first) headers_reported_ = true;
+    if (is_first && callbacks_.on_headers) {
+      callbacks_.on_headers(result_.status, result_.headers);
+    }
+    return;
+  }
+  const std::size_t colon = line.find(':');
+  if (colon == std::string::npos) return;
+  std::string name = line.substr(0, colon);
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  const std::size_t start = line.find_first_not_of(" \t", colon + 1);
+  result_.headers[name] =
+      start == std::string::npos ? std::string() : line.substr(start);
+}
+
+std::size_t http_transfer::OnBody(char* data, std::size_t size,
+                                  std::size_t count, void* self) noexcept {
+  auto& transfer = *static_cast<http_transfer*>(self);
+  const std::size_t bytes = size * count;
+  if (transfer.cancelled_) return 0;
+  transfer.last_activity_ = transfer.loop_.Now();
+  if (transfer.callbacks_.on_data) {
+    transfer.callbacks_.on_data({data, bytes});
+  } else if (transfer.result_.body.size() + bytes > kMaximumBodyBytes) {
+    return 0;
+  } else {
+    transfer.result_.body.append(data, bytes);
+  }
+  return transfer.cancelled_ ? 0 : bytes;
+}
+
+// Idle time and end.
+
+void http_transfer::OnIdle(std::function<void()> callback) {
+  on_idle_ = std::move(callback);
+  if (call_.idle_timeout.count() > 0) ScheduleIdleCheck(call_.idle_timeout);
+}
+
+void http_transfer::ScheduleIdleCheck(core::milliseconds delay) {
+  idle_timer_ = loop_.Schedule(delay, [this] {
+    idle_timer_ = 0;
+    const auto left = last_activity_ + call_.idle_timeout - loop_.Now();
+    if (left.count() > 0) {
+      ScheduleIdleCheck(std::chrono::ceil<core::milliseconds>(left));
+      return;
+    }
+    const auto expired = on_idle_;
+    expired();
+  });
+}
+
+void http_transfer::MarkCancelled() {
+  cancelled_ = true;
+  loop_.Cancel(idle_timer_);
+}
+
+void http_transfer::ReportDone(CURLcode code) {
+  if (cancelled_) return;
+  cancelled_ = true;
+  if (code != CURLE_OK) {
+    result_.failure =
+        times_sent_ == 0 ? http_failure::not_sent : http_failure::broken;
+    result_.error_message = error_text_.front() != '\0'
+                                ? error_text_.data()
+                                : curl_easy_strerror(code);
+  }
+  if (callbacks_.on_done) callbacks_.on_done(result_);
+}
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/http_transfer.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <curl/curl.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/http_client.h"
+
+namespace comfreyspring::net {
+
+/** One call of the HTTP client: its library handle and what has arrived. */
+class http_transfer {
+ public:
+  http_transfer(event_loop& loop, http_call_id id, http_call call,
+                http_callbacks callbacks);
+  ~http_transfer();
+  http_transfer(const http_transfer&) = delete;
+  http_transfer& operator=(const http_transfer&) = delete;
+
+  http_call_id Id() const { return id_; }
+  /** Null if the library could not make one. */
+  CURL* Easy() const { return easy_.get(); }
+  /** The call that a library handle belongs to. */
+  static http_call_id IdOf(CURL* easy);
+
+  /** Sets what to do when the call's idle timeout has passed. */
+  void OnIdle(std::function<void()> callback);
+  /** Ends all callbacks; the library aborts the transfer. */
+  void MarkCancelled();
+  /** Calls `on_done`. */
+  void ReportDone(CURLcode code);
+
+ private:
+  struct list_deleter {
+    void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+  };
+  struct easy_deleter {
+    void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+  };
+
+  static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
+                              void* self) noexcept;
+  static std::size_t OnBody(char* data, std::size_t size, std::size_t count,
+                            void* self) noexcept;
+  static int OnBeforeRequest(void* self, char* peer_address,
+                             char* local_address, int peer_port,
+                             int local_port) noexcept;
+
+  void SetUrlAndMethod();
+  void SetHeaders();
+  void SetLimits();
+  bool IsSafeToRepeat() const;
+  void ReadHeaderLine(std::string line);
+  void ScheduleIdleCheck(core::milliseconds delay);
+
+  event_loop& loop_;
+  http_call_id id_;
+  http_call call_;
+  http_callbacks callbacks_;
+  std::unique_ptr<curl_slist, list_deleter> header_list_;
+  std::unique_ptr<CURL, easy_deleter> easy_;
+  std::array<char, CURL_ERROR_SIZE> error_text_{};
+  http_result result_;
+  bool headers_reported_ = false;
+  int times_sent_ = 0;
+  bool cancelled_ = false;
+  std::function<void()> on_idle_;
+  core::time_point last_activity_;
+  timer_id idle_timer_ = 0;
+};
+
+}  // namespace comfreyspring::net
--- /dev/null
+++ b/src/net/tcp_socket.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "net/socket_address.h"
+
+namespace comfreyspring::net {
+
+/** Result of reading from or writing to a socket that does not block. */
+struct transfer_result {
+  enum class kind { done, would_block, ended };
+  kind outcome = kind::done;
+  std::size_t bytes = 0;
+  /** Why the connection ended. */
+  std::string reason;
+};
+
+/** Owner of a TCP socket that never blocks and sends without delay. */
+class tcp_socket {
+ public:
+  tcp_socket() = default;
+  /** Takes over an open descriptor. */
+  explicit tcp_socket(int descriptor);
+  ~tcp_socket() { Close(); }
+  tcp_socket(tcp_socket&& other) noexcept;
+  tcp_socket& operator=(tcp_socket&& other) noexcept;
+  tcp_socket(const tcp_socket&) = delete;
+  tcp_socket& operator=(const tcp_socket&) = delete;
+
+  /** Starts to connect. @throws net_error if that fails at once. */
+  static tcp_socket Connect(const socket_address& address);
+  /** Opens a listening socket. @throws net_error */
+  static tcp_socket Listen(const socket_address& address);
+
+  int Descriptor() const { return descriptor_; }
+  bool IsValid() const { return descriptor_ >= 0; }
+  void Close();
+
+  /** Outcome of a started connect: 0, EINPROGRESS or the error number. */
+  int ConnectError() const;
+  transfer_result Read(char* target, std::size_t capacity);
+  transfer_result Write(const char* data, std::size_t size);
+  /** @returns an invalid socket and sets errno if there is none to accept. */
+  tcp_socket Accept();
+
+ private:
+  int descriptor_ = -1;
+};
+
+}  // namespace comfreyspring::net
