Release websocket connections that end early

Cause: the sanitizer reported 120 leaks (98,720 bytes) in the net tests: a pending read of websocketpp owns its connection. Change: a session fails its pending read when it is destroyed; lint findings. Conclusion: links can be dropped in any state.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -37,7 +37,7 @@
     port = info->port;
   }
 
-  ~impl() {
+  ~impl() override {
     *alive = false;
     loop.Cancel(timeout_timer);
     watcher.reset();
--- a/src/net/timer_queue.h
+++ b/src/net/timer_queue.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 
 #include "core/time.h"
@@ -37,7 +38,9 @@
   struct key {
     core::time_point due;
     std::uint64_t timer;
-    friend auto operator<=>(const key&, const key&) = default;
+    bool operator<(const key& other) const {
+      return std::tie(due, timer) < std::tie(other.due, other.timer);
+    }
   };
   struct entry {
     core::milliseconds period;
--- a/src/net/websocket/websocket_session.cc
+++ b/src/net/websocket/websocket_session.cc
@@ -12,6 +12,9 @@
 namespace comfreyspring::net {
 namespace {
 
+// The library prescribes the names of these constants.
+// NOLINTBEGIN(readability-identifier-naming)
+
 /** Single-threaded variant of a library configuration, without its log. */
 template <class Base>
 struct quiet_config : public Base {
@@ -48,6 +51,8 @@
   static constexpr std::size_t max_http_body_size = 1024;
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 using server_endpoint =
     websocketpp::server<quiet_config<websocketpp::config::core>>;
 using client_endpoint =
@@ -63,8 +68,9 @@
     endpoint_.clear_access_channels(websocketpp::log::alevel::all);
     endpoint_.clear_error_channels(websocketpp::log::elevel::all);
     endpoint_.set_max_message_size(maximum_frame_bytes);
-    endpoint_.set_open_handler(
-        [this](websocketpp::connection_hdl) { handlers_.on_open(); });
+    endpoint_.set_open_handler([this](websocketpp::connection_hdl) {
+      if (handlers_.on_open) handlers_.on_open();
+    });
     endpoint_.set_message_handler(
         [this](websocketpp::connection_hdl,
                typename Endpoint::message_ptr message) {
@@ -74,18 +80,29 @@
         });
   }
 
+  ~session() override {
+    if (!connection_) return;
+    handlers_ = {};
+    // The library's pending read owns the connection until it fails.
+    if (connection_->get_state() != websocketpp::session::state::closed) {
+      connection_->fatal_error();
+    }
+  }
+  session(const session&) = delete;
+  session& operator=(const session&) = delete;
+
   void Start(connection_ptr connection) {
     connection_ = std::move(connection);
     connection_->set_write_handler([this](websocketpp::connection_hdl,
                                           const char* data, std::size_t size) {
-      handlers_.on_output(data, size);
+      Output(data, size);
       return std::error_code();
     });
     connection_->set_vector_write_handler(
         [this](websocketpp::connection_hdl,
                const std::vector<websocketpp::transport::buffer>& buffers) {
           for (const auto& buffer : buffers) {
-            handlers_.on_output(buffer.buf, buffer.len);
+            Output(buffer.buf, buffer.len);
           }
           return std::error_code();
         });
@@ -128,6 +145,10 @@
   }
 
  private:
+  void Output(const char* data, std::size_t size) {
+    if (handlers_.on_output) handlers_.on_output(data, size);
+  }
+
   callbacks handlers_;
   Endpoint endpoint_;
   connection_ptr connection_;
