--- /dev/null
+++ b/src/telemetry/metrics.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "core/time.h"
+
+namespace comfreyspring::telemetry {
+
+/**
+ * Registry of metrics. Names are `snake_case`, may carry labels in braces and
+ * say their unit, such as `entry_requests_total{class="urgent"}`.
+ */
+class metrics {
+ public:
+  metrics();
+  ~metrics();
+  metrics(const metrics&) = delete;
+  metrics& operator=(const metrics&) = delete;
+
+  // Recording.
+
+  /** Adds to a counter. */
+  void Count(const std::string& name, std::uint64_t by = 1);
+  /** Sets a gauge. */
+  void SetGauge(const std::string& name, double value);
+  /** Adds one observation to a summary; its name ends in `_ms`. */
+  void Observe(const std::string& name, double milliseconds);
+
+  // Reading.
+
+  /** Text exposition format of common scrapers. */
+  std::string ToText() const;
+  /** One member per metric; summaries have count, mean, p50, p95, p99. */
+  nlohmann::json ToJson() const;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+/** Resident memory and processor time of this process, for dumps. */
+struct process_usage {
+  std::int64_t resident_bytes = 0;
+  double processor_seconds = 0.0;
+};
+process_usage ReadProcessUsage();
+
+}  // namespace comfreyspring::telemetry
--- /dev/null
+++ b/src/telemetry/metrics_test.cc
@@ -0,0 +1,40 @@
+#include "telemetry/metrics.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace comfreyspring::telemetry {
+namespace {
+
+TEST(Metrics, WritesTextExposition) {
+  metrics registry;
+  registry.Count("requests_total{class=\"urgent\"}", 2);
+  registry.SetGauge("links", 3);
+  for (int i = 1; i <= 1000; ++i) registry.Observe("wait_ms", i);
+  const std::string text = registry.ToText();
+  EXPECT_NE(text.find("# TYPE requests_total counter\n"), std::string::npos);
+  EXPECT_NE(text.find("requests_total{class=\"urgent\"} 2\n"),
+            std::string::npos);
+  EXPECT_NE(text.find("links 3\n"), std::string::npos);
+  EXPECT_NE(text.find("wait_ms{quantile=\"0.99\"}"), std::string::npos);
+  EXPECT_NE(text.find("wait_ms_count 1000\n"), std::string::npos);
+}
+
+// Guards against quantiles of the wrong probability in dumps.
+TEST(Metrics, EstimatesQuantiles) {
+  metrics registry;
+  for (int i = 0; i < 10000; ++i)
+    registry.Observe("wait_ms", (i * 7919) % 1000);
+  const nlohmann::json dump = registry.ToJson();
+  EXPECT_NEAR(dump["wait_ms"]["p50_ms"].get<double>(), 500, 25);
+  EXPECT_NEAR(dump["wait_ms"]["p95_ms"].get<double>(), 950, 25);
+  EXPECT_NEAR(dump["wait_ms"]["p99_ms"].get<double>(), 990, 25);
+}
+
+TEST(ProcessUsage, ReadsMemory) {
+  EXPECT_GT(ReadProcessUsage().resident_bytes, 0);
+}
+
+}  // namespace
+}  // namespace comfreyspring::telemetry
