--- /dev/null
+++ b/src/entry/config_controller.cc
@@ -0,0 +1,272 @@
+#include "entry/config_controller.h"
+
+#include <glog/logging.h>
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace comfreyspring::entry {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr const char* kPlatformSource = "platform";
+constexpr core::milliseconds kWatchTimeout{25000};
+constexpr core::milliseconds kReadTimeout{3000};
+constexpr core::milliseconds kRetryBase{500};
+constexpr core::milliseconds kTickPeriod{250};
+
+std::string PartKey(std::uint64_t hash) {
+  std::ostringstream key;
+  key << "part/" << std::hex;
+  key.width(16);
+  key.fill('0');
+  key << hash;
+  return key.str();
+}
+
+}  // namespace
+
+struct config_controller::impl {
+  impl(net::event_loop& event_loop, net::http_client_interface& client,
+       std::string url, std::uint64_t random_seed, send_function send_message,
+       adopted_function adopted_callback)
+      : loop(event_loop),
+        http(client),
+        platform_url(std::move(url)),
+        random(random_seed),
+        send(std::move(send_message)),
+        on_adopted(std::move(adopted_callback)) {}
+
+  ~impl() {
+    loop.Cancel(watch_timer);
+    loop.Cancel(tick_timer);
+    for (const net::http_call_id call : calls) http.Cancel(call);
+  }
+
+  // Store actions.
+
+  void Execute(const std::vector<config::store_action>& actions) {
+    for (const config::store_action& action : actions) {
+      std::visit([this](const auto& typed) { Do(typed); }, action);
+    }
+  }
+
+  void Do(const config::fetch_manifest& action) {
+    if (action.source == kPlatformSource) {
+      ReadPlatform("manifest", std::nullopt);
+      return;
+    }
+    Ask(action.source, std::nullopt);
+  }
+
+  void Do(const config::fetch_part& action) {
+    if (action.source == kPlatformSource) {
+      ReadPlatform(PartKey(action.hash), action.hash);
+      return;
+    }
+    Ask(action.source, action.hash);
+  }
+
+  void Do(const config::adopted& action) {
+    LOG(INFO) << "entry.config: Adopted configuration "
+              << core::ToString(action.set->version) << '.';
+    on_adopted(action.set);
+  }
+
+  void Do(const config::rejected& action) {
+    LOG(WARNING) << "entry.config: Rejected configuration "
+                 << core::ToString(action.version) << ": " << action.reason
+                 << '.';
+  }
+
+  void Ask(const config::source_id& source, std::optional<std::uint64_t> hash) {
+    const bool sent =
+        send(core::endpoint_id(source), wire::config_request{hash});
+    if (sent) return;
+    // Answered in the next turn: the store is inside one of its own events.
+    loop.Post([this, source, hash] {
+      Execute(store.OnFetchFailed(source, hash, loop.Now()));
+    });
+  }
+
+  // Platform.
+
+  net::http_call_id StartCall(
+      const std::string& path, core::milliseconds timeout,
+      std::function<void(const net::http_result&)> on_done) {
+    net::http_call call;
+    call.url = platform_url + path;
+    call.total_timeout = timeout;
+    auto id = std::make_shared<net::http_call_id>(0);
+    net::http_callbacks callbacks;
+    callbacks.on_done =
+        [this, id, done = std::move(on_done)](const net::http_result& result) {
+          calls.erase(*id);
+          done(result);
+        };
+    *id = http.Start(std::move(call), std::move(callbacks));
+    calls.insert(*id);
+    return *id;
+  }
+
+  /** Value and revision of an answer; nullopt if it has none. */
+  std::optional<json> ParseAnswer(const net::http_result& result) {
+    const bool reachable = result.failure == net::http_failure::none &&
+                           result.status >= kOk && result.status < 500;
+    if (reachable != platform_reachable) {
+      platform_reachable = reachable;
+      LOG(INFO) << "entry.config: Configuration service is "
+                << (reachable ? "reachable." : "not reachable.");
+    }
+    if (result.status != kOk) return std::nullopt;
+    json answer = json::parse(result.body, nullptr, false);
+    const bool valid = answer.is_object() && answer.contains("value") &&
+                       answer["value"].is_string();
+    if (!valid) return std::nullopt;
+    return answer;
+  }
+
+  void ReadPlatform(const std::string& key, std::optional<std::uint64_t> hash) {
+    StartCall(
+        "/config/" + key, kReadTimeout,
+        [this, hash](const net::http_result& result) {
+          const std::optional<json> answer = ParseAnswer(result);
+          if (!answer) {
+            Execute(store.OnFetchFailed(kPlatformSource, hash, loop.Now()));
+            return;
+          }
+          TakeDocument(*answer, hash);
+        });
+  }
+
+  void TakeDocument(const json& answer, std::optional<std::uint64_t> hash) {
+    const auto value = answer["value"].get<std::string>();
+    if (hash) {
+      Execute(store.OnPart(kPlatformSource, *hash, value, loop.Now()));
+      return;
+    }
+    Execute(store.OnManifest(kPlatformSource, value, loop.Now()));
+  }
+
+  void Watch() {
+    std::string path = "/config/manifest";
+    if (watched_revision >= 0) {
+      path += "?watch_after=" + std::to_string(watched_revision) +
+              "&timeout_ms=" + std::to_string(kWatchTimeout.count());
+    }
+    StartCall(path, kWatchTimeout + kReadTimeout,
+              [this](const net::http_result& result) { OnWatched(result); });
+  }
+
+  void OnWatched(const net::http_result& result) {
+    const std::optional<json> answer = ParseAnswer(result);
+    core::milliseconds pause{0};
+    if (answer) {
+      const auto revision = answer->value("revision", std::int64_t{0});
+      // The same revision again is a watch that ran into its time limit.
+      if (revision != watched_revision) TakeDocument(*answer, std::nullopt);
+      if (revision == watched_revision) pause = kTickPeriod;
+      watched_revision = revision;
+    } else {
+      watched_revision = -1;
+      pause =
+          kRetryBase +
+          core::milliseconds(static_cast<std::int64_t>(random.NextBelow(1000)));
+    }
+    watch_timer = loop.Schedule(pause, [this] { Watch(); });
+  }
+
+  net::event_loop& loop;
+  net::http_client_interface& http;
+  std::string platform_url;
+  core::random_source random;
+  send_function send;
+  adopted_function on_adopted;
+  config::config_store store;
+  std::set<net::http_call_id> calls;
+  net::timer_id watch_timer = 0;
+  net::timer_id tick_timer = 0;
+  std::int64_t watched_revision = -1;
+  bool platform_reachable = false;
+};
+
+config_controller::config_controller(net::event_loop& loop,
+                                     net::http_client_interface& http,
+                                     std::string platform_url,
+                                     std::uint64_t random_seed,
+                                     send_function send,
+                                     adopted_function on_adopted)
+    : impl_(std::make_unique<impl>(loop, http, std::move(platform_url),
+                                   random_seed, std::move(send),
+                                   std::move(on_adopted))) {}
+
+config_controller::~config_controller() = default;
+
+void config_controller::Start() {
+  if (!impl_->platform_url.empty()) impl_->Watch();
+  impl_->tick_timer = impl_->loop.SchedulePeriodic(kTickPeriod, [this] {
+    impl_->Execute(impl_->store.OnTick(impl_->loop.Now()));
+  });
+}
+
+void config_controller::OnPeerVersion(const core::endpoint_id& endpoint,
+                                      core::config_version version) {
+  impl_->Execute(
+      impl_->store.OnVersionSeen(endpoint.Value(), version, impl_->loop.Now()));
+}
+
+void config_controller::OnConfigRequest(const core::endpoint_id& endpoint,
+                                        const wire::config_request& message) {
+  const std::string* bytes = message.hash
+                                 ? impl_->store.PartBytes(*message.hash)
+                                 : impl_->store.ManifestBytes();
+  if (bytes == nullptr) return;
+  wire::config_part answer;
+  answer.manifest = !message.hash.has_value();
+  answer.hash = message.hash.value_or(CurrentVersion().manifest_hash);
+  answer.bytes = *bytes;
+  impl_->send(endpoint, answer);
+}
+
+void config_controller::OnConfigPart(const core::endpoint_id& endpoint,
+                                     const wire::config_part& message) {
+  const core::time_point now = impl_->loop.Now();
+  const std::string& source = endpoint.Value();
+  impl_->Execute(
+      message.manifest
+          ? impl_->store.OnManifest(source, message.bytes, now)
+          : impl_->store.OnPart(source, message.hash, message.bytes, now));
+}
+
+std::shared_ptr<const config::configuration> config_controller::Current()
+    const {
+  return impl_->store.Current();
+}
+
+core::config_version config_controller::CurrentVersion() const {
+  return impl_->store.CurrentVersion();
+}
+
+nlohmann::json config_controller::ToJson() const {
+  const auto current = Current();
+  json dump = {{"version", core::ToString(CurrentVersion())},
+               {"generation", CurrentVersion().generation},
+               {"platform_reachable", impl_->platform_reachable}};
+  if (current != nullptr) {
+    dump["adapters"] = current->adapters.size();
+    dump["endpoints"] = current->endpoints.size();
+    dump["planned_stops"] = current->stops.size();
+  }
+  if (const auto& last = impl_->store.LastRejected()) {
+    dump["last_rejected"] = {{"version", core::ToString(last->version)},
+                             {"reason", last->reason}};
+  }
+  return dump;
+}
+
+}  // namespace comfreyspring::entry
--- /dev/null
+++ b/src/entry/entry_main.cc
@@ -0,0 +1,112 @@
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+#include "entry/entry_program.h"
+#include "settings/flag_checks.h"
+#include "settings/program_start.h"
+
+DEFINE_string(process_id, "", "Name of this entry, unique in the fleet.");
+DEFINE_string(data_centre, "", "Data centre of this VM.");
+DEFINE_string(address, "127.0.0.1", "IP address of the HTTP API.");
+DEFINE_int32(port, 8080, "Port of the HTTP API; 0 lets the system choose.");
+DEFINE_string(platform_url, "",
+              "http://ip:port of the platform's configuration service.");
+DEFINE_string(seed_agents, "",
+              "ip:port,... of agents to ask while the platform is down.");
+DEFINE_int32(vm_list_period_ms, 2000, "Period of reading the VM list.");
+DEFINE_int64(maximum_body_bytes, 1 << 20, "Largest request body.");
+DEFINE_int32(maximum_header_bytes, 32 << 10, "Largest request header.");
+DEFINE_int32(maximum_connections, 8192, "Most connections of callers.");
+DEFINE_int32(maximum_requests, 20000, "Most open requests.");
+DEFINE_int32(maximum_tokens, 8192, "Largest max_tokens of a request.");
+DEFINE_int32(drain_notice_ms, 3000,
+             "After SIGTERM, time for the balancer to notice /readyz.");
+DEFINE_int32(drain_seconds, 60, "Longest time for open requests to finish.");
+DEFINE_uint64(seed, 0, "Seed of random choices; 0 takes one from the system.");
+
+namespace {
+
+using comfreyspring::entry::entry_program;
+using comfreyspring::entry::entry_settings;
+namespace core = comfreyspring::core;
+namespace settings = comfreyspring::settings;
+
+constexpr int kMaximumPort = 65535;
+
+void CheckFlags() {
+  settings::RequireText("process_id", FLAGS_process_id);
+  settings::RequireText("data_centre", FLAGS_data_centre);
+  settings::RequireIpAddress("address", FLAGS_address);
+  settings::RequireRange("port", FLAGS_port, 0, kMaximumPort);
+  settings::RequireUrl("platform_url", FLAGS_platform_url, true);
+  settings::ParseAddresses("seed_agents", FLAGS_seed_agents);
+  if (FLAGS_platform_url.empty() && FLAGS_seed_agents.empty()) {
+    throw settings::settings_error("platform_url", "",
+                                   "a URL, unless --seed_agents names agents");
+  }
+  settings::RequireRange("vm_list_period_ms", FLAGS_vm_list_period_ms, 100,
+                         60000);
+  settings::RequireRange("maximum_body_bytes", FLAGS_maximum_body_bytes, 1024,
+                         1536 << 10);
+  settings::RequireRange("maximum_header_bytes", FLAGS_maximum_header_bytes,
+                         2048, 1 << 20);
+  settings::RequireRange("maximum_connections", FLAGS_maximum_connections, 1,
+                         65000);
+  settings::RequireRange("maximum_requests", FLAGS_maximum_requests, 1,
+                         1000000);
+  settings::RequireRange("maximum_tokens", FLAGS_maximum_tokens, 1, 1 << 20);
+  settings::RequireRange("drain_notice_ms", FLAGS_drain_notice_ms, 0, 60000);
+  settings::RequireRange("drain_seconds", FLAGS_drain_seconds, 0, 3600);
+}
+
+entry_settings SettingsFromFlags() {
+  entry_settings chosen;
+  chosen.process = core::process_id(FLAGS_process_id);
+  chosen.data_centre = core::data_centre_id(FLAGS_data_centre);
+  chosen.address = FLAGS_address;
+  chosen.port = static_cast<std::uint16_t>(FLAGS_port);
+  chosen.platform_url = FLAGS_platform_url;
+  chosen.seed_agents =
+      settings::ParseAddresses("seed_agents", FLAGS_seed_agents);
+  chosen.vm_list_period = core::milliseconds(FLAGS_vm_list_period_ms);
+  chosen.limits.maximum_body_bytes =
+      static_cast<std::size_t>(FLAGS_maximum_body_bytes);
+  chosen.limits.maximum_tokens = FLAGS_maximum_tokens;
+  chosen.maximum_header_bytes =
+      static_cast<std::size_t>(FLAGS_maximum_header_bytes);
+  chosen.maximum_connections = static_cast<unsigned>(FLAGS_maximum_connections);
+  chosen.maximum_requests = static_cast<std::size_t>(FLAGS_maximum_requests);
+  chosen.drain_notice = core::milliseconds(FLAGS_drain_notice_ms);
+  chosen.drain_limit = core::seconds(FLAGS_drain_seconds);
+  std::random_device device;
+  chosen.random_seed =
+      FLAGS_seed != 0 ? FLAGS_seed : (std::uint64_t{device()} << 32) | device();
+  return chosen;
+}
+
+int Run() {
+  comfreyspring::net::event_loop loop;
+  entry_program program(loop, SettingsFromFlags());
+  loop.OnSignal(SIGTERM, [&program] { program.Drain(); });
+  loop.OnSignal(SIGINT, [&program] { program.Drain(); });
+  std::cout << "listening " << program.Port() << std::endl;
+  LOG(INFO) << "entry.program: Listening on " << FLAGS_address << ':'
+            << program.Port() << '.';
+  loop.Run();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return settings::StartProgram(
+      argc, argv,
+      "comfreyspring entry: HTTP API before the endpoints.\n"
+      "Usage: comfreyspring_entry --process_id=entry-1 --data_centre=porto-a "
+      "--platform_url=http://127.0.0.1:7000",
+      CheckFlags, Run);
+}
--- /dev/null
+++ b/src/entry/entry_program.cc
@@ -0,0 +1,408 @@
+#include "entry/entry_program.h"
+
+#include <glog/logging.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "entry/config_controller.h"
+#include "entry/link_controller.h"
+#include "entry/membership_controller.h"
+#include "entry/request_controller.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "telemetry/metrics.h"
+
+namespace comfreyspring::entry {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
+constexpr core::milliseconds kPauseThreshold{1000};
+constexpr core::milliseconds kReadyTimeout{3000};
+constexpr core::milliseconds kWallTimePeriod{500};
+constexpr core::milliseconds kDrainCheckPeriod{50};
+/** Above the limit of the filter, so that the caller gets our error body. */
+constexpr std::size_t kBodySlack = 1024 * 1024;
+
+net::http_response TextResponse(int status, std::string text) {
+  net::http_response response;
+  response.status = status;
+  response.headers["content-type"] = "text/plain; version=0.0.4";
+  response.body = std::move(text);
+  return response;
+}
+
+net::http_response JsonResponse(const json& value) {
+  net::http_response response;
+  response.headers["content-type"] = "application/json";
+  response.body =
+      value.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+  return response;
+}
+
+json ModelList(const config::configuration& current) {
+  json models = json::array();
+  for (const config::adapter_record& adapter : current.adapters) {
+    json versions = json::array();
+    for (const core::version_id& version : adapter.versions) {
+      versions.push_back(version.Value());
+    }
+    models.push_back({{"id", adapter.adapter.Value()},
+                      {"object", "model"},
+                      {"owned_by", adapter.model.Value()},
+                      {"default_version", adapter.default_version.Value()},
+                      {"versions", std::move(versions)}});
+  }
+  return {{"object", "list"}, {"data", std::move(models)}};
+}
+
+}  // namespace
+
+struct entry_program::impl : link_listener, agent_sender {
+  impl(net::event_loop& event_loop, entry_settings checked)
+      : loop(event_loop),
+        settings(std::move(checked)),
+        started(loop.Now()),
+        http(loop),
+        membership(loop, http, settings.platform_url, settings.vm_list_period),
+        links(loop, LinkOptions(), *this),
+        config(
+            loop, http, settings.platform_url, settings.random_seed,
+            [this](const core::endpoint_id& endpoint,
+                   const wire::message& message) {
+              return links.Send(endpoint, message);
+            },
+            [this](std::shared_ptr<const config::configuration> set) {
+              OnAdopted(std::move(set));
+            }),
+        requests(loop, RouterOptions(), membership.Directory(), *this, metrics),
+        chain(MakeChain()),
+        server(loop, ServerOptions(),
+               [this](std::shared_ptr<net::http_exchange> exchange) {
+                 OnRequest(std::move(exchange));
+               }) {
+    membership.OnNewVmList(
+        [this](const wire::vm_list& list) { OnVmList(list); });
+    links.ConnectSeeds(settings.seed_agents);
+    config.Start();
+    loop.OnPause(kPauseThreshold,
+                 [this](core::milliseconds late) { OnPause(late); });
+    wall_timer = loop.SchedulePeriodic(kWallTimePeriod, [this] {
+      membership.Directory().OnWallTime(loop.WallNow());
+    });
+  }
+
+  ~impl() override {
+    loop.Cancel(wall_timer);
+    loop.Cancel(drain_timer);
+  }
+
+  // Options.
+
+  link_options LinkOptions() const {
+    link_options options;
+    options.process = settings.process;
+    options.data_centre = settings.data_centre;
+    options.instance_ms = core::UnixMilliseconds(loop.WallNow());
+    options.random_seed = settings.random_seed;
+    return options;
+  }
+
+  routing::router_options RouterOptions() const {
+    routing::router_options options;
+    options.own_data_centre = settings.data_centre;
+    options.maximum_requests = settings.maximum_requests;
+    options.random_seed = settings.random_seed;
+    return options;
+  }
+
+  net::http_server_options ServerOptions() const {
+    net::http_server_options options;
+    options.address = settings.address;
+    options.port = settings.port;
+    options.maximum_body_bytes =
+        settings.limits.maximum_body_bytes + kBodySlack;
+    options.maximum_header_bytes = settings.maximum_header_bytes;
+    options.maximum_connections = settings.maximum_connections;
+    return options;
+  }
+
+  entry_filter_chain MakeChain() {
+    const auto load = [this] {
+      return overload_filter::entry_load{refusing, requests.OpenRequests(),
+                                         settings.maximum_requests};
+    };
+    return entry_filter_chain(
+        request_id_filter(core::random_source(settings.random_seed)),
+        size_limit_filter(settings.limits), parse_filter(settings.limits),
+        resolve_filter(), priority_filter(settings.limits),
+        idempotency_filter(), overload_filter(load));
+  }
+
+  // HTTP.
+
+  void OnRequest(std::shared_ptr<net::http_exchange> exchange) {
+    const std::string& path = exchange->Request().path;
+    if (path == "/healthz") {
+      exchange->Respond(TextResponse(kOk, "ok\n"));
+    } else if (path == "/readyz") {
+      exchange->Respond(IsReady()
+                            ? TextResponse(kOk, "ready\n")
+                            : TextResponse(kServiceUnavailable, "not ready\n"));
+    } else if (path == "/metrics") {
+      SetGauges();
+      exchange->Respond(TextResponse(kOk, metrics.ToText()));
+    } else if (path == "/debug/state") {
+      exchange->Respond(JsonResponse(State()));
+    } else if (path == "/v1/models" && config.Current() != nullptr) {
+      exchange->Respond(JsonResponse(ModelList(*config.Current())));
+    } else {
+      Serve(std::move(exchange));
+    }
+  }
+
+  void Serve(std::shared_ptr<net::http_exchange> exchange) {
+    request_context context;
+    context.exchange = exchange;
+    context.received = loop.Now();
+    context.received_wall = loop.WallNow();
+    context.configuration = config.Current();
+    try {
+      chain.Apply(context);
+    } catch (const request_error& failure) {
+      LOG(INFO) << "entry.filter: Refused request " << context.request << ": "
+                << failure.what() << '.';
+      metrics.Count("entry_requests_refused_total{reason=\"" + failure.Type() +
+                    "\"}");
+      exchange->Respond(failure.ToResponse(context.request));
+      return;
+    }
+    requests.Start(std::move(context));
+  }
+
+  bool IsReady() const {
+    if (draining || config.Current() == nullptr) return false;
+    const std::size_t open = links.OpenLinks();
+    if (open == 0) return false;
+    return open * 3 >= links.Endpoints() ||
+           loop.Now() - started >= kReadyTimeout;
+  }
+
+  json State() {
+    const telemetry::process_usage usage = telemetry::ReadProcessUsage();
+    SetGauges();
+    return {{"process_id", settings.process.Value()},
+            {"role", "entry"},
+            {"data_centre", settings.data_centre.Value()},
+            {"uptime_ms", core::ToMilliseconds(loop.Now() - started).count()},
+            {"ready", IsReady()},
+            {"draining", draining},
+            {"resident_bytes", usage.resident_bytes},
+            {"processor_seconds", usage.processor_seconds},
+            {"http_connections", server.ConnectionCount()},
+            {"configuration", config.ToJson()},
+            {"membership", membership.ToJson()},
+            {"requests", requests.ToJson()},
+            {"links", links.ToJson()},
+            {"metrics", metrics.ToJson()}};
+  }
+
+  void SetGauges() {
+    metrics.SetGauge("entry_open_requests",
+                     static_cast<double>(requests.OpenRequests()));
+    metrics.SetGauge("entry_open_links",
+                     static_cast<double>(links.OpenLinks()));
+    metrics.SetGauge("entry_config_generation",
+                     static_cast<double>(config.CurrentVersion().generation));
+  }
+
+  // Controllers.
+
+  void OnAdopted(std::shared_ptr<const config::configuration> set) {
+    membership.Directory().OnConfiguration(set);
+    membership.Directory().OnWallTime(loop.WallNow());
+    links.SetVersions(set->version, membership.VmList().revision);
+    links.OnConfiguration(*set);
+    membership.Directory().SetHeartbeatLimit(links.SilenceLimit());
+    // Agents learn of the new version at once and ask for its documents.
+    links.HeartbeatNow();
+  }
+
+  void OnVmList(const wire::vm_list& list) {
+    links.SetVersions(config.CurrentVersion(), list.revision);
+    for (const core::endpoint_id& endpoint : membership.Directory().All()) {
+      links.Send(endpoint, list);
+    }
+  }
+
+  void OnPause(core::milliseconds late) {
+    LOG(WARNING) << "entry.program: Was paused for " << late.count()
+                 << " ms; every endpoint must be heard again.";
+    metrics.Count("entry_pauses_total");
+    membership.Directory().OnPause(loop.Now());
+    links.HeartbeatNow();
+  }
+
+  // link_listener.
+
+  void OnLinkUp(const core::endpoint_id& endpoint, const wire::hello& message,
+                bool resumed) override {
+    membership.Directory().OnHello(endpoint, message, loop.Now());
+    TakePeerVersion(endpoint, message.instance_ms, message.version);
+    if (membership.VmList().revision > message.vm_list_revision) {
+      links.Send(endpoint, membership.VmList());
+    }
+    config.OnPeerVersion(endpoint, message.version);
+    if (resumed) requests.OnResumed(endpoint);
+  }
+
+  void OnLinkDown(const core::endpoint_id& endpoint) override {
+    membership.Directory().OnLinkLost(endpoint, loop.Now());
+  }
+
+  void OnEndpointLost(const core::endpoint_id& endpoint) override {
+    requests.OnEndpointLost(endpoint);
+  }
+
+  void OnMessage(const core::endpoint_id& endpoint,
+                 const wire::message& message) override {
+    if (const auto* reply = std::get_if<wire::heartbeat_reply>(&message)) {
+      membership.Directory().OnReport(endpoint, reply->report, loop.Now());
+      membership.Directory().OnVersion(endpoint, reply->version);
+      TakePeerVersion(endpoint, std::nullopt, reply->version);
+      config.OnPeerVersion(endpoint, reply->version);
+    } else if (std::holds_alternative<wire::leaving>(message)) {
+      membership.Directory().OnLeaving(endpoint, loop.Now());
+    } else if (const auto* wanted =
+                   std::get_if<wire::config_request>(&message)) {
+      config.OnConfigRequest(endpoint, *wanted);
+    } else if (const auto* part = std::get_if<wire::config_part>(&message)) {
+      config.OnConfigPart(endpoint, *part);
+    } else if (const auto* list = std::get_if<wire::vm_list>(&message)) {
+      membership.TakeVmList(*list);
+    } else {
+      TakeReport(endpoint, message);
+      requests.OnMessage(endpoint, message);
+    }
+  }
+
+  /** Every answer carries the load of its endpoint. */
+  void TakeReport(const core::endpoint_id& endpoint,
+                  const wire::message& message) {
+    std::visit(
+        [&](const auto& typed) {
+          if constexpr (requires { typed.report.batch_limit; }) {
+            membership.Directory().OnReport(endpoint, typed.report, loop.Now());
+          }
+        },
+        message);
+  }
+
+  // Versions that the agents of one service have reported.
+
+  void TakePeerVersion(const core::endpoint_id& endpoint,
+                       std::optional<std::int64_t> instance_ms,
+                       core::config_version version) {
+    wire::peer_version& known = peer_versions[endpoint];
+    const bool changed = known.version != version ||
+                         (instance_ms && *instance_ms != known.instance_ms);
+    known.endpoint = endpoint;
+    known.version = version;
+    if (instance_ms) known.instance_ms = *instance_ms;
+    const membership::endpoint_view* view =
+        membership.Directory().Find(endpoint);
+    if (view == nullptr || view->record.service.empty()) return;
+    if (changed) {
+      ShareVersions(
+          membership.Directory().ServiceEndpoints(view->record.service));
+    } else if (instance_ms) {
+      ShareVersions({endpoint});
+    }
+  }
+
+  void ShareVersions(const std::vector<core::endpoint_id>& receivers) {
+    for (const core::endpoint_id& receiver : receivers) {
+      const membership::endpoint_view* view =
+          membership.Directory().Find(receiver);
+      if (view == nullptr) continue;
+      wire::peer_versions message;
+      for (const core::endpoint_id& peer :
+           membership.Directory().ServiceEndpoints(view->record.service)) {
+        const auto position = peer_versions.find(peer);
+        if (position == peer_versions.end()) continue;
+        message.peers.push_back(position->second);
+      }
+      links.Send(receiver, message);
+    }
+  }
+
+  // agent_sender.
+
+  bool Send(const core::endpoint_id& endpoint,
+            const wire::message& message) override {
+    return links.Send(endpoint, message);
+  }
+
+  void Suspect(const core::endpoint_id& endpoint) override {
+    links.Suspect(endpoint);
+  }
+
+  // Drain.
+
+  void Drain() {
+    if (draining) return;
+    draining = true;
+    LOG(INFO) << "entry.drain: Draining " << requests.OpenRequests()
+              << " open requests.";
+    loop.Schedule(settings.drain_notice, [this] {
+      refusing = true;
+      server.StopAccepting();
+      drain_end = loop.Now() + settings.drain_limit;
+      drain_timer =
+          loop.SchedulePeriodic(kDrainCheckPeriod, [this] { CheckDrained(); });
+    });
+  }
+
+  void CheckDrained() {
+    const std::size_t open = requests.OpenRequests();
+    if (open > 0 && loop.Now() < drain_end) return;
+    LOG(INFO) << "entry.drain: Stopped with " << open << " open requests.";
+    loop.Stop();
+  }
+
+  net::event_loop& loop;
+  entry_settings settings;
+  core::time_point started;
+  telemetry::metrics metrics;
+  net::http_client http;
+  membership_controller membership;
+  link_controller links;
+  config_controller config;
+  request_controller requests;
+  entry_filter_chain chain;
+  net::http_server server;
+  std::map<core::endpoint_id, wire::peer_version> peer_versions;
+  net::timer_id wall_timer = 0;
+  net::timer_id drain_timer = 0;
+  core::time_point drain_end;
+  /** /readyz fails; requests are still served. */
+  bool draining = false;
+  /** New requests are refused. */
+  bool refusing = false;
+};
+
+entry_program::entry_program(net::event_loop& loop, entry_settings settings)
+    : impl_(std::make_unique<impl>(loop, std::move(settings))) {}
+
+entry_program::~entry_program() = default;
+
+std::uint16_t entry_program::Port() const { return impl_->server.Port(); }
+
+void entry_program::Drain() { impl_->Drain(); }
+
+}  // namespace comfreyspring::entry
--- /dev/null
+++ b/src/entry/entry_program.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "entry/filters.h"
+#include "net/event_loop.h"
+#include "settings/flag_checks.h"
+
+namespace comfreyspring::entry {
+
+/** Checked settings of an entry. */
+struct entry_settings {
+  core::process_id process;
+  core::data_centre_id data_centre;
+  std::string address = "127.0.0.1";
+  /** 0 lets the system choose. */
+  std::uint16_t port = 0;
+  /** Empty: configuration and VM list come from agents only. */
+  std::string platform_url;
+  std::vector<settings::socket_address> seed_agents;
+  core::milliseconds vm_list_period{2000};
+  request_limits limits;
+  std::size_t maximum_requests = 20000;
+  std::size_t maximum_header_bytes = 32 * 1024;
+  unsigned maximum_connections = 8192;
+  /** After SIGTERM, time in which the balancer notices the failed /readyz. */
+  core::milliseconds drain_notice{3000};
+  /** After that, longest time in which open requests may finish. */
+  core::seconds drain_limit{60};
+  std::uint64_t random_seed = 1;
+};
+
+/** One entry: HTTP API, controllers and their wiring. */
+class entry_program {
+ public:
+  /** @throws net::net_error if the address cannot be bound. */
+  entry_program(net::event_loop& loop, entry_settings settings);
+  ~entry_program();
+  entry_program(const entry_program&) = delete;
+  entry_program& operator=(const entry_program&) = delete;
+
+  std::uint16_t Port() const;
+  /** Starts the graceful shutdown; the loop is stopped at its end. */
+  void Drain();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace comfreyspring::entry
--- /dev/null
+++ b/src/entry/membership_controller.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "membership/endpoint_directory.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "wire/messages.h"
+
+namespace comfreyspring::entry {
+
+/**
+ * Owns the view of endpoint availability and reads the platform's VM list
+ * into it.
+ */
+class membership_controller {
+ public:
+  /** @param platform_url empty: the VM list comes from agents only. */
+  membership_controller(net::event_loop& loop, net::http_client_interface& http,
+                        std::string platform_url,
+                        core::milliseconds poll_period);
+  ~membership_controller();
+  membership_controller(const membership_controller&) = delete;
+  membership_controller& operator=(const membership_controller&) = delete;
+
+  membership::endpoint_directory& Directory() { return directory_; }
+
+  /** Called with each list that is newer than the last one. */
+  void OnNewVmList(std::function<void(const wire::vm_list&)> callback);
+  /** Takes a list that an agent has relayed. */
+  void TakeVmList(const wire::vm_list& list);
+  const wire::vm_list& VmList() const { return list_; }
+
+  nlohmann::json ToJson() const;
+
+ private:
+  void Poll();
+  void TakeAnswer(const net::http_result& result);
+
+  net::event_loop& loop_;
+  net::http_client_interface& http_;
+  std::string platform_url_;
+  core::milliseconds poll_period_;
+  membership::endpoint_directory directory_;
+  wire::vm_list list_;
+  std::function<void(const wire::vm_list&)> on_new_list_;
+  net::timer_id timer_ = 0;
+  net::http_call_id call_ = 0;
+  bool platform_reachable_ = false;
+};
+
+}  // namespace comfreyspring::entry
