--- /dev/null
+++ b/src/config/validation.cc
@@ -0,0 +1,280 @@
+#include "config/validation.h"
+
+#include <algorithm>
+#include <cassert>
+#include <string_view>
+#include <unordered_set>
+#include <utility>
+
+namespace comfreyspring::config {
+namespace {
+
+/** Collects findings while the records are walked once. */
+class validator {
+ public:
+  explicit validator(const configuration& set) : set_(set) {}
+
+  std::vector<finding> Run() {
+    CheckModels();
+    CheckServices();
+    CheckAdapters();
+    CheckEndpoints();
+    for (const service_record& service : set_.services) CheckEpochs(service);
+    for (const planned_stop& stop : set_.stops) CheckStop(stop);
+    return std::move(findings_);
+  }
+
+ private:
+  void Add(violation kind, const std::string& subject, std::string message) {
+    findings_.push_back({kind, subject, std::move(message)});
+  }
+
+  template <class Id>
+  bool CheckId(const Id& id, const std::string& subject) {
+    const std::string& text = id.Value();
+    const auto is_allowed = [](unsigned char letter) {
+      return letter > 0x20 && letter != 0x7f && letter != '@' && letter != '/';
+    };
+    if (!text.empty() && text.size() <= kMaximumIdBytes &&
+        std::all_of(text.begin(), text.end(), is_allowed)) {
+      return true;
+    }
+    Add(violation::invalid_id, subject,
+        "An id has 1 to " + std::to_string(kMaximumIdBytes) +
+            " bytes and no space, control character, '@' or '/'.");
+    return false;
+  }
+
+  template <class Id>
+  void CheckNew(std::unordered_set<Id>& known, const Id& id,
+                const std::string& subject) {
+    CheckId(id, subject);
+    if (!known.insert(id).second) {
+      Add(violation::duplicate_id, subject, "The id is listed twice.");
+    }
+  }
+
+  void CheckDeadline(core::milliseconds deadline, const std::string& subject) {
+    if (deadline.count() < 1 || deadline > kMaximumDeadline) {
+      Add(violation::deadline_out_of_range, subject,
+          "The deadline must be 1 ms to 24 h.");
+    }
+  }
+
+  void CheckModels() {
+    for (const core::model_id& model : set_.models) {
+      CheckNew(models_, model, "model " + model.Value());
+    }
+  }
+
+  void CheckServices() {
+    for (const service_record& service : set_.services) {
+      const std::string subject = "service " + service.service.Value();
+      CheckNew(services_, service.service, subject);
+      CheckDeadline(service.deadline, subject);
+    }
+  }
+
+  void CheckModelKnown(const core::model_id& model,
+                       const std::string& subject) {
+    if (models_.count(model) == 0) {
+      Add(violation::unknown_model, subject,
+          "The model '" + model.Value() + "' is not listed.");
+    }
+  }
+
+  void CheckAdapters() {
+    std::unordered_set<core::adapter_id> known;
+    known.reserve(set_.adapters.size());
+    for (const adapter_record& adapter : set_.adapters) {
+      const std::string subject = "adapter " + adapter.adapter.Value();
+      CheckNew(known, adapter.adapter, subject);
+      CheckModelKnown(adapter.model, subject);
+      CheckVersions(adapter, subject);
+      CheckDeadline(adapter.deadline, subject);
+    }
+  }
+
+  void CheckVersions(const adapter_record& adapter,
+                     const std::string& subject) {
+    if (adapter.versions.empty()) {
+      Add(violation::no_version, subject, "At least one version is needed.");
+    }
+    bool is_default_listed = false;
+    for (auto at = adapter.versions.begin(); at != adapter.versions.end();
+         ++at) {
+      CheckId(*at, subject + " version " + at->Value());
+      is_default_listed = is_default_listed || *at == adapter.default_version;
+      if (std::find(adapter.versions.begin(), at, *at) != at) {
+        Add(violation::duplicate_version, subject,
+            "The version '" + at->Value() + "' is listed twice.");
+      }
+    }
+    if (!is_default_listed) {
+      Add(violation::default_version_not_listed, subject,
+          "The default version '" + adapter.default_version.Value() +
+              "' is not one of the versions.");
+    }
+  }
+
+  void CheckEndpoints() {
+    std::unordered_set<core::endpoint_id> known;
+    for (const endpoint_record& endpoint : set_.endpoints) {
+      const std::string subject = "endpoint " + endpoint.endpoint.Value();
+      CheckNew(known, endpoint.endpoint, subject);
+      CheckId(endpoint.vm, subject + " vm");
+      CheckId(endpoint.data_centre, subject + " data_centre");
+      if (endpoint.address.empty()) {
+        Add(violation::invalid_address, subject, "The address is empty.");
+      }
+      if (endpoint.agent_port == 0) {
+        Add(violation::invalid_port, subject, "The agent port must not be 0.");
+      }
+      if (endpoint.kind == core::endpoint_kind::engine) {
+        CheckModelKnown(endpoint.model, subject);
+      } else if (services_.count(endpoint.service) == 0) {
+        Add(violation::unknown_service, subject,
+            "The service '" + endpoint.service.Value() + "' is not listed.");
+      }
+      endpoints_.emplace(endpoint.endpoint, &endpoint);
+    }
+  }
+
+  void CheckEpochs(const service_record& service) {
+    const std::string subject = "service " + service.service.Value();
+    if (service.epochs.size() > kMaximumEpochs) {
+      Add(violation::too_many_epochs, subject,
+          "At most 4 ownership epochs are kept.");
+    }
+    const ownership_epoch* previous = nullptr;
+    for (const ownership_epoch& epoch : service.epochs) {
+      if (previous != nullptr &&
+          (epoch.epoch <= previous->epoch ||
+           epoch.effective_from_ms < previous->effective_from_ms)) {
+        Add(violation::epochs_not_ascending, subject,
+            "The epoch " + std::to_string(epoch.epoch) +
+                " does not follow the one before it.");
+      }
+      CheckMembers(service, epoch, &epoch == &service.epochs.back());
+      previous = &epoch;
+    }
+    if (service.epochs.empty() && !service.repeatable) {
+      Add(violation::no_member, subject,
+          "A non-repeatable service needs an ownership epoch.");
+    }
+  }
+
+  void CheckMembers(const service_record& service, const ownership_epoch& epoch,
+                    bool is_newest) {
+    const std::string subject = "service " + service.service.Value() +
+                                " epoch " + std::to_string(epoch.epoch);
+    if (epoch.members.empty()) {
+      Add(violation::no_member, subject, "The epoch has no member.");
+    }
+    std::unordered_set<core::endpoint_id> seen;
+    for (const core::endpoint_id& member : epoch.members) {
+      if (!seen.insert(member).second) {
+        Add(violation::duplicate_member, subject,
+            "The member '" + member.Value() + "' is listed twice.");
+      }
+      if (is_newest && !Provides(member, service.service)) {
+        Add(violation::unknown_member, subject,
+            "The member '" + member.Value() +
+                "' is not an endpoint of this service.");
+      }
+    }
+  }
+
+  bool Provides(const core::endpoint_id& id,
+                const core::service_id& service) const {
+    const auto found = endpoints_.find(id);
+    return found != endpoints_.end() &&
+           found->second->kind == core::endpoint_kind::plain_service &&
+           found->second->service == service;
+  }
+
+  void CheckStop(const planned_stop& stop) {
+    const std::string subject = "stop of " + stop.endpoint.Value();
+    if (endpoints_.count(stop.endpoint) == 0) {
+      Add(violation::unknown_endpoint, subject, "The endpoint is not listed.");
+    }
+    if (stop.ends_at <= stop.starts_at) {
+      Add(violation::stop_ends_before_start, subject,
+          "The stop must end after it starts.");
+    }
+    if (stop.drain.count() < 0 || stop.drain > kMaximumDeadline) {
+      Add(violation::drain_out_of_range, subject,
+          "The drain must be 0 s to 24 h.");
+    }
+  }
+
+  const configuration& set_;
+  std::vector<finding> findings_;
+  std::unordered_set<core::model_id> models_;
+  std::unordered_set<core::service_id> services_;
+  std::unordered_map<core::endpoint_id, const endpoint_record*> endpoints_;
+};
+
+std::string Summary(const std::vector<finding>& findings) {
+  assert(!findings.empty());
+  const finding& first = findings.front();
+  std::string text = first.subject + ": " + std::string(ToString(first.kind)) +
+                     ": " + first.message;
+  if (findings.size() > 1) {
+    text += " (and " + std::to_string(findings.size() - 1) + " more)";
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string_view ToString(violation kind) {
+  switch (kind) {
+    case violation::invalid_id:
+      return "invalid_id";
+    case violation::duplicate_id:
+      return "duplicate_id";
+    case violation::unknown_model:
+      return "unknown_model";
+    case violation::no_version:
+      return "no_version";
+    case violation::duplicate_version:
+      return "duplicate_version";
+    case violation::default_version_not_listed:
+      return "default_version_not_listed";
+    case violation::deadline_out_of_range:
+      return "deadline_out_of_range";
+    case violation::invalid_address:
+      return "invalid_address";
+    case violation::invalid_port:
+      return "invalid_port";
+    case violation::unknown_service:
+      return "unknown_service";
+    case violation::too_many_epochs:
+      return "too_many_epochs";
+    case violation::epochs_not_ascending:
+      return "epochs_not_ascending";
+    case violation::no_member:
+      return "no_member";
+    case violation::duplicate_member:
+      return "duplicate_member";
+    case violation::unknown_member:
+      return "unknown_member";
+    case violation::unknown_endpoint:
+      return "unknown_endpoint";
+    case violation::stop_ends_before_start:
+      return "stop_ends_before_start";
+    case violation::drain_out_of_range:
+      return "drain_out_of_range";
+  }
+  return "unknown";
+}
+
+std::vector<finding> Validate(const configuration& set) {
+  return validator(set).Run();
+}
+
+validation_error::validation_error(std::vector<finding> findings)
+    : core::error(Summary(findings)), findings_(std::move(findings)) {}
+
+}  // namespace comfreyspring::config
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -23,7 +23,10 @@
   const std::string& Value() const { return value_; }
   bool empty() const { return value_.empty(); }
 
+  // clang-tidy 14 mistakes the compiler's own comparison with 0 for a pointer.
+  // NOLINTBEGIN(modernize-use-nullptr)
   friend auto operator<=>(const strong_id&, const strong_id&) = default;
+  // NOLINTEND(modernize-use-nullptr)
   friend std::ostream& operator<<(std::ostream& out, const strong_id& id) {
     return out << id.value_;
   }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -12,15 +12,21 @@
 /** A number of tokens. */
 struct token_count {
   std::int64_t value = 0;
+  // clang-tidy 14 mistakes the compiler's own comparison with 0 for a pointer.
+  // NOLINTBEGIN(modernize-use-nullptr)
   friend auto operator<=>(const token_count&, const token_count&) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 /** An adapter together with one of its versions. */
 struct adapter_reference {
   adapter_id adapter;
   version_id version;
+  // clang-tidy 14 mistakes the compiler's own comparison with 0 for a pointer.
+  // NOLINTBEGIN(modernize-use-nullptr)
   friend auto operator<=>(const adapter_reference&,
                           const adapter_reference&) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 /** Renders `adapter@version`. */
@@ -52,8 +58,11 @@
 struct config_version {
   std::uint64_t generation = 0;
   std::uint64_t manifest_hash = 0;
+  // clang-tidy 14 mistakes the compiler's own comparison with 0 for a pointer.
+  // NOLINTBEGIN(modernize-use-nullptr)
   friend auto operator<=>(const config_version&,
                           const config_version&) = default;
+  // NOLINTEND(modernize-use-nullptr)
 };
 
 /** Renders `generation.hash` with the hash in hexadecimal. */
