--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -65,7 +65,7 @@
   }
   std::string text;
   for (const json& part : content) {
-    if (!part.is_object() || part.value("type", "") != "text") {
+    if (!part.is_object() || !part.contains("type") || part["type"] != "text") {
       throw BadRequest("only content parts of type 'text' are supported");
     }
     text += TextField(part, "text");
