--- /dev/null
+++ b/src/admission/running_table.cc
@@ -0,0 +1,61 @@
+#include "admission/running_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace comfreyspring::admission {
+
+void running_table::Add(running_item item) {
+  assert(!items_.contains(item.item.work.attempt));
+  Count(item, 1);
+  const core::attempt_id attempt = item.item.work.attempt;
+  items_.emplace(attempt, std::move(item));
+}
+
+running_item* running_table::Find(const core::attempt_id& attempt) {
+  const auto found = items_.find(attempt);
+  return found == items_.end() ? nullptr : &found->second;
+}
+
+std::optional<running_item> running_table::Take(
+    const core::attempt_id& attempt) {
+  const auto found = items_.find(attempt);
+  if (found == items_.end()) return std::nullopt;
+  running_item item = std::move(found->second);
+  Count(item, -1);
+  items_.erase(found);
+  return item;
+}
+
+void running_table::Clear() {
+  items_.clear();
+  counts_ = running_counts();
+}
+
+std::size_t running_table::Preempting() const {
+  return static_cast<std::size_t>(
+      std::count_if(items_.begin(), items_.end(), [](const auto& entry) {
+        return entry.second.state == running_state::preempting;
+      }));
+}
+
+void running_table::Count(const running_item& running, int change) {
+  const auto step = static_cast<std::size_t>(change);
+  switch (LaneOf(running.item.work.priority, running.item.long_work)) {
+    case lane::urgent_short:
+      counts_.urgent_short += step;
+      break;
+    case lane::urgent_long:
+      counts_.urgent_long += step;
+      break;
+    case lane::may_wait_short:
+      counts_.may_wait_short += step;
+      break;
+    case lane::may_wait_long:
+      counts_.may_wait_long += step;
+      break;
+  }
+}
+
+}  // namespace comfreyspring::admission
