Add membership, placement, resilience and routing

Cause: the entry program needs the endpoint directory and the request router. Change: endpoint_directory and request_router as declared; rendezvous ranks, replica controller, endpoint picker with the choice as a template parameter; slow-endpoint detector, retry and hedge budgets. endpoint_directory gains ListRevision(), so that the router rereads the endpoint list only on a change.

--- a/src/membership/endpoint_directory.h
+++ b/src/membership/endpoint_directory.h
@@ -83,6 +83,8 @@
   std::vector<core::endpoint_id> ServiceEndpoints(
       const core::service_id& service) const;
   std::vector<core::endpoint_id> All() const;
+  /** Changes whenever the configured endpoints may have changed. */
+  std::uint64_t ListRevision() const;
   /** True if the list has shown the VM and no longer shows it. */
   bool WasSeenAndIsGone(const core::vm_id& vm) const;
 
--- /dev/null
+++ b/src/placement/load_estimate.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/types.h"
+#include "placement/adapter_key.h"
+#include "placement/lru_map.h"
+#include "wire/messages.h"
+
+namespace comfreyspring::placement {
+
+/** What a process knows of the load of one endpoint. */
+class load_estimate {
+ public:
+  load_estimate();
+
+  // Events.
+
+  void OnSubmitted(adapter_key key, core::time_point now);
+  /** The agent has confirmed that it got one of the submits. */
+  void OnAcknowledged();
+  /** An attempt has ended. @param acknowledged it was acknowledged before. */
+  void OnEnded(bool acknowledged);
+  void OnReport(const wire::endpoint_report& report, core::time_point now);
+  /** The endpoint holds or does not hold the adapter. */
+  void OnResidence(adapter_key key, bool resident, core::time_point now);
+  /** A new process or engine: nothing is resident, the report is void. */
+  void OnReplaced();
+
+  // Estimates.
+
+  std::int64_t Outstanding() const { return outstanding_; }
+  /** Requests at the endpoint of all processes, by the last report and what
+   * this process has sent since. */
+  double Occupancy(core::priority_class priority) const;
+  double BatchLimit() const;
+  /**
+   * Time that a new request waits for a place in the batch.
+   * @param service_time mean time that a request holds a place.
+   */
+  core::microseconds ExpectedWait(core::priority_class priority,
+                                  core::microseconds service_time,
+                                  core::time_point now) const;
+  bool ProbablyResident(adapter_key key, core::time_point now) const;
+
+ private:
+  std::int64_t outstanding_ = 0;
+  std::int64_t unacknowledged_ = 0;
+  std::optional<wire::endpoint_report> report_;
+  core::time_point reported_at_;
+  lru_map<adapter_key, core::time_point> resident_;
+};
+
+}  // namespace comfreyspring::placement
--- /dev/null
+++ b/src/placement/subset.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "core/ids.h"
+
+namespace comfreyspring::placement {
+
+/**
+ * The endpoints of a remote data centre that a process links to: the first
+ * `size` by rendezvous hash of the process id, ascending by name. A change of
+ * one endpoint changes at most one member.
+ */
+std::vector<core::endpoint_id> DeterministicSubset(
+    const core::process_id& process, std::vector<core::endpoint_id> endpoints,
+    std::size_t size);
+
+}  // namespace comfreyspring::placement
--- /dev/null
+++ b/src/routing/endpoint_selection.h
@@ -0,0 +1,329 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/random_source.h"
+#include "core/time.h"
+#include "membership/endpoint_directory.h"
+#include "placement/adapter_key.h"
+#include "placement/endpoint_picker.h"
+#include "resilience/latency_window.h"
+#include "resilience/slow_endpoint_detector.h"
+#include "routing/endpoint_selector.h"
+
+namespace comfreyspring::routing {
+
+struct selection_options {
+  core::data_centre_id own_data_centre;
+  std::uint64_t random_seed = 1;
+  /** False for baselines without detection of slow endpoints. */
+  bool eject_slow = true;
+  /** False for baselines without hedges. */
+  bool hedge = true;
+  placement::picker_options picker;
+  resilience::slow_endpoint_options slow;
+};
+
+/**
+ * Selector that joins availability, endpoint scores and an endpoint_picker
+ * for every model and service.
+ */
+template <placement::endpoint_choice Choice = placement::lowest_cost_choice>
+class endpoint_selection final : public endpoint_selector {
+ public:
+  /** `directory` must outlive the object. */
+  endpoint_selection(selection_options options,
+                     const membership::endpoint_directory& directory)
+      : options_(std::move(options)),
+        directory_(directory),
+        random_(options_.random_seed) {}
+
+  void OnRequest(const request_facts& facts, core::time_point now) override {
+    GroupOf(facts).picker.OnRequest(KeyOf(facts), now);
+    if (facts.priority == core::priority_class::may_wait) may_wait_at_ = now;
+  }
+  selection Select(const request_facts& facts,
+                   const std::vector<core::endpoint_id>& excluded, bool hedge,
+                   core::time_point now) override;
+  bool IsAvailable(const core::endpoint_id& endpoint,
+                   core::time_point now) const override {
+    return directory_.AvailabilityOf(endpoint, now) ==
+           membership::availability::available;
+  }
+  std::optional<core::microseconds> HedgeDelay(
+      const request_facts& facts) const override;
+
+  void OnSubmitted(const request_facts& facts,
+                   const core::endpoint_id& endpoint,
+                   core::time_point now) override {
+    GroupOf(facts).picker.OnSubmitted(endpoint, PickRequest(facts), now);
+  }
+  void OnAcknowledged(const request_facts& facts,
+                      const core::endpoint_id& endpoint) override {
+    GroupOf(facts).picker.OnAcknowledged(endpoint);
+  }
+  void OnReport(const request_facts& facts, const core::endpoint_id& endpoint,
+                const wire::endpoint_report& report,
+                core::time_point now) override {
+    suspected_.erase(endpoint);
+    GroupOf(facts).picker.OnReport(endpoint, KeyOf(facts), report, now);
+  }
+  void OnFirstChunk(const request_facts& facts,
+                    const core::endpoint_id& /*endpoint*/,
+                    core::microseconds since_submit,
+                    core::time_point /*now*/) override {
+    if (facts.priority != core::priority_class::urgent) return;
+    GroupOf(facts).first_chunk.Add(since_submit);
+  }
+  void OnServed(const request_facts& facts, const core::endpoint_id& endpoint,
+                core::token_count tokens, core::microseconds served,
+                core::time_point now) override;
+  void OnEnded(const request_facts& facts, const core::endpoint_id& endpoint,
+               bool acknowledged) override {
+    GroupOf(facts).picker.OnEnded(endpoint, acknowledged);
+  }
+  void OnReplaced(const core::endpoint_id& endpoint) override;
+  void OnSuspected(const core::endpoint_id& endpoint,
+                   core::time_point now) override {
+    suspected_[endpoint] = now;
+  }
+  void OnTick(core::time_point now) override;
+
+  std::vector<endpoint_load> Loads() const;
+  std::vector<core::endpoint_id> HomesOf(
+      const core::model_id& model,
+      const core::adapter_reference& adapter) const;
+
+ private:
+  /** The peers of one model or one service. */
+  struct peer_group {
+    explicit peer_group(const selection_options& options,
+                        placement::picker_options picker_options)
+        : picker(picker_options), detector(options.slow) {}
+    placement::endpoint_picker<Choice> picker;
+    resilience::slow_endpoint_detector detector;
+    resilience::latency_window first_chunk{kWindow, kMinimumSamples,
+                                           kHedgeQuantile};
+    std::uint64_t list_revision = 0;
+    core::time_point reports_read_at;
+  };
+
+  static constexpr std::size_t kWindow = 256;
+  static constexpr std::size_t kMinimumSamples = 32;
+  static constexpr double kHedgeQuantile = 0.95;
+  // Round trip between data centres of one region, about 1.5 ms each way.
+  static constexpr double kRemoteDistanceMs = 3.0;
+  static constexpr core::milliseconds kScoreInterval{100};
+  static constexpr core::seconds kProbeClassAge{5};
+
+  static bool IsCompletion(const request_facts& facts) {
+    return facts.kind == core::request_kind::completion;
+  }
+  static std::string GroupName(const request_facts& facts) {
+    return IsCompletion(facts) ? "model:" + facts.model.Value()
+                               : "service:" + facts.service.Value();
+  }
+  static placement::adapter_key KeyOf(const request_facts& facts) {
+    return IsCompletion(facts)
+               ? placement::KeyOf(facts.model, facts.adapter.adapter)
+               : core::Hash64(facts.service.Value());
+  }
+  static placement::pick_request PickRequest(const request_facts& facts) {
+    return {KeyOf(facts), facts.priority, facts.expected_tokens.value,
+            facts.prefix_hash};
+  }
+
+  peer_group& GroupOf(const request_facts& facts);
+  void RefreshMembers(peer_group& group, const request_facts& facts);
+  void ReadReports(peer_group& group, core::time_point now);
+  /** Share of its normal work that a slow endpoint may get. */
+  bool AdmittedByScore(const peer_group& group, const request_facts& facts,
+                       const core::endpoint_id& endpoint, bool hedge,
+                       core::time_point now);
+  bool IsSuspected(const core::endpoint_id& endpoint) const;
+
+  selection_options options_;
+  const membership::endpoint_directory& directory_;
+  core::random_source random_;
+  std::map<std::string, std::unique_ptr<peer_group>> groups_;
+  std::unordered_map<core::endpoint_id, core::time_point> suspected_;
+  std::optional<core::time_point> may_wait_at_;
+  core::time_point scored_at_;
+};
+
+template <placement::endpoint_choice Choice>
+typename endpoint_selection<Choice>::peer_group&
+endpoint_selection<Choice>::GroupOf(const request_facts& facts) {
+  std::unique_ptr<peer_group>& group = groups_[GroupName(facts)];
+  if (group == nullptr) {
+    placement::picker_options picker = options_.picker;
+    picker.all_members_are_homes = !IsCompletion(facts);
+    group = std::make_unique<peer_group>(options_, picker);
+  }
+  if (group->list_revision != directory_.ListRevision()) {
+    RefreshMembers(*group, facts);
+  }
+  return *group;
+}
+
+template <placement::endpoint_choice Choice>
+void endpoint_selection<Choice>::RefreshMembers(peer_group& group,
+                                                const request_facts& facts) {
+  group.list_revision = directory_.ListRevision();
+  const std::vector<core::endpoint_id> endpoints =
+      IsCompletion(facts) ? directory_.Engines(facts.model)
+                          : directory_.ServiceEndpoints(facts.service);
+  std::vector<typename placement::endpoint_picker<Choice>::member> members;
+  for (const core::endpoint_id& endpoint : endpoints) {
+    const bool local = directory_.Find(endpoint)->record.data_centre ==
+                       options_.own_data_centre;
+    members.push_back({endpoint, local ? 0.0 : kRemoteDistanceMs});
+  }
+  group.picker.SetMembers(members);
+  group.detector.SetPeers(endpoints);
+}
+
+template <placement::endpoint_choice Choice>
+selection endpoint_selection<Choice>::Select(
+    const request_facts& facts, const std::vector<core::endpoint_id>& excluded,
+    bool hedge, core::time_point now) {
+  peer_group& group = GroupOf(facts);
+  const placement::pick_request request = PickRequest(facts);
+  const auto available = [&](const core::endpoint_id& endpoint) {
+    const bool tried =
+        std::find(excluded.begin(), excluded.end(), endpoint) != excluded.end();
+    return !tried && IsAvailable(endpoint, now);
+  };
+  const auto preferred = [&](const core::endpoint_id& endpoint) {
+    return available(endpoint) && !IsSuspected(endpoint) &&
+           AdmittedByScore(group, facts, endpoint, hedge, now);
+  };
+  auto chosen = group.picker.Pick(request, preferred, random_, now);
+  if (!chosen && !hedge) {
+    chosen = group.picker.Pick(request, available, random_, now);
+  }
+  if (!chosen) return {};
+  const core::microseconds remaining = facts.deadline - now;
+  if (chosen->expected_wait > remaining) {
+    chosen = group.picker.ShortestWait(request, available, now);
+    if (chosen->expected_wait > remaining) {
+      return {.overloaded = true,
+              .retry_after =
+                  core::ToMilliseconds(chosen->expected_wait - remaining)};
+    }
+  }
+  return {.endpoint = chosen->endpoint};
+}
+
+template <placement::endpoint_choice Choice>
+bool endpoint_selection<Choice>::AdmittedByScore(
+    const peer_group& group, const request_facts& facts,
+    const core::endpoint_id& endpoint, bool hedge, core::time_point now) {
+  if (!options_.eject_slow) return true;
+  const double share = group.detector.ShareOf(endpoint);
+  if (share >= 1.0) return true;
+  if (share <= 0.0 || hedge) return false;
+  // Deferrable work probes a slow endpoint, unless there is none.
+  const bool deferrable = facts.priority == core::priority_class::may_wait;
+  const bool seen = may_wait_at_ && now - *may_wait_at_ < kProbeClassAge;
+  if (!deferrable && seen) return false;
+  return random_.NextUnit() < share;
+}
+
+template <placement::endpoint_choice Choice>
+bool endpoint_selection<Choice>::IsSuspected(
+    const core::endpoint_id& endpoint) const {
+  const auto found = suspected_.find(endpoint);
+  if (found == suspected_.end()) return false;
+  const membership::endpoint_view* view = directory_.Find(endpoint);
+  return view != nullptr && view->last_heard <= found->second;
+}
+
+template <placement::endpoint_choice Choice>
+std::optional<core::microseconds> endpoint_selection<Choice>::HedgeDelay(
+    const request_facts& facts) const {
+  if (!options_.hedge) return std::nullopt;
+  const auto found = groups_.find(GroupName(facts));
+  if (found == groups_.end()) return std::nullopt;
+  return found->second->first_chunk.Value();
+}
+
+template <placement::endpoint_choice Choice>
+void endpoint_selection<Choice>::OnServed(const request_facts& facts,
+                                          const core::endpoint_id& endpoint,
+                                          core::token_count tokens,
+                                          core::microseconds served,
+                                          core::time_point now) {
+  peer_group& group = GroupOf(facts);
+  group.picker.OnServed(tokens.value, served);
+  const auto units =
+      static_cast<double>(std::max<std::int64_t>(1, tokens.value));
+  group.detector.OnSample(endpoint, static_cast<double>(served.count()) / units,
+                          now);
+}
+
+template <placement::endpoint_choice Choice>
+void endpoint_selection<Choice>::OnReplaced(const core::endpoint_id& endpoint) {
+  suspected_.erase(endpoint);
+  for (auto& [name, group] : groups_) {
+    group->picker.OnReplaced(endpoint);
+    group->detector.OnReplaced(endpoint);
+  }
+}
+
+template <placement::endpoint_choice Choice>
+void endpoint_selection<Choice>::OnTick(core::time_point now) {
+  if (now - scored_at_ < kScoreInterval) return;
+  scored_at_ = now;
+  for (auto& [name, group] : groups_) {
+    ReadReports(*group, now);
+    group->detector.OnTick(now);
+    for (const core::endpoint_id& endpoint : group->picker.Members()) {
+      group->picker.SetSlowness(endpoint, group->detector.SlownessOf(endpoint));
+    }
+  }
+}
+
+template <placement::endpoint_choice Choice>
+void endpoint_selection<Choice>::ReadReports(peer_group& group,
+                                             core::time_point now) {
+  for (const core::endpoint_id& endpoint : group.picker.Members()) {
+    const membership::endpoint_view* view = directory_.Find(endpoint);
+    if (view == nullptr || !view->report) continue;
+    if (view->last_heard <= group.reports_read_at) continue;
+    group.picker.OnReport(endpoint, *view->report, view->last_heard);
+  }
+  group.reports_read_at = now;
+}
+
+template <placement::endpoint_choice Choice>
+std::vector<endpoint_load> endpoint_selection<Choice>::Loads() const {
+  std::vector<endpoint_load> loads;
+  for (const auto& [name, group] : groups_) {
+    for (const core::endpoint_id& endpoint : group->picker.Members()) {
+      loads.push_back({endpoint, group->picker.Outstanding(endpoint),
+                       group->detector.SlownessOf(endpoint),
+                       group->detector.ShareOf(endpoint) < 1.0});
+    }
+  }
+  return loads;
+}
+
+template <placement::endpoint_choice Choice>
+std::vector<core::endpoint_id> endpoint_selection<Choice>::HomesOf(
+    const core::model_id& model, const core::adapter_reference& adapter) const {
+  const auto found = groups_.find("model:" + model.Value());
+  if (found == groups_.end()) return {};
+  return found->second->picker.HomesOf(
+      placement::KeyOf(model, adapter.adapter));
+}
+
+}  // namespace comfreyspring::routing
