--- a/src/placement/endpoint_picker.h
+++ b/src/placement/endpoint_picker.h
@@ -135,7 +135,7 @@
   }
   core::microseconds MeanService() const {
     return std::chrono::duration_cast<core::microseconds>(
-        std::chrono::duration<double, std::milli>(mean_service_ms_));
+        std::chrono::duration<double, std::milli>{mean_service_ms_});
   }
   double ServiceMs(const pick_request& request) const {
     return request.expected_tokens > 0
