--- a/src/entry/config_controller.cc
+++ b/src/entry/config_controller.cc
@@ -5,9 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
-#include <sstream>
 #include <utility>
 
+#include "config/documents.h"
+
 namespace comfreyspring::entry {
 namespace {
 
@@ -20,15 +21,6 @@
 constexpr core::milliseconds kRetryBase{500};
 constexpr core::milliseconds kTickPeriod{250};
 
-std::string PartKey(std::uint64_t hash) {
-  std::ostringstream key;
-  key << "part/" << std::hex;
-  key.width(16);
-  key.fill('0');
-  key << hash;
-  return key.str();
-}
-
 }  // namespace
 
 struct config_controller::impl {
@@ -66,7 +58,7 @@
 
   void Do(const config::fetch_part& action) {
     if (action.source == kPlatformSource) {
-      ReadPlatform(PartKey(action.hash), action.hash);
+      ReadPlatform(config::PartKey(action.hash), action.hash);
       return;
     }
     Ask(action.source, action.hash);
--- /dev/null
+++ b/tests/process/configuration_test.cc
@@ -0,0 +1,123 @@
+// Promise 8: configuration in force everywhere, never reverting.
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+#include "config/documents.h"
+#include "fleet.h"
+
+namespace comfreyspring::process_test {
+namespace {
+
+std::string VersionOfEntry(fleet& running, int index) {
+  return running.State(running.EntryUrl(index))["configuration"].value(
+      "version", "");
+}
+
+bool AllAtGeneration(fleet& running, int entries, std::uint64_t generation) {
+  for (int i = 0; i < entries; ++i) {
+    const auto state = running.State(running.EntryUrl(i));
+    if (state["configuration"]["generation"] != generation) return false;
+  }
+  for (endpoint_processes& target : running.Endpoints()) {
+    const auto state = running.State(target.AdminUrl());
+    if (state["configuration"]["generation"] != generation) return false;
+  }
+  return true;
+}
+
+TEST(Configuration, ReachesEveryProcess) {
+  fleet running({});
+  running.Publish();
+  EXPECT_TRUE(
+      fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
+}
+
+// Guards against a restarted entry that believes a stale service, and against
+// an outage of the service that keeps it from starting.
+TEST(Configuration, ARestartedEntryLearnsTheGreatestVersionFromAgents) {
+  fleet running({.engines = 2, .services = 1});
+  running.SetPlatformMode(R"({"config":"stale"})");
+  running.SetPlatformMode(R"({"config":"normal"})");
+  running.Publish();
+  ASSERT_TRUE(
+      fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
+  running.SetPlatformMode(R"({"config":"down"})");
+  std::string seeds;
+  for (endpoint_processes& target : running.Endpoints()) {
+    seeds += "127.0.0.1:" + std::to_string(target.relay->Port()) + ",";
+  }
+  running.Entry(0).Kill();
+  running.StartEntry(0, {"--seed_agents=" + seeds});
+  EXPECT_TRUE(
+      fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
+  EXPECT_TRUE(fleet::Eventually(
+      [&] { return running.Complete(0, "adapter-0", 3).status == 200; }));
+}
+
+// Guards against a revert when the service answers with an older set.
+TEST(Configuration, NeverRevertsToAStaleSet) {
+  fleet running({.engines = 2, .services = 1});
+  running.SetPlatformMode(R"({"config":"stale"})");
+  running.Publish();
+  running.SetPlatformMode(R"({"config":"normal"})");
+  ASSERT_TRUE(
+      fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
+  running.SetPlatformMode(R"({"config":"stale"})");
+  running.Entry(0).Kill();
+  running.StartEntry(0);
+  EXPECT_TRUE(
+      fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
+}
+
+// Guards against a part of a broken set coming into force.
+TEST(Configuration, RefusesABrokenSetWhole) {
+  fleet running({.engines = 1, .services = 1});
+  Call("PUT", running.PlatformUrl() + "/standin/config/manifest",
+       "{\"format\":1,\"generation\":9");
+  EXPECT_TRUE(fleet::Eventually([&] {
+    return running.State(running.EntryUrl(0))["configuration"].contains(
+        "last_rejected");
+  }));
+  EXPECT_EQ(running.Complete(0, "adapter-0", 2).status, 200);
+  EXPECT_TRUE(AllAtGeneration(running, 2, 1));
+  running.Publish();
+  EXPECT_TRUE(
+      fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
+}
+
+// Guards against a fleet split between two sets of the same generation.
+TEST(Configuration, TwoOperatorsWithOneGenerationLeaveOneSetInForce) {
+  fleet running({.engines = 2, .services = 1});
+  running.Publish();
+  running.Set().version.generation = 1;
+  running.Set().adapters[0].default_version = core::version_id("v1");
+  running.Publish();
+  EXPECT_TRUE(fleet::Eventually([&] {
+    const std::string first = VersionOfEntry(running, 0);
+    if (first != VersionOfEntry(running, 1)) return false;
+    for (endpoint_processes& target : running.Endpoints()) {
+      const auto state = running.State(target.AdminUrl());
+      if (state["configuration"]["version"] != first) return false;
+    }
+    return AllAtGeneration(running, 2, 2);
+  }));
+}
+
+// Guards against an agent that stays behind after a partition.
+TEST(Configuration, ReachesAnAgentAfterItsPartitionHeals) {
+  fleet running({.engines = 2, .services = 0});
+  running.Endpoint("engine-0").relay->Cut();
+  running.Publish();
+  EXPECT_TRUE(fleet::Eventually([&] {
+    const auto state = running.State(running.Endpoint("engine-1").AdminUrl());
+    return state["configuration"]["generation"] == 2;
+  }));
+  running.Endpoint("engine-0").relay->Heal();
+  EXPECT_TRUE(
+      fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
+}
+
+}  // namespace
+}  // namespace comfreyspring::process_test
--- /dev/null
+++ b/tests/process/fleet.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "config/configuration.h"
+#include "tcp_relay.h"
+#include "test_http.h"
+
+namespace comfreyspring::process_test {
+
+struct fleet_options {
+  int engines = 2;
+  int services = 2;
+  int entries = 2;
+  int adapters = 8;
+  int slots = 4;
+  int batch_limit = 8;
+  int token_ms = 5;
+  int load_ms = 30;
+  /** Engines refuse commands with a stale fencing number. */
+  bool checks_fencing = true;
+  std::vector<std::string> agent_flags;
+};
+
+/** One endpoint with its agent and the relay in front of the agent. */
+struct endpoint_processes {
+  std::string name;
+  bool engine = true;
+  std::unique_ptr<child_process> endpoint;
+  std::unique_ptr<child_process> agent;
+  std::unique_ptr<tcp_relay> relay;
+
+  std::string EndpointUrl() const;
+  std::string AdminUrl() const;
+};
+
+/**
+ * Platform, endpoints, agents and entries as real processes on loopback.
+ * Adapters are `adapter-0` … with versions v1 and v2 (default v2); service
+ * `orders` is non-repeatable.
+ */
+class fleet {
+ public:
+  explicit fleet(fleet_options options);
+  ~fleet();
+
+  // Callers.
+
+  std::string EntryUrl(int index) const;
+  /** POST /v1/completions through an entry. */
+  http_answer Complete(int entry, const std::string& model, int tokens,
+                       bool stream = false, long limit_ms = 20000,
+                       const std::map<std::string, std::string>& headers = {});
+  /** POST to service `orders` with this key. */
+  http_answer PlaceOrder(int entry, const std::string& key,
+                         long limit_ms = 20000);
+  static std::string NewKey();
+  /** Text that the stand-in engine must give for `Complete`. */
+  static std::string ExpectedText(const std::string& adapter_and_version,
+                                  int tokens);
+
+  // Operators.
+
+  config::configuration& Set() { return set_; }
+  /** Publishes `Set()` with the next generation. */
+  void Publish();
+  void SetPlatformMode(const std::string& json);
+  void PutVmList(std::int64_t revision,
+                 const std::map<std::string, std::string>& states);
+  std::string PlatformUrl() const;
+
+  // Processes.
+
+  std::vector<endpoint_processes>& Endpoints() { return endpoints_; }
+  endpoint_processes& Endpoint(const std::string& name);
+  child_process& Entry(int index) { return *entries_.at(index); }
+  void StartEntry(int index, const std::vector<std::string>& flags = {});
+  /** Starts the agent again on its fixed port. */
+  void StartAgent(endpoint_processes& target);
+  void Behave(endpoint_processes& target, const std::string& json);
+  /** Runs of all keys of `orders`, over all stand-ins. */
+  std::map<std::string, int> Runs();
+  nlohmann::json State(const std::string& url);
+  const std::string& LogFile() const { return log_file_; }
+
+  /** Polls until `done` or the limit; for conditions, never for speed. */
+  static bool Eventually(const std::function<bool()>& done,
+                         int limit_ms = 20000);
+
+ private:
+  void StartEndpoint(const std::string& name, bool engine);
+  config::endpoint_record RecordOf(const endpoint_processes& target) const;
+
+  fleet_options options_;
+  std::string log_file_;
+  config::configuration set_;
+  std::unique_ptr<child_process> platform_;
+  std::vector<endpoint_processes> endpoints_;
+  std::vector<std::unique_ptr<child_process>> entries_;
+};
+
+}  // namespace comfreyspring::process_test
