Add call ledger with ownership handover

Cause: a non-repeatable call may run at most once, whatever entry repeats it, while owners change, restart or are cut off. Former owners of all kept epochs must hand over, not only the predecessor's: an agent two epochs behind still takes the key. Handover moments get twice the clock skew: key maker to former owner, and that owner to this one. An answer too long to keep is reported as incomplete. Conclusion: the property assumes that a restarted agent learns at least the configuration of its former instance. If it learns an older one behind a partition, the new owner may run a key before it hears of the restart.

--- /dev/null
+++ b/src/ledger/call_ledger.cc
@@ -0,0 +1,322 @@
+#include "ledger/call_ledger.h"
+
+#include <algorithm>
+#include <cassert>
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "core/error.h"
+#include "core/hash.h"
+#include "core/uuid.h"
+#include "ledger/handover_tracker.h"
+
+namespace comfreyspring::ledger {
+
+namespace {
+
+// Retry hint while a configuration or a handover is on its way.
+constexpr core::milliseconds kPropagationRetry{1000};
+// A submit on an old link can be this late at most: far above its expiry.
+constexpr core::milliseconds kAttemptMemory{600 * 1000};
+
+enum class call_state { accepted, dispatched, finished, unknown };
+
+struct call_record {
+  call_state state = call_state::accepted;
+  core::wall_time key_time;
+  std::uint64_t fingerprint = 0;
+  std::vector<core::attempt_id> waiting;
+  int status = 0;
+  std::string content_type;
+  std::string body;
+  bool answer_kept = false;
+};
+
+struct refused_attempt {
+  core::attempt_id attempt;
+  core::wall_time refused_at;
+};
+
+std::uint64_t Fingerprint(const wire::submit& message) {
+  std::uint64_t hash = 0;
+  for (const std::string* part :
+       {&message.service.Value(), &message.method, &message.path,
+        &message.content_type, &message.body}) {
+    hash = core::Hash64(*part, hash);
+  }
+  return hash;
+}
+
+reject_call Unknown(std::string reason, std::string message) {
+  return {.outcome = core::outcome::unknown,
+          .reason = std::move(reason),
+          .message = std::move(message)};
+}
+
+reject_call NotRun(std::string reason, std::string message,
+                   core::milliseconds retry_after = core::milliseconds(0)) {
+  return {.outcome = core::outcome::not_run,
+          .reason = std::move(reason),
+          .message = std::move(message),
+          .retry_after = retry_after};
+}
+
+const config::ownership_epoch* EpochAt(const config::service_record& service,
+                                       core::wall_time time) {
+  const config::ownership_epoch* in_force = nullptr;
+  for (const config::ownership_epoch& epoch : service.epochs) {
+    if (epoch.effective_from_ms > core::UnixMilliseconds(time)) continue;
+    if (in_force == nullptr || epoch.epoch > in_force->epoch) in_force = &epoch;
+  }
+  return in_force;
+}
+
+}  // namespace
+
+std::optional<key_home> HomeOfKey(const config::service_record& service,
+                                  const core::idempotency_key& key) {
+  const auto* epoch = EpochAt(service, core::UuidV7Time(key.Value()));
+  if (epoch == nullptr || epoch->members.empty()) return std::nullopt;
+  return key_home{HomeInEpoch(*epoch, key), epoch->epoch};
+}
+
+struct call_ledger::impl {
+  explicit impl(ledger_options settings)
+      : options(std::move(settings)), handover(options.own_endpoint) {}
+
+  ledger_options options;
+  handover_tracker handover;
+  std::shared_ptr<const config::configuration> current;
+  std::unordered_map<core::idempotency_key, call_record> records;
+  // Attempts of which `not_run` was said, oldest first.
+  std::deque<refused_attempt> refused_order;
+  std::unordered_set<core::attempt_id> refused;
+  // A wall clock that steps back must not make dropped records acceptable.
+  core::wall_time latest = core::wall_time::min();
+
+  void Advance(core::wall_time now) { latest = std::max(latest, now); }
+
+  bool IsBeyondRetention(core::wall_time key_time) const {
+    return key_time < latest - options.retention;
+  }
+
+  void RememberRefused(const core::attempt_id& attempt) {
+    if (!refused.insert(attempt).second) return;
+    refused_order.push_back({attempt, latest});
+    if (refused_order.size() > options.maximum_records) ForgetOldestRefused();
+  }
+
+  void ForgetOldestRefused() {
+    refused.erase(refused_order.front().attempt);
+    refused_order.pop_front();
+  }
+
+  ledger_decision Decide(const wire::submit& message, core::wall_time now) {
+    if (refused.count(message.attempt) > 0) {
+      return NotRun("attempt_withdrawn", "the attempt was given back earlier");
+    }
+    const auto found = records.find(message.key);
+    if (found != records.end()) return DecideRepeat(found->second, message);
+    core::wall_time key_time;
+    try {
+      key_time = core::UuidV7Time(message.key.Value());
+    } catch (const core::invalid_value_error& failure) {
+      return NotRun("invalid_key", failure.what());
+    }
+    if (auto rejected = CheckAge(key_time, now)) return *rejected;
+    if (auto rejected = CheckOwnership(message, key_time)) return *rejected;
+    if (records.size() >= options.maximum_records) {
+      return NotRun("ledger_full", "too many calls are recorded",
+                    kPropagationRetry);
+    }
+    records[message.key] = {.key_time = key_time,
+                            .fingerprint = Fingerprint(message),
+                            .waiting = {message.attempt}};
+    return run_call{};
+  }
+
+  ledger_decision DecideRepeat(call_record& record,
+                               const wire::submit& message) {
+    if (record.fingerprint != Fingerprint(message)) {
+      return NotRun("key_conflict",
+                    "the key was used before with a different request");
+    }
+    switch (record.state) {
+      case call_state::accepted:
+      case call_state::dispatched:
+        if (std::find(record.waiting.begin(), record.waiting.end(),
+                      message.attempt) == record.waiting.end()) {
+          record.waiting.push_back(message.attempt);
+        }
+        return join_running{};
+      case call_state::unknown:
+        return Unknown("outcome_unknown",
+                       "the call was sent and no answer came");
+      case call_state::finished:
+        break;
+    }
+    if (!record.answer_kept) {
+      return reject_call{.outcome = core::outcome::incomplete,
+                         .reason = "answer_not_kept",
+                         .message = "the call finished with status " +
+                                    std::to_string(record.status) +
+                                    "; its answer was too long to be kept"};
+    }
+    return replay_answer{record.status, record.content_type, record.body};
+  }
+
+  std::optional<reject_call> CheckAge(core::wall_time key_time,
+                                      core::wall_time now) const {
+    if (key_time > now + options.clock_skew) {
+      return NotRun("key_time_in_future",
+                    "the key was made " +
+                        std::to_string((key_time - now).count()) +
+                        " ms in the future");
+    }
+    if (key_time <= options.started_at + options.clock_skew) {
+      return Unknown("key_older_than_record",
+                     "the key may have run before this process started");
+    }
+    if (IsBeyondRetention(key_time)) {
+      return Unknown("key_older_than_retention",
+                     "the key is older than the record is kept");
+    }
+    return std::nullopt;
+  }
+
+  // Services are few, and the list needs no index.
+  const config::service_record* FindService(
+      const core::service_id& wanted) const {
+    if (current == nullptr) return nullptr;
+    for (const auto& service : current->services) {
+      if (service.service == wanted) return &service;
+    }
+    return nullptr;
+  }
+
+  std::optional<reject_call> CheckOwnership(const wire::submit& message,
+                                            core::wall_time key_time) const {
+    const config::service_record* service = FindService(message.service);
+    if (service == nullptr) {
+      return NotRun("not_home", "the configuration here has no such service",
+                    kPropagationRetry);
+    }
+    const auto home = HomeOfKey(*service, message.key);
+    if (!home) {
+      return Unknown("epoch_not_kept",
+                     "no kept ownership epoch covers the time of the key");
+    }
+    if (home->endpoint != options.own_endpoint) {
+      return NotRun("not_home",
+                    "the key belongs to endpoint " + home->endpoint.Value(),
+                    kPropagationRetry);
+    }
+    const auto since =
+        handover.CompleteSince(*service, home->epoch, message.key);
+    // Two skews: the key's maker against the former owner, and that owner
+    // against this one.
+    if (!since || (*since != core::wall_time::min() &&
+                   key_time <= *since + 2 * options.clock_skew)) {
+      return Unknown("handover_incomplete",
+                     "a former owner may have run the key");
+    }
+    return std::nullopt;
+  }
+
+  std::vector<core::attempt_id> Settle(call_record& record, call_state state) {
+    record.state = state;
+    return std::exchange(record.waiting, {});
+  }
+};
+
+call_ledger::call_ledger(ledger_options options)
+    : impl_(std::make_unique<impl>(std::move(options))) {}
+
+call_ledger::~call_ledger() = default;
+
+void call_ledger::OnConfiguration(
+    std::shared_ptr<const config::configuration> current) {
+  assert(current != nullptr);
+  impl_->handover.OnConfiguration(current);
+  impl_->current = std::move(current);
+}
+
+void call_ledger::OnPeerVersions(const wire::peer_versions& message,
+                                 core::wall_time now) {
+  impl_->handover.OnPeerVersions(message, now);
+}
+
+void call_ledger::OnVmGone(const core::vm_id& vm, core::wall_time now) {
+  impl_->handover.OnVmGone(vm, now);
+}
+
+ledger_decision call_ledger::OnSubmit(const wire::submit& message,
+                                      core::wall_time now) {
+  impl_->Advance(now);
+  ledger_decision decision = impl_->Decide(message, now);
+  const auto* rejected = std::get_if<reject_call>(&decision);
+  if (rejected != nullptr && rejected->outcome == core::outcome::not_run) {
+    impl_->RememberRefused(message.attempt);
+  }
+  return decision;
+}
+
+void call_ledger::OnDispatched(const core::idempotency_key& key) {
+  const auto found = impl_->records.find(key);
+  assert(found != impl_->records.end());
+  assert(found->second.state == call_state::accepted);
+  found->second.state = call_state::dispatched;
+}
+
+std::vector<core::attempt_id> call_ledger::OnAnswered(
+    const core::idempotency_key& key, int status,
+    const std::string& content_type, const std::string& body) {
+  const auto found = impl_->records.find(key);
+  assert(found != impl_->records.end());
+  call_record& record = found->second;
+  record.status = status;
+  record.answer_kept = body.size() <= impl_->options.maximum_answer_bytes;
+  if (record.answer_kept) {
+    record.content_type = content_type;
+    record.body = body;
+  }
+  return impl_->Settle(record, call_state::finished);
+}
+
+std::vector<core::attempt_id> call_ledger::OnOutcomeUnknown(
+    const core::idempotency_key& key) {
+  const auto found = impl_->records.find(key);
+  assert(found != impl_->records.end());
+  return impl_->Settle(found->second, call_state::unknown);
+}
+
+std::vector<core::attempt_id> call_ledger::OnNotRun(
+    const core::idempotency_key& key) {
+  const auto found = impl_->records.find(key);
+  assert(found != impl_->records.end());
+  std::vector<core::attempt_id> waiting = std::move(found->second.waiting);
+  impl_->records.erase(found);
+  for (const auto& attempt : waiting) impl_->RememberRefused(attempt);
+  return waiting;
+}
+
+void call_ledger::OnTick(core::wall_time now) {
+  impl_->Advance(now);
+  for (auto entry = impl_->records.begin(); entry != impl_->records.end();) {
+    const bool open = entry->second.state == call_state::accepted ||
+                      entry->second.state == call_state::dispatched;
+    const bool drop = !open && impl_->IsBeyondRetention(entry->second.key_time);
+    entry = drop ? impl_->records.erase(entry) : std::next(entry);
+  }
+  while (!impl_->refused_order.empty() &&
+         impl_->refused_order.front().refused_at + kAttemptMemory <
+             impl_->latest) {
+    impl_->ForgetOldestRefused();
+  }
+}
+
+std::size_t call_ledger::Records() const { return impl_->records.size(); }
+
+}  // namespace comfreyspring::ledger
--- /dev/null
+++ b/src/ledger/ledger_property_test.cc
@@ -0,0 +1,324 @@
+// Several ledgers of one service under random configurations, message delays,
+// restarts and repeats. The world below keeps what the platform promises: VM
+// clocks and callers' clocks are within the configured skew, a VM that is gone
+// runs nothing, and a restarted agent learns at least the configuration that
+// its former instance had.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/random_source.h"
+#include "core/uuid.h"
+#include "ledger/call_ledger.h"
+
+namespace comfreyspring::ledger {
+namespace {
+
+using core::milliseconds;
+using core::wall_time;
+
+constexpr std::size_t kAgents = 3;
+constexpr std::size_t kEntries = 2;
+constexpr std::int64_t kSkewMs = 2000;
+constexpr std::int64_t kOriginMs = 1'000'000'000;
+const core::service_id kService("orders");
+
+using configuration_pointer = std::shared_ptr<const config::configuration>;
+
+core::endpoint_id EndpointOf(std::size_t agent) {
+  return core::endpoint_id("counter-" + std::to_string(agent));
+}
+core::vm_id VmOf(std::size_t agent) {
+  return core::vm_id("vm-" + std::to_string(agent));
+}
+
+struct agent_state {
+  std::int64_t clock_offset_ms = 0;
+  std::int64_t instance_ms = 0;
+  bool alive = true;
+  configuration_pointer current;
+  std::unique_ptr<call_ledger> ledger;
+  // Calls by key that have not ended, with their dispatch state.
+  std::map<core::idempotency_key, bool> open;
+};
+
+class world {
+ public:
+  explicit world(std::uint64_t seed) : random_(seed) {
+    MakeConfigurations();
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      agents_[i].clock_offset_ms =
+          static_cast<std::int64_t>(random_.NextBelow(kSkewMs));
+      StartAgent(i, 0);
+    }
+    now_ms_ += 3 * kSkewMs;
+  }
+
+  void Step() {
+    now_ms_ += static_cast<std::int64_t>(random_.NextBelow(500));
+    // Repeats prevail: they are what can run a key twice. Changes of the
+    // configuration are rare, so that processes disagree for long.
+    static constexpr std::array<int, 26> kEvents = {0, 0, 0, 0, 1, 1, 1, 1, 1,
+                                                    1, 1, 1, 1, 2, 2, 3, 4, 4,
+                                                    5, 5, 5, 6, 6, 6, 6, 6};
+    const std::uint64_t rare = random_.NextBelow(60);
+    switch (rare < 2 ? 7 + static_cast<int>(rare)
+                     : kEvents[random_.NextBelow(kEvents.size())]) {
+      case 0:
+        NewKey();
+        break;
+      case 1:
+        RepeatKey();
+        break;
+      case 2:
+        Deliver();
+        break;
+      case 3:
+        UpgradeEntry();
+        break;
+      case 4:
+        UpgradeAgent();
+        break;
+      case 5:
+        Report();
+        break;
+      case 6:
+        Progress();
+        break;
+      case 7:
+        Restart();
+        break;
+      default:
+        LoseVm();
+    }
+  }
+
+ private:
+  wall_time Clock(const agent_state& agent) const {
+    return core::WallTimeFromUnix(now_ms_ + agent.clock_offset_ms);
+  }
+
+  bool Chance(std::uint64_t one_in) { return random_.NextBelow(one_in) == 0; }
+
+  std::size_t AnyAgent() { return random_.NextBelow(kAgents); }
+
+  void MakeConfigurations() {
+    std::vector<config::ownership_epoch> epochs;
+    std::int64_t effective_ms = 0;
+    for (std::uint64_t generation = 1; generation <= 3; ++generation) {
+      config::ownership_epoch epoch;
+      epoch.epoch = static_cast<std::int64_t>(generation);
+      epoch.effective_from_ms = effective_ms;
+      for (std::size_t i = 0; i < kAgents; ++i) {
+        if (Chance(2)) epoch.members.push_back(EndpointOf(i));
+      }
+      if (epoch.members.empty()) epoch.members.push_back(EndpointOf(0));
+      epochs.push_back(epoch);
+      auto set = std::make_shared<config::configuration>();
+      set->version = {generation, random_.Next()};
+      config::service_record service;
+      service.service = kService;
+      service.repeatable = false;
+      service.epochs = epochs;
+      set->services.push_back(service);
+      for (std::size_t i = 0; i < kAgents; ++i) {
+        config::endpoint_record record;
+        record.endpoint = EndpointOf(i);
+        record.vm = VmOf(i);
+        record.service = kService;
+        set->endpoints.push_back(record);
+      }
+      configurations_.push_back(set);
+      effective_ms = kOriginMs +
+                     static_cast<std::int64_t>(random_.NextBelow(20'000)) +
+                     static_cast<std::int64_t>(generation) * 5000;
+    }
+  }
+
+  void StartAgent(std::size_t index, std::size_t configuration) {
+    agent_state& agent = agents_[index];
+    agent.instance_ms = ++instances_;
+    agent.open.clear();
+    agent.current = configurations_[configuration];
+    agent.ledger = std::make_unique<call_ledger>(ledger_options{
+        .own_endpoint = EndpointOf(index), .started_at = Clock(agent)});
+    agent.ledger->OnConfiguration(agent.current);
+  }
+
+  // Events.
+
+  void NewKey() {
+    wire::submit message;
+    message.kind = core::request_kind::service_call;
+    message.service = kService;
+    message.idempotent = false;
+    const auto skew =
+        static_cast<std::int64_t>(random_.NextBelow(2 * kSkewMs + 1)) - kSkewMs;
+    message.key = core::idempotency_key(
+        core::MakeUuidV7(core::WallTimeFromUnix(now_ms_ + skew), random_));
+    calls_.push_back(message);
+    Submit(message);
+  }
+
+  void RepeatKey() {
+    if (calls_.empty()) return;
+    const std::size_t back = random_.NextBelow(6);
+    Submit(calls_[calls_.size() - 1 - std::min(back, calls_.size() - 1)]);
+  }
+
+  // Through an entry, to the home that the entry's configuration names.
+  void Submit(wire::submit message) {
+    message.attempt = core::attempt_id(std::to_string(++attempts_));
+    const auto entry = random_.NextBelow(kEntries);
+    const auto home = HomeOfKey(
+        configurations_[entry_configuration_[entry]]->services[0], message.key);
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      if (!home || home->endpoint != EndpointOf(i)) continue;
+      submits_.push_back({i, message});
+      if (!Chance(4)) DeliverAt(submits_.size() - 1);
+    }
+  }
+
+  void Deliver() {
+    if (submits_.empty()) return;
+    DeliverAt(random_.NextBelow(submits_.size()));
+  }
+
+  void DeliverAt(std::size_t pick) {
+    const auto [index, message] = submits_[pick];
+    // A duplicate stays in the network in one case of four.
+    if (!Chance(4)) {
+      submits_.erase(submits_.begin() + static_cast<std::ptrdiff_t>(pick));
+    }
+    agent_state& agent = agents_[index];
+    if (!agent.alive) return;
+    const auto decision = agent.ledger->OnSubmit(message, Clock(agent));
+    if (std::holds_alternative<run_call>(decision)) {
+      RC_ASSERT(said_not_run_.count(message.attempt) == 0);
+      agent.open[message.key] = false;
+      if (!Chance(3)) Dispatch(agent, message.key);
+    }
+    const auto* rejected = std::get_if<reject_call>(&decision);
+    if (rejected != nullptr && rejected->outcome == core::outcome::not_run) {
+      said_not_run_.insert(message.attempt);
+    }
+  }
+
+  void UpgradeEntry() {
+    auto& version = entry_configuration_[random_.NextBelow(kEntries)];
+    if (version + 1 < configurations_.size()) ++version;
+  }
+
+  void UpgradeAgent() {
+    agent_state& agent = agents_[AnyAgent()];
+    const auto& offered =
+        configurations_[entry_configuration_[random_.NextBelow(kEntries)]];
+    if (offered->version <= agent.current->version) return;
+    agent.current = offered;
+    agent.ledger->OnConfiguration(offered);
+  }
+
+  // A report travels by way of an entry and may arrive late.
+  void Report() {
+    const std::size_t index = AnyAgent();
+    if (agents_[index].alive) {
+      reports_.push_back({EndpointOf(index), agents_[index].instance_ms,
+                          agents_[index].current->version});
+    }
+    if (reports_.empty()) return;
+    const auto pick = random_.NextBelow(reports_.size());
+    agent_state& receiver = agents_[AnyAgent()];
+    receiver.ledger->OnPeerVersions({{reports_[pick]}}, Clock(receiver));
+  }
+
+  void Dispatch(agent_state& agent, const core::idempotency_key& key) {
+    agent.open[key] = true;
+    agent.ledger->OnDispatched(key);
+    RC_ASSERT(++runs_[key] == 1);
+  }
+
+  void Progress() {
+    agent_state& agent = agents_[AnyAgent()];
+    if (!agent.alive || agent.open.empty()) return;
+    const auto pick = random_.NextBelow(agent.open.size());
+    const auto entry =
+        std::next(agent.open.begin(), static_cast<std::ptrdiff_t>(pick));
+    const core::idempotency_key key = entry->first;
+    if (!entry->second) {
+      if (Chance(4)) {
+        for (const auto& attempt : agent.ledger->OnNotRun(key)) {
+          said_not_run_.insert(attempt);
+        }
+        agent.open.erase(entry);
+        return;
+      }
+      Dispatch(agent, key);
+      return;
+    }
+    if (Chance(2)) {
+      agent.ledger->OnAnswered(key, 200, "", "answer");
+    } else {
+      agent.ledger->OnOutcomeUnknown(key);
+    }
+    agent.open.erase(entry);
+  }
+
+  void Restart() {
+    const std::size_t index = AnyAgent();
+    if (!agents_[index].alive) return;
+    std::size_t configuration = 0;
+    while (configurations_[configuration]->version <
+           agents_[index].current->version) {
+      ++configuration;
+    }
+    StartAgent(index, configuration);
+  }
+
+  void LoseVm() {
+    const std::size_t index = AnyAgent();
+    agents_[index].alive = false;
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      if (Chance(2)) continue;
+      agents_[i].ledger->OnVmGone(VmOf(index), Clock(agents_[i]));
+    }
+  }
+
+  struct submit_in_flight {
+    std::size_t agent = 0;
+    wire::submit message;
+  };
+
+  std::int64_t now_ms_ = kOriginMs;
+  std::int64_t instances_ = 0;
+  int attempts_ = 0;
+  core::random_source random_;
+  std::vector<configuration_pointer> configurations_;
+  std::array<agent_state, kAgents> agents_;
+  std::array<std::size_t, kEntries> entry_configuration_ = {};
+  std::vector<wire::submit> calls_;
+  std::vector<submit_in_flight> submits_;
+  std::vector<wire::peer_version> reports_;
+  std::map<core::idempotency_key, int> runs_;
+  std::set<core::attempt_id> said_not_run_;
+};
+
+// Guards guarantees 4 and 5: no key runs twice, and no attempt runs after it
+// was reported as not run.
+RC_GTEST_PROP(LedgerWorld, NoKeyRunsTwiceAndNotRunIsTrue,
+              (std::uint64_t seed)) {
+  // Several worlds a case: the rare orders of events need many tries.
+  for (std::uint64_t part = 0; part < 20; ++part) {
+    world all(seed + part);
+    for (int i = 0; i < 400; ++i) all.Step();
+  }
+}
+
+}  // namespace
+}  // namespace comfreyspring::ledger
