--- a/src/routing/request_lifecycle.cc
+++ b/src/routing/request_lifecycle.cc
@@ -387,8 +387,9 @@
 void request_lifecycle::AfterFailure(request_record& request,
                                      attempt_failure failure, bool may_retry,
                                      core::time_point now, actions& out) {
+  if (!may_retry) request.retry_barred = true;
   if (request.HasOpenAttempt()) return;
-  if (may_retry && TryRetry(request, now, out)) return;
+  if (!request.retry_barred && TryRetry(request, now, out)) return;
   Fail(request, std::move(failure), out);
 }
 
--- a/src/routing/request_record.h
+++ b/src/routing/request_record.h
@@ -47,6 +47,8 @@
   std::optional<std::size_t> selected;
   int retries = 0;
   bool hedged = false;
+  /** An attempt ended in a way that allows no other run. */
+  bool retry_barred = false;
 
   /** Calls that go to one endpoint only have neither retries nor hedges. */
   bool SingleAttempt() const {
--- /dev/null
+++ b/src/routing/router_properties_test.cc
@@ -0,0 +1,395 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "routing/request_router.h"
+#include "routing/router_fixture_test.h"
+
+namespace comfreyspring::routing {
+namespace {
+
+using core::attempt_id;
+using core::endpoint_id;
+using core::outcome;
+using core::request_id;
+
+/** What truly became of an attempt, as the events have told. */
+struct attempt_truth {
+  endpoint_id endpoint;
+  request_id request;
+  bool open = true;
+  bool proved_not_run = false;
+  bool lost = false;
+  bool chunk_seen = false;
+};
+
+struct request_truth {
+  request_facts facts;
+  std::vector<attempt_id> attempts;
+  int selects = 0;
+  int finals = 0;
+  bool gone = false;
+  attempt_id selected;
+};
+
+/** Checks every action of a router against the rules of design page 3. */
+class router_checker {
+ public:
+  router_checker() : fixture_(5, 7), router_(fixture_.Router()) { WarmUp(); }
+
+  void Step() {
+    switch (*rc::gen::inRange(0, 14)) {
+      case 0:
+      case 1:
+      case 2:
+        NewRequest();
+        break;
+      case 3:
+        if (const auto attempt = AnyAttempt()) {
+          Check(router_.OnAccepted(*attempt, router_fixture::Up(), Now()));
+        }
+        break;
+      case 4:
+        FirstChunk();
+        break;
+      case 5:
+        Finish();
+        break;
+      case 6:
+        Refuse();
+        break;
+      case 7:
+        NotSent();
+        break;
+      case 8:
+        LoseEndpoint();
+        break;
+      case 9:
+        now_ms_ += *rc::gen::inRange(0, 700);
+        Check(router_.OnTick(Now()));
+        break;
+      case 10:
+        CallerGone();
+        break;
+      case 11:
+        Withdrawn();
+        break;
+      case 12:
+        Break();
+        break;
+      default:
+        ChangeDirectory();
+        break;
+    }
+    CheckBudgets();
+  }
+
+  /** Lets every deadline pass: no request may remain without an answer. */
+  void End() {
+    now_ms_ += 100000;
+    Check(router_.OnTick(Now()));
+    for (const auto& [id, request] : requests_) {
+      RC_ASSERT(request.finals == (request.gone ? 0 : 1));
+    }
+    RC_ASSERT(router_.OpenRequests() == 0U);
+  }
+
+ private:
+  /** Finishes enough requests for hedges to be possible. */
+  void WarmUp() {
+    for (int i = 0; i < 64; ++i) {
+      const std::string name = std::to_string(100 + i);
+      const request_facts facts = router_fixture::Completion(name);
+      requests_[facts.request].facts = facts;
+      Check(router_.OnRequest(facts, Now()));
+      const attempt_id attempt(name + ".1");
+      Check(router_.OnFirstChunk(attempt, Now() + core::milliseconds(20)));
+      Check(router_.OnFinished(FinishedOf(attempt), Now()));
+    }
+    requests_.clear();
+    attempts_.clear();
+  }
+  static wire::finished FinishedOf(const attempt_id& attempt) {
+    wire::finished message;
+    message.attempt = attempt;
+    message.report = router_fixture::Up();
+    message.tokens = {100};
+    return message;
+  }
+
+  core::time_point Now() const { return router_fixture::At(now_ms_); }
+  endpoint_id AnyEndpoint() {
+    const auto all = fixture_.Directory().All();
+    return all[*rc::gen::inRange<std::size_t>(0, all.size())];
+  }
+  std::optional<attempt_id> AnyAttempt() {
+    if (attempts_.empty()) return std::nullopt;
+    auto position = attempts_.begin();
+    // Mostly recent attempts, sometimes forgotten ones.
+    const auto skipped = *rc::gen::inRange<std::size_t>(
+        attempts_.size() > 8 && *rc::gen::inRange(0, 4) > 0
+            ? attempts_.size() - 8
+            : 0,
+        attempts_.size());
+    std::advance(position, static_cast<std::ptrdiff_t>(skipped));
+    return position->first;
+  }
+
+  void NewRequest() {
+    // Names sort in the order of creation.
+    const std::string name = std::to_string(1000 + requests_.size());
+    const bool order = *rc::gen::inRange(0, 3) == 0;
+    const std::int64_t deadline = now_ms_ + *rc::gen::inRange(0, 3000);
+    request_facts facts = order ? router_fixture::Order(name, deadline)
+                                : router_fixture::Completion(name, deadline);
+    facts.adapter.adapter =
+        core::adapter_id("a" + std::to_string(*rc::gen::inRange(0, 4)));
+    if (*rc::gen::inRange(0, 3) == 0) {
+      facts.priority = core::priority_class::may_wait;
+    }
+    requests_[facts.request].facts = facts;
+    Check(router_.OnRequest(facts, Now()));
+  }
+  void FirstChunk() {
+    const auto attempt = AnyAttempt();
+    if (!attempt) return;
+    attempt_truth& truth = attempts_.at(*attempt);
+    if (truth.proved_not_run || truth.lost) return;
+    // The router drops frames of attempts that have ended.
+    truth.chunk_seen |= truth.open;
+    Check(router_.OnFirstChunk(*attempt, Now()));
+  }
+  void Finish() {
+    const auto attempt = AnyAttempt();
+    if (!attempt) return;
+    attempt_truth& truth = attempts_.at(*attempt);
+    if (truth.proved_not_run || truth.lost) return;
+    truth.chunk_seen |= truth.open;
+    Check(router_.OnFinished(FinishedOf(*attempt), Now()));
+  }
+  void Refuse() {
+    const auto attempt = AnyAttempt();
+    if (!attempt) return;
+    attempt_truth& truth = attempts_.at(*attempt);
+    wire::refused message;
+    message.attempt = *attempt;
+    message.outcome = *rc::gen::element(outcome::not_run, outcome::unknown,
+                                        outcome::incomplete);
+    message.report = router_fixture::Up();
+    message.reason = "queue_full";
+    const bool not_run = message.outcome == outcome::not_run;
+    truth.proved_not_run |= not_run && !truth.chunk_seen && truth.open;
+    truth.open = false;
+    Check(router_.OnRefused(message, Now()));
+  }
+  void NotSent() {
+    const auto attempt = AnyAttempt();
+    if (!attempt) return;
+    attempt_truth& truth = attempts_.at(*attempt);
+    if (truth.chunk_seen || !truth.open) return;
+    truth.proved_not_run = true;
+    truth.open = false;
+    Check(router_.OnNotSent(*attempt, Now()));
+  }
+  void Withdrawn() {
+    const auto attempt = AnyAttempt();
+    if (!attempt) return;
+    attempt_truth& truth = attempts_.at(*attempt);
+    const bool not_run = *rc::gen::arbitrary<bool>() && !truth.chunk_seen;
+    truth.proved_not_run |= not_run;
+    truth.open = false;
+    Check(router_.OnWithdrawn(
+        {*attempt, not_run ? outcome::not_run : outcome::unknown}, Now()));
+  }
+  void Break() {
+    const auto attempt = AnyAttempt();
+    if (!attempt) return;
+    attempt_truth& truth = attempts_.at(*attempt);
+    if (truth.proved_not_run || truth.lost) return;
+    truth.chunk_seen |= truth.open;
+    Check(router_.OnBrokenAnswer(*attempt, "checksum", Now()));
+  }
+  void LoseEndpoint() {
+    const endpoint_id endpoint = AnyEndpoint();
+    for (auto& [id, truth] : attempts_) {
+      if (truth.endpoint != endpoint || !truth.open) continue;
+      truth.open = false;
+      truth.lost = true;
+    }
+    Check(router_.OnEndpointLost(endpoint, Now()));
+  }
+  void CallerGone() {
+    if (requests_.empty()) return;
+    auto position = requests_.begin();
+    std::advance(position,
+                 *rc::gen::inRange<std::ptrdiff_t>(
+                     0, static_cast<std::ptrdiff_t>(requests_.size())));
+    request_truth& request = position->second;
+    if (request.finals > 0) return;
+    request.gone = true;
+    const auto actions = router_.OnCallerGone(position->first, Now());
+    if (!request.facts.idempotent) RC_ASSERT(actions.empty());
+    Check(actions);
+  }
+  void ChangeDirectory() {
+    membership::endpoint_directory& directory = fixture_.Directory();
+    const endpoint_id endpoint = AnyEndpoint();
+    switch (*rc::gen::inRange(0, 5)) {
+      case 0:
+        directory.OnLeaving(endpoint, Now());
+        break;
+      case 1:
+        directory.OnLinkLost(endpoint, Now());
+        break;
+      case 2:
+        directory.OnPause(Now());
+        break;
+      default:
+        fixture_.Hello(endpoint, ++instance_);
+        directory.OnReport(endpoint, router_fixture::Up(), Now());
+        break;
+    }
+  }
+
+  void Check(const std::vector<router_action>& actions) {
+    for (const router_action& action : actions) {
+      std::visit([this](const auto& typed) { CheckOne(typed); }, action);
+    }
+  }
+  void CheckOne(const submit_attempt& action) {
+    request_truth& request = requests_.at(action.request);
+    RC_ASSERT(request.finals == 0);
+    RC_ASSERT(!request.gone);
+    RC_ASSERT(fixture_.Directory().AvailabilityOf(action.endpoint, Now()) ==
+              membership::availability::available);
+    RC_ASSERT(action.attempt.Value() ==
+              action.request.Value() + "." +
+                  std::to_string(request.attempts.size() + 1));
+    if (!request.facts.idempotent) {
+      RC_ASSERT(request.attempts.empty());
+      RC_ASSERT(action.endpoint == *request.facts.home);
+    }
+    for (const attempt_id& earlier : request.attempts) {
+      const attempt_truth& truth = attempts_.at(earlier);
+      RC_ASSERT(truth.endpoint != action.endpoint);
+      RC_ASSERT(!truth.chunk_seen);
+      if (action.hedge) continue;
+      RC_ASSERT(truth.proved_not_run || truth.lost);
+    }
+    request.attempts.push_back(action.attempt);
+    attempts_[action.attempt] = {action.endpoint, action.request};
+  }
+  void CheckOne(const withdraw_attempt& action) {
+    attempt_truth& truth = attempts_.at(action.attempt);
+    RC_ASSERT(truth.endpoint == action.endpoint);
+    RC_ASSERT(truth.open);
+    truth.open = false;
+  }
+  void CheckOne(const select_attempt& action) {
+    request_truth& request = requests_.at(action.request);
+    RC_ASSERT(++request.selects == 1);
+    RC_ASSERT(request.finals == 0);
+    RC_ASSERT(attempts_.at(action.attempt).open);
+    request.selected = action.attempt;
+  }
+  void CheckOne(const complete_request& action) {
+    request_truth& request = requests_.at(action.request);
+    RC_ASSERT(++request.finals == 1);
+    RC_ASSERT(!request.gone);
+    RC_ASSERT(request.selected == action.attempt);
+    attempts_.at(action.attempt).open = false;
+  }
+  void CheckOne(const fail_request& action) {
+    request_truth& request = requests_.at(action.request);
+    RC_ASSERT(++request.finals == 1);
+    RC_ASSERT(!request.gone);
+    RC_ASSERT(!action.reason.empty());
+    bool all_not_run = true;
+    for (const attempt_id& attempt : request.attempts) {
+      RC_ASSERT(!attempts_.at(attempt).open);
+      all_not_run = all_not_run && attempts_.at(attempt).proved_not_run;
+    }
+    if (action.outcome == outcome::not_run) RC_ASSERT(all_not_run);
+    if (action.outcome == outcome::incomplete) RC_ASSERT(request.selects == 1);
+    if (!request.facts.idempotent && !all_not_run) {
+      RC_ASSERT(action.outcome == outcome::unknown);
+    }
+  }
+  void CheckOne(const suspect_link& action) {
+    RC_ASSERT(!action.endpoint.empty());
+  }
+  void CheckBudgets() {
+    const router_counters& counters = router_.Counters();
+    const auto requests = static_cast<double>(counters.requests);
+    RC_ASSERT(static_cast<double>(counters.retries) <= 50 + 0.10 * requests);
+    RC_ASSERT(static_cast<double>(counters.hedges) <= 10 + 0.05 * requests);
+  }
+
+  router_fixture fixture_;
+  request_router& router_;
+  std::int64_t now_ms_ = 1;
+  std::int64_t instance_ = 1;
+  std::map<request_id, request_truth> requests_;
+  std::map<attempt_id, attempt_truth> attempts_;
+};
+
+// Guards guarantees 3 to 6 at the entry: exactly one final answer, one submit
+// of an order, no submit to an unavailable endpoint, one selected attempt, and
+// `not_run` only with proof.
+RC_GTEST_PROP(RequestRouter, KeepsItsRulesOverAnyEvents, ()) {
+  router_checker checker;
+  const int steps = *rc::gen::inRange(1, 250);
+  for (int step = 0; step < steps; ++step) checker.Step();
+  checker.End();
+}
+
+// Guards against retries that multiply the load of an overloaded fleet.
+TEST(RequestRouter, RetriesStayWithinTheirBudget) {
+  router_fixture fixture(8);
+  request_router& router = fixture.Router();
+  for (int i = 0; i < 2000; ++i) {
+    auto actions =
+        router.OnRequest(router_fixture::Completion("r" + std::to_string(i)),
+                         router_fixture::At(1));
+    while (const auto* submit = FindAction<submit_attempt>(actions)) {
+      wire::refused message;
+      message.attempt = submit->attempt;
+      message.report = router_fixture::Up();
+      actions = router.OnRefused(message, router_fixture::At(1));
+    }
+  }
+  EXPECT_EQ(router.OpenRequests(), 0U);
+  EXPECT_LE(router.Counters().retries, 250U);
+  EXPECT_GE(router.Counters().retries, 200U);
+}
+
+// Guards against hedges that add load when every endpoint is slow.
+TEST(RequestRouter, HedgesStayWithinTheirBudget) {
+  router_fixture fixture(8);
+  request_router& router = fixture.Router();
+  const auto finish = [&](const std::string& name, std::int64_t ms) {
+    const attempt_id attempt(name + ".1");
+    router.OnFirstChunk(attempt, router_fixture::At(ms));
+    wire::finished message;
+    message.attempt = attempt;
+    message.report = router_fixture::Up();
+    router.OnFinished(message, router_fixture::At(ms));
+  };
+  for (int i = 0; i < 1000; ++i) {
+    const std::string name = "r" + std::to_string(i);
+    router.OnRequest(router_fixture::Completion(name, 1000000),
+                     router_fixture::At(i));
+    if (i < 200) finish(name, i + 1);
+  }
+  for (int ms = 1000; ms < 9000; ms += 50)
+    router.OnTick(router_fixture::At(ms));
+  EXPECT_LE(router.Counters().hedges, 60U);
+  EXPECT_GE(router.Counters().hedges, 10U);
+}
+
+}  // namespace
+}  // namespace comfreyspring::routing
