--- /dev/null
+++ b/bench/single_endpoint/engine_simulation.h
@@ -0,0 +1,272 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "admission/scheduler_types.h"
+#include "core/time.h"
+
+namespace comfreyspring::bench {
+
+/** An attempt of the workload. `expected_tokens` is what it will produce. */
+struct arrival {
+  std::int64_t at_us = 0;
+  admission::work_item work;
+  bool long_work = false;
+};
+
+/** What became of an attempt. Times are -1 if it did not come to that. */
+struct outcome_record {
+  std::int64_t submitted_us = 0;
+  std::int64_t dispatched_us = -1;
+  std::int64_t first_output_us = -1;
+  std::int64_t ended_us = -1;
+  bool refused = false;
+  /** Its adapter was not loaded when it was submitted. */
+  bool missed = false;
+};
+
+/** Times of the simulated engine; a step produces a token per sequence. */
+struct engine_model {
+  std::size_t adapter_slots = 8;
+  std::size_t batch_limit = 16;
+  double step_base_ms = 12.0;
+  double step_per_sequence_ms = 0.4;
+  /** Added to the step in which a sequence enters the batch. */
+  double prefill_ms = 8.0;
+  double load_ms = 250.0;
+  /** Loads of other engines that are in transit, on average. */
+  double background_loads = 0.0;
+};
+
+struct simulation_result {
+  std::vector<outcome_record> outcomes;
+  admission::scheduler_counters counters;
+  /** Mean share of the batch in use. */
+  double batch_fill = 0.0;
+  double seconds = 0.0;
+  /** Mean share in use while anything waited. */
+  double fill_while_waiting = 0.0;
+};
+
+/** Event queue of a simulation; events at equal times keep their order. */
+class event_queue {
+ public:
+  void At(std::int64_t time_us, std::function<void()> run);
+  /** Runs the events up to `end_us`. */
+  void RunUntil(std::int64_t end_us);
+  std::int64_t Now() const { return now_us_; }
+
+ private:
+  struct event {
+    std::int64_t time_us;
+    std::uint64_t sequence;
+    std::function<void()> run;
+  };
+  struct later {
+    bool operator()(const event& left, const event& right) const {
+      return std::pair(left.time_us, left.sequence) >
+             std::pair(right.time_us, right.sequence);
+    }
+  };
+
+  std::priority_queue<event, std::vector<event>, later> events_;
+  std::uint64_t next_ = 0;
+  std::int64_t now_us_ = 0;
+};
+
+/** Percentile `share` (0 to 1) of values, by nearest rank; 0 for none. */
+double Percentile(std::vector<double> values, double share);
+double Mean(const std::vector<double>& values);
+
+/** One engine with continuous batching that obeys one scheduler. */
+template <class Scheduler>
+class engine_simulation {
+ public:
+  engine_simulation(engine_model model, std::uint64_t seed)
+      : model_(model),
+        scheduler_(admission::scheduler_options{.started_at = Time(0),
+                                                .random_seed = seed}) {}
+
+  simulation_result Run(const std::vector<arrival>& arrivals,
+                        std::int64_t end_us) {
+    result_.outcomes.resize(arrivals.size());
+    Apply(scheduler_.OnEngineState({model_.adapter_slots, model_.batch_limit},
+                                   {}, Time(0)));
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+      index_[arrivals[i].work.attempt] = i;
+      events_.At(arrivals[i].at_us, [this, &arrivals, i] {
+        Submit(arrivals[i], result_.outcomes[i]);
+      });
+    }
+    ScheduleTick(end_us);
+    events_.RunUntil(end_us);
+    AccountTime();
+    result_.counters = scheduler_.Counters();
+    result_.seconds = static_cast<double>(end_us) / 1e6;
+    const auto places = static_cast<double>(model_.batch_limit);
+    result_.batch_fill = used_us_ / places / static_cast<double>(end_us);
+    if (waiting_us_ > 0) {
+      result_.fill_while_waiting = used_waiting_us_ / places / waiting_us_;
+    }
+    return result_;
+  }
+
+ private:
+  struct sequence {
+    core::attempt_id attempt;
+    std::int64_t produced = 0;
+    std::int64_t wanted = 0;
+    bool entered = false;
+  };
+
+  static core::time_point Time(std::int64_t us) {
+    // Far from the epoch, so that no default time point looks recent.
+    return core::time_point(core::microseconds(us) + core::seconds(100'000));
+  }
+  core::time_point Now() const { return Time(events_.Now()); }
+
+  void Submit(const arrival& item, outcome_record& record) {
+    record.submitted_us = events_.Now();
+    wanted_[item.work.attempt] = item.work.expected_tokens.value;
+    adapters_[item.work.attempt] = item.work.adapter;
+    record.missed = !scheduler_.Report(item.work.adapter, Now()).resident;
+    AccountTime();
+    Apply(scheduler_.OnSubmit(item.work, Now()));
+  }
+
+  void ScheduleTick(std::int64_t end_us) {
+    constexpr std::int64_t kTickUs = 20'000;
+    events_.At(events_.Now() + kTickUs, [this, end_us] {
+      AccountTime();
+      Apply(scheduler_.OnTick(Now()));
+      if (events_.Now() < end_us) ScheduleTick(end_us);
+    });
+  }
+
+  void AccountTime() {
+    const auto passed = static_cast<double>(events_.Now() - accounted_us_);
+    accounted_us_ = events_.Now();
+    const auto used = static_cast<double>(batch_.size()) * passed;
+    used_us_ += used;
+    if (scheduler_.Waiting() > 0) {
+      used_waiting_us_ += used;
+      waiting_us_ += passed;
+    }
+  }
+
+  void Apply(const std::vector<admission::scheduler_action>& actions) {
+    for (const auto& action : actions) {
+      std::visit([this](const auto& value) { this->Handle(value); }, action);
+    }
+  }
+  void Handle(const admission::start_load& load) {
+    ++loading_;
+    const double crowd =
+        (static_cast<double>(loading_) + model_.background_loads) / 8.0;
+    const auto took =
+        static_cast<std::int64_t>(model_.load_ms * std::max(1.0, crowd));
+    events_.At(events_.Now() + took * 1'000, [this, load, took] {
+      --loading_;
+      AccountTime();
+      Apply(
+          scheduler_.OnLoadDone(load.adapter, core::milliseconds(took), Now()));
+    });
+  }
+  void Handle(const admission::dispatch& action) {
+    outcome_record& record = Record(action.attempt);
+    if (record.dispatched_us < 0) record.dispatched_us = events_.Now();
+    AccountTime();
+    batch_.push_back({action.attempt, action.resume_from.value,
+                      wanted_.at(action.attempt), false});
+    if (!stepping_) StartStep();
+  }
+  void Handle(const admission::preempt& action) { Cancel(action.attempt); }
+  void Handle(const admission::cancel_running& action) {
+    Cancel(action.attempt);
+  }
+  void Handle(const admission::refuse& action) {
+    Record(action.attempt).refused = true;
+  }
+  void Handle(const admission::confirm_withdrawn&) {}
+
+  void Cancel(const core::attempt_id& attempt) {
+    events_.At(events_.Now() + 5'000, [this, attempt] {
+      const auto found = FindSequence(attempt);
+      if (found == batch_.end()) return;
+      const std::int64_t produced = found->produced;
+      AccountTime();
+      batch_.erase(found);
+      Apply(scheduler_.OnCancelConfirmed(attempt, {produced}, Now()));
+    });
+  }
+
+  void StartStep() {
+    stepping_ = true;
+    double step_ms = model_.step_base_ms;
+    for (sequence& running : batch_) {
+      step_ms += model_.step_per_sequence_ms;
+      if (!running.entered) step_ms += model_.prefill_ms;
+      running.entered = true;
+    }
+    events_.At(events_.Now() + static_cast<std::int64_t>(step_ms * 1'000),
+               [this] { FinishStep(); });
+  }
+
+  void FinishStep() {
+    AccountTime();
+    std::vector<core::attempt_id> ended;
+    for (sequence& running : batch_) {
+      if (!running.entered) continue;
+      ++running.produced;
+      outcome_record& record = Record(running.attempt);
+      if (record.first_output_us < 0) {
+        record.first_output_us = events_.Now();
+        scheduler_.OnFirstOutput(running.attempt, Now());
+      }
+      if (running.produced >= running.wanted) ended.push_back(running.attempt);
+    }
+    for (const core::attempt_id& attempt : ended) {
+      batch_.erase(FindSequence(attempt));
+      Record(attempt).ended_us = events_.Now();
+    }
+    stepping_ = true;
+    for (const core::attempt_id& attempt : ended) {
+      Apply(scheduler_.OnEnded(attempt, {wanted_.at(attempt)}, Now()));
+    }
+    stepping_ = false;
+    if (!batch_.empty()) StartStep();
+  }
+
+  auto FindSequence(const core::attempt_id& attempt) {
+    return std::find_if(
+        batch_.begin(), batch_.end(),
+        [&](const sequence& running) { return running.attempt == attempt; });
+  }
+  outcome_record& Record(const core::attempt_id& attempt) {
+    return result_.outcomes[index_.at(attempt)];
+  }
+
+  engine_model model_;
+  Scheduler scheduler_;
+  event_queue events_;
+  simulation_result result_;
+  std::map<core::attempt_id, std::size_t> index_;
+  std::map<core::attempt_id, std::int64_t> wanted_;
+  std::map<core::attempt_id, core::adapter_reference> adapters_;
+  std::vector<sequence> batch_;
+  bool stepping_ = false;
+  int loading_ = 0;
+  std::int64_t accounted_us_ = 0;
+  double used_us_ = 0.0;
+  double used_waiting_us_ = 0.0;
+  double waiting_us_ = 0.0;
+};
+
+}  // namespace comfreyspring::bench
