--- /dev/null
+++ b/standins/engine_batch_test.cc
@@ -0,0 +1,78 @@
+#include "standins/engine_batch.h"
+
+#include <gtest/gtest.h>
+
+#include "standins/engine_adapters.h"
+
+namespace comfreyspring::standins {
+namespace {
+
+stream_request Request(std::size_t tokens, bool urgent = true) {
+  return {{"straps", "v2"}, "prompt", tokens, urgent};
+}
+
+TEST(EngineBatch, MakesOneTokenAStepUpToTheLimit) {
+  engine_batch batch(4);
+  const std::string id = batch.Add(Request(2));
+  batch.Step();
+  EXPECT_EQ(batch.Find(id)->tokens, 1U);
+  EXPECT_TRUE(batch.Find(id)->IsActive());
+  batch.Step();
+  EXPECT_EQ(batch.Find(id)->tokens, 2U);
+  EXPECT_EQ(batch.Find(id)->current, engine_stream::phase::done);
+  EXPECT_TRUE(batch.Step().empty());
+}
+
+// Guards the priority that the agent relies on when it fills the batch.
+TEST(EngineBatch, StartsUrgentStreamsFirst) {
+  engine_batch batch(1);
+  const std::string first = batch.Add(Request(1, false));
+  const std::string second = batch.Add(Request(1, true));
+  EXPECT_EQ(batch.Step(), std::vector<std::string>{second});
+  EXPECT_EQ(batch.Step(), std::vector<std::string>{first});
+}
+
+TEST(EngineBatch, CancelFreesThePlaceAndIsIdempotent) {
+  engine_batch batch(1);
+  const std::string first = batch.Add(Request(10));
+  const std::string second = batch.Add(Request(10));
+  batch.Step();
+  batch.Cancel(first);
+  batch.Cancel(first);
+  batch.Cancel("unknown");
+  EXPECT_EQ(batch.Step(), std::vector<std::string>{second});
+  EXPECT_EQ(batch.Find(first)->tokens, 1U);
+  EXPECT_EQ(batch.ActiveStreams({"straps", "v2"}),
+            std::vector<std::string>{second});
+}
+
+TEST(EngineBatch, TokenNamesAdapterVersionAndIndex) {
+  EXPECT_EQ(TokenText(Request(1), 17), "straps@v2:17 ");
+  stream_request tagged = Request(1);
+  tagged.prompt = "tag:abc and more";
+  EXPECT_EQ(TokenText(tagged, 0), "straps@v2:0:abc ");
+  tagged.prompt = "tag:abc";
+  EXPECT_EQ(TokenText(tagged, 0), "straps@v2:0:abc ");
+}
+
+TEST(EngineAdapters, LoadsHoldTheirSlotFromTheStart) {
+  engine_adapters adapters(1);
+  EXPECT_EQ(adapters.StartLoad({"a", "1"}),
+            engine_adapters::load_start::started);
+  EXPECT_EQ(adapters.StartLoad({"a", "1"}),
+            engine_adapters::load_start::in_progress);
+  EXPECT_EQ(adapters.StartLoad({"b", "1"}),
+            engine_adapters::load_start::no_free_slot);
+  EXPECT_TRUE(adapters.FinishLoad({"a", "1"}, true));
+  EXPECT_EQ(adapters.StartLoad({"a", "1"}),
+            engine_adapters::load_start::resident);
+  EXPECT_TRUE(adapters.Unload({"a", "1"}));
+  EXPECT_FALSE(adapters.Unload({"a", "1"}));
+  EXPECT_EQ(adapters.StartLoad({"b", "1"}),
+            engine_adapters::load_start::started);
+  EXPECT_TRUE(adapters.FinishLoad({"b", "1"}, false));
+  EXPECT_FALSE(adapters.IsResident({"b", "1"}));
+}
+
+}  // namespace
+}  // namespace comfreyspring::standins
