Keep the HTTP server listening after it was full

Change: a further run after a closed connection and at least one each second, a delay before accepting again, release of sent stream data, more tests. Conclusion: while another connection stays open, the library listens again only after one has closed; that remains.

--- a/src/net/frame_link_test.cc
+++ b/src/net/frame_link_test.cc
@@ -1,6 +1,7 @@
 #include "net/frame_link.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <memory>
 #include <string>
@@ -256,7 +257,6 @@
 TEST_F(frame_link_test, ClosesAPeerThatDoesNotRead) {
   options_.maximum_pending_bytes = 1000000;
   Listen();
-  test_listener raw(loop_);
   test_peer peer(loop_, listener_->Port());
   peer.Send(
       "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nUpgrade: websocket\r\n"
@@ -284,6 +284,25 @@
   ExpectAlive();
 }
 
+// Guards against a spinning or lost listener while the process has no
+// descriptor left.
+TEST_F(frame_link_test, AcceptsAgainAfterDescriptorsRanOut) {
+  Listen();
+  tcp_socket waiting =
+      tcp_socket::Connect(socket_address("127.0.0.1", listener_->Port()));
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  rlimit exhausted = before;
+  // The next free descriptor is the one after that of `waiting`.
+  exhausted.rlim_cur = static_cast<rlim_t>(waiting.Descriptor()) + 1;
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &exhausted), 0);
+  loop_.RunUntil([&] { return !accepted_.empty(); }, milliseconds(30));
+  EXPECT_TRUE(accepted_.empty());
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+  EXPECT_TRUE(WaitFor([&] { return !accepted_.empty(); }));
+  ExpectAlive();
+}
+
 // Guards the rule that one port has one agent.
 TEST_F(frame_link_test, RefusesASecondListenerOnItsPort) {
   Listen();
--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -147,8 +147,9 @@
   if (bytes > 0) {
     std::memcpy(target, state.stream_data_.data() + state.stream_sent_, bytes);
     state.stream_sent_ += bytes;
-    if (state.PendingBytes() == 0) {
-      state.stream_data_.clear();
+    // A client that always lags behind must not keep what it has read.
+    if (state.stream_sent_ * 2 >= state.stream_data_.size()) {
+      state.stream_data_.erase(0, state.stream_sent_);
       state.stream_sent_ = 0;
     }
     return static_cast<ssize_t>(bytes);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cassert>
 #include <exception>
 #include <optional>
@@ -17,6 +18,14 @@
 #include "net/socket_address.h"
 
 namespace comfreyspring::net {
+namespace {
+
+// The daemon stops listening when the process has no descriptor left, and
+// tells nobody when it has to be run to listen again.
+constexpr core::milliseconds kLongestRunInterval{1000};
+constexpr core::milliseconds kAcceptRetryDelay{100};
+
+}  // namespace
 
 /**
  * The daemon has no thread: MHD_run is called when its epoll descriptor is
@@ -31,15 +40,17 @@
     StartDaemon();
     const MHD_DaemonInfo* info =
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
-    watcher.emplace(loop, info->epoll_fd, io_interest::read,
-                    io_watcher::callbacks{[this] { RunDaemon(); }, nullptr});
+    epoll_descriptor = info->epoll_fd;
+    Watch();
     info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
     port = info->port;
+    RequestRun();
   }
 
   ~impl() override {
     *alive = false;
     loop.Cancel(timeout_timer);
+    loop.Cancel(accept_timer);
     watcher.reset();
     // The daemon cannot stop while connections are suspended.
     for (const auto& [key, exchange] : exchanges) exchange->Abort();
@@ -61,7 +72,9 @@
         options.maximum_header_bytes, MHD_OPTION_CONNECTION_LIMIT,
         options.maximum_connections, MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(options.idle_timeout.count()),
-        MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, this, MHD_OPTION_END);
+        MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &impl::OnConnection, this,
+        MHD_OPTION_END);
     if (daemon == nullptr) {
       throw net_error("cannot listen on " + options.address + " port " +
                       std::to_string(options.port));
@@ -80,17 +93,42 @@
     });
   }
 
+  void Watch() {
+    watcher.emplace(loop, epoll_descriptor, io_interest::read,
+                    io_watcher::callbacks{[this] { HandleEvents(); }, nullptr});
+  }
+
+  void HandleEvents() {
+    connection_changed = false;
+    RunDaemon();
+    const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    if (connection_changed || info->num_connections > 0) return;
+    // Only the listening socket can be ready, and accepting has failed for
+    // want of a descriptor; trying again at once would spin.
+    watcher.reset();
+    accept_timer = loop.Schedule(kAcceptRetryDelay, [this] {
+      accept_timer = 0;
+      Watch();
+    });
+  }
+
   void RunDaemon() {
     MHD_run(daemon);
-    loop.Cancel(timeout_timer);
-    timeout_timer = 0;
+    loop.Cancel(std::exchange(timeout_timer, 0));
+    // A daemon that was at its limit listens again only in the run after the
+    // one that has closed a connection.
+    if (std::exchange(connection_closed, false)) RequestRun();
     MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
-    if (MHD_get_timeout(daemon, &timeout_ms) != MHD_YES) return;
-    if (timeout_ms == 0) {
+    auto delay = kLongestRunInterval;
+    if (MHD_get_timeout(daemon, &timeout_ms) == MHD_YES) {
+      delay = std::min(delay, core::milliseconds(timeout_ms));
+    }
+    if (delay.count() == 0) {
       RequestRun();
       return;
     }
-    timeout_timer = loop.Schedule(core::milliseconds(timeout_ms), [this] {
+    timeout_timer = loop.Schedule(delay, [this] {
       timeout_timer = 0;
       RunDaemon();
     });
@@ -153,6 +191,14 @@
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) exchange->ReportGone();
   }
 
+  static void OnConnection(void* self, MHD_Connection* /*connection*/,
+                           void** /*context*/,
+                           MHD_ConnectionNotificationCode code) noexcept {
+    auto* server = static_cast<impl*>(self);
+    server->connection_changed = true;
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) server->connection_closed = true;
+  }
+
   event_loop& loop;
   http_server_options options;
   handler on_request;
@@ -161,6 +207,10 @@
   std::uint16_t port = 0;
   timer_id timeout_timer = 0;
   bool run_requested = false;
+  int epoll_descriptor = -1;
+  timer_id accept_timer = 0;
+  bool connection_changed = false;
+  bool connection_closed = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   std::unordered_map<MHD_Connection*, std::shared_ptr<http_exchange_state>>
       exchanges;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -1,9 +1,13 @@
 #include "net/http_server.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <memory>
+#include <optional>
+#include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "net/http_client.h"
 #include "net/test_peer.h"
@@ -33,7 +37,7 @@
     std::optional<http_result> result;
     http_callbacks callbacks;
     callbacks.on_done = [&](const http_result& done) { result = done; };
-    client_.Start(std::move(call), std::move(callbacks));
+    client_->Start(std::move(call), std::move(callbacks));
     EXPECT_TRUE(loop_.RunUntil([&] { return result.has_value(); }, kLimit));
     return result.value_or(http_result{});
   }
@@ -48,7 +52,7 @@
 
   event_loop loop_;
   std::unique_ptr<http_server> server_;
-  http_client client_{loop_};
+  std::optional<http_client> client_{std::in_place, loop_};
 };
 
 TEST_F(http_server_test, PassesTheWholeRequestAndAnswer) {
@@ -108,7 +112,7 @@
     EXPECT_EQ(result.headers.at("content-type"), "text/event-stream");
     done = true;
   };
-  client_.Start({.url = Url("/")}, callbacks);
+  client_->Start({.url = Url("/")}, callbacks);
   ASSERT_TRUE(loop_.RunUntil([&] { return done; }, kLimit));
   std::string expected;
   for (int i = 0; i < 20; ++i) expected += "piece" + std::to_string(i) + ";";
@@ -266,6 +270,51 @@
   ExpectAlive();
 }
 
+TEST_F(http_server_test, AcceptsHeadersWithinTheLimit) {
+  std::string seen;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    seen = exchange->Request().headers.at("x-large");
+    Echo(exchange);
+  });
+  const std::string large(20 * 1024, 'x');
+  EXPECT_EQ(Call({.url = Url("/"), .headers = {{"x-large", large}}}).status,
+            200);
+  EXPECT_EQ(seen, large);
+}
+
+// Guards memory and completeness with a client that reads slowly.
+TEST_F(http_server_test, StreamsToASlowReader) {
+  constexpr std::size_t kPieces = 400;
+  const std::string piece(20000, 'p');
+  std::shared_ptr<http_exchange> kept;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    kept = exchange;
+    exchange->BeginStream(200, {});
+    for (std::size_t i = 0; i < kPieces; ++i) exchange->Write(piece);
+    exchange->EndStream();
+  });
+  tcp_socket slow =
+      tcp_socket::Connect(socket_address("127.0.0.1", server_->Port()));
+  loop_.RunUntil([&] { return slow.ConnectError() == 0; }, kLimit);
+  const std::string request = "GET / HTTP/1.0\r\nHost: test\r\n\r\n";
+  slow.Write(request.data(), request.size());
+  ASSERT_TRUE(loop_.RunUntil([&] { return kept != nullptr; }, kLimit));
+  EXPECT_FALSE(loop_.RunUntil([&] { return kept->PendingBytes() == 0; },
+                              milliseconds(50)));
+  std::size_t received = 0;
+  bool ended = false;
+  std::string buffer(65536, '\0');
+  const timer_id reader = loop_.SchedulePeriodic(milliseconds(1), [&] {
+    const transfer_result result = slow.Read(buffer.data(), buffer.size());
+    received += result.bytes;
+    ended = ended || result.outcome == transfer_result::kind::ended;
+  });
+  EXPECT_TRUE(loop_.RunUntil([&] { return ended; }, kLimit));
+  loop_.Cancel(reader);
+  EXPECT_GT(received, kPieces * piece.size());
+  EXPECT_LT(received, kPieces * piece.size() + 1000);
+}
+
 TEST_F(http_server_test, SurvivesGarbage) {
   StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
   test_peer peer(loop_, server_->Port());
@@ -370,6 +419,56 @@
   EXPECT_THROW(http_server(loop_, options, nullptr), net_error);
 }
 
+// Guards against a server that no longer listens after it had been full.
+TEST_F(http_server_test, AcceptsAgainAfterItWasFull) {
+  http_server_options options;
+  options.maximum_connections = 2;
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  test_peer first(loop_, server_->Port());
+  test_peer second(loop_, server_->Port());
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return server_->ConnectionCount() == 2; }, kLimit));
+  test_peer third(loop_, server_->Port());
+  third.Send("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  loop_.RunUntil([] { return false; }, milliseconds(20));
+  EXPECT_EQ(third.Received(), "");
+  first.Close();
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return third.Received().find("200 OK") != std::string::npos; },
+      kLimit));
+}
+
+// The same for a process that had no descriptor left.
+TEST_F(http_server_test, AcceptsAgainAfterDescriptorsRanOut) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  for (int round = 0; round < 2; ++round) {
+    std::optional<test_peer> open;
+    if (round == 1) open.emplace(loop_, server_->Port());
+    const std::size_t connections = round == 1 ? 1 : 0;
+    ASSERT_TRUE(loop_.RunUntil(
+        [&] { return server_->ConnectionCount() == connections; }, kLimit));
+    tcp_socket waiting =
+        tcp_socket::Connect(socket_address("127.0.0.1", server_->Port()));
+    rlimit before{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+    rlimit exhausted = before;
+    exhausted.rlim_cur = static_cast<rlim_t>(waiting.Descriptor()) + 1;
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &exhausted), 0);
+    loop_.RunUntil([] { return false; }, milliseconds(30));
+    EXPECT_EQ(server_->ConnectionCount(), connections);
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+    if (open) open->Close();
+    EXPECT_TRUE(loop_.RunUntil([&] { return server_->ConnectionCount() == 1; },
+                               kLimit));
+    waiting.Close();
+    ExpectAlive();
+    client_.emplace(loop_);
+    EXPECT_TRUE(loop_.RunUntil([&] { return server_->ConnectionCount() == 0; },
+                               kLimit));
+  }
+}
+
 // Guards the connection count and the order of answers under parallel calls.
 TEST_F(http_server_test, AnswersManyClientsAtOnce) {
   StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
@@ -383,7 +482,7 @@
       ++done;
       if (result.body == std::to_string(i)) ++correct;
     };
-    client_.Start(
+    client_->Start(
         {.method = "POST", .url = Url("/"), .body = std::to_string(i)},
         callbacks);
   }
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -6,7 +6,9 @@
  * Purpose: timers, HTTP server (libmicrohttpd), HTTP client (libcurl),
  * framed websocket links (websocketpp over ACE sockets), pause detection.
  * Owns sockets and timers only. Depends on core. All callbacks run on the
- * loop's thread; no class here is thread-safe.
+ * loop's thread; no class here is thread-safe. Objects that use a loop are
+ * destroyed before it. Callbacks must not throw, and must not destroy the HTTP
+ * server or client that runs them; links may be dropped in their callbacks.
  */
 
 #include "net/event_loop.h"
