--- /dev/null
+++ b/src/agent/agent_program.cc
@@ -0,0 +1,286 @@
+#include "agent/agent_program.h"
+
+#include <glog/logging.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "agent/answer_channel.h"
+#include "agent/config_relay.h"
+#include "agent/drain_controller.h"
+#include "agent/ledger_controller.h"
+#include "agent/queue_controller.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "telemetry/metrics.h"
+
+namespace comfreyspring::agent {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr core::milliseconds kPauseThreshold{1000};
+// Heartbeats that waited in the sockets during a pause prove nothing.
+constexpr core::milliseconds kHeartbeatAfterPause{20};
+constexpr int kNotFound = 404;
+
+std::unique_ptr<endpoint_runner> MakeRunner(net::event_loop& loop,
+                                            net::http_client_interface& http,
+                                            const agent_settings& settings) {
+  if (settings.kind == core::endpoint_kind::engine) {
+    return std::make_unique<engine_controller>(loop, http, settings.engine);
+  }
+  return std::make_unique<service_controller>(loop, http, settings.service);
+}
+
+ledger::ledger_options LedgerOptions(const agent_settings& settings,
+                                     core::wall_time started_at) {
+  ledger::ledger_options options;
+  options.own_endpoint = settings.endpoint;
+  options.started_at = started_at;
+  options.maximum_records = settings.maximum_ledger_records;
+  return options;
+}
+
+queue_options QueueOptions(const agent_settings& settings,
+                           core::wall_time started_at) {
+  queue_options options;
+  options.kind = settings.kind;
+  options.random_seed = settings.random_seed;
+  options.maximum_queue = settings.maximum_queue;
+  options.attempts.started_at = started_at;
+  return options;
+}
+
+}  // namespace
+
+struct agent_program::impl : public link_events {
+  impl(net::event_loop& event_loop, const agent_settings& chosen)
+      : loop(event_loop),
+        settings(chosen),
+        started_at(loop.WallNow()),
+        started(loop.Now()),
+        http(loop),
+        runner(MakeRunner(loop, http, settings)),
+        links(loop, settings.links, *this),
+        answers(links, {.maximum_total_bytes = settings.maximum_replay_bytes}),
+        ledger(loop, LedgerOptions(settings, started_at)),
+        queue(loop, QueueOptions(settings, started_at), *runner, ledger,
+              answers, metrics),
+        config(loop, links,
+               [this](std::shared_ptr<const config::configuration> set) {
+                 OnAdopted(std::move(set));
+               }),
+        drain(loop, settings.endpoint, settings.drain_limit, DrainActions()),
+        admin(loop, AdminOptions(),
+              [this](const std::shared_ptr<net::http_exchange>& exchange) {
+                OnAdminRequest(*exchange);
+              }) {
+    runner->SetListener(queue);
+    runner->Begin();
+    loop.OnPause(kPauseThreshold,
+                 [this](core::milliseconds late) { OnPause(late); });
+  }
+
+  net::http_server_options AdminOptions() const {
+    net::http_server_options options;
+    options.address = settings.links.address;
+    options.port = settings.admin_port;
+    return options;
+  }
+
+  drain_actions DrainActions() {
+    return {
+        .announce = [this] { links.Broadcast(wire::leaving{}); },
+        .begin = [this](core::time_point limit) { queue.BeginDrain(limit); },
+        .end_all = [this] { queue.EndAll("agent_ended"); },
+        .is_idle =
+            [this] { return queue.IsIdle() && links.PendingBytes() == 0; },
+        .finished = [this] { loop.Stop(); }};
+  }
+
+  // link_events.
+
+  wire::hello Greeting() override {
+    wire::hello greeting;
+    greeting.process = core::process_id(settings.endpoint.Value());
+    greeting.role = "agent";
+    greeting.instance_ms = core::UnixMilliseconds(started_at);
+    greeting.data_centre = settings.data_centre;
+    greeting.version = config.Version();
+    greeting.vm_list_revision = vm_list.revision;
+    greeting.report = queue.Report({});
+    return greeting;
+  }
+
+  void OnEntryHello(const entry_address& entry,
+                    const wire::hello& message) override {
+    config.OnVersionSeen(entry, message.version);
+    ShareVmList(entry, message.vm_list_revision);
+    if (drain.IsDraining()) links.Send(entry, wire::leaving{});
+  }
+
+  void OnEntryMessage(const entry_address& entry,
+                      const wire::message& message) override {
+    std::visit([&](const auto& typed) { Take(entry, typed); }, message);
+  }
+
+  void OnEntryLost(const entry_address& entry) override {
+    LOG(WARNING) << "agent.link: Lost entry " << entry.process << '.';
+    queue.OnEntryLost(entry);
+    config.OnEntryLost(entry);
+  }
+
+  // Messages.
+
+  void Take(const entry_address& entry, const wire::heartbeat& message) {
+    wire::heartbeat_reply reply;
+    reply.nonce = message.nonce;
+    reply.version = config.Version();
+    reply.report = queue.Report({});
+    links.Send(entry, reply);
+    config.OnVersionSeen(entry, message.version);
+    ShareVmList(entry, message.vm_list_revision);
+    if (paused_at && loop.Now() - *paused_at >= kHeartbeatAfterPause) {
+      paused_at.reset();
+      queue.SetVerified(true);
+    }
+  }
+
+  void Take(const entry_address& entry, const wire::config_request& message) {
+    config.OnRequest(entry, message);
+  }
+
+  void Take(const entry_address& entry, const wire::config_part& message) {
+    config.OnPart(entry, message);
+  }
+
+  void Take(const entry_address&, const wire::vm_list& message) {
+    // An empty list would declare every VM gone.
+    if (message.revision <= vm_list.revision || message.vms.empty()) return;
+    vm_list = message;
+    ledger.OnVmList(message);
+  }
+
+  void Take(const entry_address&, const wire::peer_versions& message) {
+    ledger.OnPeerVersions(message);
+  }
+
+  void Take(const entry_address& entry, const wire::submit& message) {
+    config.OnVersionSeen(entry, message.version);
+    queue.OnSubmit(entry, message);
+  }
+
+  void Take(const entry_address& entry, const wire::withdraw& message) {
+    queue.OnWithdraw(entry, message);
+  }
+
+  void Take(const entry_address& entry, const wire::resume& message) {
+    queue.OnResume(entry, message);
+  }
+
+  template <class Message>
+  void Take(const entry_address& entry, const Message&) {
+    LOG(WARNING) << "agent.link: Ignored a message from entry " << entry.process
+                 << " that only agents send.";
+  }
+
+  void ShareVmList(const entry_address& entry, std::int64_t revision) {
+    if (revision < vm_list.revision) links.Send(entry, vm_list);
+  }
+
+  // Process events.
+
+  void OnAdopted(std::shared_ptr<const config::configuration> set) {
+    ledger.OnConfiguration(set);
+    drain.OnConfiguration(set);
+    // Entries that are behind, and new owners of keys, wait for this.
+    wire::heartbeat_reply news;
+    news.version = set->version;
+    news.report = queue.Report({});
+    links.Broadcast(news);
+  }
+
+  void OnPause(core::milliseconds late) {
+    LOG(WARNING) << "agent.program: Was paused for " << late.count()
+                 << " ms; dispatches nothing until its views are read again.";
+    metrics.Count("agent_pauses_total");
+    paused_at = loop.Now();
+    queue.SetVerified(false);
+    runner->Revalidate();
+  }
+
+  // Admin port.
+
+  void OnAdminRequest(net::http_exchange& exchange) {
+    const std::string& path = exchange.Request().path;
+    if (path == "/healthz") {
+      exchange.Respond(
+          {.headers = {{"content-type", "text/plain"}}, .body = "ok\n"});
+    } else if (path == "/debug/state") {
+      exchange.Respond({.headers = {{"content-type", "application/json"}},
+                        .body = State().dump(2, ' ', false,
+                                             json::error_handler_t::replace)});
+    } else if (path == "/metrics") {
+      queue.UpdateMetrics();
+      exchange.Respond({.headers = {{"content-type", "text/plain"}},
+                        .body = metrics.ToText()});
+    } else {
+      exchange.Respond({.status = kNotFound, .body = "not found\n"});
+    }
+  }
+
+  json State() const {
+    const auto usage = telemetry::ReadProcessUsage();
+    return {{"process",
+             {{"endpoint", settings.endpoint.Value()},
+              {"vm", settings.vm.Value()},
+              {"data_centre", settings.data_centre.Value()},
+              {"endpoint_kind", core::ToString(settings.kind)},
+              {"instance_ms", core::UnixMilliseconds(started_at)},
+              {"uptime_ms", core::ToMilliseconds(loop.Now() - started).count()},
+              {"resident_bytes", usage.resident_bytes},
+              {"processor_seconds", usage.processor_seconds},
+              {"paused", paused_at.has_value()}}},
+            {"configuration", config.ToJson()},
+            {"vm_list_revision", vm_list.revision},
+            {"queue", queue.ToJson()},
+            {"endpoint", runner->ToJson()},
+            {"ledger", ledger.ToJson()},
+            {"links", links.ToJson()},
+            {"drain", drain.ToJson()},
+            {"metrics", metrics.ToJson()}};
+  }
+
+  net::event_loop& loop;
+  agent_settings settings;
+  core::wall_time started_at;
+  core::time_point started;
+  telemetry::metrics metrics;
+  net::http_client http;
+  std::unique_ptr<endpoint_runner> runner;
+  wire::vm_list vm_list;
+  std::optional<core::time_point> paused_at;
+  link_controller links;
+  answer_channel answers;
+  ledger_controller ledger;
+  queue_controller queue;
+  config_relay config;
+  drain_controller drain;
+  net::http_server admin;
+};
+
+agent_program::agent_program(net::event_loop& loop,
+                             const agent_settings& settings)
+    : impl_(std::make_unique<impl>(loop, settings)) {}
+
+agent_program::~agent_program() = default;
+
+std::uint16_t agent_program::LinkPort() const { return impl_->links.Port(); }
+
+std::uint16_t agent_program::AdminPort() const { return impl_->admin.Port(); }
+
+void agent_program::Drain() { impl_->drain.OnTerminate(); }
+
+}  // namespace comfreyspring::agent
--- /dev/null
+++ b/src/agent/attempt_state.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "agent/entry_address.h"
+#include "core/time.h"
+#include "core/types.h"
+#include "wire/messages.h"
+
+namespace comfreyspring::agent {
+
+/** Where an attempt is. */
+enum class attempt_phase {
+  queued,
+  running,
+  /** Cancelled at the endpoint to be continued later. */
+  preempting,
+  /** Cancelled at the endpoint because nobody wants it any more. */
+  withdrawing,
+  /** Waits for the answer of another attempt with the same key. */
+  joined,
+};
+
+inline const char* ToString(attempt_phase phase) {
+  switch (phase) {
+    case attempt_phase::queued:
+      return "queued";
+    case attempt_phase::running:
+      return "running";
+    case attempt_phase::preempting:
+      return "preempting";
+    case attempt_phase::withdrawing:
+      return "withdrawing";
+    case attempt_phase::joined:
+      return "joined";
+  }
+  return "invalid";
+}
+
+/** One open attempt at this agent. */
+struct attempt_state {
+  std::shared_ptr<const wire::submit> request;
+  entry_address entry;
+  attempt_phase phase = attempt_phase::queued;
+  core::time_point received;
+  core::time_point deadline;
+  core::time_point dispatched;
+  /** The endpoint may have worked on it in an earlier run. */
+  bool ran = false;
+  /** A withdrawal in the queue is answered as refusal. */
+  bool given_back = false;
+  int runs = 0;
+  core::token_count delivered;
+  /** Output sent so far; kept only if a later run may have to continue it. */
+  std::string delivered_text;
+
+  bool IsAtEndpoint() const {
+    return phase == attempt_phase::running ||
+           phase == attempt_phase::preempting ||
+           phase == attempt_phase::withdrawing;
+  }
+  bool MayBePreempted() const {
+    return request->idempotent &&
+           request->kind == core::request_kind::completion &&
+           request->priority == core::priority_class::may_wait;
+  }
+};
+
+}  // namespace comfreyspring::agent
--- /dev/null
+++ b/src/agent/config_relay.cc
@@ -0,0 +1,117 @@
+#include "agent/config_relay.h"
+
+#include <glog/logging.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace comfreyspring::agent {
+
+namespace {
+
+constexpr core::milliseconds kTickPeriod{250};
+
+}  // namespace
+
+config_relay::config_relay(net::event_loop& loop, entry_sender& sender,
+                           adopted_function on_adopted)
+    : loop_(loop), sender_(sender), on_adopted_(std::move(on_adopted)) {
+  tick_timer_ = loop_.SchedulePeriodic(
+      kTickPeriod, [this] { Execute(store_.OnTick(loop_.Now())); });
+}
+
+config_relay::~config_relay() { loop_.Cancel(tick_timer_); }
+
+void config_relay::OnVersionSeen(const entry_address& entry,
+                                 core::config_version version) {
+  Execute(store_.OnVersionSeen(SourceOf(entry), version, loop_.Now()));
+}
+
+void config_relay::OnRequest(const entry_address& entry,
+                             const wire::config_request& message) {
+  const std::string* bytes =
+      message.hash ? store_.PartBytes(*message.hash) : store_.ManifestBytes();
+  if (bytes == nullptr) return;
+  wire::config_part answer;
+  answer.manifest = !message.hash.has_value();
+  answer.hash = message.hash.value_or(Version().manifest_hash);
+  answer.bytes = *bytes;
+  sender_.Send(entry, answer);
+}
+
+void config_relay::OnPart(const entry_address& entry,
+                          const wire::config_part& message) {
+  const config::source_id source = SourceOf(entry);
+  Execute(
+      message.manifest
+          ? store_.OnManifest(source, message.bytes, loop_.Now())
+          : store_.OnPart(source, message.hash, message.bytes, loop_.Now()));
+}
+
+void config_relay::OnEntryLost(const entry_address& entry) {
+  sources_.erase(SourceOf(entry));
+}
+
+config::source_id config_relay::SourceOf(const entry_address& entry) {
+  config::source_id source =
+      entry.process.Value() + "/" + std::to_string(entry.instance_ms);
+  sources_[source] = entry;
+  return source;
+}
+
+void config_relay::Execute(const std::vector<config::store_action>& actions) {
+  for (const config::store_action& action : actions) {
+    std::visit([this](const auto& typed) { Do(typed); }, action);
+  }
+}
+
+void config_relay::Do(const config::fetch_manifest& action) {
+  Ask(action.source, std::nullopt);
+}
+
+void config_relay::Do(const config::fetch_part& action) {
+  Ask(action.source, action.hash);
+}
+
+void config_relay::Do(const config::adopted& action) {
+  LOG(INFO) << "agent.config: Adopted configuration "
+            << core::ToString(action.set->version) << '.';
+  on_adopted_(action.set);
+}
+
+void config_relay::Do(const config::rejected& action) {
+  LOG(WARNING) << "agent.config: Rejected configuration "
+               << core::ToString(action.version) << ": " << action.reason
+               << '.';
+}
+
+void config_relay::Ask(const config::source_id& source,
+                       std::optional<std::uint64_t> hash) {
+  const auto entry = sources_.find(source);
+  if (entry != sources_.end() &&
+      sender_.Send(entry->second, wire::config_request{hash})) {
+    return;
+  }
+  // In the next turn: the store is inside one of its own events.
+  loop_.Post([this, source, hash] {
+    Execute(store_.OnFetchFailed(source, hash, loop_.Now()));
+  });
+}
+
+nlohmann::json config_relay::ToJson() const {
+  nlohmann::json dump = {{"version", core::ToString(Version())},
+                         {"generation", Version().generation}};
+  if (const auto current = Current()) {
+    dump["adapters"] = current->adapters.size();
+    dump["endpoints"] = current->endpoints.size();
+    dump["planned_stops"] = current->stops.size();
+  }
+  if (const auto& last = store_.LastRejected()) {
+    dump["last_rejected"] = {{"version", core::ToString(last->version)},
+                             {"reason", last->reason}};
+  }
+  return dump;
+}
+
+}  // namespace comfreyspring::agent
--- /dev/null
+++ b/src/agent/config_relay.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "agent/entry_address.h"
+#include "config/config_store.h"
+#include "net/event_loop.h"
+#include "wire/messages.h"
+
+namespace comfreyspring::agent {
+
+/**
+ * Configuration as an agent knows it: learned from entries and passed on to
+ * entries that are behind. An agent never reads the configuration service.
+ */
+class config_relay {
+ public:
+  using adopted_function =
+      std::function<void(std::shared_ptr<const config::configuration>)>;
+
+  config_relay(net::event_loop& loop, entry_sender& sender,
+               adopted_function on_adopted);
+  ~config_relay();
+  config_relay(const config_relay&) = delete;
+  config_relay& operator=(const config_relay&) = delete;
+
+  void OnVersionSeen(const entry_address& entry, core::config_version version);
+  void OnRequest(const entry_address& entry,
+                 const wire::config_request& message);
+  void OnPart(const entry_address& entry, const wire::config_part& message);
+  void OnEntryLost(const entry_address& entry);
+
+  core::config_version Version() const { return store_.CurrentVersion(); }
+  std::shared_ptr<const config::configuration> Current() const {
+    return store_.Current();
+  }
+  nlohmann::json ToJson() const;
+
+ private:
+  void Execute(const std::vector<config::store_action>& actions);
+  void Do(const config::fetch_manifest& action);
+  void Do(const config::fetch_part& action);
+  void Do(const config::adopted& action);
+  void Do(const config::rejected& action);
+  void Ask(const config::source_id& source, std::optional<std::uint64_t> hash);
+  config::source_id SourceOf(const entry_address& entry);
+
+  net::event_loop& loop_;
+  entry_sender& sender_;
+  adopted_function on_adopted_;
+  config::config_store store_;
+  std::map<config::source_id, entry_address> sources_;
+  net::timer_id tick_timer_ = 0;
+};
+
+}  // namespace comfreyspring::agent
--- /dev/null
+++ b/src/agent/drain_controller.cc
@@ -0,0 +1,106 @@
+#include "agent/drain_controller.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace comfreyspring::agent {
+
+namespace {
+
+constexpr core::milliseconds kCheckPeriod{50};
+// Submits that were sent before the announcement arrived are still refused
+// with a clear answer.
+constexpr core::milliseconds kMinimumDrain{500};
+// Time for the last answers to leave after the limit.
+constexpr core::milliseconds kFlushLimit{1000};
+
+}  // namespace
+
+drain_controller::drain_controller(net::event_loop& loop,
+                                   core::endpoint_id own_endpoint,
+                                   core::seconds default_limit,
+                                   drain_actions actions)
+    : loop_(loop),
+      own_endpoint_(std::move(own_endpoint)),
+      default_limit_(default_limit),
+      actions_(std::move(actions)) {
+  timer_ = loop_.SchedulePeriodic(kCheckPeriod, [this] { Check(); });
+}
+
+drain_controller::~drain_controller() { loop_.Cancel(timer_); }
+
+void drain_controller::OnTerminate() {
+  if (!draining_) {
+    Begin("SIGTERM", default_limit_);
+    return;
+  }
+  actions_.end_all();
+  Finish();
+}
+
+void drain_controller::OnConfiguration(
+    std::shared_ptr<const config::configuration> current) {
+  current_ = std::move(current);
+  CheckPlannedStops();
+}
+
+void drain_controller::CheckPlannedStops() {
+  if (draining_ || current_ == nullptr) return;
+  const core::wall_time now = loop_.WallNow();
+  for (const config::planned_stop& stop : current_->stops) {
+    if (stop.endpoint != own_endpoint_) continue;
+    if (stop.starts_at > now || stop.ends_at <= now) continue;
+    Begin("planned stop", stop.drain);
+    return;
+  }
+}
+
+void drain_controller::Begin(const std::string& reason, core::seconds limit) {
+  draining_ = true;
+  reason_ = reason;
+  began_ = loop_.Now();
+  limit_ = began_ + std::max<core::milliseconds>(limit, kMinimumDrain);
+  LOG(INFO) << "agent.drain: Draining for " << reason << ", at most "
+            << limit.count() << " s.";
+  actions_.announce();
+  actions_.begin(limit_);
+}
+
+void drain_controller::Check() {
+  if (finished_) return;
+  if (!draining_) {
+    CheckPlannedStops();
+    return;
+  }
+  const core::time_point now = loop_.Now();
+  if (now - began_ < kMinimumDrain) return;
+  if (actions_.is_idle()) {
+    LOG(INFO) << "agent.drain: Nothing is open any more.";
+    Finish();
+    return;
+  }
+  if (now >= limit_ && !std::exchange(ended_all_, true)) {
+    LOG(WARNING) << "agent.drain: The limit has passed; ends open work.";
+    actions_.end_all();
+  }
+  if (now >= limit_ + kFlushLimit) Finish();
+}
+
+void drain_controller::Finish() {
+  if (std::exchange(finished_, true)) return;
+  actions_.finished();
+}
+
+nlohmann::json drain_controller::ToJson() const {
+  nlohmann::json dump = {{"draining", draining_}};
+  if (draining_) {
+    dump["reason"] = reason_;
+    dump["remaining_ms"] = core::ToMilliseconds(limit_ - loop_.Now()).count();
+  }
+  return dump;
+}
+
+}  // namespace comfreyspring::agent
--- /dev/null
+++ b/src/agent/engine_controller_test.cc
@@ -0,0 +1,374 @@
+#include "agent/engine_controller.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "agent/test_doubles.h"
+
+namespace comfreyspring::agent {
+namespace {
+
+using core::milliseconds;
+using nlohmann::json;
+using ::testing::_;
+using ::testing::Field;
+using ::testing::InSequence;
+using ::testing::IsEmpty;
+using ::testing::NiceMock;
+
+const core::adapter_reference kAdapter{core::adapter_id("a"),
+                                       core::version_id("v2")};
+const core::adapter_reference kOther{core::adapter_id("b"),
+                                     core::version_id("v1")};
+const core::attempt_id kAttempt("r.1");
+constexpr std::int64_t kStartMs = 1'700'000'000'000;
+constexpr milliseconds kLimit{5000};
+
+class engine_controller_test : public ::testing::Test {
+ protected:
+  engine_controller_test() {
+    engine_.SetListener(listener_);
+    engine_.Begin();
+  }
+
+  static engine_options Options() {
+    engine_options options;
+    options.stream.url = "http://e";
+    options.stream.first_token_timeout = milliseconds(300);
+    options.stream.idle_timeout = milliseconds(200);
+    options.stream.retry_delay = milliseconds(1);
+    options.started_unix_ms = kStartMs;
+    options.status_period = milliseconds(20);
+    options.yield_time = milliseconds(200);
+    return options;
+  }
+
+  static json Status(const std::string& instance = "i1",
+                     std::int64_t fencing_number = 0) {
+    return {{"instance_id", instance},
+            {"adapter_slots", 4},
+            {"batch_limit", 8},
+            {"resident", {{{"adapter", "a"}, {"version", "v2"}}}},
+            {"fencing_number", fencing_number},
+            {"checks_fencing", true}};
+  }
+
+  bool WaitFor(const std::string& url) {
+    return loop_.RunUntil([&] { return !http_.Open(url).empty(); }, kLimit);
+  }
+  net::http_call_id Only(const std::string& url) {
+    EXPECT_TRUE(WaitFor(url)) << "no call to " << url;
+    const auto open = http_.Open(url);
+    return open.empty() ? 0 : open.front();
+  }
+  void AnswerStatus(const json& status) {
+    http_.Answer(Only("/status"), 200, status.dump());
+  }
+
+  net::http_call_id Run(run_order order = {}) {
+    auto request = std::make_shared<wire::submit>();
+    request->attempt = kAttempt;
+    request->adapter = kAdapter;
+    request->body = R"({"prompt":"p","max_tokens":5})";
+    order.request = request;
+    engine_.Run(std::move(order));
+    return Only("/v1/completions");
+  }
+
+  static json First(const std::string& adapter = "a",
+                    const std::string& version = "v2") {
+    return {{"offset", 0},
+            {"text", "x"},
+            {"stream_id", "s1"},
+            {"adapter", adapter},
+            {"version", version}};
+  }
+  static json Piece(int offset) {
+    return {{"offset", offset}, {"text", std::to_string(offset)}};
+  }
+  static json Done(int tokens) {
+    return {{"done", true},
+            {"tokens", tokens},
+            {"adapter", "a"},
+            {"version", "v2"}};
+  }
+
+  net::event_loop loop_;
+  NiceMock<mock_http_client> http_;
+  NiceMock<mock_endpoint_listener> listener_;
+  engine_controller engine_{loop_, http_, Options()};
+};
+
+TEST_F(engine_controller_test, ReportsTheStateOfTheEngine) {
+  EXPECT_FALSE(engine_.IsUp());
+  EXPECT_CALL(listener_,
+              OnEndpointState(Field(&admission::engine_limits::batch_limit, 8),
+                              std::vector<core::adapter_reference>{kAdapter}));
+  EXPECT_CALL(listener_, OnEndpointAvailability());
+  AnswerStatus(Status());
+  EXPECT_TRUE(engine_.IsReady());
+}
+
+TEST_F(engine_controller_test, PassesACompletionOn) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  EXPECT_EQ(http_.BodyOf(call)["max_tokens"], 5);
+  EXPECT_GE(http_.BodyOf(call)["fencing_number"], kStartMs << 20);
+  InSequence order;
+  EXPECT_CALL(listener_, OnOutput(kAttempt, "x"));
+  EXPECT_CALL(listener_, OnOutput(kAttempt, "1"));
+  EXPECT_CALL(listener_, OnCompleted(kAttempt, Field(&run_result::tokens,
+                                                     core::token_count{2})));
+  http_.Event(call, First());
+  http_.Event(call, Piece(1));
+  http_.Event(call, Done(2));
+}
+
+// Guards guarantee 1: output of another adapter never reaches a caller.
+TEST_F(engine_controller_test, CancelsAnAnswerOfTheWrongAdapter) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  EXPECT_CALL(listener_, OnOutput(_, _)).Times(0);
+  EXPECT_CALL(listener_, OnCompleted(_, _)).Times(0);
+  http_.Event(call, First("a", "v1"));
+  EXPECT_CALL(listener_, OnAdapterMissing(kAttempt, true));
+  http_.Answer(Only("/streams/s1/cancel"), 200,
+               R"({"cancelled":true,"tokens":1})");
+}
+
+TEST_F(engine_controller_test, TreatsAnUnnamedAdapterAsWrong) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  EXPECT_CALL(listener_, OnOutput(_, _)).Times(0);
+  http_.Event(call, Piece(0));
+}
+
+// Guards against lost or doubled tokens when the engine's connection breaks.
+TEST_F(engine_controller_test, ResumesABrokenStreamWhereItEnded) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  InSequence order;
+  EXPECT_CALL(listener_, OnOutput(kAttempt, "x"));
+  EXPECT_CALL(listener_, OnOutput(kAttempt, "1"));
+  EXPECT_CALL(listener_, OnOutput(kAttempt, "2"));
+  EXPECT_CALL(listener_, OnCompleted(kAttempt, _));
+  http_.Event(call, First());
+  http_.Event(call, Piece(1));
+  http_.Break(call, net::http_failure::broken);
+  const auto resumed = Only("/streams/s1?offset=2");
+  // An event that was passed on before is dropped.
+  http_.Event(resumed, Piece(1));
+  http_.Event(resumed, Piece(2));
+  http_.Event(resumed, Done(3));
+}
+
+// Guards against a truncated answer that looks complete.
+TEST_F(engine_controller_test, AStreamThatCannotBeResumedIsIncomplete) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  http_.Event(call, First());
+  EXPECT_CALL(listener_, OnCompleted(_, _)).Times(0);
+  EXPECT_CALL(listener_, OnFailed(kAttempt, Field(&run_failure::outcome,
+                                                  core::outcome::incomplete)));
+  EXPECT_CALL(listener_, OnReleased(kAttempt));
+  // The connection ends without the last event.
+  http_.Answer(call, 200, "");
+  http_.Answer(Only("/streams/s1?offset=1"), 404, "");
+}
+
+// Guards against a connection that goes silent while new ones work.
+TEST_F(engine_controller_test, ASilentStreamIsResumedOnANewConnection) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  http_.Event(call, First());
+  const auto resumed = Only("/streams/s1?offset=1");
+  EXPECT_CALL(listener_, OnCompleted(kAttempt, _));
+  http_.Event(resumed, Done(1));
+}
+
+TEST_F(engine_controller_test, NoFirstEventInTimeIsIncomplete) {
+  AnswerStatus(Status());
+  Run();
+  bool failed = false;
+  EXPECT_CALL(listener_, OnFailed(kAttempt, Field(&run_failure::outcome,
+                                                  core::outcome::incomplete)))
+      .WillOnce([&](auto&&...) { failed = true; });
+  EXPECT_TRUE(loop_.RunUntil([&] { return failed; }, kLimit));
+}
+
+// Guards the proof that work was not run.
+TEST_F(engine_controller_test, ARefusedConnectionIsNotRun) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  EXPECT_CALL(listener_, OnFailed(kAttempt, Field(&run_failure::outcome,
+                                                  core::outcome::not_run)));
+  EXPECT_CALL(listener_, OnReleased(kAttempt));
+  http_.Break(call, net::http_failure::not_sent);
+}
+
+TEST_F(engine_controller_test, AnAdapterThatIsNotResidentIsReported) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  EXPECT_CALL(listener_, OnAdapterMissing(kAttempt, false));
+  http_.Answer(call, 404, R"({"error":"adapter_not_resident"})");
+}
+
+// Guards the pin: the adapter stays in use until the engine confirms.
+TEST_F(engine_controller_test, ACancelCountsOnlyWhenConfirmed) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  http_.Event(call, First());
+  EXPECT_CALL(listener_, OnCancelled(_)).Times(0);
+  engine_.Cancel(kAttempt);
+  http_.Break(Only("/streams/s1/cancel"), net::http_failure::broken);
+  const auto again = Only("/streams/s1/cancel");
+  ::testing::Mock::VerifyAndClearExpectations(&listener_);
+  EXPECT_CALL(listener_, OnCancelled(kAttempt));
+  http_.Answer(again, 200, R"({"cancelled":true,"tokens":1})");
+}
+
+// Guards against endless resumption of a stream that another agent cancelled.
+TEST_F(engine_controller_test, AStreamCancelledAtTheEngineIsIncomplete) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  http_.Event(call, First());
+  EXPECT_CALL(listener_, OnFailed(kAttempt, Field(&run_failure::outcome,
+                                                  core::outcome::incomplete)));
+  http_.Event(call, {{"cancelled", true}, {"tokens", 1}});
+}
+
+// Guards a preempted answer: its next run continues after what was delivered.
+TEST_F(engine_controller_test, ALaterRunContinuesTheDeliveredText) {
+  AnswerStatus(Status());
+  const auto call = Run(
+      {.delivered_text = "xy", .delivered = core::token_count{2}, .run = 1});
+  EXPECT_EQ(http_.BodyOf(call)["prompt"], "pxy");
+  EXPECT_EQ(http_.BodyOf(call)["max_tokens"], 3);
+  EXPECT_EQ(http_.BodyOf(call)["request_id"], "r.1.run1");
+  EXPECT_CALL(listener_, OnCompleted(kAttempt, Field(&run_result::tokens,
+                                                     core::token_count{3})));
+  http_.Event(call, First());
+  http_.Event(call, Done(1));
+}
+
+// Guards against answers of a former life of the engine.
+TEST_F(engine_controller_test, ARestartDropsRunsAndLoads) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  http_.Event(call, First());
+  engine_.Load(kOther, std::nullopt);
+  const auto load = Only("/adapters/load");
+  EXPECT_CALL(listener_, OnEndpointRestart());
+  EXPECT_CALL(listener_, OnLoadDone(_, _)).Times(0);
+  EXPECT_CALL(listener_, OnEndpointState(_, IsEmpty()));
+  auto status = Status("i2");
+  status["resident"] = json::array();
+  AnswerStatus(status);
+  EXPECT_TRUE(http_.Open("/v1/completions").empty());
+  EXPECT_TRUE(http_.Open("/adapters/load").empty()) << load;
+}
+
+TEST_F(engine_controller_test, UnloadsBeforeItLoads) {
+  AnswerStatus(Status());
+  engine_.Load(kOther, kAdapter);
+  EXPECT_TRUE(http_.Open("/adapters/load").empty());
+  http_.Answer(Only("/adapters/unload"), 200, "{}");
+  EXPECT_CALL(listener_, OnLoadDone(kOther, _));
+  http_.Answer(Only("/adapters/load"), 200, "{}");
+}
+
+TEST_F(engine_controller_test, ReportsAFailedLoad) {
+  AnswerStatus(Status());
+  engine_.Load(kOther, std::nullopt);
+  EXPECT_CALL(listener_, OnLoadFailed(kOther));
+  http_.Answer(Only("/adapters/load"), 502, R"({"error":"load_failed"})");
+}
+
+// Guards against a status that was read before a load ended: it must not make
+// the queue believe that the adapter is gone.
+TEST_F(engine_controller_test, AStatusOlderThanALoadIsNotBelieved) {
+  AnswerStatus(Status());
+  ASSERT_TRUE(WaitFor("/status"));
+  engine_.Load(kOther, std::nullopt);
+  http_.Answer(Only("/adapters/load"), 200, "{}");
+  const std::vector<core::adapter_reference> both = {kAdapter, kOther};
+  EXPECT_CALL(listener_, OnEndpointState(_, both));
+  AnswerStatus(Status());
+}
+
+// Guards against two agents that command one engine in turn.
+TEST_F(engine_controller_test, YieldsToANewerAgent) {
+  AnswerStatus(Status());
+  ASSERT_TRUE(engine_.IsReady());
+  AnswerStatus(Status("i1", (kStartMs + 1) << 20));
+  EXPECT_FALSE(engine_.IsUp());
+  EXPECT_FALSE(engine_.IsReady());
+  // The newer agent has gone: its number does not move any more.
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] {
+        if (!http_.Open("/status").empty()) {
+          AnswerStatus(Status("i1", (kStartMs + 1) << 20));
+        }
+        return engine_.IsReady();
+      },
+      kLimit));
+  EXPECT_GT(http_.BodyOf(Run())["fencing_number"], (kStartMs + 1) << 20);
+}
+
+TEST_F(engine_controller_test, ARefusedFencingNumberStopsCommands) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  EXPECT_CALL(listener_, OnFailed(kAttempt, Field(&run_failure::outcome,
+                                                  core::outcome::not_run)));
+  http_.Answer(call, 409, R"({"error":"stale_fencing_number"})");
+  EXPECT_FALSE(engine_.IsReady());
+  AnswerStatus(Status());
+  EXPECT_TRUE(engine_.IsReady());
+}
+
+// Guards a restarted agent whose clock is behind: its number must exceed the
+// one of its former life.
+TEST_F(engine_controller_test, StartsAboveTheHighestNumberSeen) {
+  const std::int64_t former = (kStartMs + 5000) << 20;
+  AnswerStatus(Status("i1", former));
+  EXPECT_TRUE(engine_.IsReady());
+  EXPECT_GT(http_.BodyOf(Run())["fencing_number"], former);
+}
+
+// Guards against commands that were decided before a pause.
+TEST_F(engine_controller_test, IsNotReadyUntilTheStatusIsReadAgain) {
+  AnswerStatus(Status());
+  ASSERT_TRUE(WaitFor("/status"));
+  const auto outdated = http_.Open("/status").front();
+  engine_.Revalidate();
+  // The read that was under way started before the pause.
+  EXPECT_NE(http_.Open("/status").front(), outdated);
+  EXPECT_FALSE(engine_.IsReady());
+  EXPECT_TRUE(engine_.IsUp());
+}
+
+TEST_F(engine_controller_test, IsDownWhenItRefusesConnections) {
+  AnswerStatus(Status());
+  http_.Break(Only("/status"), net::http_failure::not_sent);
+  EXPECT_FALSE(engine_.IsUp());
+  AnswerStatus(Status());
+  EXPECT_TRUE(engine_.IsUp());
+}
+
+TEST_F(engine_controller_test, OneSilentStatusIsNoOutage) {
+  AnswerStatus(Status());
+  http_.Break(Only("/status"), net::http_failure::broken);
+  EXPECT_TRUE(engine_.IsUp());
+  http_.Break(Only("/status"), net::http_failure::broken);
+  EXPECT_FALSE(engine_.IsUp());
+}
+
+TEST_F(engine_controller_test, SurvivesAMalformedStatus) {
+  AnswerStatus(json{{"instance_id", 5}});
+  AnswerStatus(json::array());
+  EXPECT_FALSE(engine_.IsUp());
+}
+
+}  // namespace
+}  // namespace comfreyspring::agent
--- /dev/null
+++ b/src/agent/engine_stream.cc
@@ -0,0 +1,502 @@
+#include "agent/engine_stream.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "agent/event_stream_parser.h"
+
+namespace comfreyspring::agent {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+constexpr std::size_t kMaximumErrorBytes = 4096;
+constexpr core::milliseconds kCancelTimeout{2000};
+// After the engine says that it holds no such stream, its end event may still
+// be on the way.
+constexpr core::milliseconds kEndGrace{1000};
+
+enum class stream_phase {
+  /** The completion or a resumption is open. */
+  streaming,
+  /** No connection; a resumption is due. */
+  broken,
+  ended,
+};
+
+}  // namespace
+
+struct engine_stream::impl {
+  impl(net::event_loop& event_loop, net::http_client_interface& client,
+       engine_stream_host& owner, endpoint_listener& events,
+       engine_stream_options settings, run_order work)
+      : loop(event_loop),
+        http(client),
+        host(owner),
+        listener(events),
+        options(std::move(settings)),
+        order(std::move(work)),
+        attempt(order.request->attempt) {}
+
+  // Calls.
+
+  net::http_callbacks Callbacks(void (impl::*on_done)(const net::http_result&),
+                                bool streams) {
+    const std::weak_ptr<engine_stream> weak = self->weak_from_this();
+    const int serial = ++call_serial;
+    net::http_callbacks callbacks;
+    if (streams) {
+      callbacks.on_headers = [weak, serial](int answer,
+                                            const net::header_map&) {
+        const auto alive = weak.lock();
+        if (alive == nullptr || alive->impl_->call_serial != serial) return;
+        alive->impl_->status = answer;
+      };
+      callbacks.on_data = [weak, serial](std::string_view data) {
+        const auto alive = weak.lock();
+        if (alive == nullptr || alive->impl_->call_serial != serial) return;
+        alive->impl_->OnData(data);
+      };
+    }
+    callbacks.on_done = [weak, serial,
+                         on_done](const net::http_result& result) {
+      const auto alive = weak.lock();
+      if (alive == nullptr || alive->impl_->call_serial != serial) return;
+      alive->impl_->call = 0;
+      (alive->impl_.get()->*on_done)(result);
+    };
+    return callbacks;
+  }
+
+  std::string CompletionBody() const {
+    json input = json::parse(order.request->body, nullptr, false);
+    if (!input.is_object()) input = json::object();
+    const std::int64_t maximum = input.value("max_tokens", std::int64_t{16});
+    std::string id = attempt.Value();
+    if (order.run > 0) id += ".run" + std::to_string(order.run);
+    const json body = {
+        {"request_id", id},
+        {"adapter", order.request->adapter.adapter.Value()},
+        {"version", order.request->adapter.version.Value()},
+        {"prompt", input.value("prompt", std::string()) + order.delivered_text},
+        {"max_tokens",
+         std::max<std::int64_t>(1, maximum - order.delivered.value)},
+        {"priority", std::string(core::ToString(order.request->priority))},
+        {"fencing_number", host.FencingNumber()}};
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+  }
+
+  void StartCompletion() {
+    last_activity = loop.Now();
+    OpenStream({.method = "POST",
+                .url = options.url + "/v1/completions",
+                .headers = {{"content-type", "application/json"}},
+                .body = CompletionBody()});
+  }
+
+  void Resume() {
+    resume_timer = 0;
+    if (phase != stream_phase::broken) return;
+    ++resumes;
+    phase = stream_phase::streaming;
+    last_activity = loop.Now();
+    OpenStream({.url = options.url + "/streams/" + stream_id +
+                       "?offset=" + std::to_string(next_offset)});
+  }
+
+  void OpenStream(net::http_call request) {
+    status = 0;
+    error_body.clear();
+    parser = event_stream_parser();
+    request.connect_timeout = options.connect_timeout;
+    request.total_timeout = core::milliseconds(0);
+    auto callbacks = Callbacks(&impl::OnStreamDone, true);
+    call = http.Start(std::move(request), std::move(callbacks));
+  }
+
+  void DropCall() {
+    ++call_serial;
+    if (call != 0) http.Cancel(std::exchange(call, 0));
+  }
+
+  // Events of the stream.
+
+  void OnData(std::string_view data) {
+    if (status != kOk) {
+      if (error_body.size() < kMaximumErrorBytes) error_body += data;
+      return;
+    }
+    for (const std::string& text : parser.Feed(data)) {
+      const json event = json::parse(text, nullptr, false);
+      if (!event.is_object()) {
+        Interrupt("the engine sent an event that is not JSON");
+        return;
+      }
+      if (!TakeEvent(event)) return;
+    }
+    if (parser.Overflowed()) Interrupt("the engine sent an oversized event");
+  }
+
+  // @returns false if the stream has ended or its connection was dropped.
+  bool TakeEvent(const json& event) {
+    last_activity = loop.Now();
+    resumes = 0;
+    if (wrong_adapter) {
+      if (event.value("done", false)) EndAfterCancel();
+      return phase != stream_phase::ended;
+    }
+    if (!CheckAdapter(event)) return false;
+    if (event.contains("stream_id") && event["stream_id"].is_string()) {
+      stream_id = event["stream_id"].get<std::string>();
+      if (cancel_wanted && !cancel_running) SendCancel();
+    }
+    if (event.value("done", false)) {
+      Complete(event.value("tokens", next_offset));
+      return false;
+    }
+    if (event.value("cancelled", false)) {
+      OnCancelEvent();
+      return false;
+    }
+    if (!event.contains("text") || !event["text"].is_string()) return true;
+    const std::int64_t offset = event.value("offset", next_offset);
+    if (offset < next_offset) return true;
+    if (offset > next_offset) {
+      Interrupt("the engine skipped an event");
+      return false;
+    }
+    ++next_offset;
+    // Output after a cancel would not be continued by the next run.
+    if (cancel_wanted) {
+      output_held_back = true;
+    } else {
+      listener.OnOutput(attempt, event["text"].get<std::string>());
+    }
+    return phase != stream_phase::ended;
+  }
+
+  // The first event must name the adapter; later ones must not contradict it.
+  bool CheckAdapter(const json& event) {
+    const bool named = event.contains("adapter") && event.contains("version");
+    if (!named && adapter_checked) return true;
+    const auto& wanted = order.request->adapter;
+    const bool right = named && event["adapter"] == wanted.adapter.Value() &&
+                       event["version"] == wanted.version.Value();
+    if (right) {
+      adapter_checked = true;
+      return true;
+    }
+    LOG(ERROR) << "agent.engine: Attempt " << attempt << " wanted "
+               << core::ToString(wanted) << " but the engine answered "
+               << event.dump().substr(0, 200) << '.';
+    if (event.contains("stream_id") && event["stream_id"].is_string()) {
+      stream_id = event["stream_id"].get<std::string>();
+    }
+    wrong_adapter = true;
+    host.OnStateMismatch();
+    if (adapter_checked) {
+      // Output was passed on already, so no other run can replace it.
+      Fail({core::outcome::incomplete, "wrong_adapter",
+            "the engine changed the adapter in the middle of the answer"});
+    }
+    StartCancel();
+    return false;
+  }
+
+  void Interrupt(const std::string& reason) {
+    DropCall();
+    Broken(reason);
+  }
+
+  void OnStreamDone(const net::http_result& result) {
+    if (phase == stream_phase::ended) return;
+    if (result.status == kConflict) {
+      host.OnFencingRefused();
+      EndNotRun("stale_fencing_number",
+                "the engine refused the fencing number");
+      return;
+    }
+    if (result.failure == net::http_failure::not_sent) {
+      host.OnEngineSilent();
+      if (stream_id.empty()) {
+        EndNotRun("endpoint_down", result.error_message);
+      } else {
+        Broken(result.error_message);
+      }
+      return;
+    }
+    if (result.status == kOk || result.status == 0) {
+      Broken(result.error_message.empty() ? "the stream ended early"
+                                          : result.error_message);
+      return;
+    }
+    OnRefusedByEngine(result.status);
+  }
+
+  void OnRefusedByEngine(int answer) {
+    const std::string message =
+        "the engine answered " + std::to_string(answer) + " " + error_body;
+    if (!stream_id.empty()) {
+      // A resumption was refused: the engine holds the stream no longer.
+      EndFailed({core::outcome::incomplete, "stream_interrupted", message});
+      return;
+    }
+    if (answer == kNotFound) {
+      Finish();
+      host.OnStateMismatch();
+      listener.OnAdapterMissing(attempt, false);
+      return;
+    }
+    if ((answer >= 400 && answer < 500) || answer == kServiceUnavailable) {
+      run_failure failure{core::outcome::not_run, "refused_by_engine", message};
+      if (answer == kTooManyRequests || answer == kServiceUnavailable) {
+        failure.retry_after = core::milliseconds(1000);
+      }
+      EndFailed(failure);
+      return;
+    }
+    EndFailed({core::outcome::unknown, "engine_error", message});
+  }
+
+  void Broken(const std::string& reason) {
+    if (wrong_adapter || failed) {
+      // Only the confirmation of the cancel is awaited.
+      phase = stream_phase::broken;
+      if (stream_id.empty()) EndAfterCancel();
+      return;
+    }
+    if (stream_id.empty()) {
+      // Nothing names the run at the engine, so it cannot be found again.
+      if (cancel_wanted) {
+        EndAfterCancel();
+      } else {
+        EndFailed({core::outcome::incomplete, "stream_interrupted", reason});
+      }
+      return;
+    }
+    phase = stream_phase::broken;
+    if (cancel_wanted) return;
+    if (resumes >= options.maximum_resumes) {
+      host.OnEngineSilent();
+      Fail({core::outcome::incomplete, "stream_interrupted", reason});
+      StartCancel();
+      return;
+    }
+    LOG(WARNING) << "agent.engine: Stream of attempt " << attempt
+                 << " broke at event " << next_offset << ": " << reason << '.';
+    resume_timer = After(options.retry_delay, &impl::Resume);
+  }
+
+  net::timer_id After(core::milliseconds delay, void (impl::*step)()) {
+    const std::weak_ptr<engine_stream> weak = self->weak_from_this();
+    return loop.Schedule(delay, [weak, step] {
+      if (const auto alive = weak.lock()) (alive->impl_.get()->*step)();
+    });
+  }
+
+  // Cancel.
+
+  void OnCancelEvent() {
+    if (cancel_wanted) {
+      EndAfterCancel();
+      return;
+    }
+    EndFailed({core::outcome::incomplete, "cancelled_at_engine",
+               "the engine cancelled the stream"});
+  }
+
+  void StartCancel() {
+    if (phase == stream_phase::ended) return;
+    cancel_wanted = true;
+    loop.Cancel(std::exchange(resume_timer, 0));
+    if (cancel_running) return;
+    if (!stream_id.empty()) {
+      SendCancel();
+    } else if (call == 0) {
+      EndAfterCancel();
+    }
+    // Else the first event brings the id of the stream.
+  }
+
+  void SendCancel() {
+    cancel_timer = 0;
+    if (phase == stream_phase::ended) return;
+    cancel_running = true;
+    const std::weak_ptr<engine_stream> weak = self->weak_from_this();
+    net::http_callbacks callbacks;
+    callbacks.on_done = [weak](const net::http_result& result) {
+      const auto alive = weak.lock();
+      if (alive == nullptr) return;
+      alive->impl_->cancel_call = 0;
+      alive->impl_->OnCancelDone(result);
+    };
+    const json body = {{"fencing_number", host.FencingNumber()}};
+    cancel_call =
+        http.Start({.method = "POST",
+                    .url = options.url + "/streams/" + stream_id + "/cancel",
+                    .headers = {{"content-type", "application/json"}},
+                    .body = body.dump(),
+                    .connect_timeout = options.connect_timeout,
+                    .total_timeout = kCancelTimeout},
+                   std::move(callbacks));
+  }
+
+  void OnCancelDone(const net::http_result& result) {
+    if (phase == stream_phase::ended) return;
+    if (result.status == kOk) {
+      const json answer = json::parse(result.body, nullptr, false);
+      if (answer.is_object() && answer.value("cancelled", false)) {
+        EndAfterCancel();
+        return;
+      }
+    }
+    if (result.status == kConflict) host.OnFencingRefused();
+    if (result.status == kOk || result.status == kNotFound) {
+      // Not running any more: its end may still be on the way.
+      if (phase == stream_phase::broken) {
+        EndAfterCancel();
+      } else {
+        cancel_timer = After(kEndGrace, &impl::EndAfterCancel);
+      }
+      return;
+    }
+    if (result.failure != net::http_failure::none) host.OnEngineSilent();
+    // The adapter stays pinned until the engine confirms.
+    cancel_timer = After(kEndGrace, &impl::SendCancel);
+  }
+
+  // Ends.
+
+  void Finish() {
+    phase = stream_phase::ended;
+    DropCall();
+    if (cancel_call != 0) http.Cancel(std::exchange(cancel_call, 0));
+    loop.Cancel(std::exchange(resume_timer, 0));
+    loop.Cancel(std::exchange(cancel_timer, 0));
+    host.OnStreamEnded(attempt);
+  }
+
+  void Complete(std::int64_t tokens) {
+    Finish();
+    if (failed) {
+      listener.OnReleased(attempt);
+    } else if (output_held_back) {
+      listener.OnCancelled(attempt);
+    } else {
+      run_result result;
+      result.tokens = core::token_count{order.delivered.value + tokens};
+      listener.OnCompleted(attempt, result);
+    }
+  }
+
+  void EndAfterCancel() {
+    if (phase == stream_phase::ended) return;
+    Finish();
+    if (failed) {
+      listener.OnReleased(attempt);
+    } else if (wrong_adapter) {
+      listener.OnAdapterMissing(attempt, true);
+    } else {
+      listener.OnCancelled(attempt);
+    }
+  }
+
+  void EndNotRun(const std::string& reason, const std::string& message) {
+    // Output of this run disproves it.
+    const auto outcome = next_offset > 0 || order.run > 0
+                             ? core::outcome::incomplete
+                             : core::outcome::not_run;
+    EndFailed({outcome, reason, message, core::milliseconds(1000)});
+  }
+
+  void EndFailed(const run_failure& failure) {
+    Finish();
+    if (!failed) listener.OnFailed(attempt, failure);
+    failed = true;
+    listener.OnReleased(attempt);
+  }
+
+  void Fail(const run_failure& failure) {
+    if (std::exchange(failed, true)) return;
+    listener.OnFailed(attempt, failure);
+  }
+
+  engine_stream* self = nullptr;
+  net::event_loop& loop;
+  net::http_client_interface& http;
+  engine_stream_host& host;
+  endpoint_listener& listener;
+  engine_stream_options options;
+  run_order order;
+  core::attempt_id attempt;
+  stream_phase phase = stream_phase::streaming;
+  net::http_call_id call = 0;
+  int call_serial = 0;
+  int status = 0;
+  std::string error_body;
+  event_stream_parser parser;
+  std::string stream_id;
+  std::int64_t next_offset = 0;
+  int resumes = 0;
+  bool adapter_checked = false;
+  bool wrong_adapter = false;
+  bool failed = false;
+  bool cancel_wanted = false;
+  bool cancel_running = false;
+  bool output_held_back = false;
+  net::http_call_id cancel_call = 0;
+  net::timer_id resume_timer = 0;
+  net::timer_id cancel_timer = 0;
+  core::time_point last_activity;
+};
+
+engine_stream::engine_stream(net::event_loop& loop,
+                             net::http_client_interface& http,
+                             engine_stream_host& host,
+                             endpoint_listener& listener,
+                             const engine_stream_options& options,
+                             run_order order)
+    : impl_(std::make_unique<impl>(loop, http, host, listener, options,
+                                   std::move(order))) {
+  impl_->self = this;
+}
+
+engine_stream::~engine_stream() { Abandon(); }
+
+void engine_stream::Start() { impl_->StartCompletion(); }
+
+void engine_stream::Cancel() { impl_->StartCancel(); }
+
+void engine_stream::Abandon() {
+  impl_->phase = stream_phase::ended;
+  impl_->DropCall();
+  if (impl_->cancel_call != 0) {
+    impl_->http.Cancel(std::exchange(impl_->cancel_call, 0));
+  }
+  impl_->loop.Cancel(std::exchange(impl_->resume_timer, 0));
+  impl_->loop.Cancel(std::exchange(impl_->cancel_timer, 0));
+}
+
+void engine_stream::OnTick(core::time_point now) {
+  if (impl_->phase != stream_phase::streaming || impl_->failed) return;
+  const bool first = !impl_->adapter_checked;
+  const auto limit =
+      first ? impl_->options.first_token_timeout : impl_->options.idle_timeout;
+  if (now - impl_->last_activity < limit) return;
+  LOG(WARNING) << "agent.engine: Attempt " << impl_->attempt
+               << " had no event for " << limit.count() << " ms.";
+  impl_->host.OnEngineSilent();
+  // An open connection may have gone silent while new ones work.
+  impl_->Interrupt("no event before the time limit");
+}
+
+}  // namespace comfreyspring::agent
--- /dev/null
+++ b/src/agent/event_stream_parser.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace comfreyspring::agent {
+
+/** Splits a stream of server-sent events into the data of each event. */
+class event_stream_parser {
+ public:
+  /** @returns the data of the events that the bytes complete. */
+  std::vector<std::string> Feed(std::string_view bytes);
+  /** True if an event is longer than the limit; the stream is unusable. */
+  bool Overflowed() const { return overflowed_; }
+
+ private:
+  void TakeLine(std::string_view line, std::vector<std::string>& events);
+
+  static constexpr std::size_t kMaximumEventBytes = 1024 * 1024;
+  std::string line_;
+  std::string data_;
+  bool has_data_ = false;
+  bool overflowed_ = false;
+};
+
+}  // namespace comfreyspring::agent
--- /dev/null
+++ b/src/agent/queue_controller.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+
+#include "agent/answer_channel.h"
+#include "agent/attempt_register.h"
+#include "agent/endpoint_runner.h"
+#include "agent/entry_address.h"
+#include "agent/ledger_controller.h"
+#include "net/event_loop.h"
+#include "telemetry/metrics.h"
+#include "wire/messages.h"
+
+namespace comfreyspring::agent {
+
+struct queue_options {
+  core::endpoint_kind kind = core::endpoint_kind::engine;
+  std::uint64_t random_seed = 1;
+  std::size_t maximum_queue = 4096;
+  register_options attempts;
+};
+
+/**
+ * Life of every attempt at this agent: executes the scheduler's actions at the
+ * endpoint and answers each attempt exactly once.
+ */
+class queue_controller : public endpoint_listener {
+ public:
+  /** The referenced objects must outlive the controller. */
+  queue_controller(net::event_loop& loop, queue_options options,
+                   endpoint_runner& runner, ledger_controller& ledger,
+                   answer_channel& answers, telemetry::metrics& metrics);
+  ~queue_controller() override;
+
+  // From the entries.
+
+  void OnSubmit(const entry_address& entry, const wire::submit& message);
+  void OnWithdraw(const entry_address& entry, const wire::withdraw& message);
+  void OnResume(const entry_address& entry, const wire::resume& message);
+  /** The entry has had no link for too long, or was replaced. */
+  void OnEntryLost(const entry_address& entry);
+
+  // From the process.
+
+  /** False: nothing is dispatched until the views were read again. */
+  void SetVerified(bool verified);
+  /** Takes no new work; queued work that cannot start in time is refused. */
+  void BeginDrain(core::time_point limit);
+  /** Ends all open attempts with an explicit answer. */
+  void EndAll(const std::string& reason);
+
+  // State.
+
+  bool IsIdle() const;
+  wire::endpoint_report Report(const core::adapter_reference& adapter) const;
+  nlohmann::json ToJson() const;
+  /** Sets the gauges of the registry. */
+  void UpdateMetrics();
+
+  // endpoint_listener.
+
+  void OnOutput(const core::attempt_id& attempt,
+                const std::string& data) override;
+  void OnCompleted(const core::attempt_id& attempt,
+                   const run_result& result) override;
+  void OnFailed(const core::attempt_id& attempt,
+                const run_failure& failure) override;
+  void OnReleased(const core::attempt_id& attempt) override;
+  void OnCancelled(const core::attempt_id& attempt) override;
+  void OnAdapterMissing(const core::attempt_id& attempt, bool ran) override;
+  void OnLoadDone(const core::adapter_reference& adapter,
+                  core::milliseconds took) override;
+  void OnLoadFailed(const core::adapter_reference& adapter) override;
+  void OnEndpointState(
+      const admission::engine_limits& limits,
+      const std::vector<core::adapter_reference>& resident) override;
+  void OnEndpointRestart() override;
+  void OnEndpointAvailability() override;
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace comfreyspring::agent
