Do not use a stream id after its record is erased

Cause: the sanitizer found a read of freed memory in a stand-in's restart. Change: the restart copies the id before it forgets the stream.

--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -276,7 +276,10 @@
 
 void engine_server::Restart() {
   DropConnections();
-  while (!attachments_.empty()) Forget(attachments_.begin()->first);
+  while (!attachments_.empty()) {
+    const std::string id = attachments_.begin()->first;
+    Forget(id);
+  }
   adapters_.Clear();
   load_samples_.clear();
   fencing_number_ = 0;
