--- /dev/null
+++ b/src/ctl/program.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace comfreyspring::ctl {
+
+/**
+ * Runs one command of the program and returns its exit code; no argument
+ * makes it throw.
+ *
+ * Example: `RunProgram({"sheet", "check", "--help"}, std::cout, std::cerr);`
+ */
+int RunProgram(const std::vector<std::string>& arguments, std::ostream& out,
+               std::ostream& errors);
+
+}  // namespace comfreyspring::ctl
--- /dev/null
+++ b/src/ctl/state_command.cc
@@ -0,0 +1,96 @@
+#include "ctl/state_command.h"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <ostream>
+
+#include "ctl/command_line.h"
+#include "net/http_client.h"
+
+namespace comfreyspring::ctl {
+namespace {
+
+constexpr const char* kHelp =
+    "Usage: comfreyspringctl state --url http://IP:PORT [--watch] [--count N]\n"
+    "Prints /debug/state of an entry or an agent.\n"
+    "  --watch     repeats each second until interrupted\n"
+    "  --count N   repeats each second, N times in all\n"
+    "Exit code: 0 printed, 2 wrong usage, 3 no usable answer (the last one\n"
+    "counts).\n";
+constexpr const char* kPath = "/debug/state";
+constexpr core::milliseconds kPeriod{1000};
+constexpr core::milliseconds kCallTimeout{3000};
+constexpr int kOk = 200;
+
+std::string StateUrl(std::string url) {
+  if (url.compare(0, 7, "http://") != 0 || url.size() == 7) {
+    throw usage_error("option --url: value '" + url +
+                      "' does not begin with http:// and an address");
+  }
+  while (url.back() == '/') url.pop_back();
+  const std::string path = kPath;
+  const bool is_whole =
+      url.size() > path.size() &&
+      url.compare(url.size() - path.size(), path.size(), path) == 0;
+  return is_whole ? url : url + path;
+}
+
+/** Fetches once; nullopt with a line in `errors` if there is no document. */
+std::optional<nlohmann::json> Fetch(net::event_loop& loop,
+                                    net::http_client& client,
+                                    const std::string& url,
+                                    std::ostream& errors) {
+  std::optional<net::http_result> result;
+  net::http_call call;
+  call.url = url;
+  call.total_timeout = kCallTimeout;
+  client.Start(call, {.on_done = [&result](const net::http_result& done) {
+                 result = done;
+               }});
+  loop.RunUntil([&result] { return result.has_value(); }, 2 * kCallTimeout);
+  if (!result || result->failure != net::http_failure::none) {
+    errors << "Cannot reach " << url << ": "
+           << (result ? result->error_message : "no answer") << ".\n";
+    return std::nullopt;
+  }
+  if (result->status != kOk) {
+    errors << url << " answered with status " << result->status << ".\n";
+    return std::nullopt;
+  }
+  constexpr bool kNoExceptions = false;
+  nlohmann::json state =
+      nlohmann::json::parse(result->body, nullptr, kNoExceptions);
+  if (state.is_discarded()) {
+    errors << "The answer of " << url << " is not JSON.\n";
+    return std::nullopt;
+  }
+  return state;
+}
+
+}  // namespace
+
+int ShowState(const std::vector<std::string>& arguments, std::ostream& out,
+              std::ostream& errors) {
+  const command_line options(arguments, {{"url"}, {"watch", false}, {"count"}});
+  if (options.Has("help")) {
+    out << kHelp;
+    return kExitSuccess;
+  }
+  const std::string url = StateUrl(options.Required("url"));
+  const std::int64_t endless = std::numeric_limits<std::int64_t>::max();
+  const std::int64_t count =
+      options.Number("count", 1).value_or(options.Has("watch") ? endless : 1);
+  net::event_loop loop;
+  net::http_client client(loop);
+  int exit_code = kExitSuccess;
+  for (std::int64_t round = 0; round < count; ++round) {
+    if (round > 0) loop.RunUntil([] { return false; }, kPeriod);
+    const auto state = Fetch(loop, client, url, errors);
+    exit_code = state ? kExitSuccess : kExitUnreachable;
+    if (state) out << state->dump(2) << std::endl;
+  }
+  return exit_code;
+}
+
+}  // namespace comfreyspring::ctl
