Reserve places for short urgent work and let long work yield

Cause: at 8 short requests/s long work in half of the batch made short work wait 244 ms in the mean (p95 962, p99 1285); without long work it waits 0. Change: the share of long work follows the mean demand of short urgent work plus 3 standard deviations (2 for long work that can be preempted); long may_wait work that ran for 500 ms yields to waiting short urgent work; the may_wait credit grows only while it runs less than its floor; preemption skips urgent work that the shares hold back (it had caused 20,000 preemptions in 600 s).

--- a/src/admission/basic_engine_scheduler.h
+++ b/src/admission/basic_engine_scheduler.h
@@ -101,7 +101,11 @@
   void MarkStalls(core::time_point now);
   void PlanLoads(core::time_point now, actions& out);
   void Preempt(core::time_point now, actions& out);
+  void PreemptSome(
+      std::vector<std::pair<core::milliseconds, core::attempt_id>> candidates,
+      std::size_t count, actions& out);
   std::size_t UrgentAtRisk(core::time_point now) const;
+  std::size_t ShortUrgentWaiting() const;
   void Release(const running_item& running, core::time_point now);
 
   // Estimates.
--- a/src/admission/basic_engine_scheduler_impl.h
+++ b/src/admission/basic_engine_scheduler_impl.h
@@ -13,8 +13,10 @@
 namespace comfreyspring::admission {
 
 namespace internal {
-/** A preempted attempt this often is left alone, so that it makes progress. */
-inline constexpr int kMaximumPreemptions = 2;
+/** An attempt that was preempted this often is left alone. */
+inline constexpr int kMaximumPreemptions = 20;
+/** Long work runs at least this long before it yields to short work. */
+inline constexpr core::milliseconds kMinimumRun{500};
 inline constexpr int kMaximumMissing = 3;
 /** Time that a cancellation at the engine takes. */
 inline constexpr core::milliseconds kCancelTime{50};
@@ -54,7 +56,8 @@
   item.long_work = estimator_.IsLong(item.estimate);
   estimator_.OnSubmitted(item.estimate);
   if (RefuseOnArrival(item, now, out)) return out;
-  shares_.OnSubmitted(LaneOf(work.priority, item.long_work), now);
+  shares_.OnSubmitted(LaneOf(work.priority, item.long_work),
+                      item.expected_service, now);
   queue_.Add(std::move(item));
   Schedule(now, out);
   return out;
@@ -408,7 +411,8 @@
                                                       core::time_point now) {
   item.expected_service = estimator_.ServiceTime(item.estimate);
   item.long_work = estimator_.IsLong(item.estimate);
-  shares_.OnSubmitted(LaneOf(item.work.priority, item.long_work), now);
+  shares_.OnSubmitted(LaneOf(item.work.priority, item.long_work),
+                      item.expected_service, now);
   queue_.Add(std::move(item));
 }
 
@@ -461,12 +465,17 @@
   if (!Order::kSharesBatch) return lane_set::All();
   const running_counts& counts = running_.Counts();
   const bool long_open = counts.Long() < shares_.LongLimit(batch_limit_, now);
+  const bool firm_open =
+      long_open &&
+      counts.urgent_long < shares_.FirmLongLimit(batch_limit_, now);
+  const bool soft_open =
+      counts.Long() < shares_.SoftLongLimit(batch_limit_, now);
   lane_set lanes;
   lanes.Add(lane::urgent_short);
-  if (long_open) lanes.Add(lane::urgent_long);
+  if (firm_open) lanes.Add(lane::urgent_long);
   if (counts.MayWait() < shares_.MayWaitLimit(batch_limit_, now)) {
     lanes.Add(lane::may_wait_short);
-    if (long_open) lanes.Add(lane::may_wait_long);
+    if (soft_open) lanes.Add(lane::may_wait_long);
   }
   return lanes;
 }
@@ -510,11 +519,13 @@
   ++counters_.dispatched;
   if (item.stalled) ++counters_.load_stalls;
   item.stalled = false;
-  const bool deferrable_waits = queue_.Load(lane::may_wait_short).count +
-                                    queue_.Load(lane::may_wait_long).count >
-                                0;
+  const std::size_t deferrable = queue_.Load(lane::may_wait_short).count +
+                                 queue_.Load(lane::may_wait_long).count;
+  const bool short_of_share =
+      deferrable > 0 &&
+      running_.Counts().MayWait() < batch_shares::MayWaitFloor(batch_limit_);
   shares_.OnDispatched(LaneOf(item.work.priority, item.long_work),
-                       item.estimate, deferrable_waits);
+                       item.estimate, short_of_share);
   queue_.RecordService(item.work.adapter, estimator_.ServiceTime(item.estimate),
                        now);
   out.push_back(dispatch{attempt, item.delivered});
@@ -556,18 +567,30 @@
   std::sort(ends.begin(), ends.end());
   std::size_t position = 0;
   std::size_t at_risk = 0;
-  queue_.ForEachOf(
-      lane_set().Add(lane::urgent_short).Add(lane::urgent_long),
-      [&](const queued_item& item) {
-        if (!slots_.CanDispatch(item.work.adapter)) return;
-        const auto start = ends[std::min(position++, ends.size() - 1)];
-        const auto slack = core::ToMilliseconds(item.work.deadline - now) -
-                           estimator_.ServiceTime(item.estimate);
-        if (slack >= internal::kCancelTime && start > slack) ++at_risk;
-      });
+  // Preemption would not help work that the shares of the batch hold back.
+  lane_set lanes = lane_set().Add(lane::urgent_short);
+  if (OpenLanes(now).Contains(lane::urgent_long)) lanes.Add(lane::urgent_long);
+  queue_.ForEachOf(lanes, [&](const queued_item& item) {
+    if (!slots_.CanDispatch(item.work.adapter)) return;
+    const auto start = ends[std::min(position++, ends.size() - 1)];
+    const auto slack = core::ToMilliseconds(item.work.deadline - now) -
+                       estimator_.ServiceTime(item.estimate);
+    if (slack >= internal::kCancelTime && start > slack) ++at_risk;
+  });
   return at_risk;
 }
 
+template <queue_order Order, adapters::eviction_policy Eviction>
+std::size_t basic_engine_scheduler<Order, Eviction>::ShortUrgentWaiting()
+    const {
+  std::size_t waiting = 0;
+  queue_.ForEachOf(lane_set().Add(lane::urgent_short),
+                   [&](const queued_item& item) {
+                     if (slots_.CanDispatch(item.work.adapter)) ++waiting;
+                   });
+  return waiting;
+}
+
 template <queue_order Order, adapters::eviction_policy Eviction>
 void basic_engine_scheduler<Order, Eviction>::Preempt(core::time_point now,
                                                       actions& out) {
@@ -578,22 +601,45 @@
       0) {
     return;
   }
-  std::vector<std::pair<core::milliseconds, core::attempt_id>> victims;
+  // The longest remaining work would block its place for the longest time.
+  std::vector<std::pair<core::milliseconds, core::attempt_id>> any;
+  std::vector<std::pair<core::milliseconds, core::attempt_id>> settled_long;
   for (const auto& [attempt, running] : running_.Items()) {
     if (!IsPreemptible(running)) continue;
-    victims.emplace_back(RemainingTime(running, estimator_, now), attempt);
+    any.emplace_back(RemainingTime(running, estimator_, now), attempt);
+    if (running.item.long_work &&
+        now - running.dispatched >= internal::kMinimumRun) {
+      settled_long.push_back(any.back());
+    }
   }
-  if (victims.empty()) return;
-  const std::size_t at_risk = UrgentAtRisk(now);
+  if (any.empty()) return;
   const std::size_t underway = running_.Preempting();
-  if (at_risk <= underway) return;
-  // The longest remaining work would block its place for the longest time.
-  std::sort(victims.rbegin(), victims.rend());
-  const std::size_t count = std::min(at_risk - underway, victims.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    running_.Find(victims[i].second)->state = running_state::preempting;
+  const std::size_t at_risk = UrgentAtRisk(now);
+  PreemptSome(std::move(any), at_risk > underway ? at_risk - underway : 0, out);
+  // The share of deferrable work keeps running, so that it makes progress.
+  const std::size_t waiting = ShortUrgentWaiting();
+  const std::size_t preempting = running_.Preempting();
+  const std::size_t deferrable = running_.Counts().MayWait();
+  const std::size_t kept =
+      preempting + batch_shares::MayWaitFloor(batch_limit_);
+  if (waiting <= preempting || deferrable <= kept) return;
+  PreemptSome(std::move(settled_long),
+              std::min(waiting - preempting, deferrable - kept), out);
+}
+
+template <queue_order Order, adapters::eviction_policy Eviction>
+void basic_engine_scheduler<Order, Eviction>::PreemptSome(
+    std::vector<std::pair<core::milliseconds, core::attempt_id>> candidates,
+    std::size_t count, actions& out) {
+  std::sort(candidates.rbegin(), candidates.rend());
+  for (const auto& [remaining, attempt] : candidates) {
+    if (count == 0) return;
+    running_item* running = running_.Find(attempt);
+    if (running->state != running_state::running) continue;
+    running->state = running_state::preempting;
     ++counters_.preempted;
-    out.push_back(preempt{victims[i].second});
+    out.push_back(preempt{attempt});
+    --count;
   }
 }
 
--- a/src/admission/batch_shares.h
+++ b/src/admission/batch_shares.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
+#include "adapters/decayed_value.h"
 #include "admission/request_queue.h"
 #include "core/time.h"
 #include "core/types.h"
@@ -32,9 +34,11 @@
  public:
   // Demand.
 
-  void OnSubmitted(lane value, core::time_point now);
-  /** Work was dispatched while `may_wait` work waited or not. */
-  void OnDispatched(lane value, core::token_count tokens, bool may_wait_waits);
+  /** `expected` is the time that the work will hold a place. */
+  void OnSubmitted(lane value, core::milliseconds expected,
+                   core::time_point now);
+  /** `short_of_share`: `may_wait` work waits and runs less than its floor. */
+  void OnDispatched(lane value, core::token_count tokens, bool short_of_share);
 
   // Shares.
 
@@ -42,16 +46,38 @@
   bool UrgentDemandIsRecent(core::time_point now) const;
   /** Places that long work may hold now. */
   std::size_t LongLimit(std::size_t batch_limit, core::time_point now) const;
+  /** Places that long work may hold that cannot be preempted. */
+  std::size_t FirmLongLimit(std::size_t batch_limit,
+                            core::time_point now) const;
+  /** Places that long work may hold that can be preempted. */
+  std::size_t SoftLongLimit(std::size_t batch_limit,
+                            core::time_point now) const;
   /** Places that `may_wait` work may hold now. */
   std::size_t MayWaitLimit(std::size_t batch_limit, core::time_point now) const;
+  /** Places of a batch that `may_wait` work gets over time, at least 1. */
+  static std::size_t MayWaitFloor(std::size_t batch_limit);
   /** `may_wait` work of this size has its minimum share coming to it. */
   bool MayWaitIsDue(core::token_count tokens) const;
 
  private:
+  /** Smooths out chance. */
+  static constexpr core::milliseconds kSteadyHalfLife{30'000};
+  /** Follows a load swing. */
+  static constexpr core::milliseconds kRecentHalfLife{5'000};
+
+  /** Mean number of places that short urgent work needs. */
+  double ShortUrgentPlaces(const adapters::decayed_value& sum,
+                           core::milliseconds half_life,
+                           core::time_point now) const;
+
   bool seen_short_ = false;
   bool seen_urgent_ = false;
   core::time_point last_short_;
   core::time_point last_urgent_;
+  /** Place time of short urgent work, milliseconds. */
+  adapters::decayed_value steady_short_urgent_ms_{kSteadyHalfLife};
+  adapters::decayed_value recent_short_urgent_ms_{kRecentHalfLife};
+  std::optional<core::time_point> first_short_urgent_;
   /** Tokens that `may_wait` work may run ahead of urgent work. */
   double may_wait_credit_ = 0.0;
 };
