--- /dev/null
+++ b/bench/fleet/fleet.h
@@ -0,0 +1,480 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "admission/scheduler_types.h"
+#include "bench/fleet/event_queue.h"
+#include "bench/fleet/fake_engine.h"
+#include "bench/fleet/measurements.h"
+#include "bench/fleet/weight_store.h"
+#include "bench/fleet/workload.h"
+#include "membership/endpoint_directory.h"
+#include "routing/endpoint_selection.h"
+#include "routing/request_lifecycle.h"
+#include "wire/messages.h"
+
+namespace comfreyspring::bench {
+
+/** Engines that are slower than they report, for a time. */
+struct slow_period {
+  int engines = 0;
+  double factor = 1.0;
+  double from_seconds = 0.0;
+  double to_seconds = 0.0;
+};
+
+struct fleet_options {
+  std::string name;
+  std::uint64_t seed = 1;
+  int engines = 12;
+  int entries = 3;
+  bool eject_slow = true;
+  bool hedge = true;
+  slow_period slow;
+  double measured_seconds = 0.0;
+};
+
+/**
+ * Entries with real routers, agents with real schedulers and fake engines,
+ * joined by links with a delay.
+ */
+template <class Choice, class Scheduler>
+class fleet {
+ public:
+  explicit fleet(fleet_options options)
+      : options_(std::move(options)), store_(events_) {
+    MakeConfiguration();
+    for (int i = 0; i < options_.engines; ++i) MakeAgent(i);
+    for (int i = 0; i < options_.entries; ++i) MakeEntry(i);
+    ScheduleTicks();
+    ScheduleSlowPeriod();
+  }
+
+  run_result Run(const std::vector<job>& jobs) {
+    result_.name = options_.name;
+    const core::time_point start = events_.Now();
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+      events_.At(start + jobs[i].at, [this, &jobs, i] { Submit(jobs[i], i); });
+    }
+    open_ = jobs.size();
+    const core::time_point end =
+        start + jobs.back().at + core::seconds(kLongestDrainSeconds);
+    while (open_ > 0 && events_.Now() < end && events_.RunNext()) {
+    }
+    Collect(start);
+    return std::move(result_);
+  }
+
+ private:
+  static constexpr std::int64_t kLongestDrainSeconds = 150;
+  static constexpr core::milliseconds kEntryTick{10};
+  static constexpr core::milliseconds kAgentTick{20};
+  static constexpr core::milliseconds kHeartbeat{1000};
+  static constexpr core::milliseconds kSample{50};
+  static constexpr core::microseconds kLocalDelay{200};
+  static constexpr core::microseconds kRemoteDelay{1500};
+  static constexpr int kDataCentres = 4;
+
+  struct entry_state {
+    std::string data_centre;
+    std::unique_ptr<membership::endpoint_directory> directory;
+    std::unique_ptr<routing::endpoint_selection<Choice>> selector;
+    std::unique_ptr<routing::request_lifecycle> lifecycle;
+  };
+  struct attempt_state {
+    core::adapter_reference adapter;
+    std::int64_t tokens = 0;
+    int entry = 0;
+  };
+  struct agent_state {
+    core::endpoint_id endpoint;
+    std::string data_centre;
+    std::unique_ptr<Scheduler> scheduler;
+    std::unique_ptr<fake_engine> engine;
+    std::unordered_map<core::attempt_id, attempt_state> attempts;
+  };
+  struct job_state {
+    const job* work = nullptr;
+    core::time_point submitted;
+  };
+
+  static std::string DataCentre(int index) {
+    return "dc-" + std::to_string(index % kDataCentres);
+  }
+
+  // Setup.
+
+  void MakeConfiguration() {
+    auto current = std::make_shared<config::configuration>();
+    current->version.generation = 1;
+    for (int i = 0; i < options_.engines; ++i) {
+      config::endpoint_record record;
+      record.endpoint = core::endpoint_id("engine-" + std::to_string(i));
+      record.vm = core::vm_id("vm-" + std::to_string(i));
+      record.data_centre = core::data_centre_id(DataCentre(i));
+      record.model = core::model_id("base");
+      current->endpoints.push_back(std::move(record));
+    }
+    configuration_ = std::move(current);
+  }
+
+  void MakeAgent(int index) {
+    auto agent = std::make_unique<agent_state>();
+    agent_state* state = agent.get();
+    state->endpoint = configuration_->endpoints.at(index).endpoint;
+    state->data_centre = DataCentre(index);
+    admission::scheduler_options options;
+    options.started_at = events_.Now();
+    options.random_seed = options_.seed + static_cast<std::uint64_t>(index);
+    state->scheduler = std::make_unique<Scheduler>(options);
+    engine_callbacks callbacks;
+    callbacks.on_first_output = [this, state](const auto& attempt) {
+      Execute(*state, state->scheduler->OnFirstOutput(attempt, events_.Now()));
+      const auto found = state->attempts.find(attempt);
+      if (found == state->attempts.end()) return;
+      ToEntry(*state, found->second.entry, [attempt](auto& life, auto now) {
+        return life.OnFirstChunk(attempt, now);
+      });
+    };
+    callbacks.on_ended = [this, state](const auto& attempt, auto tokens) {
+      OnEnded(*state, attempt, tokens);
+    };
+    callbacks.on_cancelled = [this, state](const auto& attempt, auto tokens) {
+      Execute(*state, state->scheduler->OnCancelConfirmed(attempt, tokens,
+                                                          events_.Now()));
+    };
+    state->engine =
+        std::make_unique<fake_engine>(events_, std::move(callbacks));
+    agent_index_[state->endpoint] = agents_.size();
+    agents_.push_back(std::move(agent));
+    Execute(*state, state->scheduler->OnEngineState(
+                        {fake_engine::kAdapterSlots, fake_engine::kBatchLimit},
+                        {}, events_.Now()));
+  }
+
+  void MakeEntry(int index) {
+    entry_state entry;
+    entry.data_centre = DataCentre(index);
+    entry.directory = std::make_unique<membership::endpoint_directory>(
+        core::milliseconds(3500));
+    entry.directory->OnConfiguration(configuration_);
+    for (const auto& agent : agents_) {
+      wire::hello greeting;
+      greeting.instance_ms = 1;
+      greeting.report = ReportOf(*agent, {});
+      entry.directory->OnHello(agent->endpoint, greeting, events_.Now());
+    }
+    routing::selection_options selection;
+    selection.own_data_centre = core::data_centre_id(entry.data_centre);
+    selection.random_seed = options_.seed + 100 + index;
+    selection.eject_slow = options_.eject_slow;
+    selection.hedge = options_.hedge;
+    entry.selector = std::make_unique<routing::endpoint_selection<Choice>>(
+        selection, *entry.directory);
+    entry.lifecycle = std::make_unique<routing::request_lifecycle>(
+        routing::router_options{}, *entry.selector);
+    entries_.push_back(std::move(entry));
+  }
+
+  void Repeat(core::microseconds period, event_queue::action action) {
+    events_.After(period, [this, period, action] {
+      action();
+      Repeat(period, action);
+    });
+  }
+
+  void ScheduleTicks() {
+    for (int i = 0; i < options_.entries; ++i) {
+      Repeat(kEntryTick, [this, i] {
+        Execute(i, entries_[i].lifecycle->OnTick(events_.Now()));
+      });
+    }
+    for (const auto& agent : agents_) {
+      agent_state* state = agent.get();
+      Repeat(kAgentTick, [this, state] {
+        Execute(*state, state->scheduler->OnTick(events_.Now()));
+      });
+      Repeat(kHeartbeat, [this, state] {
+        for (int i = 0; i < options_.entries; ++i) {
+          const wire::endpoint_report report = ReportOf(*state, {});
+          events_.After(Delay(*state, i), [this, state, i, report] {
+            entries_[i].directory->OnReport(state->endpoint, report,
+                                            events_.Now());
+          });
+        }
+      });
+    }
+    Repeat(kSample, [this] { SampleFill(); });
+  }
+
+  void ScheduleSlowPeriod() {
+    const slow_period& slow = options_.slow;
+    const auto set = [this](int count, double factor) {
+      for (int i = 0; i < count; ++i) agents_[i]->engine->SetSlowFactor(factor);
+    };
+    if (slow.engines == 0) return;
+    events_.After(Seconds(slow.from_seconds),
+                  [set, slow] { set(slow.engines, slow.factor); });
+    events_.After(Seconds(slow.to_seconds),
+                  [set, slow] { set(slow.engines, 1.0); });
+  }
+
+  static core::microseconds Seconds(double value) {
+    return core::microseconds(static_cast<std::int64_t>(value * 1e6));
+  }
+
+  core::microseconds Delay(const agent_state& agent, int entry) const {
+    return agent.data_centre == entries_[entry].data_centre ? kLocalDelay
+                                                            : kRemoteDelay;
+  }
+
+  // Callers.
+
+  void Submit(const job& work, std::size_t number) {
+    routing::request_facts facts;
+    facts.request = core::request_id(std::to_string(number));
+    facts.model = core::model_id("base");
+    facts.adapter = {
+        core::adapter_id("adapter-" + std::to_string(work.adapter)),
+        core::version_id("v1")};
+    facts.priority = work.priority;
+    facts.expected_tokens = {work.expected_tokens};
+    facts.deadline = events_.Now() + work.deadline;
+    jobs_[facts.request] = {&work, events_.Now()};
+    ++ClassOf(work).submitted;
+    Execute(work.entry,
+            entries_[work.entry].lifecycle->OnRequest(facts, events_.Now()));
+  }
+
+  class_result& ClassOf(const job& work) {
+    return work.priority == core::priority_class::urgent ? result_.urgent
+                                                         : result_.may_wait;
+  }
+
+  // Entries.
+
+  void Execute(int entry, const std::vector<routing::router_action>& actions) {
+    for (const routing::router_action& action : actions) {
+      std::visit([&](const auto& typed) { Do(entry, typed); }, action);
+    }
+  }
+  void Do(int entry, const routing::submit_attempt& action) {
+    agent_state& agent = *agents_[agent_index_.at(action.endpoint)];
+    const job_state& state = jobs_.at(action.request);
+    const job& work = *state.work;
+    admission::work_item item;
+    item.attempt = action.attempt;
+    item.adapter = {core::adapter_id("adapter-" + std::to_string(work.adapter)),
+                    core::version_id("v1")};
+    item.priority = work.priority;
+    item.expected_tokens = {work.expected_tokens};
+    item.deadline = state.submitted + work.deadline;
+    const std::int64_t tokens = work.tokens;
+    events_.After(Delay(agent, entry), [this, &agent, item, tokens, entry] {
+      OnSubmit(agent, item, tokens, entry);
+    });
+  }
+  void Do(int entry, const routing::withdraw_attempt& action) {
+    agent_state& agent = *agents_[agent_index_.at(action.endpoint)];
+    const core::attempt_id attempt = action.attempt;
+    events_.After(Delay(agent, entry), [this, &agent, attempt] {
+      if (!agent.attempts.contains(attempt)) return;
+      auto actions = agent.scheduler->OnWithdraw(attempt, events_.Now());
+      agent.attempts.erase(attempt);
+      Execute(agent, actions);
+    });
+  }
+  void Do(int /*entry*/, const routing::select_attempt& action) {
+    const job_state& state = jobs_.at(action.request);
+    ClassOf(*state.work).first_chunk_ms.push_back(Since(state.submitted));
+  }
+  void Do(int /*entry*/, const routing::complete_request& action) {
+    const job_state& state = jobs_.at(action.request);
+    class_result& result = ClassOf(*state.work);
+    const double ms = Since(state.submitted);
+    ++result.completed;
+    if (ms <= static_cast<double>(state.work->deadline.count())) {
+      ++result.within_deadline;
+    }
+    result.latencies_ms.push_back(ms);
+    result.longest_ms = std::max(result.longest_ms, ms);
+    const double second = Since(core::time_point(core::seconds(1))) / 1000.0;
+    if (second >= 5.0 && second < 20.0) result_.throughput += 1.0 / 15.0;
+    Close(action.request);
+  }
+  void Do(int /*entry*/, const routing::fail_request& action) {
+    class_result& result = ClassOf(*jobs_.at(action.request).work);
+    const bool not_run = action.outcome == core::outcome::not_run;
+    ++(not_run ? result.refused : result.lost);
+    ++result_.failures[action.reason];
+    Close(action.request);
+  }
+  void Do(int /*entry*/, const routing::suspect_link& /*action*/) {}
+
+  void Close(const core::request_id& request) {
+    jobs_.erase(request);
+    --open_;
+  }
+  double Since(core::time_point time) const {
+    return std::chrono::duration<double, std::milli>(events_.Now() - time)
+        .count();
+  }
+
+  // Agents.
+
+  wire::endpoint_report ReportOf(const agent_state& agent,
+                                 const core::adapter_reference& adapter) const {
+    wire::endpoint_report report =
+        agent.scheduler->Report(adapter, events_.Now());
+    report.endpoint_up = true;
+    return report;
+  }
+
+  /** Delivers a frame with a report to an entry. */
+  template <class Event>
+  void ToEntry(agent_state& agent, int entry, Event event) {
+    events_.After(Delay(agent, entry), [this, entry, event] {
+      Execute(entry, event(*entries_[entry].lifecycle, events_.Now()));
+    });
+  }
+  template <class Message, class Event>
+  void SendReport(agent_state& agent, int entry, const Message& message,
+                  Event event) {
+    agent_state* state = &agent;
+    ToEntry(agent, entry, [=, this](auto& life, auto now) {
+      entries_[entry].directory->OnReport(state->endpoint, message.report, now);
+      return event(life, now);
+    });
+  }
+
+  void OnSubmit(agent_state& agent, const admission::work_item& item,
+                std::int64_t tokens, int entry) {
+    agent.attempts[item.attempt] = {item.adapter, tokens, entry};
+    auto actions = agent.scheduler->OnSubmit(item, events_.Now());
+    wire::accepted message;
+    message.attempt = item.attempt;
+    message.report = ReportOf(agent, item.adapter);
+    SendReport(agent, entry, message, [message](auto& life, auto now) {
+      return life.OnAccepted(message.attempt, message.report, now);
+    });
+    Execute(agent, actions);
+  }
+
+  void OnEnded(agent_state& agent, const core::attempt_id& attempt,
+               core::token_count tokens) {
+    auto actions = agent.scheduler->OnEnded(attempt, tokens, events_.Now());
+    const auto found = agent.attempts.find(attempt);
+    if (found != agent.attempts.end()) {
+      wire::finished message;
+      message.attempt = attempt;
+      message.tokens = tokens;
+      message.adapter = found->second.adapter;
+      message.report = ReportOf(agent, message.adapter);
+      SendReport(agent, found->second.entry, message,
+                 [message](auto& life, auto now) {
+                   return life.OnFinished(message, now);
+                 });
+      agent.attempts.erase(found);
+    }
+    Execute(agent, actions);
+  }
+
+  void Execute(agent_state& agent,
+               const std::vector<admission::scheduler_action>& actions) {
+    for (const admission::scheduler_action& action : actions) {
+      std::visit([&](const auto& typed) { Do(agent, typed); }, action);
+    }
+  }
+  void Do(agent_state& agent, const admission::start_load& action) {
+    const core::adapter_reference adapter = action.adapter;
+    agent_state* state = &agent;
+    store_.Load([this, state, adapter](core::milliseconds took) {
+      Execute(*state,
+              state->scheduler->OnLoadDone(adapter, took, events_.Now()));
+    });
+  }
+  void Do(agent_state& agent, const admission::dispatch& action) {
+    const auto found = agent.attempts.find(action.attempt);
+    const std::int64_t tokens =
+        found == agent.attempts.end() ? 1 : found->second.tokens;
+    agent.engine->Start(action.attempt, {tokens}, action.resume_from);
+  }
+  void Do(agent_state& agent, const admission::preempt& action) {
+    agent.engine->Cancel(action.attempt);
+  }
+  void Do(agent_state& agent, const admission::cancel_running& action) {
+    agent.engine->Cancel(action.attempt);
+  }
+  void Do(agent_state& agent, const admission::refuse& action) {
+    const auto found = agent.attempts.find(action.attempt);
+    if (found == agent.attempts.end()) return;
+    wire::refused message;
+    message.attempt = action.attempt;
+    message.outcome =
+        action.ran_before ? core::outcome::incomplete : core::outcome::not_run;
+    message.reason = action.reason;
+    message.retry_after = action.retry_after;
+    message.report = ReportOf(agent, found->second.adapter);
+    SendReport(agent, found->second.entry, message,
+               [message](auto& life, auto now) {
+                 return life.OnRefused(message, now);
+               });
+    agent.attempts.erase(found);
+  }
+  void Do(agent_state& /*agent*/,
+          const admission::confirm_withdrawn& /*action*/) {}
+
+  // Results.
+
+  void SampleFill() {
+    for (const auto& agent : agents_) {
+      if (agent->engine->Running() + agent->scheduler->Waiting() == 0) continue;
+      fill_sum_ += static_cast<double>(agent->engine->Running()) /
+                   static_cast<double>(fake_engine::kBatchLimit);
+      ++fill_samples_;
+    }
+  }
+
+  void Collect(core::time_point start) {
+    result_.seconds = Since(start) / 1000.0;
+    result_.loads = store_.Loads();
+    for (const auto& agent : agents_) {
+      const admission::scheduler_counters& counters =
+          agent->scheduler->Counters();
+      result_.load_stalls += counters.load_stalls;
+      result_.dispatched += counters.dispatched;
+      result_.preempted += counters.preempted;
+    }
+    for (const entry_state& entry : entries_) {
+      result_.hedges += entry.lifecycle->Counters().hedges;
+      result_.retries += entry.lifecycle->Counters().retries;
+    }
+    // Work that never ended counts as lost.
+    for (const auto& [request, state] : jobs_) ++ClassOf(*state.work).lost;
+    if (fill_samples_ > 0) {
+      result_.batch_fill = fill_sum_ / static_cast<double>(fill_samples_);
+    }
+  }
+
+  fleet_options options_;
+  event_queue events_;
+  weight_store store_;
+  std::shared_ptr<const config::configuration> configuration_;
+  std::vector<std::unique_ptr<agent_state>> agents_;
+  std::unordered_map<core::endpoint_id, std::size_t> agent_index_;
+  std::vector<entry_state> entries_;
+  std::unordered_map<core::request_id, job_state> jobs_;
+  std::size_t open_ = 0;
+  double fill_sum_ = 0.0;
+  std::uint64_t fill_samples_ = 0;
+  run_result result_;
+};
+
+}  // namespace comfreyspring::bench
--- /dev/null
+++ b/bench/fleet/weight_store.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "bench/fleet/event_queue.h"
+#include "core/time.h"
+
+namespace comfreyspring::bench {
+
+/**
+ * Weight store that all engines share: a load takes 250 ms while at most 8
+ * are in transit and proportionally longer beyond that.
+ */
+class weight_store {
+ public:
+  /** `events` must outlive the store. */
+  explicit weight_store(event_queue& events) : events_(events) {}
+
+  /** Calls back with the time that the load took. */
+  void Load(std::function<void(core::milliseconds)> done);
+  std::uint64_t Loads() const { return started_count_; }
+
+ private:
+  struct transfer {
+    double remaining_ms = 0.0;
+    core::time_point started;
+    std::function<void(core::milliseconds)> done;
+  };
+
+  double Speed() const;
+  /** Counts the progress of all transfers up to now. */
+  void Advance();
+  void ScheduleNext();
+  void FinishDue();
+
+  event_queue& events_;
+  std::map<std::uint64_t, transfer> transfers_;
+  std::uint64_t started_count_ = 0;
+  std::uint64_t revision_ = 0;
+  core::time_point advanced_to_;
+};
+
+}  // namespace comfreyspring::bench
