--- a/bench/fleet/fake_engine.cc
+++ b/bench/fleet/fake_engine.cc
@@ -11,6 +11,7 @@
 constexpr double kStepMs = 8.0;
 constexpr double kStepMsPerSequence = 0.5;
 constexpr int kPrefillSteps = 2;
+constexpr std::int64_t kProgressTokens = 8;
 
 }  // namespace
 
@@ -42,6 +43,7 @@
 void fake_engine::Step() {
   stepping_ = false;
   std::vector<core::attempt_id> first;
+  std::vector<std::pair<core::attempt_id, std::int64_t>> progress;
   std::vector<std::pair<core::attempt_id, std::int64_t>> ended;
   std::vector<std::pair<core::attempt_id, std::int64_t>> stopped;
   for (auto item = sequences_.begin(); item != sequences_.end();) {
@@ -55,6 +57,9 @@
       --state.prefill_steps;
     } else {
       ++state.done;
+      if (state.done % kProgressTokens == 0) {
+        progress.emplace_back(attempt, state.done);
+      }
       if (!state.first_reported) first.push_back(attempt);
       state.first_reported = true;
     }
@@ -68,6 +73,9 @@
   // Cancels that crossed the end of their sequence need no confirmation.
   cancelled_.clear();
   for (const auto& attempt : first) callbacks_.on_first_output(attempt);
+  for (const auto& [attempt, tokens] : progress) {
+    callbacks_.on_progress(attempt, tokens);
+  }
   for (const auto& [attempt, tokens] : ended) {
     callbacks_.on_ended(attempt, core::token_count{tokens});
   }
--- a/bench/fleet/fake_engine.h
+++ b/bench/fleet/fake_engine.h
@@ -15,6 +15,8 @@
 /** What an engine tells its agent. */
 struct engine_callbacks {
   std::function<void(const core::attempt_id&)> on_first_output;
+  /** Tokens so far; called for every 8th. */
+  std::function<void(const core::attempt_id&, std::int64_t)> on_progress;
   std::function<void(const core::attempt_id&, core::token_count)> on_ended;
   std::function<void(const core::attempt_id&, core::token_count)> on_cancelled;
 };
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -143,6 +143,16 @@
         return life.OnFirstChunk(attempt, now);
       });
     };
+    callbacks.on_progress = [this, state](const auto& attempt, auto tokens) {
+      const auto found = state->attempts.find(attempt);
+      if (found == state->attempts.end()) return;
+      const auto chunks = static_cast<std::uint64_t>(tokens);
+      ToEntry(*state, found->second.entry,
+              [attempt, chunks](auto& life, auto now) {
+                life.OnProgress(attempt, chunks, now);
+                return std::vector<routing::router_action>();
+              });
+    };
     callbacks.on_ended = [this, state](const auto& attempt, auto tokens) {
       OnEnded(*state, attempt, tokens);
     };
@@ -314,6 +324,11 @@
     const bool not_run = action.outcome == core::outcome::not_run;
     ++(not_run ? result.refused : result.lost);
     ++result_.failures[action.reason];
+    // A failed request counts as one that takes until its deadline at least.
+    const job_state& state = jobs_.at(action.request);
+    result.latencies_ms.push_back(
+        std::max(Since(state.submitted),
+                 static_cast<double>(state.work->deadline.count())));
     Close(action.request);
   }
   void Do(int /*entry*/, const routing::suspect_link& /*action*/) {}
--- a/src/resilience/slow_endpoint_detector.h
+++ b/src/resilience/slow_endpoint_detector.h
@@ -11,7 +11,7 @@
 namespace comfreyspring::resilience {
 
 struct slow_endpoint_options {
-  std::size_t window = 15;
+  std::size_t window = 7;
   std::size_t minimum_samples = 5;
   /** Multiple of the peers' median above which an endpoint is ejected. */
   double eject_ratio = 2.5;
--- a/src/routing/endpoint_selection.h
+++ b/src/routing/endpoint_selection.h
@@ -77,11 +77,19 @@
     GroupOf(facts).picker.OnReport(endpoint, KeyOf(facts), report, now);
   }
   void OnFirstChunk(const request_facts& facts,
-                    const core::endpoint_id& /*endpoint*/,
-                    core::microseconds since_submit,
-                    core::time_point /*now*/) override {
+                    const core::endpoint_id& endpoint,
+                    core::microseconds since_submit, bool unobstructed,
+                    core::time_point now) override {
     if (facts.priority != core::priority_class::urgent) return;
-    GroupOf(facts).first_chunk.Add(since_submit);
+    peer_group& group = GroupOf(facts);
+    group.first_chunk.Add(since_submit);
+    if (!unobstructed) return;
+    AddScore(group, group.typical_first_chunk, endpoint, since_submit, now);
+  }
+  void OnProgress(const request_facts& facts, const core::endpoint_id& endpoint,
+                  core::microseconds per_chunk, core::time_point now) override {
+    peer_group& group = GroupOf(facts);
+    AddScore(group, group.typical_chunk, endpoint, per_chunk, now);
   }
   void OnServed(const request_facts& facts, const core::endpoint_id& endpoint,
                 core::token_count tokens, core::microseconds served,
@@ -112,6 +120,11 @@
     resilience::slow_endpoint_detector detector;
     resilience::latency_window first_chunk{kWindow, kMinimumSamples,
                                            kHedgeQuantile};
+    /** Medians of all peers, which make the kinds of sample comparable. */
+    resilience::latency_window typical_first_chunk{kWindow, kMinimumSamples,
+                                                   0.5};
+    resilience::latency_window typical_unit{kWindow, kMinimumSamples, 0.5};
+    resilience::latency_window typical_chunk{kWindow, kMinimumSamples, 0.5};
     std::uint64_t list_revision = 0;
     core::time_point reports_read_at;
   };
@@ -143,6 +156,18 @@
 
   peer_group& GroupOf(const request_facts& facts);
   void RefreshMembers(peer_group& group, const request_facts& facts);
+  /** Gives the detector a sample relative to what is typical of its kind. */
+  static void AddScore(peer_group& group, resilience::latency_window& typical,
+                       const core::endpoint_id& endpoint,
+                       core::microseconds sample, core::time_point now) {
+    typical.Add(sample);
+    if (!typical.Value()) return;
+    const auto reference = std::max<std::int64_t>(1, typical.Value()->count());
+    group.detector.OnSample(
+        endpoint,
+        static_cast<double>(sample.count()) / static_cast<double>(reference),
+        now);
+  }
   void ReadReports(peer_group& group, core::time_point now);
   /** Share of its normal work that a slow endpoint may get. */
   bool AdmittedByScore(const peer_group& group, const request_facts& facts,
@@ -264,10 +289,8 @@
                                           core::time_point now) {
   peer_group& group = GroupOf(facts);
   group.picker.OnServed(tokens.value, served);
-  const auto units =
-      static_cast<double>(std::max<std::int64_t>(1, tokens.value));
-  group.detector.OnSample(endpoint, static_cast<double>(served.count()) / units,
-                          now);
+  const std::int64_t units = std::max<std::int64_t>(1, tokens.value);
+  AddScore(group, group.typical_unit, endpoint, served / units, now);
 }
 
 template <placement::endpoint_choice Choice>
--- a/src/routing/endpoint_selector.h
+++ b/src/routing/endpoint_selector.h
@@ -47,10 +47,15 @@
                         const core::endpoint_id& endpoint,
                         const wire::endpoint_report& report,
                         core::time_point now) = 0;
+  /** @param unobstructed the adapter was loaded and the batch had a place. */
   virtual void OnFirstChunk(const request_facts& facts,
                             const core::endpoint_id& endpoint,
-                            core::microseconds since_submit,
+                            core::microseconds since_submit, bool unobstructed,
                             core::time_point now) = 0;
+  virtual void OnProgress(const request_facts& facts,
+                          const core::endpoint_id& endpoint,
+                          core::microseconds per_chunk,
+                          core::time_point now) = 0;
   /** A whole answer. @param served time since its first chunk or submit. */
   virtual void OnServed(const request_facts& facts,
                         const core::endpoint_id& endpoint,
--- a/src/routing/request_lifecycle.cc
+++ b/src/routing/request_lifecycle.cc
@@ -127,6 +127,9 @@
   const located found = LocateFrame(attempt);
   if (found.attempt == nullptr) return {};
   Acknowledge(*found.request, *found.attempt);
+  found.attempt->unobstructed = report.resident &&
+                                report.expected_wait.count() == 0 &&
+                                report.running < report.batch_limit;
   selector_.OnReport(found.request->facts, found.attempt->endpoint, report,
                      now);
   return {};
@@ -139,12 +142,28 @@
   actions out;
   Acknowledge(*found.request, *found.attempt);
   found.attempt->first_chunk_at = now;
+  found.attempt->chunks = 1;
+  found.attempt->progress_at = now;
   selector_.OnFirstChunk(found.request->facts, found.attempt->endpoint,
-                         now - found.attempt->submitted_at, now);
+                         now - found.attempt->submitted_at,
+                         found.attempt->unobstructed, now);
   SelectAttempt(*found.request, *found.attempt, out);
   return out;
 }
 
+void request_lifecycle::OnProgress(const core::attempt_id& attempt,
+                                   std::uint64_t chunks, core::time_point now) {
+  const located found = Locate(attempt);
+  if (found.attempt == nullptr || !found.attempt->first_chunk_at) return;
+  attempt_record& state = *found.attempt;
+  if (chunks <= state.chunks) return;
+  const auto added = static_cast<std::int64_t>(chunks - state.chunks);
+  selector_.OnProgress(found.request->facts, state.endpoint,
+                       (now - state.progress_at) / added, now);
+  state.chunks = chunks;
+  state.progress_at = now;
+}
+
 request_lifecycle::actions request_lifecycle::OnFinished(
     const wire::finished& message, core::time_point now) {
   const located found = LocateFrame(message.attempt);
--- a/src/routing/request_lifecycle.h
+++ b/src/routing/request_lifecycle.h
@@ -27,6 +27,8 @@
   actions OnAccepted(const core::attempt_id& attempt,
                      const wire::endpoint_report& report, core::time_point now);
   actions OnFirstChunk(const core::attempt_id& attempt, core::time_point now);
+  void OnProgress(const core::attempt_id& attempt, std::uint64_t chunks,
+                  core::time_point now);
   actions OnFinished(const wire::finished& message, core::time_point now);
   actions OnRefused(const wire::refused& message, core::time_point now);
   actions OnWithdrawn(const wire::withdrawn& message, core::time_point now);
--- a/src/routing/request_record.h
+++ b/src/routing/request_record.h
@@ -25,9 +25,14 @@
   core::endpoint_id endpoint;
   core::time_point submitted_at;
   std::optional<core::time_point> first_chunk_at;
+  /** Chunks counted by the last sign of progress, and its time. */
+  std::uint64_t chunks = 0;
+  core::time_point progress_at;
   attempt_state state = attempt_state::open;
   bool acknowledged = false;
   bool suspected = false;
+  /** On arrival the adapter was loaded and the batch had a place. */
+  bool unobstructed = false;
   bool hedge = false;
 };
 
--- a/src/routing/request_router.cc
+++ b/src/routing/request_router.cc
@@ -46,6 +46,11 @@
   return impl_->lifecycle.OnFirstChunk(attempt, now);
 }
 
+void request_router::OnProgress(const core::attempt_id& attempt,
+                                std::uint64_t chunks, core::time_point now) {
+  impl_->lifecycle.OnProgress(attempt, chunks, now);
+}
+
 std::vector<router_action> request_router::OnFinished(
     const wire::finished& message, core::time_point now) {
   return impl_->lifecycle.OnFinished(message, now);
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -128,9 +128,15 @@
   std::vector<router_action> OnAccepted(const core::attempt_id& attempt,
                                         const wire::endpoint_report& report,
                                         core::time_point now);
-  /** First chunk of an attempt. Later chunks need no event. */
+  /** First chunk of an attempt. */
   std::vector<router_action> OnFirstChunk(const core::attempt_id& attempt,
                                           core::time_point now);
+  /**
+   * Chunks received so far. Optional; every 8 chunks or so is enough. Shows a
+   * slow endpoint long before its answers end.
+   */
+  void OnProgress(const core::attempt_id& attempt, std::uint64_t chunks,
+                  core::time_point now);
   /** The whole answer has arrived and was checked. */
   std::vector<router_action> OnFinished(const wire::finished& message,
                                         core::time_point now);
