Decode only the parts of a configuration that changed

Cause: adopting a set of 28,000 adapters held the event loop for about 300 ms at each change, and every message of a peer ran the store's whole bookkeeping. Change: config_store reads a part when it arrives and keeps its records; validation names records only for findings; a version that brings nothing new returns at once. Conclusion: the rest is copying and checking all records; sharing records between sets would remove it.

--- a/src/config/config_store.cc
+++ b/src/config/config_store.cc
@@ -59,6 +59,7 @@
   std::string manifest_bytes;
   /** Parts of the current set and of candidates. */
   std::map<std::uint64_t, std::string> parts;
+  part_cache read_parts;
 
   // Sets that may come into force.
   std::map<core::config_version, candidate> candidates;
@@ -133,8 +134,11 @@
       return !entry.second.list && entry.second.sources.empty();
     });
     DropExcessCandidates();
-    std::erase_if(parts,
-                  [this](const auto& part) { return !IsNeeded(part.first); });
+    std::erase_if(parts, [this](const auto& part) {
+      if (IsNeeded(part.first)) return false;
+      read_parts.Forget(part.first);
+      return true;
+    });
   }
 
   /** The greatest version that can be had, paused ones last. */
@@ -220,7 +224,7 @@
     };
     try {
       auto set = std::make_shared<const configuration>(
-          DecodeSet(entry.manifest_bytes, find_part));
+          DecodeSet(entry.manifest_bytes, find_part, read_parts));
       assert(set->version == version && version > current_version);
       const core::config_version previous = current_version;
       current = std::move(set);
@@ -235,6 +239,18 @@
     }
   }
 
+  /** Reads the part on arrival, so that adoption has less left to do. */
+  void KeepPart(std::uint64_t hash, std::string_view bytes) {
+    fetches.erase(hash);
+    const auto [part, is_new] = parts.emplace(hash, std::string(bytes));
+    if (!is_new) return;
+    try {
+      read_parts.Read(hash, part->second);
+    } catch (const document_error&) {
+      // Conclude reads it again and rejects the set with this reason.
+    }
+  }
+
   void FailFetch(const source_id& source, fetch_key key) {
     const auto found = fetches.find(key);
     if (found == fetches.end() || found->second.source != source) return;
@@ -296,8 +312,9 @@
 std::vector<store_action> config_store::OnVersionSeen(
     const source_id& source, core::config_version version,
     core::time_point now) {
+  // Every message of a peer carries its version; most bring nothing new.
+  if (impl_->AddSource(version, source) == nullptr) return {};
   std::vector<store_action> out;
-  impl_->AddSource(version, source);
   impl_->Advance(now, out);
   return out;
 }
@@ -323,8 +340,7 @@
   if (bytes.size() > kMaximumPartBytes || core::Hash64(bytes) != hash) {
     impl_->FailFetch(source, hash);
   } else if (impl_->IsNeeded(hash)) {
-    impl_->parts.emplace(hash, std::string(bytes));
-    impl_->fetches.erase(hash);
+    impl_->KeepPart(hash, bytes);
   }
   impl_->Advance(now, out);
   return out;
--- a/src/config/documents.cc
+++ b/src/config/documents.cc
@@ -324,21 +324,17 @@
   }
 }
 
-void ReadParts(const manifest& list, const part_lookup& find_part,
-               configuration& set) {
-  for (const part_reference& part : list.parts) {
-    const std::string* bytes = find_part(part.hash);
-    CheckPart(part, bytes);
-    try {
-      ReadPart(*bytes, set);
-    } catch (const json::exception& failure) {
-      Fail(document_fault::malformed,
-           "part " + HashText(part.hash) + ": " + failure.what());
-    } catch (const core::invalid_value_error& failure) {
-      Fail(document_fault::malformed,
-           "part " + HashText(part.hash) + ": " + failure.what());
-    }
-  }
+template <class Record>
+void Append(const std::vector<Record>& from, std::vector<Record>& to) {
+  to.insert(to.end(), from.begin(), from.end());
+}
+
+void AppendAll(const configuration& part, configuration& set) {
+  Append(part.models, set.models);
+  Append(part.adapters, set.adapters);
+  Append(part.endpoints, set.endpoints);
+  Append(part.services, set.services);
+  Append(part.stops, set.stops);
 }
 
 }  // namespace
@@ -419,18 +415,45 @@
   return documents;
 }
 
+const configuration& part_cache::Read(std::uint64_t hash,
+                                      const std::string& bytes) {
+  const auto found = parts_.find(hash);
+  if (found != parts_.end()) return found->second;
+  configuration part;
+  try {
+    ReadPart(bytes, part);
+  } catch (const json::exception& failure) {
+    Fail(document_fault::malformed,
+         "part " + HashText(hash) + ": " + failure.what());
+  } catch (const core::invalid_value_error& failure) {
+    Fail(document_fault::malformed,
+         "part " + HashText(hash) + ": " + failure.what());
+  }
+  return parts_.emplace(hash, std::move(part)).first->second;
+}
+
 configuration DecodeSet(std::string_view manifest_bytes,
-                        const part_lookup& find_part) {
+                        const part_lookup& find_part, part_cache& cache) {
   assert(find_part != nullptr);
   const manifest list = DecodeManifest(manifest_bytes);
   configuration set;
   set.version = VersionOf(list, manifest_bytes);
   set.published_ms = list.published_ms;
-  ReadParts(list, find_part, set);
+  for (const part_reference& part : list.parts) {
+    const std::string* bytes = find_part(part.hash);
+    CheckPart(part, bytes);
+    AppendAll(cache.Read(part.hash, *bytes), set);
+  }
   std::vector<finding> findings = Validate(set);
   if (!findings.empty()) throw validation_error(std::move(findings));
   set.Index();
   return set;
 }
 
+configuration DecodeSet(std::string_view manifest_bytes,
+                        const part_lookup& find_part) {
+  part_cache cache;
+  return DecodeSet(manifest_bytes, find_part, cache);
+}
+
 }  // namespace comfreyspring::config
--- a/src/config/documents.h
+++ b/src/config/documents.h
@@ -106,10 +106,31 @@
 /** Returns the bytes of a part, or nullptr if absent. */
 using part_lookup = std::function<const std::string*(std::uint64_t hash)>;
 
+/**
+ * Records of parts that were read before. A set that changes in one part is
+ * decoded without reading the others again; reading all parts of 28,000
+ * adapters takes longer than an event loop may stand still.
+ */
+class part_cache {
+ public:
+  /**
+   * Records of a part whose bytes match the hash.
+   * @throws document_error if they cannot be read.
+   */
+  const configuration& Read(std::uint64_t hash, const std::string& bytes);
+  void Forget(std::uint64_t hash) { parts_.erase(hash); }
+
+ private:
+  std::map<std::uint64_t, configuration> parts_;
+};
+
 /**
  * Reads a set, checks sizes and hashes, validates it whole and indexes it.
  * @throws document_error or validation_error
  */
+configuration DecodeSet(std::string_view manifest_bytes,
+                        const part_lookup& find_part, part_cache& cache);
+/** The same without a cache. */
 configuration DecodeSet(std::string_view manifest_bytes,
                         const part_lookup& find_part);
 
--- a/src/config/validation.cc
+++ b/src/config/validation.cc
@@ -9,6 +9,24 @@
 namespace comfreyspring::config {
 namespace {
 
+/** Ids of one kind; they point into the set under test. */
+using id_set = std::unordered_set<std::string_view>;
+
+/** Name of a record, put together only for findings. */
+struct subject_name {
+  std::string_view kind;
+  std::string_view id;
+  std::string_view detail = "";
+  std::string_view detail_id = "";
+
+  std::string Text() const {
+    std::string text = std::string(kind) + " " + std::string(id);
+    if (!detail.empty()) text += " " + std::string(detail);
+    if (!detail_id.empty()) text += " " + std::string(detail_id);
+    return text;
+  }
+};
+
 /** Collects findings while the records are walked once. */
 class validator {
  public:
@@ -25,36 +43,34 @@
   }
 
  private:
-  void Add(violation kind, const std::string& subject, std::string message) {
-    findings_.push_back({kind, subject, std::move(message)});
+  void Add(violation kind, const subject_name& subject, std::string message) {
+    findings_.push_back({kind, subject.Text(), std::move(message)});
   }
 
   template <class Id>
-  bool CheckId(const Id& id, const std::string& subject) {
+  void CheckId(const Id& id, const subject_name& subject) {
     const std::string& text = id.Value();
     const auto is_allowed = [](unsigned char letter) {
       return letter > 0x20 && letter != 0x7f && letter != '@' && letter != '/';
     };
     if (!text.empty() && text.size() <= kMaximumIdBytes &&
         std::all_of(text.begin(), text.end(), is_allowed)) {
-      return true;
+      return;
     }
     Add(violation::invalid_id, subject,
         "An id has 1 to " + std::to_string(kMaximumIdBytes) +
             " bytes and no space, control character, '@' or '/'.");
-    return false;
   }
 
   template <class Id>
-  void CheckNew(std::unordered_set<Id>& known, const Id& id,
-                const std::string& subject) {
+  void CheckNew(id_set& known, const Id& id, const subject_name& subject) {
     CheckId(id, subject);
-    if (!known.insert(id).second) {
+    if (!known.insert(id.Value()).second) {
       Add(violation::duplicate_id, subject, "The id is listed twice.");
     }
   }
 
-  void CheckDeadline(core::milliseconds deadline, const std::string& subject) {
+  void CheckDeadline(core::milliseconds deadline, const subject_name& subject) {
     if (deadline.count() < 1 || deadline > kMaximumDeadline) {
       Add(violation::deadline_out_of_range, subject,
           "The deadline must be 1 ms to 24 h.");
@@ -63,31 +79,31 @@
 
   void CheckModels() {
     for (const core::model_id& model : set_.models) {
-      CheckNew(models_, model, "model " + model.Value());
+      CheckNew(models_, model, {"model", model.Value()});
     }
   }
 
   void CheckServices() {
     for (const service_record& service : set_.services) {
-      const std::string subject = "service " + service.service.Value();
+      const subject_name subject{"service", service.service.Value()};
       CheckNew(services_, service.service, subject);
       CheckDeadline(service.deadline, subject);
     }
   }
 
   void CheckModelKnown(const core::model_id& model,
-                       const std::string& subject) {
-    if (models_.count(model) == 0) {
+                       const subject_name& subject) {
+    if (models_.count(model.Value()) == 0) {
       Add(violation::unknown_model, subject,
           "The model '" + model.Value() + "' is not listed.");
     }
   }
 
   void CheckAdapters() {
-    std::unordered_set<core::adapter_id> known;
+    id_set known;
     known.reserve(set_.adapters.size());
     for (const adapter_record& adapter : set_.adapters) {
-      const std::string subject = "adapter " + adapter.adapter.Value();
+      const subject_name subject{"adapter", adapter.adapter.Value()};
       CheckNew(known, adapter.adapter, subject);
       CheckModelKnown(adapter.model, subject);
       CheckVersions(adapter, subject);
@@ -96,14 +112,14 @@
   }
 
   void CheckVersions(const adapter_record& adapter,
-                     const std::string& subject) {
+                     const subject_name& subject) {
     if (adapter.versions.empty()) {
       Add(violation::no_version, subject, "At least one version is needed.");
     }
     bool is_default_listed = false;
     for (auto at = adapter.versions.begin(); at != adapter.versions.end();
          ++at) {
-      CheckId(*at, subject + " version " + at->Value());
+      CheckId(*at, {subject.kind, subject.id, "version", at->Value()});
       is_default_listed = is_default_listed || *at == adapter.default_version;
       if (std::find(adapter.versions.begin(), at, *at) != at) {
         Add(violation::duplicate_version, subject,
@@ -118,12 +134,12 @@
   }
 
   void CheckEndpoints() {
-    std::unordered_set<core::endpoint_id> known;
+    id_set known;
     for (const endpoint_record& endpoint : set_.endpoints) {
-      const std::string subject = "endpoint " + endpoint.endpoint.Value();
+      const subject_name subject{"endpoint", endpoint.endpoint.Value()};
       CheckNew(known, endpoint.endpoint, subject);
-      CheckId(endpoint.vm, subject + " vm");
-      CheckId(endpoint.data_centre, subject + " data_centre");
+      CheckId(endpoint.vm, {subject.kind, subject.id, "vm"});
+      CheckId(endpoint.data_centre, {subject.kind, subject.id, "data_centre"});
       if (endpoint.address.empty()) {
         Add(violation::invalid_address, subject, "The address is empty.");
       }
@@ -132,16 +148,16 @@
       }
       if (endpoint.kind == core::endpoint_kind::engine) {
         CheckModelKnown(endpoint.model, subject);
-      } else if (services_.count(endpoint.service) == 0) {
+      } else if (services_.count(endpoint.service.Value()) == 0) {
         Add(violation::unknown_service, subject,
             "The service '" + endpoint.service.Value() + "' is not listed.");
       }
-      endpoints_.emplace(endpoint.endpoint, &endpoint);
+      endpoints_.emplace(endpoint.endpoint.Value(), &endpoint);
     }
   }
 
   void CheckEpochs(const service_record& service) {
-    const std::string subject = "service " + service.service.Value();
+    const subject_name subject{"service", service.service.Value()};
     if (service.epochs.size() > kMaximumEpochs) {
       Add(violation::too_many_epochs, subject,
           "At most 4 ownership epochs are kept.");
@@ -166,14 +182,15 @@
 
   void CheckMembers(const service_record& service, const ownership_epoch& epoch,
                     bool is_newest) {
-    const std::string subject = "service " + service.service.Value() +
-                                " epoch " + std::to_string(epoch.epoch);
+    const std::string number = std::to_string(epoch.epoch);
+    const subject_name subject{"service", service.service.Value(), "epoch",
+                               number};
     if (epoch.members.empty()) {
       Add(violation::no_member, subject, "The epoch has no member.");
     }
-    std::unordered_set<core::endpoint_id> seen;
+    id_set seen;
     for (const core::endpoint_id& member : epoch.members) {
-      if (!seen.insert(member).second) {
+      if (!seen.insert(member.Value()).second) {
         Add(violation::duplicate_member, subject,
             "The member '" + member.Value() + "' is listed twice.");
       }
@@ -187,15 +204,15 @@
 
   bool Provides(const core::endpoint_id& id,
                 const core::service_id& service) const {
-    const auto found = endpoints_.find(id);
+    const auto found = endpoints_.find(id.Value());
     return found != endpoints_.end() &&
            found->second->kind == core::endpoint_kind::plain_service &&
            found->second->service == service;
   }
 
   void CheckStop(const planned_stop& stop) {
-    const std::string subject = "stop of " + stop.endpoint.Value();
-    if (endpoints_.count(stop.endpoint) == 0) {
+    const subject_name subject{"stop of", stop.endpoint.Value()};
+    if (endpoints_.count(stop.endpoint.Value()) == 0) {
       Add(violation::unknown_endpoint, subject, "The endpoint is not listed.");
     }
     if (stop.ends_at <= stop.starts_at) {
@@ -210,9 +227,9 @@
 
   const configuration& set_;
   std::vector<finding> findings_;
-  std::unordered_set<core::model_id> models_;
-  std::unordered_set<core::service_id> services_;
-  std::unordered_map<core::endpoint_id, const endpoint_record*> endpoints_;
+  id_set models_;
+  id_set services_;
+  std::unordered_map<std::string_view, const endpoint_record*> endpoints_;
 };
 
 std::string Summary(const std::vector<finding>& findings) {
