Wait for the agents' record before the demo's order

Cause: the demo's key was made within 2 s of the agents' start, so the order was answered unknown (key_older_than_record), as designed. Change: the demo waits 2.2 s.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -77,6 +77,9 @@
   "stream":true,"max_tokens":8,
   "messages":[{"role":"user","content":"The buckle is worn. What now?"}]}'
 
+# An agent refuses keys that may be older than its record: made before its
+# start plus 2 s of clock skew.
+sleep 2.2
 key=$(python3 - <<'PY'
 import os, time
 value = (int(time.time() * 1000) << 80) | int.from_bytes(os.urandom(10), "big")
