Let two entries of a data centre read the platform and agents relay

Cause: every entry watched the configuration service and polled the VM list, so the calls grew with the number of entries; config::reader_selection was unused because entries did not know each other. Change: heartbeats to the 3 agents that rank first in the data centre ask which entries are alive and when one last read the service; only the 2 selected entries read, others fall back after 20 s without confirmation. The VM list goes to plain-service agents and these 3 agents only.

--- a/src/agent/agent_program.cc
+++ b/src/agent/agent_program.cc
@@ -10,6 +10,7 @@
 #include "agent/drain_controller.h"
 #include "agent/ledger_controller.h"
 #include "agent/queue_controller.h"
+#include "agent/reader_relay.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "telemetry/metrics.h"
@@ -116,6 +117,7 @@
 
   void OnEntryHello(const entry_address& entry,
                     const wire::hello& message) override {
+    readers.OnHello(entry, message.data_centre, loop.Now());
     config.OnVersionSeen(entry, message.version);
     ShareVmList(entry, message.vm_list_revision);
     if (drain.IsDraining()) links.Send(entry, wire::leaving{});
@@ -129,6 +131,7 @@
   void OnEntryLost(const entry_address& entry) override {
     LOG(WARNING) << "agent.link: Lost entry " << entry.process << '.';
     queue.OnEntryLost(entry);
+    readers.OnLost(entry);
     config.OnEntryLost(entry);
   }
 
@@ -139,6 +142,8 @@
     reply.nonce = message.nonce;
     reply.version = config.Version();
     reply.report = queue.Report({});
+    readers.OnHeartbeat(entry, message, loop.Now());
+    if (message.wants_readers) readers.Fill(entry, reply, loop.Now());
     links.Send(entry, reply);
     config.OnVersionSeen(entry, message.version);
     ShareVmList(entry, message.vm_list_revision);
@@ -262,6 +267,7 @@
   std::unique_ptr<endpoint_runner> runner;
   wire::vm_list vm_list;
   std::optional<core::time_point> paused_at;
+  reader_relay readers;
   link_controller links;
   answer_channel answers;
   ledger_controller ledger;
--- a/src/entry/config_controller.cc
+++ b/src/entry/config_controller.cc
@@ -16,21 +16,24 @@
 
 constexpr int kOk = 200;
 constexpr const char* kPlatformSource = "platform";
-constexpr core::milliseconds kWatchTimeout{25000};
+/** Shorter than config::kConfirmationLimit, so that a waiting watch confirms
+ * the configuration to other entries in time. */
+constexpr core::milliseconds kWatchTimeout{10000};
 constexpr core::milliseconds kReadTimeout{3000};
-constexpr core::milliseconds kRetryBase{500};
+constexpr core::milliseconds kRetryPause{1000};
+constexpr core::milliseconds kReaderCheckPeriod{1000};
 constexpr core::milliseconds kTickPeriod{250};
 
 }  // namespace
 
 struct config_controller::impl {
   impl(net::event_loop& event_loop, net::http_client_interface& client,
-       std::string url, std::uint64_t random_seed, send_function send_message,
-       adopted_function adopted_callback)
+       std::string url, config::reader_selection readers,
+       send_function send_message, adopted_function adopted_callback)
       : loop(event_loop),
         http(client),
         platform_url(std::move(url)),
-        random(random_seed),
+        selection(std::move(readers)),
         send(std::move(send_message)),
         on_adopted(std::move(adopted_callback)) {}
 
@@ -110,6 +113,12 @@
   std::optional<json> ParseAnswer(const net::http_result& result) {
     const bool reachable = result.failure == net::http_failure::none &&
                            result.status >= kOk && result.status < 500;
+    if (reachable) {
+      service_read = loop.Now();
+      selection.OnConfirmation(*service_read);
+    } else {
+      selection.OnReadFailed(loop.Now());
+    }
     if (reachable != platform_reachable) {
       platform_reachable = reachable;
       LOG(INFO) << "entry.config: Configuration service is "
@@ -146,6 +155,11 @@
   }
 
   void Watch() {
+    if (!selection.ShouldRead(loop.Now())) {
+      watched_revision = -1;
+      watch_timer = loop.Schedule(kReaderCheckPeriod, [this] { Watch(); });
+      return;
+    }
     std::string path = "/config/manifest";
     if (watched_revision >= 0) {
       path += "?watch_after=" + std::to_string(watched_revision) +
@@ -166,9 +180,7 @@
       watched_revision = revision;
     } else {
       watched_revision = -1;
-      pause =
-          kRetryBase +
-          core::milliseconds(static_cast<std::int64_t>(random.NextBelow(1000)));
+      pause = kRetryPause;
     }
     watch_timer = loop.Schedule(pause, [this] { Watch(); });
   }
@@ -176,7 +188,8 @@
   net::event_loop& loop;
   net::http_client_interface& http;
   std::string platform_url;
-  core::random_source random;
+  config::reader_selection selection;
+  std::optional<core::time_point> service_read;
   send_function send;
   adopted_function on_adopted;
   config::config_store store;
@@ -190,11 +203,11 @@
 config_controller::config_controller(net::event_loop& loop,
                                      net::http_client_interface& http,
                                      std::string platform_url,
-                                     std::uint64_t random_seed,
+                                     config::reader_selection selection,
                                      send_function send,
                                      adopted_function on_adopted)
     : impl_(std::make_unique<impl>(loop, http, std::move(platform_url),
-                                   random_seed, std::move(send),
+                                   std::move(selection), std::move(send),
                                    std::move(on_adopted))) {}
 
 config_controller::~config_controller() = default;
@@ -235,6 +248,23 @@
           : impl_->store.OnPart(source, message.hash, message.bytes, now));
 }
 
+void config_controller::OnReaders(const wire::heartbeat_reply& message) {
+  impl_->selection.OnLiveEntries(message.entries);
+  if (!message.service_read_age_ms) return;
+  const core::milliseconds age(*message.service_read_age_ms);
+  if (age >= config::kConfirmationLimit) return;
+  impl_->selection.OnConfirmation(impl_->loop.Now() - age);
+}
+
+bool config_controller::ReadsPlatform() {
+  return impl_->selection.ShouldRead(impl_->loop.Now());
+}
+
+std::optional<std::int64_t> config_controller::ServiceReadAgeMs() const {
+  if (!impl_->service_read) return std::nullopt;
+  return core::ToMilliseconds(impl_->loop.Now() - *impl_->service_read).count();
+}
+
 std::shared_ptr<const config::configuration> config_controller::Current()
     const {
   return impl_->store.Current();
@@ -248,6 +278,7 @@
   const auto current = Current();
   json dump = {{"version", core::ToString(CurrentVersion())},
                {"generation", CurrentVersion().generation},
+               {"watches_platform", impl_->selection.IsWatcher()},
                {"platform_reachable", impl_->platform_reachable}};
   if (current != nullptr) {
     dump["adapters"] = current->adapters.size();
--- a/src/entry/config_controller.h
+++ b/src/entry/config_controller.h
@@ -5,11 +5,12 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "config/config_store.h"
-#include "core/random_source.h"
+#include "config/reader_selection.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "wire/messages.h"
@@ -30,8 +31,9 @@
 
   /** @param platform_url empty: configuration comes from agents only. */
   config_controller(net::event_loop& loop, net::http_client_interface& http,
-                    std::string platform_url, std::uint64_t random_seed,
-                    send_function send, adopted_function on_adopted);
+                    std::string platform_url,
+                    config::reader_selection selection, send_function send,
+                    adopted_function on_adopted);
   ~config_controller();
   config_controller(const config_controller&) = delete;
   config_controller& operator=(const config_controller&) = delete;
@@ -48,6 +50,16 @@
   void OnConfigPart(const core::endpoint_id& endpoint,
                     const wire::config_part& message);
 
+  /** An agent tells which entries are alive and when one read the service. */
+  void OnReaders(const wire::heartbeat_reply& message);
+
+  // Reading of the platform.
+
+  /** Whether this entry reads the platform, or leaves it to others. */
+  bool ReadsPlatform();
+  /** Age of the last answer of the service; nullopt if there was none. */
+  std::optional<std::int64_t> ServiceReadAgeMs() const;
+
   // State.
 
   std::shared_ptr<const config::configuration> Current() const;
--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -25,6 +25,8 @@
 constexpr core::milliseconds kPauseThreshold{1000};
 constexpr core::milliseconds kReadyTimeout{3000};
 constexpr core::milliseconds kWallTimePeriod{500};
+/** 48 entries of a data centre ask 3 agents each: about 10 a second there. */
+constexpr core::milliseconds kReadersPeriod{5000};
 constexpr core::milliseconds kDrainCheckPeriod{50};
 /** Above the limit of the filter, so that the caller gets our error body. */
 constexpr std::size_t kBodySlack = 1024 * 1024;
@@ -72,7 +74,9 @@
         membership(loop, http, settings.platform_url, settings.vm_list_period),
         links(loop, LinkOptions(), *this),
         config(
-            loop, http, settings.platform_url, settings.random_seed,
+            loop, http, settings.platform_url,
+            config::reader_selection(settings.process, settings.data_centre,
+                                     core::random_source(settings.random_seed)),
             [this](const core::endpoint_id& endpoint,
                    const wire::message& message) {
               return links.Send(endpoint, message);
@@ -88,6 +92,10 @@
                }) {
     membership.OnNewVmList(
         [this](const wire::vm_list& list) { OnVmList(list); });
+    membership.ReadWhile([this] { return config.ReadsPlatform(); });
+    readers_timer = loop.SchedulePeriodic(kReadersPeriod, [this] {
+      links.AskForReaders(config.ServiceReadAgeMs());
+    });
     links.ConnectSeeds(settings.seed_agents);
     config.Start();
     loop.OnPause(kPauseThreshold,
@@ -99,6 +107,7 @@
 
   ~impl() override {
     loop.Cancel(wall_timer);
+    loop.Cancel(readers_timer);
     loop.Cancel(drain_timer);
   }
 
@@ -235,11 +244,24 @@
 
   void OnVmList(const wire::vm_list& list) {
     links.SetVersions(config.CurrentVersion(), list.revision);
+    // Agents of plain services need it for the handover of keys; the reader
+    // agents pass it on to the other entries. At the target size the list has
+    // 100 KB, too much to send to every agent.
+    std::vector<core::endpoint_id> receivers = links.ReaderAgents();
     for (const core::endpoint_id& endpoint : membership.Directory().All()) {
+      if (IsPlainService(endpoint)) receivers.push_back(endpoint);
+    }
+    for (const core::endpoint_id& endpoint : receivers) {
       links.Send(endpoint, list);
     }
   }
 
+  bool IsPlainService(const core::endpoint_id& endpoint) {
+    const membership::endpoint_view* view =
+        membership.Directory().Find(endpoint);
+    return view != nullptr && !view->record.service.empty();
+  }
+
   void OnPause(core::milliseconds late) {
     LOG(WARNING) << "entry.program: Was paused for " << late.count()
                  << " ms; every endpoint must be heard again.";
@@ -254,7 +276,8 @@
                 bool resumed) override {
     membership.Directory().OnHello(endpoint, message, loop.Now());
     TakePeerVersion(endpoint, message.instance_ms, message.version);
-    if (membership.VmList().revision > message.vm_list_revision) {
+    if (IsPlainService(endpoint) &&
+        membership.VmList().revision > message.vm_list_revision) {
       links.Send(endpoint, membership.VmList());
     }
     config.OnPeerVersion(endpoint, message.version);
@@ -276,6 +299,7 @@
       membership.Directory().OnVersion(endpoint, reply->version);
       TakePeerVersion(endpoint, std::nullopt, reply->version);
       config.OnPeerVersion(endpoint, reply->version);
+      if (!reply->entries.empty()) config.OnReaders(*reply);
     } else if (std::holds_alternative<wire::leaving>(message)) {
       membership.Directory().OnLeaving(endpoint, loop.Now());
     } else if (const auto* wanted =
@@ -388,6 +412,7 @@
   net::http_server server;
   std::map<core::endpoint_id, wire::peer_version> peer_versions;
   net::timer_id wall_timer = 0;
+  net::timer_id readers_timer = 0;
   net::timer_id drain_timer = 0;
   core::time_point drain_end;
   /** /readyz fails; requests are still served. */
--- a/src/entry/link_controller.cc
+++ b/src/entry/link_controller.cc
@@ -3,10 +3,12 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/hash.h"
 #include "core/random_source.h"
 #include "net/frame_link.h"
 #include "wire/codec.h"
@@ -20,6 +22,8 @@
 constexpr core::milliseconds kMaximumBackoff{2000};
 /** A link that stays down this long means that the instance is lost. */
 constexpr core::milliseconds kLostAfter{3000};
+/** Agents that pass on which entries read the platform; one may be lost. */
+constexpr std::size_t kReaderAgents = 3;
 /** Silent for this many heartbeat periods: replace the link. */
 constexpr int kSilentPeriods = 3;
 
@@ -238,9 +242,30 @@
     return std::max(options.minimum_heartbeat, budgeted);
   }
 
-  void SendHeartbeat(peer& state) {
+  /** Open links, ranked the same way by all entries of the data centre. */
+  std::vector<core::endpoint_id> ReaderAgents() const {
+    std::vector<std::pair<std::uint64_t, core::endpoint_id>> ranked;
+    for (const auto& [endpoint, state] : peers) {
+      if (state.link == nullptr) continue;
+      ranked.emplace_back(
+          core::RendezvousWeight(options.data_centre.Value(), endpoint.Value()),
+          endpoint);
+    }
+    const std::size_t count = std::min(kReaderAgents, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + count, ranked.end(),
+                      std::greater<>());
+    std::vector<core::endpoint_id> selected;
+    for (std::size_t i = 0; i < count; ++i)
+      selected.push_back(ranked[i].second);
+    return selected;
+  }
+
+  void SendHeartbeat(peer& state, bool wants_readers = false,
+                     std::optional<std::int64_t> service_read_age_ms = {}) {
     if (state.link == nullptr) return;
     wire::heartbeat message;
+    message.wants_readers = wants_readers;
+    message.service_read_age_ms = service_read_age_ms;
     message.nonce = state.next_nonce++;
     message.version = version;
     message.vm_list_revision = vm_list_revision;
@@ -342,6 +367,17 @@
   return impl_->HeartbeatPeriod() * kSilentPeriods;
 }
 
+void link_controller::AskForReaders(
+    std::optional<std::int64_t> service_read_age_ms) {
+  for (const core::endpoint_id& endpoint : impl_->ReaderAgents()) {
+    impl_->SendHeartbeat(impl_->peers.at(endpoint), true, service_read_age_ms);
+  }
+}
+
+std::vector<core::endpoint_id> link_controller::ReaderAgents() const {
+  return impl_->ReaderAgents();
+}
+
 std::size_t link_controller::OpenLinks() const {
   return impl_->active_serials.size();
 }
--- a/src/entry/link_controller.h
+++ b/src/entry/link_controller.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,13 @@
   void SetVersions(core::config_version version, std::int64_t vm_list_revision);
   /** Sends a heartbeat on every link now. */
   void HeartbeatNow();
+  /**
+   * Asks the few agents that all entries of the data centre ask which entries
+   * are alive and when one of them last read the configuration service.
+   */
+  void AskForReaders(std::optional<std::int64_t> service_read_age_ms);
+  /** The agents that AskForReaders asks. */
+  std::vector<core::endpoint_id> ReaderAgents() const;
   /** Opens a second link; it replaces the first as soon as it answers. */
   void Suspect(const core::endpoint_id& endpoint);
 
--- a/src/entry/membership_controller.cc
+++ b/src/entry/membership_controller.cc
@@ -57,7 +57,19 @@
   if (on_new_list_) on_new_list_(list_);
 }
 
+void membership_controller::ReadWhile(std::function<bool()> reads) {
+  reads_ = std::move(reads);
+}
+
+void membership_controller::SchedulePoll() {
+  timer_ = loop_.Schedule(poll_period_, [this] { Poll(); });
+}
+
 void membership_controller::Poll() {
+  if (reads_ && !reads_()) {
+    SchedulePoll();
+    return;
+  }
   net::http_call call;
   call.url = platform_url_ + "/vms";
   call.total_timeout = core::milliseconds(2000);
@@ -65,7 +77,7 @@
   callbacks.on_done = [this](const net::http_result& result) {
     call_ = 0;
     TakeAnswer(result);
-    timer_ = loop_.Schedule(poll_period_, [this] { Poll(); });
+    SchedulePoll();
   };
   call_ = http_.Start(std::move(call), std::move(callbacks));
 }
--- a/src/entry/membership_controller.h
+++ b/src/entry/membership_controller.h
@@ -30,6 +30,8 @@
 
   /** Called with each list that is newer than the last one. */
   void OnNewVmList(std::function<void(const wire::vm_list&)> callback);
+  /** Reads the platform only while `reads` is true; else agents relay it. */
+  void ReadWhile(std::function<bool()> reads);
   /** Takes a list that an agent has relayed. */
   void TakeVmList(const wire::vm_list& list);
   const wire::vm_list& VmList() const { return list_; }
@@ -37,6 +39,7 @@
   nlohmann::json ToJson() const;
 
  private:
+  void SchedulePoll();
   void Poll();
   void TakeAnswer(const net::http_result& result);
 
@@ -47,6 +50,7 @@
   membership::endpoint_directory directory_;
   wire::vm_list list_;
   std::function<void(const wire::vm_list&)> on_new_list_;
+  std::function<bool()> reads_;
   net::timer_id timer_ = 0;
   net::http_call_id call_ = 0;
   bool platform_reachable_ = false;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -90,8 +90,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(hello, process, role, instance_ms,
                                    data_centre, version, vm_list_revision,
                                    report)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat, nonce, version, vm_list_revision)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat_reply, nonce, version, report)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat, nonce, version, vm_list_revision,
+                                   service_read_age_ms, wants_readers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat_reply, nonce, version, report,
+                                   service_read_age_ms, entries)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_request, hash)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(vm_entry, vm, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(vm_list, revision, vms)
--- a/src/wire/codec_test.cc
+++ b/src/wire/codec_test.cc
@@ -25,8 +25,8 @@
 TEST(Codec, KeepsEveryMessageType) {
   const std::vector<message> all = {
       hello{.process = core::process_id("e"), .report = endpoint_report{}},
-      heartbeat{.nonce = 9},
-      heartbeat_reply{.nonce = 9},
+      heartbeat{.nonce = 9, .service_read_age_ms = 5, .wants_readers = true},
+      heartbeat_reply{.nonce = 9, .entries = {core::process_id("e")}},
       config_request{},
       config_request{.hash = 12},
       config_part{.manifest = true, .hash = 3, .bytes = "\xfe"},
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -50,6 +50,10 @@
   std::uint64_t nonce = 0;
   core::config_version version;
   std::int64_t vm_list_revision = 0;
+  /** Age of this entry's last answer from the configuration service. */
+  std::optional<std::int64_t> service_read_age_ms;
+  /** Asks for the reader fields of the reply. */
+  bool wants_readers = false;
   friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
 
@@ -57,6 +61,10 @@
   std::uint64_t nonce = 0;
   core::config_version version;
   endpoint_report report;
+  /** Age of the last answer of the service to any entry of this agent. */
+  std::optional<std::int64_t> service_read_age_ms;
+  /** Live entries of the asking entry's data centre. */
+  std::vector<core::process_id> entries;
   friend bool operator==(const heartbeat_reply&,
                          const heartbeat_reply&) = default;
 };
--- a/tests/process/configuration_test.cc
+++ b/tests/process/configuration_test.cc
@@ -105,6 +105,39 @@
   }));
 }
 
+std::vector<int> Watchers(fleet& running, const std::vector<int>& entries) {
+  std::vector<int> watchers;
+  for (const int entry : entries) {
+    const auto state = running.State(running.EntryUrl(entry));
+    if (state["configuration"]["watches_platform"] == true) {
+      watchers.push_back(entry);
+    }
+  }
+  return watchers;
+}
+
+// Guards against a load on the service that grows with the number of entries,
+// and against a fleet without a reader after one was killed.
+TEST(Configuration, TwoEntriesReadAndAnotherTakesOver) {
+  fleet running({.engines = 2, .services = 0, .entries = 4});
+  ASSERT_TRUE(fleet::Eventually(
+      [&] {
+        return Watchers(running, {0, 1, 2, 3}).size() == 2;
+      },
+      40000));
+  running.Publish();
+  EXPECT_TRUE(
+      fleet::Eventually([&] { return AllAtGeneration(running, 4, 2); }));
+  const int killed = Watchers(running, {0, 1, 2, 3}).front();
+  running.Entry(killed).Kill();
+  std::vector<int> others;
+  for (int entry = 0; entry < 4; ++entry) {
+    if (entry != killed) others.push_back(entry);
+  }
+  EXPECT_TRUE(fleet::Eventually(
+      [&] { return Watchers(running, others).size() == 2; }, 60000));
+}
+
 // Guards against an agent that stays behind after a partition.
 TEST(Configuration, ReachesAnAgentAfterItsPartitionHeals) {
   fleet running({.engines = 2, .services = 0});
