Limit slots pinned by long work and drain one slot at a time

Cause: long jobs pinned up to all 8 slots, so urgent work for other adapters waited: at 6 requests/s its first output took 7436 ms at p99. While requests starved, half of the slots drained at once and hot adapters were evicted. Change: long work pins at most half of the slots while short work exists; one slot in 8 drains at a time, the least valuable of those that end soon; the expected load delay counts slot contention, and is refused like the wait for the batch.

--- a/bench/single_endpoint/bench_load_stalls.cc
+++ b/bench/single_endpoint/bench_load_stalls.cc
@@ -89,6 +89,38 @@
   return arrivals;
 }
 
+/**
+ * Misses of a cache that knows the future (evicts the adapter whose next use
+ * is farthest away) when each request is over before the next one comes. No
+ * policy that loads on demand has fewer, unless requests share a load.
+ */
+std::size_t ClairvoyantMisses(const std::vector<arrival>& arrivals) {
+  std::map<core::adapter_reference, std::vector<std::size_t>> uses;
+  for (std::size_t i = arrivals.size(); i-- > 0;) {
+    uses[arrivals[i].work.adapter].push_back(i);
+  }
+  const auto next_use = [&](const core::adapter_reference& adapter) {
+    const auto& left = uses[adapter];
+    return left.empty() ? arrivals.size() : left.back();
+  };
+  std::vector<core::adapter_reference> held;
+  std::size_t misses = 0;
+  for (const arrival& request : arrivals) {
+    const core::adapter_reference& adapter = request.work.adapter;
+    uses[adapter].pop_back();
+    if (std::find(held.begin(), held.end(), adapter) != held.end()) continue;
+    ++misses;
+    if (held.size() == static_cast<std::size_t>(FLAGS_slots)) {
+      held.erase(std::max_element(held.begin(), held.end(),
+                                  [&](const auto& left, const auto& right) {
+                                    return next_use(left) < next_use(right);
+                                  }));
+    }
+    held.push_back(adapter);
+  }
+  return misses;
+}
+
 template <class Scheduler>
 double Measure(const char* name, const std::vector<arrival>& arrivals,
                double baseline_stalls) {
@@ -101,12 +133,14 @@
   std::vector<double> may_wait_ms;
   std::size_t refused = 0;
   std::size_t misses = 0;
+  std::size_t long_done = 0;
   std::size_t in_deadline = 0;
   std::size_t urgent = 0;
   for (std::size_t i = 0; i < arrivals.size(); ++i) {
     const outcome_record& record = result.outcomes[i];
     if (record.refused) ++refused;
     if (record.missed) ++misses;
+    if (arrivals[i].long_work && record.ended_us >= 0) ++long_done;
     const bool is_urgent =
         arrivals[i].work.priority == core::priority_class::urgent;
     if (is_urgent) ++urgent;
@@ -126,13 +160,13 @@
   std::printf(
       "%-22s stalls %5.0f (%+6.1f%%) misses %5zu loads/s %.2f | urgent "
       "first_output_ms p50 %6.0f p95 %6.0f p99 %6.0f in_deadline %5.1f%% | "
-      "may_wait p99 %7.0f | fill %.2f refused %zu of %zu\n",
+      "may_wait p99 %7.0f long done %zu | fill %.2f refused %zu of %zu\n",
       name, stalls, change, misses,
       static_cast<double>(result.counters.loads_started) / result.seconds,
       Percentile(urgent_ms, 0.5), Percentile(urgent_ms, 0.95),
       Percentile(urgent_ms, 0.99),
       100.0 * static_cast<double>(in_deadline) / static_cast<double>(urgent),
-      Percentile(may_wait_ms, 0.99), result.batch_fill, refused,
+      Percentile(may_wait_ms, 0.99), long_done, result.batch_fill, refused,
       arrivals.size());
   return stalls;
 }
@@ -142,7 +176,8 @@
   using admission::fifo_order;
   using admission::shortest_expected_first;
   const std::vector<arrival> arrivals = MakeWorkload(rate);
-  std::printf("requests a second: %.1f\n", rate);
+  std::printf("requests a second: %.1f; clairvoyant misses %zu of %zu\n", rate,
+              ClairvoyantMisses(arrivals), arrivals.size());
   const double base =
       Measure<basic_engine_scheduler<fifo_order, adapters::lru_eviction>>(
           "fifo+lru", arrivals, 0.0);
--- a/bench/single_endpoint/engine_simulation.h
+++ b/bench/single_endpoint/engine_simulation.h
@@ -174,14 +174,14 @@
     ++loading_;
     const double crowd =
         (static_cast<double>(loading_) + model_.background_loads) / 8.0;
-    const auto took =
-        static_cast<std::int64_t>(model_.load_ms * std::max(1.0, crowd));
-    events_.At(events_.Now() + took * 1'000, [this, load, took] {
-      --loading_;
-      AccountTime();
-      Apply(
-          scheduler_.OnLoadDone(load.adapter, core::milliseconds(took), Now()));
-    });
+    const core::milliseconds took{
+        static_cast<std::int64_t>(model_.load_ms * std::max(1.0, crowd))};
+    events_.At(events_.Now() + core::microseconds(took).count(),
+               [this, load, took] {
+                 --loading_;
+                 AccountTime();
+                 Apply(scheduler_.OnLoadDone(load.adapter, took, Now()));
+               });
   }
   void Handle(const admission::dispatch& action) {
     outcome_record& record = Record(action.attempt);
--- a/src/adapters/load_scheduler.cc
+++ b/src/adapters/load_scheduler.cc
@@ -16,6 +16,9 @@
 constexpr double kCongestedFactor = 1.8;
 constexpr core::milliseconds kFirstBackoff{250};
 constexpr core::milliseconds kMaximumBackoff{10'000};
+/** Failures this long after the backoff are forgotten when space is needed. */
+constexpr core::milliseconds kForgetFailures{60'000};
+constexpr std::size_t kMaximumFailures = 1024;
 /** Deferrable waits of this age rank as urgent, so that none starves. */
 constexpr core::milliseconds kDeferrableLimit{10'000};
 
@@ -93,6 +96,11 @@
 void load_scheduler::OnStarted(const core::adapter_reference& adapter,
                                core::time_point now) {
   assert(!in_flight_.contains(adapter));
+  if (others_waited_) {
+    const auto interval = core::ToMilliseconds(now - last_started_);
+    smoothed_interval_ = (smoothed_interval_ * 7 + interval) / 8;
+  }
+  others_waited_ = demand_.size() > (demand_.contains(adapter) ? 1U : 0U);
   in_flight_.emplace(adapter, now);
   last_started_ = now;
 }
@@ -125,6 +133,11 @@
 bool load_scheduler::OnFailed(const core::adapter_reference& adapter,
                               core::time_point now) {
   if (in_flight_.erase(adapter) == 0) return false;
+  if (failures_.size() >= kMaximumFailures) {
+    std::erase_if(failures_, [now](const auto& entry) {
+      return entry.second.retry_at + kForgetFailures <= now;
+    });
+  }
   failures& failed = failures_[adapter];
   ++failed.count;
   failed.retry_at = now + Backoff(failed.count);
@@ -165,15 +178,21 @@
     const auto elapsed = core::ToMilliseconds(now - loading->second);
     return std::max(smoothed_time_ - elapsed, core::milliseconds(0));
   }
-  std::size_t ahead = in_flight_.size();
-  for (const auto& entry : demand_) {
-    const bool counts =
-        entry.second.urgent > 0 && !in_flight_.contains(entry.first);
-    if (counts && entry.first != adapter) ++ahead;
+  std::size_t ahead = 0;
+  for (const auto& [other, demand] : demand_) {
+    if (other != adapter && RankOf(demand, now).first == 0) ++ahead;
+  }
+  const auto own = demand_.find(adapter);
+  if (own != demand_.end() && own->second.urgent > 0) {
+    // It is in the line already; on average half of the others are behind it.
+    ahead /= 2;
   }
-  const double rounds = static_cast<double>(ahead) / window_ + 1.0;
-  return core::milliseconds(static_cast<std::int64_t>(
+  const auto waiting = static_cast<std::int64_t>(ahead);
+  const double rounds =
+      static_cast<double>(in_flight_.size() + ahead) / window_;
+  const core::milliseconds paced(static_cast<std::int64_t>(
       rounds * static_cast<double>(smoothed_time_.count())));
+  return std::max(paced, smoothed_interval_ * waiting) + smoothed_time_;
 }
 
 }  // namespace comfreyspring::adapters
--- a/src/adapters/load_scheduler.h
+++ b/src/adapters/load_scheduler.h
@@ -86,6 +86,9 @@
   core::random_source random_;
   double window_ = 1.0;
   core::milliseconds smoothed_time_;
+  /** Time between starts while other demand was waiting: slots or pacing. */
+  core::milliseconds smoothed_interval_{0};
+  bool others_waited_ = false;
   core::time_point last_started_;
   core::time_point last_decrease_;
   std::unordered_map<core::adapter_reference, load_demand> demand_;
--- a/src/admission/basic_engine_scheduler.h
+++ b/src/admission/basic_engine_scheduler.h
@@ -79,7 +79,7 @@
   // Admission.
   bool RefuseOnArrival(const queued_item& item, core::time_point now,
                        actions& out);
-  bool MakeRoom(const queued_item& item, core::time_point now, actions& out);
+  bool MakeRoom(const queued_item& item, actions& out);
   void Refuse(const queued_item& item, const std::string& reason,
               const std::string& message, core::milliseconds retry_after,
               actions& out);
@@ -96,6 +96,7 @@
   const queued_item* PickNext(core::time_point now) const;
   const queued_item* Best(const lane_set& lanes, core::time_point now) const;
   lane_set OpenLanes(core::time_point now) const;
+  bool LongMayTakeSlot(core::time_point now) const;
   void Dispatch(const core::attempt_id& attempt, core::time_point now,
                 actions& out);
   void MarkStalls(core::time_point now);
--- a/src/admission/batch_shares.cc
+++ b/src/admission/batch_shares.cc
@@ -19,13 +19,6 @@
 /** Unused credit does not grow into a later burst of deferrable work. */
 constexpr double kMaximumCredit = 20'000.0;
 
-bool IsUrgent(lane value) {
-  return value == lane::urgent_short || value == lane::urgent_long;
-}
-bool IsShort(lane value) {
-  return value == lane::urgent_short || value == lane::may_wait_short;
-}
-
 /** Places left when this demand keeps its mean and a margin. */
 std::size_t Beside(double places, std::size_t batch_limit, double deviations) {
   if (places < kNegligiblePlaces) return batch_limit;
@@ -43,7 +36,7 @@
     steady_short_urgent_ms_.Add(static_cast<double>(expected.count()), now);
     recent_short_urgent_ms_.Add(static_cast<double>(expected.count()), now);
   }
-  if (IsShort(value)) {
+  if (!IsLong(value)) {
     seen_short_ = true;
     last_short_ = now;
   }
@@ -113,6 +106,14 @@
                   Beside(places, batch_limit, kSoftDeviations));
 }
 
+std::size_t batch_shares::LongSlotLimit(std::size_t slots,
+                                        core::time_point now) const {
+  // The same share of the slots as of the batch: a slot that long work pins
+  // serves no other adapter for as long as it runs.
+  if (!ShortDemandIsRecent(now)) return slots;
+  return std::max<std::size_t>(1, slots / 2);
+}
+
 std::size_t batch_shares::MayWaitLimit(std::size_t batch_limit,
                                        core::time_point now) const {
   if (!UrgentDemandIsRecent(now)) return batch_limit;
--- a/src/admission/batch_shares.h
+++ b/src/admission/batch_shares.h
@@ -52,6 +52,8 @@
   /** Places that long work may hold that can be preempted. */
   std::size_t SoftLongLimit(std::size_t batch_limit,
                             core::time_point now) const;
+  /** Adapter slots that long work may pin now. */
+  std::size_t LongSlotLimit(std::size_t slots, core::time_point now) const;
   /** Places that `may_wait` work may hold now. */
   std::size_t MayWaitLimit(std::size_t batch_limit, core::time_point now) const;
   /** Places of a batch that `may_wait` work gets over time, at least 1. */
--- a/src/admission/engine_scheduler_test.cc
+++ b/src/admission/engine_scheduler_test.cc
@@ -280,5 +280,62 @@
   EXPECT_EQ(Only<dispatch>(scheduler_.SetEnabled(true, At(2))).size(), 1U);
 }
 
+// Guards against short urgent work that waits behind running long work, and
+// against a preempted attempt that gets no time to make progress.
+TEST_F(engine_scheduler_test, SettledLongWorkYieldsToShortWork) {
+  Start(1, 2, {"a"});
+  for (int i = 0; i < 10; ++i) Learn("a", 20, 200);
+  // Long after the last short work, long work may use the whole batch.
+  scheduler_.OnSubmit(MayWait(Work("l0", "a", 5'000)), At(900'000));
+  scheduler_.OnSubmit(MayWait(Work("l1", "a", 6'000)), At(900'000));
+  EXPECT_EQ(scheduler_.Running(), 2U);
+  const auto early = scheduler_.OnSubmit(Work("s0", "a", 20), At(900'100));
+  EXPECT_TRUE(Only<preempt>(early).empty());
+  const auto settled = Only<preempt>(scheduler_.OnTick(At(900'500)));
+  ASSERT_EQ(settled.size(), 1U);
+  EXPECT_EQ(settled[0].attempt, Attempt("l1"));
+  const auto freed =
+      scheduler_.OnCancelConfirmed(Attempt("l1"), {50}, At(900'505));
+  ASSERT_EQ(Only<dispatch>(freed).size(), 1U);
+  EXPECT_EQ(Only<dispatch>(freed)[0].attempt, Attempt("s0"));
+  // The share of deferrable work keeps running.
+  const auto more = scheduler_.OnSubmit(Work("s1", "a", 20), At(901'000));
+  EXPECT_TRUE(Only<preempt>(more).empty());
+}
+
+// Guards against long work that pins every slot while short work for other
+// adapters comes in.
+TEST_F(engine_scheduler_test, LongWorkPinsHalfTheSlotsWhileShortExists) {
+  Start(4, 16, {"a", "b", "c", "d"});
+  for (int i = 0; i < 10; ++i) Learn("a", 20, 200);
+  for (const std::string name : {"a", "b", "c", "d"}) {
+    scheduler_.OnSubmit(MayWait(Work("long-" + name, name, 5'000)), At(300));
+  }
+  EXPECT_EQ(scheduler_.Running(), 2U);
+  // One more for an adapter that long work pins already costs no slot.
+  scheduler_.OnSubmit(MayWait(Work("again", "a", 5'000)), At(300));
+  EXPECT_EQ(scheduler_.Running(), 3U);
+  scheduler_.OnTick(At(600'000));
+  EXPECT_EQ(scheduler_.Running(), 5U);
+}
+
+// Guards against an unbounded queue, and against deferrable work that keeps
+// urgent work out of a full one.
+TEST(EngineSchedulerQueue, FullQueueGivesUrgentWorkThePlace) {
+  engine_scheduler scheduler({.started_at = At(0), .maximum_queue = 2});
+  scheduler.OnEngineState({1, 1}, {Adapter("a")}, At(0));
+  scheduler.OnSubmit(Work("running", "a"), At(0));
+  scheduler.OnSubmit(MayWait(Work("m0", "a")), At(1));
+  scheduler.OnSubmit(MayWait(Work("m1", "a")), At(2));
+  const auto displaced = scheduler.OnSubmit(Work("u0", "a"), At(3));
+  ASSERT_EQ(Only<refuse>(displaced).size(), 1U);
+  EXPECT_EQ(Only<refuse>(displaced)[0].attempt, Attempt("m1"));
+  EXPECT_EQ(Only<refuse>(displaced)[0].reason, "queue_full");
+  const auto full = scheduler.OnSubmit(MayWait(Work("m2", "a")), At(4));
+  ASSERT_EQ(Only<refuse>(full).size(), 1U);
+  EXPECT_EQ(Only<refuse>(full)[0].attempt, Attempt("m2"));
+  EXPECT_EQ(scheduler.Waiting(), 2U);
+}
+
 }  // namespace
 }  // namespace comfreyspring::admission
--- a/src/admission/request_queue.h
+++ b/src/admission/request_queue.h
@@ -29,6 +29,13 @@
   return long_work ? lane::may_wait_long : lane::may_wait_short;
 }
 
+inline bool IsLong(lane value) {
+  return value == lane::urgent_long || value == lane::may_wait_long;
+}
+inline bool IsUrgent(lane value) {
+  return value == lane::urgent_short || value == lane::urgent_long;
+}
+
 /** A set of lanes. */
 class lane_set {
  public:
@@ -97,8 +104,8 @@
   // Order.
 
   /**
-   * First item of `lanes` in order, among adapters for which
-   * `eligible(adapter)` holds; null if there is none.
+   * First item of `lanes` in order, among those for which
+   * `eligible(lane, adapter)` holds; null if there is none.
    */
   template <class Eligible>
   const queued_item* Best(const lane_set& lanes, const Eligible& eligible,
@@ -108,7 +115,7 @@
     for (std::size_t i = 0; i < kLaneCount; ++i) {
       if (!lanes.Contains(static_cast<lane>(i))) continue;
       for (const auto& [adapter, group] : groups_[i]) {
-        if (!eligible(adapter)) continue;
+        if (!eligible(static_cast<lane>(i), adapter)) continue;
         const entry_key& head = *group.begin();
         const double rank = head.key + order_.Penalty(Served(adapter, now));
         if (best == nullptr || rank < best_rank ||
@@ -147,6 +154,18 @@
     }
   }
 
+  /** Whether anything in the lanes waits for the adapter. */
+  bool WaitsIn(const lane_set& lanes,
+               const core::adapter_reference& adapter) const {
+    for (std::size_t i = 0; i < kLaneCount; ++i) {
+      if (lanes.Contains(static_cast<lane>(i)) &&
+          groups_[i].contains(adapter)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Number of requests that wait for the adapter. */
   std::size_t WaitingFor(const core::adapter_reference& adapter) const {
     const auto found = demand_.find(adapter);
--- a/src/admission/running_table.cc
+++ b/src/admission/running_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace comfreyspring::admission {
@@ -33,6 +34,21 @@
   counts_ = running_counts();
 }
 
+bool running_table::RunsLong(const core::adapter_reference& adapter) const {
+  return std::any_of(items_.begin(), items_.end(), [&](const auto& entry) {
+    const queued_item& item = entry.second.item;
+    return item.long_work && item.work.adapter == adapter;
+  });
+}
+
+std::size_t running_table::LongAdapters() const {
+  std::set<core::adapter_reference> adapters;
+  for (const auto& [attempt, running] : items_) {
+    if (running.item.long_work) adapters.insert(running.item.work.adapter);
+  }
+  return adapters.size();
+}
+
 std::size_t running_table::Preempting() const {
   return static_cast<std::size_t>(
       std::count_if(items_.begin(), items_.end(), [](const auto& entry) {
--- a/src/admission/running_table.h
+++ b/src/admission/running_table.h
@@ -39,6 +39,10 @@
   const std::map<core::attempt_id, running_item>& Items() const {
     return items_;
   }
+  /** Whether long work runs with the adapter. */
+  bool RunsLong(const core::adapter_reference& adapter) const;
+  /** Number of adapters that long work runs with. */
+  std::size_t LongAdapters() const;
   /** Attempts whose preemption is not confirmed yet. */
   std::size_t Preempting() const;
 
--- a/src/admission/slot_planner.h
+++ b/src/admission/slot_planner.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "adapters/adapter_cache.h"
@@ -44,14 +45,15 @@
 
   /**
    * Starts the loads that the demand of `queue` calls for. `release(adapter)`
-   * is the expected time until its pins are gone.
+   * is the expected time until its pins are gone; demand for adapters is left
+   * out unless `may_load(adapter)` holds.
    */
-  template <class Queue, class Release>
-  std::vector<start_load> Plan(const Queue& queue, const Release& release,
-                               core::time_point now) {
+  template <class Queue, class MayLoad, class Release>
+  std::vector<start_load> Plan(const Queue& queue, const MayLoad& may_load,
+                               const Release& release, core::time_point now) {
     std::vector<start_load> started;
     if (cache_.SlotLimit() == 0) return started;
-    CollectDemand(queue);
+    CollectDemand(queue, may_load);
     const auto waiting = [&](const core::adapter_reference& adapter) {
       return queue.WaitingFor(adapter);
     };
@@ -63,7 +65,7 @@
       loads_.SetDemand(*adapter, {});
       started.push_back({*adapter, slot->evicted});
     }
-    UpdateDraining(queue, release, now);
+    UpdateDraining(queue, may_load, release, now);
     return started;
   }
 
@@ -93,12 +95,14 @@
   }
 
  private:
-  template <class Queue>
-  void CollectDemand(const Queue& queue) {
+  template <class Queue, class MayLoad>
+  void CollectDemand(const Queue& queue, const MayLoad& may_load) {
     loads_.ClearDemand();
     queue.ForEachDemand([&](const core::adapter_reference& adapter,
                             const adapters::load_demand& demand) {
-      if (cache_.Find(adapter) == nullptr) loads_.SetDemand(adapter, demand);
+      if (cache_.Find(adapter) == nullptr && may_load(adapter)) {
+        loads_.SetDemand(adapter, demand);
+      }
     });
   }
 
@@ -111,19 +115,20 @@
            now - demand.oldest_may_wait > kMayWaitPatience;
   }
 
-  /** Keeps as many slots draining as adapters starve, at most half. */
-  template <class Queue, class Release>
-  void UpdateDraining(const Queue& queue, const Release& release,
-                      core::time_point now) {
+  /** Keeps as many slots draining as adapters starve, within a limit. */
+  template <class Queue, class MayLoad, class Release>
+  void UpdateDraining(const Queue& queue, const MayLoad& may_load,
+                      const Release& release, core::time_point now) {
     std::size_t starving = 0;
     queue.ForEachDemand([&](const core::adapter_reference& adapter,
                             const adapters::load_demand& demand) {
       if (cache_.Find(adapter) == nullptr && IsStarving(demand, now) &&
-          loads_.GivenUpFor(adapter, now).count() == 0) {
+          may_load(adapter) && loads_.GivenUpFor(adapter, now).count() == 0) {
         ++starving;
       }
     });
-    const std::size_t limit = std::max<std::size_t>(1, cache_.SlotLimit() / 2);
+    const std::size_t limit =
+        std::max<std::size_t>(1, cache_.SlotLimit() / kDrainingShare);
     const std::size_t wanted = std::min(starving, limit);
     std::size_t available = 0;
     for (const adapters::adapter_slot& slot : cache_.Slots()) {
@@ -138,18 +143,16 @@
   bool DrainOne(const Queue& queue, const Release& release,
                 core::time_point now) {
     const adapters::adapter_slot* best = nullptr;
-    core::milliseconds best_release{0};
-    double best_value = 0.0;
+    std::pair<core::milliseconds, double> best_cost;
     for (const adapters::adapter_slot& slot : cache_.Slots()) {
       if (slot.loading || slot.draining || slot.awaited) continue;
-      const core::milliseconds time = release(slot.adapter);
       const double value =
           cache_.KeepValue(slot, queue.WaitingFor(slot.adapter), now);
-      if (best == nullptr || time < best_release ||
-          (time == best_release && value < best_value)) {
+      // Among those that end soon, the least valuable one.
+      const std::pair cost(std::max(release(slot.adapter), kSoon), value);
+      if (best == nullptr || cost < best_cost) {
         best = &slot;
-        best_release = time;
-        best_value = value;
+        best_cost = cost;
       }
     }
     if (best == nullptr) return false;
@@ -168,6 +171,10 @@
   /** Wait for a slot after which one is drained for the adapter. */
   static constexpr core::milliseconds kUrgentPatience{500};
   static constexpr core::milliseconds kMayWaitPatience{5'000};
+  /** One slot in so many may drain; more would evict what is in use. */
+  static constexpr std::size_t kDrainingShare = 8;
+  /** Differences between shorter waits do not matter for draining. */
+  static constexpr core::milliseconds kSoon{1'500};
 
   adapters::adapter_cache<Eviction> cache_;
   adapters::load_scheduler loads_;
