--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -38,7 +38,8 @@
   bool eject_slow = true;
   bool hedge = true;
   slow_period slow;
-  double measured_seconds = 0.0;
+  double observed_from_seconds = 0.0;
+  double observed_to_seconds = 0.0;
 };
 
 /**
@@ -118,7 +119,7 @@
       config::endpoint_record record;
       record.endpoint = core::endpoint_id("engine-" + std::to_string(i));
       record.vm = core::vm_id("vm-" + std::to_string(i));
-      record.data_centre = core::data_centre_id(DataCentre(i));
+      record.data_centre = core::data_centre_id{DataCentre(i)};
       record.model = core::model_id("base");
       current->endpoints.push_back(std::move(record));
     }
@@ -147,11 +148,11 @@
       const auto found = state->attempts.find(attempt);
       if (found == state->attempts.end()) return;
       const auto chunks = static_cast<std::uint64_t>(tokens);
-      ToEntry(*state, found->second.entry,
-              [attempt, chunks](auto& life, auto now) {
-                life.OnProgress(attempt, chunks, now);
-                return std::vector<routing::router_action>();
-              });
+      this->ToEntry(*state, found->second.entry,
+                    [attempt, chunks](auto& life, auto now) {
+                      life.OnProgress(attempt, chunks, now);
+                      return std::vector<routing::router_action>();
+                    });
     };
     callbacks.on_ended = [this, state](const auto& attempt, auto tokens) {
       OnEnded(*state, attempt, tokens);
@@ -182,7 +183,7 @@
       entry.directory->OnHello(agent->endpoint, greeting, events_.Now());
     }
     routing::selection_options selection;
-    selection.own_data_centre = core::data_centre_id(entry.data_centre);
+    selection.own_data_centre = core::data_centre_id{entry.data_centre};
     selection.random_seed = options_.seed + 100 + index;
     selection.eject_slow = options_.eject_slow;
     selection.hedge = options_.hedge;
@@ -252,7 +253,7 @@
     facts.request = core::request_id(std::to_string(number));
     facts.model = core::model_id("base");
     facts.adapter = {
-        core::adapter_id("adapter-" + std::to_string(work.adapter)),
+        core::adapter_id{"adapter-" + std::to_string(work.adapter)},
         core::version_id("v1")};
     facts.priority = work.priority;
     facts.expected_tokens = {work.expected_tokens};
@@ -281,7 +282,7 @@
     const job& work = *state.work;
     admission::work_item item;
     item.attempt = action.attempt;
-    item.adapter = {core::adapter_id("adapter-" + std::to_string(work.adapter)),
+    item.adapter = {core::adapter_id{"adapter-" + std::to_string(work.adapter)},
                     core::version_id("v1")};
     item.priority = work.priority;
     item.expected_tokens = {work.expected_tokens};
@@ -313,7 +314,7 @@
     if (ms <= static_cast<double>(state.work->deadline.count())) {
       ++result.within_deadline;
     }
-    result.latencies_ms.push_back(ms);
+    AddLatency(result, state, ms);
     result.longest_ms = std::max(result.longest_ms, ms);
     const double second = Since(core::time_point(core::seconds(1))) / 1000.0;
     if (second >= 5.0 && second < 20.0) result_.throughput += 1.0 / 15.0;
@@ -326,20 +327,29 @@
     ++result_.failures[action.reason];
     // A failed request counts as one that takes until its deadline at least.
     const job_state& state = jobs_.at(action.request);
-    result.latencies_ms.push_back(
-        std::max(Since(state.submitted),
-                 static_cast<double>(state.work->deadline.count())));
+    AddLatency(result, state,
+               std::max(Since(state.submitted),
+                        static_cast<double>(state.work->deadline.count())));
     Close(action.request);
   }
   void Do(int /*entry*/, const routing::suspect_link& /*action*/) {}
 
+  void AddLatency(class_result& result, const job_state& state, double ms) {
+    result.latencies_ms.push_back(ms);
+    const std::chrono::duration<double> since_start = state.work->at;
+    const double at = since_start.count();
+    const bool observed = at >= options_.observed_from_seconds &&
+                          at < options_.observed_to_seconds;
+    if (observed) result.observed_ms.push_back(ms);
+  }
   void Close(const core::request_id& request) {
     jobs_.erase(request);
     --open_;
   }
   double Since(core::time_point time) const {
-    return std::chrono::duration<double, std::milli>(events_.Now() - time)
-        .count();
+    const std::chrono::duration<double, std::milli> elapsed =
+        events_.Now() - time;
+    return elapsed.count();
   }
 
   // Agents.
--- a/bench/fleet/fleet_main.cc
+++ b/bench/fleet/fleet_main.cc
@@ -1,9 +1,10 @@
 /**
  * Decisions of the entry against baselines on a fleet of fake engines.
  *
- * Usage: bench_fleet crest|slow|stalls|capacity [seed]
+ * Usage: bench_fleet crest|slow|stalls|capacity|picks [seed]
  */
 
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -16,6 +17,7 @@
 #include "bench/fleet/fleet.h"
 #include "bench/fleet/workload.h"
 #include "placement/endpoint_choice.h"
+#include "placement/endpoint_picker.h"
 
 namespace comfreyspring::bench {
 namespace {
@@ -32,6 +34,8 @@
 
 constexpr std::uint64_t kDefaultSeed = 20261204;
 constexpr int kEngines = 12;
+constexpr double kSlowFrom = 10.0;
+constexpr double kSlowTo = 30.0;
 
 /** Requests a second that make up this share of the fleet's token rate. */
 double UrgentRate(double share) {
@@ -50,6 +54,8 @@
   options.eject_slow = own;
   options.hedge = own;
   options.slow = slow;
+  options.observed_from_seconds = kSlowFrom;
+  options.observed_to_seconds = kSlowTo;
   return fleet<Choice, Scheduler>(options).Run(jobs);
 }
 
@@ -92,11 +98,16 @@
   std::puts("none slowed:");
   const auto without = RunAll(jobs, seed, {});
   std::puts("2 of 12 slowed five-fold from 10 s to 30 s:");
-  const auto with = RunAll(jobs, seed, {2, 5.0, 10.0, 30.0});
+  const auto with = RunAll(jobs, seed, {2, 5.0, kSlowFrom, kSlowTo});
   for (std::size_t i = 0; i < with.size(); ++i) {
-    std::printf("%-22s p99 of urgent work: %.2f times\n", with[i].name.c_str(),
-                Quantile(with[i].urgent.latencies_ms, 0.99) /
-                    Quantile(without[i].urgent.latencies_ms, 0.99));
+    std::printf(
+        "%-22s p99 of urgent work: %.2f times; of requests submitted while "
+        "slowed: %.2f times\n",
+        with[i].name.c_str(),
+        Quantile(with[i].urgent.latencies_ms, 0.99) /
+            Quantile(without[i].urgent.latencies_ms, 0.99),
+        Quantile(with[i].urgent.observed_ms, 0.99) /
+            Quantile(without[i].urgent.observed_ms, 0.99));
   }
 }
 
@@ -125,10 +136,47 @@
   }
 }
 
+/** Cost of one decision at the size of one target data centre. */
+void RunPicks(std::uint64_t seed) {
+  constexpr int kPicks = 200000;
+  constexpr int kTargetEngines = 360;
+  workload_options options;
+  options.seed = seed;
+  options.adapters = 28000;
+  options.phases = {{100, kPicks / 100.0, 0.0}};
+  const std::vector<job> jobs = MakeWorkload(options);
+  placement::endpoint_picker<> picker;
+  std::vector<placement::endpoint_picker<>::member> members;
+  for (int i = 0; i < kTargetEngines; ++i) {
+    members.push_back({core::endpoint_id("engine-" + std::to_string(i))});
+  }
+  picker.SetMembers(members);
+  core::random_source random(seed);
+  const auto usable = [](const core::endpoint_id&) { return true; };
+  const core::model_id model("base");
+  const auto start = std::chrono::steady_clock::now();
+  for (const job& work : jobs) {
+    const core::time_point now(core::seconds(1) + work.at);
+    const core::adapter_id adapter("adapter-" + std::to_string(work.adapter));
+    placement::pick_request request;
+    request.key = placement::KeyOf(model, adapter);
+    request.expected_tokens = work.expected_tokens;
+    picker.OnRequest(request.key, now);
+    const auto picked = picker.Pick(request, usable, random, now);
+    picker.OnSubmitted(picked->endpoint, request, now);
+    picker.OnEnded(picked->endpoint, false);
+  }
+  const std::chrono::duration<double, std::micro> elapsed =
+      std::chrono::steady_clock::now() - start;
+  std::printf("%zu picks over %d adapters and %d engines: %.2f us each\n",
+              jobs.size(), options.adapters, kTargetEngines,
+              elapsed.count() / static_cast<double>(jobs.size()));
+}
+
 int RunCommand(const std::string& command, std::uint64_t seed) {
   std::printf("%s, seed %llu\n", command.c_str(),
               static_cast<unsigned long long>(seed));
-  PrintHeader();
+  if (command != "picks") PrintHeader();
   if (command == "crest") {
     RunCrest(seed);
   } else if (command == "slow") {
@@ -137,8 +185,10 @@
     RunStalls(seed);
   } else if (command == "capacity") {
     RunCapacity(seed);
+  } else if (command == "picks") {
+    RunPicks(seed);
   } else {
-    std::fputs("Usage: bench_fleet crest|slow|stalls|capacity [seed]\n",
+    std::fputs("Usage: bench_fleet crest|slow|stalls|capacity|picks [seed]\n",
                stderr);
     return 2;
   }
--- a/bench/fleet/measurements.h
+++ b/bench/fleet/measurements.h
@@ -21,6 +21,8 @@
   std::uint64_t lost = 0;
   std::vector<double> latencies_ms;
   std::vector<double> first_chunk_ms;
+  /** Latencies of requests submitted in the observed period. */
+  std::vector<double> observed_ms;
   double longest_ms = 0.0;
 };
 
--- a/src/placement/endpoint_picker.h
+++ b/src/placement/endpoint_picker.h
@@ -63,6 +63,8 @@
     core::endpoint_id endpoint;
     /** Round trip to its data centre. */
     double distance_ms = 0.0;
+    /** 0 in the placement scope; others only take what it cannot. */
+    int tier = 0;
   };
 
   explicit endpoint_picker(picker_options options = {})
@@ -164,6 +166,7 @@
   double mean_load_ = 0.0;
   double mean_batch_limit_ = 16.0;
   std::optional<core::time_point> mean_load_at_;
+  std::size_t scope_size_ = 0;
 };
 
 template <endpoint_choice Choice>
@@ -171,6 +174,8 @@
   std::vector<member_state> states(members.size());
   std::unordered_map<core::endpoint_id, std::uint32_t> index;
   std::vector<core::endpoint_id> names;
+  std::vector<int> tiers;
+  scope_size_ = 0;
   for (std::uint32_t i = 0; i < members.size(); ++i) {
     if (member_state* known = Find(members[i].endpoint)) {
       states[i] = std::move(*known);
@@ -178,10 +183,12 @@
     states[i].distance_ms = members[i].distance_ms;
     index[members[i].endpoint] = i;
     names.push_back(members[i].endpoint);
+    tiers.push_back(members[i].tier);
+    if (members[i].tier == 0) ++scope_size_;
   }
   states_ = std::move(states);
   index_ = std::move(index);
-  ranks_.SetMembers(std::move(names));
+  ranks_.SetMembers(std::move(names), std::move(tiers));
   prefixes_.Clear();
   mean_load_at_.reset();
 }
@@ -258,7 +265,8 @@
   const std::size_t homes =
       options_.all_members_are_homes
           ? states_.size()
-          : replicas_.Homes(request.key, capacity, states_.size(), now);
+          : replicas_.Homes(request.key, capacity,
+                            std::max<std::size_t>(1, scope_size_), now);
   const bool all = Choice::kAllMembers || options_.all_members_are_homes;
   const std::size_t wanted = all ? states_.size() : homes + kNextRanks;
   std::vector<candidate> candidates;
--- a/src/placement/placement_test.cc
+++ b/src/placement/placement_test.cc
@@ -56,6 +56,16 @@
   }
 }
 
+// Guards against adapters that are placed outside the own data centre.
+TEST(RendezvousRanks, RanksLowerTiersFirst) {
+  rendezvous_ranks ranks;
+  ranks.SetMembers(Engines(6), {1, 0, 1, 0, 1, 0});
+  for (adapter_key key = 0; key < 50; ++key) {
+    const auto& top = ranks.Top(key);
+    for (std::size_t i = 0; i < 6; ++i) EXPECT_EQ(top[i] % 2, i < 3 ? 1U : 0U);
+  }
+}
+
 TEST(RendezvousRanks, SpreadAdaptersEvenly) {
   rendezvous_ranks ranks;
   ranks.SetMembers(Engines(12));
--- a/src/placement/rendezvous_ranks.cc
+++ b/src/placement/rendezvous_ranks.cc
@@ -1,6 +1,7 @@
 #include "placement/rendezvous_ranks.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace comfreyspring::placement {
@@ -8,8 +9,12 @@
 rendezvous_ranks::rendezvous_ranks(std::size_t cached_keys)
     : cache_(cached_keys) {}
 
-void rendezvous_ranks::SetMembers(std::vector<core::endpoint_id> members) {
+void rendezvous_ranks::SetMembers(std::vector<core::endpoint_id> members,
+                                  std::vector<int> tiers) {
+  assert(tiers.empty() || tiers.size() == members.size());
   members_ = std::move(members);
+  tiers_ = std::move(tiers);
+  tiers_.resize(members_.size(), 0);
   cache_.Clear();
 }
 
@@ -38,6 +43,10 @@
   std::partial_sort(weights.begin(),
                     weights.begin() + static_cast<std::ptrdiff_t>(count),
                     weights.end(), [this](const auto& left, const auto& right) {
+                      const int left_tier = tiers_[left.second];
+                      const int right_tier = tiers_[right.second];
+                      if (left_tier != right_tier)
+                        return left_tier < right_tier;
                       if (left.first != right.first)
                         return left.first > right.first;
                       return members_[left.second] < members_[right.second];
--- a/src/placement/rendezvous_ranks.h
+++ b/src/placement/rendezvous_ranks.h
@@ -23,8 +23,13 @@
   /** @param cached_keys bound of the cache, about 150 bytes each. */
   explicit rendezvous_ranks(std::size_t cached_keys = 16384);
 
-  /** Replaces the members and drops the cache. */
-  void SetMembers(std::vector<core::endpoint_id> members);
+  /**
+   * Replaces the members and drops the cache.
+   * @param tiers one for each member; members of a lower tier rank before all
+   *     of a higher one. Empty if all are of the same tier.
+   */
+  void SetMembers(std::vector<core::endpoint_id> members,
+                  std::vector<int> tiers = {});
   const std::vector<core::endpoint_id>& Members() const { return members_; }
 
   /**
@@ -41,6 +46,7 @@
   std::vector<member_index> Compute(adapter_key key, std::size_t count) const;
 
   std::vector<core::endpoint_id> members_;
+  std::vector<int> tiers_;
   lru_map<adapter_key, std::vector<member_index>> cache_;
 };
 
--- a/src/routing/endpoint_selection.h
+++ b/src/routing/endpoint_selection.h
@@ -134,6 +134,9 @@
   static constexpr double kHedgeQuantile = 0.95;
   // Round trip between data centres of one region, about 1.5 ms each way.
   static constexpr double kRemoteDistanceMs = 3.0;
+  // With this many engines in its own data centre, an entry places adapters on
+  // these only: enough to hold an adapter's homes, and its links reach all.
+  static constexpr std::size_t kDataCentreScope = 24;
   static constexpr core::milliseconds kScoreInterval{100};
   static constexpr core::seconds kProbeClassAge{5};
 
@@ -207,10 +210,15 @@
       IsCompletion(facts) ? directory_.Engines(facts.model)
                           : directory_.ServiceEndpoints(facts.service);
   std::vector<typename placement::endpoint_picker<Choice>::member> members;
+  std::size_t local_count = 0;
   for (const core::endpoint_id& endpoint : endpoints) {
     const bool local = directory_.Find(endpoint)->record.data_centre ==
                        options_.own_data_centre;
     members.push_back({endpoint, local ? 0.0 : kRemoteDistanceMs});
+    if (local) ++local_count;
+  }
+  if (local_count >= kDataCentreScope) {
+    for (auto& item : members) item.tier = item.distance_ms > 0.0 ? 1 : 0;
   }
   group.picker.SetMembers(members);
   group.detector.SetPeers(endpoints);
--- a/src/routing/request_router_test.cc
+++ b/src/routing/request_router_test.cc
@@ -39,9 +39,7 @@
 
   submit_attempt Submit(const request_facts& facts, std::int64_t ms = 0) {
     const auto actions = router_.OnRequest(facts, At(ms));
-    const auto* submit = FindAction<submit_attempt>(actions);
-    EXPECT_NE(submit, nullptr);
-    return submit == nullptr ? submit_attempt{} : *submit;
+    return TakeAction<submit_attempt>(actions);
   }
 
   router_fixture fixture_;
@@ -76,17 +74,15 @@
   for (int retry = 0; retry < 2; ++retry) {
     const auto actions =
         router_.OnRefused(Refused(submit.attempt, outcome::not_run), At(1));
-    ASSERT_NE(FindAction<submit_attempt>(actions), nullptr);
-    submit = *FindAction<submit_attempt>(actions);
+    submit = TakeAction<submit_attempt>(actions);
     EXPECT_TRUE(used.insert(submit.endpoint).second);
   }
   const auto last =
       router_.OnRefused(Refused(submit.attempt, outcome::not_run), At(2));
-  const auto* fail = FindAction<fail_request>(last);
-  ASSERT_NE(fail, nullptr);
-  EXPECT_EQ(fail->outcome, outcome::not_run);
-  EXPECT_EQ(fail->reason, "queue_full");
-  EXPECT_EQ(fail->retry_after, milliseconds(700));
+  const auto fail = TakeAction<fail_request>(last);
+  EXPECT_EQ(fail.outcome, outcome::not_run);
+  EXPECT_EQ(fail.reason, "queue_full");
+  EXPECT_EQ(fail.retry_after, milliseconds(700));
 }
 
 // Guards against a second run of work whose first outcome is unknown.
@@ -95,26 +91,23 @@
   const auto actions =
       router_.OnRefused(Refused(submit.attempt, outcome::unknown), At(1));
   ASSERT_EQ(actions.size(), 1U);
-  EXPECT_EQ(FindAction<fail_request>(actions)->outcome, outcome::unknown);
+  EXPECT_EQ(TakeAction<fail_request>(actions).outcome, outcome::unknown);
 }
 
 TEST_F(router_test, RetriesALostEndpointBeforeTheFirstChunk) {
   const submit_attempt submit = Submit(router_fixture::Completion("r"));
   const auto actions = router_.OnEndpointLost(submit.endpoint, At(1));
-  const auto* retry = FindAction<submit_attempt>(actions);
-  ASSERT_NE(retry, nullptr);
-  EXPECT_NE(retry->endpoint, submit.endpoint);
+  const auto retry = TakeAction<submit_attempt>(actions);
+  EXPECT_NE(retry.endpoint, submit.endpoint);
   // A refusal of the retries proves nothing about the lost attempt.
   const auto again =
-      router_.OnRefused(Refused(retry->attempt, outcome::not_run), At(2));
-  const auto* second = FindAction<submit_attempt>(again);
-  ASSERT_NE(second, nullptr);
+      router_.OnRefused(Refused(retry.attempt, outcome::not_run), At(2));
+  const auto second = TakeAction<submit_attempt>(again);
   const auto last =
-      router_.OnRefused(Refused(second->attempt, outcome::not_run), At(3));
-  const auto* fail = FindAction<fail_request>(last);
-  ASSERT_NE(fail, nullptr);
-  EXPECT_EQ(fail->outcome, outcome::unknown);
-  EXPECT_EQ(fail->reason, "outcome_unknown");
+      router_.OnRefused(Refused(second.attempt, outcome::not_run), At(3));
+  const auto fail = TakeAction<fail_request>(last);
+  EXPECT_EQ(fail.outcome, outcome::unknown);
+  EXPECT_EQ(fail.reason, "outcome_unknown");
 }
 
 // Guards against a truncated answer that is continued by another engine.
@@ -123,9 +116,9 @@
   router_.OnFirstChunk(submit.attempt, At(1));
   const auto actions = router_.OnEndpointLost(submit.endpoint, At(2));
   ASSERT_EQ(actions.size(), 1U);
-  const auto* fail = FindAction<fail_request>(actions);
-  EXPECT_EQ(fail->outcome, outcome::incomplete);
-  EXPECT_EQ(fail->reason, "stream_interrupted");
+  const auto fail = TakeAction<fail_request>(actions);
+  EXPECT_EQ(fail.outcome, outcome::incomplete);
+  EXPECT_EQ(fail.reason, "stream_interrupted");
 }
 
 // Guards guarantee 5: an order is submitted once, to its home.
@@ -135,23 +128,35 @@
   EXPECT_EQ(FindAction<submit_attempt>(router_.OnTick(At(5000))), nullptr);
   const auto actions = router_.OnEndpointLost(submit.endpoint, At(6000));
   ASSERT_EQ(actions.size(), 1U);
-  EXPECT_EQ(FindAction<fail_request>(actions)->outcome, outcome::unknown);
+  EXPECT_EQ(TakeAction<fail_request>(actions).outcome, outcome::unknown);
 }
 
 TEST_F(router_test, OrderThatWasNotSentHasNotRun) {
   const submit_attempt submit = Submit(router_fixture::Order("o"));
   const auto actions = router_.OnNotSent(submit.attempt, At(1));
   ASSERT_EQ(actions.size(), 1U);
-  const auto* fail = FindAction<fail_request>(actions);
-  EXPECT_EQ(fail->outcome, outcome::not_run);
-  EXPECT_EQ(fail->reason, "home_unreachable");
+  const auto fail = TakeAction<fail_request>(actions);
+  EXPECT_EQ(fail.outcome, outcome::not_run);
+  EXPECT_EQ(fail.reason, "home_unreachable");
 }
 
 TEST_F(router_test, OrderFailsAtOnceWithoutItsHome) {
   fixture_.Directory().OnLeaving(core::endpoint_id("desk-0"), At(0));
   const auto actions = router_.OnRequest(router_fixture::Order("o"), At(0));
   ASSERT_EQ(actions.size(), 1U);
-  EXPECT_EQ(FindAction<fail_request>(actions)->outcome, outcome::not_run);
+  EXPECT_EQ(TakeAction<fail_request>(actions).outcome, outcome::not_run);
+}
+
+// Guards against work that is sent into a planned stop, and against a stop
+// that interrupts what runs already.
+TEST_F(router_test, PlannedStopTakesNoNewWorkAndEndsNothing) {
+  const submit_attempt order = Submit(router_fixture::Order("o1"));
+  fixture_.Directory().OnWallTime(core::WallTimeFromUnix(1500));
+  const auto refused = router_.OnRequest(router_fixture::Order("o2"), At(1));
+  EXPECT_EQ(TakeAction<fail_request>(refused).reason, "home_unreachable");
+  EXPECT_TRUE(router_.OnTick(At(2)).empty());
+  const auto actions = router_.OnFinished(Finished(order.attempt), At(3));
+  EXPECT_NE(FindAction<complete_request>(actions), nullptr);
 }
 
 // Guards against a caller that waits beyond its deadline, and against the
@@ -159,13 +164,11 @@
 TEST_F(router_test, AnswersAtTheDeadline) {
   const submit_attempt order = Submit(router_fixture::Order("o", 1000));
   const auto actions = router_.OnTick(At(1000));
-  const auto* withdraw = FindAction<withdraw_attempt>(actions);
-  ASSERT_NE(withdraw, nullptr);
-  EXPECT_EQ(withdraw->attempt, order.attempt);
-  const auto* fail = FindAction<fail_request>(actions);
-  ASSERT_NE(fail, nullptr);
-  EXPECT_EQ(fail->outcome, outcome::unknown);
-  EXPECT_EQ(fail->reason, "deadline_exceeded");
+  const auto withdraw = TakeAction<withdraw_attempt>(actions);
+  EXPECT_EQ(withdraw.attempt, order.attempt);
+  const auto fail = TakeAction<fail_request>(actions);
+  EXPECT_EQ(fail.outcome, outcome::unknown);
+  EXPECT_EQ(fail.reason, "deadline_exceeded");
   // The confirmation comes too late to change the answer.
   EXPECT_TRUE(
       router_.OnWithdrawn({order.attempt, outcome::not_run}, At(1001)).empty());
@@ -192,8 +195,7 @@
   const submit_attempt submit = Submit(router_fixture::Order("o"));
   EXPECT_EQ(FindAction<suspect_link>(router_.OnTick(At(299))), nullptr);
   const auto actions = router_.OnTick(At(300));
-  ASSERT_NE(FindAction<suspect_link>(actions), nullptr);
-  EXPECT_EQ(FindAction<suspect_link>(actions)->endpoint, submit.endpoint);
+  EXPECT_EQ(TakeAction<suspect_link>(actions).endpoint, submit.endpoint);
   EXPECT_EQ(FindAction<suspect_link>(router_.OnTick(At(1000))), nullptr);
 }
 
@@ -201,11 +203,10 @@
   fixture_.Directory().OnPause(At(0));
   const auto actions =
       router_.OnRequest(router_fixture::Completion("r"), At(0));
-  const auto* fail = FindAction<fail_request>(actions);
-  ASSERT_NE(fail, nullptr);
-  EXPECT_EQ(fail->reason, "no_endpoint");
-  EXPECT_EQ(fail->outcome, outcome::not_run);
-  EXPECT_GT(fail->retry_after, milliseconds(0));
+  const auto fail = TakeAction<fail_request>(actions);
+  EXPECT_EQ(fail.reason, "no_endpoint");
+  EXPECT_EQ(fail.outcome, outcome::not_run);
+  EXPECT_GT(fail.retry_after, milliseconds(0));
 }
 
 TEST_F(router_test, RefusesWhenEveryWaitExceedsTheDeadline) {
@@ -219,13 +220,46 @@
   router_.OnTick(At(200));
   const auto actions =
       router_.OnRequest(router_fixture::Completion("r", 1200), At(200));
-  const auto* fail = FindAction<fail_request>(actions);
-  ASSERT_NE(fail, nullptr);
-  EXPECT_EQ(fail->reason, "overloaded");
-  EXPECT_EQ(fail->retry_after, milliseconds(3801));
+  const auto fail = TakeAction<fail_request>(actions);
+  EXPECT_EQ(fail.reason, "overloaded");
+  EXPECT_EQ(fail.retry_after, milliseconds(3801));
   EXPECT_EQ(router_.Counters().refused_overload, 1U);
 }
 
+// Guards against new work for an engine whose link may be dead.
+TEST_F(router_test, PrefersOthersUntilASuspectedEndpointIsHeard) {
+  const core::endpoint_id home =
+      Submit(router_fixture::Completion("r")).endpoint;
+  router_.OnTick(At(300));
+  EXPECT_NE(Submit(router_fixture::Completion("s"), 301).endpoint, home);
+  fixture_.Directory().OnReport(home, router_fixture::Up(), At(400));
+  EXPECT_EQ(Submit(router_fixture::Completion("t"), 401).endpoint, home);
+}
+
+// Guards against a slow engine that keeps its work until its answers end.
+TEST_F(router_test, LeavesAnEngineWhoseChunksComeSlowly) {
+  const submit_attempt first = Submit(router_fixture::Completion("first"));
+  router_.OnAccepted(first.attempt, router_fixture::Up(), At(0));
+  const core::endpoint_id home = first.endpoint;
+  std::int64_t now = 1;
+  for (int i = 0; i < 200; ++i, now += 10) {
+    auto facts = router_fixture::Completion("w" + std::to_string(i), 1000000);
+    facts.adapter.adapter = core::adapter_id("a" + std::to_string(i));
+    const submit_attempt submit = Submit(facts, now);
+    const std::int64_t step = submit.endpoint == home ? 800 : 100;
+    router_.OnAccepted(submit.attempt, router_fixture::Up(), At(now));
+    router_.OnFirstChunk(submit.attempt, At(now));
+    router_.OnProgress(submit.attempt, 9, At(now + step));
+    router_.OnCallerGone(facts.request, At(now + step));
+    router_.OnTick(At(now));
+  }
+  for (const endpoint_load& load : router_.Loads()) {
+    EXPECT_EQ(load.ejected, load.endpoint == home);
+  }
+  EXPECT_NE(Submit(router_fixture::Completion("last", 1000000), now).endpoint,
+            home);
+}
+
 // Guards against an answer that hedges send twice.
 TEST_F(router_test, HedgesUrgentWorkAndWithdrawsTheLoser) {
   for (int i = 0; i < 64; ++i) {
@@ -238,13 +272,11 @@
   const submit_attempt slow = Submit(router_fixture::Completion("r"), 200);
   EXPECT_EQ(FindAction<submit_attempt>(router_.OnTick(At(219))), nullptr);
   const auto actions = router_.OnTick(At(221));
-  const auto* hedge = FindAction<submit_attempt>(actions);
-  ASSERT_NE(hedge, nullptr);
-  EXPECT_TRUE(hedge->hedge);
-  EXPECT_NE(hedge->endpoint, slow.endpoint);
-  const auto won = router_.OnFirstChunk(hedge->attempt, At(230));
-  ASSERT_NE(FindAction<withdraw_attempt>(won), nullptr);
-  EXPECT_EQ(FindAction<withdraw_attempt>(won)->attempt, slow.attempt);
+  const auto hedge = TakeAction<submit_attempt>(actions);
+  EXPECT_TRUE(hedge.hedge);
+  EXPECT_NE(hedge.endpoint, slow.endpoint);
+  const auto won = router_.OnFirstChunk(hedge.attempt, At(230));
+  EXPECT_EQ(TakeAction<withdraw_attempt>(won).attempt, slow.attempt);
   EXPECT_TRUE(router_.OnFirstChunk(slow.attempt, At(231)).empty());
   EXPECT_EQ(router_.Counters().hedges_won, 1U);
 }
--- a/src/routing/router_fixture_test.h
+++ b/src/routing/router_fixture_test.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,12 @@
     for (int i = 0; i < 2; ++i) {
       AddEndpoint(*current, "desk-" + std::to_string(i), false);
     }
+    // In force only while the wall time is between 1,000 and 2,000 ms.
+    for (const char* name : {"engine-0", "desk-0"}) {
+      current->stops.push_back({core::endpoint_id(name),
+                                core::WallTimeFromUnix(1000),
+                                core::WallTimeFromUnix(2000)});
+    }
     directory_.OnConfiguration(current);
     for (const core::endpoint_id& endpoint : directory_.All()) {
       Hello(endpoint, 1);
@@ -85,7 +92,7 @@
   request_router router_;
 };
 
-/** The only action of its type in the list; nullptr if there is none. */
+/** The first action of its type in the list; nullptr if there is none. */
 template <class Action>
 const Action* FindAction(const std::vector<router_action>& actions) {
   for (const router_action& action : actions) {
@@ -94,4 +101,12 @@
   return nullptr;
 }
 
+/** As FindAction, but ends the test if there is none. */
+template <class Action>
+Action TakeAction(const std::vector<router_action>& actions) {
+  const Action* found = FindAction<Action>(actions);
+  if (found == nullptr) throw std::logic_error("expected action is missing");
+  return *found;
+}
+
 }  // namespace comfreyspring::routing
--- a/src/routing/router_properties_test.cc
+++ b/src/routing/router_properties_test.cc
@@ -73,6 +73,9 @@
         Check(router_.OnTick(Now()));
         break;
       case 10:
+        if (const auto attempt = AnyAttempt()) {
+          router_.OnProgress(*attempt, *rc::gen::inRange(0, 50), Now());
+        }
         CallerGone();
         break;
       case 11:
@@ -238,7 +241,7 @@
   void ChangeDirectory() {
     membership::endpoint_directory& directory = fixture_.Directory();
     const endpoint_id endpoint = AnyEndpoint();
-    switch (*rc::gen::inRange(0, 5)) {
+    switch (*rc::gen::inRange(0, 7)) {
       case 0:
         directory.OnLeaving(endpoint, Now());
         break;
@@ -248,6 +251,12 @@
       case 2:
         directory.OnPause(Now());
         break;
+      case 3:
+        directory.OnWallTime(core::WallTimeFromUnix(1500));
+        break;
+      case 4:
+        directory.OnWallTime(core::WallTimeFromUnix(2500));
+        break;
       default:
         fixture_.Hello(endpoint, ++instance_);
         directory.OnReport(endpoint, router_fixture::Up(), Now());
