Repeat runs that an engine lost before their first output

Cause: a stream that broke before its first event failed its caller although nothing had been passed on. Change: an idempotent completion without output is queued again, three runs at most; it is never reported as not run. A failed run no longer feeds the estimate of the endpoint's speed. Answers and dump have files of their own.

--- a/src/agent/attempt_state.h
+++ b/src/agent/attempt_state.h
@@ -10,6 +10,18 @@
 
 namespace comfreyspring::agent {
 
+/** What is true of a run of this request that ended in the middle. */
+inline core::outcome PartialOutcome(const wire::submit& request) {
+  return request.kind == core::request_kind::completion
+             ? core::outcome::incomplete
+             : core::outcome::unknown;
+}
+
+/** Milliseconds with fraction, for metrics and dumps. */
+inline double MillisecondsBetween(core::time_point from, core::time_point to) {
+  return static_cast<double>((to - from).count()) / 1000.0;
+}
+
 /** Where an attempt is. */
 enum class attempt_phase {
   queued,
@@ -50,6 +62,8 @@
   bool ran = false;
   /** A withdrawal in the queue is answered as refusal. */
   bool given_back = false;
+  /** The run was lost before any output; it is repeated when released. */
+  bool repeat = false;
   int runs = 0;
   core::token_count delivered;
   /** Output sent so far; kept only if a later run may have to continue it. */
--- a/src/agent/queue_controller.cc
+++ b/src/agent/queue_controller.cc
@@ -8,7 +8,9 @@
 #include <utility>
 
 #include "admission/engine_scheduler.h"
+#include "agent/attempt_answers.h"
 #include "agent/attempt_state.h"
+#include "agent/queue_dump.h"
 
 namespace comfreyspring::agent {
 
@@ -20,14 +22,12 @@
 constexpr core::milliseconds kTickPeriod{20};
 constexpr core::milliseconds kUpkeepPeriod{1000};
 constexpr core::milliseconds kRetryAfter{100};
-constexpr std::size_t kMaximumListed = 200;
+// A run lost before its first output is repeated, but not for ever.
+constexpr int kMaximumRuns = 3;
+const std::string kInterrupted = "stream_interrupted";
 // Every service call counts as one unit of work.
 constexpr core::token_count kServiceWork{1};
 
-double MillisecondsBetween(core::time_point from, core::time_point to) {
-  return static_cast<double>((to - from).count()) / 1000.0;
-}
-
 }  // namespace
 
 struct queue_controller::impl {
@@ -40,7 +40,7 @@
         options(settings),
         runner(endpoint),
         ledger(calls),
-        answers(channel),
+        answers(event_loop, channel, registry),
         metrics(registry),
         known(settings.attempts),
         scheduler({.started_at = event_loop.Now(),
@@ -49,7 +49,7 @@
     tick_timer = loop.SchedulePeriodic(
         kTickPeriod, [this] { Execute(scheduler.OnTick(loop.Now())); });
     upkeep_timer = loop.SchedulePeriodic(kUpkeepPeriod, [this] {
-      answers.OnTick(loop.Now());
+      answers.Channel().OnTick(loop.Now());
       known.OnTick(loop.Now(), loop.WallNow());
     });
   }
@@ -145,7 +145,7 @@
     }
     const auto outcome =
         state->ran ? core::outcome::incomplete : core::outcome::not_run;
-    Withdrawn(action.attempt, outcome);
+    answers.Withdrawn(action.attempt, outcome);
     ForgetQueued(action.attempt);
   }
 
@@ -172,24 +172,7 @@
                "The call with the same key was given back.", kRetryAfter});
   }
 
-  // Answers. Each ignores an attempt that has been answered.
-
-  void Refuse(const core::attempt_id& attempt, const run_failure& failure) {
-    if (!answers.IsKnown(attempt) || answers.HasEnded(attempt)) return;
-    LOG(INFO) << "agent.queue: Refused attempt " << attempt << " as "
-              << core::ToString(failure.outcome) << ", " << failure.reason
-              << ": " << failure.message;
-    metrics.Count("agent_refused_total{reason=\"" + failure.reason + "\"}");
-    wire::refused message;
-    message.attempt = attempt;
-    message.outcome = failure.outcome;
-    message.reason = failure.reason;
-    message.message = failure.message;
-    message.retry_after = failure.retry_after;
-    message.report = ReportFor(attempt);
-    answers.End(attempt, message, loop.Now());
-  }
-
+  // Refuses every attempt that waits for the same call.
   void RefuseAll(const std::vector<core::attempt_id>& waiting,
                  const run_failure& failure) {
     for (const core::attempt_id& attempt : waiting) {
@@ -198,26 +181,8 @@
     }
   }
 
-  void Withdrawn(const core::attempt_id& attempt, core::outcome outcome) {
-    if (!answers.IsKnown(attempt) || answers.HasEnded(attempt)) return;
-    metrics.Count("agent_withdrawn_total");
-    answers.End(attempt, wire::withdrawn{attempt, outcome}, loop.Now());
-  }
-
-  void Finish(const core::attempt_id& attempt, const run_result& result) {
-    if (!answers.IsKnown(attempt) || answers.HasEnded(attempt)) return;
-    metrics.Count("agent_finished_total");
-    answers.Write(attempt, result.body);
-    wire::finished message;
-    message.attempt = attempt;
-    if (const attempt_state* state = Find(attempt)) {
-      message.adapter = state->request->adapter;
-    }
-    message.status = result.status;
-    message.content_type = result.content_type;
-    message.tokens = result.tokens;
-    message.report = ReportFor(attempt);
-    answers.End(attempt, message, loop.Now());
+  void Refuse(const core::attempt_id& attempt, const run_failure& failure) {
+    answers.Refuse(attempt, failure, ReportFor(attempt));
   }
 
   wire::endpoint_report ReportFor(const core::attempt_id& attempt) {
@@ -226,6 +191,14 @@
                                    : state->request->adapter);
   }
 
+  void Finish(const core::attempt_id& attempt, const run_result& result) {
+    const attempt_state* state = Find(attempt);
+    answers.Finish(
+        attempt, result,
+        state == nullptr ? core::adapter_reference() : state->request->adapter,
+        ReportFor(attempt));
+  }
+
   void ForgetJoined(const core::attempt_id& attempt) {
     const auto found = attempts.find(attempt);
     if (found != attempts.end() &&
@@ -241,7 +214,7 @@
   }
 
   void Accept(const core::attempt_id& attempt) {
-    answers.Notify(attempt, wire::accepted{attempt, ReportFor(attempt)});
+    answers.Accept(attempt, ReportFor(attempt));
   }
 
   void Submit(const entry_address& entry, const wire::submit& message) {
@@ -252,7 +225,7 @@
       if (Find(attempt) != nullptr) Accept(attempt);
       return;
     }
-    answers.Begin(attempt, entry);
+    answers.Channel().Begin(attempt, entry);
     if (knowledge == attempt_knowledge::barred) {
       Refuse(attempt, {core::outcome::not_run, "attempt_withdrawn",
                        "The attempt was withdrawn before it arrived."});
@@ -350,13 +323,13 @@
     attempt_state* state = Find(attempt);
     if (state == nullptr) return;
     if (state->phase == attempt_phase::joined) {
-      Withdrawn(attempt, core::outcome::unknown);
+      answers.Withdrawn(attempt, core::outcome::unknown);
       ForgetJoined(attempt);
       return;
     }
     if (state->IsAtEndpoint() && !state->request->idempotent) {
       // It goes on, so that its answer reaches the ledger.
-      Withdrawn(attempt, core::outcome::unknown);
+      answers.Withdrawn(attempt, core::outcome::unknown);
       return;
     }
     if (state->IsAtEndpoint()) state->phase = attempt_phase::withdrawing;
@@ -382,7 +355,7 @@
         ForgetJoined(waiting);
       }
     } else if (state.phase == attempt_phase::withdrawing) {
-      Withdrawn(attempt, PartialOutcome(*request));
+      answers.Withdrawn(attempt, PartialOutcome(*request));
     } else {
       Finish(attempt, result);
     }
@@ -390,12 +363,6 @@
     Execute(next);
   }
 
-  static core::outcome PartialOutcome(const wire::submit& request) {
-    return request.kind == core::request_kind::completion
-               ? core::outcome::incomplete
-               : core::outcome::unknown;
-  }
-
   void Fail(const core::attempt_id& attempt, run_failure failure) {
     attempt_state* state = Find(attempt);
     if (state == nullptr) return;
@@ -403,25 +370,48 @@
       failure.outcome = core::outcome::incomplete;
     }
     state->ran = state->ran || failure.outcome != core::outcome::not_run;
+    if (failure.reason == kInterrupted && MayRepeat(*state)) {
+      state->repeat = true;
+      return;
+    }
     if (ledger_controller::Concerns(*state->request)) {
       RefuseAll(failure.outcome == core::outcome::not_run
                     ? ledger.OnNotRun(*state->request)
                     : ledger.OnOutcomeUnknown(*state->request),
                 failure);
     } else if (state->phase == attempt_phase::withdrawing) {
-      Withdrawn(attempt, failure.outcome);
+      answers.Withdrawn(attempt, failure.outcome);
     } else {
       Refuse(attempt, failure);
     }
   }
 
+  // Nothing was sent to the caller, and a second run does no harm.
+  bool MayRepeat(const attempt_state& state) const {
+    const core::attempt_id& attempt = state.request->attempt;
+    return state.request->idempotent &&
+           state.request->kind == core::request_kind::completion &&
+           state.runs < kMaximumRuns &&
+           answers.Channel().ChunkCount(attempt) == 0 &&
+           state.phase != attempt_phase::withdrawing &&
+           !answers.Channel().HasEnded(attempt);
+  }
+
+  void Repeat(attempt_state& state) {
+    state.repeat = false;
+    state.phase = attempt_phase::queued;
+    metrics.Count("agent_repeated_runs_total");
+    Execute(scheduler.OnSubmit(ItemOf(state), loop.Now()));
+  }
+
   // After a cold restart of the engine.
   void EndLostRun(const core::attempt_id& attempt) {
     attempt_state& state = attempts.at(attempt);
     state.ran = true;
-    const bool again =
-        state.request->idempotent && answers.ChunkCount(attempt) == 0 &&
-        state.phase != attempt_phase::withdrawing && !answers.HasEnded(attempt);
+    const bool again = state.request->idempotent &&
+                       answers.Channel().ChunkCount(attempt) == 0 &&
+                       state.phase != attempt_phase::withdrawing &&
+                       !answers.Channel().HasEnded(attempt);
     if (again) {
       state.phase = attempt_phase::queued;
       Execute(scheduler.OnSubmit(ItemOf(state), loop.Now()));
@@ -459,7 +449,7 @@
   queue_options options;
   endpoint_runner& runner;
   ledger_controller& ledger;
-  answer_channel& answers;
+  attempt_answers answers;
   telemetry::metrics& metrics;
   attempt_register known;
   admission::engine_scheduler scheduler;
@@ -500,14 +490,14 @@
                            ? core::outcome::not_run
                            : core::outcome::unknown;
   impl_->known.Bar(attempt, impl_->loop.Now());
-  impl_->answers.Begin(attempt, entry);
-  impl_->Withdrawn(attempt, outcome);
+  impl_->answers.Channel().Begin(attempt, entry);
+  impl_->answers.Withdrawn(attempt, outcome);
 }
 
 void queue_controller::OnResume(const entry_address& entry,
                                 const wire::resume& message) {
   const core::attempt_id& attempt = message.attempt;
-  if (impl_->answers.Resume(attempt, message.next_sequence)) return;
+  if (impl_->answers.Channel().Resume(attempt, message.next_sequence)) return;
   run_failure failure{core::outcome::incomplete, "replay_not_kept",
                       "The wanted part of the answer is not kept."};
   if (impl_->known.Knowledge(attempt) == attempt_knowledge::fresh) {
@@ -517,9 +507,9 @@
       failure.outcome = core::outcome::not_run;
     }
     impl_->known.Bar(attempt, impl_->loop.Now());
-    impl_->answers.Begin(attempt, entry);
+    impl_->answers.Channel().Begin(attempt, entry);
   }
-  if (impl_->answers.IsKnown(attempt) && !impl_->answers.HasEnded(attempt)) {
+  if (impl_->answers.IsOpen(attempt)) {
     impl_->Refuse(attempt, failure);
     impl_->GiveUp(attempt);
     return;
@@ -530,7 +520,7 @@
   answer.outcome = failure.outcome;
   answer.reason = failure.reason;
   answer.message = failure.message;
-  impl_->answers.Notify(attempt, answer);
+  impl_->answers.Channel().Notify(attempt, answer);
 }
 
 void queue_controller::OnEntryLost(const entry_address& entry) {
@@ -561,7 +551,7 @@
     if (state == nullptr) continue;
     const bool may_have_run =
         state->ran || state->phase != attempt_phase::queued;
-    impl_->Refuse(attempt, {may_have_run ? impl::PartialOutcome(*state->request)
+    impl_->Refuse(attempt, {may_have_run ? PartialOutcome(*state->request)
                                          : core::outcome::not_run,
                             reason, "The agent ends."});
   }
@@ -591,7 +581,7 @@
         "agent_first_output_ms",
         MillisecondsBetween(state->received, impl_->loop.Now()));
   }
-  impl_->answers.Write(attempt, data);
+  impl_->answers.Channel().Write(attempt, data);
   impl_->Execute(impl_->scheduler.OnFirstOutput(attempt, impl_->loop.Now()));
 }
 
@@ -606,11 +596,22 @@
 }
 
 void queue_controller::OnReleased(const core::attempt_id& attempt) {
-  const attempt_state* state = impl_->Find(attempt);
+  attempt_state* state = impl_->Find(attempt);
   if (state == nullptr) return;
+  const core::time_point now = impl_->loop.Now();
+  // A run that failed says nothing about the speed of the endpoint. After a
+  // preemption a confirmed cancel would put the attempt back into the queue.
   const auto next =
-      impl_->scheduler.OnEnded(attempt, state->delivered, impl_->loop.Now());
-  impl_->attempts.erase(attempt);
+      state->phase == attempt_phase::preempting
+          ? impl_->scheduler.OnEnded(attempt, state->delivered, now)
+          : impl_->scheduler.OnCancelConfirmed(attempt, state->delivered, now);
+  if (state->repeat && state->phase != attempt_phase::withdrawing) {
+    impl_->Repeat(*state);
+  } else {
+    // Answers a repetition that was withdrawn meanwhile.
+    impl_->answers.Withdrawn(attempt, PartialOutcome(*state->request));
+    impl_->attempts.erase(attempt);
+  }
   impl_->Execute(next);
 }
 
@@ -623,7 +624,7 @@
   if (state->phase == attempt_phase::preempting) {
     state->phase = attempt_phase::queued;
   } else {
-    impl_->Withdrawn(attempt, impl::PartialOutcome(*state->request));
+    impl_->answers.Withdrawn(attempt, PartialOutcome(*state->request));
     impl_->attempts.erase(attempt);
   }
   impl_->Execute(next);
@@ -669,67 +670,20 @@
 void queue_controller::OnEndpointAvailability() { impl_->UpdateEnabled(); }
 
 nlohmann::json queue_controller::ToJson() const {
-  const core::time_point now = impl_->loop.Now();
-  const auto report = Report({});
-  const auto& counters = impl_->scheduler.Counters();
-  json open = json::array();
-  for (const auto& [attempt, state] : impl_->attempts) {
-    if (open.size() >= kMaximumListed) break;
-    open.push_back({{"attempt", attempt.Value()},
-                    {"adapter", core::ToString(state.request->adapter)},
-                    {"priority", core::ToString(state.request->priority)},
-                    {"phase", ToString(state.phase)},
-                    {"delivered_tokens", state.delivered.value},
-                    {"age_ms", MillisecondsBetween(state.received, now)}});
-  }
-  json slots = json::array();
-  for (const auto& slot : impl_->scheduler.Slots()) {
-    slots.push_back({{"adapter", core::ToString(slot.adapter)},
-                     {"pins", slot.pins},
-                     {"loading", slot.loading}});
-  }
-  return {{"waiting", impl_->scheduler.Waiting()},
-          {"waiting_urgent", report.waiting_urgent},
-          {"waiting_may_wait", report.waiting_may_wait},
-          {"running", impl_->scheduler.Running()},
-          {"batch_limit", report.batch_limit},
-          {"expected_wait_ms", report.expected_wait.count()},
-          {"verified", impl_->verified},
-          {"draining", impl_->draining},
-          {"endpoint_up", report.endpoint_up},
-          {"open_attempts", impl_->attempts.size()},
-          {"attempts", std::move(open)},
-          {"slots", std::move(slots)},
-          {"known_attempts", impl_->known.Size()},
-          {"replay_attempts", impl_->answers.KeptAttempts()},
-          {"replay_bytes", impl_->answers.KeptBytes()},
-          {"counters",
-           {{"submitted", counters.submitted},
-            {"dispatched", counters.dispatched},
-            {"refused", counters.refused},
-            {"preempted", counters.preempted},
-            {"loads_started", counters.loads_started},
-            {"loads_failed", counters.loads_failed},
-            {"load_stalls", counters.load_stalls},
-            {"evictions", counters.evictions}}}};
+  json dump = DumpQueue(impl_->scheduler, Report({}), impl_->attempts,
+                        impl_->loop.Now());
+  dump["verified"] = impl_->verified;
+  dump["known_attempts"] = impl_->known.Size();
+  dump["replay_attempts"] = impl_->answers.Channel().KeptAttempts();
+  dump["replay_bytes"] = impl_->answers.Channel().KeptBytes();
+  return dump;
 }
 
 void queue_controller::UpdateMetrics() {
-  const auto report = Report({});
-  const auto& counters = impl_->scheduler.Counters();
-  const auto set = [this](const std::string& name, auto value) {
-    impl_->metrics.SetGauge(name, static_cast<double>(value));
-  };
-  set("agent_running", report.running);
-  set("agent_waiting{class=\"urgent\"}", report.waiting_urgent);
-  set("agent_waiting{class=\"may_wait\"}", report.waiting_may_wait);
-  set("agent_expected_wait_ms", report.expected_wait.count());
-  set("agent_endpoint_up", report.endpoint_up ? 1 : 0);
-  set("agent_loads_started", counters.loads_started);
-  set("agent_loads_failed", counters.loads_failed);
-  set("agent_load_stalls", counters.load_stalls);
-  set("agent_evictions", counters.evictions);
-  set("agent_replay_bytes", impl_->answers.KeptBytes());
+  SetQueueGauges(impl_->scheduler, Report({}), impl_->metrics);
+  impl_->metrics.SetGauge(
+      "agent_replay_bytes",
+      static_cast<double>(impl_->answers.Channel().KeptBytes()));
 }
 
 }  // namespace comfreyspring::agent
--- a/src/agent/queue_controller_test.cc
+++ b/src/agent/queue_controller_test.cc
@@ -168,6 +168,30 @@
   EXPECT_TRUE(queue_.IsIdle());
 }
 
+// Guards callers of an engine that restarts before its first output.
+TEST_F(queue_controller_test, ARunLostWithoutOutputIsRepeated) {
+  const core::attempt_id attempt("r.1");
+  const run_failure lost{outcome::incomplete, "stream_interrupted", ""};
+  EXPECT_CALL(runner_, Run(_)).Times(3);
+  queue_.OnSubmit(kEntry, Completion("r.1"));
+  for (int i = 0; i < 3; ++i) {
+    queue_.OnFailed(attempt, lost);
+    queue_.OnReleased(attempt);
+  }
+  EXPECT_EQ(Last<wire::refused>().outcome, outcome::incomplete);
+  EXPECT_EQ(sender_.Ends(attempt), 1U);
+}
+
+TEST_F(queue_controller_test, ARunLostAfterOutputIsNotRepeated) {
+  const core::attempt_id attempt("r.1");
+  EXPECT_CALL(runner_, Run(_)).Times(1);
+  queue_.OnSubmit(kEntry, Completion("r.1"));
+  queue_.OnOutput(attempt, "x");
+  queue_.OnFailed(attempt, {outcome::incomplete, "stream_interrupted", ""});
+  queue_.OnReleased(attempt);
+  EXPECT_EQ(Last<wire::refused>().outcome, outcome::incomplete);
+}
+
 TEST_F(queue_controller_test, AFailedRunKeepsItsPinUntilReleased) {
   const core::attempt_id attempt("r.1");
   queue_.OnSubmit(kEntry, Completion("r.1"));
