--- a/tests/process/configuration_test.cc
+++ b/tests/process/configuration_test.cc
@@ -60,15 +60,19 @@
 TEST(Configuration, NeverRevertsToAStaleSet) {
   fleet running({.engines = 2, .services = 1});
   running.SetPlatformMode(R"({"config":"stale"})");
-  running.Publish();
   running.SetPlatformMode(R"({"config":"normal"})");
+  running.Publish();
   ASSERT_TRUE(
       fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
   running.SetPlatformMode(R"({"config":"stale"})");
   running.Entry(0).Kill();
   running.StartEntry(0);
-  EXPECT_TRUE(
+  ASSERT_TRUE(
       fleet::Eventually([&] { return AllAtGeneration(running, 2, 2); }));
+  // Long enough for several watches of the stale service to end.
+  const bool reverted =
+      fleet::Eventually([&] { return !AllAtGeneration(running, 2, 2); }, 13000);
+  EXPECT_FALSE(reverted);
 }
 
 // Guards against a part of a broken set coming into force.
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -233,6 +233,20 @@
   }
 }
 
+// Promise 4. Guards against `not_run` for an order that was running when its
+// deadline passed.
+TEST(Promises, AnOrderThatOutlivesItsDeadlineIsNotCalledNotRun) {
+  fleet running({.engines = 0, .services = 1, .entries = 1});
+  running.Behave(running.Endpoint("desk-0"), R"({"delay_ms":2500})");
+  const std::string key = fleet::NewKey();
+  const http_answer answer =
+      Call("POST", running.EntryUrl(0) + "/v1/services/orders/new", "{}",
+           {{"Idempotency-Key", key}, {"X-Request-Deadline-Ms", "1000"}});
+  EXPECT_EQ(answer.status, 502) << answer.body;
+  EXPECT_EQ(OutcomeOf(answer), "unknown");
+  EXPECT_TRUE(fleet::Eventually([&] { return running.Runs()[key] == 1; }));
+}
+
 // Promise 5. Guards against a second run when an entry freezes with an order
 // in hand, the caller repeats it elsewhere, and the entry wakes.
 TEST(Promises, AFrozenEntryDoesNotRepeatAnOrder) {
