Check pin counts in the scheduler model

Cause: a trial that unpinned at the preemption, before the engine confirmed the cancellation, passed all tests. Change: the model compares the pins of every slot with its running attempts after each event.

--- a/src/admission/scheduler_model.h
+++ b/src/admission/scheduler_model.h
@@ -178,11 +178,12 @@
     return *std::next(set.begin(),
                       static_cast<std::ptrdiff_t>(pick % set.size()));
   }
-  bool IsPinned(const core::adapter_reference& adapter) const {
+  int PinsOf(const core::adapter_reference& adapter) const {
+    int pins = 0;
     for (const core::attempt_id& id : Running()) {
-      if (attempts_.at(id).work.adapter == adapter) return true;
+      if (attempts_.at(id).work.adapter == adapter) ++pins;
     }
-    return false;
+    return pins;
   }
 
   void Apply(const std::vector<scheduler_action>& actions) {
@@ -191,6 +192,10 @@
     }
     RC_ASSERT(scheduler_.Running() == Running().size());
     RC_ASSERT(scheduler_.Waiting() + Running().size() == Open());
+    // Pins last from the dispatch to the end or the confirmed cancellation.
+    for (const slot_state& slot : scheduler_.Slots()) {
+      RC_ASSERT(slot.pins == PinsOf(slot.adapter));
+    }
   }
 
   void Check(const start_load& load) {
@@ -200,7 +205,7 @@
     RC_ASSERT(!resident_.contains(load.adapter));
     if (load.evict) {
       RC_ASSERT(!loading_.contains(*load.evict));
-      RC_ASSERT(!IsPinned(*load.evict));
+      RC_ASSERT(PinsOf(*load.evict) == 0);
       resident_.erase(*load.evict);
     }
     loading_.insert(load.adapter);
