--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -65,6 +65,8 @@
       events_.At(start + jobs[i].at, [this, &jobs, i] { Submit(jobs[i], i); });
     }
     open_ = jobs.size();
+    const std::chrono::duration<double> last = jobs.back().at;
+    result_.arrival_seconds = last.count();
     const core::time_point end =
         start + jobs.back().at + core::seconds(kLongestDrainSeconds);
     while (open_ > 0 && events_.Now() < end && events_.RunNext()) {
--- a/bench/fleet/measurements.cc
+++ b/bench/fleet/measurements.cc
@@ -26,24 +26,32 @@
 
 void PrintHeader() {
   std::printf(
-      "%-22s %6s %6s %6s %6s %8s %7s | %6s %7s %5s %9s | %7s %7s %5s %6s %6s\n",
-      "run", "p50ms", "p95ms", "p99ms", "ttft95", "in_time%", "refused",
-      "maywt", "refused", "lost", "longest_s", "loads/s", "stalls", "fill%",
-      "hedges", "retry");
+      "%-22s %6s %6s %6s %6s %8s %6s %7s %6s | %6s %7s %5s %9s | %7s %7s %5s "
+      "%6s %6s\n",
+      "", "urgent", "", "", "", "", "", "", "", "mayw.", "", "", "", "", "", "",
+      "", "");
+  std::printf(
+      "%-22s %6s %6s %6s %6s %8s %6s %7s %6s | %6s %7s %5s %9s | %7s %7s %5s "
+      "%6s %6s\n",
+      "run", "p50ms", "p95ms", "p99ms", "ttft95", "in_time%", "good/s",
+      "refused", "late", "done%", "refused", "lost", "longest_s", "loads/s",
+      "stalls", "fill%", "hedges", "retry");
 }
 
 void Print(const run_result& result) {
   const class_result& urgent = result.urgent;
   const class_result& deferrable = result.may_wait;
+  const auto good = static_cast<double>(urgent.within_deadline);
   std::printf(
-      "%-22s %6.0f %6.0f %6.0f %6.0f %8.2f %7llu | %5.1f%% %7llu %5llu %9.1f "
-      "| %7.1f %7llu %5.1f %6llu %6llu\n",
+      "%-22s %6.0f %6.0f %6.0f %6.0f %8.2f %6.1f %7llu %6llu | %6.1f %7llu "
+      "%5llu %9.1f | %7.1f %7llu %5.1f %6llu %6llu\n",
       result.name.c_str(), Quantile(urgent.latencies_ms, 0.50),
       Quantile(urgent.latencies_ms, 0.95), Quantile(urgent.latencies_ms, 0.99),
       Quantile(urgent.first_chunk_ms, 0.95),
-      Percent(urgent.within_deadline, urgent.submitted), Wide(urgent.refused),
+      Percent(urgent.within_deadline, urgent.submitted),
+      good / result.arrival_seconds, Wide(urgent.refused), Wide(urgent.lost),
       Percent(deferrable.completed, deferrable.submitted),
-      Wide(deferrable.refused), Wide(deferrable.lost + urgent.lost),
+      Wide(deferrable.refused), Wide(deferrable.lost),
       deferrable.longest_ms / 1000.0,
       static_cast<double>(result.loads) / result.seconds,
       Wide(result.load_stalls), 100.0 * result.batch_fill, Wide(result.hedges),
--- a/bench/fleet/measurements.h
+++ b/bench/fleet/measurements.h
@@ -32,6 +32,8 @@
   class_result urgent;
   class_result may_wait;
   double seconds = 0.0;
+  /** Time of the last arrival. */
+  double arrival_seconds = 0.0;
   std::uint64_t loads = 0;
   std::uint64_t load_stalls = 0;
   std::uint64_t dispatched = 0;
--- a/src/routing/router_properties_test.cc
+++ b/src/routing/router_properties_test.cc
@@ -311,6 +311,9 @@
     RC_ASSERT(!request.gone);
     RC_ASSERT(request.selected == action.attempt);
     attempts_.at(action.attempt).open = false;
+    for (const attempt_id& attempt : request.attempts) {
+      RC_ASSERT(!attempts_.at(attempt).open);
+    }
   }
   void CheckOne(const fail_request& action) {
     request_truth& request = requests_.at(action.request);
