--- /dev/null
+++ b/src/agent/drain_controller_test.cc
@@ -0,0 +1,82 @@
+#include "agent/drain_controller.h"
+
+#include <gtest/gtest.h>
+
+namespace comfreyspring::agent {
+namespace {
+
+using core::milliseconds;
+
+constexpr milliseconds kLimit{5000};
+const core::endpoint_id kOwn("engine-1");
+
+class drain_controller_test : public ::testing::Test {
+ protected:
+  drain_actions Actions() {
+    return {.announce = [this] { ++announced_; },
+            .begin = [this](core::time_point) { ++begun_; },
+            .end_all = [this] { ++ended_all_; },
+            .is_idle = [this] { return idle_; },
+            .finished = [this] { ++finished_; }};
+  }
+
+  std::shared_ptr<const config::configuration> Stop(milliseconds from,
+                                                    milliseconds to) {
+    auto set = std::make_shared<config::configuration>();
+    set->stops.push_back({.endpoint = kOwn,
+                          .starts_at = loop_.WallNow() + from,
+                          .ends_at = loop_.WallNow() + to,
+                          .drain = core::seconds(0)});
+    return set;
+  }
+
+  net::event_loop loop_;
+  int announced_ = 0;
+  int begun_ = 0;
+  int ended_all_ = 0;
+  int finished_ = 0;
+  bool idle_ = false;
+  drain_controller drain_{loop_, kOwn, core::seconds(60), Actions()};
+};
+
+// Guards guarantee 7: the process does not end while work is open.
+TEST_F(drain_controller_test, WaitsForOpenWork) {
+  drain_.OnTerminate();
+  EXPECT_EQ(announced_, 1);
+  EXPECT_EQ(begun_, 1);
+  EXPECT_FALSE(
+      loop_.RunUntil([&] { return finished_ > 0; }, milliseconds(700)));
+  idle_ = true;
+  EXPECT_TRUE(loop_.RunUntil([&] { return finished_ > 0; }, kLimit));
+  EXPECT_EQ(ended_all_, 0);
+}
+
+TEST_F(drain_controller_test, ASecondSignalEndsAtOnce) {
+  drain_.OnTerminate();
+  drain_.OnTerminate();
+  EXPECT_EQ(ended_all_, 1);
+  EXPECT_EQ(finished_, 1);
+}
+
+// Guards against a drain that never ends, and against silent ends of work.
+TEST_F(drain_controller_test, TheLimitAnswersOpenWorkAndEnds) {
+  drain_.OnConfiguration(Stop(milliseconds(-1), milliseconds(60'000)));
+  EXPECT_TRUE(drain_.IsDraining());
+  EXPECT_TRUE(loop_.RunUntil([&] { return finished_ > 0; }, kLimit));
+  EXPECT_EQ(ended_all_, 1);
+}
+
+TEST_F(drain_controller_test, APlannedStopBeginsAtItsTime) {
+  drain_.OnConfiguration(Stop(milliseconds(150), milliseconds(60'000)));
+  EXPECT_FALSE(drain_.IsDraining());
+  EXPECT_TRUE(loop_.RunUntil([&] { return drain_.IsDraining(); }, kLimit));
+}
+
+TEST_F(drain_controller_test, AStopThatIsOverIsIgnored) {
+  drain_.OnConfiguration(Stop(milliseconds(-60'000), milliseconds(-1)));
+  EXPECT_FALSE(
+      loop_.RunUntil([&] { return drain_.IsDraining(); }, milliseconds(120)));
+}
+
+}  // namespace
+}  // namespace comfreyspring::agent
--- a/src/agent/engine_controller.cc
+++ b/src/agent/engine_controller.cc
@@ -113,14 +113,14 @@
     checks_fencing = status.value("checks_fencing", false);
     load_report = status.value("load_report", json::object());
     failures = 0;
+    const bool was_up = up;
+    const bool was_ready = IsReady();
+    up = true;
     if (!known_instance.empty() && known_instance != instance) {
       OnRestarted(instance);
     }
     known_instance = instance;
     TakeFencing(seen);
-    const bool was_up = up;
-    const bool was_ready = IsReady();
-    up = true;
     if (validation == validation_serial) validated = true;
     if (!yielding) {
       // A status from before a load or unload ended says nothing about it.
--- a/src/agent/engine_controller_test.cc
+++ b/src/agent/engine_controller_test.cc
@@ -269,6 +269,17 @@
   EXPECT_TRUE(http_.Open("/adapters/load").empty()) << load;
 }
 
+// Guards the repetition of lost runs, which needs an endpoint that is up.
+TEST_F(engine_controller_test, IsUpWhenItReportsARestartAfterAnOutage) {
+  AnswerStatus(Status());
+  http_.Break(Only("/status"), net::http_failure::not_sent);
+  EXPECT_FALSE(engine_.IsUp());
+  EXPECT_CALL(listener_, OnEndpointRestart()).WillOnce([this] {
+    EXPECT_TRUE(engine_.IsUp());
+  });
+  AnswerStatus(Status("i2"));
+}
+
 TEST_F(engine_controller_test, UnloadsBeforeItLoads) {
   AnswerStatus(Status());
   engine_.Load(kOther, kAdapter);
--- a/src/agent/queue_controller_test.cc
+++ b/src/agent/queue_controller_test.cc
@@ -182,6 +182,19 @@
   EXPECT_EQ(sender_.Ends(attempt), 1U);
 }
 
+// Guards callers of a silent engine: its lost runs must not wait in the queue
+// until their deadline.
+TEST_F(queue_controller_test, ARunLostByADownEndpointIsNotRepeated) {
+  const core::attempt_id attempt("r.1");
+  queue_.OnSubmit(kEntry, Completion("r.1"));
+  EXPECT_CALL(runner_, IsUp()).WillRepeatedly(Return(false));
+  queue_.OnEndpointAvailability();
+  queue_.OnFailed(attempt, {outcome::incomplete, "stream_interrupted", ""});
+  queue_.OnReleased(attempt);
+  EXPECT_EQ(Last<wire::refused>().outcome, outcome::incomplete);
+  EXPECT_TRUE(queue_.IsIdle());
+}
+
 TEST_F(queue_controller_test, ARunLostAfterOutputIsNotRepeated) {
   const core::attempt_id attempt("r.1");
   EXPECT_CALL(runner_, Run(_)).Times(1);
