Report the progress of streams to the router

Cause: the slow-endpoint detector scores streams by their progress, but the entry never reported it, so only finished requests counted. Change: request_controller calls OnProgress every 8th chunk.

--- a/src/entry/request_controller.cc
+++ b/src/entry/request_controller.cc
@@ -18,6 +18,8 @@
 using nlohmann::json;
 
 constexpr core::milliseconds kTickPeriod{20};
+/** Every so many chunks the router hears how fast a stream moves. */
+constexpr std::uint64_t kProgressChunks = 8;
 /** The start of a prompt that decides about reuse of cached prefixes. */
 constexpr std::size_t kPrefixBytes = 512;
 /** A caller that takes its answer this slowly is disconnected. */
@@ -194,6 +196,9 @@
     if (!attempt.begun && !attempt.unselected.empty()) {
       attempt.begun = true;
       Execute(router.OnFirstChunk(message.attempt, loop.Now()));
+    } else if (message.sequence % kProgressChunks == 0) {
+      Execute(router.OnProgress(message.attempt,
+                                attempt.assembler.NextSequence(), loop.Now()));
     }
     Flush(request, message.attempt);
   }
