--- a/src/entry/request_controller.cc
+++ b/src/entry/request_controller.cc
@@ -197,8 +197,8 @@
       attempt.begun = true;
       Execute(router.OnFirstChunk(message.attempt, loop.Now()));
     } else if (message.sequence % kProgressChunks == 0) {
-      Execute(router.OnProgress(message.attempt,
-                                attempt.assembler.NextSequence(), loop.Now()));
+      router.OnProgress(message.attempt, attempt.assembler.NextSequence(),
+                        loop.Now());
     }
     Flush(request, message.attempt);
   }
