Plan links by data centre and verify endpoints after a pause

Cause: an entry linked to every engine of the fleet (2,900 at the target size), and after a pause a frame buffered before it counted as news of the endpoint. Change: PlanLinks links to the own data centre, all plain services and a subset of 8 engines of each other one once the own has 24 engines; after a pause only replies to heartbeats sent after it verify an endpoint.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -39,5 +39,5 @@
   add_test(NAME ${target} COMMAND ${target})
   set_tests_properties(${target} PROPERTIES
     TIMEOUT ${timeout_seconds}
-    ENVIRONMENT "RC_PARAMS=seed=20261204 verbose_progress=0")
+    ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -267,6 +267,11 @@
                  << " ms; every endpoint must be heard again.";
     metrics.Count("entry_pauses_total");
     membership.Directory().OnPause(loop.Now());
+    // Frames that waited in the sockets during the pause prove nothing; only
+    // replies to heartbeats sent after it do.
+    for (const core::endpoint_id& endpoint : membership.Directory().All()) {
+      first_valid_nonce[endpoint] = links.NextNonce(endpoint);
+    }
     links.HeartbeatNow();
   }
 
@@ -274,6 +279,7 @@
 
   void OnLinkUp(const core::endpoint_id& endpoint, const wire::hello& message,
                 bool resumed) override {
+    first_valid_nonce.erase(endpoint);
     membership.Directory().OnHello(endpoint, message, loop.Now());
     TakePeerVersion(endpoint, message.instance_ms, message.version);
     if (IsPlainService(endpoint) &&
@@ -295,7 +301,12 @@
   void OnMessage(const core::endpoint_id& endpoint,
                  const wire::message& message) override {
     if (const auto* reply = std::get_if<wire::heartbeat_reply>(&message)) {
-      membership.Directory().OnReport(endpoint, reply->report, loop.Now());
+      const auto awaited = first_valid_nonce.find(endpoint);
+      if (awaited != first_valid_nonce.end() &&
+          reply->nonce >= awaited->second) {
+        first_valid_nonce.erase(awaited);
+      }
+      OnReport(endpoint, reply->report);
       membership.Directory().OnVersion(endpoint, reply->version);
       TakePeerVersion(endpoint, std::nullopt, reply->version);
       config.OnPeerVersion(endpoint, reply->version);
@@ -315,13 +326,19 @@
     }
   }
 
+  void OnReport(const core::endpoint_id& endpoint,
+                const wire::endpoint_report& report) {
+    if (first_valid_nonce.contains(endpoint)) return;
+    membership.Directory().OnReport(endpoint, report, loop.Now());
+  }
+
   /** Every answer carries the load of its endpoint. */
   void TakeReport(const core::endpoint_id& endpoint,
                   const wire::message& message) {
     std::visit(
         [&](const auto& typed) {
           if constexpr (requires { typed.report.batch_limit; }) {
-            membership.Directory().OnReport(endpoint, typed.report, loop.Now());
+            OnReport(endpoint, typed.report);
           }
         },
         message);
@@ -411,6 +428,8 @@
   entry_filter_chain chain;
   net::http_server server;
   std::map<core::endpoint_id, wire::peer_version> peer_versions;
+  /** After a pause: endpoints that are not heard again yet. */
+  std::map<core::endpoint_id, std::uint64_t> first_valid_nonce;
   net::timer_id wall_timer = 0;
   net::timer_id readers_timer = 0;
   net::timer_id drain_timer = 0;
--- a/src/entry/link_controller.cc
+++ b/src/entry/link_controller.cc
@@ -6,10 +6,12 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "core/hash.h"
 #include "core/random_source.h"
+#include "entry/link_plan.h"
 #include "net/frame_link.h"
 #include "wire/codec.h"
 
@@ -325,18 +327,22 @@
 }
 
 void link_controller::OnConfiguration(const config::configuration& current) {
+  const std::vector<core::endpoint_id> plan =
+      PlanLinks(current, impl_->options.process, impl_->options.data_centre);
+  const std::set<core::endpoint_id> planned(plan.begin(), plan.end());
   std::vector<core::endpoint_id> removed;
   for (const auto& [endpoint, state] : impl_->peers) {
     const config::endpoint_record* record = current.FindEndpoint(endpoint);
-    const bool same = record != nullptr &&
+    const bool same = planned.contains(endpoint) &&
                       record->address == state.address.address &&
                       record->agent_port == state.address.port;
     if (!same) removed.push_back(endpoint);
   }
   for (const core::endpoint_id& endpoint : removed) impl_->Remove(endpoint);
-  for (const config::endpoint_record& record : current.endpoints) {
-    if (impl_->peers.contains(record.endpoint)) continue;
-    impl_->Add(record.endpoint, {record.address, record.agent_port});
+  for (const core::endpoint_id& endpoint : plan) {
+    if (impl_->peers.contains(endpoint)) continue;
+    const config::endpoint_record& record = *current.FindEndpoint(endpoint);
+    impl_->Add(endpoint, {record.address, record.agent_port});
   }
 }
 
@@ -374,6 +380,12 @@
   }
 }
 
+std::uint64_t link_controller::NextNonce(
+    const core::endpoint_id& endpoint) const {
+  const auto position = impl_->peers.find(endpoint);
+  return position == impl_->peers.end() ? 0 : position->second.next_nonce;
+}
+
 std::vector<core::endpoint_id> link_controller::ReaderAgents() const {
   return impl_->ReaderAgents();
 }
--- a/src/entry/link_controller.h
+++ b/src/entry/link_controller.h
@@ -60,7 +60,8 @@
 
   /** Agents to ask before any configuration is known. */
   void ConnectSeeds(const std::vector<settings::socket_address>& seeds);
-  /** Connects to new endpoints, moves changed ones, drops removed ones. */
+  /** Connects to the endpoints of the link plan, moves changed ones and drops
+   * the others. */
   void OnConfiguration(const config::configuration& current);
 
   // Messages.
@@ -76,6 +77,8 @@
    * are alive and when one of them last read the configuration service.
    */
   void AskForReaders(std::optional<std::int64_t> service_read_age_ms);
+  /** Nonce of the next heartbeat to this endpoint; 0 if it is not linked. */
+  std::uint64_t NextNonce(const core::endpoint_id& endpoint) const;
   /** The agents that AskForReaders asks. */
   std::vector<core::endpoint_id> ReaderAgents() const;
   /** Opens a second link; it replaces the first as soon as it answers. */
--- a/src/placement/subset.h
+++ b/src/placement/subset.h
@@ -7,6 +7,10 @@
 
 namespace comfreyspring::placement {
 
+/** A data centre with this many engines of a model places adapters on its own;
+ * smaller ones share the engines of the region. */
+inline constexpr std::size_t kDataCentreScope = 24;
+
 /**
  * The endpoints of a remote data centre that a process links to: the first
  * `size` by rendezvous hash of the process id, ascending by name. A change of
