--- a/src/agent/reader_relay_test.cc
+++ b/src/agent/reader_relay_test.cc
@@ -16,9 +16,9 @@
   return core::time_point(core::seconds(seconds_since_start));
 }
 
-class ReaderRelay : public testing::Test {
+class reader_relay_test : public testing::Test {
  protected:
-  ReaderRelay() {
+  reader_relay_test() {
     relay_.OnHello(kFirst, data_centre_id("porto-a"), At(0));
     relay_.OnHello(kSecond, data_centre_id("porto-a"), At(0));
     relay_.OnHello(kOther, data_centre_id("caxias"), At(0));
@@ -31,20 +31,20 @@
   reader_relay relay_;
 };
 
-TEST_F(ReaderRelay, ListsLiveEntriesOfTheSameDataCentre) {
+TEST_F(reader_relay_test, ListsLiveEntriesOfTheSameDataCentre) {
   EXPECT_EQ(ReplyTo(kFirst, 1).entries,
             (std::vector{process_id("entry-1"), process_id("entry-2")}));
   EXPECT_EQ(ReplyTo(kOther, 1).entries, std::vector{process_id("entry-3")});
 }
 
 // Guards against a silently lost reader that keeps others from reading.
-TEST_F(ReaderRelay, LeavesOutEntriesThatWentSilent) {
+TEST_F(reader_relay_test, LeavesOutEntriesThatWentSilent) {
   relay_.OnHeartbeat(kFirst, {}, At(30));
   EXPECT_EQ(ReplyTo(kFirst, 31).entries, std::vector{process_id("entry-1")});
 }
 
 // Guards against a relayed age that looks younger than the read it stands for.
-TEST_F(ReaderRelay, ReportsTheAgeOfTheLatestRead) {
+TEST_F(reader_relay_test, ReportsTheAgeOfTheLatestRead) {
   EXPECT_FALSE(ReplyTo(kFirst, 1).service_read_age_ms.has_value());
   relay_.OnHeartbeat(kFirst, {.service_read_age_ms = 1000}, At(10));
   relay_.OnHeartbeat(kSecond, {.service_read_age_ms = 8000}, At(11));
--- a/src/entry/request_controller.cc
+++ b/src/entry/request_controller.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -294,8 +295,8 @@
   facts.deadline = context.deadline;
   if (context.home) facts.home = context.home->endpoint;
   if (!context.prompt.empty()) {
-    facts.prefix_hash =
-        core::Hash64(std::string_view(context.prompt).substr(0, kPrefixBytes));
+    const std::string_view prompt = context.prompt;
+    facts.prefix_hash = core::Hash64(prompt.substr(0, kPrefixBytes));
   }
   const core::request_id request = context.request;
   context.exchange->OnClientGone(
