Record and replay the events of router and scheduler

Cause: a failure of a running process could not be turned into a test; only its log lines remained. Change: src/trace has a text format with a typed reader (faults with line and column) and writer, recording_router, recording_directory and recording_scheduler around the real classes, and a replayer that compares the actions and checks stated outcomes; program trace_replay. Conclusion: the two decision modules are deterministic under their recorded events; the ledger and the configuration store have no trace yet.

--- a/src/agent/agent_main.cc
+++ b/src/agent/agent_main.cc
@@ -8,6 +8,7 @@
 #include "agent/agent_program.h"
 #include "settings/flag_checks.h"
 #include "settings/program_start.h"
+#include "trace/trace_writer.h"
 
 DEFINE_string(endpoint_id, "", "Name of the endpoint in the configuration.");
 DEFINE_string(vm_id, "", "Name of this VM in the platform's list.");
@@ -34,6 +35,10 @@
 DEFINE_int32(call_timeout_ms, 30000, "Limit of one service call.");
 DEFINE_int32(service_concurrency, 16, "Service calls at the same time.");
 DEFINE_uint64(seed, 0, "Seed of random choices; 0 takes one from the system.");
+DEFINE_string(trace_file, "",
+              "Records decisions to this file, such as /dev/stderr; empty: "
+              "off.");
+DEFINE_int32(trace_limit_events, 100000, "Events after which it ends.");
 
 namespace {
 
@@ -72,6 +77,14 @@
                          kMaximumTimeoutMs);
   settings::RequireRange("service_concurrency", FLAGS_service_concurrency, 1,
                          10000);
+  settings::RequireRange("trace_limit_events", FLAGS_trace_limit_events, 1,
+                         100000000);
+  try {
+    comfreyspring::trace::OpenTrace(FLAGS_trace_file, 1);
+  } catch (const core::error&) {
+    throw settings::settings_error("trace_file", FLAGS_trace_file,
+                                   "a file that can be opened for writing");
+  }
 }
 
 agent_settings SettingsFromFlags() {
@@ -99,6 +112,9 @@
       static_cast<std::size_t>(FLAGS_maximum_ledger_records);
   chosen.maximum_replay_bytes =
       static_cast<std::size_t>(FLAGS_maximum_replay_bytes);
+  chosen.trace_file = FLAGS_trace_file;
+  chosen.trace_limit_events =
+      static_cast<std::size_t>(FLAGS_trace_limit_events);
   std::random_device device;
   chosen.random_seed =
       FLAGS_seed != 0 ? FLAGS_seed : (std::uint64_t{device()} << 32) | device();
--- a/src/agent/agent_program.cc
+++ b/src/agent/agent_program.cc
@@ -44,12 +44,14 @@
 }
 
 queue_options QueueOptions(const agent_settings& settings,
-                           core::wall_time started_at) {
+                           core::wall_time started_at,
+                           trace::trace_writer* trace) {
   queue_options options;
   options.kind = settings.kind;
   options.random_seed = settings.random_seed;
   options.maximum_queue = settings.maximum_queue;
   options.attempts.started_at = started_at;
+  options.trace = trace;
   return options;
 }
 
@@ -66,8 +68,10 @@
         links(loop, settings.links, *this),
         answers(links, {.maximum_total_bytes = settings.maximum_replay_bytes}),
         ledger(loop, LedgerOptions(settings, started_at)),
-        queue(loop, QueueOptions(settings, started_at), *runner, ledger,
-              answers, metrics),
+        trace(
+            trace::OpenTrace(settings.trace_file, settings.trace_limit_events)),
+        queue(loop, QueueOptions(settings, started_at, trace.get()), *runner,
+              ledger, answers, metrics),
         config(loop, links,
                [this](std::shared_ptr<const config::configuration> set) {
                  OnAdopted(std::move(set));
@@ -265,6 +269,7 @@
   link_controller links;
   answer_channel answers;
   ledger_controller ledger;
+  std::unique_ptr<trace::trace_writer> trace;
   queue_controller queue;
   config_relay config;
   drain_controller drain;
--- a/src/agent/agent_program.h
+++ b/src/agent/agent_program.h
@@ -30,6 +30,9 @@
   std::size_t maximum_ledger_records = 100000;
   std::size_t maximum_replay_bytes = 32 * 1024 * 1024;
   std::uint64_t random_seed = 1;
+  /** Empty: no recording. */
+  std::string trace_file;
+  std::size_t trace_limit_events = 100000;
 };
 
 /** One agent: its controllers and their wiring. */
--- a/src/agent/queue_controller.cc
+++ b/src/agent/queue_controller.cc
@@ -7,8 +7,8 @@
 #include <unordered_map>
 #include <utility>
 
-#include "admission/engine_scheduler.h"
 #include "agent/attempt_state.h"
+#include "trace/recording_scheduler.h"
 
 namespace comfreyspring::agent {
 
@@ -45,7 +45,8 @@
         known(settings.attempts),
         scheduler({.started_at = event_loop.Now(),
                    .random_seed = settings.random_seed,
-                   .maximum_queue = settings.maximum_queue}) {
+                   .maximum_queue = settings.maximum_queue},
+                  settings.trace) {
     tick_timer = loop.SchedulePeriodic(
         kTickPeriod, [this] { Execute(scheduler.OnTick(loop.Now())); });
     upkeep_timer = loop.SchedulePeriodic(kUpkeepPeriod, [this] {
@@ -462,7 +463,7 @@
   answer_channel& answers;
   telemetry::metrics& metrics;
   attempt_register known;
-  admission::engine_scheduler scheduler;
+  trace::recording_scheduler scheduler;
   std::unordered_map<core::attempt_id, attempt_state> attempts;
   net::timer_id tick_timer = 0;
   net::timer_id upkeep_timer = 0;
--- a/src/agent/queue_controller.h
+++ b/src/agent/queue_controller.h
@@ -10,6 +10,7 @@
 #include "agent/ledger_controller.h"
 #include "net/event_loop.h"
 #include "telemetry/metrics.h"
+#include "trace/trace_writer.h"
 #include "wire/messages.h"
 
 namespace comfreyspring::agent {
@@ -19,6 +20,8 @@
   std::uint64_t random_seed = 1;
   std::size_t maximum_queue = 4096;
   register_options attempts;
+  /** Records the scheduler; nullptr: no recording. */
+  trace::trace_writer* trace = nullptr;
 };
 
 /**
--- a/src/entry/entry_main.cc
+++ b/src/entry/entry_main.cc
@@ -8,6 +8,7 @@
 #include "entry/entry_program.h"
 #include "settings/flag_checks.h"
 #include "settings/program_start.h"
+#include "trace/trace_writer.h"
 
 DEFINE_string(process_id, "", "Name of this entry, unique in the fleet.");
 DEFINE_string(data_centre, "", "Data centre of this VM.");
@@ -27,6 +28,10 @@
              "After SIGTERM, time for the balancer to notice /readyz.");
 DEFINE_int32(drain_seconds, 60, "Longest time for open requests to finish.");
 DEFINE_uint64(seed, 0, "Seed of random choices; 0 takes one from the system.");
+DEFINE_string(trace_file, "",
+              "Records decisions to this file, such as /dev/stderr; empty: "
+              "off.");
+DEFINE_int32(trace_limit_events, 100000, "Events after which it ends.");
 
 namespace {
 
@@ -61,6 +66,14 @@
   settings::RequireRange("maximum_tokens", FLAGS_maximum_tokens, 1, 1 << 20);
   settings::RequireRange("drain_notice_ms", FLAGS_drain_notice_ms, 0, 60000);
   settings::RequireRange("drain_seconds", FLAGS_drain_seconds, 0, 3600);
+  settings::RequireRange("trace_limit_events", FLAGS_trace_limit_events, 1,
+                         100000000);
+  try {
+    comfreyspring::trace::OpenTrace(FLAGS_trace_file, 1);
+  } catch (const core::error&) {
+    throw settings::settings_error("trace_file", FLAGS_trace_file,
+                                   "a file that can be opened for writing");
+  }
 }
 
 entry_settings SettingsFromFlags() {
@@ -82,6 +95,9 @@
   chosen.maximum_requests = static_cast<std::size_t>(FLAGS_maximum_requests);
   chosen.drain_notice = core::milliseconds(FLAGS_drain_notice_ms);
   chosen.drain_limit = core::seconds(FLAGS_drain_seconds);
+  chosen.trace_file = FLAGS_trace_file;
+  chosen.trace_limit_events =
+      static_cast<std::size_t>(FLAGS_trace_limit_events);
   std::random_device device;
   chosen.random_seed =
       FLAGS_seed != 0 ? FLAGS_seed : (std::uint64_t{device()} << 32) | device();
--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -14,6 +14,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "telemetry/metrics.h"
+#include "trace/recording_directory.h"
 
 namespace comfreyspring::entry {
 namespace {
@@ -70,6 +71,9 @@
         started(loop.Now()),
         http(loop),
         membership(loop, http, settings.platform_url, settings.vm_list_period),
+        trace(
+            trace::OpenTrace(settings.trace_file, settings.trace_limit_events)),
+        directory(membership.Directory(), trace.get()),
         links(loop, LinkOptions(), *this),
         config(
             loop, http, settings.platform_url, settings.random_seed,
@@ -80,7 +84,8 @@
             [this](std::shared_ptr<const config::configuration> set) {
               OnAdopted(std::move(set));
             }),
-        requests(loop, RouterOptions(), membership.Directory(), *this, metrics),
+        requests(loop, RouterOptions(), membership.Directory(), *this, metrics,
+                 trace.get()),
         chain(MakeChain()),
         server(loop, ServerOptions(),
                [this](std::shared_ptr<net::http_exchange> exchange) {
@@ -92,9 +97,8 @@
     config.Start();
     loop.OnPause(kPauseThreshold,
                  [this](core::milliseconds late) { OnPause(late); });
-    wall_timer = loop.SchedulePeriodic(kWallTimePeriod, [this] {
-      membership.Directory().OnWallTime(loop.WallNow());
-    });
+    wall_timer = loop.SchedulePeriodic(
+        kWallTimePeriod, [this] { directory.OnWallTime(loop.WallNow()); });
   }
 
   ~impl() override {
@@ -224,16 +228,17 @@
   // Controllers.
 
   void OnAdopted(std::shared_ptr<const config::configuration> set) {
-    membership.Directory().OnConfiguration(set);
-    membership.Directory().OnWallTime(loop.WallNow());
+    directory.OnConfiguration(set);
+    directory.OnWallTime(loop.WallNow());
     links.SetVersions(set->version, membership.VmList().revision);
     links.OnConfiguration(*set);
-    membership.Directory().SetHeartbeatLimit(links.SilenceLimit());
+    directory.SetHeartbeatLimit(links.SilenceLimit());
     // Agents learn of the new version at once and ask for its documents.
     links.HeartbeatNow();
   }
 
   void OnVmList(const wire::vm_list& list) {
+    directory.RecordVmList(list);
     links.SetVersions(config.CurrentVersion(), list.revision);
     for (const core::endpoint_id& endpoint : membership.Directory().All()) {
       links.Send(endpoint, list);
@@ -244,7 +249,7 @@
     LOG(WARNING) << "entry.program: Was paused for " << late.count()
                  << " ms; every endpoint must be heard again.";
     metrics.Count("entry_pauses_total");
-    membership.Directory().OnPause(loop.Now());
+    directory.OnPause(loop.Now());
     links.HeartbeatNow();
   }
 
@@ -252,7 +257,7 @@
 
   void OnLinkUp(const core::endpoint_id& endpoint, const wire::hello& message,
                 bool resumed) override {
-    membership.Directory().OnHello(endpoint, message, loop.Now());
+    directory.OnHello(endpoint, message, loop.Now());
     TakePeerVersion(endpoint, message.instance_ms, message.version);
     if (membership.VmList().revision > message.vm_list_revision) {
       links.Send(endpoint, membership.VmList());
@@ -262,7 +267,7 @@
   }
 
   void OnLinkDown(const core::endpoint_id& endpoint) override {
-    membership.Directory().OnLinkLost(endpoint, loop.Now());
+    directory.OnLinkLost(endpoint, loop.Now());
   }
 
   void OnEndpointLost(const core::endpoint_id& endpoint) override {
@@ -272,12 +277,12 @@
   void OnMessage(const core::endpoint_id& endpoint,
                  const wire::message& message) override {
     if (const auto* reply = std::get_if<wire::heartbeat_reply>(&message)) {
-      membership.Directory().OnReport(endpoint, reply->report, loop.Now());
-      membership.Directory().OnVersion(endpoint, reply->version);
+      directory.OnReport(endpoint, reply->report, loop.Now());
+      directory.OnVersion(endpoint, reply->version);
       TakePeerVersion(endpoint, std::nullopt, reply->version);
       config.OnPeerVersion(endpoint, reply->version);
     } else if (std::holds_alternative<wire::leaving>(message)) {
-      membership.Directory().OnLeaving(endpoint, loop.Now());
+      directory.OnLeaving(endpoint, loop.Now());
     } else if (const auto* wanted =
                    std::get_if<wire::config_request>(&message)) {
       config.OnConfigRequest(endpoint, *wanted);
@@ -297,7 +302,7 @@
     std::visit(
         [&](const auto& typed) {
           if constexpr (requires { typed.report.batch_limit; }) {
-            membership.Directory().OnReport(endpoint, typed.report, loop.Now());
+            directory.OnReport(endpoint, typed.report, loop.Now());
           }
         },
         message);
@@ -381,6 +386,8 @@
   telemetry::metrics metrics;
   net::http_client http;
   membership_controller membership;
+  std::unique_ptr<trace::trace_writer> trace;
+  trace::recording_directory directory;
   link_controller links;
   config_controller config;
   request_controller requests;
--- a/src/entry/entry_program.h
+++ b/src/entry/entry_program.h
@@ -32,6 +32,9 @@
   /** After that, longest time in which open requests may finish. */
   core::seconds drain_limit{60};
   std::uint64_t random_seed = 1;
+  /** Empty: no recording. */
+  std::string trace_file;
+  std::size_t trace_limit_events = 100000;
 };
 
 /** One entry: HTTP API, controllers and their wiring. */
--- a/src/entry/request_controller.cc
+++ b/src/entry/request_controller.cc
@@ -11,6 +11,7 @@
 #include "core/hash.h"
 #include "entry/answer_writer.h"
 #include "stream/stream_assembler.h"
+#include "trace/recording_router.h"
 
 namespace comfreyspring::entry {
 namespace {
@@ -54,9 +55,10 @@
 
   impl(net::event_loop& event_loop, routing::router_options options,
        const membership::endpoint_directory& directory,
-       agent_sender& agent_link, telemetry::metrics& registry)
+       agent_sender& agent_link, telemetry::metrics& registry,
+       trace::trace_writer* trace)
       : loop(event_loop),
-        router(std::move(options), directory),
+        router(options, directory, trace, event_loop.Now()),
         sender(agent_link),
         metrics(registry) {
     tick_timer = loop.SchedulePeriodic(
@@ -257,7 +259,7 @@
   }
 
   net::event_loop& loop;
-  routing::request_router router;
+  trace::recording_router router;
   agent_sender& sender;
   telemetry::metrics& metrics;
   std::unordered_map<core::request_id, std::unique_ptr<request_state>> requests;
@@ -270,9 +272,9 @@
 request_controller::request_controller(
     net::event_loop& loop, routing::router_options options,
     const membership::endpoint_directory& directory, agent_sender& sender,
-    telemetry::metrics& metrics)
-    : impl_(std::make_unique<impl>(loop, std::move(options), directory, sender,
-                                   metrics)) {}
+    telemetry::metrics& metrics, trace::trace_writer* trace)
+    : impl_(std::make_unique<impl>(loop, options, directory, sender, metrics,
+                                   trace)) {}
 
 request_controller::~request_controller() = default;
 
@@ -289,8 +291,8 @@
   facts.deadline = context.deadline;
   if (context.home) facts.home = context.home->endpoint;
   if (!context.prompt.empty()) {
-    facts.prefix_hash =
-        core::Hash64(std::string_view(context.prompt).substr(0, kPrefixBytes));
+    const std::string_view prompt = context.prompt;
+    facts.prefix_hash = core::Hash64(prompt.substr(0, kPrefixBytes));
   }
   const core::request_id request = context.request;
   context.exchange->OnClientGone(
--- a/src/entry/request_controller.h
+++ b/src/entry/request_controller.h
@@ -11,6 +11,7 @@
 #include "net/event_loop.h"
 #include "routing/request_router.h"
 #include "telemetry/metrics.h"
+#include "trace/trace_writer.h"
 #include "wire/messages.h"
 
 namespace comfreyspring::entry {
@@ -31,9 +32,11 @@
  */
 class request_controller {
  public:
+  /** @param trace records the router; nullptr: no recording. */
   request_controller(net::event_loop& loop, routing::router_options options,
                      const membership::endpoint_directory& directory,
-                     agent_sender& sender, telemetry::metrics& metrics);
+                     agent_sender& sender, telemetry::metrics& metrics,
+                     trace::trace_writer* trace = nullptr);
   ~request_controller();
   request_controller(const request_controller&) = delete;
   request_controller& operator=(const request_controller&) = delete;
--- /dev/null
+++ b/src/trace/replayer.cc
@@ -0,0 +1,97 @@
+#include "trace/replayer.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "trace/router_player.h"
+#include "trace/scheduler_player.h"
+#include "trace/trace_reader.h"
+
+namespace comfreyspring::trace {
+namespace {
+
+template <class Item>
+std::string TextOf(const Item& item, core::time_point start) {
+  return std::visit(
+      [start](const auto& typed) {
+        return FormatTraceLine(ToLine(typed, start));
+      },
+      item);
+}
+
+template <class Subject>
+void Print(const trace_step<Subject>& step,
+           const std::vector<typename Subject::action>& replayed,
+           core::time_point start, std::ostream& out) {
+  const std::string time = std::to_string((step.now - start).count()) + " ";
+  out << time << TextOf(step.event, start) << '\n';
+  for (const auto& action : replayed) {
+    out << time << TextOf(action, start) << '\n';
+  }
+}
+
+/** The first difference, if there is one. */
+template <class Subject>
+std::vector<replay_fault> Compare(
+    const trace_step<Subject>& step,
+    const std::vector<typename Subject::action>& replayed,
+    core::time_point start) {
+  const std::size_t count = std::max(step.actions.size(), replayed.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    const bool has_recorded = i < step.actions.size();
+    const std::string recorded =
+        has_recorded ? TextOf(step.actions[i].action, start) : "no action";
+    const std::string actual =
+        i < replayed.size() ? TextOf(replayed[i], start) : "no action";
+    if (recorded == actual) continue;
+    return {{has_recorded ? step.actions[i].line : step.line,
+             "recorded " + recorded + ", replayed " + actual}};
+  }
+  return {};
+}
+
+template <class Player>
+replay_result Replay(const trace_text& text, std::ostream* print) {
+  using subject = typename Player::subject;
+  const trace_document<subject> document = ReadTrace<subject>(text);
+  Player player;
+  replay_result result;
+  result.events = document.steps.size();
+  result.outcomes = document.outcomes.size();
+  bool same = true;
+  for (const trace_step<subject>& step : document.steps) {
+    std::vector<typename subject::action> replayed;
+    try {
+      replayed = player.Apply(step.event, step.now);
+    } catch (const core::error& failure) {
+      throw trace_error(step.line, 1, failure.what());
+    }
+    if (print != nullptr) {
+      Print<subject>(step, replayed, document.header.start, *print);
+    }
+    if (!document.header.expects_actions || !same) continue;
+    result.faults = Compare<subject>(step, replayed, document.header.start);
+    same = result.faults.empty();
+  }
+  for (const outcome_statement& statement : document.outcomes) {
+    try {
+      const std::string message = player.Check(statement);
+      if (!message.empty()) result.faults.push_back({statement.line, message});
+    } catch (const core::error& failure) {
+      throw trace_error(statement.line, 1, failure.what());
+    }
+  }
+  return result;
+}
+
+}  // namespace
+
+replay_result ReplayTrace(std::istream& in, std::ostream* print) {
+  const trace_text text = ReadTraceText(in);
+  if (text.header.subject == router_subject::kName) {
+    return Replay<router_player>(text, print);
+  }
+  return Replay<scheduler_player>(text, print);
+}
+
+}  // namespace comfreyspring::trace
--- /dev/null
+++ b/src/trace/scheduler_player.cc
@@ -0,0 +1,155 @@
+#include "trace/scheduler_player.h"
+
+#include <variant>
+
+#include "core/error.h"
+
+namespace comfreyspring::trace {
+
+std::vector<admission::scheduler_action> scheduler_player::Apply(
+    const scheduler_subject::event& event, core::time_point now) {
+  actions list = std::visit(
+      [this, now](const auto& typed) { return Do(typed, now); }, event);
+  for (const admission::scheduler_action& action : list) Remember(action);
+  return list;
+}
+
+// Events.
+
+scheduler_player::actions scheduler_player::Do(
+    const admission::scheduler_options& event, core::time_point) {
+  scheduler_ = std::make_unique<admission::engine_scheduler>(event);
+  return {};
+}
+scheduler_player::actions scheduler_player::Do(
+    const admission::work_item& event, core::time_point now) {
+  attempts_.try_emplace(event.attempt);
+  return scheduler_->OnSubmit(event, now);
+}
+scheduler_player::actions scheduler_player::Do(const scheduler_withdraw& event,
+                                               core::time_point now) {
+  return scheduler_->OnWithdraw(event.attempt, now);
+}
+scheduler_player::actions scheduler_player::Do(
+    const scheduler_first_output& event, core::time_point now) {
+  return scheduler_->OnFirstOutput(event.attempt, now);
+}
+scheduler_player::actions scheduler_player::Do(const scheduler_ended& event,
+                                               core::time_point now) {
+  return scheduler_->OnEnded(event.attempt, event.produced, now);
+}
+scheduler_player::actions scheduler_player::Do(
+    const scheduler_cancel_confirmed& event, core::time_point now) {
+  return scheduler_->OnCancelConfirmed(event.attempt, event.delivered, now);
+}
+scheduler_player::actions scheduler_player::Do(
+    const scheduler_adapter_missing& event, core::time_point now) {
+  return scheduler_->OnAdapterMissing(event.attempt, now);
+}
+scheduler_player::actions scheduler_player::Do(const scheduler_load_done& event,
+                                               core::time_point now) {
+  return scheduler_->OnLoadDone(event.adapter, event.took, now);
+}
+scheduler_player::actions scheduler_player::Do(
+    const scheduler_load_failed& event, core::time_point now) {
+  return scheduler_->OnLoadFailed(event.adapter, now);
+}
+scheduler_player::actions scheduler_player::Do(
+    const scheduler_engine_state& event, core::time_point now) {
+  return scheduler_->OnEngineState(event.limits, event.resident, now);
+}
+scheduler_player::actions scheduler_player::Do(const scheduler_engine_restart&,
+                                               core::time_point now) {
+  return scheduler_->OnEngineRestart(now);
+}
+scheduler_player::actions scheduler_player::Do(const scheduler_enabled& event,
+                                               core::time_point now) {
+  return scheduler_->SetEnabled(event.enabled, now);
+}
+scheduler_player::actions scheduler_player::Do(const scheduler_drain& event,
+                                               core::time_point now) {
+  return scheduler_->OnDrain(event.limit, now);
+}
+scheduler_player::actions scheduler_player::Do(const scheduler_tick&,
+                                               core::time_point now) {
+  return scheduler_->OnTick(now);
+}
+scheduler_player::actions scheduler_player::Do(const end_of_recording&,
+                                               core::time_point) {
+  return {};
+}
+
+// Outcomes.
+
+void scheduler_player::Remember(const admission::scheduler_action& action) {
+  ++actions_;
+  if (const auto* load = std::get_if<admission::start_load>(&action)) {
+    ++loads_[load->adapter];
+    if (load->evict) evicted_.insert(*load->evict);
+  } else if (const auto* sent = std::get_if<admission::dispatch>(&action)) {
+    attempt_history& history = attempts_[sent->attempt];
+    if (history.dispatches == 0) history.first_dispatch = actions_;
+    ++history.dispatches;
+  } else if (const auto* refusal = std::get_if<admission::refuse>(&action)) {
+    attempts_[refusal->attempt].refusal = *refusal;
+  }
+}
+
+std::string scheduler_player::Check(const outcome_statement& statement) const {
+  if (statement.attempt) return CheckAttempt(statement);
+  if (statement.adapter) return CheckAdapter(statement);
+  throw core::error("this outcome is not one of a scheduler");
+}
+
+std::string scheduler_player::CheckAttempt(
+    const outcome_statement& statement) const {
+  const auto found = attempts_.find(*statement.attempt);
+  if (found == attempts_.end()) return "the attempt never came";
+  const attempt_history& history = found->second;
+  if (statement.result == "refused") return CheckRefused(statement, history);
+  if (history.dispatches == 0) return "the attempt was never dispatched";
+  if (statement.max && history.dispatches > *statement.max) {
+    return "the attempt was dispatched " + std::to_string(history.dispatches) +
+           " times";
+  }
+  if (!statement.dispatched_before) return "";
+  const auto other = attempts_.find(*statement.dispatched_before);
+  if (other == attempts_.end()) return "the other attempt never came";
+  const bool later = other->second.dispatches == 0 ||
+                     other->second.first_dispatch > history.first_dispatch;
+  return later ? "" : "the other attempt was dispatched earlier";
+}
+
+std::string scheduler_player::CheckRefused(
+    const outcome_statement& statement, const attempt_history& history) const {
+  if (!history.refusal) return "the attempt was not refused";
+  if (statement.reason && history.refusal->reason != *statement.reason) {
+    return "the reason is " + history.refusal->reason;
+  }
+  const auto outcome = history.refusal->ran_before ? core::outcome::incomplete
+                                                   : core::outcome::not_run;
+  if (statement.outcome && *statement.outcome != outcome) {
+    return "the outcome is " + std::string(core::ToString(outcome));
+  }
+  // A scheduler that dispatches an attempt and then states that it has not run
+  // would make the entry run it twice.
+  if (statement.outcome && outcome == core::outcome::not_run &&
+      history.dispatches > 0) {
+    return "the attempt was dispatched before it was refused";
+  }
+  return "";
+}
+
+std::string scheduler_player::CheckAdapter(
+    const outcome_statement& statement) const {
+  if (statement.never_evicted) {
+    return evicted_.contains(*statement.adapter) ? "the adapter was evicted"
+                                                 : "";
+  }
+  const auto found = loads_.find(*statement.adapter);
+  const std::size_t loads = found == loads_.end() ? 0 : found->second;
+  if (loads <= *statement.max) return "";
+  return std::to_string(loads) + " loads were started";
+}
+
+}  // namespace comfreyspring::trace
--- /dev/null
+++ b/src/trace/trace_writer.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstddef>
+#include <fstream>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/time.h"
+#include "trace/field_codec.h"
+
+namespace comfreyspring::trace {
+
+/**
+ * Writes one trace, line by line, and stops at a limit of events so that a
+ * recording that is left on cannot fill what it is written to.
+ */
+class trace_writer {
+ public:
+  /** `out` must outlive the writer. */
+  trace_writer(std::ostream& out, std::size_t limit_events);
+  /**
+   * Appends to a file; `/dev/stderr` and `/dev/stdout` are written as streams.
+   * @throws core::error if it cannot be opened.
+   */
+  trace_writer(const std::string& path, std::size_t limit_events);
+  trace_writer(const trace_writer&) = delete;
+  trace_writer& operator=(const trace_writer&) = delete;
+
+  /** Writes the first line. What comes before it is not recorded. */
+  void Begin(std::string_view subject, core::time_point now);
+
+  template <class Event>
+  void WriteEvent(const Event& event, core::time_point now) {
+    if (TakeEvent(now)) Write(ToLine(event, start_));
+  }
+  /** An event that has no time of its own gets that of the last one. */
+  template <class Event>
+  void WriteEvent(const Event& event) {
+    WriteEvent(event, last_);
+  }
+
+  /** The actions that the last event has caused. */
+  template <class Action>
+  void WriteActions(const std::vector<Action>& actions) {
+    if (!open_) return;
+    for (const Action& action : actions) {
+      std::visit([this](const auto& typed) { Write(ToLine(typed, start_)); },
+                 action);
+    }
+  }
+
+ private:
+  bool TakeEvent(core::time_point now);
+  void Write(trace_line line);
+
+  std::ofstream file_;
+  std::ostream* out_;
+  std::size_t limit_events_;
+  std::size_t events_ = 0;
+  core::time_point start_;
+  core::time_point last_;
+  bool open_ = false;
+};
+
+/** @returns nullptr if the path is empty. @throws core::error */
+std::unique_ptr<trace_writer> OpenTrace(const std::string& path,
+                                        std::size_t limit_events);
+
+}  // namespace comfreyspring::trace
