--- a/bench/fleet/measurements.h
+++ b/bench/fleet/measurements.h
@@ -21,6 +21,8 @@
   std::uint64_t lost = 0;
   std::vector<double> latencies_ms;
   std::vector<double> first_chunk_ms;
+  /** Latencies of requests submitted in the observed period. */
+  std::vector<double> observed_ms;
   double longest_ms = 0.0;
 };
 
@@ -30,6 +32,8 @@
   class_result urgent;
   class_result may_wait;
   double seconds = 0.0;
+  /** Time of the last arrival. */
+  double arrival_seconds = 0.0;
   std::uint64_t loads = 0;
   std::uint64_t load_stalls = 0;
   std::uint64_t dispatched = 0;
--- a/src/trace/recording_scheduler.h
+++ b/src/trace/recording_scheduler.h
@@ -44,18 +44,12 @@
 
   // State.
 
+  const admission::engine_scheduler& Scheduler() const { return scheduler_; }
+
   wire::endpoint_report Report(const core::adapter_reference& adapter,
                                core::time_point now) const {
     return scheduler_.Report(adapter, now);
   }
-  std::size_t Running() const { return scheduler_.Running(); }
-  std::size_t Waiting() const { return scheduler_.Waiting(); }
-  const admission::scheduler_counters& Counters() const {
-    return scheduler_.Counters();
-  }
-  std::vector<admission::slot_state> Slots() const {
-    return scheduler_.Slots();
-  }
 
  private:
   actions Record(actions list);
