--- a/src/agent/queue_controller.cc
+++ b/src/agent/queue_controller.cc
@@ -222,8 +222,8 @@
 void queue_controller::OnEndpointAvailability() { impl_->UpdateEnabled(); }
 
 nlohmann::json queue_controller::ToJson() const {
-  json dump = DumpQueue(impl_->scheduler, Report({}), impl_->attempts,
-                        impl_->loop.Now());
+  json dump = DumpQueue(impl_->scheduler.Scheduler(), Report({}),
+                        impl_->attempts, impl_->loop.Now());
   dump["verified"] = impl_->verified;
   dump["known_attempts"] = impl_->known.Size();
   dump["replay_attempts"] = impl_->answers.Channel().KeptAttempts();
@@ -232,7 +232,7 @@
 }
 
 void queue_controller::UpdateMetrics() {
-  SetQueueGauges(impl_->scheduler, Report({}), impl_->metrics);
+  SetQueueGauges(impl_->scheduler.Scheduler(), Report({}), impl_->metrics);
   impl_->metrics.SetGauge(
       "agent_replay_bytes",
       static_cast<double>(impl_->answers.Channel().KeptBytes()));
--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -14,6 +14,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "telemetry/metrics.h"
+#include "trace/recording_directory.h"
 
 namespace comfreyspring::entry {
 namespace {
@@ -72,6 +73,9 @@
         started(loop.Now()),
         http(loop),
         membership(loop, http, settings.platform_url, settings.vm_list_period),
+        trace(
+            trace::OpenTrace(settings.trace_file, settings.trace_limit_events)),
+        directory(membership.Directory(), trace.get()),
         links(loop, LinkOptions(), *this),
         config(
             loop, http, settings.platform_url,
@@ -84,7 +88,8 @@
             [this](std::shared_ptr<const config::configuration> set) {
               OnAdopted(std::move(set));
             }),
-        requests(loop, RouterOptions(), membership.Directory(), *this, metrics),
+        requests(loop, RouterOptions(), membership.Directory(), *this, metrics,
+                 trace.get()),
         chain(MakeChain()),
         server(loop, ServerOptions(),
                [this](std::shared_ptr<net::http_exchange> exchange) {
@@ -100,9 +105,8 @@
     config.Start();
     loop.OnPause(kPauseThreshold,
                  [this](core::milliseconds late) { OnPause(late); });
-    wall_timer = loop.SchedulePeriodic(kWallTimePeriod, [this] {
-      membership.Directory().OnWallTime(loop.WallNow());
-    });
+    wall_timer = loop.SchedulePeriodic(
+        kWallTimePeriod, [this] { directory.OnWallTime(loop.WallNow()); });
   }
 
   ~impl() override {
@@ -233,16 +237,17 @@
   // Controllers.
 
   void OnAdopted(std::shared_ptr<const config::configuration> set) {
-    membership.Directory().OnConfiguration(set);
-    membership.Directory().OnWallTime(loop.WallNow());
+    directory.OnConfiguration(set);
+    directory.OnWallTime(loop.WallNow());
     links.SetVersions(set->version, membership.VmList().revision);
     links.OnConfiguration(*set);
-    membership.Directory().SetHeartbeatLimit(links.SilenceLimit());
+    directory.SetHeartbeatLimit(links.SilenceLimit());
     // Agents learn of the new version at once and ask for its documents.
     links.AnnounceVersion();
   }
 
   void OnVmList(const wire::vm_list& list) {
+    directory.RecordVmList(list);
     links.SetVersions(config.CurrentVersion(), list.revision);
     // Agents of plain services need it for the handover of keys; the reader
     // agents pass it on to the other entries. At the target size the list has
@@ -266,7 +271,7 @@
     LOG(WARNING) << "entry.program: Was paused for " << late.count()
                  << " ms; every endpoint must be heard again.";
     metrics.Count("entry_pauses_total");
-    membership.Directory().OnPause(loop.Now());
+    directory.OnPause(loop.Now());
     // Frames that waited in the sockets during the pause prove nothing; only
     // replies to heartbeats sent after it do.
     for (const core::endpoint_id& endpoint : membership.Directory().All()) {
@@ -280,7 +285,7 @@
   void OnLinkUp(const core::endpoint_id& endpoint, const wire::hello& message,
                 bool resumed) override {
     first_valid_nonce.erase(endpoint);
-    membership.Directory().OnHello(endpoint, message, loop.Now());
+    directory.OnHello(endpoint, message, loop.Now());
     TakePeerVersion(endpoint, message.instance_ms, message.version);
     if (IsPlainService(endpoint) &&
         membership.VmList().revision > message.vm_list_revision) {
@@ -291,7 +296,7 @@
   }
 
   void OnLinkDown(const core::endpoint_id& endpoint) override {
-    membership.Directory().OnLinkLost(endpoint, loop.Now());
+    directory.OnLinkLost(endpoint, loop.Now());
   }
 
   void OnEndpointLost(const core::endpoint_id& endpoint) override {
@@ -307,12 +312,12 @@
         first_valid_nonce.erase(awaited);
       }
       OnReport(endpoint, reply->report);
-      membership.Directory().OnVersion(endpoint, reply->version);
+      directory.OnVersion(endpoint, reply->version);
       TakePeerVersion(endpoint, std::nullopt, reply->version);
       config.OnPeerVersion(endpoint, reply->version);
       if (!reply->entries.empty()) config.OnReaders(*reply);
     } else if (std::holds_alternative<wire::leaving>(message)) {
-      membership.Directory().OnLeaving(endpoint, loop.Now());
+      directory.OnLeaving(endpoint, loop.Now());
     } else if (const auto* wanted =
                    std::get_if<wire::config_request>(&message)) {
       config.OnConfigRequest(endpoint, *wanted);
@@ -329,7 +334,7 @@
   void OnReport(const core::endpoint_id& endpoint,
                 const wire::endpoint_report& report) {
     if (first_valid_nonce.contains(endpoint)) return;
-    membership.Directory().OnReport(endpoint, report, loop.Now());
+    directory.OnReport(endpoint, report, loop.Now());
   }
 
   /** Every answer carries the load of its endpoint. */
@@ -422,6 +427,8 @@
   telemetry::metrics metrics;
   net::http_client http;
   membership_controller membership;
+  std::unique_ptr<trace::trace_writer> trace;
+  trace::recording_directory directory;
   link_controller links;
   config_controller config;
   request_controller requests;
