--- a/bench/capacity/fake_agents.cc
+++ b/bench/capacity/fake_agents.cc
@@ -72,7 +72,8 @@
   }
 
   void Forget(const net::frame_link* raw) {
-    std::erase_if(links_, [raw](const auto& link) { return link.get() == raw; });
+    std::erase_if(links_,
+                  [raw](const auto& link) { return link.get() == raw; });
   }
 
   wire::endpoint_report Report() const {
@@ -180,8 +181,8 @@
   }
 
   void Take(net::frame_link& link, const wire::withdraw& message) {
-    link.Send(wire::Encode(
-        wire::withdrawn{message.attempt, core::outcome::unknown}));
+    link.Send(
+        wire::Encode(wire::withdrawn{message.attempt, core::outcome::unknown}));
   }
 
   template <class Message>
--- a/bench/capacity/fake_entries.cc
+++ b/bench/capacity/fake_entries.cc
@@ -1,6 +1,6 @@
 // Many entries in one process, for measuring one real agent. Each holds one
 // link, sends a hello and heartbeats and, if asked, a fixed number of submits.
-// Prints one line of JSON at SIGTERM.
+// Prints `done` when each has ended, and one line of JSON at SIGTERM.
 
 #include <gflags/gflags.h>
 #include <glog/logging.h>
@@ -29,6 +29,7 @@
 DEFINE_int32(tokens, 8, "max_tokens of each completion.");
 DEFINE_int32(adapters, 4, "Adapters asked for, in turn.");
 DEFINE_string(service, "", "Sends non-repeatable calls to this service.");
+DEFINE_string(attempt_prefix, "attempt-", "Start of the attempts' names.");
 DEFINE_uint64(seed, 1, "Seed of idempotency keys.");
 
 namespace {
@@ -38,7 +39,7 @@
 namespace settings = comfreyspring::settings;
 namespace wire = comfreyspring::wire;
 
-constexpr core::milliseconds kRemaining{600000};
+constexpr core::milliseconds kRemaining{3600000};
 
 /** Counts over all entries. */
 struct totals {
@@ -67,12 +68,10 @@
       sent_bytes += link->SentBytes();
       received_bytes += link->ReceivedBytes();
     }
-    return {{"sent", totals_.sent},
-            {"finished", totals_.finished},
-            {"refused", totals_.refused},
-            {"last_refusal", totals_.last_refusal},
-            {"sent_bytes", sent_bytes},
-            {"received_bytes", received_bytes}};
+    return {
+        {"sent", totals_.sent},       {"finished", totals_.finished},
+        {"refused", totals_.refused}, {"last_refusal", totals_.last_refusal},
+        {"sent_bytes", sent_bytes},   {"received_bytes", received_bytes}};
   }
 
  private:
@@ -113,7 +112,8 @@
     if (const auto* greeting = std::get_if<wire::hello>(&message)) {
       version_ = std::max(version_, greeting->version);
       if (++greeted_ == FLAGS_count) Fill();
-    } else if (const auto* reply = std::get_if<wire::heartbeat_reply>(&message)) {
+    } else if (const auto* reply =
+                   std::get_if<wire::heartbeat_reply>(&message)) {
       version_ = std::max(version_, reply->version);
     } else if (std::holds_alternative<wire::finished>(message)) {
       ++totals_.finished;
@@ -126,6 +126,8 @@
   }
 
   void Fill() {
+    const int ended = totals_.finished + totals_.refused;
+    if (ended > 0 && ended == FLAGS_submits) std::cout << "done" << std::endl;
     while (totals_.sent < FLAGS_submits &&
            totals_.sent - totals_.finished - totals_.refused <
                FLAGS_open_limit) {
@@ -136,7 +138,8 @@
   void SendSubmit() {
     const int number = totals_.sent++;
     wire::submit message;
-    message.attempt = core::attempt_id("attempt-" + std::to_string(number));
+    message.attempt =
+        core::attempt_id(FLAGS_attempt_prefix + std::to_string(number));
     message.version = version_;
     message.remaining = kRemaining;
     message.expires_unix_ms =
@@ -159,9 +162,10 @@
     message.method = "POST";
     message.path = "/v1/completions";
     message.content_type = "application/json";
-    message.body = nlohmann::json{{"prompt", "The buckle is worn."},
-                                  {"max_tokens", FLAGS_tokens}}
-                       .dump();
+    message.body = nlohmann::json{
+        {"prompt", "The buckle is worn."},
+        {"max_tokens",
+         FLAGS_tokens}}.dump();
   }
 
   void FillCall(wire::submit& message) {
