--- a/bench/capacity/capacity.py
+++ b/bench/capacity/capacity.py
@@ -15,6 +15,7 @@
     "entry_adapters": entry_slopes.adapters,
     "entry_fan_out": entry_slopes.fan_out,
     "entry_requests": entry_slopes.requests,
+    "entry_engines": entry_slopes.engines,
     "entry_streams": entry_slopes.streams,
     "agent_links": agent_slopes.links,
     "agent_requests": agent_slopes.requests,
--- a/bench/capacity/entry_slopes.py
+++ b/bench/capacity/entry_slopes.py
@@ -263,6 +263,33 @@
     return "Entry: processor time per request and token (12 fake agents)", text
 
 
+def engines_of(count, first_port):
+    with p.Bench() as bench:
+        adapter_count = 7000
+        _, _, entry = start_entry(bench, count, adapter_count, first_port,
+                                  "--chunks=1")
+        load(entry, 500, 16, 1, adapter_count)
+        memory = entry.memory()
+        cpu0 = entry.cpu()
+        result = load(entry, 4000, 16, 1, adapter_count)
+        cpu = entry.cpu() - cpu0
+        return [count, result["succeeded"],
+                json.dumps(result["errors_by_status"]),
+                1e6 * cpu / result["succeeded"], memory / MB,
+                entry.memory() / MB]
+
+
+def engines():
+    sizes = [12, 48, 96, 192, 360]
+    rows = [engines_of(size, 28000 + 400 * i) for i, size in enumerate(sizes)]
+    text = table(["engines of one model", "requests", "errors",
+                  "processor us/request", "MB before", "MB after"], rows)
+    text += fit_line("processor us/request", "x = engines", sizes,
+                     [r[3] for r in rows])
+    return ("Entry: processor time per request over the engines of a model "
+            "(7,000 adapters, 1 token)"), text
+
+
 def streams_of(open_count, first_port):
     with p.Bench() as bench:
         _, _, entry = start_entry(bench, 12, 100, first_port, "--chunks=3",
