--- a/bench/capacity/capacity.py
+++ b/bench/capacity/capacity.py
@@ -14,6 +14,7 @@
     "entry_links": entry_slopes.links,
     "entry_adapters": entry_slopes.adapters,
     "entry_fan_out": entry_slopes.fan_out,
+    "entry_burst_memory": entry_slopes.burst_memory,
     "entry_requests": entry_slopes.requests,
     "entry_engines": entry_slopes.engines,
     "entry_streams": entry_slopes.streams,
--- a/bench/capacity/entry_slopes.py
+++ b/bench/capacity/entry_slopes.py
@@ -220,6 +220,23 @@
             "links"), text
 
 
+def burst_memory_of(count, adapter_count, first_port):
+    with p.Bench() as bench:
+        _, _, entry = start_entry(bench, count, adapter_count, first_port)
+        time.sleep(5)
+        return [adapter_count, count, entry.memory() / MB,
+                entry.peak_memory() / MB]
+
+
+def burst_memory():
+    cases = [(count, adapters) for adapters in (100, 3000, 7000, 28000)
+             for count in (192, 360)]
+    rows = [burst_memory_of(count, adapters, 28000 + 400 * (i % 4))
+            for i, (count, adapters) in enumerate(cases)]
+    return ("Entry: memory 5 s after it has sent its set to all links at start",
+            table(["adapters", "links", "memory MB", "peak MB"], rows))
+
+
 def load(entry, requests, concurrency, tokens, adapter_count=100,
          time_limit=60, stream="true"):
     result = subprocess.run(
