--- a/src/entry/link_controller.h
+++ b/src/entry/link_controller.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,7 +60,8 @@
 
   /** Agents to ask before any configuration is known. */
   void ConnectSeeds(const std::vector<settings::socket_address>& seeds);
-  /** Connects to new endpoints, moves changed ones, drops removed ones. */
+  /** Connects to the endpoints of the link plan, moves changed ones and drops
+   * the others. */
   void OnConfiguration(const config::configuration& current);
 
   // Messages.
@@ -70,6 +72,15 @@
   void SetVersions(core::config_version version, std::int64_t vm_list_revision);
   /** Sends a heartbeat on every link now. */
   void HeartbeatNow();
+  /**
+   * Asks the few agents that all entries of the data centre ask which entries
+   * are alive and when one of them last read the configuration service.
+   */
+  void AskForReaders(std::optional<std::int64_t> service_read_age_ms);
+  /** Nonce of the next heartbeat to this endpoint; 0 if it is not linked. */
+  std::uint64_t NextNonce(const core::endpoint_id& endpoint) const;
+  /** The agents that AskForReaders asks. */
+  std::vector<core::endpoint_id> ReaderAgents() const;
   /** Opens a second link; it replaces the first as soon as it answers. */
   void Suspect(const core::endpoint_id& endpoint);
 
--- a/src/entry/request_controller.cc
+++ b/src/entry/request_controller.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -18,6 +19,8 @@
 using nlohmann::json;
 
 constexpr core::milliseconds kTickPeriod{20};
+/** Every so many chunks the router hears how fast a stream moves. */
+constexpr std::uint64_t kProgressChunks = 8;
 /** The start of a prompt that decides about reuse of cached prefixes. */
 constexpr std::size_t kPrefixBytes = 512;
 /** A caller that takes its answer this slowly is disconnected. */
@@ -194,6 +197,9 @@
     if (!attempt.begun && !attempt.unselected.empty()) {
       attempt.begun = true;
       Execute(router.OnFirstChunk(message.attempt, loop.Now()));
+    } else if (message.sequence % kProgressChunks == 0) {
+      router.OnProgress(message.attempt, attempt.assembler.NextSequence(),
+                        loop.Now());
     }
     Flush(request, message.attempt);
   }
@@ -289,8 +295,8 @@
   facts.deadline = context.deadline;
   if (context.home) facts.home = context.home->endpoint;
   if (!context.prompt.empty()) {
-    facts.prefix_hash =
-        core::Hash64(std::string_view(context.prompt).substr(0, kPrefixBytes));
+    const std::string_view prompt = context.prompt;
+    facts.prefix_hash = core::Hash64(prompt.substr(0, kPrefixBytes));
   }
   const core::request_id request = context.request;
   context.exchange->OnClientGone(
