Answer 413 to a client that is still sending its body

Cause: a body whose announced length exceeds the limit was answered at the headers. The daemon then closed the connection with the body unread, which resets it, so a client that was still sending saw a broken pipe. Change: a body of up to four times the limit is read and dropped before the answer, without being kept, and under the idle timeout. A larger one, or one sent with "Expect", is still refused at the headers. Conclusion: clients see the 413. A body beyond four times the limit may still meet a reset.

--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -81,6 +81,17 @@
   return bytes;
 }
 
+bool http_exchange_state::MustRefuseUnread(std::size_t maximum_bytes) const {
+  const std::size_t bytes = AnnouncedBodyBytes();
+  if (bytes <= maximum_bytes) return false;
+  // An answer before the end of the body closes the connection with data
+  // unread. That resets it, and a client that is still sending loses the
+  // answer. So a body within the bound is read and dropped first, unless the
+  // client waits to be told to send it.
+  return bytes > maximum_bytes * kDiscardFactor ||
+         request_.headers.count("expect") > 0;
+}
+
 bool http_exchange_state::AppendBody(std::string_view data,
                                      std::size_t maximum_bytes) {
   if (queued_) return true;
@@ -98,6 +109,7 @@
   if (body_refused_) return;
   body_refused_ = true;
   dispatched_ = true;
+  std::string().swap(request_.body);
   response_ = http_response{
       413,
       {{"content-type", "application/json"}, {"connection", "close"}},
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -37,7 +37,8 @@
 
   /** Reads the method, path, query and headers. */
   void ReadHead(const char* url, const char* method);
-  std::size_t AnnouncedBodyBytes() const;
+  /** True if the body is too large and is answered 413 without reading it. */
+  bool MustRefuseUnread(std::size_t maximum_bytes) const;
   /** @returns false if the connection is to be closed. */
   bool AppendBody(std::string_view data, std::size_t maximum_bytes);
   /** Sets the answer 413. */
@@ -68,6 +69,8 @@
   }
 
  private:
+  /** 0 if the length is not announced. */
+  std::size_t AnnouncedBodyBytes() const;
   static ssize_t ReadStream(void* self, std::uint64_t position, char* target,
                             std::size_t capacity) noexcept;
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -159,11 +159,9 @@
     auto exchange = std::make_shared<http_exchange_state>(*this, connection);
     exchange->ReadHead(url, method);
     *context = exchange.get();
-    const bool oversized =
-        exchange->AnnouncedBodyBytes() > options.maximum_body_bytes;
     http_exchange_state& reference = *exchange;
     exchanges[connection] = std::move(exchange);
-    if (!oversized) return MHD_YES;
+    if (!reference.MustRefuseUnread(options.maximum_body_bytes)) return MHD_YES;
     reference.RefuseBody();
     return reference.Answer() ? MHD_YES : MHD_NO;
   }
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -229,6 +229,64 @@
   EXPECT_EQ(handled, 1);
 }
 
+// Guards against a connection reset, which hides the answer from a client that
+// is still sending when the refused body does not fit into socket buffers.
+TEST_F(http_server_test, AnswersAClientThatSendsAnOversizedBody) {
+  int handled = 0;
+  http_server_options options;
+  options.maximum_body_bytes = 1000000;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    Echo(exchange);
+  });
+  for (const std::size_t bytes : {1000001, 3000000, 1000001}) {
+    http_call call{.method = "PUT", .url = Url("/")};
+    call.body = std::string(bytes, 'x');
+    const http_result result = Call(call);
+    EXPECT_EQ(result.status, 413) << bytes;
+    EXPECT_EQ(result.failure, http_failure::none) << bytes;
+  }
+  EXPECT_EQ(handled, 0);
+  ExpectAlive();
+}
+
+// Guards against waiting for a body that is too large to be read and dropped,
+// or that the client holds back until it is told to continue.
+TEST_F(http_server_test, RefusesAnOversizedBodyBeforeItIsSent) {
+  http_server_options options;
+  options.maximum_body_bytes = 1000;
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  for (const char* headers :
+       {"Content-Length: 1000000\r\n",
+        "Content-Length: 1001\r\nExpect: 100-continue\r\n"}) {
+    test_peer peer(loop_, server_->Port());
+    peer.Send(std::string("PUT / HTTP/1.1\r\nHost: test\r\n") + headers +
+              "\r\n");
+    ASSERT_TRUE(loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, kLimit))
+        << headers;
+    EXPECT_EQ(peer.Received().rfind("HTTP/1.1 413", 0), 0U) << headers;
+  }
+  ExpectAlive();
+}
+
+// Guards against a connection held for ever by a client that stops sending a
+// body that is being dropped.
+TEST_F(http_server_test, ClosesAConnectionWithHalfAnOversizedBody) {
+  http_server_options options;
+  options.maximum_body_bytes = 1000;
+  options.idle_timeout = core::seconds(1);
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  test_peer peer(loop_, server_->Port());
+  peer.Send("PUT / HTTP/1.1\r\nHost: test\r\nContent-Length: 2000\r\n\r\n" +
+            std::string(1500, 'x'));
+  EXPECT_TRUE(loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, kLimit));
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return server_->ConnectionCount() == 0; }, kLimit));
+  ExpectAlive();
+}
+
 // The same for a body that does not announce its length.
 TEST_F(http_server_test, RefusesAnOversizedChunkedBody) {
   int handled = 0;
