--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -9,6 +9,10 @@
 
 #include <array>
 #include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -130,6 +134,31 @@
   return pid_ > 0 && WaitForExit(1) == -1 && pid_ > 0;
 }
 
+bool child_process::OwnsTcpPort(int port) const {
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line);
+  std::set<std::string> wanted;
+  while (std::getline(table, line)) {
+    std::istringstream fields(line);
+    std::string slot, local, skipped, inode;
+    fields >> slot >> local;
+    for (int i = 0; i < 7; ++i) fields >> skipped;
+    fields >> inode;
+    const std::string digits = local.substr(local.find(':') + 1);
+    if (std::stoi(digits, nullptr, 16) != port) continue;
+    wanted.insert("socket:[" + inode + "]");
+  }
+  const std::string folder = "/proc/" + std::to_string(pid_) + "/fd";
+  std::error_code failure;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(folder, failure)) {
+    const auto target = std::filesystem::read_symlink(entry.path(), failure);
+    if (wanted.count(target.string()) > 0) return true;
+  }
+  return false;
+}
+
 int RunTool(const std::string& binary,
             const std::vector<std::string>& arguments,
             const std::string& log_file) {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -33,6 +33,8 @@
   /** Waits for the end. @returns exit code, -1 after the limit. */
   int WaitForExit(int limit_ms);
   bool IsRunning();
+  /** True if a socket of the program has this local port (IPv4). */
+  bool OwnsTcpPort(int port) const;
 
  private:
   void ReadAnnouncement();
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -141,20 +141,37 @@
   const int link = target.agent ? target.agent->Port("link") : 0;
   const int admin = target.agent ? target.agent->Port("admin") : 0;
   target.agent.reset();
+  target.agent = NewAgent(target, link, admin);
+}
+
+std::unique_ptr<child_process> fleet::StartSecondAgent(
+    const endpoint_processes& target) const {
+  return NewAgent(target, 0, 0);
+}
+
+std::unique_ptr<child_process> fleet::NewAgent(const endpoint_processes& target,
+                                               int link_port,
+                                               int admin_port) const {
   std::vector<std::string> flags = {
       Flag("endpoint_id", target.name),
       Flag("vm_id", "vm-" + target.name),
       Flag("data_centre", "dc-1"),
-      Flag("link_port", link),
-      Flag("admin_port", admin),
+      Flag("link_port", link_port),
+      Flag("admin_port", admin_port),
       Flag("endpoint_kind", target.engine ? "engine" : "plain_service"),
       Flag("endpoint_url", target.EndpointUrl())};
   flags.insert(flags.end(), options_.agent_flags.begin(),
                options_.agent_flags.end());
-  target.agent = std::make_unique<child_process>(
+  return std::make_unique<child_process>(
       Binary("src/agent/comfreyspring_agent"), flags, log_file_);
 }
 
+void fleet::CutFromEntry(endpoint_processes& target, int entry) {
+  const child_process& process = Entry(entry);
+  target.relay->CutClients(
+      [&process](int port) { return process.OwnsTcpPort(port); });
+}
+
 void fleet::StartEntry(int index, const std::vector<std::string>& flags) {
   std::vector<std::string> all = {
       Flag("process_id", "entry-" + std::to_string(index)),
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -86,6 +86,14 @@
   void StartEntry(int index, const std::vector<std::string>& flags = {});
   /** Starts the agent again on its fixed port. */
   void StartAgent(endpoint_processes& target);
+  /** Starts another agent for the same endpoint, on ports of its own. */
+  std::unique_ptr<child_process> StartSecondAgent(
+      const endpoint_processes& target) const;
+  /**
+   * Cuts this entry off from the endpoint until `relay->Heal()`; other entries
+   * still reach it.
+   */
+  void CutFromEntry(endpoint_processes& target, int entry);
   void Behave(endpoint_processes& target, const std::string& json);
   /** Runs of all keys of `orders`, over all stand-ins. */
   std::map<std::string, int> Runs();
@@ -98,6 +106,8 @@
 
  private:
   void StartEndpoint(const std::string& name, bool engine);
+  std::unique_ptr<child_process> NewAgent(const endpoint_processes& target,
+                                          int link_port, int admin_port) const;
   config::endpoint_record RecordOf(const endpoint_processes& target) const;
 
   fleet_options options_;
--- a/tests/process/tcp_relay.cc
+++ b/tests/process/tcp_relay.cc
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <stdexcept>
+#include <utility>
 
 namespace comfreyspring::process_test {
 namespace {
@@ -64,12 +65,33 @@
   SilenceOpenConnections();
 }
 
-void tcp_relay::Heal() { cut_ = false; }
+void tcp_relay::CutClients(std::function<bool(int port)> is_cut) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_cut_ = std::move(is_cut);
+  for (connection& open : connections_) {
+    if (IsCut(open.client)) open.silent = true;
+  }
+}
+
+void tcp_relay::Heal() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_cut_ = nullptr;
+  cut_ = false;
+}
+
+bool tcp_relay::IsCut(int client) const {
+  if (cut_) return true;
+  if (!is_cut_) return false;
+  sockaddr_in address = {};
+  socklen_t length = sizeof address;
+  ::getpeername(client, reinterpret_cast<sockaddr*>(&address), &length);
+  return is_cut_(ntohs(address.sin_port));
+}
 
 void tcp_relay::Accept() {
   const int client = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
   if (client < 0) return;
-  if (cut_) {
+  if (IsCut(client)) {
     ::close(client);
     return;
   }
--- a/tests/process/tcp_relay.h
+++ b/tests/process/tcp_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -25,6 +26,8 @@
   void SilenceOpenConnections();
   /** Open connections stay silent and new ones are reset until Heal. */
   void Cut();
+  /** Cut for the clients whose local port the predicate picks. */
+  void CutClients(std::function<bool(int port)> is_cut);
   void Heal();
   /** Forwards to another port from now on; for restarted targets. */
   void SetTarget(int target_port) { target_port_ = target_port; }
@@ -37,6 +40,7 @@
   };
   void Run();
   void Accept();
+  bool IsCut(int client) const;
   bool Forward(int from, int to);
 
   std::atomic<int> target_port_;
@@ -44,6 +48,7 @@
   int port_ = 0;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> cut_{false};
+  std::function<bool(int port)> is_cut_;
   std::mutex mutex_;
   std::vector<connection> connections_;
   std::thread thread_;
