Keep a new agent from evicting adapters under another agent's streams

Change: an agent that starts, renews its number or takes the engine back shows the number with a harmless command, and evicts nothing until a load report newer than that (plus the time in which a former agent notices) counts own runs only. engine_limits carries may_evict to the scheduler. At an engine that ignores fencing numbers a window of one status period stays in the former agent.

--- a/src/adapters/adapter_cache.h
+++ b/src/adapters/adapter_cache.h
@@ -45,6 +45,9 @@
 
   // Content.
 
+  /** False: no adapter is evicted, whatever the demand. */
+  void SetMayEvict(bool may_evict) { may_evict_ = may_evict; }
+  bool MayEvict() const { return may_evict_; }
   void SetSlotLimit(std::size_t limit) { slot_limit_ = limit; }
   std::size_t SlotLimit() const { return slot_limit_; }
   const std::vector<adapter_slot>& Slots() const { return slots_; }
@@ -237,6 +240,7 @@
   slot_iterator Victim(bool take_wanted, const Waiting& waiting,
                        core::time_point now) {
     slot_iterator best = slots_.end();
+    if (!may_evict_) return best;
     double best_value = 0.0;
     for (auto slot = slots_.begin(); slot != slots_.end(); ++slot) {
       if (slot->pins > 0 || slot->loading) continue;
@@ -270,6 +274,7 @@
   core::milliseconds initial_load_time_;
   Policy policy_;
   std::size_t slot_limit_ = 0;
+  bool may_evict_ = true;
   std::vector<adapter_slot> slots_;
   std::unordered_map<core::adapter_reference, history> history_;
 };
--- a/src/admission/basic_engine_scheduler_impl.h
+++ b/src/admission/basic_engine_scheduler_impl.h
@@ -178,6 +178,7 @@
   actions out;
   batch_limit_ = limits.batch_limit;
   slots_.Cache().SetSlotLimit(limits.adapter_slots);
+  slots_.Cache().SetMayEvict(limits.may_evict);
   slots_.Cache().Reconcile(resident, now);
   Schedule(now, out);
   return out;
--- a/src/admission/scheduler_types.h
+++ b/src/admission/scheduler_types.h
@@ -66,6 +66,8 @@
 struct engine_limits {
   std::size_t adapter_slots = 0;
   std::size_t batch_limit = 0;
+  /** False while runs of another agent may use any resident adapter. */
+  bool may_evict = true;
 };
 
 struct scheduler_options {
--- a/src/admission/slot_planner.h
+++ b/src/admission/slot_planner.h
@@ -120,6 +120,11 @@
   void UpdateDraining(const Queue& queue, const MayLoad& may_load,
                       const Release& release, core::time_point now) {
     std::size_t starving = 0;
+    // Draining a slot that may not be evicted would only stop its work.
+    if (!cache_.MayEvict()) {
+      StopDraining();
+      return;
+    }
     queue.ForEachDemand([&](const core::adapter_reference& adapter,
                             const adapters::load_demand& demand) {
       if (cache_.Find(adapter) == nullptr && IsStarving(demand, now) &&
--- a/src/agent/engine_controller.cc
+++ b/src/agent/engine_controller.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "agent/fencing_number.h"
+#include "agent/foreign_run_guard.h"
 
 namespace comfreyspring::agent {
 
@@ -17,10 +18,16 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
+constexpr int kServerError = 500;
 constexpr core::milliseconds kStreamTick{100};
 constexpr core::milliseconds kRetryPeriod{250};
 // One lost answer is no outage; a refused connection is.
 constexpr int kFailuresUntilDown = 2;
+// A former agent of an engine that ignores fencing numbers yields when it next
+// reads the status.
+constexpr core::milliseconds kSettleMargin{1000};
+// Names no adapter: the command only shows the engine the fencing number.
+constexpr const char* kNoAdapter = "fencing-number";
 
 std::vector<core::adapter_reference> ResidentIn(const json& status) {
   std::vector<core::adapter_reference> resident;
@@ -40,12 +47,14 @@
       : loop(event_loop),
         http(client),
         options(std::move(settings)),
-        number(options.started_unix_ms) {}
+        number(options.started_unix_ms),
+        guard(options.status_period + kSettleMargin) {}
 
   ~impl() override {
     loop.Cancel(status_timer);
     loop.Cancel(tick_timer);
     if (status_call != 0) http.Cancel(status_call);
+    if (control_call != 0) http.Cancel(control_call);
     for (const auto& [id, call] : command_calls) http.Cancel(call);
   }
 
@@ -105,7 +114,7 @@
 
   void TakeStatus(const json& status, int validation, int commands) {
     const auto resident = ResidentIn(status);
-    const admission::engine_limits limits{
+    admission::engine_limits limits{
         status.at("adapter_slots").get<std::size_t>(),
         status.at("batch_limit").get<std::size_t>()};
     const std::string instance = status.at("instance_id").dump();
@@ -121,6 +130,8 @@
     }
     known_instance = instance;
     TakeFencing(seen);
+    TakeLoadReport();
+    limits.may_evict = guard.MayEvict();
     if (validation == validation_serial) validated = true;
     if (!yielding) {
       // A status from before a load or unload ended says nothing about it.
@@ -148,22 +159,79 @@
     for (const auto& [id, call] : command_calls) http.Cancel(call);
     command_calls.clear();
     last_resident.clear();
+    if (control_call != 0) http.Cancel(std::exchange(control_call, 0));
+    LoseControl();
+    CountRuns();
     ++command_serial;
     listener->OnEndpointRestart();
   }
 
   // Fencing.
 
+  /** Shows the engine the current number, so that a former agent is refused or
+   * sees the number and yields. */
+  void TakeControl() {
+    if (control_taken || control_call != 0) return;
+    const std::int64_t shown = number.Value();
+    const json body = {{"adapter", kNoAdapter},
+                       {"version", kNoAdapter},
+                       {"fencing_number", shown}};
+    net::http_callbacks callbacks;
+    callbacks.on_done = [this, shown](const net::http_result& result) {
+      control_call = 0;
+      OnControlAnswered(result.status, shown);
+    };
+    control_call =
+        http.Start({.method = "POST",
+                    .url = options.stream.url + "/adapters/unload",
+                    .headers = {{"content-type", "application/json"}},
+                    .body = body.dump(),
+                    .connect_timeout = options.stream.connect_timeout,
+                    .total_timeout = options.status_timeout},
+                   std::move(callbacks));
+  }
+
+  void OnControlAnswered(int status, std::int64_t shown) {
+    if (status == kConflict) {
+      OnFencingRefused();
+      return;
+    }
+    const bool accepted = status != 0 && status < kServerError;
+    if (!accepted || shown != number.Value()) return;
+    control_taken = true;
+    guard.OnControlTaken(loop.Now());
+  }
+
+  void LoseControl() {
+    control_taken = false;
+    guard.OnControlLost();
+  }
+
+  void RenewNumber(std::int64_t seen) {
+    number.Renew(seen);
+    LoseControl();
+  }
+
+  void TakeLoadReport() {
+    if (yielding) return;
+    TakeControl();
+    const auto age = load_report.value("age_ms", std::int64_t{0});
+    const auto runs = load_report.value("running", std::int64_t{0}) +
+                      load_report.value("waiting", std::int64_t{0});
+    guard.OnLoadReport(runs, loop.Now() - core::milliseconds(age));
+  }
+
   void TakeFencing(std::int64_t seen) {
     const core::time_point now = loop.Now();
     if (!number_taken) {
       number_taken = true;
-      if (seen >= number.Value()) number.Renew(seen);
+      if (seen >= number.Value()) RenewNumber(seen);
     } else if (seen > number.Value() && !yielding) {
       LOG(ERROR)
           << "agent.engine: Yielded to a newer agent with fencing number "
           << seen << '.';
       yielding = true;
+      LoseControl();
       ++yields;
       yield_until = now + options.yield_time;
       listener->OnEndpointAvailability();
@@ -172,10 +240,10 @@
     } else if (yielding && now >= yield_until) {
       LOG(WARNING) << "agent.engine: Took the engine back.";
       yielding = false;
-      number.Renew(seen);
+      RenewNumber(seen);
       listener->OnEndpointAvailability();
     } else if (!validated && !yielding) {
-      number.Renew(seen);
+      RenewNumber(seen);
     }
     highest_seen = seen;
   }
@@ -266,6 +334,11 @@
 
   void OnStreamEnded(const core::attempt_id& attempt) override {
     streams.erase(attempt);
+    CountRuns();
+  }
+
+  void CountRuns() {
+    guard.OnOwnRuns(static_cast<std::int64_t>(streams.size()), loop.Now());
   }
 
   void Tick() {
@@ -292,6 +365,9 @@
   int validation_serial = 0;
 
   fencing_number number;
+  foreign_run_guard guard;
+  bool control_taken = false;
+  net::http_call_id control_call = 0;
   bool number_taken = false;
   bool yielding = false;
   core::time_point yield_until;
@@ -331,6 +407,7 @@
       impl_->loop, impl_->http, *impl_, *impl_->listener, impl_->options.stream,
       std::move(order));
   impl_->streams[attempt] = stream;
+  impl_->CountRuns();
   stream->Start();
 }
 
@@ -373,6 +450,7 @@
           {"yielding", impl_->yielding},
           {"instance_id", impl_->known_instance},
           {"checks_fencing", impl_->checks_fencing},
+          {"may_evict", impl_->guard.MayEvict()},
           {"fencing_number", impl_->number.Value()},
           {"fencing_number_seen", impl_->highest_seen},
           {"runs", impl_->streams.size()},
--- a/src/agent/engine_controller_test.cc
+++ b/src/agent/engine_controller_test.cc
@@ -64,6 +64,15 @@
   }
   void AnswerStatus(const json& status) {
     http_.Answer(Only("/status"), 200, status.dump());
+    AnswerControl();
+  }
+  /** Answers the command that only shows the fencing number, if it is open. */
+  void AnswerControl() {
+    for (const auto call : http_.Open("/adapters/unload")) {
+      if (http_.BodyOf(call)["adapter"] != "fencing-number") continue;
+      http_.Answer(call, 404, "{}");
+      return;
+    }
   }
 
   net::http_call_id Run(run_order order = {}) {
--- a/src/trace/scheduler_format.h
+++ b/src/trace/scheduler_format.h
@@ -161,6 +161,7 @@
   static void Fields(Self& self, Visitor& visit) {
     visit.Required("adapter_slots", self.limits.adapter_slots);
     visit.Required("batch_limit", self.limits.batch_limit);
+    visit("may_evict", self.limits.may_evict);
     visit("resident", self.resident);
   }
 };
