--- a/src/agent/queue_controller_impl.h
+++ b/src/agent/queue_controller_impl.h
@@ -7,11 +7,11 @@
 #include <utility>
 #include <vector>
 
-#include "admission/engine_scheduler.h"
 #include "agent/attempt_answers.h"
 #include "agent/attempt_register.h"
 #include "agent/attempt_state.h"
 #include "agent/queue_controller.h"
+#include "trace/recording_scheduler.h"
 
 /** Private part of queue_controller; only its source file includes this. */
 namespace comfreyspring::agent {
@@ -40,7 +40,8 @@
         known(settings.attempts),
         scheduler({.started_at = event_loop.Now(),
                    .random_seed = settings.random_seed,
-                   .maximum_queue = settings.maximum_queue}) {
+                   .maximum_queue = settings.maximum_queue},
+                  settings.trace) {
     tick_timer = loop.SchedulePeriodic(
         kTickPeriod, [this] { Execute(scheduler.OnTick(loop.Now())); });
     upkeep_timer = loop.SchedulePeriodic(kUpkeepPeriod, [this] {
@@ -453,7 +454,7 @@
   attempt_answers answers;
   telemetry::metrics& metrics;
   attempt_register known;
-  admission::engine_scheduler scheduler;
+  trace::recording_scheduler scheduler;
   std::unordered_map<core::attempt_id, attempt_state> attempts;
   net::timer_id tick_timer = 0;
   net::timer_id upkeep_timer = 0;
