--- a/bench/capacity/processes.py
+++ b/bench/capacity/processes.py
@@ -102,6 +102,7 @@
         self.holder = tempfile.TemporaryDirectory(prefix="capacity-")
         self.directory = pathlib.Path(self.holder.name)
         self.processes = []
+        self.seeds = 0
         return self
 
     def __exit__(self, *_):
@@ -111,6 +112,13 @@
                 process.child.wait()
         self.holder.cleanup()
 
+    def next_seed(self):
+        """Differs for each process: entries with equal seeds make equal
+        request ids in the same millisecond, and agents tell attempts apart by
+        their ids alone."""
+        self.seeds += 1
+        return SEED + self.seeds
+
     def start(self, name, *arguments):
         process = Process(self, name, arguments)
         self.processes.append(process)
@@ -142,7 +150,7 @@
         process = self.start(name, ENTRY, "--port=0", f"--process_id={name}",
                              f"--data_centre={data_centre}",
                              f"--platform_url={platform.url}",
-                             f"--seed={SEED}")
+                             f"--seed={self.next_seed()}")
         process.url = f"http://127.0.0.1:{process.words[-1]}"
         return process
 
@@ -163,7 +171,8 @@
             f"--vm_id={vm or 'vm-' + endpoint}",
             f"--data_centre={data_centre}", f"--link_port={link_port}",
             "--admin_port=0", f"--endpoint_kind={kind}",
-            f"--endpoint_url={served.url}", f"--seed={SEED}", *flags)
+            f"--endpoint_url={served.url}", f"--seed={self.next_seed()}",
+            *flags)
         ports = dict(word.split("=") for word in process.words[1:])
         process.link_port = int(ports["link"])
         process.url = f"http://127.0.0.1:{ports['admin']}"
