Continue completions at another engine

Cause: a completion whose endpoint was lost or restarted after some output ended as `incomplete`, although a completion of the prompt plus the text so far continues the answer. One refused as `incomplete` without output got 502.

Change: the router gives an idempotent completion up to 2 continuations within the retry budget; submit_attempt has a flag, and a later select_attempt replaces the earlier one. Output that failed its checksum, count or adapter check is not continued, because the error would become part of a whole answer. The stand-in engine counts tokens on after its own earlier text. Traces record the new events.

--- a/src/entry/request_controller.cc
+++ b/src/entry/request_controller.cc
@@ -11,6 +11,7 @@
 
 #include "core/hash.h"
 #include "entry/answer_writer.h"
+#include "entry/delivered_output.h"
 #include "stream/stream_assembler.h"
 #include "trace/recording_router.h"
 
@@ -31,10 +32,6 @@
   return static_cast<double>((to - from).count()) / 1000.0;
 }
 
-json CompletionBody(const request_context& context) {
-  return {{"prompt", context.prompt}, {"max_tokens", context.maximum_tokens}};
-}
-
 }  // namespace
 
 struct request_controller::impl {
@@ -45,6 +42,8 @@
     /** Pieces in order that arrived before the attempt was selected. */
     std::vector<std::string> unselected;
     bool begun = false;
+    /** A break without a final marker says nothing against earlier pieces. */
+    bool final_seen = false;
   };
 
   struct request_state {
@@ -52,6 +51,7 @@
         : context(std::move(accepted)), writer(context) {}
     request_context context;
     answer_writer writer;
+    delivered_output delivered;
     core::attempt_id selected;
     std::vector<core::attempt_id> attempts;
   };
@@ -82,12 +82,17 @@
     const auto position = requests.find(action.request);
     if (position == requests.end()) return;
     request_state& state = *position->second;
+    if (action.continuation) BeginContinuation(state);
     state.attempts.push_back(action.attempt);
     attempt_state& attempt = attempts[action.attempt];
     attempt.request = action.request;
     attempt.endpoint = action.endpoint;
-    if (sender.Send(action.endpoint, SubmitOf(state.context, action))) return;
     const core::attempt_id id = action.attempt;
+    if (action.continuation && RemainingTokens(state) <= 0) {
+      loop.Post([this, id] { CompleteWithoutRest(id); });
+      return;
+    }
+    if (sender.Send(action.endpoint, SubmitOf(state, action))) return;
     loop.Post([this, id] { Execute(router.OnNotSent(id, loop.Now())); });
   }
 
@@ -101,12 +106,11 @@
     request_state& state = *position->second;
     state.selected = action.attempt;
     attempt_state& attempt = attempts.at(action.attempt);
-    metrics.Observe("entry_first_output_ms",
-                    MillisecondsBetween(state.context.received, loop.Now()));
-    for (const std::string& piece : attempt.unselected) {
-      state.writer.Write(piece);
+    if (state.delivered.Pieces() == 0) {
+      metrics.Observe("entry_first_output_ms",
+                      MillisecondsBetween(state.context.received, loop.Now()));
     }
-    attempt.unselected.clear();
+    Deliver(state, attempt);
   }
 
   void Do(const routing::complete_request& action) {
@@ -116,7 +120,9 @@
         "entry_request_ms",
         MillisecondsBetween(position->second->context.received, loop.Now()));
     metrics.Count("entry_requests_completed_total");
-    position->second->writer.Finish(final_message);
+    request_state& state = *position->second;
+    final_message.tokens.value += state.delivered.EarlierPieces();
+    state.writer.Finish(final_message);
     Forget(action.request);
   }
 
@@ -139,8 +145,45 @@
 
   // Helpers.
 
-  wire::submit SubmitOf(const request_context& context,
+  /** Output that arrives late from an earlier attempt is dropped. */
+  void BeginContinuation(request_state& state) {
+    for (const core::attempt_id& earlier : state.attempts) {
+      attempts.erase(earlier);
+    }
+    state.attempts.clear();
+    state.selected = core::attempt_id();
+    state.delivered.BeginContinuation();
+    metrics.Count("entry_continuations_total");
+  }
+
+  static std::int64_t RemainingTokens(const request_state& state) {
+    return state.context.maximum_tokens - state.delivered.Pieces();
+  }
+
+  void CompleteWithoutRest(const core::attempt_id& id) {
+    const auto position = attempts.find(id);
+    if (position == attempts.end()) return;
+    final_message = wire::finished();
+    Execute(router.OnNothingLeft(id, loop.Now()));
+  }
+
+  /** Writes the pieces of the selected attempt. */
+  void Deliver(request_state& state, attempt_state& attempt) {
+    const bool keep = state.context.idempotent &&
+                      state.context.kind == core::request_kind::completion;
+    for (const std::string& piece : attempt.unselected) {
+      state.writer.Write(piece);
+      if (keep) state.delivered.Add(piece);
+    }
+    attempt.unselected.clear();
+    if (!state.delivered.IsKept()) {
+      router.BarContinuation(state.context.request, loop.Now());
+    }
+  }
+
+  wire::submit SubmitOf(const request_state& state,
                         const routing::submit_attempt& action) const {
+    const request_context& context = state.context;
     const core::milliseconds remaining =
         core::ToMilliseconds(context.deadline - loop.Now());
     wire::submit message;
@@ -152,14 +195,15 @@
     message.remaining = remaining;
     message.expires_unix_ms =
         core::UnixMilliseconds(loop.WallNow() + remaining);
-    message.expected_tokens = core::token_count{context.maximum_tokens};
+    message.expected_tokens = core::token_count{RemainingTokens(state)};
     message.idempotent = context.idempotent;
     message.key = context.key;
     message.ownership_epoch = context.home ? context.home->epoch : 0;
     message.service = context.service;
     if (context.kind == core::request_kind::completion) {
-      message.body = CompletionBody(context).dump(
-          -1, ' ', false, json::error_handler_t::replace);
+      const json body = {{"prompt", context.prompt + state.delivered.Text()},
+                         {"max_tokens", RemainingTokens(state)}};
+      message.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
       return message;
     }
     const net::http_request& request = context.exchange->Request();
@@ -193,7 +237,7 @@
                               std::make_move_iterator(pieces.end()));
     if (attempt.assembler.State() == stream::assembly_state::broken) {
       Execute(router.OnBrokenAnswer(message.attempt, attempt.assembler.Reason(),
-                                    loop.Now()));
+                                    loop.Now(), !attempt.final_seen));
       return;
     }
     if (!attempt.begun && !attempt.unselected.empty()) {
@@ -213,10 +257,7 @@
     if (owner == requests.end() || position == attempts.end()) return;
     request_state& state = *owner->second;
     if (state.selected != id) return;
-    for (const std::string& piece : position->second.unselected) {
-      state.writer.Write(piece);
-    }
-    position->second.unselected.clear();
+    Deliver(state, position->second);
     if (state.writer.PendingBytes() <= kMaximumPendingBytes) return;
     LOG(WARNING) << "entry.request: Disconnected the caller of request "
                  << request << ": it takes its answer too slowly.";
@@ -240,6 +281,7 @@
           loop.Now()));
       return;
     }
+    attempt.final_seen = true;
     switch (attempt.assembler.OnFinished(message)) {
       case stream::assembly_state::open:
         // Chunks are missing: they were lost with an earlier link.
@@ -356,6 +398,7 @@
           {"open_attempts", impl_->attempts.size()},
           {"requests", counters.requests},
           {"retries", counters.retries},
+          {"continuations", counters.continuations},
           {"hedges", counters.hedges},
           {"hedges_won", counters.hedges_won},
           {"refused_overload", counters.refused_overload},
--- a/src/routing/request_lifecycle.cc
+++ b/src/routing/request_lifecycle.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kMaximumRetries = 2;
+constexpr int kMaximumContinuations = 2;
 constexpr double kRetryShare = 0.10;
 constexpr double kHedgeShare = 0.05;
 // The loss of one endpoint out of 12 fails a batch of requests at once; the
@@ -177,13 +178,34 @@
       attempt.first_chunk_at.value_or(attempt.submitted_at);
   selector_.OnServed(request.facts, attempt.endpoint, message.tokens,
                      now - since, now);
-  SelectAttempt(request, attempt, out);
-  CloseAttempt(request, attempt, attempt_state::may_have_run);
-  out.push_back(complete_request{request.facts.request, attempt.attempt});
-  Forget(request.facts.request);
+  Complete(request, attempt, attempt_state::may_have_run, out);
   return out;
 }
 
+request_lifecycle::actions request_lifecycle::OnNothingLeft(
+    const core::attempt_id& attempt, core::time_point /*now*/) {
+  const located found = Locate(attempt);
+  if (found.attempt == nullptr || !found.request->continued) return {};
+  actions out;
+  Complete(*found.request, *found.attempt, attempt_state::not_run, out);
+  return out;
+}
+
+void request_lifecycle::BarContinuation(const core::request_id& request) {
+  const auto found = requests_.find(request);
+  if (found != requests_.end()) found->second.continuation_barred = true;
+}
+
+void request_lifecycle::Complete(request_record& request,
+                                 attempt_record& attempt, attempt_state state,
+                                 actions& out) {
+  SelectAttempt(request, attempt, out);
+  CloseAttempt(request, attempt, state);
+  const core::request_id id = request.facts.request;
+  out.push_back(complete_request{id, attempt.attempt});
+  Forget(id);
+}
+
 request_lifecycle::actions request_lifecycle::OnRefused(
     const wire::refused& message, core::time_point now) {
   const located found = LocateFrame(message.attempt);
@@ -198,9 +220,12 @@
                        !found.attempt->first_chunk_at;
   CloseAttempt(request, *found.attempt,
                not_run ? attempt_state::not_run : attempt_state::may_have_run);
+  const bool may_retry =
+      not_run || (message.outcome != core::outcome::unknown &&
+                  request.IsRepeatableCompletion());
   AfterFailure(request,
                {message.reason, message.message, message.retry_after, not_run},
-               not_run, now, out);
+               may_retry, now, out);
   return out;
 }
 
@@ -221,13 +246,15 @@
 
 request_lifecycle::actions request_lifecycle::OnBrokenAnswer(
     const core::attempt_id& attempt, const std::string& reason,
-    core::time_point now) {
+    core::time_point now, bool output_valid) {
   const located found = LocateFrame(attempt);
   if (found.attempt == nullptr) return {};
   actions out;
+  const bool may_continue =
+      output_valid && found.attempt->first_chunk_at.has_value();
   Withdraw(*found.request, *found.attempt, out);
-  AfterFailure(*found.request, {"stream_interrupted", reason, {}}, false, now,
-               out);
+  AfterFailure(*found.request, {"stream_interrupted", reason, {}}, may_continue,
+               now, out);
   return out;
 }
 
@@ -265,7 +292,7 @@
                  {chunk_seen ? "stream_interrupted" : "outcome_unknown",
                   "The endpoint was lost.",
                   {}},
-                 !chunk_seen, now, out);
+                 true, now, out);
   }
   return out;
 }
@@ -316,7 +343,7 @@
 void request_lifecycle::TryHedge(request_record& request, core::time_point now,
                                  actions& out) {
   const request_facts& facts = request.facts;
-  if (request.SingleAttempt() || request.hedged) return;
+  if (request.SingleAttempt() || request.hedged || request.continued) return;
   if (facts.priority != core::priority_class::urgent) return;
   if (!hedge_budget_.Available()) return;
   const std::optional<core::microseconds> delay = selector_.HedgeDelay(facts);
@@ -363,7 +390,7 @@
                               .hedge = hedge});
   selector_.OnSubmitted(request.facts, endpoint, now);
   out.push_back(submit_attempt{request.facts.request, std::move(attempt),
-                               endpoint, hedge});
+                               endpoint, hedge, request.continued});
 }
 
 void request_lifecycle::Acknowledge(const request_record& request,
@@ -393,6 +420,8 @@
   if (request.selected) return;
   request.selected =
       static_cast<std::size_t>(&attempt - request.attempts.data());
+  // What became of the attempts that were not selected no longer matters.
+  request.retry_barred = false;
   if (attempt.hedge) ++counters_.hedges_won;
   out.push_back(select_attempt{request.facts.request, attempt.attempt});
   for (attempt_record& other : request.attempts) {
@@ -412,10 +441,16 @@
   Fail(request, std::move(failure), out);
 }
 
+bool request_lifecycle::MayRetry(const request_record& request) {
+  if (request.SingleAttempt()) return false;
+  if (!request.HasOutput()) return request.retries < kMaximumRetries;
+  return request.IsRepeatableCompletion() && !request.continuation_barred &&
+         request.continuations < kMaximumContinuations;
+}
+
 bool request_lifecycle::TryRetry(request_record& request, core::time_point now,
                                  actions& out) {
-  if (request.SingleAttempt() || request.selected) return false;
-  if (request.retries >= kMaximumRetries) return false;
+  if (!MayRetry(request)) return false;
   if (request.facts.deadline <= now || !retry_budget_.Available()) return false;
   const selection selected =
       selector_.Select(request.facts, TriedEndpoints(request), false, now);
@@ -423,8 +458,15 @@
   const bool granted = retry_budget_.TryTake();
   assert(granted);
   static_cast<void>(granted);
-  ++request.retries;
-  ++counters_.retries;
+  if (request.HasOutput()) {
+    request.continued = true;
+    request.selected.reset();
+    ++request.continuations;
+    ++counters_.continuations;
+  } else {
+    ++request.retries;
+    ++counters_.retries;
+  }
   Submit(request, selected.endpoint, false, now, out);
   return true;
 }
--- a/src/routing/request_lifecycle.h
+++ b/src/routing/request_lifecycle.h
@@ -33,7 +33,10 @@
   actions OnRefused(const wire::refused& message, core::time_point now);
   actions OnWithdrawn(const wire::withdrawn& message, core::time_point now);
   actions OnBrokenAnswer(const core::attempt_id& attempt,
-                         const std::string& reason, core::time_point now);
+                         const std::string& reason, core::time_point now,
+                         bool output_valid);
+  actions OnNothingLeft(const core::attempt_id& attempt, core::time_point now);
+  void BarContinuation(const core::request_id& request);
   actions OnNotSent(const core::attempt_id& attempt, core::time_point now);
   actions OnEndpointLost(const core::endpoint_id& endpoint,
                          core::time_point now);
@@ -63,9 +66,17 @@
   void SelectAttempt(request_record& request, attempt_record& attempt,
                      actions& out);
 
-  /** Retries, waits for another attempt or fails, after one has ended. */
+  /** An attempt has delivered the whole answer, or the rest of it. */
+  void Complete(request_record& request, attempt_record& attempt,
+                attempt_state state, actions& out);
+  /**
+   * Retries or continues, waits for another attempt or fails, after one has
+   * ended.
+   */
   void AfterFailure(request_record& request, attempt_failure failure,
                     bool may_retry, core::time_point now, actions& out);
+  /** True if one more attempt is within the limits of the request. */
+  static bool MayRetry(const request_record& request);
   bool TryRetry(request_record& request, core::time_point now, actions& out);
   void TryHedge(request_record& request, core::time_point now, actions& out);
   /** Withdraws what is open, answers and forgets the request. */
--- a/src/routing/request_record.h
+++ b/src/routing/request_record.h
@@ -51,6 +51,11 @@
   std::vector<attempt_record> attempts;
   std::optional<std::size_t> selected;
   int retries = 0;
+  int continuations = 0;
+  /** Output of an earlier attempt was passed on and is being continued. */
+  bool continued = false;
+  /** The output so far is not kept for a continuation. */
+  bool continuation_barred = false;
   bool hedged = false;
   /** An attempt ended in a way that allows no other run. */
   bool retry_barred = false;
@@ -59,6 +64,12 @@
   bool SingleAttempt() const {
     return !facts.idempotent || facts.home.has_value();
   }
+  /** Output was passed on; another attempt can only continue it. */
+  bool HasOutput() const { return selected.has_value() || continued; }
+  /** A second run does no harm, and its output can follow earlier output. */
+  bool IsRepeatableCompletion() const {
+    return !SingleAttempt() && facts.kind == core::request_kind::completion;
+  }
   bool HasOpenAttempt() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const auto& item) {
       return item.state == attempt_state::open;
@@ -74,7 +85,7 @@
     if (!MayHaveRun()) return core::outcome::not_run;
     // Only the endpoint's record tells whether a non-repeatable call has run
     // to its end, even after a part of its answer.
-    const bool partial = selected.has_value() && facts.idempotent;
+    const bool partial = HasOutput() && facts.idempotent;
     return partial ? core::outcome::incomplete : core::outcome::unknown;
   }
   attempt_record* Find(const core::attempt_id& attempt) {
--- a/src/routing/request_router.cc
+++ b/src/routing/request_router.cc
@@ -68,8 +68,17 @@
 
 std::vector<router_action> request_router::OnBrokenAnswer(
     const core::attempt_id& attempt, const std::string& reason,
-    core::time_point now) {
-  return impl_->lifecycle.OnBrokenAnswer(attempt, reason, now);
+    core::time_point now, bool output_valid) {
+  return impl_->lifecycle.OnBrokenAnswer(attempt, reason, now, output_valid);
+}
+
+std::vector<router_action> request_router::OnNothingLeft(
+    const core::attempt_id& attempt, core::time_point now) {
+  return impl_->lifecycle.OnNothingLeft(attempt, now);
+}
+
+void request_router::BarContinuation(const core::request_id& request) {
+  impl_->lifecycle.BarContinuation(request);
 }
 
 std::vector<router_action> request_router::OnNotSent(
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -40,13 +40,18 @@
   core::attempt_id attempt;
   core::endpoint_id endpoint;
   bool hedge = false;
+  /** The attempt continues the output that the caller already has. */
+  bool continuation = false;
 };
 /** Ask the endpoint to give the attempt up; its output is dropped. */
 struct withdraw_attempt {
   core::attempt_id attempt;
   core::endpoint_id endpoint;
 };
-/** From now on the answer of this attempt is the answer of the request. */
+/**
+ * From now on the output of this attempt is the answer of the request. After a
+ * continuation it is appended to the output of the earlier attempt.
+ */
 struct select_attempt {
   core::request_id request;
   core::attempt_id attempt;
@@ -87,6 +92,7 @@
 struct router_counters {
   std::uint64_t requests = 0;
   std::uint64_t retries = 0;
+  std::uint64_t continuations = 0;
   std::uint64_t hedges = 0;
   std::uint64_t hedges_won = 0;
   std::uint64_t refused_overload = 0;
@@ -144,10 +150,20 @@
                                        core::time_point now);
   std::vector<router_action> OnWithdrawn(const wire::withdrawn& message,
                                          core::time_point now);
-  /** Stream checks failed (gap, checksum, wrong adapter). */
+  /**
+   * Stream checks failed (gap, checksum, wrong adapter).
+   * @param output_valid the failure casts no doubt on the output so far, so
+   * that another attempt may continue it.
+   */
   std::vector<router_action> OnBrokenAnswer(const core::attempt_id& attempt,
                                             const std::string& reason,
-                                            core::time_point now);
+                                            core::time_point now,
+                                            bool output_valid = false);
+  /** A continuation was not sent: the output so far is the whole answer. */
+  std::vector<router_action> OnNothingLeft(const core::attempt_id& attempt,
+                                           core::time_point now);
+  /** The output so far is too long to be continued by another attempt. */
+  void BarContinuation(const core::request_id& request);
   /** The submit was never written because the link was not open. */
   std::vector<router_action> OnNotSent(const core::attempt_id& attempt,
                                        core::time_point now);
--- a/src/trace/recording_router.cc
+++ b/src/trace/recording_router.cc
@@ -72,10 +72,25 @@
 
 recording_router::actions recording_router::OnBrokenAnswer(
     const core::attempt_id& attempt, const std::string& reason,
-    core::time_point now) {
+    core::time_point now, bool output_valid) {
+  if (writer_ != nullptr)
+    writer_->WriteEvent(router_broken_answer{attempt, reason, output_valid},
+                        now);
+  return Record(router_.OnBrokenAnswer(attempt, reason, now, output_valid));
+}
+
+recording_router::actions recording_router::OnNothingLeft(
+    const core::attempt_id& attempt, core::time_point now) {
+  if (writer_ != nullptr)
+    writer_->WriteEvent(router_nothing_left{attempt}, now);
+  return Record(router_.OnNothingLeft(attempt, now));
+}
+
+void recording_router::BarContinuation(const core::request_id& request,
+                                       core::time_point now) {
   if (writer_ != nullptr)
-    writer_->WriteEvent(router_broken_answer{attempt, reason}, now);
-  return Record(router_.OnBrokenAnswer(attempt, reason, now));
+    writer_->WriteEvent(router_continuation_barred{request}, now);
+  router_.BarContinuation(request);
 }
 
 recording_router::actions recording_router::OnNotSent(
--- a/src/trace/recording_router.h
+++ b/src/trace/recording_router.h
@@ -33,7 +33,10 @@
   actions OnRefused(const wire::refused& message, core::time_point now);
   actions OnWithdrawn(const wire::withdrawn& message, core::time_point now);
   actions OnBrokenAnswer(const core::attempt_id& attempt,
-                         const std::string& reason, core::time_point now);
+                         const std::string& reason, core::time_point now,
+                         bool output_valid = false);
+  actions OnNothingLeft(const core::attempt_id& attempt, core::time_point now);
+  void BarContinuation(const core::request_id& request, core::time_point now);
   actions OnNotSent(const core::attempt_id& attempt, core::time_point now);
   actions OnEndpointLost(const core::endpoint_id& endpoint,
                          core::time_point now);
--- a/src/trace/router_format.h
+++ b/src/trace/router_format.h
@@ -33,6 +33,13 @@
 struct router_broken_answer {
   core::attempt_id attempt;
   std::string reason;
+  bool output_valid = false;
+};
+struct router_nothing_left {
+  core::attempt_id attempt;
+};
+struct router_continuation_barred {
+  core::request_id request;
 };
 struct router_not_sent {
   core::attempt_id attempt;
@@ -95,12 +102,12 @@
   using event = std::variant<
       routing::router_options, routing::request_facts, router_caller_gone,
       wire::accepted, router_first_chunk, router_progress, wire::finished,
-      wire::refused, wire::withdrawn, router_broken_answer, router_not_sent,
-      router_endpoint_lost, router_tick, directory_endpoint, directory_stop,
-      directory_configuration, directory_vm_list, directory_hello,
-      directory_report, directory_version, directory_leaving,
-      directory_link_lost, directory_pause, directory_wall_time,
-      directory_heartbeat_limit, end_of_recording>;
+      wire::refused, wire::withdrawn, router_broken_answer, router_nothing_left,
+      router_continuation_barred, router_not_sent, router_endpoint_lost,
+      router_tick, directory_endpoint, directory_stop, directory_configuration,
+      directory_vm_list, directory_hello, directory_report, directory_version,
+      directory_leaving, directory_link_lost, directory_pause,
+      directory_wall_time, directory_heartbeat_limit, end_of_recording>;
   using action = routing::router_action;
 };
 
@@ -248,6 +255,25 @@
   static void Fields(Self& self, Visitor& visit) {
     visit.Required("attempt", self.attempt);
     visit("reason", self.reason);
+    visit("output_valid", self.output_valid);
+  }
+};
+
+template <>
+struct item_format<router_nothing_left> {
+  static constexpr std::string_view kName = "nothing_left";
+  template <class Self, class Visitor>
+  static void Fields(Self& self, Visitor& visit) {
+    visit.Required("attempt", self.attempt);
+  }
+};
+
+template <>
+struct item_format<router_continuation_barred> {
+  static constexpr std::string_view kName = "continuation_barred";
+  template <class Self, class Visitor>
+  static void Fields(Self& self, Visitor& visit) {
+    visit.Required("request", self.request);
   }
 };
 
@@ -413,6 +439,7 @@
     visit.Required("attempt", self.attempt);
     visit.Required("endpoint", self.endpoint);
     visit("hedge", self.hedge);
+    visit("continuation", self.continuation);
   }
 };
 
--- a/src/trace/router_player.cc
+++ b/src/trace/router_player.cc
@@ -69,7 +69,17 @@
 }
 router_player::actions router_player::Do(const router_broken_answer& event,
                                          core::time_point now) {
-  return router_->OnBrokenAnswer(event.attempt, event.reason, now);
+  return router_->OnBrokenAnswer(event.attempt, event.reason, now,
+                                 event.output_valid);
+}
+router_player::actions router_player::Do(const router_nothing_left& event,
+                                         core::time_point now) {
+  return router_->OnNothingLeft(event.attempt, now);
+}
+router_player::actions router_player::Do(
+    const router_continuation_barred& event, core::time_point /*now*/) {
+  router_->BarContinuation(event.request);
+  return {};
 }
 router_player::actions router_player::Do(const router_not_sent& event,
                                          core::time_point now) {
--- a/src/trace/router_player.h
+++ b/src/trace/router_player.h
@@ -50,6 +50,8 @@
   actions Do(const wire::refused& event, core::time_point now);
   actions Do(const wire::withdrawn& event, core::time_point now);
   actions Do(const router_broken_answer& event, core::time_point now);
+  actions Do(const router_nothing_left& event, core::time_point now);
+  actions Do(const router_continuation_barred& event, core::time_point now);
   actions Do(const router_not_sent& event, core::time_point now);
   actions Do(const router_endpoint_lost& event, core::time_point now);
   actions Do(const router_tick& event, core::time_point now);
--- a/standins/engine_batch.cc
+++ b/standins/engine_batch.cc
@@ -16,7 +16,7 @@
 std::string TokenText(const stream_request& request, std::size_t index) {
   const std::string kTag = "tag:";
   std::string text = request.adapter.first + '@' + request.adapter.second +
-                     ':' + std::to_string(index);
+                     ':' + std::to_string(request.earlier_tokens + index);
   if (request.prompt.rfind(kTag, 0) == 0) {
     const std::size_t end = request.prompt.find_first_of(" \n", kTag.size());
     text += ':' + request.prompt.substr(kTag.size(), end == std::string::npos
@@ -26,8 +26,30 @@
   return text + ' ';
 }
 
+void SplitEarlierTokens(stream_request& request) {
+  const std::string& whole = request.prompt;
+  const std::string first =
+      request.adapter.first + '@' + request.adapter.second + ":0";
+  for (std::size_t start = whole.find(first); start != std::string::npos;
+       start = whole.find(first, start + 1)) {
+    stream_request split = request;
+    split.prompt = whole.substr(0, start);
+    std::size_t end = start;
+    std::string next = TokenText(split, 0);
+    while (whole.compare(end, next.size(), next) == 0) {
+      end += next.size();
+      ++split.earlier_tokens;
+      next = TokenText(split, 0);
+    }
+    if (end < whole.size()) continue;
+    request = std::move(split);
+    return;
+  }
+}
+
 std::string engine_batch::Add(stream_request request) {
   std::string id = "stream-" + std::to_string(++last_id_);
+  SplitEarlierTokens(request);
   (request.urgent ? urgent_ : may_wait_).push_back(id);
   streams_[id].request = std::move(request);
   return id;
--- a/standins/engine_batch.h
+++ b/standins/engine_batch.h
@@ -18,6 +18,8 @@
   std::string prompt;
   std::size_t maximum_tokens = 0;
   bool urgent = true;
+  /** Tokens of its own earlier answer that the caller's prompt ended with. */
+  std::size_t earlier_tokens = 0;
 };
 
 struct engine_stream {
@@ -35,10 +37,17 @@
 /**
  * Token `index` of the answer to a request: `adapter@version:index `. A prompt
  * that starts with `tag:WORD` gives `adapter@version:index:WORD `, so that a
- * test can tell the answers to two requests apart.
+ * test can tell the answers to two requests apart. The index counts on after
+ * `earlier_tokens`.
  */
 std::string TokenText(const stream_request& request, std::size_t index);
 
+/**
+ * Splits a prompt that ends with the first k tokens of its own answer into
+ * prompt and `earlier_tokens` k. Any other request is left as it is.
+ */
+void SplitEarlierTokens(stream_request& request);
+
 /** Continuous batching: one token a step for each running stream. */
 class engine_batch {
  public:
--- a/standins/engine_batch_test.cc
+++ b/standins/engine_batch_test.cc
@@ -55,6 +55,41 @@
   EXPECT_EQ(TokenText(tagged, 0), "straps@v2:0:abc ");
 }
 
+// Guards the text of answers that are continued after a preemption or at
+// another engine: it must equal that of an uninterrupted run.
+TEST(EngineBatch, AContinuedAnswerCountsOn) {
+  for (const std::string prompt :
+       {"", "p", "tag:abc", "tag:abc and straps@v2:0 "}) {
+    engine_batch batch(1);
+    stream_request whole = Request(1);
+    whole.prompt = prompt;
+    std::string text;
+    for (std::size_t k = 0; k < 12; ++k) {
+      stream_request later = Request(1);
+      later.prompt = prompt + text;
+      const engine_stream* stream = batch.Find(batch.Add(later));
+      if (prompt.find("straps") == std::string::npos) {
+        EXPECT_EQ(stream->request.earlier_tokens, k);
+      }
+      EXPECT_EQ(TokenText(stream->request, 0), TokenText(whole, k)) << prompt;
+      text += TokenText(whole, k);
+    }
+  }
+}
+
+// Guards against text that only resembles an earlier answer.
+TEST(EngineBatch, OtherTextIsNotAnEarlierAnswer) {
+  for (const char* prompt :
+       {"straps@v2:1 ", "straps@v2:0 straps@v2:2 ", "straps@v2:0",
+        "straps@v1:0 ", "straps@v2:0 x", "straps@v2:00 "}) {
+    stream_request request = Request(1);
+    request.prompt = prompt;
+    SplitEarlierTokens(request);
+    EXPECT_EQ(request.earlier_tokens, 0U) << prompt;
+    EXPECT_EQ(request.prompt, prompt);
+  }
+}
+
 TEST(EngineAdapters, LoadsHoldTheirSlotFromTheStart) {
   engine_adapters adapters(1);
   EXPECT_EQ(adapters.StartLoad({"a", "1"}),
