Treat a refused connection as the end of an agent

Change: frame links report a refused connection, and the entry then gives the instance up at once; the entry's seed includes its process id; an agent ignores peer versions while it is paused.

--- a/src/agent/agent_program.cc
+++ b/src/agent/agent_program.cc
@@ -176,6 +176,8 @@
   }
 
   void Take(const entry_address&, const wire::peer_versions& message) {
+    // It may have waited in the socket during the pause.
+    if (paused_at) return;
     ledger.OnPeerVersions(message);
   }
 
--- a/src/entry/entry_main.cc
+++ b/src/entry/entry_main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <random>
 
+#include "core/hash.h"
 #include "entry/entry_program.h"
 #include "settings/flag_checks.h"
 #include "settings/program_start.h"
@@ -99,8 +100,10 @@
   chosen.trace_limit_events =
       static_cast<std::size_t>(FLAGS_trace_limit_events);
   std::random_device device;
-  chosen.random_seed =
+  const std::uint64_t seed =
       FLAGS_seed != 0 ? FLAGS_seed : (std::uint64_t{device()} << 32) | device();
+  // Entries with the same seed must not make the same request ids.
+  chosen.random_seed = core::Hash64(FLAGS_process_id, seed);
   return chosen;
 }
 
--- a/src/entry/link_controller.cc
+++ b/src/entry/link_controller.cc
@@ -22,8 +22,6 @@
 constexpr std::int64_t kHeartbeatBytes = 700;
 constexpr core::milliseconds kFirstBackoff{50};
 constexpr core::milliseconds kMaximumBackoff{2000};
-/** A link that stays down this long means that the instance is lost. */
-constexpr core::milliseconds kLostAfter{3000};
 /** Agents that pass on which entries read the platform; one may be lost. */
 constexpr std::size_t kReaderAgents = 3;
 /** Silent for this many heartbeat periods: replace the link. */
@@ -102,6 +100,9 @@
     callbacks.on_closed = [this, endpoint, serial](const std::string& reason) {
       OnClosed(endpoint, serial, reason);
     };
+    callbacks.on_refused = [this, endpoint, serial] {
+      OnRefused(endpoint, serial);
+    };
     candidate_serials[endpoint] = serial;
     state.candidate =
         net::ConnectFrameLink(loop, state.address.address, state.address.port,
@@ -228,7 +229,7 @@
                  << reason << '.';
     state.link = nullptr;
     active_serials.erase(endpoint);
-    state.lost_timer = loop.Schedule(kLostAfter, [this, endpoint] {
+    state.lost_timer = loop.Schedule(options.lost_after, [this, endpoint] {
       const auto lost = peers.find(endpoint);
       if (lost == peers.end()) return;
       lost->second.lost_timer = 0;
@@ -241,6 +242,18 @@
     Open(state);
   }
 
+  /** No process listens there any more: the instance has ended. */
+  void OnRefused(const core::endpoint_id& endpoint, std::uint64_t serial) {
+    const auto position = peers.find(endpoint);
+    if (position == peers.end() || !IsCandidate(endpoint, serial)) return;
+    peer& state = position->second;
+    if (state.link != nullptr || state.instance_ms == 0) return;
+    LOG(WARNING) << "entry.link: Agent of " << endpoint << " has ended.";
+    loop.Cancel(std::exchange(state.lost_timer, 0));
+    state.instance_ms = 0;
+    listener.OnEndpointLost(endpoint);
+  }
+
   // Heartbeats.
 
   core::milliseconds HeartbeatPeriod() const {
@@ -288,7 +301,7 @@
     for (auto& [endpoint, state] : peers) {
       if (state.link == nullptr) continue;
       const auto silence = now - state.last_heard;
-      if (silence > period * kSilentPeriods + kLostAfter) {
+      if (silence > period * kSilentPeriods + options.lost_after) {
         unreachable.push_back(endpoint);
         continue;
       }
--- a/src/entry/link_controller.h
+++ b/src/entry/link_controller.h
@@ -41,6 +41,8 @@
   core::milliseconds minimum_heartbeat{1000};
   /** Bytes a second that heartbeats of all links may take together. */
   std::int64_t heartbeat_budget_bytes_per_second = 8 * 1024;
+  /** A link that stays down this long means that the instance is lost. */
+  core::milliseconds lost_after{3000};
   std::uint64_t random_seed = 1;
 };
 
--- a/src/entry/request_controller.cc
+++ b/src/entry/request_controller.cc
@@ -130,8 +130,7 @@
     const auto position = requests.find(action.request);
     if (position == requests.end()) return;
     LOG(WARNING) << "entry.request: Request " << action.request
-                 << " failed with " << action.reason << ": " << action.message
-                 << '.';
+                 << " failed with " << action.reason << ": " << action.message;
     metrics.Count("entry_requests_failed_total{reason=\"" + action.reason +
                   "\"}");
     position->second->writer.Fail(ErrorForFailure(
--- a/src/net/frame_link.h
+++ b/src/net/frame_link.h
@@ -39,6 +39,9 @@
   std::function<void(std::string_view frame)> on_frame;
   /** Called once when the link ends for any reason but an own Close. */
   std::function<void(const std::string& reason)> on_closed;
+  /** Optional; called before on_closed if the peer's system has refused the
+   * connection, because no process listens there. */
+  std::function<void()> on_refused = {};
 };
 
 struct frame_link_options {
--- a/src/net/frame_link_test.cc
+++ b/src/net/frame_link_test.cc
@@ -22,11 +22,13 @@
   bool opened = false;
   std::vector<std::string> frames;
   std::vector<std::string> closed;
+  int refused = 0;
 
   frame_link_callbacks Callbacks() {
     return {[this] { opened = true; },
             [this](std::string_view frame) { frames.emplace_back(frame); },
-            [this](const std::string& reason) { closed.push_back(reason); }};
+            [this](const std::string& reason) { closed.push_back(reason); },
+            [this] { ++refused; }};
   }
 };
 
@@ -112,12 +114,14 @@
   EXPECT_TRUE(end.closed.empty());
   ASSERT_TRUE(WaitFor([&] { return !end.closed.empty(); }));
   EXPECT_FALSE(end.opened);
+  EXPECT_EQ(end.refused, 1);
   EXPECT_FALSE(end.link->Send("x"));
 
   link_end invalid;
   invalid.link = ConnectFrameLink(loop_, "no address", port, options_,
                                   invalid.Callbacks());
   EXPECT_TRUE(WaitFor([&] { return !invalid.closed.empty(); }));
+  EXPECT_EQ(invalid.refused, 0);
 }
 
 TEST_F(frame_link_test, ReportsAPeerThatClosesOnce) {
--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -54,6 +54,7 @@
   const int error = socket_.ConnectError();
   if (error == EINPROGRESS) return;
   if (error != 0) {
+    refused_ = error == ECONNREFUSED;
     Fail(std::string("connect: ") + std::strerror(error));
     return;
   }
@@ -248,6 +249,7 @@
     const auto self = weak.lock();
     if (!self || !self->failure_report_) return;
     const auto report = std::exchange(self->failure_report_, nullptr);
+    if (self->refused_ && report->on_refused) report->on_refused();
     report->on_closed(reason);
   });
 }
--- a/src/net/websocket_link.h
+++ b/src/net/websocket_link.h
@@ -76,6 +76,7 @@
   std::string output_;
   std::size_t output_sent_ = 0;
   bool flush_requested_ = false;
+  bool refused_ = false;
   std::uint64_t sent_bytes_ = 0;
   std::uint64_t received_bytes_ = 0;
 };
