--- a/src/agent/config_relay.cc
+++ b/src/agent/config_relay.cc
@@ -32,17 +32,20 @@
                              const wire::config_request& message) {
   const std::string* bytes =
       message.hash ? store_.PartBytes(*message.hash) : store_.ManifestBytes();
-  if (bytes == nullptr) return;
   wire::config_part answer;
   answer.manifest = !message.hash.has_value();
   answer.hash = message.hash.value_or(Version().manifest_hash);
-  answer.bytes = *bytes;
+  if (bytes != nullptr) answer.bytes = *bytes;
   sender_.Send(entry, answer);
 }
 
 void config_relay::OnPart(const entry_address& entry,
                           const wire::config_part& message) {
   const config::source_id source = SourceOf(entry);
+  if (message.bytes.empty()) {
+    Execute(store_.OnFetchFailed(source, message.RequestedHash(), loop_.Now()));
+    return;
+  }
   Execute(
       message.manifest
           ? store_.OnManifest(source, message.bytes, loop_.Now())
--- a/src/agent/test_doubles.h
+++ b/src/agent/test_doubles.h
@@ -124,11 +124,14 @@
 /** Keeps what is sent to entries. */
 class recording_sender : public entry_sender {
  public:
-  bool Send(const entry_address&, const wire::message& message) override {
+  bool Send(const entry_address& entry, const wire::message& message) override {
+    receivers_.push_back(entry);
     sent_.push_back(message);
     return true;
   }
 
+  /** Entries that something was sent to, in order. */
+  const std::vector<entry_address>& Receivers() const { return receivers_; }
   /** All messages of one type, in order. */
   template <class Message>
   std::vector<Message> Sent() const {
@@ -157,6 +160,7 @@
     return count;
   }
 
+  std::vector<entry_address> receivers_;
   std::vector<wire::message> sent_;
 };
 
--- a/src/entry/config_controller.cc
+++ b/src/entry/config_controller.cc
@@ -230,11 +230,10 @@
   const std::string* bytes = message.hash
                                  ? impl_->store.PartBytes(*message.hash)
                                  : impl_->store.ManifestBytes();
-  if (bytes == nullptr) return;
   wire::config_part answer;
   answer.manifest = !message.hash.has_value();
   answer.hash = message.hash.value_or(CurrentVersion().manifest_hash);
-  answer.bytes = *bytes;
+  if (bytes != nullptr) answer.bytes = *bytes;
   impl_->send(endpoint, answer);
 }
 
@@ -242,6 +241,11 @@
                                      const wire::config_part& message) {
   const core::time_point now = impl_->loop.Now();
   const std::string& source = endpoint.Value();
+  if (message.bytes.empty()) {
+    impl_->Execute(
+        impl_->store.OnFetchFailed(source, message.RequestedHash(), now));
+    return;
+  }
   impl_->Execute(
       message.manifest
           ? impl_->store.OnManifest(source, message.bytes, now)
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -76,11 +76,18 @@
                          const config_request&) = default;
 };
 
-/** A manifest or a part, checked by its hash on arrival. */
+/**
+ * A manifest or a part, checked by its hash on arrival. Without bytes: the
+ * sender does not hold it.
+ */
 struct config_part {
   bool manifest = false;
   std::uint64_t hash = 0;
   std::string bytes;
+  /** Hash of the request that this answers; nullopt for the manifest. */
+  std::optional<std::uint64_t> RequestedHash() const {
+    return manifest ? std::nullopt : std::optional(hash);
+  }
   friend bool operator==(const config_part&, const config_part&) = default;
 };
 
