Give the VM list to relaying agents that lack it

Cause: found while reading: a relaying agent that restarted after a change of the VM list did not get the list until its next change, so entries that do not read the platform could miss a leaving VM. Change: entries remember which revision each agent holds and send the list at a new link and with the periodic question for readers.

--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -104,6 +104,7 @@
     membership.ReadWhile([this] { return config.ReadsPlatform(); });
     readers_timer = loop.SchedulePeriodic(kReadersPeriod, [this] {
       links.AskForReaders(config.ServiceReadAgeMs());
+      ShareVmList();
     });
     links.ConnectSeeds(settings.seed_agents);
     config.Start();
@@ -253,15 +254,25 @@
   void OnVmList(const wire::vm_list& list) {
     directory.RecordVmList(list);
     links.SetVersions(config.CurrentVersion(), list.revision);
-    // Agents of plain services need it for the handover of keys; the reader
-    // agents pass it on to the other entries. At the target size the list has
-    // 100 KB, too much to send to every agent.
+    ShareVmList();
+  }
+
+  /**
+   * Agents of plain services need the VM list for the handover of keys; the
+   * reader agents pass it on to the other entries. At the target size the list
+   * has 100 KB, too much to send to every agent.
+   */
+  void ShareVmList() {
     std::vector<core::endpoint_id> receivers = links.ReaderAgents();
     for (const core::endpoint_id& endpoint : membership.Directory().All()) {
       if (IsPlainService(endpoint)) receivers.push_back(endpoint);
     }
+    const wire::vm_list& list = membership.VmList();
     for (const core::endpoint_id& endpoint : receivers) {
-      links.Send(endpoint, list);
+      std::int64_t& held = vm_list_held[endpoint];
+      if (held < list.revision && links.Send(endpoint, list)) {
+        held = list.revision;
+      }
     }
   }
 
@@ -291,10 +302,8 @@
     first_valid_nonce.erase(endpoint);
     directory.OnHello(endpoint, message, loop.Now());
     TakePeerVersion(endpoint, message.instance_ms, message.version);
-    if (IsPlainService(endpoint) &&
-        membership.VmList().revision > message.vm_list_revision) {
-      links.Send(endpoint, membership.VmList());
-    }
+    vm_list_held[endpoint] = message.vm_list_revision;
+    ShareVmList();
     config.OnPeerVersion(endpoint, message.version);
     if (resumed) requests.OnResumed(endpoint);
   }
@@ -306,6 +315,7 @@
   void OnEndpointLost(const core::endpoint_id& endpoint) override {
     requests.OnEndpointLost(endpoint);
     // A version that may be out of date must not confirm a restarted agent.
+    vm_list_held.erase(endpoint);
     versions_shared.erase(endpoint);
     version_heard.erase(endpoint);
     if (peer_versions.erase(endpoint) == 0) return;
@@ -462,6 +472,8 @@
   std::map<core::endpoint_id, core::time_point> versions_shared;
   /** After a pause: endpoints that are not heard again yet. */
   std::map<core::endpoint_id, std::uint64_t> first_valid_nonce;
+  /** Revision of the VM list that each agent holds, as far as known. */
+  std::map<core::endpoint_id, std::int64_t> vm_list_held;
   net::timer_id wall_timer = 0;
   net::timer_id readers_timer = 0;
   net::timer_id drain_timer = 0;
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -40,8 +40,9 @@
   return "";
 }
 
-std::string AvailabilityOf(fleet& running, const std::string& endpoint) {
-  const nlohmann::json state = running.State(running.EntryUrl(0));
+std::string AvailabilityOf(fleet& running, const std::string& endpoint,
+                           int entry = 0) {
+  const nlohmann::json state = running.State(running.EntryUrl(entry));
   for (const auto& item : state["membership"]["endpoints"]) {
     if (item["endpoint"] == endpoint) return item["availability"];
   }
@@ -371,6 +372,35 @@
   EXPECT_EQ(before, requests());
 }
 
+// Promise 6. Guards against an entry that does not read the platform itself
+// and never hears that a VM leaves, also after the relaying agents restarted.
+TEST(Promises, AVmListReachesEntriesThatDoNotReadThePlatform) {
+  fleet running({.engines = 2, .services = 0, .entries = 4});
+  const auto watchers = [&] {
+    int count = 0;
+    for (int entry = 0; entry < 4; ++entry) {
+      const auto state = running.State(running.EntryUrl(entry));
+      if (state["configuration"]["watches_platform"] == true) ++count;
+    }
+    return count;
+  };
+  ASSERT_TRUE(fleet::Eventually([&] { return watchers() == 2; }, 40000));
+  for (endpoint_processes& target : running.Endpoints()) {
+    running.StartAgent(target);
+  }
+  running.PutVmList(5, {{"vm-engine-0", "leaving"}, {"vm-engine-1", "live"}});
+  EXPECT_TRUE(fleet::Eventually(
+      [&] {
+        for (int entry = 0; entry < 4; ++entry) {
+          const auto state =
+              running.State(running.EntryUrl(entry))["membership"];
+          if (state["vm_list_revision"] != 5) return false;
+        }
+        return true;
+      },
+      40000));
+}
+
 // Guards against failed loads that fail requests while another engine works.
 TEST(Promises, FailedLoadsAreTriedElsewhere) {
   fleet running({.engines = 2, .services = 0, .entries = 1});
