--- a/tests/process/fault_pairs_test.cc
+++ b/tests/process/fault_pairs_test.cc
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <thread>
 
+#include "answer_checks.h"
 #include "fleet.h"
 
 namespace comfreyspring::process_test {
@@ -16,23 +17,6 @@
 
 using headers_map = std::map<std::string, std::string>;
 
-void Pause(int milliseconds) {
-  std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
-}
-
-std::string OutcomeOf(const http_answer& answer) {
-  const nlohmann::json body = answer.Json();
-  if (!body.is_object() || !body.contains("error")) return "";
-  return body["error"].value("outcome", "");
-}
-
-/** True if the stream is whole and right, or says clearly that it is not. */
-bool WholeOrExplicitError(const http_answer& answer, const std::string& text) {
-  if (answer.status != 200) return !OutcomeOf(answer).empty();
-  const stream_text parsed = ParseStream(answer.body);
-  return parsed.done ? parsed.text == text : parsed.error;
-}
-
 /** The same for an answer that is not streamed. */
 bool RightOrExplicitError(const http_answer& answer, const std::string& text) {
   if (answer.status != 200) return !OutcomeOf(answer).empty();
--- a/tests/process/fault_sequence_test.cc
+++ b/tests/process/fault_sequence_test.cc
@@ -13,6 +13,7 @@
 #include <shared_mutex>
 #include <thread>
 
+#include "answer_checks.h"
 #include "fleet.h"
 
 namespace comfreyspring::process_test {
@@ -23,16 +24,6 @@
 constexpr int kCallLimitMs = 8000;
 constexpr int kDeadlineMs = 4000;
 
-void Pause(int milliseconds) {
-  std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
-}
-
-std::string OutcomeOf(const http_answer& answer) {
-  const nlohmann::json body = answer.Json();
-  if (!body.is_object() || !body.contains("error")) return "";
-  return body["error"].value("outcome", "");
-}
-
 /** Calls to the fleet that check each answer. */
 class checked_callers {
  public:
