Remove what stood twice in entry, agent and routing

Cause: found on reading the whole change: the dump of the configuration store and the choice of a seed stood in both entry and agent, the threshold of a placement scope in both routing and placement (they must agree, or links and homes differ), and every new link walked and copied the list of all endpoints, which at 426 links is about 180,000 steps at the start of an entry. Change: config::DumpStore, settings::SeedOrSystem, placement::kDataCentreScope; a new link sends the VM list to its own agent only. One difference: a relaying engine agent gets the VM list with the next 5 s question instead of at its hello, as its own comment allows. Start-up time was not measured.

--- a/src/agent/agent_main.cc
+++ b/src/agent/agent_main.cc
@@ -3,7 +3,6 @@
 
 #include <csignal>
 #include <iostream>
-#include <random>
 
 #include "agent/agent_program.h"
 #include "settings/flag_checks.h"
@@ -116,9 +115,7 @@
   chosen.trace_file = FLAGS_trace_file;
   chosen.trace_limit_events =
       static_cast<std::size_t>(FLAGS_trace_limit_events);
-  std::random_device device;
-  chosen.random_seed =
-      FLAGS_seed != 0 ? FLAGS_seed : (std::uint64_t{device()} << 32) | device();
+  chosen.random_seed = settings::SeedOrSystem(FLAGS_seed);
   return chosen;
 }
 
--- a/src/agent/config_relay.cc
+++ b/src/agent/config_relay.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "config/store_dump.h"
+
 namespace comfreyspring::agent {
 
 namespace {
@@ -103,18 +105,7 @@
 }
 
 nlohmann::json config_relay::ToJson() const {
-  nlohmann::json dump = {{"version", core::ToString(Version())},
-                         {"generation", Version().generation}};
-  if (const auto current = Current()) {
-    dump["adapters"] = current->adapters.size();
-    dump["endpoints"] = current->endpoints.size();
-    dump["planned_stops"] = current->stops.size();
-  }
-  if (const auto& last = store_.LastRejected()) {
-    dump["last_rejected"] = {{"version", core::ToString(last->version)},
-                             {"reason", last->reason}};
-  }
-  return dump;
+  return config::DumpStore(store_);
 }
 
 }  // namespace comfreyspring::agent
--- a/src/entry/config_controller.cc
+++ b/src/entry/config_controller.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "config/documents.h"
+#include "config/store_dump.h"
 
 namespace comfreyspring::entry {
 namespace {
@@ -279,20 +280,9 @@
 }
 
 nlohmann::json config_controller::ToJson() const {
-  const auto current = Current();
-  json dump = {{"version", core::ToString(CurrentVersion())},
-               {"generation", CurrentVersion().generation},
-               {"watches_platform", impl_->selection.IsWatcher()},
-               {"platform_reachable", impl_->platform_reachable}};
-  if (current != nullptr) {
-    dump["adapters"] = current->adapters.size();
-    dump["endpoints"] = current->endpoints.size();
-    dump["planned_stops"] = current->stops.size();
-  }
-  if (const auto& last = impl_->store.LastRejected()) {
-    dump["last_rejected"] = {{"version", core::ToString(last->version)},
-                             {"reason", last->reason}};
-  }
+  json dump = config::DumpStore(impl_->store);
+  dump["watches_platform"] = impl_->selection.IsWatcher();
+  dump["platform_reachable"] = impl_->platform_reachable;
   return dump;
 }
 
--- a/src/entry/entry_main.cc
+++ b/src/entry/entry_main.cc
@@ -3,7 +3,6 @@
 
 #include <csignal>
 #include <iostream>
-#include <random>
 
 #include "core/hash.h"
 #include "entry/entry_program.h"
@@ -99,11 +98,9 @@
   chosen.trace_file = FLAGS_trace_file;
   chosen.trace_limit_events =
       static_cast<std::size_t>(FLAGS_trace_limit_events);
-  std::random_device device;
-  const std::uint64_t seed =
-      FLAGS_seed != 0 ? FLAGS_seed : (std::uint64_t{device()} << 32) | device();
   // Entries with the same seed must not make the same request ids.
-  chosen.random_seed = core::Hash64(FLAGS_process_id, seed);
+  chosen.random_seed =
+      core::Hash64(FLAGS_process_id, settings::SeedOrSystem(FLAGS_seed));
   return chosen;
 }
 
--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -267,12 +267,14 @@
     for (const core::endpoint_id& endpoint : membership.Directory().All()) {
       if (IsPlainService(endpoint)) receivers.push_back(endpoint);
     }
+    for (const core::endpoint_id& endpoint : receivers) SendVmList(endpoint);
+  }
+
+  void SendVmList(const core::endpoint_id& endpoint) {
     const wire::vm_list& list = membership.VmList();
-    for (const core::endpoint_id& endpoint : receivers) {
-      std::int64_t& held = vm_list_held[endpoint];
-      if (held < list.revision && links.Send(endpoint, list)) {
-        held = list.revision;
-      }
+    std::int64_t& held = vm_list_held[endpoint];
+    if (held < list.revision && links.Send(endpoint, list)) {
+      held = list.revision;
     }
   }
 
@@ -303,7 +305,7 @@
     directory.OnHello(endpoint, message, loop.Now());
     TakePeerVersion(endpoint, message.instance_ms, message.version);
     vm_list_held[endpoint] = message.vm_list_revision;
-    ShareVmList();
+    if (IsPlainService(endpoint)) SendVmList(endpoint);
     config.OnPeerVersion(endpoint, message.version);
     if (resumed) requests.OnResumed(endpoint);
   }
--- a/src/placement/subset.h
+++ b/src/placement/subset.h
@@ -8,7 +8,8 @@
 namespace comfreyspring::placement {
 
 /** A data centre with this many engines of a model places adapters on its own;
- * smaller ones share the engines of the region. */
+ * smaller ones share the engines of the region. 24 hold an adapter's homes, and
+ * the links of an entry reach all engines of its own data centre. */
 inline constexpr std::size_t kDataCentreScope = 24;
 
 /**
--- a/src/routing/endpoint_selection.h
+++ b/src/routing/endpoint_selection.h
@@ -15,6 +15,7 @@
 #include "membership/endpoint_directory.h"
 #include "placement/adapter_key.h"
 #include "placement/endpoint_picker.h"
+#include "placement/subset.h"
 #include "resilience/latency_window.h"
 #include "resilience/slow_endpoint_detector.h"
 #include "routing/endpoint_selector.h"
@@ -134,9 +135,6 @@
   static constexpr double kHedgeQuantile = 0.95;
   // Round trip between data centres of one region, about 1.5 ms each way.
   static constexpr double kRemoteDistanceMs = 3.0;
-  // With this many engines in its own data centre, an entry places adapters on
-  // these only: enough to hold an adapter's homes, and its links reach all.
-  static constexpr std::size_t kDataCentreScope = 24;
   static constexpr core::milliseconds kScoreInterval{100};
   static constexpr core::seconds kProbeClassAge{5};
 
@@ -217,7 +215,7 @@
     members.push_back({endpoint, local ? 0.0 : kRemoteDistanceMs});
     if (local) ++local_count;
   }
-  if (local_count >= kDataCentreScope) {
+  if (local_count >= placement::kDataCentreScope) {
     for (auto& item : members) item.tier = item.distance_ms > 0.0 ? 1 : 0;
   }
   group.picker.SetMembers(members);
--- a/src/settings/program_start.cc
+++ b/src/settings/program_start.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <random>
 #include <vector>
 
 #include "settings/flag_checks.h"
@@ -63,4 +64,10 @@
   }
 }
 
+std::uint64_t SeedOrSystem(std::uint64_t flag_value) {
+  if (flag_value != 0) return flag_value;
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
 }  // namespace comfreyspring::settings
--- a/src/settings/program_start.h
+++ b/src/settings/program_start.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -22,4 +23,7 @@
                  const std::function<void()>& check_flags,
                  const std::function<int()>& run);
 
+/** The seed of a flag, or one from the system if the flag is 0. */
+std::uint64_t SeedOrSystem(std::uint64_t flag_value);
+
 }  // namespace comfreyspring::settings
