--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -26,7 +26,7 @@
     target_include_directories(cs_${module} INTERFACE ${CMAKE_SOURCE_DIR}/src)
     target_link_libraries(cs_${module} INTERFACE ${ARG_DEPENDS} ${ARG_LIBRARIES})
   endif()
-  if(tests)
+  if(tests AND NOT COMFREYSPRING_PROGRAMS_ONLY)
     add_executable(${module}_test ${tests})
     target_link_libraries(${module}_test PRIVATE cs_${module} ${ARG_TEST_LIBRARIES}
       rapidcheck rapidcheck_gtest GTest::gmock GTest::gtest_main)
--- /dev/null
+++ b/src/catalog/catalog_follower.cc
@@ -0,0 +1,263 @@
+#include "catalog/catalog_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyspring::catalog {
+namespace {
+
+/** Precision of the end of grace periods. */
+constexpr core::milliseconds kTickPeriod{100};
+/**
+ * More than one in this many endpoints removed by one read: the entries have
+ * lapsed in an outage that this process did not notice.
+ */
+constexpr std::size_t kMassRemovalShare = 3;
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+}  // namespace
+
+catalog_follower::catalog_follower(net::event_loop& loop,
+                                   catalog_source& source,
+                                   follower_options options,
+                                   follower_listener& listener,
+                                   telemetry::event_log& log)
+    : loop_(loop),
+      source_(source),
+      options_(options),
+      listener_(listener),
+      log_(log),
+      random_(options.random_seed),
+      endpoints_(options.lapse_grace),
+      retry_delay_(options.first_retry),
+      last_contact_(loop.Now()) {}
+
+catalog_follower::~catalog_follower() {
+  *alive_ = false;
+  loop_.Cancel(retry_timer_);
+  loop_.Cancel(tick_timer_);
+}
+
+void catalog_follower::Start() {
+  tick_timer_ = loop_.SchedulePeriodic(
+      kTickPeriod, [this] { Publish(endpoints_.OnTick(loop_.Now())); });
+  ReadAll();
+}
+
+void catalog_follower::Restart() {
+  loop_.Cancel(std::exchange(retry_timer_, 0));
+  retry_delay_ = options_.first_retry;
+  ReadAll();
+}
+
+std::int64_t catalog_follower::VersionOf(const adapter_name& adapter) const {
+  const auto found = versions_.find(adapter);
+  return found == versions_.end() ? 0 : found->second;
+}
+
+core::milliseconds catalog_follower::Age() const {
+  return core::ToMilliseconds(loop_.Now() - last_contact_);
+}
+
+bool catalog_follower::AfterOutage() const {
+  return outage_ended_ &&
+         loop_.Now() - *outage_ended_ < options_.lapse_grace;
+}
+
+// Reads.
+
+void catalog_follower::ReadAll() {
+  const std::uint64_t generation = ++generation_;
+  source_.ReadAll(options_.read_timeout,
+                  [this, generation, alive = alive_](catalog_read read) {
+                    if (!*alive || generation != generation_) return;
+                    OnAll(std::move(read));
+                  });
+}
+
+void catalog_follower::ReadChanges() {
+  const std::uint64_t generation = ++generation_;
+  source_.ReadChanges(revision_, options_.watch_wait,
+                      options_.watch_wait + options_.read_timeout,
+                      [this, generation, alive = alive_](catalog_read read) {
+                        if (!*alive || generation != generation_) return;
+                        OnChanges(std::move(read));
+                      });
+}
+
+void catalog_follower::OnAll(catalog_read read) {
+  if (read.outcome != read_outcome::done) {
+    OnFailure("read_all", read);
+    return;
+  }
+  OnContact();
+  revision_ = read.revision;
+  std::vector<endpoint_record> records;
+  std::vector<catalog_change> others;
+  for (catalog_change& change : read.changes) {
+    if (auto* record = std::get_if<endpoint_record>(&change)) {
+      records.push_back(std::move(*record));
+    } else {
+      others.push_back(std::move(change));
+    }
+  }
+  complete_ = true;
+  Apply(std::move(others));
+  Publish(endpoints_.OnSnapshot(records, AfterOutage(), loop_.Now()));
+  ReadChanges();
+}
+
+void catalog_follower::OnChanges(catalog_read read) {
+  if (read.outcome == read_outcome::history_lost) {
+    OnContact();
+    log_.Belief("platform_history_lost").Add("revision", revision_);
+    ReadAll();
+    return;
+  }
+  if (read.outcome != read_outcome::done) {
+    OnFailure("read_changes", read);
+    return;
+  }
+  OnContact();
+  revision_ = std::max(revision_, read.revision);
+  NoteMassRemoval(read.changes);
+  Apply(std::move(read.changes));
+  ReadChanges();
+}
+
+void catalog_follower::OnContact() {
+  const auto now = loop_.Now();
+  if (!connected_) {
+    const auto away = core::ToMilliseconds(now - last_contact_);
+    log_.Dependency("platform", "regained").Add("away_ms", away.count());
+    if (away >= options_.outage_after) outage_ended_ = now;
+    connected_ = true;
+  }
+  last_contact_ = now;
+  retry_delay_ = options_.first_retry;
+}
+
+void catalog_follower::OnFailure(const char* call, const catalog_read& read) {
+  if (connected_) {
+    connected_ = false;
+    log_.Dependency("platform", "lost")
+        .Add("call", call)
+        .Add("reason", read.error)
+        .Add("revision", revision_);
+  }
+  RetryLater();
+}
+
+void catalog_follower::RetryLater() {
+  // Jitter keeps the processes from returning to the platform together.
+  const double spread = 0.5 + random_.NextUnit();
+  const core::milliseconds delay(static_cast<std::int64_t>(
+      spread * static_cast<double>(retry_delay_.count())));
+  retry_delay_ = std::min(retry_delay_ * 2, options_.longest_retry);
+  retry_timer_ = loop_.Schedule(delay, [this] {
+    retry_timer_ = 0;
+    if (complete_) {
+      ReadChanges();
+    } else {
+      ReadAll();
+    }
+  });
+}
+
+void catalog_follower::NoteMassRemoval(
+    const std::vector<catalog_change>& changes) {
+  const auto removed =
+      std::count_if(changes.begin(), changes.end(), [](const auto& change) {
+        return std::holds_alternative<endpoint_removed>(change);
+      });
+  if (removed < 2 || static_cast<std::size_t>(removed) * kMassRemovalShare <=
+                         endpoints_.Size()) {
+    return;
+  }
+  log_.Belief("mass_removal")
+      .Add("removed", static_cast<std::int64_t>(removed))
+      .Add("known", static_cast<std::int64_t>(endpoints_.Size()));
+  outage_ended_ = loop_.Now();
+}
+
+// Views.
+
+void catalog_follower::Apply(std::vector<catalog_change> changes) {
+  const auto now = loop_.Now();
+  for (catalog_change& change : changes) {
+    std::visit(
+        overloaded{
+            [&](configuration& content) {
+              Adopt(std::move(content), "platform");
+            },
+            [&](const endpoint_record& record) {
+              Publish(endpoints_.OnRecord(record, now));
+            },
+            [&](const endpoint_removed& removed) {
+              Publish(endpoints_.OnRemoved(removed.instance, AfterOutage(),
+                                           now));
+            },
+            [&](const adapter_version_announced& announced) {
+              std::int64_t& known = versions_[announced.adapter];
+              if (announced.version <= known) return;
+              log_.Belief("adapter_version")
+                  .Add("adapter", announced.adapter.adapter.Value())
+                  .Add("model", announced.adapter.model.Value())
+                  .Add("from", known)
+                  .Add("to", announced.version);
+              known = announced.version;
+            },
+            [&](const unreadable_entry& entry) {
+              log_.Belief("entry_unreadable")
+                  .Add("key", entry.key)
+                  .Add("reason", entry.reason);
+            }},
+        change);
+  }
+}
+
+void catalog_follower::Offer(configuration content, const std::string& origin) {
+  Adopt(std::move(content), origin);
+}
+
+void catalog_follower::Adopt(configuration content, const std::string& origin) {
+  const std::int64_t current = routes_ ? routes_->Version() : 0;
+  if (content.version <= current) {
+    if (content.version < current) {
+      log_.Belief("configuration_ignored")
+          .Add("version", content.version)
+          .Add("in_force", current)
+          .Add("origin", origin);
+    }
+    return;
+  }
+  log_.Belief("configuration_adopted")
+      .Add("version", content.version)
+      .Add("before", current)
+      .Add("routes", static_cast<std::int64_t>(content.routes.size()))
+      .Add("origin", origin);
+  routes_ = std::make_shared<const route_table>(std::move(content));
+  listener_.OnConfiguration(routes_);
+}
+
+void catalog_follower::Publish(const endpoint_table::changes& changes) {
+  for (const endpoint_change& change : changes) {
+    if (change.what != endpoint_change::kind::updated) {
+      log_.Belief("endpoint")
+          .Add("change", std::string(ToString(change.what)))
+          .Add("instance", change.record.instance.Value())
+          .Add("service", change.record.service.Value())
+          .Add("address", change.record.address.ToString())
+          .Add("catalog_age_ms", Age().count());
+    }
+    listener_.OnEndpoint(change);
+  }
+}
+
+}  // namespace comfreyspring::catalog
--- /dev/null
+++ b/src/catalog/catalog_follower.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "catalog/catalog_source.h"
+#include "catalog/endpoint_table.h"
+#include "catalog/route_table.h"
+#include "core/random_source.h"
+#include "net/event_loop.h"
+#include "telemetry/event_log.h"
+
+namespace comfreyspring::catalog {
+
+struct follower_options {
+  /** Longest wait of one read for changes. */
+  core::milliseconds watch_wait{3000};
+  /** An answer that is later than this is given up: 10 times the usual. */
+  core::milliseconds read_timeout{1000};
+  /** First pause after a failed read; doubles up to the longest. */
+  core::milliseconds first_retry{50};
+  core::milliseconds longest_retry{400};
+  /** Entries that an outage removed are back within this time. */
+  core::milliseconds lapse_grace{2500};
+  /** Failures for this long count as an outage of the platform. */
+  core::milliseconds outage_after{1000};
+  std::uint64_t random_seed = 1;
+};
+
+/** Receives what has changed. */
+class follower_listener {
+ public:
+  virtual ~follower_listener() = default;
+  virtual void OnConfiguration(
+      const std::shared_ptr<const route_table>& table) = 0;
+  virtual void OnEndpoint(const endpoint_change& change) = 0;
+};
+
+/**
+ * Keeps the views of what the platform publishes current: reads everything,
+ * then waits for changes, and starts over when history is lost. The views
+ * stay in force while the platform cannot be read; a version of the
+ * configuration never gives way to a lower one.
+ */
+class catalog_follower {
+ public:
+  /** The referenced objects must outlive the follower. */
+  catalog_follower(net::event_loop& loop, catalog_source& source,
+                   follower_options options, follower_listener& listener,
+                   telemetry::event_log& log);
+  ~catalog_follower();
+  catalog_follower(const catalog_follower&) = delete;
+  catalog_follower& operator=(const catalog_follower&) = delete;
+
+  void Start();
+  /** The process was paused: reads that are under way may be dead. */
+  void Restart();
+
+  /** Null until the first configuration is known. */
+  const std::shared_ptr<const route_table>& Routes() const { return routes_; }
+  const endpoint_table& Endpoints() const { return endpoints_; }
+  /** Newest known version of an adapter; 0 if none was announced. */
+  std::int64_t VersionOf(const adapter_name& adapter) const;
+  /** Everything was read once since the start. */
+  bool IsComplete() const { return complete_; }
+  /** Time since the platform last answered. */
+  core::milliseconds Age() const;
+
+  /** Adopts a configuration that another process holds, if it is newer. */
+  void Offer(configuration content, const std::string& origin);
+
+ private:
+  void ReadAll();
+  void ReadChanges();
+  void OnAll(catalog_read read);
+  void OnChanges(catalog_read read);
+  void OnFailure(const char* call, const catalog_read& read);
+  void OnContact();
+  void RetryLater();
+  void Apply(std::vector<catalog_change> changes);
+  void Adopt(configuration content, const std::string& origin);
+  void Publish(const endpoint_table::changes& changes);
+  void NoteMassRemoval(const std::vector<catalog_change>& changes);
+  bool AfterOutage() const;
+
+  net::event_loop& loop_;
+  catalog_source& source_;
+  follower_options options_;
+  follower_listener& listener_;
+  telemetry::event_log& log_;
+  core::random_source random_;
+  std::shared_ptr<const route_table> routes_;
+  endpoint_table endpoints_;
+  adapter_versions versions_;
+  bool complete_ = false;
+  std::int64_t revision_ = 0;
+  /** Answers to reads of an earlier generation are ignored. */
+  std::uint64_t generation_ = 0;
+  core::milliseconds retry_delay_;
+  core::time_point last_contact_;
+  bool connected_ = false;
+  /** End of the last outage, if there was one. */
+  std::optional<core::time_point> outage_ended_;
+  net::timer_id retry_timer_ = 0;
+  net::timer_id tick_timer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace comfreyspring::catalog
--- /dev/null
+++ b/src/catalog/endpoint_table.cc
@@ -0,0 +1,119 @@
+#include "catalog/endpoint_table.h"
+
+#include <iterator>
+#include <set>
+
+namespace comfreyspring::catalog {
+
+std::string_view ToString(endpoint_change::kind kind) {
+  switch (kind) {
+    case endpoint_change::kind::added:
+      return "added";
+    case endpoint_change::kind::updated:
+      return "updated";
+    case endpoint_change::kind::leaving:
+      return "leaving";
+    case endpoint_change::kind::lapsed:
+      return "lapsed";
+    case endpoint_change::kind::returned:
+      return "returned";
+    case endpoint_change::kind::gone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+endpoint_table::endpoint_table(core::milliseconds lapse_grace)
+    : lapse_grace_(lapse_grace) {}
+
+endpoint_table::changes endpoint_table::OnSnapshot(
+    const std::vector<endpoint_record>& records, bool after_outage,
+    core::time_point now) {
+  changes out;
+  std::set<instance_id> listed;
+  for (const endpoint_record& record : records) {
+    listed.insert(record.instance);
+    for (endpoint_change& change : OnRecord(record, now)) {
+      out.push_back(std::move(change));
+    }
+  }
+  for (auto position = entries_.begin(); position != entries_.end();) {
+    const auto next = std::next(position);
+    if (listed.count(position->first) == 0) {
+      Remove(position, after_outage, now, out);
+    }
+    position = next;
+  }
+  return out;
+}
+
+endpoint_table::changes endpoint_table::OnRecord(const endpoint_record& record,
+                                                 core::time_point now) {
+  static_cast<void>(now);
+  using kind = endpoint_change::kind;
+  const auto found = entries_.find(record.instance);
+  if (found == entries_.end()) {
+    entries_[record.instance] = {record, std::nullopt};
+    return {{record.leaving ? kind::leaving : kind::added, record}};
+  }
+  const bool was_leaving = found->second.record.leaving;
+  const bool had_lapsed = found->second.lapses_at.has_value();
+  found->second = {record, std::nullopt};
+  if (record.leaving && !was_leaving) return {{kind::leaving, record}};
+  if (had_lapsed) return {{kind::returned, record}};
+  return {{kind::updated, record}};
+}
+
+endpoint_table::changes endpoint_table::OnRemoved(const instance_id& instance,
+                                                  bool after_outage,
+                                                  core::time_point now) {
+  changes out;
+  const auto found = entries_.find(instance);
+  if (found != entries_.end()) Remove(found, after_outage, now, out);
+  return out;
+}
+
+void endpoint_table::Remove(std::map<instance_id, entry>::iterator position,
+                            bool after_outage, core::time_point now,
+                            changes& out) {
+  entry& removed = position->second;
+  // What has announced that it leaves does not come back.
+  if (after_outage && !removed.record.leaving) {
+    if (removed.lapses_at) return;
+    removed.lapses_at = now + lapse_grace_;
+    out.push_back({endpoint_change::kind::lapsed, removed.record});
+    return;
+  }
+  out.push_back({endpoint_change::kind::gone, removed.record});
+  entries_.erase(position);
+}
+
+endpoint_table::changes endpoint_table::OnTick(core::time_point now) {
+  changes out;
+  for (auto position = entries_.begin(); position != entries_.end();) {
+    const auto next = std::next(position);
+    const auto& lapses_at = position->second.lapses_at;
+    if (lapses_at && *lapses_at <= now) {
+      out.push_back({endpoint_change::kind::gone, position->second.record});
+      entries_.erase(position);
+    }
+    position = next;
+  }
+  return out;
+}
+
+void endpoint_table::ForEachUsable(
+    const std::function<void(const endpoint_record&)>& visit) const {
+  for (const auto& [instance, known] : entries_) {
+    if (!known.record.leaving) visit(known.record);
+  }
+}
+
+const endpoint_record* endpoint_table::FindUsable(
+    const instance_id& instance) const {
+  const auto found = entries_.find(instance);
+  if (found == entries_.end() || found->second.record.leaving) return nullptr;
+  return &found->second.record;
+}
+
+}  // namespace comfreyspring::catalog
--- /dev/null
+++ b/src/gateway/endpoint_choice.cc
@@ -0,0 +1,209 @@
+#include "gateway/endpoint_choice.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "core/hash.h"
+
+namespace comfreyspring::gateway {
+namespace {
+
+/** Silence with work outstanding after which an endpoint is suspect. */
+constexpr core::milliseconds kSuspectSilence{250};
+constexpr core::milliseconds kSuspectEngineSilence{700};
+/** Failures beyond those of the peers by more than this are held against it. */
+constexpr double kFailureTolerance = 0.15;
+/** Load that a failure share of 1 counts as. */
+constexpr double kFailureWeight = 3.0;
+/** A first output this many times later than the peers' shows a slow engine. */
+constexpr double kSlowFactor = 2.5;
+constexpr double kSlowWeight = 0.3;
+constexpr double kSuspectWeight = 1.0;
+/** Load by which engines of an adapter may exceed the mean of all. */
+constexpr double kLoadHeadroom = 0.15;
+constexpr double kLoadFactor = 1.25;
+/** Above this, work has to wait for a place in the batch. */
+constexpr double kFullLoad = 0.95;
+/** Preference for the own data centre, in outstanding requests. */
+constexpr double kNearBonus = 0.25;
+
+double Median(std::vector<double> values) {
+  if (values.empty()) return 0.0;
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+/** What the endpoints of a service have in common. */
+struct peer_norms {
+  double failure_share = 0.0;
+  double latency_ms = 0.0;
+};
+
+peer_norms NormsOf(const endpoint_views& views, core::time_point now) {
+  std::vector<double> failures;
+  std::vector<double> latencies;
+  for (const endpoint_view* view : views) {
+    failures.push_back(view->results.FailureShare(now));
+    const auto latency = view->results.LatencyMs(now);
+    if (latency) latencies.push_back(*latency);
+  }
+  return {Median(std::move(failures)), Median(std::move(latencies))};
+}
+
+/** Load that an endpoint's bad results count as. */
+double Penalty(const endpoint_view& view, const peer_norms& norms,
+               core::milliseconds suspect_silence, core::time_point now) {
+  double penalty = 0.0;
+  const double excess = view.results.FailureShare(now) - norms.failure_share;
+  if (excess > kFailureTolerance) penalty += kFailureWeight * excess;
+  if (view.results.Silence(now) > suspect_silence) penalty += kSuspectWeight;
+  return penalty;
+}
+
+struct candidate {
+  const endpoint_view* view = nullptr;
+  double load = 0.0;
+  bool holds_adapter = false;
+  bool has_place = false;
+  std::uint64_t weight = 0;
+};
+
+bool IsExcluded(const endpoint_view& view, const choice_request& request) {
+  return request.excluded != nullptr &&
+         request.excluded->count(view.record.instance) > 0;
+}
+
+/** @returns nothing if the engine cannot serve the request. */
+std::optional<candidate> Consider(const endpoint_view& view,
+                                  const choice_request& request,
+                                  const peer_norms& norms,
+                                  core::time_point now) {
+  const bool needs_adapter = !request.adapter.adapter.empty();
+  candidate result{.view = &view};
+  result.holds_adapter =
+      !needs_adapter || view.adapters.count(request.adapter) > 0;
+  const double slots =
+      static_cast<double>(std::max<std::size_t>(1, view.record.slots));
+  if (view.has_agent) {
+    if (!view.status.serving) return std::nullopt;
+    result.load = static_cast<double>(view.status.running +
+                                      view.status.waiting +
+                                      view.asked_since_status) /
+                  slots;
+    result.has_place = view.status.free_adapter_slots > 0;
+  } else {
+    // Without its agent an engine only serves what it holds.
+    if (!result.holds_adapter) return std::nullopt;
+    result.load = static_cast<double>(view.results.Outstanding()) *
+                  static_cast<double>(request.gateways) / slots;
+    if (result.load >= 1.0) return std::nullopt;
+  }
+  result.load += Penalty(view, norms, kSuspectEngineSilence, now);
+  const auto latency = view.results.LatencyMs(now);
+  if (latency && norms.latency_ms > 0.0 &&
+      *latency > kSlowFactor * norms.latency_ms) {
+    result.load +=
+        kSlowWeight * std::min(3.0, *latency / norms.latency_ms - kSlowFactor);
+  }
+  // By address, not instance: a restarted engine still has on its disk and in
+  // its memory what it served before.
+  result.weight = core::RendezvousWeight(
+      request.adapter.model.Value() + '/' + request.adapter.adapter.Value(),
+      view.record.address.ToString());
+  return result;
+}
+
+template <class IsBetter>
+const candidate* BestOf(const std::vector<candidate>& candidates,
+                        const IsBetter& is_better) {
+  const candidate* best = nullptr;
+  for (const candidate& each : candidates) {
+    if (best == nullptr || is_better(each, *best)) best = &each;
+  }
+  return best;
+}
+
+}  // namespace
+
+const endpoint_view* ChooseEngine(const endpoint_views& engines,
+                                  const choice_request& request,
+                                  core::time_point now) {
+  const peer_norms norms = NormsOf(engines, now);
+  std::vector<candidate> all;
+  for (const endpoint_view* view : engines) {
+    if (IsExcluded(*view, request)) continue;
+    const auto considered = Consider(*view, request, norms, now);
+    if (considered) all.push_back(*considered);
+  }
+  if (all.empty()) return nullptr;
+  double mean = 0.0;
+  for (const candidate& each : all) mean += each.load;
+  mean /= static_cast<double>(all.size());
+  const double bound = std::min(
+      kFullLoad, std::max(mean * kLoadFactor, mean + kLoadHeadroom));
+
+  const auto lighter = [](const candidate& left, const candidate& right) {
+    return left.load != right.load ? left.load < right.load
+                                   : left.weight > right.weight;
+  };
+  const auto by_home = [](const candidate& left, const candidate& right) {
+    return left.weight > right.weight;
+  };
+  const auto chosen = [&](const auto& fits, const auto& is_better) {
+    std::vector<candidate> fitting;
+    for (const candidate& each : all) {
+      if (fits(each)) fitting.push_back(each);
+    }
+    const candidate* best = BestOf(fitting, is_better);
+    return best == nullptr ? nullptr : best->view;
+  };
+  // An engine that holds it and is not fuller than the others.
+  const auto* found = chosen(
+      [&](const candidate& each) {
+        return each.holds_adapter && each.load <= bound;
+      },
+      lighter);
+  if (found != nullptr) return found;
+  // The first of its order with a place for it.
+  found = chosen(
+      [&](const candidate& each) { return each.has_place && each.load <= bound; },
+      by_home);
+  if (found != nullptr) return found;
+  // All are full, in their batches or in their places.
+  found = chosen([&](const candidate& each) { return each.holds_adapter; },
+                 lighter);
+  if (found != nullptr) return found;
+  found = chosen([&](const candidate& each) { return each.has_place; }, lighter);
+  if (found != nullptr) return found;
+  return BestOf(all, lighter)->view;
+}
+
+const endpoint_view* ChoosePlain(const endpoint_views& endpoints,
+                                 const choice_request& request,
+                                 core::random_source& random,
+                                 core::time_point now) {
+  const peer_norms norms = NormsOf(endpoints, now);
+  const endpoint_view* best = nullptr;
+  double lowest = 0.0;
+  for (const endpoint_view* view : endpoints) {
+    if (IsExcluded(*view, request)) continue;
+    const double latency =
+        view->results.LatencyMs(now).value_or(norms.latency_ms);
+    const double relative =
+        norms.latency_ms > 0.0 ? latency / norms.latency_ms : 1.0;
+    double cost =
+        (1.0 + view->results.Outstanding()) * std::clamp(relative, 0.3, 5.0);
+    cost += 10.0 * Penalty(*view, norms, kSuspectSilence, now);
+    if (view->record.data_centre == request.data_centre) cost -= kNearBonus;
+    // Ties are broken at random, so that gateways do not move in step.
+    cost += 0.1 * random.NextUnit();
+    if (best != nullptr && cost >= lowest) continue;
+    best = view;
+    lowest = cost;
+  }
+  return best;
+}
+
+}  // namespace comfreyspring::gateway
--- /dev/null
+++ b/src/gateway/gateway_program.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "catalog/catalog_source.h"
+#include "gateway/traffic_protocol.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "settings/node_settings.h"
+#include "telemetry/event_log.h"
+
+namespace comfreyspring::gateway {
+
+/** The process on an entry VM: listeners, views, links and requests. */
+class gateway_program {
+ public:
+  /**
+   * The referenced objects must outlive the program.
+   * @throws net_error if an address cannot be bound.
+   * @throws core::invalid_value_error if the settings lack a listener.
+   */
+  gateway_program(net::event_loop& loop,
+                  const settings::node_settings& settings,
+                  catalog::catalog_source& source,
+                  const traffic_protocol& protocol,
+                  net::http_client_interface& http, telemetry::event_log& log);
+  ~gateway_program();
+  gateway_program(const gateway_program&) = delete;
+  gateway_program& operator=(const gateway_program&) = delete;
+
+  std::uint16_t CallerPort() const;
+  std::uint16_t ReadinessPort() const;
+  std::uint16_t AdminPort() const;
+  /** New callers may be sent here. */
+  bool IsReady() const;
+  /** Takes no new callers, serves the open requests and ends the loop. */
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace comfreyspring::gateway
--- /dev/null
+++ b/src/gateway/repeat_budget.cc
@@ -0,0 +1,52 @@
+#include "gateway/repeat_budget.h"
+
+#include <algorithm>
+
+namespace comfreyspring::gateway {
+namespace {
+
+constexpr int kBucketsPerWindow = 20;
+/** Kept free: gateways and observers count in windows of their own. */
+constexpr double kUsedShare = 0.85;
+
+}  // namespace
+
+repeat_budget::repeat_budget(repeat_limits limits) : limits_(limits) {}
+
+repeat_budget::bucket& repeat_budget::Current(core::time_point now) {
+  const auto length = limits_.window / kBucketsPerWindow;
+  // One bucket more than the window, whose oldest part has just passed.
+  while (!buckets_.empty() &&
+         buckets_.front().start + limits_.window + length <= now) {
+    buckets_.pop_front();
+  }
+  if (buckets_.empty() || buckets_.back().start + length <= now) {
+    buckets_.push_back({now});
+  }
+  return buckets_.back();
+}
+
+void repeat_budget::OnRequest(core::time_point now) {
+  ++Current(now).requests;
+}
+
+double repeat_budget::Left(std::size_t gateways, core::time_point now) {
+  Current(now);
+  int requests = 0;
+  int repeats = 0;
+  for (const bucket& each : buckets_) {
+    requests += each.requests;
+    repeats += each.repeats;
+  }
+  const double extra =
+      limits_.extra / static_cast<double>(std::max<std::size_t>(1, gateways));
+  return kUsedShare * (limits_.share * requests + extra) - repeats;
+}
+
+bool repeat_budget::TryTake(std::size_t gateways, core::time_point now) {
+  if (Left(gateways, now) < 1.0) return false;
+  ++Current(now).repeats;
+  return true;
+}
+
+}  // namespace comfreyspring::gateway
--- /dev/null
+++ b/src/gateway/request_forwarder.cc
@@ -0,0 +1,1039 @@
+#include "gateway/request_forwarder.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/hash.h"
+#include "gateway/endpoint_choice.h"
+#include "gateway/endpoint_view.h"
+#include "gateway/repeat_budget.h"
+#include "gateway/repeat_rules.h"
+#include "gateway/sidecar_links.h"
+#include "stream/event_splitter.h"
+
+namespace comfreyspring::gateway {
+namespace {
+
+using telemetry::line_class;
+
+/** Precision of time limits. */
+constexpr core::milliseconds kTickPeriod{20};
+/** A connection to an endpoint takes a few milliseconds. */
+constexpr core::milliseconds kConnectTimeout{250};
+/** Left of a time limit for the answer's way to the caller. */
+constexpr core::milliseconds kAnswerReserve{20};
+/** For callers that name no time. */
+constexpr core::milliseconds kDefaultTimeLimit{60'000};
+/** Idle connections are not used in the last part of their endpoint's limit. */
+constexpr core::seconds kIdleReserve{1};
+constexpr core::seconds kDefaultIdle{4};
+/** Engines that one request asks for a grant. */
+constexpr int kMaximumAsks = 3;
+/** A refused request looks further if another engine is emptier by this. */
+constexpr core::milliseconds kRetryWhenUnready{300};
+constexpr core::milliseconds kRetryWhenShed{150};
+/** A caller that does not read loses its connection beyond this. */
+constexpr std::size_t kMaximumPendingBytes = 4 * 1024 * 1024;
+/** Gateways are counted by the agents; until heard of, so many are assumed. */
+constexpr std::size_t kAssumedGateways = 32;
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+}  // namespace
+
+struct request_forwarder::impl {
+  enum class phase { waiting, sent };
+
+  /** One request of a caller. */
+  struct active {
+    std::uint64_t number = 0;
+    std::shared_ptr<net::http_exchange> exchange;
+    caller_request facts;
+    /** Keeps `route` alive. */
+    std::shared_ptr<const catalog::route_table> table;
+    const catalog::route* route = nullptr;
+    core::service_id service;
+    core::time_point arrived;
+    /** The caller has heard nothing since then. */
+    core::time_point last_output;
+    /** It must have its final answer by then. */
+    core::time_point limit;
+    request_patience patience;
+
+    phase state = phase::waiting;
+    /** Endpoint of the current ask or attempt. */
+    catalog::instance_id endpoint;
+    std::string agent_ip;
+    /** Number of the current ask or grant; 0 if there is none. */
+    std::uint64_t ask = 0;
+    core::time_point asked_at;
+    int asks = 0;
+
+    net::http_call_id call = 0;
+    core::time_point sent_at;
+    core::time_point last_sign;
+    /** The agent knows that the granted run has produced output. */
+    bool told_started = false;
+    int attempts = 0;
+    std::set<catalog::instance_id> used;
+    std::set<catalog::instance_id> excluded;
+    bool may_have_run = false;
+
+    // The answer of the current attempt.
+    int status = 0;
+    net::header_map headers;
+    answer_facts answer;
+    bool passes_events = false;
+    std::string body;
+    stream::event_splitter events;
+
+    // The answer that the caller gets.
+    bool answer_begun = false;
+    std::size_t events_passed = 0;
+    /** An endpoint's own failure, kept while the request is repeated. */
+    std::optional<net::http_response> fallback;
+    std::optional<core::milliseconds> retry_after;
+    std::string refusal;
+  };
+  using active_pointer = std::shared_ptr<active>;
+
+  impl(net::event_loop& owning_loop, const settings::node_settings& node,
+       const traffic_protocol& traffic, net::http_client_interface& client,
+       const catalog::catalog_follower& catalog_views,
+       telemetry::event_log& event_log, telemetry::metrics& registry)
+      : loop(owning_loop),
+        settings(node),
+        protocol(traffic),
+        http(client),
+        follower(catalog_views),
+        log(event_log),
+        metrics(registry),
+        random(static_cast<std::uint64_t>(
+            core::UnixMilliseconds(owning_loop.WallNow()))) {
+    tick_timer = loop.SchedulePeriodic(kTickPeriod, [this] { Tick(); });
+  }
+
+  ~impl() {
+    *alive = false;
+    loop.Cancel(tick_timer);
+    for (const auto& [number, request] : requests) {
+      if (request->call != 0) http.Cancel(request->call);
+    }
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  // Arrival.
+
+  void OnRequest(std::shared_ptr<net::http_exchange> exchange) {
+    auto request = std::make_shared<active>();
+    request->number = ++last_number;
+    request->exchange = std::move(exchange);
+    request->arrived = loop.Now();
+    request->last_output = request->arrived;
+    request->facts = protocol.ReadRequest(request->exchange->Request());
+    request->table = follower.Routes();
+    if (!request->table) {
+      AnswerUnrouted(*request, {.status = 503,
+                                .type = "no_configuration",
+                                .message = "No configuration is known yet.",
+                                .retry_after = kRetryWhenUnready});
+      return;
+    }
+    request->route = request->table->Match(
+        request->facts.host, request->exchange->Request().target);
+    if (request->route == nullptr) {
+      AnswerUnrouted(*request, {.status = 404,
+                                .type = "no_route",
+                                .message = "No route matches the request."});
+      return;
+    }
+    Accept(request);
+  }
+
+  void AnswerUnrouted(active& request, const own_answer& answer) {
+    metrics.Count("gateway_unrouted_total{cause=\"" + answer.type + "\"}");
+    log.Request(line_class::failure, "unrouted", request.facts.id.Value())
+        .Add("cause", answer.type)
+        .Add("host", request.facts.host)
+        .Add("target", request.exchange->Request().target)
+        .Add("configuration",
+             request.table ? request.table->Version() : std::int64_t{0});
+    request.exchange->Respond(
+        WithClose(protocol.MakeAnswer(answer, request.facts.id)));
+  }
+
+  void Accept(const active_pointer& request) {
+    const catalog::route& route = *request->route;
+    auto time_limit = request->facts.time_limit.value_or(kDefaultTimeLimit);
+    if (route.timeout.count() > 0) {
+      time_limit = std::min(time_limit, route.timeout);
+    }
+    request->limit = request->arrived + time_limit - kAnswerReserve;
+    request->patience = PatienceFor(route, time_limit);
+    const auto* service = catalog::route_table::ChooseDestination(
+        route, core::Hash64(request->facts.id.Value()));
+    if (service != nullptr) request->service = *service;
+    BudgetOf(request->service).OnRequest(loop.Now());
+    requests[request->number] = request;
+    request->exchange->OnClientGone(
+        [this, number = request->number, still_alive = alive] {
+          if (*still_alive) OnCallerGone(number);
+        });
+    if (requests.count(request->number) > 0) Place(request);
+  }
+
+  // Choice of an endpoint.
+
+  const catalog::service* ServiceOf(const active& request) const {
+    return request.table->FindService(request.service);
+  }
+
+  bool NeedsEngine(const active& request) const {
+    const catalog::service* service = ServiceOf(request);
+    return service != nullptr && service->engine.has_value() &&
+           !request.facts.adapter.model.empty();
+  }
+
+  endpoint_views ViewsOf(const core::service_id& service) const {
+    endpoint_views result;
+    follower.Endpoints().ForEachUsable(
+        [&](const catalog::endpoint_record& record) {
+          if (record.service != service) return;
+          const auto found = views.find(record.instance);
+          if (found != views.end()) result.push_back(&found->second);
+        });
+    return result;
+  }
+
+  std::size_t Gateways() const {
+    std::size_t known = 0;
+    for (const auto& [instance, view] : views) {
+      if (view.has_agent) known = std::max(known, view.status.gateways);
+    }
+    return known > 0 ? known : kAssumedGateways;
+  }
+
+  const endpoint_view* Choose(const active& request) {
+    const auto now = loop.Now();
+    const choice_request wanted{.adapter = request.facts.adapter,
+                                .data_centre = settings.data_centre,
+                                .excluded = &request.excluded,
+                                .gateways = Gateways()};
+    const auto candidates = ViewsOf(request.service);
+    return NeedsEngine(request)
+               ? ChooseEngine(candidates, wanted, now)
+               : ChoosePlain(candidates, wanted, random, now);
+  }
+
+  /** Finds an endpoint for the request and asks or sends. */
+  void Place(const active_pointer& request) {
+    const auto now = loop.Now();
+    if (now >= request->limit) {
+      OnLimit(request);
+      return;
+    }
+    const endpoint_view* chosen = Choose(*request);
+    if (chosen == nullptr) {
+      GiveUp(request, request->refusal.empty() ? "no_endpoint"
+                                               : request->refusal);
+      return;
+    }
+    request->endpoint = chosen->record.instance;
+    if (NeedsEngine(*request) && chosen->has_agent) {
+      Ask(request, *chosen);
+    } else {
+      Send(request, 0);
+    }
+  }
+
+  // Grants.
+
+  void Ask(const active_pointer& request, const endpoint_view& chosen) {
+    const auto now = loop.Now();
+    request->state = phase::waiting;
+    request->ask = ++last_ask;
+    request->asked_at = now;
+    ++request->asks;
+    request->agent_ip = chosen.record.address.ip;
+    asks[request->ask] = request;
+    const auto goal_in = request->route->goal -
+                         core::ToMilliseconds(now - request->arrived);
+    const auto give_up_in =
+        std::max(request->patience.longest_wait -
+                     core::ToMilliseconds(now - request->last_output),
+                 core::milliseconds(0));
+    views.at(request->endpoint).asked_since_status += 1;
+    links->Send(request->agent_ip,
+                grants::grant_wanted{
+                    .number = request->ask,
+                    .request = request->facts.id.Value(),
+                    .adapter = request->facts.adapter,
+                    .minimum_version =
+                        follower.VersionOf(request->facts.adapter),
+                    .rank = request->route->rank,
+                    .prompt_tokens = request->facts.prompt_tokens,
+                    .output_tokens = request->facts.expected_output_tokens,
+                    .event_gap = request->route->event_gap,
+                    .goal_in = goal_in,
+                    .give_up_in = give_up_in});
+  }
+
+  void OnGiven(const std::string& ip, const grants::grant_given& given) {
+    const auto found = asks.find(given.number);
+    if (found == asks.end()) {
+      // Withdrawn while the grant was on its way.
+      links->Send(ip, grants::run_ended{given.number, false});
+      return;
+    }
+    const active_pointer request = found->second;
+    if (request->state != phase::waiting) return;
+    const auto waited = core::ToMilliseconds(loop.Now() - request->asked_at);
+    metrics.Observe("gateway_grant_wait_ms",
+                    static_cast<double>(waited.count()));
+    Send(request, given.version);
+  }
+
+  void OnRefused(const grants::grant_refused& refused) {
+    const auto found = asks.find(refused.number);
+    if (found == asks.end()) return;
+    const active_pointer request = found->second;
+    if (request->state != phase::waiting) return;
+    asks.erase(found);
+    request->ask = 0;
+    request->excluded.insert(request->endpoint);
+    request->refusal = std::string(grants::ToString(refused.reason));
+    request->retry_after = refused.retry_after;
+    log.Request(line_class::failure, "grant_refused",
+                request->facts.id.Value())
+        .Add("endpoint", request->endpoint.Value())
+        .Add("reason", request->refusal)
+        .Add("expected_wait_ms", refused.expected_wait.count())
+        .Add("retry_after_ms", refused.retry_after.count())
+        .Add("asks", request->asks);
+    const bool held = refused.reason == grants::refusal_reason::wait_expired;
+    if (request->asks < kMaximumAsks && !held) {
+      Place(request);
+    } else {
+      GiveUp(request, request->refusal);
+    }
+  }
+
+  /** Ends the current ask or grant at its agent. */
+  void Release(active& request, bool adapter_missing) {
+    if (request.ask == 0) return;
+    if (request.state == phase::waiting) {
+      links->Send(request.agent_ip, grants::grant_withdrawn{request.ask});
+    } else {
+      links->Send(request.agent_ip,
+                  grants::run_ended{request.ask, adapter_missing});
+    }
+    asks.erase(request.ask);
+    request.ask = 0;
+  }
+
+  // Attempts.
+
+  void Send(const active_pointer& request, std::int64_t adapter_version) {
+    const auto now = loop.Now();
+    const catalog::endpoint_record* record =
+        follower.Endpoints().FindUsable(request->endpoint);
+    if (record == nullptr) {
+      // It has begun to leave while the grant was on its way.
+      Release(*request, false);
+      request->excluded.insert(request->endpoint);
+      Place(request);
+      return;
+    }
+    if (request->attempts > 0 &&
+        !BudgetOf(request->service).TryTake(Gateways(), now)) {
+      metrics.Count("gateway_repeats_over_budget_total");
+      Release(*request, false);
+      GiveUp(request, "repeat_budget");
+      return;
+    }
+    request->state = phase::sent;
+    request->sent_at = now;
+    request->last_sign = now;
+    request->told_started = false;
+    request->status = 0;
+    request->body.clear();
+    request->passes_events = false;
+    ++request->attempts;
+    request->used.insert(request->endpoint);
+    const auto left = core::ToMilliseconds(request->limit - now);
+    forward_terms terms{.address = record->address,
+                        .instance = record->instance,
+                        .time_left = left,
+                        .adapter_version = adapter_version};
+    const std::int64_t announced = follower.VersionOf(request->facts.adapter);
+    terms.adapter_version = announced;
+    if (NeedsEngine(*request)) terms.rank = request->route->rank;
+    if (request->events_passed > 0) terms.last_event = request->events.LastId();
+    net::http_call call =
+        protocol.MakeCall(request->exchange->Request(), terms);
+    call.connect_timeout = std::min(kConnectTimeout, left);
+    call.total_timeout = left + kAnswerReserve;
+    call.maximum_connection_idle = idle_limit;
+    call.may_resend = false;
+    views.at(request->endpoint).results.OnSent(now);
+    log.Request(line_class::routine, "sent", request->facts.id.Value())
+        .Add("route", request->route->name)
+        .Add("configuration", request->table->Version())
+        .Add("endpoint", request->endpoint.Value())
+        .Add("granted", request->ask != 0)
+        .Add("adapter", request->facts.adapter.adapter.Value())
+        .Add("version", announced)
+        .Add("attempt", request->attempts)
+        .Add("waited_ms",
+             core::ToMilliseconds(now - request->arrived).count())
+        .Add("left_ms", left.count())
+        .Add("catalog_age_ms", follower.Age().count());
+    const std::uint64_t number = request->number;
+    const int attempt = request->attempts;
+    request->call = http.Start(
+        std::move(call),
+        {.on_headers =
+             [this, number, attempt](int status,
+                                     const net::header_map& headers) {
+               if (auto target = Find(number, attempt)) {
+                 OnHeaders(*target, status, headers);
+               }
+             },
+         .on_data =
+             [this, number, attempt](std::string_view data) {
+               if (auto target = Find(number, attempt)) OnData(target, data);
+             },
+         .on_done =
+             [this, number, attempt](const net::http_result& result) {
+               if (auto target = Find(number, attempt)) OnDone(target, result);
+             }});
+  }
+
+  active_pointer Find(std::uint64_t number, int attempt) const {
+    const auto found = requests.find(number);
+    if (found == requests.end() || found->second->attempts != attempt ||
+        found->second->call == 0) {
+      return nullptr;
+    }
+    return found->second;
+  }
+
+  endpoint_view* ViewOf(const active& request) {
+    const auto found = views.find(request.endpoint);
+    return found == views.end() ? nullptr : &found->second;
+  }
+
+  void OnHeaders(active& request, int status, const net::header_map& headers) {
+    const auto now = loop.Now();
+    request.last_sign = now;
+    request.status = status;
+    request.headers = headers;
+    request.answer = protocol.ReadAnswer(status, headers, request.facts.id);
+    request.passes_events = request.route->streams && IsSuccess(status) &&
+                            request.answer.authentic;
+    request.events.DropRest();
+    if (request.answer.idle_timeout) {
+      idle_limit = std::clamp(*request.answer.idle_timeout - kIdleReserve,
+                              core::seconds(1), idle_limit);
+    }
+    if (endpoint_view* view = ViewOf(request)) view->results.OnSign(now);
+  }
+
+  static bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+  void OnData(const active_pointer& request, std::string_view data) {
+    request->last_sign = loop.Now();
+    if (!request->passes_events) {
+      request->body.append(data);
+      return;
+    }
+    PassEvents(request, request->events.Feed(data));
+  }
+
+  void PassEvents(const active_pointer& request, std::string whole) {
+    if (whole.empty()) return;
+    const auto now = loop.Now();
+    if (endpoint_view* view = ViewOf(*request)) {
+      view->results.OnSign(now);
+      if (!request->answer_begun) {
+        view->results.OnLatency(core::ToMilliseconds(now - request->sent_at),
+                                now);
+      }
+    }
+    if (request->ask != 0 && !std::exchange(request->told_started, true)) {
+      links->Send(request->agent_ip, grants::run_started{request->ask});
+    }
+    if (!request->answer_begun) {
+      request->answer_begun = true;
+      metrics.Observe(
+          "gateway_first_event_ms",
+          static_cast<double>(
+              core::ToMilliseconds(now - request->arrived).count()));
+      auto headers = protocol.AnswerHeaders(request->headers);
+      if (draining) headers["connection"] = "close";
+      request->exchange->BeginStream(request->status, std::move(headers));
+    }
+    request->events_passed = request->events.Count();
+    request->last_output = now;
+    if (request->exchange->PendingBytes() > kMaximumPendingBytes) {
+      Break(request, "caller_does_not_read");
+      return;
+    }
+    request->exchange->Write(std::move(whole));
+  }
+
+  void OnDone(const active_pointer& request, const net::http_result& result) {
+    const auto now = loop.Now();
+    request->call = 0;
+    const bool complete = result.failure == net::http_failure::none;
+    const bool good =
+        complete && request->answer.authentic && IsSuccess(request->status);
+    endpoint_view* view = ViewOf(*request);
+    if (good) {
+      if (view != nullptr) {
+        view->results.OnEnded(true, now);
+        if (!request->passes_events) {
+          view->results.OnLatency(core::ToMilliseconds(now - request->sent_at),
+                                  now);
+        }
+      }
+      Release(*request, false);
+      Succeed(request);
+      return;
+    }
+    OnAttemptFailed(request, Classify(*request, result), result.error_message);
+  }
+
+  attempt_failure Classify(const active& request,
+                           const net::http_result& result) const {
+    if (result.failure == net::http_failure::not_sent) {
+      return attempt_failure::not_sent;
+    }
+    if (result.failure != net::http_failure::none) {
+      return attempt_failure::unknown;
+    }
+    if (request.answer.not_run) return attempt_failure::not_run;
+    if (!request.answer.authentic || IsSuccess(request.status)) {
+      return attempt_failure::unknown;
+    }
+    return attempt_failure::failed;
+  }
+
+  void OnAttemptFailed(const active_pointer& request, attempt_failure failure,
+                       const std::string& text) {
+    const auto now = loop.Now();
+    const bool missing =
+        failure == attempt_failure::not_run && request->answer.misdirected;
+    if (endpoint_view* view = ViewOf(*request)) {
+      view->results.OnEnded(false, now);
+      if (missing) view->adapters.erase(request->facts.adapter);
+    }
+    Release(*request, missing);
+    if (failure == attempt_failure::not_sent) {
+      request->used.erase(request->endpoint);
+    } else if (failure != attempt_failure::not_run) {
+      request->may_have_run = true;
+    }
+    if (failure == attempt_failure::failed) KeepFallback(*request);
+    const repeat_situation situation{
+        .failure = failure,
+        .answer_begun = request->answer_begun,
+        .endpoints_used = static_cast<int>(request->used.size()),
+        .attempts = request->attempts,
+        .time_left = core::ToMilliseconds(request->limit - now)};
+    auto decision = DecideRepeat(*request->route, situation);
+    // An endpoint's failure that is no 5xx would be the same elsewhere.
+    if (failure == attempt_failure::failed && request->status < 500) {
+      decision = repeat_decision::give_up;
+    }
+    metrics.Count(std::string("gateway_attempt_failures_total{kind=\"") +
+                  ToString(failure) + "\"}");
+    log.Request(line_class::failure, "attempt_failed",
+                request->facts.id.Value())
+        .Add("endpoint", request->endpoint.Value())
+        .Add("kind", ToString(failure))
+        .Add("status", request->status)
+        .Add("reason", text)
+        .Add("attempt", request->attempts)
+        .Add("after_ms", core::ToMilliseconds(now - request->sent_at).count())
+        .Add("events_passed", request->events_passed)
+        .Add("repeats", decision != repeat_decision::give_up);
+    if (decision == repeat_decision::give_up) {
+      GiveUp(request, ToString(failure));
+      return;
+    }
+    request->events.DropRest();
+    if (decision == repeat_decision::same_endpoint) {
+      RestrictToUsed(*request);
+    } else if (!missing) {
+      request->excluded.insert(request->endpoint);
+    }
+    Place(request);
+  }
+
+  void RestrictToUsed(active& request) {
+    request.excluded.clear();
+    for (const auto& [instance, view] : views) {
+      if (request.used.count(instance) == 0) request.excluded.insert(instance);
+    }
+  }
+
+  void KeepFallback(active& request) {
+    request.fallback =
+        net::http_response{request.status,
+                           protocol.AnswerHeaders(request.headers),
+                           request.body};
+  }
+
+  // Final answers.
+
+  void Succeed(const active_pointer& request) {
+    if (request->passes_events) {
+      // A complete answer may end without a last empty line.
+      if (!request->answer_begun && request->events.Rest().empty()) {
+        request->exchange->Respond(
+            WithClose({request->status,
+                       protocol.AnswerHeaders(request->headers), ""}));
+      } else {
+        if (!request->events.Rest().empty()) {
+          PassEvents(request, request->events.Rest());
+        }
+        request->exchange->EndStream();
+      }
+    } else {
+      request->exchange->Respond(
+          WithClose({request->status, protocol.AnswerHeaders(request->headers),
+                     std::move(request->body)}));
+    }
+    Finish(request, line_class::routine, "answered", "");
+  }
+
+  /** Gives the final answer to a request that is not tried again. */
+  void GiveUp(const active_pointer& request, const std::string& cause) {
+    if (request->answer_begun) {
+      Break(request, cause);
+      return;
+    }
+    if (request->fallback) {
+      request->exchange->Respond(WithClose(std::move(*request->fallback)));
+      Finish(request, line_class::failure, "answered", cause);
+      return;
+    }
+    if (request->may_have_run) {
+      Respond(request,
+              {.status = 502,
+               .type = cause,
+               .message = "The endpoint gave no usable answer; the request "
+                          "may have run."});
+      return;
+    }
+    Respond(request,
+            {.status = 503,
+             .type = cause,
+             .message = "The request has not run.",
+             .retry_after = request->retry_after.value_or(
+                 request->attempts > 0 ? kRetryWhenShed : kRetryWhenUnready)});
+  }
+
+  void Respond(const active_pointer& request, const own_answer& answer) {
+    request->status = answer.status;
+    request->exchange->Respond(
+        WithClose(protocol.MakeAnswer(answer, request->facts.id)));
+    Finish(request, line_class::failure,
+           answer.status == 503 ? "refused" : "failed", answer.type,
+           answer.retry_after);
+  }
+
+  /** Ends a stream so that the caller sees that it is incomplete. */
+  void Break(const active_pointer& request, const std::string& cause) {
+    DropAttempt(*request);
+    request->exchange->Abort();
+    Finish(request, line_class::failure, "broken_off", cause);
+  }
+
+  net::http_response WithClose(net::http_response response) const {
+    if (draining) response.headers["connection"] = "close";
+    return response;
+  }
+
+  void Finish(const active_pointer& request, line_class kind,
+              const char* event, const std::string& cause,
+              std::optional<core::milliseconds> retry_after = std::nullopt) {
+    const auto now = loop.Now();
+    const auto took = core::ToMilliseconds(now - request->arrived);
+    metrics.Count(std::string("gateway_requests_total{outcome=\"") + event +
+                  "\",status=\"" + std::to_string(request->status) + "\"}");
+    metrics.Observe(std::string("gateway_request_ms{outcome=\"") + event +
+                        "\"}",
+                    static_cast<double>(took.count()));
+    if (kind == line_class::failure && !cause.empty()) {
+      metrics.Count("gateway_failures_total{cause=\"" + cause + "\"}");
+    }
+    auto line = log.Request(kind, event, request->facts.id.Value());
+    line.Add("status", request->status)
+        .Add("route", request->route->name)
+        .Add("endpoint", request->endpoint.Value())
+        .Add("took_ms", took.count())
+        .Add("attempts", request->attempts)
+        .Add("events", request->events_passed);
+    if (!cause.empty()) line.Add("cause", cause);
+    if (retry_after) line.Add("retry_after_ms", retry_after->count());
+    Release(*request, false);
+    requests.erase(request->number);
+  }
+
+  /** Cancels the call of the current attempt. */
+  void DropAttempt(active& request) {
+    if (request.call == 0) return;
+    http.Cancel(std::exchange(request.call, 0));
+    if (endpoint_view* view = ViewOf(request)) view->results.OnDropped();
+  }
+
+  // Time and callers.
+
+  void Tick() {
+    const auto now = loop.Now();
+    std::vector<active_pointer> due;
+    for (const auto& [number, request] : requests) {
+      if (now >= request->limit ||
+          (request->state == phase::sent && request->call != 0 &&
+           now - request->last_sign > request->patience.stall &&
+           request->route->MayRepeat())) {
+        due.push_back(request);
+      }
+    }
+    for (const active_pointer& request : due) {
+      if (requests.count(request->number) == 0) continue;
+      if (now >= request->limit) {
+        OnLimit(request);
+      } else {
+        OnStall(request);
+      }
+    }
+  }
+
+  void OnLimit(const active_pointer& request) {
+    const bool sent = request->attempts > 0;
+    DropAttempt(*request);
+    if (request->answer_begun) {
+      Break(request, "time_limit");
+      return;
+    }
+    if (sent && (request->state == phase::sent || request->may_have_run)) {
+      Respond(request, {.status = 504,
+                        .type = "time_limit",
+                        .message = "The endpoint did not answer in time."});
+      return;
+    }
+    Respond(request, {.status = 503,
+                      .type = "time_limit",
+                      .message = "The request has not run.",
+                      .retry_after = request->retry_after.value_or(
+                          kRetryWhenUnready)});
+  }
+
+  void OnStall(const active_pointer& request) {
+    // Worth it only if the request can go on elsewhere.
+    const repeat_situation situation{
+        .failure = attempt_failure::stalled,
+        .answer_begun = request->answer_begun,
+        .endpoints_used = static_cast<int>(request->used.size()),
+        .attempts = request->attempts,
+        .time_left = core::ToMilliseconds(request->limit - loop.Now())};
+    if (DecideRepeat(*request->route, situation) !=
+            repeat_decision::anywhere ||
+        BudgetOf(request->service).Left(Gateways(), loop.Now()) < 1.0) {
+      return;
+    }
+    http.Cancel(std::exchange(request->call, 0));
+    OnAttemptFailed(request, attempt_failure::stalled, "no sign of an answer");
+  }
+
+  void OnCallerGone(std::uint64_t number) {
+    const auto found = requests.find(number);
+    if (found == requests.end()) return;
+    const active_pointer request = found->second;
+    DropAttempt(*request);
+    Finish(request, line_class::routine, "caller_gone", "");
+  }
+
+  // Views.
+
+  void OnEndpoint(const catalog::endpoint_change& change) {
+    using kind = catalog::endpoint_change::kind;
+    const catalog::instance_id& instance = change.record.instance;
+    if (change.what == kind::gone) {
+      views.erase(instance);
+      UpdateLinks();
+      return;
+    }
+    const auto [position, inserted] = views.try_emplace(instance);
+    endpoint_view& view = position->second;
+    view.record = change.record;
+    if (inserted) {
+      for (const catalog::held_model& model : change.record.models) {
+        for (const auto& held : model.adapters) {
+          view.adapters.insert({model.model, held.adapter});
+        }
+      }
+    }
+    if (inserted || change.what == kind::leaving) UpdateLinks();
+    if (change.what == kind::leaving) LeaveEndpoint(instance);
+  }
+
+  /** Requests that wait for a grant there ask elsewhere. */
+  void LeaveEndpoint(const catalog::instance_id& instance) {
+    std::vector<active_pointer> waiting;
+    for (const auto& [number, request] : requests) {
+      if (request->state == phase::waiting && request->ask != 0 &&
+          request->endpoint == instance) {
+        waiting.push_back(request);
+      }
+    }
+    for (const active_pointer& request : waiting) {
+      Release(*request, false);
+      request->excluded.insert(instance);
+      Place(request);
+    }
+  }
+
+  void UpdateLinks() {
+    if (!follower.Routes()) return;
+    std::map<std::string, grants::engine_facts> wanted;
+    for (const auto& [instance, view] : views) {
+      const auto* service =
+          follower.Routes()->FindService(view.record.service);
+      if (service == nullptr || !service->engine) continue;
+      grants::engine_facts facts{
+          .batch_slots = view.record.slots,
+          .adapter_slots = service->engine->adapter_slots,
+          .cache_tokens = service->engine->cache_tokens};
+      for (const auto& model : service->engine->models) {
+        facts.models.push_back(model.model);
+      }
+      wanted[view.record.address.ip] = std::move(facts);
+    }
+    for (const std::string& ip : linked) {
+      if (wanted.count(ip) == 0) links->Forget(ip);
+    }
+    linked.clear();
+    for (const auto& [ip, facts] : wanted) {
+      links->Want(ip, facts);
+      linked.insert(ip);
+    }
+  }
+
+  void OnSidecarLost(const std::string& ip) {
+    std::vector<active_pointer> waiting;
+    for (auto& [instance, view] : views) {
+      if (view.record.address.ip == ip) view.has_agent = false;
+    }
+    for (const auto& [number, request] : requests) {
+      if (request->ask == 0 || request->agent_ip != ip) continue;
+      if (request->state == phase::waiting) {
+        waiting.push_back(request);
+      } else {
+        // The agent has forgotten the grant; the attempt goes on.
+        asks.erase(request->ask);
+        request->ask = 0;
+      }
+    }
+    for (const active_pointer& request : waiting) {
+      asks.erase(request->ask);
+      request->ask = 0;
+      Place(request);
+    }
+  }
+
+  void OnSidecarMessage(const std::string& ip, const grants::message& value) {
+    std::visit(
+        overloaded{
+            [&](const grants::grant_given& given) { OnGiven(ip, given); },
+            [&](const grants::grant_refused& refused) { OnRefused(refused); },
+            [&](const grants::status_report& report) {
+              OnStatus(ip, report);
+            },
+            [&](const auto&) {
+              log.Belief("message_unexpected").Add("sidecar", ip);
+            }},
+        value);
+  }
+
+  void OnStatus(const std::string& ip, const grants::status_report& report) {
+    for (auto& [instance, view] : views) {
+      if (view.record.address.ip != ip) continue;
+      if (follower.Routes()) {
+        const auto* service =
+            follower.Routes()->FindService(view.record.service);
+        if (service == nullptr || !service->engine) continue;
+      }
+      if (!view.has_agent || view.status.serving != report.status.serving) {
+        log.Belief("engine_status")
+            .Add("endpoint", instance.Value())
+            .Add("serving", report.status.serving)
+            .Add("running", report.status.running)
+            .Add("waiting", report.status.waiting);
+      }
+      view.has_agent = true;
+      view.status = report.status;
+      view.status_at = loop.Now();
+      view.asked_since_status = 0;
+      if (report.has_adapters) {
+        view.adapters = {report.status.adapters.begin(),
+                         report.status.adapters.end()};
+      }
+    }
+  }
+
+  repeat_budget& BudgetOf(const core::service_id& service) {
+    return budgets
+        .try_emplace(service, repeat_limits{settings.repeat_share,
+                                            settings.repeat_extra,
+                                            settings.repeat_window})
+        .first->second;
+  }
+
+  net::event_loop& loop;
+  const settings::node_settings& settings;
+  const traffic_protocol& protocol;
+  net::http_client_interface& http;
+  const catalog::catalog_follower& follower;
+  telemetry::event_log& log;
+  telemetry::metrics& metrics;
+  core::random_source random;
+  sidecar_links* links = nullptr;
+  std::map<std::uint64_t, active_pointer> requests;
+  std::map<std::uint64_t, active_pointer> asks;
+  std::map<catalog::instance_id, endpoint_view> views;
+  std::set<std::string> linked;
+  std::map<core::service_id, repeat_budget> budgets;
+  std::uint64_t last_number = 0;
+  std::uint64_t last_ask = 0;
+  core::seconds idle_limit = kDefaultIdle;
+  bool draining = false;
+  net::timer_id tick_timer = 0;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+request_forwarder::request_forwarder(net::event_loop& loop,
+                                     const settings::node_settings& settings,
+                                     const traffic_protocol& protocol,
+                                     net::http_client_interface& http,
+                                     const catalog::catalog_follower& follower,
+                                     telemetry::event_log& log,
+                                     telemetry::metrics& metrics)
+    : impl_(std::make_unique<impl>(loop, settings, protocol, http, follower,
+                                   log, metrics)) {}
+
+request_forwarder::~request_forwarder() = default;
+
+void request_forwarder::SetLinks(sidecar_links& links) {
+  impl_->links = &links;
+}
+
+void request_forwarder::OnRequest(
+    std::shared_ptr<net::http_exchange> exchange) {
+  impl_->OnRequest(std::move(exchange));
+}
+
+void request_forwarder::OnEndpoint(const catalog::endpoint_change& change) {
+  impl_->OnEndpoint(change);
+}
+
+void request_forwarder::OnConfiguration(
+    const std::shared_ptr<const catalog::route_table>& table) {
+  static_cast<void>(table);
+  impl_->UpdateLinks();
+}
+
+void request_forwarder::OnSidecarLost(const std::string& ip) {
+  impl_->OnSidecarLost(ip);
+}
+
+void request_forwarder::OnSidecarMessage(const std::string& ip,
+                                         const grants::message& value) {
+  impl_->OnSidecarMessage(ip, value);
+}
+
+void request_forwarder::BeginDrain() { impl_->draining = true; }
+
+std::size_t request_forwarder::ActiveCount() const {
+  return impl_->requests.size();
+}
+
+void request_forwarder::UpdateMetrics() {
+  const auto now = impl_->loop.Now();
+  impl_->metrics.SetGauge("gateway_requests_active",
+                          static_cast<double>(impl_->requests.size()));
+  impl_->metrics.SetGauge(
+      "gateway_catalog_age_ms",
+      static_cast<double>(impl_->follower.Age().count()));
+  const auto& table = impl_->follower.Routes();
+  impl_->metrics.SetGauge("gateway_configuration_version",
+                          table ? static_cast<double>(table->Version()) : 0);
+  impl_->metrics.SetGauge("gateway_sidecars_open",
+                          static_cast<double>(impl_->links->OpenCount()));
+  impl_->metrics.SetGauge("gateway_sidecars_wanted",
+                          static_cast<double>(impl_->links->WantedCount()));
+  for (auto& [service, budget] : impl_->budgets) {
+    impl_->metrics.SetGauge(
+        "gateway_repeats_left{service=\"" + service.Value() + "\"}",
+        budget.Left(impl_->Gateways(), now));
+  }
+}
+
+std::string request_forwarder::Dump() const {
+  const auto now = impl_->loop.Now();
+  nlohmann::json endpoints = nlohmann::json::array();
+  for (const auto& [instance, view] : impl_->views) {
+    endpoints.push_back(
+        {{"instance", instance.Value()},
+         {"service", view.record.service.Value()},
+         {"address", view.record.address.ToString()},
+         {"leaving", view.record.leaving},
+         {"outstanding", view.results.Outstanding()},
+         {"failure_share", view.results.FailureShare(now)},
+         {"silence_ms", view.results.Silence(now).count()},
+         {"has_agent", view.has_agent},
+         {"running", view.status.running},
+         {"waiting", view.status.waiting},
+         {"free_adapter_slots", view.status.free_adapter_slots},
+         {"adapters", view.adapters.size()}});
+  }
+  nlohmann::json requests = nlohmann::json::array();
+  for (const auto& [number, request] : impl_->requests) {
+    requests.push_back(
+        {{"request", request->facts.id.Value()},
+         {"route", request->route->name},
+         {"state",
+          request->state == impl::phase::waiting ? "waiting" : "sent"},
+         {"endpoint", request->endpoint.Value()},
+         {"attempts", request->attempts},
+         {"events", request->events_passed},
+         {"age_ms", core::ToMilliseconds(now - request->arrived).count()}});
+  }
+  const auto& table = impl_->follower.Routes();
+  const nlohmann::json dump = {
+      {"configuration_version", table ? table->Version() : 0},
+      {"catalog_age_ms", impl_->follower.Age().count()},
+      {"draining", impl_->draining},
+      {"gateways", impl_->Gateways()},
+      {"endpoints", std::move(endpoints)},
+      {"requests", std::move(requests)}};
+  return dump.dump(2);
+}
+
+}  // namespace comfreyspring::gateway
--- /dev/null
+++ b/src/gateway/sidecar_links.cc
@@ -0,0 +1,165 @@
+#include "gateway/sidecar_links.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/error.h"
+
+namespace comfreyspring::gateway {
+namespace {
+
+constexpr core::milliseconds kTickPeriod{50};
+constexpr std::size_t kMaximumPendingBytes = 1024 * 1024;
+
+}  // namespace
+
+sidecar_links::sidecar_links(net::event_loop& loop,
+                             sidecar_link_options options,
+                             sidecar_listener& listener,
+                             telemetry::event_log& log)
+    : loop_(loop),
+      options_(std::move(options)),
+      listener_(listener),
+      log_(log),
+      random_(options_.random_seed) {
+  tick_timer_ = loop_.SchedulePeriodic(kTickPeriod, [this] { Tick(); });
+}
+
+sidecar_links::~sidecar_links() {
+  loop_.Cancel(tick_timer_);
+  for (auto& [ip, target] : peers_) {
+    if (target.link) target.link->Close();
+  }
+}
+
+void sidecar_links::Want(const std::string& ip,
+                         const grants::engine_facts& facts) {
+  const auto [position, inserted] = peers_.try_emplace(ip);
+  peer& target = position->second;
+  target.facts = facts;
+  if (inserted) {
+    Connect(ip, target);
+  } else if (target.open) {
+    SendHello(target);
+  }
+}
+
+void sidecar_links::Forget(const std::string& ip) {
+  const auto found = peers_.find(ip);
+  if (found == peers_.end()) return;
+  if (found->second.link) found->second.link->Close();
+  peers_.erase(found);
+}
+
+bool sidecar_links::IsOpen(const std::string& ip) const {
+  const auto found = peers_.find(ip);
+  return found != peers_.end() && found->second.open;
+}
+
+std::size_t sidecar_links::OpenCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(),
+                    [](const auto& entry) { return entry.second.open; }));
+}
+
+bool sidecar_links::Send(const std::string& ip, const grants::message& value) {
+  const auto found = peers_.find(ip);
+  if (found == peers_.end() || !found->second.open) return false;
+  return found->second.link->Send(grants::Encode(value));
+}
+
+void sidecar_links::OnPaused() {
+  // Their time starts now; what was sent meanwhile is still to be read.
+  for (auto& [ip, target] : peers_) target.heard_at = loop_.Now();
+}
+
+void sidecar_links::Connect(const std::string& ip, peer& target) {
+  const std::uint64_t generation = ++target.generation;
+  const auto current = [this, ip, generation]() -> peer* {
+    const auto found = peers_.find(ip);
+    if (found == peers_.end() || found->second.generation != generation) {
+      return nullptr;
+    }
+    return &found->second;
+  };
+  net::frame_link_callbacks callbacks;
+  callbacks.on_open = [this, ip, current] {
+    peer* opened = current();
+    if (opened == nullptr) return;
+    opened->open = true;
+    opened->heard_at = loop_.Now();
+    log_.Dependency("sidecar " + ip, "regained");
+    SendHello(*opened);
+  };
+  callbacks.on_frame = [this, ip, current](std::string_view frame) {
+    peer* sender = current();
+    if (sender == nullptr) return;
+    sender->heard_at = loop_.Now();
+    Receive(ip, frame);
+  };
+  callbacks.on_closed = [this, ip, current](const std::string& reason) {
+    peer* lost = current();
+    if (lost != nullptr) Lose(ip, *lost, reason);
+  };
+  target.heard_at = loop_.Now();
+  target.link = net::ConnectFrameLink(
+      loop_, ip, options_.port,
+      {.handshake_timeout = options_.connect_timeout,
+       .maximum_pending_bytes = kMaximumPendingBytes},
+      std::move(callbacks));
+}
+
+void sidecar_links::Lose(const std::string& ip, peer& target,
+                         const std::string& reason) {
+  const bool was_open = std::exchange(target.open, false);
+  ++target.generation;
+  if (target.link) target.link->Close();
+  target.link.reset();
+  // Jitter keeps the gateways from returning together.
+  target.retry_at =
+      loop_.Now() + core::milliseconds(static_cast<std::int64_t>(
+                        (0.5 + random_.NextUnit()) *
+                        static_cast<double>(options_.reconnect.count())));
+  if (!was_open) return;
+  log_.Dependency("sidecar " + ip, "lost").Add("reason", reason);
+  listener_.OnSidecarLost(ip);
+}
+
+void sidecar_links::Receive(const std::string& ip, std::string_view frame) {
+  try {
+    listener_.OnSidecarMessage(ip, grants::Decode(frame));
+  } catch (const core::error& failure) {
+    log_.Belief("message_unreadable")
+        .Add("sidecar", ip)
+        .Add("reason", failure.what());
+  }
+}
+
+void sidecar_links::SendHello(peer& target) {
+  target.hello_at = loop_.Now();
+  target.link->Send(
+      grants::Encode(grants::gateway_hello{options_.gateway, target.facts}));
+}
+
+void sidecar_links::Tick() {
+  const auto now = loop_.Now();
+  std::vector<std::string> addresses;
+  for (const auto& [ip, target] : peers_) addresses.push_back(ip);
+  for (const std::string& ip : addresses) {
+    const auto found = peers_.find(ip);
+    if (found == peers_.end()) continue;
+    peer& target = found->second;
+    if (target.open) {
+      if (now - target.heard_at > options_.silence) {
+        Lose(ip, target, "silent");
+      } else if (now - target.hello_at >= options_.hello_period) {
+        SendHello(target);
+      }
+    } else if (!target.link && now >= target.retry_at) {
+      Connect(ip, target);
+    }
+  }
+}
+
+}  // namespace comfreyspring::gateway
--- /dev/null
+++ b/src/grants/grant_scheduler.cc
@@ -0,0 +1,578 @@
+#include "grants/grant_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace comfreyspring::grants {
+namespace {
+
+/** Weight of a new sample in smoothed times and rates. */
+constexpr double kSmoothing = 0.1;
+/** Bounds of the measured prompt rate, tokens a millisecond. */
+constexpr double kLowestPromptRate = 4.0;
+constexpr double kHighestPromptRate = 200.0;
+/** A smaller backlog says little: other delays outweigh it. */
+constexpr std::int64_t kSmallestRateSample = 500;
+/** Part of a pause between events that reading prompts may take. */
+constexpr double kPromptShareOfGap = 0.5;
+constexpr core::milliseconds kUsualEventGap{300};
+/** From the grant to the first output beside reading: network and a step. */
+constexpr core::milliseconds kStartOverhead{40};
+/** A granted prompt without output counts as unread no longer than this. */
+constexpr core::milliseconds kLongestRead{2000};
+/** Part of the engine's memory that granted requests may fill. */
+constexpr double kMemoryShare = 0.95;
+/** After so many grants by urgency the oldest request goes first. */
+constexpr int kGrantsPerOldest = 12;
+constexpr core::milliseconds kOrderPause{50};
+/** Time until an adapter that the engine does not know is tried again. */
+constexpr core::milliseconds kUnavailableTime{3000};
+constexpr core::milliseconds kShortestRetryAfter{100};
+constexpr core::milliseconds kLongestRetryAfter{4000};
+/** A caller that returns around the promised time finds its place. */
+constexpr core::milliseconds kPromiseEarly{100};
+constexpr core::milliseconds kPromiseLate{500};
+constexpr std::size_t kMaximumPromises = 512;
+
+double ToDouble(core::milliseconds time) {
+  return static_cast<double>(time.count());
+}
+
+core::milliseconds FromDouble(double milliseconds) {
+  return core::milliseconds(std::llround(std::min(milliseconds, 1e7)));
+}
+
+void Smooth(core::milliseconds& value, core::milliseconds sample) {
+  value = FromDouble(ToDouble(value) * (1.0 - kSmoothing) +
+                     ToDouble(sample) * kSmoothing);
+}
+
+}  // namespace
+
+grant_scheduler::grant_scheduler(grant_options options)
+    : options_(options),
+      random_(options.random_seed),
+      load_time_(options.initial_load_time),
+      run_time_(options.initial_run_time),
+      prompt_rate_(options.initial_prompt_rate) {}
+
+// Requests.
+
+grant_scheduler::actions grant_scheduler::OnAsk(ask wanted,
+                                                core::time_point now) {
+  actions out;
+  links_.insert(wanted.key.link);
+  const bool has_adapter = !wanted.adapter.adapter.empty();
+  if (has_adapter) slots_.CountDemand(wanted.adapter, now);
+  const auto patience = core::ToMilliseconds(wanted.give_up_at - now);
+  const auto refuse_for = [&](refusal_reason reason, core::milliseconds wait) {
+    Refuse(wanted.key, reason, wait, patience, wanted.adapter, now, out);
+  };
+  if (stopping_) {
+    refuse_for(refusal_reason::stopping, core::milliseconds(0));
+    return out;
+  }
+  if (!IsServing(now)) {
+    refuse_for(refusal_reason::engine_down, core::milliseconds(0));
+    return out;
+  }
+  if (!HoldsModel(wanted.adapter.model)) {
+    refuse_for(refusal_reason::model_absent, core::milliseconds(0));
+    return out;
+  }
+  const auto unavailable = unavailable_until_.find(wanted.adapter);
+  if (unavailable != unavailable_until_.end() && unavailable->second > now) {
+    refuse_for(refusal_reason::adapter_unavailable,
+               core::ToMilliseconds(unavailable->second - now));
+    return out;
+  }
+  if (!TakePromise(wanted.adapter, now)) {
+    const auto wait = ExpectedWait(wanted, now);
+    if (wait > patience) {
+      refuse_for(refusal_reason::wait_too_long, wait);
+      return out;
+    }
+  }
+  const ask_key key = wanted.key;
+  waiting_[key] = std::move(wanted);
+  Schedule(now, out);
+  return out;
+}
+
+grant_scheduler::actions grant_scheduler::OnWithdrawn(const ask_key& key,
+                                                      core::time_point now) {
+  actions out;
+  waiting_.erase(key);
+  const auto found = running_.find(key);
+  if (found != running_.end()) RemoveRunning(found, now);
+  Schedule(now, out);
+  return out;
+}
+
+grant_scheduler::actions grant_scheduler::OnStarted(const ask_key& key,
+                                                    core::time_point now) {
+  actions out;
+  const auto found = running_.find(key);
+  if (found == running_.end() || found->second.started) return out;
+  running_item& item = found->second;
+  item.started = true;
+  const auto took = core::ToMilliseconds(now - item.granted_at);
+  if (item.backlog_at_grant >= kSmallestRateSample && took.count() > 0) {
+    const double reading =
+        std::max(1.0, ToDouble(took - kStartOverhead));
+    const double rate = static_cast<double>(item.backlog_at_grant) / reading;
+    prompt_rate_ = std::clamp(
+        prompt_rate_ * (1.0 - kSmoothing) + rate * kSmoothing,
+        kLowestPromptRate, kHighestPromptRate);
+  }
+  Schedule(now, out);
+  return out;
+}
+
+grant_scheduler::actions grant_scheduler::OnEnded(const ask_key& key,
+                                                  bool missing,
+                                                  core::time_point now) {
+  actions out;
+  const auto found = running_.find(key);
+  if (found == running_.end()) return out;
+  if (found->second.started) {
+    Smooth(run_time_, core::ToMilliseconds(now - found->second.granted_at));
+  }
+  RemoveRunning(found, now);
+  // The next report tells what the engine holds.
+  if (missing) needs_state_ = true;
+  Schedule(now, out);
+  return out;
+}
+
+grant_scheduler::actions grant_scheduler::OnLinkLost(std::uint64_t link,
+                                                     core::time_point now) {
+  actions out;
+  links_.erase(link);
+  std::erase_if(waiting_,
+                [&](const auto& entry) { return entry.first.link == link; });
+  for (auto item = running_.begin(); item != running_.end();) {
+    const auto next = std::next(item);
+    if (item->first.link == link) RemoveRunning(item, now);
+    item = next;
+  }
+  Schedule(now, out);
+  return out;
+}
+
+void grant_scheduler::RemoveRunning(
+    std::map<ask_key, running_item>::iterator position, core::time_point now) {
+  const catalog::adapter_name adapter = position->second.wanted.adapter;
+  running_.erase(position);
+  if (adapter.adapter.empty()) return;
+  slots_.OnUsed(adapter, now);
+  const auto found = in_use_.find(adapter);
+  if (found != in_use_.end() && --found->second == 0) in_use_.erase(found);
+}
+
+// The engine.
+
+void grant_scheduler::SetFacts(const engine_facts& facts) {
+  facts_ = facts;
+  slots_.SetCapacity(facts.adapter_slots);
+}
+
+grant_scheduler::actions grant_scheduler::OnState(const engine_state& state,
+                                                  core::time_point asked_at,
+                                                  core::time_point now) {
+  actions out;
+  const bool restarted =
+      state_ && (state.started_unix_ms != state_->started_unix_ms ||
+                 state.orders_accepted < state_->orders_accepted);
+  if (restarted) slots_.Clear();
+  for (const auto& done : slots_.Reconcile(state, asked_at, now)) {
+    Smooth(load_time_, done.took);
+  }
+  if (!state.models.empty()) last_model_ = state.models.front().model;
+  state_ = state;
+  state_at_ = now;
+  needs_state_ = false;
+  Schedule(now, out);
+  return out;
+}
+
+grant_scheduler::actions grant_scheduler::OnEngineDown(core::time_point now) {
+  actions out;
+  needs_state_ = true;
+  state_at_ = now - options_.state_lifetime;
+  RefuseAll(refusal_reason::engine_down, now, out);
+  return out;
+}
+
+grant_scheduler::actions grant_scheduler::OnOrderEnded(
+    const engine_order& order, order_result result, core::time_point now) {
+  actions out;
+  order_underway_.reset();
+  if (!order.subject.adapter.empty()) {
+    slots_.OnOrderEnded(order, result, now);
+    if (result == order_result::impossible &&
+        order.what == engine_order::kind::load) {
+      unavailable_until_[order.subject] = now + kUnavailableTime;
+      std::vector<ask_key> hopeless;
+      for (const auto& [key, wanted] : waiting_) {
+        if (wanted.adapter == order.subject) hopeless.push_back(key);
+      }
+      for (const ask_key& key : hopeless) {
+        const ask wanted = waiting_.extract(key).mapped();
+        Refuse(key, refusal_reason::adapter_unavailable, kUnavailableTime,
+               core::milliseconds(0), wanted.adapter, now, out);
+      }
+    }
+  }
+  if (result != order_result::accepted && result != order_result::done) {
+    orders_paused_until_ = now + kOrderPause;
+    needs_state_ = result == order_result::unknown;
+  }
+  Schedule(now, out);
+  return out;
+}
+
+void grant_scheduler::OnPaused() { needs_state_ = true; }
+
+grant_scheduler::actions grant_scheduler::OnStopping(core::time_point now) {
+  actions out;
+  stopping_ = true;
+  RefuseAll(refusal_reason::stopping, now, out);
+  return out;
+}
+
+grant_scheduler::actions grant_scheduler::OnTick(core::time_point now) {
+  actions out;
+  std::erase_if(unavailable_until_,
+                [&](const auto& entry) { return entry.second <= now; });
+  while (!promises_.empty() && promises_.front().due + kPromiseLate <= now) {
+    promises_.pop_front();
+  }
+  Schedule(now, out);
+  return out;
+}
+
+bool grant_scheduler::IsServing(core::time_point now) const {
+  return state_.has_value() && now - state_at_ < options_.state_lifetime &&
+         !state_->models.empty();
+}
+
+bool grant_scheduler::HoldsModel(const core::model_id& model) const {
+  if (!state_) return false;
+  return std::any_of(
+      state_->models.begin(), state_->models.end(),
+      [&](const catalog::held_model& held) { return held.model == model; });
+}
+
+// Refusals.
+
+void grant_scheduler::Refuse(const ask_key& key, refusal_reason reason,
+                             core::milliseconds expected_wait,
+                             core::milliseconds patience,
+                             const catalog::adapter_name& adapter,
+                             core::time_point now, actions& out) {
+  core::milliseconds retry_after = kShortestRetryAfter;
+  if (reason == refusal_reason::wait_too_long ||
+      reason == refusal_reason::wait_expired) {
+    // By then the queue is short enough for half of the patience.
+    retry_after = expected_wait - patience / 2;
+  } else {
+    retry_after = std::max(retry_after, expected_wait);
+  }
+  // Jitter keeps callers that were refused together from returning together.
+  retry_after = FromDouble(ToDouble(retry_after) *
+                           (1.0 + 0.2 * random_.NextUnit()));
+  retry_after =
+      std::clamp(retry_after, kShortestRetryAfter, kLongestRetryAfter);
+  if (reason == refusal_reason::wait_too_long &&
+      promises_.size() < kMaximumPromises) {
+    const promise made{now + retry_after, adapter};
+    promises_.insert(
+        std::upper_bound(promises_.begin(), promises_.end(), made,
+                         [](const promise& left, const promise& right) {
+                           return left.due < right.due;
+                         }),
+        made);
+  }
+  out.push_back(refuse{key, reason, retry_after, expected_wait});
+}
+
+void grant_scheduler::RefuseAll(refusal_reason reason, core::time_point now,
+                                actions& out) {
+  for (const auto& [key, wanted] : std::exchange(waiting_, {})) {
+    Refuse(key, reason, core::milliseconds(0), core::milliseconds(0),
+           wanted.adapter, now, out);
+  }
+}
+
+void grant_scheduler::RefuseExpired(core::time_point now, actions& out) {
+  std::vector<ask_key> expired;
+  for (const auto& [key, wanted] : waiting_) {
+    if (wanted.give_up_at <= now) expired.push_back(key);
+  }
+  for (const ask_key& key : expired) {
+    const ask wanted = waiting_.extract(key).mapped();
+    Refuse(key, refusal_reason::wait_expired, ExpectedWait(wanted, now),
+           core::milliseconds(0), wanted.adapter, now, out);
+  }
+}
+
+bool grant_scheduler::TakePromise(const catalog::adapter_name& adapter,
+                                  core::time_point now) {
+  const auto kept = std::find_if(
+      promises_.begin(), promises_.end(), [&](const promise& made) {
+        return made.adapter == adapter && made.due - kPromiseEarly <= now &&
+               now < made.due + kPromiseLate;
+      });
+  if (kept == promises_.end()) return false;
+  promises_.erase(kept);
+  return true;
+}
+
+// Grants.
+
+void grant_scheduler::Schedule(core::time_point now, actions& out) {
+  RefuseExpired(now, out);
+  if (stopping_ || state_at_ + options_.state_lifetime <= now || !state_) {
+    return;
+  }
+  GrantReady(now, out);
+  PlanOrder(now, out);
+}
+
+bool grant_scheduler::IsReady(const ask& wanted) const {
+  if (!HoldsModel(wanted.adapter.model)) return false;
+  return wanted.adapter.adapter.empty() ||
+         slots_.IsReady(wanted.adapter, wanted.minimum_version);
+}
+
+bool grant_scheduler::IsLate(const ask& wanted, core::time_point now) const {
+  const auto reading =
+      FromDouble(static_cast<double>(wanted.prompt_tokens) / prompt_rate_);
+  return now + kStartOverhead + reading > wanted.goal_at;
+}
+
+bool grant_scheduler::ComesBefore(const ask& left, const ask& right,
+                                  core::time_point now) const {
+  return std::tuple(left.rank, IsLate(left, now), left.goal_at, left.key) <
+         std::tuple(right.rank, IsLate(right, now), right.goal_at, right.key);
+}
+
+void grant_scheduler::GrantReady(core::time_point now, actions& out) {
+  while (!waiting_.empty()) {
+    const bool oldest_first = grants_since_oldest_ >= kGrantsPerOldest;
+    const ask* best = nullptr;
+    for (const auto& [key, wanted] : waiting_) {
+      if (!IsReady(wanted)) continue;
+      if (best == nullptr ||
+          (oldest_first ? wanted.goal_at < best->goal_at
+                        : ComesBefore(wanted, *best, now))) {
+        best = &wanted;
+      }
+    }
+    if (best == nullptr || !MayStart(*best, now)) return;
+    grants_since_oldest_ = oldest_first ? 0 : grants_since_oldest_ + 1;
+    const ask_key key = best->key;
+    running_item item{.wanted = waiting_.extract(key).mapped(),
+                      .granted_at = now};
+    item.backlog_at_grant =
+        UnreadPromptTokens(now) + item.wanted.prompt_tokens;
+    std::int64_t version = 0;
+    const catalog::adapter_name& adapter = item.wanted.adapter;
+    if (!adapter.adapter.empty()) {
+      version = slots_.Find(adapter)->version;
+      slots_.OnUsed(adapter, now);
+      ++in_use_[adapter];
+    }
+    running_[key] = std::move(item);
+    out.push_back(grant{key, version});
+  }
+}
+
+std::int64_t grant_scheduler::UnreadPromptTokens(core::time_point now) const {
+  std::int64_t tokens = 0;
+  for (const auto& [key, item] : running_) {
+    if (item.started || now - item.granted_at > kLongestRead) continue;
+    tokens += item.wanted.prompt_tokens;
+  }
+  return tokens;
+}
+
+bool grant_scheduler::MayStart(const ask& wanted, core::time_point now) const {
+  if (running_.size() >= facts_.batch_slots) return false;
+  if (running_.empty()) return true;
+  if (facts_.cache_tokens > 0) {
+    std::int64_t tokens = wanted.prompt_tokens + wanted.output_tokens;
+    for (const auto& [key, item] : running_) {
+      tokens += item.wanted.prompt_tokens + item.wanted.output_tokens;
+    }
+    if (static_cast<double>(tokens) >
+        kMemoryShare * static_cast<double>(facts_.cache_tokens)) {
+      return false;
+    }
+  }
+  const std::int64_t unread = UnreadPromptTokens(now);
+  const auto gap =
+      wanted.event_gap.count() > 0 ? wanted.event_gap : kUsualEventGap;
+  const double limit = prompt_rate_ * kPromptShareOfGap * ToDouble(gap);
+  return unread == 0 ||
+         static_cast<double>(unread + wanted.prompt_tokens) <= limit;
+}
+
+// Loads.
+
+bool grant_scheduler::IsInUse(const catalog::adapter_name& adapter) const {
+  if (in_use_.count(adapter) > 0) return true;
+  return std::any_of(
+      waiting_.begin(), waiting_.end(),
+      [&](const auto& entry) { return entry.second.adapter == adapter; });
+}
+
+void grant_scheduler::PlanOrder(core::time_point now, actions& out) {
+  if (order_underway_ || needs_state_ || now < orders_paused_until_) return;
+  if (state_->models.empty()) {
+    PlanModelLoad(now, out);
+    return;
+  }
+  if (slots_.Loading() >= options_.maximum_loads) return;
+  const ask* first = nullptr;
+  for (const auto& [key, wanted] : waiting_) {
+    if (wanted.adapter.adapter.empty() || IsReady(wanted)) continue;
+    const adapter_slot* slot = slots_.Find(wanted.adapter);
+    if (slot != nullptr && slot->phase != adapter_slot::state::resident) {
+      continue;
+    }
+    if (first == nullptr || ComesBefore(wanted, *first, now)) first = &wanted;
+  }
+  if (first == nullptr) return;
+  if (slots_.Find(first->adapter) != nullptr || slots_.HasFreePlace()) {
+    Issue({engine_order::kind::load, first->adapter, first->minimum_version},
+          now, out);
+    return;
+  }
+  const auto victim = slots_.Victim(
+      [&](const catalog::adapter_name& name) { return !IsInUse(name); }, now);
+  if (victim) Issue({engine_order::kind::unload, *victim, 0}, now, out);
+}
+
+void grant_scheduler::PlanModelLoad(core::time_point now, actions& out) {
+  // A restarted engine holds nothing, and would stay so.
+  if (state_->busy) return;
+  core::model_id model = last_model_;
+  if (model.empty() && !facts_.models.empty()) model = facts_.models.front();
+  if (model.empty()) return;
+  Issue({engine_order::kind::load, {model, core::adapter_id()}, 0}, now, out);
+}
+
+void grant_scheduler::Issue(const engine_order& order, core::time_point now,
+                            actions& out) {
+  order_underway_ = order;
+  if (order.subject.adapter.empty()) {
+    // Until the engine has reported, it would be ordered again.
+    needs_state_ = true;
+  } else if (order.what == engine_order::kind::load) {
+    slots_.OnLoadOrdered(order.subject, now);
+  } else {
+    slots_.OnUnloadOrdered(order.subject, now);
+  }
+  out.push_back(order);
+}
+
+// Estimates.
+
+core::milliseconds grant_scheduler::ExpectedLoad(const ask& wanted,
+                                                 core::time_point now) const {
+  if (wanted.adapter.adapter.empty() || IsReady(wanted)) {
+    return core::milliseconds(0);
+  }
+  const adapter_slot* slot = slots_.Find(wanted.adapter);
+  if (slot != nullptr && slot->phase == adapter_slot::state::loading) {
+    const auto passed = core::ToMilliseconds(now - slot->changed_at);
+    return std::max(load_time_ - passed, core::milliseconds(0));
+  }
+  std::set<catalog::adapter_name> ahead;
+  for (const auto& [key, other] : waiting_) {
+    if (other.rank <= wanted.rank && !other.adapter.adapter.empty() &&
+        other.adapter != wanted.adapter && !IsReady(other)) {
+      ahead.insert(other.adapter);
+    }
+  }
+  const double rounds =
+      1.0 + static_cast<double>(std::max(ahead.size(), slots_.Loading())) /
+                static_cast<double>(options_.maximum_loads);
+  double wait = rounds * ToDouble(load_time_);
+  // Places come free as the requests that use them end.
+  std::size_t unused = slots_.Capacity() - std::min(slots_.Size(),
+                                                    slots_.Capacity());
+  for (const auto& [name, other] : slots_.Slots()) {
+    if (other.phase == adapter_slot::state::resident && !IsInUse(name)) {
+      ++unused;
+    }
+  }
+  if (unused <= ahead.size()) {
+    const auto missing = static_cast<double>(ahead.size() - unused + 1);
+    const auto places =
+        static_cast<double>(std::max<std::size_t>(1, in_use_.size()));
+    wait += missing * ToDouble(run_time_) / places;
+  }
+  return FromDouble(wait);
+}
+
+core::milliseconds grant_scheduler::ExpectedWait(const ask& wanted,
+                                                 core::time_point now) const {
+  std::size_t ahead = 0;
+  double tokens_ahead = static_cast<double>(UnreadPromptTokens(now));
+  for (const auto& [key, other] : waiting_) {
+    if (other.rank > wanted.rank) continue;
+    ++ahead;
+    tokens_ahead += static_cast<double>(other.prompt_tokens);
+  }
+  const auto horizon = wanted.give_up_at;
+  ahead += static_cast<std::size_t>(
+      std::count_if(promises_.begin(), promises_.end(),
+                    [&](const promise& made) { return made.due < horizon; }));
+  const std::size_t slots = std::max<std::size_t>(1, facts_.batch_slots);
+  const std::size_t free = slots - std::min(slots, running_.size());
+  double place_wait = 0.0;
+  if (ahead + 1 > free) {
+    place_wait = static_cast<double>(ahead + 1 - free) * ToDouble(run_time_) /
+                 static_cast<double>(slots);
+  }
+  const double reading_wait =
+      std::max(0.0, tokens_ahead / prompt_rate_ -
+                        kPromptShareOfGap * ToDouble(kUsualEventGap));
+  return FromDouble(std::max(place_wait, reading_wait)) +
+         ExpectedLoad(wanted, now);
+}
+
+// State.
+
+engine_status grant_scheduler::Status(core::time_point now) const {
+  engine_status status;
+  status.serving = IsServing(now) && !stopping_;
+  status.running = running_.size();
+  status.waiting = waiting_.size();
+  status.batch_slots = facts_.batch_slots;
+  status.free_adapter_slots =
+      slots_.Capacity() - std::min(slots_.Size(), slots_.Capacity());
+  for (const auto& [name, slot] : slots_.Slots()) {
+    if (slot.phase == adapter_slot::state::resident && !IsInUse(name)) {
+      ++status.free_adapter_slots;
+    }
+  }
+  std::set<catalog::adapter_name> loads;
+  for (const auto& [key, wanted] : waiting_) {
+    if (!wanted.adapter.adapter.empty() && !IsReady(wanted)) {
+      loads.insert(wanted.adapter);
+    }
+  }
+  status.loads_waiting = loads.size();
+  status.gateways = links_.size();
+  status.adapters_revision = slots_.Revision();
+  status.adapters = slots_.Adapters();
+  return status;
+}
+
+}  // namespace comfreyspring::grants
--- /dev/null
+++ b/src/grants/grant_scheduler.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "core/random_source.h"
+#include "core/time.h"
+#include "grants/grant_types.h"
+#include "grants/slot_table.h"
+
+namespace comfreyspring::grants {
+
+struct grant_options {
+  std::uint64_t random_seed = 1;
+  /**
+   * Adapters on their way to this engine at once. The weight store serves all
+   * engines at the same total speed, so more only delays the urgent ones.
+   */
+  std::size_t maximum_loads = 2;
+  /** Load of an adapter from an uncongested weight store. */
+  core::milliseconds initial_load_time{250};
+  /** Time that a request runs, until it has been measured. */
+  core::milliseconds initial_run_time{3000};
+  /** Prompt tokens that an engine reads in a millisecond, until measured. */
+  double initial_prompt_rate = 20.0;
+  /** A report of the engine that is older than this says nothing. */
+  core::milliseconds state_lifetime{1000};
+};
+
+/**
+ * Queue, grants and adapter loads of one engine.
+ *
+ * Load patterns that it answers:
+ * - many prompts at once: they would be read between the tokens of running
+ *   streams and make all of these late, so prompts that have not produced
+ *   output are kept to what fits into half a pause between events;
+ * - more work than the engine can start in time: the most urgent rank goes
+ *   first, in it work that still meets its goal, then what is late; what would
+ *   start after it gives up is refused at once and told when to return, and a
+ *   place is kept for it then;
+ * - demand that moves to other adapters: loads in the order of the queue, few
+ *   at a time, over adapters that nobody uses or waits for;
+ * - a restarted engine or agent: nothing is assumed to be loaded until the
+ *   engine has said so.
+ */
+class grant_scheduler {
+ public:
+  using actions = std::vector<grant_action>;
+
+  explicit grant_scheduler(grant_options options);
+
+  // Requests.
+
+  actions OnAsk(ask wanted, core::time_point now);
+  /** The gateway no longer wants it, waiting or granted. */
+  actions OnWithdrawn(const ask_key& key, core::time_point now);
+  /** A granted request has produced output. */
+  actions OnStarted(const ask_key& key, core::time_point now);
+  /** A granted request has ended; `missing`: the engine lacked the adapter. */
+  actions OnEnded(const ask_key& key, bool missing, core::time_point now);
+  /** A gateway's link has ended; its requests end with it. */
+  actions OnLinkLost(std::uint64_t link, core::time_point now);
+
+  // The engine.
+
+  void SetFacts(const engine_facts& facts);
+  /** @param asked_at when the report was asked for. */
+  actions OnState(const engine_state& state, core::time_point asked_at,
+                  core::time_point now);
+  /** The engine does not answer. */
+  actions OnEngineDown(core::time_point now);
+  actions OnOrderEnded(const engine_order& order, order_result result,
+                       core::time_point now);
+  /** After a pause nothing is decided until the engine has reported. */
+  void OnPaused();
+  /** Refuses what waits and all that comes. */
+  actions OnStopping(core::time_point now);
+  /** Ends waits. Call each 10 to 50 ms. */
+  actions OnTick(core::time_point now);
+
+  // State.
+
+  engine_status Status(core::time_point now) const;
+  std::size_t Running() const { return running_.size(); }
+  std::size_t Waiting() const { return waiting_.size(); }
+  const slot_table& Slots() const { return slots_; }
+  core::milliseconds LoadTime() const { return load_time_; }
+  core::milliseconds RunTime() const { return run_time_; }
+  /** Prompt tokens that the engine reads in a millisecond. */
+  double PromptRate() const { return prompt_rate_; }
+
+ private:
+  struct running_item {
+    ask wanted;
+    core::time_point granted_at;
+    bool started = false;
+    /** Prompt tokens not yet read at the grant, its own included. */
+    std::int64_t backlog_at_grant = 0;
+  };
+  /** A refused request that was told when to return. */
+  struct promise {
+    core::time_point due;
+    catalog::adapter_name adapter;
+  };
+
+  bool IsServing(core::time_point now) const;
+  bool HoldsModel(const core::model_id& model) const;
+  bool IsReady(const ask& wanted) const;
+  bool IsLate(const ask& wanted, core::time_point now) const;
+  bool ComesBefore(const ask& left, const ask& right,
+                   core::time_point now) const;
+  void Refuse(const ask_key& key, refusal_reason reason,
+              core::milliseconds expected_wait, core::milliseconds patience,
+              const catalog::adapter_name& adapter, core::time_point now,
+              actions& out);
+  void RefuseAll(refusal_reason reason, core::time_point now, actions& out);
+  void RefuseExpired(core::time_point now, actions& out);
+  void Schedule(core::time_point now, actions& out);
+  void GrantReady(core::time_point now, actions& out);
+  bool MayStart(const ask& wanted, core::time_point now) const;
+  void PlanOrder(core::time_point now, actions& out);
+  void PlanModelLoad(core::time_point now, actions& out);
+  void Issue(const engine_order& order, core::time_point now, actions& out);
+  bool IsInUse(const catalog::adapter_name& adapter) const;
+  std::int64_t UnreadPromptTokens(core::time_point now) const;
+  core::milliseconds ExpectedWait(const ask& wanted,
+                                  core::time_point now) const;
+  core::milliseconds ExpectedLoad(const ask& wanted,
+                                  core::time_point now) const;
+  bool TakePromise(const catalog::adapter_name& adapter, core::time_point now);
+  void RemoveRunning(std::map<ask_key, running_item>::iterator position,
+                     core::time_point now);
+
+  grant_options options_;
+  core::random_source random_;
+  engine_facts facts_;
+  slot_table slots_;
+  std::map<ask_key, ask> waiting_;
+  std::map<ask_key, running_item> running_;
+  /** Running requests by adapter. */
+  std::map<catalog::adapter_name, std::size_t> in_use_;
+  std::set<std::uint64_t> links_;
+  std::deque<promise> promises_;
+  std::optional<engine_state> state_;
+  core::time_point state_at_;
+  core::model_id last_model_;
+  std::optional<engine_order> order_underway_;
+  core::time_point orders_paused_until_;
+  std::map<catalog::adapter_name, core::time_point> unavailable_until_;
+  bool stopping_ = false;
+  bool needs_state_ = true;
+  int grants_since_oldest_ = 0;
+  core::milliseconds load_time_;
+  core::milliseconds run_time_;
+  double prompt_rate_;
+};
+
+}  // namespace comfreyspring::grants
--- /dev/null
+++ b/src/grants/grant_types.cc
@@ -0,0 +1,58 @@
+#include "grants/grant_types.h"
+
+#include <array>
+
+namespace comfreyspring::grants {
+namespace {
+
+constexpr std::array kReasons = {
+    refusal_reason::wait_too_long, refusal_reason::wait_expired,
+    refusal_reason::engine_down,   refusal_reason::model_absent,
+    refusal_reason::adapter_unavailable, refusal_reason::stopping};
+
+}  // namespace
+
+std::string_view ToString(order_result result) {
+  switch (result) {
+    case order_result::accepted:
+      return "accepted";
+    case order_result::done:
+      return "done";
+    case order_result::conflict:
+      return "conflict";
+    case order_result::stale_fencing:
+      return "stale_fencing";
+    case order_result::impossible:
+      return "impossible";
+    case order_result::unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view ToString(refusal_reason reason) {
+  switch (reason) {
+    case refusal_reason::wait_too_long:
+      return "wait_too_long";
+    case refusal_reason::wait_expired:
+      return "wait_expired";
+    case refusal_reason::engine_down:
+      return "engine_down";
+    case refusal_reason::model_absent:
+      return "model_absent";
+    case refusal_reason::adapter_unavailable:
+      return "adapter_unavailable";
+    case refusal_reason::stopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
+std::optional<refusal_reason> ParseRefusalReason(std::string_view text) {
+  for (const refusal_reason reason : kReasons) {
+    if (ToString(reason) == text) return reason;
+  }
+  return std::nullopt;
+}
+
+}  // namespace comfreyspring::grants
--- /dev/null
+++ b/src/grants/grant_types.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "catalog/endpoint_record.h"
+#include "catalog/route.h"
+#include "core/time.h"
+
+namespace comfreyspring::grants {
+
+/** Identifies a request for a grant: a link of a gateway and its number. */
+struct ask_key {
+  std::uint64_t link = 0;
+  std::uint64_t number = 0;
+  // clang-tidy 14 mistakes the compiler's own comparison with 0 for a pointer.
+  // NOLINTBEGIN(modernize-use-nullptr)
+  friend auto operator<=>(const ask_key&, const ask_key&) = default;
+  // NOLINTEND(modernize-use-nullptr)
+};
+
+/** A request that wants to run at the engine. */
+struct ask {
+  ask_key key;
+  /** The caller's request, for the log. */
+  std::string request;
+  /** The adapter is empty for the base model alone. */
+  catalog::adapter_name adapter;
+  /** Lowest version of the adapter that will do. */
+  std::int64_t minimum_version = 0;
+  /** 0 is the most urgent. */
+  int rank = 0;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t output_tokens = 0;
+  /** Longest pause between two events that counts as prompt. */
+  core::milliseconds event_gap{0};
+  /** First output after this counts as late. */
+  core::time_point goal_at;
+  /** A grant after this is of no use. */
+  core::time_point give_up_at;
+};
+
+/** What the configuration says of the engine. */
+struct engine_facts {
+  std::size_t batch_slots = 0;
+  std::size_t adapter_slots = 0;
+  std::int64_t cache_tokens = 0;
+  std::vector<core::model_id> models;
+};
+
+/** What the engine says of itself. */
+struct engine_state {
+  std::int64_t started_unix_ms = 0;
+  /** Orders accepted since its start. */
+  std::int64_t orders_accepted = 0;
+  /** A model is being loaded or unloaded. */
+  bool busy = false;
+  std::vector<catalog::held_model> models;
+  /** Adapters on their way to the engine. */
+  std::vector<catalog::adapter_name> loading;
+  std::int64_t running = 0;
+  std::int64_t queued = 0;
+  std::int64_t cache_used = 0;
+};
+
+/** An order to the engine. */
+struct engine_order {
+  enum class kind { load, unload };
+  kind what = kind::load;
+  /** Names a model alone if its adapter is empty. */
+  catalog::adapter_name subject;
+  /** 0: the newest. */
+  std::int64_t version = 0;
+};
+
+/** How an order ended. */
+enum class order_result {
+  /** Carried out in the background. */
+  accepted,
+  /** Holds already. */
+  done,
+  /** Another order is under way. */
+  conflict,
+  /** The engine has seen a higher fencing number. */
+  stale_fencing,
+  /** The engine does not know what is ordered. */
+  impossible,
+  /** The engine may or may not have accepted it. */
+  unknown,
+};
+
+std::string_view ToString(order_result result);
+
+/** Why a request is not granted. */
+enum class refusal_reason {
+  /** It would start after it gives up. */
+  wait_too_long,
+  /** It has waited until it gave up. */
+  wait_expired,
+  /** The engine does not serve. */
+  engine_down,
+  /** The engine does not have the model. */
+  model_absent,
+  /** The engine cannot load the adapter. */
+  adapter_unavailable,
+  /** The agent stops. */
+  stopping,
+};
+
+std::string_view ToString(refusal_reason reason);
+std::optional<refusal_reason> ParseRefusalReason(std::string_view text);
+
+/** The request may be sent to the engine now. */
+struct grant {
+  ask_key key;
+  /** Version of the adapter that the engine holds; 0 for the base model. */
+  std::int64_t version = 0;
+};
+/** The request does not run here. */
+struct refuse {
+  ask_key key;
+  refusal_reason reason = refusal_reason::wait_too_long;
+  /** When it would be granted if it returned. */
+  core::milliseconds retry_after{0};
+  /** The estimate that decided. */
+  core::milliseconds expected_wait{0};
+};
+using grant_action = std::variant<grant, refuse, engine_order>;
+
+/** What a gateway needs to know to choose an engine. */
+struct engine_status {
+  /** The engine answers, has a model and takes work. */
+  bool serving = false;
+  std::size_t running = 0;
+  std::size_t waiting = 0;
+  std::size_t batch_slots = 0;
+  /** Slots that are empty or hold an adapter that nobody uses. */
+  std::size_t free_adapter_slots = 0;
+  /** Adapters that wait for a load or are on their way. */
+  std::size_t loads_waiting = 0;
+  /** Gateways that have a link to the agent. */
+  std::size_t gateways = 0;
+  /** Changes with the list of adapters. */
+  std::uint64_t adapters_revision = 0;
+  /** Adapters that the engine holds or loads. */
+  std::vector<catalog::adapter_name> adapters;
+};
+
+}  // namespace comfreyspring::grants
--- /dev/null
+++ b/src/grants/messages.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "grants/grant_types.h"
+
+namespace comfreyspring::grants {
+
+// From a gateway to the agent of an engine.
+
+/** First message on a link, and again each second. */
+struct gateway_hello {
+  core::process_id gateway;
+  engine_facts facts;
+};
+/** Asks for a grant; times are relative to the sending. */
+struct grant_wanted {
+  std::uint64_t number = 0;
+  std::string request;
+  catalog::adapter_name adapter;
+  std::int64_t minimum_version = 0;
+  int rank = 0;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t output_tokens = 0;
+  core::milliseconds event_gap{0};
+  core::milliseconds goal_in{0};
+  core::milliseconds give_up_in{0};
+};
+struct grant_withdrawn {
+  std::uint64_t number = 0;
+};
+struct run_started {
+  std::uint64_t number = 0;
+};
+struct run_ended {
+  std::uint64_t number = 0;
+  bool adapter_missing = false;
+};
+
+// From the agent to a gateway.
+
+struct grant_given {
+  std::uint64_t number = 0;
+  std::int64_t version = 0;
+};
+struct grant_refused {
+  std::uint64_t number = 0;
+  refusal_reason reason = refusal_reason::wait_too_long;
+  core::milliseconds retry_after{0};
+  core::milliseconds expected_wait{0};
+};
+/** The list of adapters is sent when it has changed. */
+struct status_report {
+  engine_status status;
+  bool has_adapters = false;
+};
+
+using message =
+    std::variant<gateway_hello, grant_wanted, grant_withdrawn, run_started,
+                 run_ended, grant_given, grant_refused, status_report>;
+
+/** Encodes as one CBOR map. */
+std::string Encode(const message& value);
+/** @throws core::invalid_value_error on any other bytes. */
+message Decode(std::string_view frame);
+
+}  // namespace comfreyspring::grants
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -18,6 +18,8 @@
 struct http_call {
   std::string method = "GET";
   std::string url;
+  /** Sent as it is in place of the path and query of `url`, unless empty. */
+  std::string target;
   header_map headers;
   std::string body;
   core::milliseconds connect_timeout{1000};
@@ -27,6 +29,13 @@
   core::milliseconds idle_timeout{0};
   /** Opens a new connection instead of reusing an idle one. */
   bool fresh_connection = false;
+  /** An idle connection that is older than this is not reused. */
+  core::seconds maximum_connection_idle{30};
+  /**
+   * False: the call is never sent a second time, also not for a safe method
+   * whose reused connection ends without an answer.
+   */
+  bool may_resend = true;
 };
 
 /** How far a failed call may have got. */
--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -63,8 +63,10 @@
 
 // The request.
 
-void http_exchange_state::ReadHead(const char* url, const char* method) {
+void http_exchange_state::ReadHead(std::string target, const char* url,
+                                   const char* method) {
   request_.method = method;
+  request_.target = std::move(target);
   request_.path = url;
   MHD_get_connection_values(connection_, MHD_HEADER_KIND, &AddHeader,
                             &request_.headers);
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -36,7 +36,7 @@
   // Called by the server.
 
   /** Reads the method, path, query and headers. */
-  void ReadHead(const char* url, const char* method);
+  void ReadHead(std::string target, const char* url, const char* method);
   /** True if the body is too large and is answered 413 without reading it. */
   bool MustRefuseUnread(std::size_t maximum_bytes) const;
   /** @returns false if the connection is to be closed. */
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -72,6 +72,7 @@
         options.maximum_header_bytes, MHD_OPTION_CONNECTION_LIMIT,
         options.maximum_connections, MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(options.idle_timeout.count()),
+        MHD_OPTION_URI_LOG_CALLBACK, &impl::OnTarget, this,
         MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, this,
         MHD_OPTION_NOTIFY_CONNECTION, &impl::OnConnection, this,
         MHD_OPTION_END);
@@ -134,6 +135,13 @@
     });
   }
 
+  /** Called by the daemon with the request line, before the headers. */
+  static void* OnTarget(void* self, const char* target,
+                        MHD_Connection* connection) noexcept {
+    static_cast<impl*>(self)->targets[connection] = target;
+    return nullptr;
+  }
+
   /** Called by the daemon once for the headers, for body data, at the end. */
   static MHD_Result OnAccess(void* self, MHD_Connection* connection,
                              const char* url, const char* method,
@@ -157,7 +165,9 @@
   MHD_Result BeginRequest(MHD_Connection* connection, const char* url,
                           const char* method, void** context) {
     auto exchange = std::make_shared<http_exchange_state>(*this, connection);
-    exchange->ReadHead(url, method);
+    const auto target = targets.extract(connection);
+    exchange->ReadHead(target.empty() ? std::string(url) : target.mapped(), url,
+                       method);
     *context = exchange.get();
     http_exchange_state& reference = *exchange;
     exchanges[connection] = std::move(exchange);
@@ -181,6 +191,7 @@
                           void** /*context*/,
                           MHD_RequestTerminationCode code) noexcept {
     auto* server = static_cast<impl*>(self);
+    server->targets.erase(connection);
     const auto found = server->exchanges.find(connection);
     if (found == server->exchanges.end()) return;
     const auto exchange = found->second;
@@ -210,6 +221,8 @@
   bool connection_changed = false;
   bool connection_closed = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  /** Targets of requests whose headers have not been read. */
+  std::unordered_map<MHD_Connection*, std::string> targets;
   std::unordered_map<MHD_Connection*, std::shared_ptr<http_exchange_state>>
       exchanges;
 };
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -17,6 +17,8 @@
 
 struct http_request {
   std::string method;
+  /** Request target as the client sent it: path and query, not decoded. */
+  std::string target;
   /** Path without the query string, percent-decoded. */
   std::string path;
   std::map<std::string, std::string> query;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -67,6 +67,7 @@
                                    .body = std::string("bo\0dy", 5)});
   EXPECT_EQ(seen.method, "PUT");
   EXPECT_EQ(seen.path, "/a b/c");
+  EXPECT_EQ(seen.target.substr(0, 8), "/a%20b/c");
   EXPECT_EQ(seen.query.at("key"), "v=1");
   EXPECT_EQ(seen.query.at("empty"), "");
   EXPECT_EQ(seen.headers.at("x-mixed-case"), "Value");
@@ -78,6 +79,21 @@
 }
 
 // Guards requests whose answer comes turns later, from a timer.
+// A forwarded target must reach the endpoint byte for byte.
+TEST_F(http_server_test, KeepsTheTargetAsItWasSent) {
+  std::vector<std::string> seen;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    seen.push_back(exchange->Request().target);
+    exchange->Respond({200, {}, ""});
+  });
+  const std::vector<std::string> targets = {"/a%2Fb/../c%20d?x=%41&y", "/p?",
+                                            "//double/./dot?q=a+b%zz"};
+  for (const std::string& target : targets) {
+    Call({.url = Url("/"), .target = target});
+  }
+  EXPECT_EQ(seen, targets);
+}
+
 TEST_F(http_server_test, AnswersLater) {
   StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
     loop_.Schedule(milliseconds(20), [exchange] {
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -8,9 +8,6 @@
 namespace comfreyspring::net {
 namespace {
 
-// A connection that was idle for longer may have been dropped on the way
-// without notice.
-constexpr long kMaximumIdleSeconds = 30;
 constexpr long kKeepaliveSeconds = 10;
 // A larger answer fails the call; a streamed answer is passed on without limit.
 constexpr std::size_t kMaximumBodyBytes = 64UL * 1024 * 1024;
@@ -58,6 +55,9 @@
 void http_transfer::SetUrlAndMethod() {
   CURL* easy = easy_.get();
   SetOption(easy, CURLOPT_URL, call_.url.c_str());
+  if (!call_.target.empty()) {
+    SetOption(easy, CURLOPT_REQUEST_TARGET, call_.target.c_str());
+  }
   SetOption(easy, CURLOPT_PROTOCOLS_STR, "http");
   SetOption(easy, CURLOPT_NOPROXY, "*");
   SetOption(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
@@ -98,14 +98,15 @@
   SetOption(easy, CURLOPT_TIMEOUT_MS,
             static_cast<long>(call_.total_timeout.count()));
   SetOption(easy, CURLOPT_FRESH_CONNECT, call_.fresh_connection ? 1L : 0L);
-  SetOption(easy, CURLOPT_MAXAGE_CONN, kMaximumIdleSeconds);
+  SetOption(easy, CURLOPT_MAXAGE_CONN,
+            static_cast<long>(call_.maximum_connection_idle.count()));
   SetOption(easy, CURLOPT_TCP_KEEPALIVE, 1L);
   SetOption(easy, CURLOPT_TCP_KEEPIDLE, kKeepaliveSeconds);
   SetOption(easy, CURLOPT_TCP_KEEPINTVL, kKeepaliveSeconds);
 }
 
 bool http_transfer::IsSafeToRepeat() const {
-  return call_.method == "GET" || call_.method == "HEAD";
+  return call_.may_resend && (call_.method == "GET" || call_.method == "HEAD");
 }
 
 // Library callbacks.
--- /dev/null
+++ b/src/sidecar/engine_steward.cc
@@ -0,0 +1,241 @@
+#include "sidecar/engine_steward.h"
+
+#include <utility>
+#include <variant>
+
+namespace comfreyspring::sidecar {
+namespace {
+
+/** Precision of the end of waits. */
+constexpr core::milliseconds kTickPeriod{20};
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+std::string NameOf(const catalog::adapter_name& name) {
+  return name.adapter.empty() ? name.model.Value()
+                              : name.model.Value() + '/' + name.adapter.Value();
+}
+
+}  // namespace
+
+engine_steward::engine_steward(net::event_loop& loop, engine_port& engine,
+                               steward_options options, sender send,
+                               telemetry::event_log& log,
+                               telemetry::metrics& metrics)
+    : loop_(loop),
+      engine_(engine),
+      options_(std::move(options)),
+      send_(std::move(send)),
+      log_(log),
+      metrics_(metrics),
+      scheduler_(options_.grants),
+      fencing_(loop.WallNow()),
+      answered_at_(loop.Now()) {}
+
+engine_steward::~engine_steward() {
+  *alive_ = false;
+  loop_.Cancel(read_timer_);
+  loop_.Cancel(tick_timer_);
+}
+
+void engine_steward::Start() {
+  tick_timer_ = loop_.SchedulePeriodic(
+      kTickPeriod, [this] { Perform(scheduler_.OnTick(loop_.Now())); });
+  ReadState();
+}
+
+void engine_steward::Stop() {
+  Perform(scheduler_.OnStopping(loop_.Now()));
+}
+
+void engine_steward::OnPaused(core::milliseconds length) {
+  log_.Belief("pause_noticed").Add("length_ms", length.count());
+  scheduler_.OnPaused();
+}
+
+grants::engine_status engine_steward::Status() const {
+  return scheduler_.Status(loop_.Now());
+}
+
+// Messages.
+
+void engine_steward::OnMessage(std::uint64_t link,
+                               const grants::message& value) {
+  const auto now = loop_.Now();
+  std::visit(
+      overloaded{
+          [&](const grants::gateway_hello& hello) {
+            scheduler_.SetFacts(hello.facts);
+          },
+          [&](const grants::grant_wanted& wanted) { OnAsk(link, wanted); },
+          [&](const grants::grant_withdrawn& withdrawn) {
+            Perform(scheduler_.OnWithdrawn({link, withdrawn.number}, now));
+          },
+          [&](const grants::run_started& started) {
+            Perform(scheduler_.OnStarted({link, started.number}, now));
+          },
+          [&](const grants::run_ended& ended) {
+            Perform(scheduler_.OnEnded({link, ended.number},
+                                       ended.adapter_missing, now));
+          },
+          [&](const auto&) {
+            log_.Belief("message_unexpected").Add("link", link);
+          }},
+      value);
+}
+
+void engine_steward::OnAsk(std::uint64_t link,
+                           const grants::grant_wanted& wanted) {
+  const auto now = loop_.Now();
+  metrics_.Count("sidecar_asks_total");
+  Perform(scheduler_.OnAsk({.key = {link, wanted.number},
+                            .request = wanted.request,
+                            .adapter = wanted.adapter,
+                            .minimum_version = wanted.minimum_version,
+                            .rank = wanted.rank,
+                            .prompt_tokens = wanted.prompt_tokens,
+                            .output_tokens = wanted.output_tokens,
+                            .event_gap = wanted.event_gap,
+                            .goal_at = now + wanted.goal_in,
+                            .give_up_at = now + wanted.give_up_in},
+                           now));
+}
+
+void engine_steward::OnLinkLost(std::uint64_t link) {
+  Perform(scheduler_.OnLinkLost(link, loop_.Now()));
+}
+
+// Actions.
+
+void engine_steward::Perform(grants::grant_scheduler::actions actions) {
+  for (const grants::grant_action& action : actions) {
+    std::visit(
+        overloaded{[&](const grants::grant& given) {
+                     metrics_.Count("sidecar_grants_total");
+                     send_(given.key.link,
+                           grants::grant_given{given.key.number,
+                                               given.version});
+                   },
+                   [&](const grants::refuse& refused) {
+                     metrics_.Count(
+                         "sidecar_refusals_total{reason=\"" +
+                         std::string(grants::ToString(refused.reason)) +
+                         "\"}");
+                     send_(refused.key.link,
+                           grants::grant_refused{
+                               refused.key.number, refused.reason,
+                               refused.retry_after, refused.expected_wait});
+                   },
+                   [&](const grants::engine_order& order) {
+                     PerformOrder(order);
+                   }},
+        action);
+  }
+}
+
+void engine_steward::PerformOrder(const grants::engine_order& order) {
+  order_underway_ = true;
+  const std::int64_t fencing = fencing_.Value();
+  engine_.Order(
+      order, {options_.node, fencing}, options_.order_timeout,
+      [this, order, fencing, alive = alive_](grants::order_result result,
+                                             const std::string& text) {
+        if (!*alive) return;
+        order_underway_ = false;
+        const bool loads = order.what == grants::engine_order::kind::load;
+        log_.Belief("engine_order")
+            .Add("order", loads ? "load" : "unload")
+            .Add("subject", NameOf(order.subject))
+            .Add("version", order.version)
+            .Add("fencing", fencing)
+            .Add("result", std::string(grants::ToString(result)))
+            .Add("answer", text);
+        metrics_.Count(std::string("sidecar_orders_total{order=\"") +
+                       (loads ? "load" : "unload") + "\",result=\"" +
+                       std::string(grants::ToString(result)) + "\"}");
+        if (result == grants::order_result::stale_fencing) {
+          fencing_.OnStale(loop_.WallNow());
+        }
+        Perform(scheduler_.OnOrderEnded(order, result, loop_.Now()));
+      });
+}
+
+// The engine's state.
+
+void engine_steward::ReadState() {
+  const auto asked_at = loop_.Now();
+  engine_.ReadState(
+      options_.state_timeout,
+      [this, asked_at, alive = alive_](
+          const std::optional<grants::engine_state>& state,
+          const std::string& error) {
+        if (!*alive) return;
+        OnState(state, error, asked_at);
+        ScheduleRead();
+      });
+}
+
+void engine_steward::OnState(const std::optional<grants::engine_state>& state,
+                             const std::string& error,
+                             core::time_point asked_at) {
+  const auto now = loop_.Now();
+  if (state) {
+    answered_at_ = now;
+    if (!engine_answers_) {
+      engine_answers_ = true;
+      log_.Dependency("engine", "regained")
+          .Add("started_ms", state->started_unix_ms);
+    }
+    if (engine_started_ms_ != state->started_unix_ms) {
+      log_.Belief("engine_instance")
+          .Add("before_ms", engine_started_ms_)
+          .Add("started_ms", state->started_unix_ms)
+          .Add("orders", state->orders_accepted);
+      engine_started_ms_ = state->started_unix_ms;
+    }
+    Perform(scheduler_.OnState(*state, asked_at, now));
+    return;
+  }
+  metrics_.Count("sidecar_state_failures_total");
+  if (now - answered_at_ < options_.down_after) return;
+  if (engine_answers_) {
+    engine_answers_ = false;
+    log_.Dependency("engine", "lost")
+        .Add("reason", error)
+        .Add("silent_ms", core::ToMilliseconds(now - answered_at_).count());
+  }
+  Perform(scheduler_.OnEngineDown(now));
+}
+
+void engine_steward::ScheduleRead() {
+  const bool urgent =
+      !engine_answers_ || order_underway_ || scheduler_.Slots().Loading() > 0;
+  read_timer_ = loop_.Schedule(
+      urgent ? options_.urgent_state_period : options_.state_period, [this] {
+        read_timer_ = 0;
+        ReadState();
+      });
+}
+
+void engine_steward::UpdateMetrics() {
+  const auto status = Status();
+  metrics_.SetGauge("sidecar_running", static_cast<double>(status.running));
+  metrics_.SetGauge("sidecar_waiting", static_cast<double>(status.waiting));
+  metrics_.SetGauge("sidecar_adapter_slots_free",
+                    static_cast<double>(status.free_adapter_slots));
+  metrics_.SetGauge("sidecar_loads_waiting",
+                    static_cast<double>(status.loads_waiting));
+  metrics_.SetGauge("sidecar_serving", status.serving ? 1 : 0);
+  metrics_.SetGauge("sidecar_load_time_ms",
+                    static_cast<double>(scheduler_.LoadTime().count()));
+  metrics_.SetGauge("sidecar_run_time_ms",
+                    static_cast<double>(scheduler_.RunTime().count()));
+  metrics_.SetGauge("sidecar_prompt_tokens_per_ms", scheduler_.PromptRate());
+}
+
+}  // namespace comfreyspring::sidecar
--- /dev/null
+++ b/src/sidecar/engine_steward.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "grants/fencing_counter.h"
+#include "grants/grant_scheduler.h"
+#include "grants/messages.h"
+#include "net/event_loop.h"
+#include "sidecar/engine_port.h"
+#include "telemetry/event_log.h"
+#include "telemetry/metrics.h"
+
+namespace comfreyspring::sidecar {
+
+struct steward_options {
+  core::process_id node;
+  /** Between two reads of the engine's state; it is free from this VM. */
+  core::milliseconds state_period{100};
+  /** The same while an order is being carried out or the engine is away. */
+  core::milliseconds urgent_state_period{30};
+  core::milliseconds state_timeout{400};
+  core::milliseconds order_timeout{1000};
+  /** The engine counts as down after so long without an answer. */
+  core::milliseconds down_after{500};
+  grants::grant_options grants;
+};
+
+/**
+ * Runs the scheduler of one engine: feeds it with reports and messages,
+ * carries out its orders and sends its answers.
+ */
+class engine_steward {
+ public:
+  /** Sends a message over a link; a link that is gone ignores it. */
+  using sender =
+      std::function<void(std::uint64_t link, const grants::message& value)>;
+
+  /** The referenced objects must outlive the steward. */
+  engine_steward(net::event_loop& loop, engine_port& engine,
+                 steward_options options, sender send,
+                 telemetry::event_log& log, telemetry::metrics& metrics);
+  ~engine_steward();
+  engine_steward(const engine_steward&) = delete;
+  engine_steward& operator=(const engine_steward&) = delete;
+
+  void Start();
+  void OnMessage(std::uint64_t link, const grants::message& value);
+  void OnLinkLost(std::uint64_t link);
+  void OnPaused(core::milliseconds length);
+  void Stop();
+
+  const grants::grant_scheduler& Scheduler() const { return scheduler_; }
+  grants::engine_status Status() const;
+  void UpdateMetrics();
+
+ private:
+  void Perform(grants::grant_scheduler::actions actions);
+  void PerformOrder(const grants::engine_order& order);
+  void ReadState();
+  void OnState(const std::optional<grants::engine_state>& state,
+               const std::string& error, core::time_point asked_at);
+  void ScheduleRead();
+  void OnAsk(std::uint64_t link, const grants::grant_wanted& wanted);
+
+  net::event_loop& loop_;
+  engine_port& engine_;
+  steward_options options_;
+  sender send_;
+  telemetry::event_log& log_;
+  telemetry::metrics& metrics_;
+  grants::grant_scheduler scheduler_;
+  grants::fencing_counter fencing_;
+  std::int64_t engine_started_ms_ = 0;
+  core::time_point answered_at_;
+  bool engine_answers_ = false;
+  bool order_underway_ = false;
+  net::timer_id read_timer_ = 0;
+  net::timer_id tick_timer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace comfreyspring::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_program.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <memory>
+
+#include "net/event_loop.h"
+#include "settings/node_settings.h"
+#include "sidecar/engine_port.h"
+#include "telemetry/event_log.h"
+
+namespace comfreyspring::sidecar {
+
+/** The process beside one engine: links of gateways, metrics, steward. */
+class sidecar_program {
+ public:
+  /** The referenced objects must outlive the program. @throws net_error */
+  sidecar_program(net::event_loop& loop,
+                  const settings::node_settings& settings, engine_port& engine,
+                  telemetry::event_log& log);
+  ~sidecar_program();
+  sidecar_program(const sidecar_program&) = delete;
+  sidecar_program& operator=(const sidecar_program&) = delete;
+
+  std::uint16_t LinkPort() const;
+  std::uint16_t AdminPort() const;
+  /** Refuses new work and ends the loop soon. */
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace comfreyspring::sidecar
--- /dev/null
+++ b/src/telemetry/event_log_test.cc
@@ -0,0 +1,106 @@
+#include "telemetry/event_log.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace comfreyspring::telemetry {
+namespace {
+
+class event_log_test : public ::testing::Test {
+ protected:
+  event_log Make(event_log_options options = {}) {
+    return event_log(
+        "gateway-1", options, [this] { return now_; },
+        [this](std::string_view text) -> std::int64_t {
+          if (!reader_reads_) return -1;
+          const auto taken = text.substr(0, write_limit_);
+          output_ += taken;
+          return static_cast<std::int64_t>(taken.size());
+        });
+  }
+
+  std::vector<nlohmann::json> Lines() const {
+    std::vector<nlohmann::json> lines;
+    std::istringstream input(output_);
+    for (std::string text; std::getline(input, text);) {
+      lines.push_back(nlohmann::json::parse(text));
+    }
+    return lines;
+  }
+
+  core::wall_time now_ = core::WallTimeFromUnix(1'000);
+  bool reader_reads_ = true;
+  std::size_t write_limit_ = 7;
+  std::string output_;
+};
+
+TEST_F(event_log_test, WritesOneObjectALine) {
+  auto log = Make();
+  log.Request(line_class::failure, "refused", "id-1")
+      .Add("reason", "queue \"full\"\n\x01\xff")
+      .Add("wait_ms", 12)
+      .Add("retry", true);
+  log.Dependency("platform", "lost").Add("reason", "timeout");
+  log.Flush();
+  const auto lines = Lines();
+  ASSERT_EQ(lines.size(), 2U);
+  EXPECT_EQ(lines[0]["time_ms"], 1000);
+  EXPECT_EQ(lines[0]["process"], "gateway-1");
+  EXPECT_EQ(lines[0]["event"], "refused");
+  EXPECT_EQ(lines[0]["request"], "id-1");
+  EXPECT_EQ(lines[0]["wait_ms"], 12);
+  EXPECT_EQ(lines[0]["retry"], true);
+  EXPECT_EQ(lines[1]["name"], "platform");
+  EXPECT_EQ(lines[1]["change"], "lost");
+}
+
+// A reader that does not read must cost neither memory nor time.
+TEST_F(event_log_test, BoundsTheBufferWithoutAReader) {
+  auto log = Make({.beliefs_per_second = 1e9, .maximum_buffered_bytes = 2000});
+  reader_reads_ = false;
+  for (int i = 0; i < 10'000; ++i) log.Belief("endpoint").Add("number", i);
+  log.Flush();
+  EXPECT_GT(log.Dropped(), 9'000U);
+  reader_reads_ = true;
+  log.Flush();
+  EXPECT_LE(output_.size(), 2000U);
+  log.Flush();
+  const auto lines = Lines();
+  EXPECT_EQ(lines.back()["event"], "log_lines_dropped");
+  EXPECT_GT(lines.back()["lines"], 9'000);
+}
+
+// Routine lines under load must not crowd out those of failures.
+TEST_F(event_log_test, LimitsEachClassByItself) {
+  auto log = Make({.routine_per_second = 5, .failures_per_second = 10});
+  for (int i = 0; i < 100; ++i) {
+    log.Request(line_class::routine, "answered", "a");
+  }
+  for (int i = 0; i < 8; ++i) log.Request(line_class::failure, "failed", "b");
+  log.Flush();
+  EXPECT_EQ(Lines().size(), 5U + 8U + 1U);
+  EXPECT_EQ(log.Dropped(), 95U);
+  now_ += core::seconds(1);
+  log.Request(line_class::routine, "answered", "c");
+  log.Flush();
+  EXPECT_EQ(Lines().back()["request"], "c");
+}
+
+// A clock that is set back must not silence the log.
+TEST_F(event_log_test, GoesOnAfterTheClockIsSetBack) {
+  auto log = Make({.failures_per_second = 2});
+  for (int i = 0; i < 3; ++i) log.Request(line_class::failure, "failed", "a");
+  now_ -= core::seconds(3600);
+  log.Request(line_class::failure, "failed", "a");
+  now_ += core::seconds(1);
+  log.Request(line_class::failure, "failed", "late");
+  log.Flush();
+  EXPECT_EQ(Lines().back()["request"], "late");
+}
+
+}  // namespace
+}  // namespace comfreyspring::telemetry
