--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -128,7 +128,10 @@
   revision_ = std::max(revision_, read.revision);
   NoteMassRemoval(read.changes);
   Apply(std::move(read.changes));
-  ReadChanges();
+  retry_timer_ = loop_.Schedule(options_.watch_pause, [this] {
+    retry_timer_ = 0;
+    ReadChanges();
+  });
 }
 
 void catalog_follower::OnContact() {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -17,6 +17,12 @@
 struct follower_options {
   /** Longest wait of one read for changes. */
   core::milliseconds watch_wait{3000};
+  /**
+   * Pause between two reads for changes: heartbeats of endpoints would end
+   * each wait at once, and every read has its price. A fraction of the time
+   * in which changes must be in force.
+   */
+  core::milliseconds watch_pause{400};
   /** An answer that is later than this is given up: 10 times the usual. */
   core::milliseconds read_timeout{1000};
   /** First pause after a failed read; doubles up to the longest. */
--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -19,6 +19,8 @@
 constexpr double kSlowFactor = 2.5;
 constexpr double kSlowWeight = 0.3;
 constexpr double kSuspectWeight = 1.0;
+/** Wait for prompts to be read that counts like a full batch, in ms. */
+constexpr double kReadingWaitOfFullLoad = 600.0;
 /** Load by which engines of an adapter may exceed the mean of all. */
 constexpr double kLoadHeadroom = 0.15;
 constexpr double kLoadFactor = 1.25;
@@ -92,6 +94,8 @@
                                       view.status.waiting +
                                       view.asked_since_status) /
                   slots;
+    result.load += static_cast<double>(view.status.reading_wait.count()) /
+                   kReadingWaitOfFullLoad;
     result.has_place = view.status.free_adapter_slots > 0;
   } else {
     // Without its agent an engine only serves what it holds.
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -67,6 +67,8 @@
     core::time_point arrived;
     /** The caller has heard nothing since then. */
     core::time_point last_output;
+    core::milliseconds first_event{0};
+    core::milliseconds longest_gap{0};
     /** It must have its final answer by then. */
     core::time_point limit;
     request_patience patience;
@@ -478,14 +480,18 @@
     }
     if (!request->answer_begun) {
       request->answer_begun = true;
-      metrics.Observe(
-          "gateway_first_event_ms",
-          static_cast<double>(
-              core::ToMilliseconds(now - request->arrived).count()));
+      request->first_event = core::ToMilliseconds(now - request->arrived);
+      metrics.Observe("gateway_first_event_ms",
+                      static_cast<double>(request->first_event.count()));
       auto headers = protocol.AnswerHeaders(request->headers);
       if (draining) headers["connection"] = "close";
       request->exchange->BeginStream(request->status, std::move(headers));
     }
+    if (request->events_passed > 0) {
+      request->longest_gap =
+          std::max(request->longest_gap,
+                   core::ToMilliseconds(now - request->last_output));
+    }
     request->events_passed = request->events.Count();
     request->last_output = now;
     if (request->exchange->PendingBytes() > kMaximumPendingBytes) {
@@ -689,6 +695,10 @@
         .Add("took_ms", took.count())
         .Add("attempts", request->attempts)
         .Add("events", request->events_passed);
+    if (request->events_passed > 0) {
+      line.Add("first_event_ms", request->first_event.count())
+          .Add("longest_gap_ms", request->longest_gap.count());
+    }
     if (!cause.empty()) line.Add("cause", cause);
     if (retry_after) line.Add("retry_after_ms", retry_after->count());
     Release(*request, false);
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -10,14 +10,8 @@
 
 /** Weight of a new sample in smoothed times and rates. */
 constexpr double kSmoothing = 0.1;
-/** Bounds of the measured prompt rate, tokens a millisecond. */
-constexpr double kLowestPromptRate = 4.0;
-constexpr double kHighestPromptRate = 200.0;
-/** A smaller backlog says little: other delays outweigh it. */
-constexpr std::int64_t kSmallestRateSample = 500;
-/** Part of a pause between events that reading prompts may take. */
-constexpr double kPromptShareOfGap = 0.5;
-constexpr core::milliseconds kUsualEventGap{300};
+/** Unread prompts may take this part of a pause between events to read. */
+constexpr double kUnreadShareOfGap = 0.6;
 /** From the grant to the first output beside reading: network and a step. */
 constexpr core::milliseconds kStartOverhead{40};
 /** A granted prompt without output counts as unread no longer than this. */
@@ -56,7 +50,7 @@
       random_(options.random_seed),
       load_time_(options.initial_load_time),
       run_time_(options.initial_run_time),
-      prompt_rate_(options.initial_prompt_rate) {}
+      pacer_(options.initial_prompt_rate) {}
 
 // Requests.
 
@@ -118,14 +112,9 @@
   if (found == running_.end() || found->second.started) return out;
   running_item& item = found->second;
   item.started = true;
-  const auto took = core::ToMilliseconds(now - item.granted_at);
-  if (item.backlog_at_grant >= kSmallestRateSample && took.count() > 0) {
-    const double reading =
-        std::max(1.0, ToDouble(took - kStartOverhead));
-    const double rate = static_cast<double>(item.backlog_at_grant) / reading;
-    prompt_rate_ = std::clamp(
-        prompt_rate_ * (1.0 - kSmoothing) + rate * kSmoothing,
-        kLowestPromptRate, kHighestPromptRate);
+  if (item.reads_alone) {
+    pacer_.OnFirstOutput(item.wanted.prompt_tokens,
+                         core::ToMilliseconds(now - item.granted_at));
   }
   Schedule(now, out);
   return out;
@@ -350,7 +339,7 @@
 
 bool grant_scheduler::IsLate(const ask& wanted, core::time_point now) const {
   const auto reading =
-      FromDouble(static_cast<double>(wanted.prompt_tokens) / prompt_rate_);
+      FromDouble(static_cast<double>(wanted.prompt_tokens) / pacer_.Rate());
   return now + kStartOverhead + reading > wanted.goal_at;
 }
 
@@ -377,8 +366,16 @@
     const ask_key key = best->key;
     running_item item{.wanted = waiting_.extract(key).mapped(),
                       .granted_at = now};
-    item.backlog_at_grant =
-        UnreadPromptTokens(now) + item.wanted.prompt_tokens;
+    item.reads_alone = UnreadPromptTokens(now) == 0;
+    if (!item.reads_alone) {
+      for (auto& [other_key, other] : running_) {
+        if (!other.started) other.reads_alone = false;
+      }
+    }
+    if (item.wanted.event_gap.count() > 0) {
+      pacer_.SetEventGap(item.wanted.event_gap);
+    }
+    pacer_.OnGranted(item.wanted.prompt_tokens, now);
     std::int64_t version = 0;
     const catalog::adapter_name& adapter = item.wanted.adapter;
     if (!adapter.adapter.empty()) {
@@ -413,10 +410,10 @@
       return false;
     }
   }
+  if (!pacer_.IsOpen(now)) return false;
   const std::int64_t unread = UnreadPromptTokens(now);
-  const auto gap =
-      wanted.event_gap.count() > 0 ? wanted.event_gap : kUsualEventGap;
-  const double limit = prompt_rate_ * kPromptShareOfGap * ToDouble(gap);
+  const double limit =
+      pacer_.Rate() * kUnreadShareOfGap * ToDouble(pacer_.EventGap());
   return unread == 0 ||
          static_cast<double>(unread + wanted.prompt_tokens) <= limit;
 }
@@ -523,11 +520,11 @@
 core::milliseconds grant_scheduler::ExpectedWait(const ask& wanted,
                                                  core::time_point now) const {
   std::size_t ahead = 0;
-  double tokens_ahead = static_cast<double>(UnreadPromptTokens(now));
+  std::int64_t tokens_ahead = 0;
   for (const auto& [key, other] : waiting_) {
     if (other.rank > wanted.rank) continue;
     ++ahead;
-    tokens_ahead += static_cast<double>(other.prompt_tokens);
+    tokens_ahead += other.prompt_tokens;
   }
   const auto horizon = wanted.give_up_at;
   ahead += static_cast<std::size_t>(
@@ -540,10 +537,8 @@
     place_wait = static_cast<double>(ahead + 1 - free) * ToDouble(run_time_) /
                  static_cast<double>(slots);
   }
-  const double reading_wait =
-      std::max(0.0, tokens_ahead / prompt_rate_ -
-                        kPromptShareOfGap * ToDouble(kUsualEventGap));
-  return FromDouble(std::max(place_wait, reading_wait)) +
+  const auto reading_wait = pacer_.TimeFor(tokens_ahead, now);
+  return std::max(FromDouble(place_wait), reading_wait) +
          ExpectedLoad(wanted, now);
 }
 
@@ -570,6 +565,11 @@
   }
   status.loads_waiting = loads.size();
   status.gateways = links_.size();
+  std::int64_t waiting_tokens = 0;
+  for (const auto& [key, wanted] : waiting_) {
+    if (IsReady(wanted)) waiting_tokens += wanted.prompt_tokens;
+  }
+  status.reading_wait = pacer_.TimeFor(waiting_tokens, now);
   status.adapters_revision = slots_.Revision();
   status.adapters = slots_.Adapters();
   return status;
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -11,6 +11,7 @@
 #include "core/random_source.h"
 #include "core/time.h"
 #include "grants/grant_types.h"
+#include "grants/prompt_pacer.h"
 #include "grants/slot_table.h"
 
 namespace comfreyspring::grants {
@@ -37,8 +38,7 @@
  *
  * Load patterns that it answers:
  * - many prompts at once: they would be read between the tokens of running
- *   streams and make all of these late, so prompts that have not produced
- *   output are kept to what fits into half a pause between events;
+ *   streams and make all of these late, so prompts are paced (prompt_pacer);
  * - more work than the engine can start in time: the most urgent rank goes
  *   first, in it work that still meets its goal, then what is late; what would
  *   start after it gives up is refused at once and told when to return, and a
@@ -92,15 +92,15 @@
   core::milliseconds LoadTime() const { return load_time_; }
   core::milliseconds RunTime() const { return run_time_; }
   /** Prompt tokens that the engine reads in a millisecond. */
-  double PromptRate() const { return prompt_rate_; }
+  double PromptRate() const { return pacer_.Rate(); }
 
  private:
   struct running_item {
     ask wanted;
     core::time_point granted_at;
     bool started = false;
-    /** Prompt tokens not yet read at the grant, its own included. */
-    std::int64_t backlog_at_grant = 0;
+    /** No other prompt was unread at the grant, nor has one come since. */
+    bool reads_alone = false;
   };
   /** A refused request that was told when to return. */
   struct promise {
@@ -157,7 +157,7 @@
   int grants_since_oldest_ = 0;
   core::milliseconds load_time_;
   core::milliseconds run_time_;
-  double prompt_rate_;
+  prompt_pacer pacer_;
 };
 
 }  // namespace comfreyspring::grants
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -142,6 +142,8 @@
   std::size_t free_adapter_slots = 0;
   /** Adapters that wait for a load or are on their way. */
   std::size_t loads_waiting = 0;
+  /** Time until a new prompt would be let through to the engine. */
+  core::milliseconds reading_wait{0};
   /** Gateways that have a link to the agent. */
   std::size_t gateways = 0;
   /** Changes with the list of adapters. */
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -39,6 +39,7 @@
                  {"batch", status.batch_slots},
                  {"free", status.free_adapter_slots},
                  {"loads", status.loads_waiting},
+                 {"reading_wait", status.reading_wait.count()},
                  {"gateways", status.gateways},
                  {"revision", status.adapters_revision}};
   if (with_adapters) {
@@ -57,6 +58,7 @@
   status.batch_slots = fields.at("batch").get<std::size_t>();
   status.free_adapter_slots = fields.at("free").get<std::size_t>();
   status.loads_waiting = fields.at("loads").get<std::size_t>();
+  status.reading_wait = Time(fields, "reading_wait");
   status.gateways = fields.at("gateways").get<std::size_t>();
   status.adapters_revision = fields.at("revision").get<std::uint64_t>();
   const auto adapters = fields.find("adapters");
