Keep a reset connection from crashing the event loop; refuse late requests of a stopping gateway

The handler now runs when the reactor is done; io_watcher_test fails before (SEGV). From 2.5 s on, when the balancer has taken the entry out, new requests are refused as not run.

--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -19,7 +19,10 @@
 /** A new process is ready without all agents after this. */
 constexpr core::milliseconds kLongestStart{1500};
 constexpr core::milliseconds kDrainCheckPeriod{50};
-/** The balancer asks each second and needs two refusals. */
+/**
+ * The balancer asks each second and needs two refusals; whoever still comes
+ * later holds an old connection, and might not be served before the end.
+ */
 constexpr core::milliseconds kShortestDrain{2500};
 /** Left of the grace period for the end of the process. */
 constexpr core::milliseconds kStopReserve{400};
@@ -168,6 +171,7 @@
 
   void CheckDrained() {
     const auto passed = core::ToMilliseconds(loop.Now() - stop_requested_at);
+    if (passed >= kShortestDrain) forwarder.RefuseNew();
     const bool idle = passed >= kShortestDrain && forwarder.ActiveCount() == 0;
     if (!idle && passed < settings.stop_grace - kStopReserve) return;
     loop.Cancel(std::exchange(drain_timer, 0));
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -38,6 +38,8 @@
 /** A refused request looks further if another engine is emptier by this. */
 constexpr core::milliseconds kRetryWhenUnready{300};
 constexpr core::milliseconds kRetryWhenShed{150};
+/** Another entry can take the request at once. */
+constexpr core::milliseconds kRetryElsewhere{20};
 /** A caller that does not read loses its connection beyond this. */
 constexpr std::size_t kMaximumPendingBytes = 4 * 1024 * 1024;
 /** Gateways are counted by the agents; until heard of, so many are assumed. */
@@ -146,6 +148,14 @@
     request->arrived = loop.Now();
     request->last_output = request->arrived;
     request->facts = protocol.ReadRequest(request->exchange->Request());
+    if (refuses_new) {
+      AnswerUnrouted(*request, {.status = 503,
+                                .type = "stopping",
+                                .message = "This entry stops; the request has "
+                                           "not run.",
+                                .retry_after = kRetryElsewhere});
+      return;
+    }
     request->table = follower.Routes();
     if (!request->table) {
       AnswerUnrouted(*request, {.status = 503,
@@ -934,6 +944,7 @@
   std::uint64_t last_ask = 0;
   core::seconds idle_limit = kDefaultIdle;
   bool draining = false;
+  bool refuses_new = false;
   net::timer_id tick_timer = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
@@ -980,6 +991,8 @@
 
 void request_forwarder::BeginDrain() { impl_->draining = true; }
 
+void request_forwarder::RefuseNew() { impl_->refuses_new = true; }
+
 std::size_t request_forwarder::ActiveCount() const {
   return impl_->requests.size();
 }
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -54,6 +54,8 @@
 
   /** From now on callers are told to close their connections. */
   void BeginDrain();
+  /** From now on new requests are refused, so that they return elsewhere. */
+  void RefuseNew();
 
   // State.
 
--- a/src/net/io_watcher.cc
+++ b/src/net/io_watcher.cc
@@ -23,10 +23,11 @@
 
 }  // namespace
 
-class io_watcher::handler : public ACE_Event_Handler {
+class io_watcher::handler : public ACE_Event_Handler,
+                            public std::enable_shared_from_this<handler> {
  public:
-  handler(int descriptor, callbacks handlers)
-      : descriptor_(descriptor), handlers_(std::move(handlers)) {}
+  handler(event_loop& loop, int descriptor, callbacks handlers)
+      : loop_(loop), descriptor_(descriptor), handlers_(std::move(handlers)) {}
 
   ACE_HANDLE get_handle() const override { return descriptor_; }
   int handle_input(ACE_HANDLE /*handle*/) override {
@@ -37,14 +38,26 @@
     if (active_ && handlers_.on_writable) handlers_.on_writable();
     return 0;
   }
-  /** The reactor dropped the descriptor; its owner finds the socket error. */
+  /**
+   * The reactor drops the descriptor; its owner finds the socket error. Not
+   * before the reactor is done: an owner that closes the descriptor here and
+   * watches a new one with the same number would leave it half registered.
+   */
   int handle_close(ACE_HANDLE handle, ACE_Reactor_Mask /*mask*/) override {
-    return handlers_.on_readable ? handle_input(handle) : handle_output(handle);
+    loop_.AtEndOfTurn([self = shared_from_this(), handle] {
+      if (self->handlers_.on_readable) {
+        self->handle_input(handle);
+      } else {
+        self->handle_output(handle);
+      }
+    });
+    return 0;
   }
 
   void Deactivate() { active_ = false; }
 
  private:
+  event_loop& loop_;
   int descriptor_;
   callbacks handlers_;
   bool active_ = true;
@@ -53,7 +66,8 @@
 io_watcher::io_watcher(event_loop& loop, int descriptor, io_interest interest,
                        callbacks handlers)
     : loop_(loop),
-      handler_(std::make_shared<handler>(descriptor, std::move(handlers))),
+      handler_(
+          std::make_shared<handler>(loop, descriptor, std::move(handlers))),
       interest_(interest) {
   if (loop_.Reactor()->register_handler(descriptor, handler_.get(),
                                         MaskOf(interest)) != 0) {
