--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 
 #include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 #include <ace/Time_Value.h>
 #include <sys/resource.h>
@@ -12,6 +13,7 @@
 #include <csignal>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -85,6 +87,9 @@
 struct event_loop::impl {
   using callback_list = std::vector<std::function<void()>>;
 
+  /** Destroyed after the reactor, which may still refer to them. */
+  std::unordered_map<int, std::shared_ptr<ACE_Event_Handler>>
+      descriptor_handlers;
   std::unique_ptr<ACE_Reactor> reactor = MakeReactor();
   timer_queue timers;
   callback_list posted;
@@ -237,6 +242,11 @@
   return true;
 }
 
+std::shared_ptr<ACE_Event_Handler>& event_loop::DescriptorHandler(
+    int descriptor) {
+  return impl_->descriptor_handlers[descriptor];
+}
+
 ACE_Reactor* event_loop::Reactor() { return impl_->reactor.get(); }
 
 }  // namespace comfreyspring::net
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -7,6 +7,7 @@
 #include "core/error.h"
 #include "core/time.h"
 
+class ACE_Event_Handler;
 class ACE_Reactor;
 
 namespace comfreyspring::net {
@@ -72,6 +73,8 @@
   void AtEndOfTurn(std::function<void()> callback);
   /** The reactor, for classes of this module only. */
   ACE_Reactor* Reactor();
+  /** Kept for a descriptor number; for classes of this module only. */
+  std::shared_ptr<ACE_Event_Handler>& DescriptorHandler(int descriptor);
 
  private:
   struct impl;
--- a/src/net/io_watcher.cc
+++ b/src/net/io_watcher.cc
@@ -23,72 +23,107 @@
 
 }  // namespace
 
-class io_watcher::handler : public ACE_Event_Handler,
-                            public std::enable_shared_from_this<handler> {
+/** What the owner of a watcher wants to hear; outlives it by a turn. */
+class io_watcher::handler {
  public:
-  handler(event_loop& loop, int descriptor, callbacks handlers)
-      : loop_(loop), descriptor_(descriptor), handlers_(std::move(handlers)) {}
+  explicit handler(callbacks handlers) : handlers_(std::move(handlers)) {}
+
+  void OnReadable() {
+    if (active_ && handlers_.on_readable) handlers_.on_readable();
+  }
+  void OnWritable() {
+    if (active_ && handlers_.on_writable) handlers_.on_writable();
+  }
+  /** The reactor has dropped the descriptor; its owner finds the error. */
+  void OnDropped() {
+    if (handlers_.on_readable) {
+      OnReadable();
+    } else {
+      OnWritable();
+    }
+  }
+  void Deactivate() { active_ = false; }
+
+ private:
+  callbacks handlers_;
+  bool active_ = true;
+};
+
+/**
+ * The reactor's handler of one descriptor number, kept for the life of the
+ * loop: the reactor may go on using a handler whose removal has failed, as it
+ * does when the system has already closed the descriptor.
+ */
+class io_watcher::descriptor_handler : public ACE_Event_Handler {
+ public:
+  descriptor_handler(event_loop& loop, int descriptor)
+      : loop_(loop), descriptor_(descriptor) {}
+
+  /** @throws net_error if the reactor refuses the descriptor. */
+  void Register(std::shared_ptr<handler> current, io_interest interest) {
+    current_ = std::move(current);
+    const ACE_Reactor_Mask mask = MaskOf(interest);
+    if (loop_.Reactor()->register_handler(descriptor_, this, mask) != 0) {
+      current_ = nullptr;
+      throw net_error("cannot watch descriptor " + std::to_string(descriptor_));
+    }
+    // An entry that could not be removed may have had another interest.
+    loop_.Reactor()->mask_ops(this, mask, ACE_Reactor::SET_MASK);
+  }
+  void SetInterest(io_interest interest) {
+    loop_.Reactor()->mask_ops(this, MaskOf(interest), ACE_Reactor::SET_MASK);
+  }
+  void Remove() {
+    current_ = nullptr;
+    loop_.Reactor()->remove_handler(
+        descriptor_,
+        ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+  }
 
   ACE_HANDLE get_handle() const override { return descriptor_; }
   int handle_input(ACE_HANDLE /*handle*/) override {
-    if (active_ && handlers_.on_readable) handlers_.on_readable();
+    if (const auto current = current_) current->OnReadable();
     return 0;
   }
   int handle_output(ACE_HANDLE /*handle*/) override {
-    if (active_ && handlers_.on_writable) handlers_.on_writable();
+    if (const auto current = current_) current->OnWritable();
     return 0;
   }
   /**
-   * The reactor drops the descriptor; its owner finds the socket error. Not
-   * before the reactor is done: an owner that closes the descriptor here and
-   * watches a new one with the same number would leave it half registered.
+   * Not before the reactor is done: an owner that closes the descriptor here
+   * and watches a new one with the same number would leave it half registered.
    */
-  int handle_close(ACE_HANDLE handle, ACE_Reactor_Mask /*mask*/) override {
-    loop_.AtEndOfTurn([self = shared_from_this(), handle] {
-      if (self->handlers_.on_readable) {
-        self->handle_input(handle);
-      } else {
-        self->handle_output(handle);
-      }
-    });
+  int handle_close(ACE_HANDLE /*handle*/, ACE_Reactor_Mask /*mask*/) override {
+    if (!current_) return 0;
+    loop_.AtEndOfTurn([current = current_] { current->OnDropped(); });
     return 0;
   }
 
-  void Deactivate() { active_ = false; }
-
  private:
   event_loop& loop_;
   int descriptor_;
-  callbacks handlers_;
-  bool active_ = true;
+  std::shared_ptr<handler> current_;
 };
 
 io_watcher::io_watcher(event_loop& loop, int descriptor, io_interest interest,
                        callbacks handlers)
-    : loop_(loop),
-      handler_(
-          std::make_shared<handler>(loop, descriptor, std::move(handlers))),
+    : handler_(std::make_shared<handler>(std::move(handlers))),
       interest_(interest) {
-  if (loop_.Reactor()->register_handler(descriptor, handler_.get(),
-                                        MaskOf(interest)) != 0) {
-    throw net_error("cannot watch descriptor " + std::to_string(descriptor));
-  }
+  auto& kept = loop.DescriptorHandler(descriptor);
+  if (!kept) kept = std::make_shared<descriptor_handler>(loop, descriptor);
+  registration_ = static_cast<descriptor_handler*>(kept.get());
+  registration_->Register(handler_, interest);
 }
 
 io_watcher::~io_watcher() {
   handler_->Deactivate();
-  loop_.Reactor()->remove_handler(
-      handler_->get_handle(),
-      ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-  // The reactor may be in a callback of this handler right now.
-  loop_.AtEndOfTurn([kept = std::move(handler_)] {});
+  registration_->Remove();
 }
 
 void io_watcher::SetInterest(io_interest interest) {
   if (interest == interest_) return;
   interest_ = interest;
-  loop_.Reactor()->mask_ops(handler_.get(), MaskOf(interest),
-                            ACE_Reactor::SET_MASK);
+  registration_->SetInterest(interest);
 }
 
 }  // namespace comfreyspring::net
--- a/src/net/io_watcher.h
+++ b/src/net/io_watcher.h
@@ -32,8 +32,10 @@
 
  private:
   class handler;
-  event_loop& loop_;
+  class descriptor_handler;
   std::shared_ptr<handler> handler_;
+  /** Owned by the loop. */
+  descriptor_handler* registration_;
   io_interest interest_;
 };
 
--- a/src/net/io_watcher_test.cc
+++ b/src/net/io_watcher_test.cc
@@ -60,5 +60,44 @@
   ::close(second[1]);
 }
 
+// Guards against a crash: the reactor keeps the handler of a descriptor that
+// was closed before its watcher, because it cannot remove it any more, and
+// gives it the events of the next descriptor with that number.
+TEST(io_watcher_test, DescriptorMayBeClosedBeforeItsWatcher) {
+  event_loop loop;
+  const descriptor_pair first = OpenPipe();
+  std::optional<io_watcher> watcher;
+  int early_events = 0;
+  watcher.emplace(loop, first[0], io_interest::read,
+                  io_watcher::callbacks{[&] { ++early_events; }, nullptr});
+  ::close(first[0]);
+  watcher.reset();
+  loop.RunUntil([] { return false; }, core::milliseconds(20));
+  const descriptor_pair second = OpenPipe();
+  if (second[0] != first[0]) {
+    ASSERT_EQ(::dup2(second[0], first[0]), first[0]);
+    ::close(second[0]);
+  }
+  int later_events = 0;
+  watcher.emplace(loop, first[0], io_interest::read,
+                  io_watcher::callbacks{[&] {
+                                          char byte = 0;
+                                          if (::read(first[0], &byte, 1) == 1) {
+                                            ++later_events;
+                                          }
+                                        },
+                                        nullptr});
+  for (int i = 1; i <= 3; ++i) {
+    ASSERT_EQ(::write(second[1], "x", 1), 1);
+    EXPECT_TRUE(loop.RunUntil([&] { return later_events == i; },
+                              core::milliseconds(1000)));
+  }
+  EXPECT_EQ(early_events, 0);
+  watcher.reset();
+  ::close(first[0]);
+  ::close(first[1]);
+  ::close(second[1]);
+}
+
 }  // namespace
 }  // namespace comfreyspring::net
