--- /dev/null
+++ b/src/catalog/catalog_follower_test.cc
@@ -0,0 +1,173 @@
+#include "catalog/catalog_follower.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <string>
+
+namespace comfreyspring::catalog {
+namespace {
+
+using core::milliseconds;
+
+/** Answers reads when the test says so. */
+class scripted_source final : public catalog_source {
+ public:
+  void ReadAll(milliseconds, read_callback on_done) override {
+    ++all_reads;
+    pending = std::move(on_done);
+  }
+  void ReadChanges(std::int64_t revision, milliseconds, milliseconds,
+                   read_callback on_done) override {
+    ++change_reads;
+    last_revision = revision;
+    pending = std::move(on_done);
+  }
+  void Answer(catalog_read read) {
+    const auto callback = std::move(pending);
+    pending = nullptr;
+    callback(std::move(read));
+  }
+
+  read_callback pending;
+  int all_reads = 0;
+  int change_reads = 0;
+  std::int64_t last_revision = 0;
+};
+
+class recording_listener final : public follower_listener {
+ public:
+  void OnConfiguration(
+      const std::shared_ptr<const route_table>& table) override {
+    versions.push_back(table->Version());
+  }
+  void OnEndpoint(const endpoint_change& change) override {
+    changes.push_back(change.record.instance.Value() + ' ' +
+                      std::string(ToString(change.what)));
+  }
+  std::vector<std::int64_t> versions;
+  std::vector<std::string> changes;
+};
+
+class catalog_follower_test : public ::testing::Test {
+ protected:
+  catalog_follower_test() { follower_.Start(); }
+
+  void WaitForRead() {
+    ASSERT_TRUE(loop_.RunUntil([&] { return source_.pending != nullptr; },
+                               milliseconds(2000)));
+  }
+  void Wait(milliseconds length) {
+    loop_.RunUntil([] { return false; }, length);
+  }
+  static configuration Configuration(std::int64_t version) {
+    configuration content;
+    content.version = version;
+    return content;
+  }
+  static endpoint_record Record(const std::string& name) {
+    return {.instance = instance_id(name), .service = core::service_id("s")};
+  }
+  static catalog_read Done(std::vector<catalog_change> changes,
+                           std::int64_t revision) {
+    return {read_outcome::done, std::move(changes), revision, ""};
+  }
+
+  net::event_loop loop_;
+  telemetry::event_log log_{"test", {}, [] { return core::wall_time(); },
+                            [](std::string_view text) {
+                              return static_cast<std::int64_t>(text.size());
+                            }};
+  scripted_source source_;
+  recording_listener listener_;
+  catalog_follower follower_{loop_,
+                             source_,
+                             {.watch_pause = milliseconds(5),
+                              .first_retry = milliseconds(5),
+                              .longest_retry = milliseconds(20),
+                              .lapse_grace = milliseconds(300),
+                              .outage_after = milliseconds(50)},
+                             listener_,
+                             log_};
+};
+
+TEST_F(catalog_follower_test, ReadsAllThenFollowsChanges) {
+  source_.Answer(Done({Configuration(3), Record("i1")}, 40));
+  EXPECT_TRUE(follower_.IsComplete());
+  EXPECT_EQ(follower_.Routes()->Version(), 3);
+  EXPECT_EQ(source_.last_revision, 40);
+  source_.Answer(Done({Configuration(5), endpoint_removed{instance_id("i1")}},
+                      44));
+  EXPECT_EQ(follower_.Routes()->Version(), 5);
+  EXPECT_EQ(listener_.changes.back(), "i1 gone");
+  WaitForRead();
+  EXPECT_EQ(source_.last_revision, 44);
+}
+
+// Once a version was in force, no lower one may be.
+TEST_F(catalog_follower_test, NeverGoesBackToALowerVersion) {
+  source_.Answer(Done({Configuration(9)}, 40));
+  source_.Answer(Done({Configuration(7)}, 41));
+  WaitForRead();
+  source_.Answer({read_outcome::history_lost, {}, 0, "410"});
+  source_.Answer(Done({Configuration(8)}, 50));
+  EXPECT_EQ(listener_.versions, std::vector<std::int64_t>{9});
+  EXPECT_EQ(source_.all_reads, 2);
+}
+
+TEST_F(catalog_follower_test, KeepsItsViewsInAnOutage) {
+  source_.Answer(Done({Configuration(3), Record("i1")}, 40));
+  for (int i = 0; i < 4; ++i) {
+    WaitForRead();
+    source_.Answer({read_outcome::unavailable, {}, 0, "down"});
+  }
+  EXPECT_EQ(follower_.Routes()->Version(), 3);
+  EXPECT_NE(follower_.Endpoints().FindUsable(instance_id("i1")), nullptr);
+}
+
+// Entries that an outage removed are taken as gone only after a grace period.
+TEST_F(catalog_follower_test, EntriesThatLapsedInAnOutageAreKept) {
+  source_.Answer(Done({Record("i1"), Record("i2")}, 40));
+  source_.Answer({read_outcome::unavailable, {}, 0, "down"});
+  Wait(milliseconds(80));
+  WaitForRead();
+  source_.Answer(Done({endpoint_removed{instance_id("i1")},
+                       endpoint_removed{instance_id("i2")}},
+                      60));
+  EXPECT_NE(follower_.Endpoints().FindUsable(instance_id("i1")), nullptr);
+  WaitForRead();
+  source_.Answer(Done({Record("i2")}, 61));
+  Wait(milliseconds(500));
+  EXPECT_EQ(follower_.Endpoints().FindUsable(instance_id("i1")), nullptr);
+  EXPECT_NE(follower_.Endpoints().FindUsable(instance_id("i2")), nullptr);
+}
+
+TEST_F(catalog_follower_test, AnUnreadableEntryChangesNothing) {
+  source_.Answer(Done({Configuration(3), Record("i1")}, 40));
+  source_.Answer(Done({unreadable_entry{"op/config", "not JSON"}}, 41));
+  EXPECT_EQ(follower_.Routes()->Version(), 3);
+  EXPECT_NE(follower_.Endpoints().FindUsable(instance_id("i1")), nullptr);
+}
+
+// Answers that were under way when the process was paused are not used.
+TEST_F(catalog_follower_test, ARestartIgnoresOlderAnswers) {
+  source_.Answer(Done({Configuration(3)}, 40));
+  const auto stale = source_.pending;
+  follower_.Restart();
+  stale(Done({Configuration(4)}, 41));
+  EXPECT_EQ(follower_.Routes()->Version(), 3);
+  source_.Answer(Done({Configuration(5)}, 45));
+  EXPECT_EQ(follower_.Routes()->Version(), 5);
+}
+
+TEST_F(catalog_follower_test, KeepsTheNewestVersionOfAnAdapter) {
+  const adapter_name name{core::model_id("m"), core::adapter_id("a3")};
+  source_.Answer(Done({adapter_version_announced{name, 4}}, 40));
+  source_.Answer(Done({adapter_version_announced{name, 2}}, 41));
+  EXPECT_EQ(follower_.VersionOf(name), 4);
+  EXPECT_EQ(follower_.VersionOf({core::model_id("m"), core::adapter_id("x")}),
+            0);
+}
+
+}  // namespace
+}  // namespace comfreyspring::catalog
--- /dev/null
+++ b/src/catalog/endpoint_table_test.cc
@@ -0,0 +1,73 @@
+#include "catalog/endpoint_table.h"
+
+#include <gtest/gtest.h>
+
+namespace comfreyspring::catalog {
+namespace {
+
+using core::milliseconds;
+using kind = endpoint_change::kind;
+
+class endpoint_table_test : public ::testing::Test {
+ protected:
+  static endpoint_record Record(const std::string& name,
+                                bool leaving = false) {
+    return {.instance = instance_id(name),
+            .service = core::service_id("s"),
+            .address = {"10.0.0.1", 80},
+            .leaving = leaving};
+  }
+  bool IsUsable(const std::string& name) const {
+    return table_.FindUsable(instance_id(name)) != nullptr;
+  }
+
+  core::time_point now_{std::chrono::seconds(100)};
+  endpoint_table table_{milliseconds(2500)};
+};
+
+TEST_F(endpoint_table_test, ALeavingEndpointGetsNoNewWork) {
+  table_.OnRecord(Record("i1"), now_);
+  EXPECT_TRUE(IsUsable("i1"));
+  const auto changes = table_.OnRecord(Record("i1", true), now_);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].what, kind::leaving);
+  EXPECT_FALSE(IsUsable("i1"));
+}
+
+// Some endpoints never announce that they leave: their entry is removed.
+TEST_F(endpoint_table_test, ARemovedEndpointIsGoneAtOnce) {
+  table_.OnRecord(Record("i1"), now_);
+  const auto changes = table_.OnRemoved(instance_id("i1"), false, now_);
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].what, kind::gone);
+  EXPECT_FALSE(IsUsable("i1"));
+}
+
+// An outage of the platform removes entries of endpoints that live.
+TEST_F(endpoint_table_test, AnEntryThatLapsedInAnOutageIsKeptForAWhile) {
+  table_.OnSnapshot({Record("i1"), Record("i2"), Record("i3", true)}, false,
+                    now_);
+  table_.OnSnapshot({}, true, now_);
+  EXPECT_TRUE(IsUsable("i1"));
+  EXPECT_EQ(table_.Size(), 2U);
+  now_ += milliseconds(2000);
+  const auto returned = table_.OnRecord(Record("i1"), now_);
+  EXPECT_EQ(returned[0].what, kind::returned);
+  now_ += milliseconds(600);
+  const auto gone = table_.OnTick(now_);
+  ASSERT_EQ(gone.size(), 1U);
+  EXPECT_EQ(gone[0].record.instance.Value(), "i2");
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
+TEST_F(endpoint_table_test, GraceDoesNotStartAnew) {
+  table_.OnSnapshot({Record("i1")}, false, now_);
+  table_.OnSnapshot({}, true, now_);
+  now_ += milliseconds(2000);
+  table_.OnSnapshot({}, true, now_);
+  now_ += milliseconds(600);
+  EXPECT_EQ(table_.OnTick(now_).size(), 1U);
+}
+
+}  // namespace
+}  // namespace comfreyspring::catalog
--- a/src/telemetry/event_log_test.cc
+++ b/src/telemetry/event_log_test.cc
@@ -99,7 +99,10 @@
   now_ += core::seconds(1);
   log.Request(line_class::failure, "failed", "late");
   log.Flush();
-  EXPECT_EQ(Lines().back()["request"], "late");
+  const auto lines = Lines();
+  ASSERT_EQ(lines.size(), 4U);
+  EXPECT_EQ(lines[2]["request"], "late");
+  EXPECT_EQ(lines[3]["event"], "log_lines_dropped");
 }
 
 }  // namespace
