--- /dev/null
+++ b/src/gateway/request_forwarder_test.cc
@@ -0,0 +1,439 @@
+#include "gateway/request_forwarder.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "gateway/sidecar_links.h"
+
+namespace comfreyspring::gateway {
+namespace {
+
+using core::milliseconds;
+
+/** Headers named as the tests like; no platform. */
+class plain_protocol final : public traffic_protocol {
+ public:
+  caller_request ReadRequest(const net::http_request& request) const override {
+    caller_request facts;
+    const auto text = [&](const char* name) {
+      const auto found = request.headers.find(name);
+      return found == request.headers.end() ? std::string() : found->second;
+    };
+    facts.id = core::request_id(text("id"));
+    facts.host = text("host");
+    if (!text("limit").empty()) {
+      facts.time_limit = milliseconds(std::stoi(text("limit")));
+    }
+    facts.adapter = {core::model_id(text("model")),
+                     core::adapter_id(text("adapter"))};
+    return facts;
+  }
+  net::http_call MakeCall(const net::http_request& request,
+                          const forward_terms& terms) const override {
+    net::http_call call;
+    call.method = request.method;
+    call.url = terms.address.ToString();
+    call.target = request.target;
+    call.headers["instance"] = terms.instance.Value();
+    call.headers["left"] = std::to_string(terms.time_left.count());
+    call.headers["after"] = terms.last_event;
+    return call;
+  }
+  answer_facts ReadAnswer(int status, const net::header_map& headers,
+                          const core::request_id& id) const override {
+    answer_facts facts;
+    const auto echoed = headers.find("id");
+    facts.authentic = echoed != headers.end() && echoed->second == id.Value();
+    facts.not_run = headers.count("not-run") > 0;
+    facts.misdirected = status == 421;
+    return facts;
+  }
+  net::header_map AnswerHeaders(const net::header_map& headers) const override {
+    return headers;
+  }
+  net::http_response MakeAnswer(const own_answer& answer,
+                                const core::request_id&) const override {
+    net::http_response response{.status = answer.status, .body = answer.type};
+    if (answer.retry_after) {
+      response.headers["retry"] = std::to_string(answer.retry_after->count());
+    }
+    return response;
+  }
+};
+
+class fake_exchange final : public net::http_exchange {
+ public:
+  const net::http_request& Request() const override { return request; }
+  void Respond(net::http_response value) override {
+    ++answers;
+    response = std::move(value);
+  }
+  void BeginStream(int status, net::header_map headers) override {
+    ++answers;
+    response = {status, std::move(headers), ""};
+    streaming = true;
+  }
+  void Write(std::string data) override { written += data; }
+  void EndStream() override { ended = true; }
+  void Abort() override { aborted = true; }
+  void OnClientGone(std::function<void()> callback) override {
+    gone = std::move(callback);
+  }
+  std::size_t PendingBytes() const override { return 0; }
+
+  net::http_request request;
+  net::http_response response;
+  std::string written;
+  int answers = 0;
+  bool streaming = false;
+  bool ended = false;
+  bool aborted = false;
+  std::function<void()> gone;
+};
+
+class fake_http final : public net::http_client_interface {
+ public:
+  struct entry {
+    net::http_call call;
+    net::http_callbacks callbacks;
+    bool cancelled = false;
+  };
+  net::http_call_id Start(net::http_call call,
+                          net::http_callbacks callbacks) override {
+    calls.push_back({std::move(call), std::move(callbacks)});
+    return calls.size();
+  }
+  void Cancel(net::http_call_id id) override {
+    calls[id - 1].cancelled = true;
+  }
+
+  void Headers(int status, net::header_map headers) {
+    const auto callback = calls.back().callbacks.on_headers;
+    callback(status, headers);
+  }
+  void Data(const std::string& data) {
+    const auto callback = calls.back().callbacks.on_data;
+    callback(data);
+  }
+  void Done(net::http_failure failure = net::http_failure::none) {
+    const auto callback = calls.back().callbacks.on_done;
+    callback({.failure = failure, .error_message = "broken"});
+  }
+  void Answer(int status, const net::header_map& headers,
+              const std::string& body = "") {
+    Headers(status, headers);
+    if (!body.empty()) Data(body);
+    Done();
+  }
+
+  std::deque<entry> calls;
+};
+
+class fixed_source final : public catalog::catalog_source {
+ public:
+  void ReadAll(milliseconds, read_callback on_done) override {
+    on_done(first);
+  }
+  void ReadChanges(std::int64_t, milliseconds, milliseconds,
+                   read_callback on_done) override {
+    pending = std::move(on_done);
+  }
+  catalog::catalog_read first;
+  read_callback pending;
+};
+
+class request_forwarder_test : public ::testing::Test,
+                               public catalog::follower_listener,
+                               public sidecar_listener {
+ protected:
+  void SetUp() override {
+    settings_.repeat_extra = 200;
+    source_.first.outcome = catalog::read_outcome::done;
+    Route("/once/", "plain", {.repeats = kOnce});
+    Route("/again/", "plain",
+          {.repeats = catalog::repeat_rule::idempotent,
+           .maximum_endpoints = 2});
+    Route("/stream/", "plain", {.streams = true});
+    Route("/resume/", "plain",
+          {.streams = true, .resumable = true, .maximum_endpoints = 2});
+    configuration_.version = 3;
+    configuration_.services.push_back({.id = core::service_id("plain")});
+    source_.first.changes.push_back(configuration_);
+    for (const char* name : {"p1", "p2", "p3"}) {
+      source_.first.changes.push_back(catalog::endpoint_record{
+          .instance = catalog::instance_id(name),
+          .service = core::service_id("plain"),
+          .address = {std::string("10.0.0.") + name[1], 80},
+          .slots = 6});
+    }
+    forwarder_.SetLinks(links_);
+    follower_.Start();
+  }
+
+  void Route(const std::string& prefix, const std::string& service,
+             catalog::route route) {
+    route.name = prefix;
+    route.host = "h";
+    route.prefix = prefix;
+    route.goal = milliseconds(150);
+    if (route.timeout.count() == 0) route.timeout = milliseconds(5000);
+    route.destinations = {{core::service_id(service), 1.0}};
+    configuration_.routes.push_back(std::move(route));
+  }
+
+  std::shared_ptr<fake_exchange> Send(const std::string& target,
+                                      const std::string& limit = "5000") {
+    auto exchange = std::make_shared<fake_exchange>();
+    exchange->request.method = "POST";
+    exchange->request.target = target;
+    exchange->request.headers = {{"id", "r1"}, {"host", "h"}, {"limit", limit}};
+    forwarder_.OnRequest(exchange);
+    return exchange;
+  }
+  net::header_map Own() const { return {{"id", "r1"}}; }
+  std::string InstanceOf(std::size_t call) const {
+    return http_.calls[call].call.headers.at("instance");
+  }
+
+  // follower_listener, sidecar_listener.
+  void OnConfiguration(
+      const std::shared_ptr<const catalog::route_table>& table) override {
+    forwarder_.OnConfiguration(table);
+  }
+  void OnEndpoint(const catalog::endpoint_change& change) override {
+    forwarder_.OnEndpoint(change);
+  }
+  void OnSidecarLost(const std::string&) override {}
+  void OnSidecarMessage(const std::string&, const grants::message&) override {}
+
+  static constexpr auto kOnce = catalog::repeat_rule::non_idempotent;
+
+  net::event_loop loop_;
+  std::string log_text_;
+  telemetry::event_log log_{
+      "test", {}, [] { return core::wall_time(); },
+      [this](std::string_view text) {
+        log_text_ += text;
+        return static_cast<std::int64_t>(text.size());
+      }};
+  telemetry::metrics metrics_;
+  settings::node_settings settings_;
+  plain_protocol protocol_;
+  fake_http http_;
+  fixed_source source_;
+  catalog::configuration configuration_;
+  catalog::catalog_follower follower_{loop_, source_, {}, *this, log_};
+  request_forwarder forwarder_{loop_,     settings_, protocol_, http_,
+                               follower_, log_,      metrics_};
+  sidecar_links links_{loop_, {}, *this, log_};
+};
+
+TEST_F(request_forwarder_test, PassesAnAnswerBackUnchanged) {
+  const auto caller = Send("/once/a?b=%20");
+  ASSERT_EQ(http_.calls.size(), 1U);
+  EXPECT_EQ(http_.calls[0].call.target, "/once/a?b=%20");
+  http_.Answer(201, Own(), "body");
+  EXPECT_EQ(caller->response.status, 201);
+  EXPECT_EQ(caller->response.body, "body");
+  EXPECT_EQ(caller->answers, 1);
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+TEST_F(request_forwarder_test, AnswersRequestsWithoutARoute) {
+  EXPECT_EQ(Send("/none/")->response.status, 404);
+  EXPECT_TRUE(http_.calls.empty());
+}
+
+// A call that may have run is not sent again and not called "not run".
+TEST_F(request_forwarder_test, AnUnsafeCallThatBreaksIsUnknown) {
+  const auto caller = Send("/once/a");
+  http_.Done(net::http_failure::broken);
+  EXPECT_EQ(http_.calls.size(), 1U);
+  EXPECT_EQ(caller->response.status, 502);
+  EXPECT_EQ(caller->response.headers.count("retry"), 0U);
+}
+
+TEST_F(request_forwarder_test, AnUnsafeCallThatWasNotSentGoesElsewhere) {
+  const auto caller = Send("/once/a");
+  http_.Done(net::http_failure::not_sent);
+  ASSERT_EQ(http_.calls.size(), 2U);
+  EXPECT_NE(InstanceOf(0), InstanceOf(1));
+  http_.Answer(200, Own(), "x");
+  EXPECT_EQ(caller->response.status, 200);
+}
+
+TEST_F(request_forwarder_test, AnUnsafeCallThatWasShedIsNotRun) {
+  const auto caller = Send("/once/a");
+  http_.Answer(503, {{"not-run", "1"}});
+  // Its route allows one endpoint: the same one may be tried again.
+  while (caller->answers == 0) {
+    EXPECT_EQ(InstanceOf(http_.calls.size() - 1), InstanceOf(0));
+    http_.Answer(503, {{"not-run", "1"}});
+  }
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.headers.count("retry"), 1U);
+}
+
+// 503 without proof may have run: the caller must not be told otherwise.
+TEST_F(request_forwarder_test, AnEndpointsBare503IsNotAPromise) {
+  const auto caller = Send("/once/a");
+  http_.Answer(503, {});
+  EXPECT_EQ(caller->response.status, 502);
+}
+
+TEST_F(request_forwarder_test, RepeatsAnIdempotentCallElsewhere) {
+  const auto caller = Send("/again/a");
+  http_.Answer(500, Own(), "failed");
+  ASSERT_EQ(http_.calls.size(), 2U);
+  EXPECT_NE(InstanceOf(0), InstanceOf(1));
+  http_.Answer(200, Own(), "good");
+  EXPECT_EQ(caller->response.body, "good");
+}
+
+TEST_F(request_forwarder_test, KeepsTheEndpointsOwnFailure) {
+  const auto caller = Send("/again/a");
+  http_.Answer(500, Own(), "failed");
+  while (caller->answers == 0) http_.Done(net::http_failure::broken);
+  EXPECT_EQ(caller->response.status, 500);
+  EXPECT_EQ(caller->response.body, "failed");
+}
+
+// An answer to another request on the same connection is nobody's.
+TEST_F(request_forwarder_test, AnotherRequestsAnswerIsNotPassedOn) {
+  const auto caller = Send("/once/a");
+  http_.Answer(200, {{"id", "other"}}, "secret");
+  EXPECT_EQ(caller->response.status, 502);
+  EXPECT_EQ(caller->response.body.find("secret"), std::string::npos);
+}
+
+TEST_F(request_forwarder_test, StreamsWholeEventsAsTheyArrive) {
+  const auto caller = Send("/stream/a");
+  http_.Headers(200, Own());
+  EXPECT_FALSE(caller->streaming);
+  http_.Data("id: 1\ndata: a\n\nid: 2\nda");
+  EXPECT_TRUE(caller->streaming);
+  EXPECT_EQ(caller->written, "id: 1\ndata: a\n\n");
+  http_.Data("ta: b\n\n");
+  http_.Done();
+  EXPECT_EQ(caller->written, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_TRUE(caller->ended);
+}
+
+// A stream that breaks off must not look complete.
+TEST_F(request_forwarder_test, ABrokenStreamIsBrokenForTheCaller) {
+  const auto caller = Send("/stream/a");
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  http_.Done(net::http_failure::broken);
+  EXPECT_FALSE(caller->ended);
+  EXPECT_TRUE(caller->aborted);
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+// No event is lost or doubled when a stream goes on at another endpoint.
+TEST_F(request_forwarder_test, AResumableStreamGoesOnAfterItsLastEvent) {
+  const auto caller = Send("/resume/a");
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\nid: 2\n\nid: 3\nhalf");
+  http_.Done(net::http_failure::broken);
+  ASSERT_EQ(http_.calls.size(), 2U);
+  EXPECT_NE(InstanceOf(0), InstanceOf(1));
+  EXPECT_EQ(http_.calls[1].call.headers.at("after"), "2");
+  http_.Headers(200, Own());
+  http_.Data("id: 3\n\n");
+  http_.Done();
+  EXPECT_EQ(caller->written, "id: 1\n\nid: 2\n\nid: 3\n\n");
+  EXPECT_TRUE(caller->ended);
+  EXPECT_EQ(caller->answers, 1);
+}
+
+TEST_F(request_forwarder_test, CancelsWhenTheCallerLeaves) {
+  const auto caller = Send("/stream/a");
+  caller->gone();
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+// Nothing waits beyond the caller's or the route's time.
+TEST_F(request_forwarder_test, AnswersWhenTheTimeIsOver) {
+  const auto caller = Send("/once/a", "100");
+  ASSERT_TRUE(loop_.RunUntil([&] { return caller->answers > 0; },
+                             milliseconds(1000)));
+  EXPECT_EQ(caller->response.status, 504);
+  EXPECT_TRUE(http_.calls[0].cancelled);
+}
+
+TEST_F(request_forwarder_test, ASilentEndpointLosesAnIdempotentCall) {
+  const auto caller = Send("/again/a");
+  ASSERT_TRUE(loop_.RunUntil([&] { return http_.calls.size() == 2; },
+                             milliseconds(2000)));
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  EXPECT_NE(InstanceOf(0), InstanceOf(1));
+}
+
+TEST_F(request_forwarder_test, HandsOnTheTimeThatIsLeft) {
+  Send("/once/a", "300");
+  const int left = std::stoi(http_.calls[0].call.headers.at("left"));
+  EXPECT_LE(left, 300);
+  EXPECT_GT(left, 200);
+}
+
+TEST_F(request_forwarder_test, AStoppingGatewaySendsCallersElsewhere) {
+  forwarder_.BeginDrain();
+  const auto served = Send("/once/a");
+  http_.Answer(200, Own(), "x");
+  EXPECT_EQ(served->response.headers.at("connection"), "close");
+  forwarder_.RefuseNew();
+  const auto late = Send("/once/a");
+  EXPECT_EQ(late->response.status, 503);
+  EXPECT_EQ(late->response.headers.count("retry"), 1U);
+}
+
+// Every way a request can end must leave lines from which its cause follows.
+TEST_F(request_forwarder_test, EveryEndLeavesItsCause) {
+  struct ending {
+    std::string target;
+    std::function<void()> finish;
+    std::string event;
+    std::string cause;
+  };
+  const std::vector<ending> endings = {
+      {"/once/a", [&] { http_.Done(net::http_failure::broken); }, "failed",
+       "unknown"},
+      {"/once/a", [&] { http_.Answer(500, Own()); }, "answered", "failed"},
+      {"/none/", [] {}, "unrouted", "no_route"},
+      {"/stream/a",
+       [&] {
+         http_.Headers(200, Own());
+         http_.Data("id: 1\n\n");
+         http_.Done(net::http_failure::broken);
+       },
+       "broken_off", "unknown"},
+  };
+  for (const ending& each : endings) {
+    log_.Flush();
+    log_text_.clear();
+    const auto caller = Send(each.target);
+    each.finish();
+    log_.Flush();
+    bool found = false;
+    std::istringstream lines(log_text_);
+    for (std::string text; std::getline(lines, text);) {
+      const auto line = nlohmann::json::parse(text);
+      if (line.at("event") == each.event && line.value("request", "") == "r1" &&
+          line.value("cause", "") == each.cause) {
+        found = true;
+      }
+    }
+    EXPECT_TRUE(found) << each.event << ' ' << each.cause << '\n' << log_text_;
+  }
+}
+
+}  // namespace
+}  // namespace comfreyspring::gateway
