--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -498,9 +498,16 @@
       request->exchange->BeginStream(request->status, std::move(headers));
     }
     if (request->events_passed > 0) {
-      request->longest_gap =
-          std::max(request->longest_gap,
-                   core::ToMilliseconds(now - request->last_output));
+      const auto gap = core::ToMilliseconds(now - request->last_output);
+      request->longest_gap = std::max(request->longest_gap, gap);
+      if (request->route->event_gap.count() > 0 &&
+          gap > request->route->event_gap) {
+        log.Request(line_class::routine, "event_late",
+                    request->facts.id.Value())
+            .Add("endpoint", request->endpoint.Value())
+            .Add("gap_ms", gap.count())
+            .Add("events", request->events_passed);
+      }
     }
     request->events_passed = request->events.Count();
     request->last_output = now;
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -355,6 +355,11 @@
 }
 
 void grant_scheduler::GrantReady(core::time_point now, actions& out) {
+  std::int64_t backlog = 0;
+  for (const auto& [key, wanted] : waiting_) {
+    if (IsReady(wanted)) backlog += wanted.prompt_tokens;
+  }
+  pacer_.SetBacklog(backlog, now);
   while (!waiting_.empty()) {
     const bool oldest_first = grants_since_oldest_ >= kGrantsPerOldest;
     const ask* best = nullptr;
--- a/src/grants/prompt_pacer.cc
+++ b/src/grants/prompt_pacer.cc
@@ -6,8 +6,15 @@
 namespace comfreyspring::grants {
 namespace {
 
-/** Share of the engine's time that reading may take while work waits. */
-constexpr double kReadingShare = 0.65;
+/**
+ * Share of the engine's time that reading takes at least and at most. The low
+ * share leaves room in a pause between events for an engine that is slowed for
+ * moments; the high one still leaves time for the tokens of running streams.
+ */
+constexpr double kLowestShare = 0.3;
+constexpr double kHighestShare = 0.75;
+/** The prompts that wait shall be read within this time. */
+constexpr double kBacklogTargetMs = 250.0;
 /** Reading that may come at once, as a share of the pause between events. */
 constexpr double kBurstShareOfGap = 0.05;
 /** Weight that a sample keeps when the next one arrives. */
@@ -21,7 +28,16 @@
 
 }  // namespace
 
-prompt_pacer::prompt_pacer(double initial_rate) : rate_(initial_rate) {}
+prompt_pacer::prompt_pacer(double initial_rate)
+    : rate_(initial_rate), share_(kLowestShare) {}
+
+void prompt_pacer::SetBacklog(std::int64_t tokens, core::time_point now) {
+  credit_ = Credit(now);
+  credited_at_ = now;
+  const double reading_ms = static_cast<double>(tokens) / rate_;
+  share_ = std::clamp(reading_ms / kBacklogTargetMs, kLowestShare,
+                      kHighestShare);
+}
 
 double prompt_pacer::Credit(core::time_point now) const {
   const double elapsed_ms =
@@ -29,7 +45,7 @@
                         .count());
   const double most =
       rate_ * kBurstShareOfGap * static_cast<double>(event_gap_.count());
-  return std::min(most, credit_ + elapsed_ms * rate_ * kReadingShare);
+  return std::min(most, credit_ + elapsed_ms * rate_ * share_);
 }
 
 bool prompt_pacer::IsOpen(core::time_point now) const {
@@ -69,7 +85,7 @@
                                          core::time_point now) const {
   const double missing = static_cast<double>(tokens) - Credit(now);
   if (missing <= 0.0) return core::milliseconds(0);
-  return core::milliseconds(std::llround(missing / (rate_ * kReadingShare)));
+  return core::milliseconds(std::llround(missing / (rate_ * kHighestShare)));
 }
 
 }  // namespace comfreyspring::grants
--- a/src/grants/prompt_pacer.h
+++ b/src/grants/prompt_pacer.h
@@ -20,6 +20,12 @@
   /** @param initial_rate tokens a millisecond, until it has been measured. */
   explicit prompt_pacer(double initial_rate);
 
+  /**
+   * Follows the prompts that wait: the more there is to read, the larger the
+   * share of the engine's time that reading may take.
+   * @param tokens of prompts that wait for nothing else.
+   */
+  void SetBacklog(std::int64_t tokens, core::time_point now);
   /** True if a prompt may be sent now. */
   bool IsOpen(core::time_point now) const;
   /** A prompt was sent. */
@@ -42,6 +48,8 @@
   double Credit(core::time_point now) const;
 
   double rate_;
+  /** Share of the engine's time that reading may take now. */
+  double share_;
   core::milliseconds event_gap_{300};
   /** Tokens that may be sent; negative after a long prompt. */
   double credit_ = 0.0;
--- a/src/sidecar/engine_steward.cc
+++ b/src/sidecar/engine_steward.cc
@@ -222,6 +222,22 @@
       });
 }
 
+void engine_steward::LogState() {
+  const auto status = Status();
+  log_.Belief("engine_state")
+      .Add("serving", status.serving)
+      .Add("running", status.running)
+      .Add("waiting", status.waiting)
+      .Add("free_adapter_slots", status.free_adapter_slots)
+      .Add("loads_waiting", status.loads_waiting)
+      .Add("run_time_ms", scheduler_.RunTime().count())
+      .Add("load_time_ms", scheduler_.LoadTime().count())
+      .Add("prompt_tokens_per_s",
+           static_cast<std::int64_t>(scheduler_.PromptRate() * 1e3))
+      .Add("state_age_ms",
+           core::ToMilliseconds(loop_.Now() - answered_at_).count());
+}
+
 void engine_steward::UpdateMetrics() {
   const auto status = Status();
   metrics_.SetGauge("sidecar_running", static_cast<double>(status.running));
--- a/src/sidecar/engine_steward.h
+++ b/src/sidecar/engine_steward.h
@@ -56,6 +56,8 @@
   const grants::grant_scheduler& Scheduler() const { return scheduler_; }
   grants::engine_status Status() const;
   void UpdateMetrics();
+  /** One line with the state and the measured figures behind decisions. */
+  void LogState();
 
  private:
   void Perform(grants::grant_scheduler::actions actions);
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -19,6 +19,7 @@
 /** ... or less often when so many read it: about 80 messages a second. */
 constexpr core::milliseconds kStatusPeriodPerLink{12};
 constexpr core::milliseconds kLogFlushPeriod{50};
+constexpr core::milliseconds kStateLogPeriod{5000};
 /** A later turn than this means that the process was paused. */
 constexpr core::milliseconds kPauseThreshold{300};
 constexpr std::size_t kMaximumLinks = 1024;
@@ -61,12 +62,15 @@
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
+    state_timer =
+        loop.SchedulePeriodic(kStateLogPeriod, [this] { steward.LogState(); });
     ScheduleStatus();
     steward.Start();
   }
 
   ~impl() {
     loop.Cancel(flush_timer);
+    loop.Cancel(state_timer);
     loop.Cancel(status_timer);
   }
 
@@ -179,6 +183,7 @@
   net::http_server admin;
   net::timer_id flush_timer = 0;
   net::timer_id status_timer = 0;
+  net::timer_id state_timer = 0;
   bool stopping = false;
 };
 
