--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -4,7 +4,6 @@
 #include <optional>
 
 #include "core/hash.h"
-#include "grants/prompt_pacer.h"
 
 namespace comfreyspring::gateway {
 namespace {
@@ -22,12 +21,6 @@
 constexpr double kSuspectWeight = 1.0;
 /** Wait for prompts to be read that counts like a full batch, in ms. */
 constexpr double kReadingWaitOfFullLoad = 600.0;
-/** Load that an engine counts for short prompts if it reads only long ones. */
-constexpr double kLongShareWeight = 2.0;
-/** With fewer engines none can be left to long prompts. */
-constexpr std::size_t kFewestForLongPrompts = 4;
-/** Part of the time to the first event that a long prompt may wait. */
-constexpr int kLongWaitsPerGoal = 4;
 /** Load by which engines of an adapter may exceed the mean of all. */
 constexpr double kLoadHeadroom = 0.15;
 constexpr double kLoadFactor = 1.25;
@@ -77,9 +70,6 @@
   bool holds_adapter = false;
   bool has_place = false;
   std::uint64_t weight = 0;
-  core::milliseconds reading_wait{0};
-  /** The prompt would hold up the streams of the engine. */
-  bool is_long = false;
 };
 
 bool IsExcluded(const endpoint_view& view, const choice_request& request) {
@@ -106,12 +96,6 @@
                   slots;
     result.load += static_cast<double>(view.status.reading_wait.count()) /
                    kReadingWaitOfFullLoad;
-    result.reading_wait = view.status.reading_wait;
-    result.is_long = grants::IsLongPrompt(
-        request.prompt_tokens, view.status.prompt_rate, request.event_gap);
-    if (!result.is_long) {
-      result.load += kLongShareWeight * view.status.long_share;
-    }
     result.has_place = view.status.free_adapter_slots > 0;
   } else {
     // Without its agent an engine only serves what it holds.
@@ -135,27 +119,6 @@
   return result;
 }
 
-/** The first engine, in an order that all gateways share, with room. */
-const endpoint_view* ChooseForLongPrompt(std::vector<candidate> all,
-                                         const choice_request& request) {
-  if (all.size() < kFewestForLongPrompts) return nullptr;
-  const auto order = [](const candidate& each) {
-    return core::Hash64(each.view->record.address.ToString());
-  };
-  std::sort(all.begin(), all.end(),
-            [&](const candidate& left, const candidate& right) {
-              return order(left) < order(right);
-            });
-  for (const candidate& each : all) {
-    if (each.load < kFullLoad &&
-        each.reading_wait * kLongWaitsPerGoal <= request.first_event_goal &&
-        (each.holds_adapter || each.has_place)) {
-      return each.view;
-    }
-  }
-  return nullptr;
-}
-
 template <class IsBetter>
 const candidate* BestOf(const std::vector<candidate>& candidates,
                         const IsBetter& is_better) {
@@ -179,11 +142,6 @@
     if (considered) all.push_back(*considered);
   }
   if (all.empty()) return nullptr;
-  if (std::any_of(all.begin(), all.end(),
-                  [](const candidate& each) { return each.is_long; })) {
-    const auto* for_long = ChooseForLongPrompt(all, request);
-    if (for_long != nullptr) return for_long;
-  }
   double mean = 0.0;
   for (const candidate& each : all) mean += each.load;
   mean /= static_cast<double>(all.size());
--- a/src/gateway/endpoint_choice.h
+++ b/src/gateway/endpoint_choice.h
@@ -14,10 +14,6 @@
 /** Who asks, for the choice of an endpoint. */
 struct choice_request {
   catalog::adapter_name adapter;
-  std::int64_t prompt_tokens = 0;
-  /** Goals of the route. */
-  core::milliseconds event_gap{0};
-  core::milliseconds first_event_goal{0};
   core::data_centre_id data_centre;
   /** Endpoints that are not to be chosen. */
   const std::set<catalog::instance_id>* excluded = nullptr;
@@ -33,9 +29,7 @@
  * An adapter has a home by rendezvous hashing, so that all gateways send its
  * requests to the same few engines and places and loads are not spent twice.
  * Load patterns: a popular adapter spreads to the next engine of its order
- * when those that hold it are clearly fuller than the others; long prompts,
- * which hold up all streams of an engine while they are read, gather at few
- * engines, in an order that all gateways share; engines whose
+ * when those that hold it are clearly fuller than the others; engines whose
  * places are all in use, that fail more than their peers or are silent while
  * work is outstanding are left to the others.
  * @returns null if no engine can serve.
--- a/src/gateway/endpoint_choice_test.cc
+++ b/src/gateway/endpoint_choice_test.cc
@@ -88,36 +88,6 @@
   EXPECT_EQ(Engine("a1"), second);
 }
 
-// Load pattern: long prompts among streams that must not pause. They gather at
-// the same engine for all gateways, and short ones stay away from it.
-TEST_F(endpoint_choice_test, LongPromptsGatherAtFewEngines) {
-  for (int i = 0; i < 6; ++i) {
-    auto& view = Add("e" + std::to_string(i));
-    view.status.prompt_rate = 30.0;
-    view.status.running = 2;
-  }
-  const auto choose = [&](const std::string& adapter, std::int64_t tokens) {
-    const choice_request request{.adapter = Name(adapter),
-                                 .prompt_tokens = tokens,
-                                 .event_gap = milliseconds(300),
-                                 .first_event_goal = milliseconds(1000),
-                                 .excluded = &excluded_,
-                                 .gateways = 2};
-    return ChooseEngine(All(), request, now_)->record.instance.Value();
-  };
-  const std::string gathering = choose("a0", 6000);
-  for (int i = 1; i < 20; ++i) {
-    EXPECT_EQ(choose("a" + std::to_string(i), 6000), gathering);
-  }
-  views_.at(gathering)->status.long_share = 0.3;
-  for (int i = 0; i < 50; ++i) {
-    EXPECT_NE(choose("b" + std::to_string(i), 600), gathering);
-  }
-  // A second engine joins when the first has much to read.
-  views_.at(gathering)->status.reading_wait = milliseconds(400);
-  EXPECT_NE(choose("a0", 6000), gathering);
-}
-
 TEST_F(endpoint_choice_test, AvoidsEnginesWhosePlacesAreAllInUse) {
   for (int i = 0; i < 4; ++i) Add("e" + std::to_string(i));
   const std::string home = Engine("a1");
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -241,9 +241,6 @@
   const endpoint_view* Choose(const active& request) {
     const auto now = loop.Now();
     const choice_request wanted{.adapter = request.facts.adapter,
-                                .prompt_tokens = request.facts.prompt_tokens,
-                                .event_gap = request.route->event_gap,
-                                .first_event_goal = request.route->goal,
                                 .data_centre = settings.data_centre,
                                 .excluded = &request.excluded,
                                 .gateways = Gateways()};
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -585,8 +585,6 @@
   for (const auto& [key, wanted] : waiting_) {
     if (IsReady(wanted)) waiting_tokens += wanted.prompt_tokens;
   }
-  status.prompt_rate = pacer_.Rate();
-  status.long_share = pacer_.LongShare(now);
   status.reading_wait = pacer_.TimeFor(waiting_tokens, now);
   status.adapters_revision = slots_.Revision();
   status.adapters = slots_.Adapters();
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -144,10 +144,6 @@
   std::size_t loads_waiting = 0;
   /** Time until a new prompt would be let through to the engine. */
   core::milliseconds reading_wait{0};
-  /** Prompt tokens that the engine reads in a millisecond. */
-  double prompt_rate = 0.0;
-  /** Share of its time that the engine lately spent on long prompts. */
-  double long_share = 0.0;
   /** Gateways that have a link to the agent. */
   std::size_t gateways = 0;
   /** Changes with the list of adapters. */
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -40,8 +40,6 @@
                  {"free", status.free_adapter_slots},
                  {"loads", status.loads_waiting},
                  {"reading_wait", status.reading_wait.count()},
-                 {"prompt_rate", status.prompt_rate},
-                 {"long_share", status.long_share},
                  {"gateways", status.gateways},
                  {"revision", status.adapters_revision}};
   if (with_adapters) {
@@ -61,8 +59,6 @@
   status.free_adapter_slots = fields.at("free").get<std::size_t>();
   status.loads_waiting = fields.at("loads").get<std::size_t>();
   status.reading_wait = Time(fields, "reading_wait");
-  status.prompt_rate = fields.at("prompt_rate").get<double>();
-  status.long_share = fields.at("long_share").get<double>();
   status.gateways = fields.at("gateways").get<std::size_t>();
   status.adapters_revision = fields.at("revision").get<std::uint64_t>();
   const auto adapters = fields.find("adapters");
--- a/src/grants/prompt_pacer.cc
+++ b/src/grants/prompt_pacer.cc
@@ -15,10 +15,6 @@
 constexpr double kHighestShare = 0.75;
 /** The prompts that wait shall be read within this time. */
 constexpr double kBacklogTargetMs = 250.0;
-/** Share of a pause between events that reading a long prompt exceeds. */
-constexpr double kLongShareOfGap = 0.2;
-/** Memory of how much long work an engine has. */
-constexpr core::milliseconds kLongHalfLife{5000};
 /** Reading that may come at once, as a share of the pause between events. */
 constexpr double kBurstShareOfGap = 0.05;
 /** Weight that a sample keeps when the next one arrives. */
@@ -32,16 +28,8 @@
 
 }  // namespace
 
-bool IsLongPrompt(std::int64_t tokens, double rate,
-                  core::milliseconds event_gap) {
-  return static_cast<double>(tokens) >
-         rate * kLongShareOfGap * static_cast<double>(event_gap.count());
-}
-
 prompt_pacer::prompt_pacer(double initial_rate)
-    : rate_(initial_rate),
-      share_(kLowestShare),
-      long_reading_ms_(kLongHalfLife) {}
+    : rate_(initial_rate), share_(kLowestShare) {}
 
 void prompt_pacer::SetBacklog(std::int64_t tokens, core::time_point now) {
   credit_ = Credit(now);
@@ -67,13 +55,6 @@
 void prompt_pacer::OnGranted(std::int64_t tokens, core::time_point now) {
   credit_ = Credit(now) - static_cast<double>(tokens);
   credited_at_ = now;
-  if (IsLongPrompt(tokens, rate_, event_gap_)) {
-    long_reading_ms_.Add(static_cast<double>(tokens) / rate_, now);
-  }
-}
-
-double prompt_pacer::LongShare(core::time_point now) const {
-  return long_reading_ms_.PerSecond(now) / 1e3;
 }
 
 void prompt_pacer::OnFirstOutput(std::int64_t tokens,
--- a/src/grants/prompt_pacer.h
+++ b/src/grants/prompt_pacer.h
@@ -2,19 +2,10 @@
 
 #include <cstdint>
 
-#include "adapters/decayed_value.h"
 #include "core/time.h"
 
 namespace comfreyspring::grants {
 
-/**
- * True for a prompt whose reading alone takes so much of a pause between
- * events that an engine that is slowed for moments makes all its streams late.
- * @param rate prompt tokens that the engine reads in a millisecond.
- */
-bool IsLongPrompt(std::int64_t tokens, double rate,
-                  core::milliseconds event_gap);
-
 /**
  * Paces the prompts that one engine reads.
  *
@@ -52,8 +43,6 @@
   core::milliseconds EventGap() const { return event_gap_; }
   /** Tokens that the engine reads in a millisecond. */
   double Rate() const { return rate_; }
-  /** Share of the engine's time that long prompts took lately. */
-  double LongShare(core::time_point now) const;
 
  private:
   double Credit(core::time_point now) const;
@@ -65,8 +54,6 @@
   /** Tokens that may be sent; negative after a long prompt. */
   double credit_ = 0.0;
   core::time_point credited_at_;
-  /** Reading time of long prompts, ms. */
-  adapters::decayed_value long_reading_ms_;
 
   // Decayed sums of a linear regression of time over tokens.
   double count_ = 0.0;
