Order adapter loads by what waits for them, and keep quick loads apart

Change: the load with the most waiting value for its time first, one at a time while the store is congested, adapters held shortly before beside them; while loads wait, engines that hold an adapter fill up before it is copied.

--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -24,6 +24,8 @@
 /** Load by which engines of an adapter may exceed the mean of all. */
 constexpr double kLoadHeadroom = 0.15;
 constexpr double kLoadFactor = 1.25;
+/** Adapters that wait for a load, per engine, that show a congested store. */
+constexpr double kScarceLoads = 1.0;
 /** Above this, work has to wait for a place in the batch. */
 constexpr double kFullLoad = 0.95;
 /** Preference for the own data centre, in outstanding requests. */
@@ -90,10 +92,10 @@
       static_cast<double>(std::max<std::size_t>(1, view.record.slots));
   if (view.has_agent) {
     if (!view.status.serving) return std::nullopt;
-    result.load = static_cast<double>(view.status.running +
-                                      view.status.waiting +
-                                      view.asked_since_status) /
-                  slots;
+    result.load =
+        static_cast<double>(view.status.running + view.status.waiting +
+                            view.asked_since_status) /
+        slots;
     result.load += static_cast<double>(view.status.reading_wait.count()) /
                    kReadingWaitOfFullLoad;
     result.has_place = view.status.free_adapter_slots > 0;
@@ -145,8 +147,18 @@
   double mean = 0.0;
   for (const candidate& each : all) mean += each.load;
   mean /= static_cast<double>(all.size());
-  const double bound = std::min(
-      kFullLoad, std::max(mean * kLoadFactor, mean + kLoadHeadroom));
+  double loads_waiting = 0.0;
+  for (const candidate& each : all) {
+    loads_waiting += static_cast<double>(each.view->status.loads_waiting);
+  }
+  loads_waiting /= static_cast<double>(all.size());
+  // While the weight store cannot keep up, a second copy costs another adapter
+  // its load, so engines that hold an adapter may fill up first.
+  const double bound =
+      loads_waiting >= kScarceLoads
+          ? kFullLoad
+          : std::min(kFullLoad,
+                     std::max(mean * kLoadFactor, mean + kLoadHeadroom));
 
   const auto lighter = [](const candidate& left, const candidate& right) {
     return left.load != right.load ? left.load < right.load
@@ -172,14 +184,17 @@
   if (found != nullptr) return found;
   // The first of its order with a place for it.
   found = chosen(
-      [&](const candidate& each) { return each.has_place && each.load <= bound; },
+      [&](const candidate& each) {
+        return each.has_place && each.load <= bound;
+      },
       by_home);
   if (found != nullptr) return found;
   // All are full, in their batches or in their places.
   found = chosen([&](const candidate& each) { return each.holds_adapter; },
                  lighter);
   if (found != nullptr) return found;
-  found = chosen([&](const candidate& each) { return each.has_place; }, lighter);
+  found =
+      chosen([&](const candidate& each) { return each.has_place; }, lighter);
   if (found != nullptr) return found;
   return BestOf(all, lighter)->view;
 }
--- a/src/gateway/endpoint_choice_test.cc
+++ b/src/gateway/endpoint_choice_test.cc
@@ -35,9 +35,8 @@
     return all;
   }
   std::string Engine(const std::string& adapter) {
-    const choice_request request{.adapter = Name(adapter),
-                                 .excluded = &excluded_,
-                                 .gateways = 2};
+    const choice_request request{
+        .adapter = Name(adapter), .excluded = &excluded_, .gateways = 2};
     const auto* chosen = ChooseEngine(All(), request, now_);
     return chosen == nullptr ? "" : chosen->record.instance.Value();
   }
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -74,10 +74,11 @@
                   }) {
     forwarder.SetLinks(links);
     if (settings.admin_listener) {
-      admin.emplace(loop, ListenerAt(settings.admin_listener, "admin"),
-                    [this](const std::shared_ptr<net::http_exchange>& exchange) {
-                      AnswerAdmin(*exchange);
-                    });
+      admin.emplace(
+          loop, ListenerAt(settings.admin_listener, "admin"),
+          [this](const std::shared_ptr<net::http_exchange>& exchange) {
+            AnswerAdmin(*exchange);
+          });
     }
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       log.Belief("pause_noticed").Add("length_ms", length.count());
@@ -142,9 +143,8 @@
 
   void AnswerAdmin(net::http_exchange& exchange) {
     if (exchange.Request().path == "/debug/state") {
-      exchange.Respond({200,
-                        {{"content-type", "application/json"}},
-                        forwarder.Dump()});
+      exchange.Respond(
+          {200, {{"content-type", "application/json"}}, forwarder.Dump()});
       return;
     }
     if (exchange.Request().path == "/metrics") {
--- a/src/gateway/repeat_budget.cc
+++ b/src/gateway/repeat_budget.cc
@@ -26,9 +26,7 @@
   return buckets_.back();
 }
 
-void repeat_budget::OnRequest(core::time_point now) {
-  ++Current(now).requests;
-}
+void repeat_budget::OnRequest(core::time_point now) { ++Current(now).requests; }
 
 double repeat_budget::Left(std::size_t gateways, core::time_point now) {
   Current(now);
--- a/src/gateway/repeat_budget_test.cc
+++ b/src/gateway/repeat_budget_test.cc
@@ -10,9 +10,8 @@
 
 using core::milliseconds;
 
-constexpr repeat_limits kLimits{.share = 0.2,
-                                .extra = 50.0,
-                                .window = milliseconds(10'000)};
+constexpr repeat_limits kLimits{
+    .share = 0.2, .extra = 50.0, .window = milliseconds(10'000)};
 
 // Load pattern: endpoints fail while load is high. Over all gateways and in
 // any window the repeats must stay within the common limit.
@@ -25,8 +24,8 @@
   };
   std::vector<event> events;
   core::time_point now{std::chrono::seconds(100)};
-  const auto steps = *rc::gen::container<std::vector<int>>(
-      rc::gen::inRange(0, 1000));
+  const auto steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
   for (const int step : steps) {
     now += milliseconds(step % 200);
     repeat_budget& budget = budgets[static_cast<std::size_t>(step) % gateways];
--- a/src/gateway/repeat_rules.cc
+++ b/src/gateway/repeat_rules.cc
@@ -49,9 +49,8 @@
       situation.time_left < kShortestAttempt) {
     return repeat_decision::give_up;
   }
-  const bool surely_not_run =
-      situation.failure == attempt_failure::not_sent ||
-      situation.failure == attempt_failure::not_run;
+  const bool surely_not_run = situation.failure == attempt_failure::not_sent ||
+                              situation.failure == attempt_failure::not_run;
   if (!surely_not_run && !route.MayRepeat()) return repeat_decision::give_up;
   // What the caller has of a stream cannot be taken back.
   if (situation.answer_begun && !route.resumable) {
@@ -74,9 +73,9 @@
   patience.caller_leaves =
       std::max({kShortestSilence, route.goal * kGoalsOfSilence,
                 route.event_gap * kGapsOfSilence});
-  patience.longest_wait = std::min(
-      Scaled(patience.caller_leaves, kWaitShareOfSilence),
-      Scaled(time_limit, kWaitShareOfTime));
+  patience.longest_wait =
+      std::min(Scaled(patience.caller_leaves, kWaitShareOfSilence),
+               Scaled(time_limit, kWaitShareOfTime));
   patience.stall = patience.caller_leaves / 2;
   return patience;
 }
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -164,8 +164,8 @@
                                 .retry_after = kRetryWhenUnready});
       return;
     }
-    request->route = request->table->Match(
-        request->facts.host, request->exchange->Request().target);
+    request->route = request->table->Match(request->facts.host,
+                                           request->exchange->Request().target);
     if (request->route == nullptr) {
       AnswerUnrouted(*request, {.status = 404,
                                 .type = "no_route",
@@ -245,9 +245,8 @@
                                 .excluded = &request.excluded,
                                 .gateways = Gateways()};
     const auto candidates = ViewsOf(request.service);
-    return NeedsEngine(request)
-               ? ChooseEngine(candidates, wanted, now)
-               : ChoosePlain(candidates, wanted, random, now);
+    return NeedsEngine(request) ? ChooseEngine(candidates, wanted, now)
+                                : ChoosePlain(candidates, wanted, random, now);
   }
 
   /** Finds an endpoint for the request and asks or sends. */
@@ -259,8 +258,8 @@
     }
     const endpoint_view* chosen = Choose(*request);
     if (chosen == nullptr) {
-      GiveUp(request, request->refusal.empty() ? "no_endpoint"
-                                               : request->refusal);
+      GiveUp(request,
+             request->refusal.empty() ? "no_endpoint" : request->refusal);
       return;
     }
     request->endpoint = chosen->record.instance;
@@ -281,26 +280,26 @@
     ++request->asks;
     request->agent_ip = chosen.record.address.ip;
     asks[request->ask] = request;
-    const auto goal_in = request->route->goal -
-                         core::ToMilliseconds(now - request->arrived);
+    const auto goal_in =
+        request->route->goal - core::ToMilliseconds(now - request->arrived);
     const auto give_up_in =
         std::max(request->patience.longest_wait -
                      core::ToMilliseconds(now - request->last_output),
                  core::milliseconds(0));
     views.at(request->endpoint).asked_since_status += 1;
-    links->Send(request->agent_ip,
-                grants::grant_wanted{
-                    .number = request->ask,
-                    .request = request->facts.id.Value(),
-                    .adapter = request->facts.adapter,
-                    .minimum_version =
-                        follower.VersionOf(request->facts.adapter),
-                    .rank = request->route->rank,
-                    .prompt_tokens = request->facts.prompt_tokens,
-                    .output_tokens = request->facts.expected_output_tokens,
-                    .event_gap = request->route->event_gap,
-                    .goal_in = goal_in,
-                    .give_up_in = give_up_in});
+    links->Send(
+        request->agent_ip,
+        grants::grant_wanted{
+            .number = request->ask,
+            .request = request->facts.id.Value(),
+            .adapter = request->facts.adapter,
+            .minimum_version = follower.VersionOf(request->facts.adapter),
+            .rank = request->route->rank,
+            .prompt_tokens = request->facts.prompt_tokens,
+            .output_tokens = request->facts.expected_output_tokens,
+            .event_gap = request->route->event_gap,
+            .goal_in = goal_in,
+            .give_up_in = give_up_in});
   }
 
   void OnGiven(const std::string& ip, const grants::grant_given& given) {
@@ -328,8 +327,7 @@
     request->excluded.insert(request->endpoint);
     request->refusal = std::string(grants::ToString(refused.reason));
     request->retry_after = refused.retry_after;
-    log.Request(line_class::failure, "grant_refused",
-                request->facts.id.Value())
+    log.Request(line_class::failure, "grant_refused", request->facts.id.Value())
         .Add("endpoint", request->endpoint.Value())
         .Add("reason", request->refusal)
         .Add("expected_wait_ms", refused.expected_wait.count())
@@ -409,8 +407,7 @@
         .Add("adapter", request->facts.adapter.adapter.Value())
         .Add("version", announced)
         .Add("attempt", request->attempts)
-        .Add("waited_ms",
-             core::ToMilliseconds(now - request->arrived).count())
+        .Add("waited_ms", core::ToMilliseconds(now - request->arrived).count())
         .Add("left_ms", left.count())
         .Add("catalog_age_ms", follower.Age().count());
     const std::uint64_t number = request->number;
@@ -454,8 +451,8 @@
     request.status = status;
     request.headers = headers;
     request.answer = protocol.ReadAnswer(status, headers, request.facts.id);
-    request.passes_events = request.route->streams && IsSuccess(status) &&
-                            request.answer.authentic;
+    request.passes_events =
+        request.route->streams && IsSuccess(status) && request.answer.authentic;
     request.events.DropRest();
     if (request.answer.idle_timeout) {
       idle_limit = std::clamp(*request.answer.idle_timeout - kIdleReserve,
@@ -615,10 +612,8 @@
   }
 
   void KeepFallback(active& request) {
-    request.fallback =
-        net::http_response{request.status,
-                           protocol.AnswerHeaders(request.headers),
-                           request.body};
+    request.fallback = net::http_response{
+        request.status, protocol.AnswerHeaders(request.headers), request.body};
   }
 
   // Final answers.
@@ -627,9 +622,8 @@
     if (request->passes_events) {
       // A complete answer may end without a last empty line.
       if (!request->answer_begun && request->events.Rest().empty()) {
-        request->exchange->Respond(
-            WithClose({request->status,
-                       protocol.AnswerHeaders(request->headers), ""}));
+        request->exchange->Respond(WithClose(
+            {request->status, protocol.AnswerHeaders(request->headers), ""}));
       } else {
         if (!request->events.Rest().empty()) {
           PassEvents(request, request->events.Rest());
@@ -692,16 +686,16 @@
     return response;
   }
 
-  void Finish(const active_pointer& request, line_class kind,
-              const char* event, const std::string& cause,
+  void Finish(const active_pointer& request, line_class kind, const char* event,
+              const std::string& cause,
               std::optional<core::milliseconds> retry_after = std::nullopt) {
     const auto now = loop.Now();
     const auto took = core::ToMilliseconds(now - request->arrived);
     metrics.Count(std::string("gateway_requests_total{outcome=\"") + event +
                   "\",status=\"" + std::to_string(request->status) + "\"}");
-    metrics.Observe(std::string("gateway_request_ms{outcome=\"") + event +
-                        "\"}",
-                    static_cast<double>(took.count()));
+    metrics.Observe(
+        std::string("gateway_request_ms{outcome=\"") + event + "\"}",
+        static_cast<double>(took.count()));
     if (kind == line_class::failure && !cause.empty()) {
       metrics.Count("gateway_failures_total{cause=\"" + cause + "\"}");
     }
@@ -765,11 +759,11 @@
                         .message = "The endpoint did not answer in time."});
       return;
     }
-    Respond(request, {.status = 503,
-                      .type = "time_limit",
-                      .message = "The request has not run.",
-                      .retry_after = request->retry_after.value_or(
-                          kRetryWhenUnready)});
+    Respond(request,
+            {.status = 503,
+             .type = "time_limit",
+             .message = "The request has not run.",
+             .retry_after = request->retry_after.value_or(kRetryWhenUnready)});
   }
 
   void OnStall(const active_pointer& request) {
@@ -780,8 +774,7 @@
         .endpoints_used = static_cast<int>(request->used.size()),
         .attempts = request->attempts,
         .time_left = core::ToMilliseconds(request->limit - loop.Now())};
-    if (DecideRepeat(*request->route, situation) !=
-            repeat_decision::anywhere ||
+    if (DecideRepeat(*request->route, situation) != repeat_decision::anywhere ||
         BudgetOf(request->service).Left(Gateways(), loop.Now()) < 1.0) {
       return;
     }
@@ -841,8 +834,7 @@
     if (!follower.Routes()) return;
     std::map<std::string, grants::engine_facts> wanted;
     for (const auto& [instance, view] : views) {
-      const auto* service =
-          follower.Routes()->FindService(view.record.service);
+      const auto* service = follower.Routes()->FindService(view.record.service);
       if (service == nullptr || !service->engine) continue;
       grants::engine_facts facts{
           .batch_slots = view.record.slots,
@@ -890,9 +882,7 @@
         overloaded{
             [&](const grants::grant_given& given) { OnGiven(ip, given); },
             [&](const grants::grant_refused& refused) { OnRefused(refused); },
-            [&](const grants::status_report& report) {
-              OnStatus(ip, report);
-            },
+            [&](const grants::status_report& report) { OnStatus(ip, report); },
             [&](const auto&) {
               log.Belief("message_unexpected").Add("sidecar", ip);
             }},
@@ -927,9 +917,9 @@
 
   repeat_budget& BudgetOf(const core::service_id& service) {
     return budgets
-        .try_emplace(service, repeat_limits{settings.repeat_share,
-                                            settings.repeat_extra,
-                                            settings.repeat_window})
+        .try_emplace(service,
+                     repeat_limits{settings.repeat_share, settings.repeat_extra,
+                                   settings.repeat_window})
         .first->second;
   }
 
@@ -1008,9 +998,8 @@
   const auto now = impl_->loop.Now();
   impl_->metrics.SetGauge("gateway_requests_active",
                           static_cast<double>(impl_->requests.size()));
-  impl_->metrics.SetGauge(
-      "gateway_catalog_age_ms",
-      static_cast<double>(impl_->follower.Age().count()));
+  impl_->metrics.SetGauge("gateway_catalog_age_ms",
+                          static_cast<double>(impl_->follower.Age().count()));
   const auto& table = impl_->follower.Routes();
   impl_->metrics.SetGauge("gateway_configuration_version",
                           table ? static_cast<double>(table->Version()) : 0);
@@ -1029,27 +1018,25 @@
   const auto now = impl_->loop.Now();
   nlohmann::json endpoints = nlohmann::json::array();
   for (const auto& [instance, view] : impl_->views) {
-    endpoints.push_back(
-        {{"instance", instance.Value()},
-         {"service", view.record.service.Value()},
-         {"address", view.record.address.ToString()},
-         {"leaving", view.record.leaving},
-         {"outstanding", view.results.Outstanding()},
-         {"failure_share", view.results.FailureShare(now)},
-         {"silence_ms", view.results.Silence(now).count()},
-         {"has_agent", view.has_agent},
-         {"running", view.status.running},
-         {"waiting", view.status.waiting},
-         {"free_adapter_slots", view.status.free_adapter_slots},
-         {"adapters", view.adapters.size()}});
+    endpoints.push_back({{"instance", instance.Value()},
+                         {"service", view.record.service.Value()},
+                         {"address", view.record.address.ToString()},
+                         {"leaving", view.record.leaving},
+                         {"outstanding", view.results.Outstanding()},
+                         {"failure_share", view.results.FailureShare(now)},
+                         {"silence_ms", view.results.Silence(now).count()},
+                         {"has_agent", view.has_agent},
+                         {"running", view.status.running},
+                         {"waiting", view.status.waiting},
+                         {"free_adapter_slots", view.status.free_adapter_slots},
+                         {"adapters", view.adapters.size()}});
   }
   nlohmann::json requests = nlohmann::json::array();
   for (const auto& [number, request] : impl_->requests) {
     requests.push_back(
         {{"request", request->facts.id.Value()},
          {"route", request->route->name},
-         {"state",
-          request->state == impl::phase::waiting ? "waiting" : "sent"},
+         {"state", request->state == impl::phase::waiting ? "waiting" : "sent"},
          {"endpoint", request->endpoint.Value()},
          {"attempts", request->attempts},
          {"events", request->events_passed},
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -109,9 +109,7 @@
     calls.push_back({std::move(call), std::move(callbacks)});
     return calls.size();
   }
-  void Cancel(net::http_call_id id) override {
-    calls[id - 1].cancelled = true;
-  }
+  void Cancel(net::http_call_id id) override { calls[id - 1].cancelled = true; }
 
   void Headers(int status, net::header_map headers) {
     const auto callback = calls.back().callbacks.on_headers;
@@ -137,9 +135,7 @@
 
 class fixed_source final : public catalog::catalog_source {
  public:
-  void ReadAll(milliseconds, read_callback on_done) override {
-    on_done(first);
-  }
+  void ReadAll(milliseconds, read_callback on_done) override { on_done(first); }
   void ReadChanges(std::int64_t, milliseconds, milliseconds,
                    read_callback on_done) override {
     pending = std::move(on_done);
@@ -156,9 +152,9 @@
     settings_.repeat_extra = 200;
     source_.first.outcome = catalog::read_outcome::done;
     Route("/once/", "plain", {.repeats = kOnce});
-    Route("/again/", "plain",
-          {.repeats = catalog::repeat_rule::idempotent,
-           .maximum_endpoints = 2});
+    Route(
+        "/again/", "plain",
+        {.repeats = catalog::repeat_rule::idempotent, .maximum_endpoints = 2});
     Route("/stream/", "plain", {.streams = true});
     Route("/resume/", "plain",
           {.streams = true, .resumable = true, .maximum_endpoints = 2});
@@ -216,12 +212,13 @@
 
   net::event_loop loop_;
   std::string log_text_;
-  telemetry::event_log log_{
-      "test", {}, [] { return core::wall_time(); },
-      [this](std::string_view text) {
-        log_text_ += text;
-        return static_cast<std::int64_t>(text.size());
-      }};
+  telemetry::event_log log_{"test",
+                            {},
+                            [] { return core::wall_time(); },
+                            [this](std::string_view text) {
+                              log_text_ += text;
+                              return static_cast<std::int64_t>(text.size());
+                            }};
   telemetry::metrics metrics_;
   settings::node_settings settings_;
   plain_protocol protocol_;
@@ -363,8 +360,8 @@
 // Nothing waits beyond the caller's or the route's time.
 TEST_F(request_forwarder_test, AnswersWhenTheTimeIsOver) {
   const auto caller = Send("/once/a", "100");
-  ASSERT_TRUE(loop_.RunUntil([&] { return caller->answers > 0; },
-                             milliseconds(1000)));
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return caller->answers > 0; }, milliseconds(1000)));
   EXPECT_EQ(caller->response.status, 504);
   EXPECT_TRUE(http_.calls[0].cancelled);
 }
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -103,11 +103,11 @@
     if (lost != nullptr) Lose(ip, *lost, reason);
   };
   target.heard_at = loop_.Now();
-  target.link = net::ConnectFrameLink(
-      loop_, ip, options_.port,
-      {.handshake_timeout = options_.connect_timeout,
-       .maximum_pending_bytes = kMaximumPendingBytes},
-      std::move(callbacks));
+  target.link =
+      net::ConnectFrameLink(loop_, ip, options_.port,
+                            {.handshake_timeout = options_.connect_timeout,
+                             .maximum_pending_bytes = kMaximumPendingBytes},
+                            std::move(callbacks));
 }
 
 void sidecar_links::Lose(const std::string& ip, peer& target,
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -20,6 +20,12 @@
 constexpr double kMemoryShare = 0.95;
 /** After so many grants by urgency the oldest request goes first. */
 constexpr int kGrantsPerOldest = 12;
+/** After so many loads by value the longest wait goes first. */
+constexpr int kLoadsPerOldest = 8;
+/** Value of a request that has missed its goal, against one that has not. */
+constexpr double kLateValue = 0.3;
+/** Loads that take so many times longer show a congested weight store. */
+constexpr double kCongestedFactor = 1.6;
 constexpr core::milliseconds kOrderPause{50};
 /** Time until an adapter that the engine does not know is tried again. */
 constexpr core::milliseconds kUnavailableTime{3000};
@@ -46,14 +52,15 @@
   // The assumed value counts as one sample.
   const double weight = std::max(kSmoothing, 1.0 / (samples_ + 2));
   ++samples_;
-  value_ = FromDouble(ToDouble(value_) * (1.0 - weight) +
-                      ToDouble(sample) * weight);
+  value_ =
+      FromDouble(ToDouble(value_) * (1.0 - weight) + ToDouble(sample) * weight);
 }
 
 grant_scheduler::grant_scheduler(grant_options options)
     : options_(options),
       random_(options.random_seed),
       load_time_(options.initial_load_time),
+      warm_load_time_(options.initial_warm_load_time),
       run_time_(options.initial_run_time),
       pacer_(options.initial_prompt_rate) {}
 
@@ -182,7 +189,7 @@
                  state.orders_accepted < state_->orders_accepted);
   if (restarted) slots_.Clear();
   for (const auto& done : slots_.Reconcile(state, asked_at, now)) {
-    load_time_.Add(done.took);
+    (done.warm ? warm_load_time_ : load_time_).Add(done.took);
   }
   if (!state.models.empty()) last_model_ = state.models.front().model;
   state_ = state;
@@ -276,8 +283,8 @@
     retry_after = std::max(retry_after, expected_wait);
   }
   // Jitter keeps callers that were refused together from returning together.
-  retry_after = FromDouble(ToDouble(retry_after) *
-                           (1.0 + 0.2 * random_.NextUnit()));
+  retry_after =
+      FromDouble(ToDouble(retry_after) * (1.0 + 0.2 * random_.NextUnit()));
   retry_after =
       std::clamp(retry_after, kShortestRetryAfter, kLongestRetryAfter);
   if (reason == refusal_reason::wait_too_long &&
@@ -365,9 +372,8 @@
     const ask* best = nullptr;
     for (const auto& [key, wanted] : waiting_) {
       if (!IsReady(wanted)) continue;
-      if (best == nullptr ||
-          (oldest_first ? wanted.goal_at < best->goal_at
-                        : ComesBefore(wanted, *best, now))) {
+      if (best == nullptr || (oldest_first ? wanted.goal_at < best->goal_at
+                                           : ComesBefore(wanted, *best, now))) {
         best = &wanted;
       }
     }
@@ -432,9 +438,9 @@
 
 bool grant_scheduler::IsInUse(const catalog::adapter_name& adapter) const {
   if (in_use_.count(adapter) > 0) return true;
-  return std::any_of(
-      waiting_.begin(), waiting_.end(),
-      [&](const auto& entry) { return entry.second.adapter == adapter; });
+  return std::any_of(waiting_.begin(), waiting_.end(), [&](const auto& entry) {
+    return entry.second.adapter == adapter;
+  });
 }
 
 void grant_scheduler::PlanOrder(core::time_point now, actions& out) {
@@ -443,25 +449,82 @@
     PlanModelLoad(now, out);
     return;
   }
-  if (slots_.Loading() >= options_.maximum_loads) return;
-  const ask* first = nullptr;
+  const auto next = NextLoad(now);
+  if (!next) return;
+  if (slots_.Find(*next) != nullptr || slots_.HasFreePlace()) {
+    const std::int64_t version = LoadDemand(now).at(*next).minimum_version;
+    loads_since_oldest_ =
+        loads_since_oldest_ >= kLoadsPerOldest ? 0 : loads_since_oldest_ + 1;
+    Issue({engine_order::kind::load, *next, version}, now, out);
+    return;
+  }
+  const auto victim = slots_.Victim(
+      [&](const catalog::adapter_name& name) { return !IsInUse(name); }, now);
+  if (victim) Issue({engine_order::kind::unload, *victim, 0}, now, out);
+}
+
+double grant_scheduler::ValueOf(const ask& wanted, core::time_point now) const {
+  const double urgency = 1.0 / (1.0 + wanted.rank);
+  return IsLate(wanted, now) ? kLateValue * urgency : urgency;
+}
+
+std::map<catalog::adapter_name, grant_scheduler::load_demand>
+grant_scheduler::LoadDemand(core::time_point now) const {
+  std::map<catalog::adapter_name, load_demand> demand;
   for (const auto& [key, wanted] : waiting_) {
     if (wanted.adapter.adapter.empty() || IsReady(wanted)) continue;
     const adapter_slot* slot = slots_.Find(wanted.adapter);
     if (slot != nullptr && slot->phase != adapter_slot::state::resident) {
       continue;
     }
-    if (first == nullptr || ComesBefore(wanted, *first, now)) first = &wanted;
+    const auto [position, inserted] = demand.try_emplace(wanted.adapter);
+    load_demand& total = position->second;
+    total.value += ValueOf(wanted, now);
+    total.minimum_version =
+        std::max(total.minimum_version, wanted.minimum_version);
+    if (inserted || wanted.goal_at < total.oldest_goal) {
+      total.oldest_goal = wanted.goal_at;
+    }
   }
-  if (first == nullptr) return;
-  if (slots_.Find(first->adapter) != nullptr || slots_.HasFreePlace()) {
-    Issue({engine_order::kind::load, first->adapter, first->minimum_version},
-          now, out);
-    return;
+  return demand;
+}
+
+bool grant_scheduler::IsCongested() const {
+  return ToDouble(load_time_.Value()) >
+         kCongestedFactor * ToDouble(options_.initial_load_time);
+}
+
+std::size_t grant_scheduler::ColdLoadLimit() const {
+  return IsCongested() ? options_.congested_cold_loads
+                       : options_.maximum_cold_loads;
+}
+
+core::milliseconds grant_scheduler::LoadTimeOf(
+    const catalog::adapter_name& adapter, core::time_point now) const {
+  return slots_.IsWarm(adapter, now) ? warm_load_time_.Value()
+                                     : load_time_.Value();
+}
+
+std::optional<catalog::adapter_name> grant_scheduler::NextLoad(
+    core::time_point now) const {
+  if (slots_.Loading() >= options_.maximum_loads) return std::nullopt;
+  const bool cold_allowed = slots_.ColdLoading() < ColdLoadLimit();
+  const bool oldest_first = loads_since_oldest_ >= kLoadsPerOldest;
+  std::optional<catalog::adapter_name> best;
+  double highest = 0.0;
+  core::time_point oldest;
+  for (const auto& [name, demand] : LoadDemand(now)) {
+    if (!cold_allowed && !slots_.IsWarm(name, now)) continue;
+    const double value =
+        demand.value / std::max(1.0, ToDouble(LoadTimeOf(name, now)));
+    const bool better =
+        oldest_first ? demand.oldest_goal < oldest : value > highest;
+    if (best && !better) continue;
+    best = name;
+    highest = value;
+    oldest = demand.oldest_goal;
   }
-  const auto victim = slots_.Victim(
-      [&](const catalog::adapter_name& name) { return !IsInUse(name); }, now);
-  if (victim) Issue({engine_order::kind::unload, *victim, 0}, now, out);
+  return best;
 }
 
 void grant_scheduler::PlanModelLoad(core::time_point now, actions& out) {
@@ -501,20 +564,26 @@
   }
   // Those that are on their way have their place already.
   std::set<catalog::adapter_name> ahead;
-  for (const auto& [key, other] : waiting_) {
-    if (other.rank <= wanted.rank && !other.adapter.adapter.empty() &&
-        other.adapter != wanted.adapter &&
-        slots_.Find(other.adapter) == nullptr) {
-      ahead.insert(other.adapter);
-    }
-  }
-  const double rounds =
-      1.0 + static_cast<double>(ahead.size() + slots_.Loading()) /
-                static_cast<double>(options_.maximum_loads);
-  double wait = rounds * ToDouble(load_time_.Value());
+  const double own_time =
+      std::max(1.0, ToDouble(LoadTimeOf(wanted.adapter, now)));
+  const auto demand = LoadDemand(now);
+  const auto own = demand.find(wanted.adapter);
+  const double own_value =
+      ValueOf(wanted, now) + (own == demand.end() ? 0.0 : own->second.value);
+  double loading_ms = 0.0;
+  for (const auto& [name, other] : demand) {
+    if (name == wanted.adapter) continue;
+    const double time = std::max(1.0, ToDouble(LoadTimeOf(name, now)));
+    if (other.value / time < own_value / own_time) continue;
+    loading_ms += time;
+    if (slots_.Find(name) == nullptr) ahead.insert(name);
+  }
+  loading_ms += static_cast<double>(slots_.ColdLoading()) *
+                ToDouble(load_time_.Value()) / 2.0;
+  double wait = own_time + loading_ms / static_cast<double>(ColdLoadLimit());
   // Places come free as the requests that use them end.
-  std::size_t unused = slots_.Capacity() - std::min(slots_.Size(),
-                                                    slots_.Capacity());
+  std::size_t unused =
+      slots_.Capacity() - std::min(slots_.Size(), slots_.Capacity());
   for (const auto& [name, other] : slots_.Slots()) {
     if (other.phase == adapter_slot::state::resident && !IsInUse(name)) {
       ++unused;
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -32,12 +32,18 @@
 struct grant_options {
   std::uint64_t random_seed = 1;
   /**
-   * Adapters on their way to this engine at once. The weight store serves all
-   * engines at the same total speed, so more only delays the urgent ones.
+   * Adapters on their way from the weight store to this engine at once. The
+   * store serves all engines at the same total speed, so while it is congested
+   * more only delays the most wanted ones.
    */
-  std::size_t maximum_loads = 2;
+  std::size_t maximum_cold_loads = 2;
+  std::size_t congested_cold_loads = 1;
+  /** Loads of any kind at once, as the engines allow. */
+  std::size_t maximum_loads = 4;
   /** Load of an adapter from an uncongested weight store. */
   core::milliseconds initial_load_time{250};
+  /** Load of an adapter that the engine held shortly before. */
+  core::milliseconds initial_warm_load_time{40};
   /**
    * Time that a request runs, until it has been measured; assumed low, because
    * a new agent that refuses what it could serve does more harm than a wait.
@@ -59,8 +65,9 @@
  *   first, in it work that still meets its goal, then what is late; what would
  *   start after it gives up is refused at once and told when to return, and a
  *   place is kept for it then;
- * - demand that moves to other adapters: loads in the order of the queue, few
- *   at a time, over adapters that nobody uses or waits for;
+ * - demand that moves to other adapters, or a weight store that cannot keep
+ *   up: the adapter that most waiting requests want for its load time comes
+ *   first, few at a time, over adapters that nobody uses or waits for;
  * - a restarted engine or agent: nothing is assumed to be loaded until the
  *   engine has said so.
  */
@@ -140,6 +147,20 @@
   void GrantReady(core::time_point now, actions& out);
   bool MayStart(const ask& wanted, core::time_point now) const;
   void PlanOrder(core::time_point now, actions& out);
+  /** What waits for an adapter that is not loaded. */
+  struct load_demand {
+    double value = 0.0;
+    std::int64_t minimum_version = 0;
+    core::time_point oldest_goal;
+  };
+  std::map<catalog::adapter_name, load_demand> LoadDemand(
+      core::time_point now) const;
+  std::optional<catalog::adapter_name> NextLoad(core::time_point now) const;
+  double ValueOf(const ask& wanted, core::time_point now) const;
+  bool IsCongested() const;
+  std::size_t ColdLoadLimit() const;
+  core::milliseconds LoadTimeOf(const catalog::adapter_name& adapter,
+                                core::time_point now) const;
   void PlanModelLoad(core::time_point now, actions& out);
   void Issue(const engine_order& order, core::time_point now, actions& out);
   bool IsInUse(const catalog::adapter_name& adapter) const;
@@ -171,7 +192,10 @@
   bool stopping_ = false;
   bool needs_state_ = true;
   int grants_since_oldest_ = 0;
+  int loads_since_oldest_ = 0;
+  /** Loads from the weight store, and of adapters held shortly before. */
   smoothed_time load_time_;
+  smoothed_time warm_load_time_;
   smoothed_time run_time_;
   prompt_pacer pacer_;
 };
--- a/src/grants/grant_scheduler_test.cc
+++ b/src/grants/grant_scheduler_test.cc
@@ -1,10 +1,10 @@
 #include "grants/grant_scheduler.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
 #include <map>
-#include <rapidcheck/gtest.h>
 #include <string>
 #include <vector>
 
@@ -230,6 +230,57 @@
   EXPECT_LE(loads, 24);
 }
 
+// Load pattern: the weight store cannot keep up. A load that serves many
+// waiting requests comes before one that serves a single older request.
+TEST(grant_scheduler_test, LoadsWhatMostRequestsWaitFor) {
+  engine_model engine(Facts(64, 8));
+  engine.load_time = milliseconds(600);
+  engine.Report();
+  engine.Ask("b0", 0, milliseconds(5000), milliseconds(9000), 200);
+  engine.Ask("b1", 0, milliseconds(5000), milliseconds(9000), 200);
+  engine.Run(milliseconds(700));
+  const auto lone = engine.Ask("b2", 0, milliseconds(5000),
+                               milliseconds(9000), 200);
+  engine.Ask("b3", 0, milliseconds(5000), milliseconds(9000), 200);
+  engine.Run(milliseconds(20));
+  const auto rare = engine.Ask("b4", 0, milliseconds(5000),
+                               milliseconds(9000), 200);
+  std::vector<ask_key> wanted;
+  for (int i = 0; i < 6; ++i) {
+    wanted.push_back(engine.Ask("a1", 0, milliseconds(5000),
+                                milliseconds(9000), 200));
+  }
+  engine.Run(milliseconds(4000));
+  ASSERT_TRUE(engine.IsGranted(lone));
+  ASSERT_TRUE(engine.IsGranted(rare));
+  for (const ask_key& key : wanted) {
+    ASSERT_TRUE(engine.IsGranted(key));
+    EXPECT_LT(engine.granted.at(key), engine.granted.at(rare));
+  }
+}
+
+// Load pattern: demand returns to adapters that were just evicted. The engine
+// still has copies: they need not wait behind loads from the weight store.
+TEST(grant_scheduler_test, QuickLoadsDoNotWaitBehindSlowOnes) {
+  slot_table slots;
+  slots.SetCapacity(1);
+  core::time_point now{std::chrono::seconds(100)};
+  const auto name = Name("a1");
+  slots.OnLoadOrdered(name, now);
+  EXPECT_EQ(slots.ColdLoading(), 1U);
+  slots.OnOrderEnded({engine_order::kind::load, name, 0}, order_result::done,
+                     now);
+  slots.OnUnloadOrdered(name, now);
+  slots.OnOrderEnded({engine_order::kind::unload, name, 0}, order_result::done,
+                     now);
+  EXPECT_TRUE(slots.IsWarm(name, now + milliseconds(1000)));
+  slots.OnLoadOrdered(name, now + milliseconds(1000));
+  EXPECT_EQ(slots.Loading(), 1U);
+  EXPECT_EQ(slots.ColdLoading(), 0U);
+  slots.Clear();
+  EXPECT_FALSE(slots.IsWarm(name, now + milliseconds(1000)));
+}
+
 // Load pattern: more urgent and less urgent work than can start. The urgent
 // rank goes first; what cannot start in time is told so at once.
 TEST(grant_scheduler_test, RefusesAtOnceWhatWouldStartTooLate) {
@@ -279,8 +330,8 @@
       engine.Run(each - passed);
       passed = each;
     }
-    returned.push_back(engine.Ask("a1", 0, milliseconds(600),
-                                  milliseconds(1700)));
+    returned.push_back(
+        engine.Ask("a1", 0, milliseconds(600), milliseconds(1700)));
   }
   engine.Run(milliseconds(1700));
   for (const ask_key& key : returned) {
@@ -351,13 +402,13 @@
   engine_model engine(Facts());
   engine.held = {Name("a1")};
   engine.Report();
-  auto actions = engine.scheduler.OnAsk(
-      {.key = {1, 99},
-       .adapter = Name("a1"),
-       .minimum_version = 2,
-       .goal_at = engine.now + milliseconds(600),
-       .give_up_at = engine.now + milliseconds(1700)},
-      engine.now);
+  auto actions =
+      engine.scheduler.OnAsk({.key = {1, 99},
+                              .adapter = Name("a1"),
+                              .minimum_version = 2,
+                              .goal_at = engine.now + milliseconds(600),
+                              .give_up_at = engine.now + milliseconds(1700)},
+                             engine.now);
   ASSERT_EQ(actions.size(), 1U);
   const auto* order = std::get_if<engine_order>(&actions[0]);
   ASSERT_NE(order, nullptr);
@@ -372,8 +423,8 @@
   engine.run_time = milliseconds(*rc::gen::inRange(50, 1500));
   engine.Report();
   std::vector<ask_key> keys;
-  const auto steps = *rc::gen::container<std::vector<int>>(
-      rc::gen::inRange(0, 400));
+  const auto steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 400));
   for (const int step : steps) {
     if (step >= 380) {
       engine.Restart();
--- a/src/grants/grant_types.cc
+++ b/src/grants/grant_types.cc
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr std::array kReasons = {
-    refusal_reason::wait_too_long, refusal_reason::wait_expired,
-    refusal_reason::engine_down,   refusal_reason::model_absent,
+    refusal_reason::wait_too_long,       refusal_reason::wait_expired,
+    refusal_reason::engine_down,         refusal_reason::model_absent,
     refusal_reason::adapter_unavailable, refusal_reason::stopping};
 
 }  // namespace
--- a/src/grants/prompt_pacer.cc
+++ b/src/grants/prompt_pacer.cc
@@ -35,14 +35,14 @@
   credit_ = Credit(now);
   credited_at_ = now;
   const double reading_ms = static_cast<double>(tokens) / rate_;
-  share_ = std::clamp(reading_ms / kBacklogTargetMs, kLowestShare,
-                      kHighestShare);
+  share_ =
+      std::clamp(reading_ms / kBacklogTargetMs, kLowestShare, kHighestShare);
 }
 
 double prompt_pacer::Credit(core::time_point now) const {
-  const double elapsed_ms =
-      std::max(0.0, std::chrono::duration<double, std::milli>(now - credited_at_)
-                        .count());
+  const double elapsed_ms = std::max(
+      0.0,
+      std::chrono::duration<double, std::milli>(now - credited_at_).count());
   const double most =
       rate_ * kBurstShareOfGap * static_cast<double>(event_gap_.count());
   return std::min(most, credit_ + elapsed_ms * rate_ * share_);
@@ -57,8 +57,7 @@
   credited_at_ = now;
 }
 
-void prompt_pacer::OnFirstOutput(std::int64_t tokens,
-                                 core::milliseconds took) {
+void prompt_pacer::OnFirstOutput(std::int64_t tokens, core::milliseconds took) {
   if (tokens <= 0 || took > kLongestSample) return;
   const auto x = static_cast<double>(tokens);
   const auto y = static_cast<double>(took.count());
--- a/src/grants/slot_table.cc
+++ b/src/grants/slot_table.cc
@@ -15,6 +15,10 @@
 /** Accepted orders show in the engine's list after this time at the latest. */
 constexpr core::milliseconds kListLag{150};
 
+/** An engine keeps a copy of what it dropped at least this long. */
+constexpr core::milliseconds kWarmTime{30'000};
+constexpr std::size_t kMaximumDropped = 1024;
+
 using slot_state = adapter_slot::state;
 
 }  // namespace
@@ -26,6 +30,19 @@
       }));
 }
 
+std::size_t slot_table::ColdLoading() const {
+  return static_cast<std::size_t>(
+      std::count_if(slots_.begin(), slots_.end(), [](const auto& entry) {
+        return entry.second.phase == slot_state::loading && !entry.second.warm;
+      }));
+}
+
+bool slot_table::IsWarm(const catalog::adapter_name& adapter,
+                        core::time_point now) const {
+  const auto found = dropped_at_.find(adapter);
+  return found != dropped_at_.end() && now - found->second < kWarmTime;
+}
+
 const adapter_slot* slot_table::Find(
     const catalog::adapter_name& adapter) const {
   const auto found = slots_.find(adapter);
@@ -85,6 +102,7 @@
   slot.changed_at = now;
   slot.last_used = now;
   slot.unanswered = true;
+  slot.warm = IsWarm(adapter, now);
   ++revision_;
 }
 
@@ -109,7 +127,7 @@
   switch (result) {
     case order_result::done:
       if (!loads) {
-        Erase(order.subject);
+        Erase(order.subject, now);
       } else if (order.version == 0 || slot.version >= order.version) {
         slot.phase = slot_state::resident;
       }
@@ -119,7 +137,8 @@
     default:
       // Nothing was changed at the engine.
       if (loads) {
-        Erase(order.subject);
+        slots_.erase(order.subject);
+        ++revision_;
       } else {
         slot.phase = slot_state::resident;
         ++revision_;
@@ -151,7 +170,7 @@
       if (slot.phase == slot_state::loading && underway.count(name) == 0 &&
           (newer || slot.changed_at <= asked_at)) {
         finished.push_back(
-            {name, core::ToMilliseconds(now - slot.changed_at)});
+            {name, core::ToMilliseconds(now - slot.changed_at), slot.warm});
         slot.phase = slot_state::resident;
         slot.changed_at = now;
       } else if (slot.phase == slot_state::unloading && slot.unanswered &&
@@ -163,9 +182,8 @@
   }
   for (const auto& name : underway) {
     if (slots_.count(name) > 0) continue;
-    slots_[name] = {.phase = slot_state::loading,
-                    .changed_at = now,
-                    .last_used = now};
+    slots_[name] = {
+        .phase = slot_state::loading, .changed_at = now, .last_used = now};
     ++revision_;
   }
   for (auto entry = slots_.begin(); entry != slots_.end();) {
@@ -174,7 +192,7 @@
     const auto lag = slot.unanswered ? kLateOrderTime : kListLag;
     if (listed.count(name) == 0 && underway.count(name) == 0 &&
         slot.changed_at + lag <= asked_at) {
-      Erase(catalog::adapter_name(name));
+      Erase(catalog::adapter_name(name), now);
     }
     entry = next;
   }
@@ -183,11 +201,23 @@
 
 void slot_table::Clear() {
   slots_.clear();
+  dropped_at_.clear();
   ++revision_;
 }
 
-void slot_table::Erase(const catalog::adapter_name& adapter) {
-  slots_.erase(adapter);
+void slot_table::Erase(const catalog::adapter_name& adapter,
+                       core::time_point now) {
+  const auto found = slots_.find(adapter);
+  if (found == slots_.end()) return;
+  if (found->second.phase != slot_state::loading) {
+    if (dropped_at_.size() >= kMaximumDropped) {
+      std::erase_if(dropped_at_, [&](const auto& entry) {
+        return now - entry.second >= kWarmTime;
+      });
+    }
+    dropped_at_[adapter] = now;
+  }
+  slots_.erase(found);
   ++revision_;
 }
 
--- a/src/grants/slot_table.h
+++ b/src/grants/slot_table.h
@@ -24,6 +24,8 @@
   core::time_point last_used;
   /** The order to load it was sent and has no answer. */
   bool unanswered = false;
+  /** The engine still has a copy from before, so that its load is quick. */
+  bool warm = false;
 };
 
 /**
@@ -40,6 +42,8 @@
   bool HasFreePlace() const { return slots_.size() < capacity_; }
   std::size_t Size() const { return slots_.size(); }
   std::size_t Loading() const;
+  /** Loads that fetch the adapter from the weight store. */
+  std::size_t ColdLoading() const;
   /** Changes with the set of adapters. */
   std::uint64_t Revision() const { return revision_; }
 
@@ -53,6 +57,8 @@
     return slots_;
   }
   std::vector<catalog::adapter_name> Adapters() const;
+  /** The engine held it a short time ago and can load it quickly. */
+  bool IsWarm(const catalog::adapter_name& adapter, core::time_point now) const;
 
   // Use.
 
@@ -92,6 +98,7 @@
   struct finished_load {
     catalog::adapter_name adapter;
     core::milliseconds took{0};
+    bool warm = false;
   };
 
   /**
@@ -108,12 +115,14 @@
  private:
   double KeepValue(const catalog::adapter_name& adapter,
                    const adapter_slot& slot, core::time_point now) const;
-  void Erase(const catalog::adapter_name& adapter);
+  void Erase(const catalog::adapter_name& adapter, core::time_point now);
 
   std::size_t capacity_ = 0;
   std::uint64_t revision_ = 1;
   std::map<catalog::adapter_name, adapter_slot> slots_;
   std::map<catalog::adapter_name, adapters::decayed_value> demand_;
+  /** When the engine was last known to hold adapters that it has dropped. */
+  std::map<catalog::adapter_name, core::time_point> dropped_at_;
 };
 
 }  // namespace comfreyspring::grants
--- a/src/grants/slot_table_test.cc
+++ b/src/grants/slot_table_test.cc
@@ -111,10 +111,9 @@
       [](const catalog::adapter_name& name) { return name != Name("a3"); },
       now_);
   EXPECT_EQ(victim, Name("a2"));
-  EXPECT_FALSE(slots_
-                   .Victim([](const catalog::adapter_name&) { return false; },
-                           now_)
-                   .has_value());
+  EXPECT_FALSE(
+      slots_.Victim([](const catalog::adapter_name&) { return false; }, now_)
+          .has_value());
 }
 
 }  // namespace
