Load the adapters of refused callers for their return

Change: a refusal is a promise that adds to the demand for its adapter; the returning caller is taken as on time; another engine is only asked if it holds the adapter; without configuration or endpoints the time to return is 1.5 s, spread; requests may wait for 85% of the caller's patience.

--- a/src/gateway/repeat_rules.cc
+++ b/src/gateway/repeat_rules.cc
@@ -14,7 +14,7 @@
 constexpr int kGoalsOfSilence = 4;
 constexpr int kGapsOfSilence = 8;
 /** Left of the caller's silence for the start of the answer. */
-constexpr double kWaitShareOfSilence = 0.7;
+constexpr double kWaitShareOfSilence = 0.85;
 /** A plain call that takes longer than this share of its time may wait. */
 constexpr double kWaitShareOfTime = 0.5;
 constexpr core::milliseconds kShortestStall{300};
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -35,8 +35,8 @@
 constexpr core::seconds kDefaultIdle{4};
 /** Engines that one request asks for a grant. */
 constexpr int kMaximumAsks = 3;
-/** A refused request looks further if another engine is emptier by this. */
-constexpr core::milliseconds kRetryWhenUnready{300};
+/** No configuration or no endpoint: both come back within seconds. */
+constexpr core::milliseconds kRetryWhenUnready{1500};
 constexpr core::milliseconds kRetryWhenShed{150};
 /** Another entry can take the request at once. */
 constexpr core::milliseconds kRetryElsewhere{20};
@@ -161,7 +161,7 @@
       AnswerUnrouted(*request, {.status = 503,
                                 .type = "no_configuration",
                                 .message = "No configuration is known yet.",
-                                .retry_after = kRetryWhenUnready});
+                                .retry_after = Spread(kRetryWhenUnready)});
       return;
     }
     request->route = request->table->Match(request->facts.host,
@@ -333,14 +333,28 @@
         .Add("expected_wait_ms", refused.expected_wait.count())
         .Add("retry_after_ms", refused.retry_after.count())
         .Add("asks", request->asks);
-    const bool held = refused.reason == grants::refusal_reason::wait_expired;
-    if (request->asks < kMaximumAsks && !held) {
+    if (request->asks < kMaximumAsks && MayAskElsewhere(*request, refused)) {
       Place(request);
     } else {
       GiveUp(request, request->refusal);
     }
   }
 
+  /**
+   * An engine that has refused for want of time keeps a place and loads the
+   * adapter for the caller's return, so another engine is only asked if it
+   * holds the adapter already.
+   */
+  bool MayAskElsewhere(const active& request,
+                       const grants::grant_refused& refused) {
+    using grants::refusal_reason;
+    if (refused.reason == refusal_reason::wait_expired) return false;
+    if (refused.reason != refusal_reason::wait_too_long) return true;
+    const endpoint_view* next = Choose(request);
+    return next != nullptr && (request.facts.adapter.adapter.empty() ||
+                               next->adapters.count(request.facts.adapter) > 0);
+  }
+
   /** Ends the current ask or grant at its agent. */
   void Release(active& request, bool adapter_missing) {
     if (request.ask == 0) return;
@@ -657,12 +671,18 @@
                           "may have run."});
       return;
     }
-    Respond(request,
-            {.status = 503,
-             .type = cause,
-             .message = "The request has not run.",
-             .retry_after = request->retry_after.value_or(
-                 request->attempts > 0 ? kRetryWhenShed : kRetryWhenUnready)});
+    Respond(request, {.status = 503,
+                      .type = cause,
+                      .message = "The request has not run.",
+                      .retry_after = request->retry_after.value_or(
+                          request->attempts > 0 ? kRetryWhenShed
+                                                : Spread(kRetryWhenUnready))});
+  }
+
+  /** Keeps callers that were refused together from returning together. */
+  core::milliseconds Spread(core::milliseconds time) {
+    return core::milliseconds(static_cast<std::int64_t>(
+        (0.75 + 0.5 * random.NextUnit()) * static_cast<double>(time.count())));
   }
 
   void Respond(const active_pointer& request, const own_answer& answer) {
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -29,6 +29,8 @@
 constexpr core::milliseconds kOrderPause{50};
 /** Time until an adapter that the engine does not know is tried again. */
 constexpr core::milliseconds kUnavailableTime{3000};
+/** A restarted engine serves again after about this time. */
+constexpr core::milliseconds kEngineReturn{1000};
 constexpr core::milliseconds kShortestRetryAfter{100};
 constexpr core::milliseconds kLongestRetryAfter{4000};
 /** A caller that returns around the promised time finds its place. */
@@ -72,16 +74,15 @@
   links_.insert(wanted.key.link);
   const bool has_adapter = !wanted.adapter.adapter.empty();
   if (has_adapter) slots_.CountDemand(wanted.adapter, now);
-  const auto patience = core::ToMilliseconds(wanted.give_up_at - now);
   const auto refuse_for = [&](refusal_reason reason, core::milliseconds wait) {
-    Refuse(wanted.key, reason, wait, patience, wanted.adapter, now, out);
+    Refuse(wanted, reason, wait, now, out);
   };
   if (stopping_) {
     refuse_for(refusal_reason::stopping, core::milliseconds(0));
     return out;
   }
   if (!IsServing(now)) {
-    refuse_for(refusal_reason::engine_down, core::milliseconds(0));
+    refuse_for(refusal_reason::engine_down, kEngineReturn);
     return out;
   }
   if (!HoldsModel(wanted.adapter.model)) {
@@ -94,9 +95,10 @@
                core::ToMilliseconds(unavailable->second - now));
     return out;
   }
-  if (!TakePromise(wanted.adapter, now)) {
+  wanted.returns = TakePromise(wanted.adapter, now);
+  if (!wanted.returns) {
     const auto wait = ExpectedWait(wanted, now);
-    if (wait > patience) {
+    if (now + wait > wanted.give_up_at) {
       refuse_for(refusal_reason::wait_too_long, wait);
       return out;
     }
@@ -221,9 +223,8 @@
         if (wanted.adapter == order.subject) hopeless.push_back(key);
       }
       for (const ask_key& key : hopeless) {
-        const ask wanted = waiting_.extract(key).mapped();
-        Refuse(key, refusal_reason::adapter_unavailable, kUnavailableTime,
-               core::milliseconds(0), wanted.adapter, now, out);
+        Refuse(waiting_.extract(key).mapped(),
+               refusal_reason::adapter_unavailable, kUnavailableTime, now, out);
       }
     }
   }
@@ -269,42 +270,36 @@
 
 // Refusals.
 
-void grant_scheduler::Refuse(const ask_key& key, refusal_reason reason,
+void grant_scheduler::Refuse(const ask& wanted, refusal_reason reason,
                              core::milliseconds expected_wait,
-                             core::milliseconds patience,
-                             const catalog::adapter_name& adapter,
                              core::time_point now, actions& out) {
-  core::milliseconds retry_after = kShortestRetryAfter;
-  if (reason == refusal_reason::wait_too_long ||
-      reason == refusal_reason::wait_expired) {
-    // By then the queue is short enough for half of the patience.
-    retry_after = expected_wait - patience / 2;
-  } else {
-    retry_after = std::max(retry_after, expected_wait);
-  }
   // Jitter keeps callers that were refused together from returning together.
-  retry_after =
-      FromDouble(ToDouble(retry_after) * (1.0 + 0.2 * random_.NextUnit()));
+  auto retry_after =
+      FromDouble(ToDouble(expected_wait) * (1.0 + 0.2 * random_.NextUnit()));
   retry_after =
       std::clamp(retry_after, kShortestRetryAfter, kLongestRetryAfter);
-  if (reason == refusal_reason::wait_too_long &&
-      promises_.size() < kMaximumPromises) {
-    const promise made{now + retry_after, adapter};
-    promises_.insert(
-        std::upper_bound(promises_.begin(), promises_.end(), made,
-                         [](const promise& left, const promise& right) {
-                           return left.due < right.due;
-                         }),
-        made);
+  if (reason == refusal_reason::wait_too_long ||
+      reason == refusal_reason::wait_expired) {
+    Promise(wanted, now + retry_after);
   }
-  out.push_back(refuse{key, reason, retry_after, expected_wait});
+  out.push_back(refuse{wanted.key, reason, retry_after, expected_wait});
+}
+
+void grant_scheduler::Promise(const ask& wanted, core::time_point due) {
+  if (promises_.size() >= kMaximumPromises) return;
+  const promise made{due, wanted.adapter, wanted.minimum_version, wanted.rank};
+  promises_.insert(
+      std::upper_bound(promises_.begin(), promises_.end(), made,
+                       [](const promise& left, const promise& right) {
+                         return left.due < right.due;
+                       }),
+      made);
 }
 
 void grant_scheduler::RefuseAll(refusal_reason reason, core::time_point now,
                                 actions& out) {
   for (const auto& [key, wanted] : std::exchange(waiting_, {})) {
-    Refuse(key, reason, core::milliseconds(0), core::milliseconds(0),
-           wanted.adapter, now, out);
+    Refuse(wanted, reason, kEngineReturn, now, out);
   }
 }
 
@@ -315,8 +310,8 @@
   }
   for (const ask_key& key : expired) {
     const ask wanted = waiting_.extract(key).mapped();
-    Refuse(key, refusal_reason::wait_expired, ExpectedWait(wanted, now),
-           core::milliseconds(0), wanted.adapter, now, out);
+    Refuse(wanted, refusal_reason::wait_expired, ExpectedWait(wanted, now), now,
+           out);
   }
 }
 
@@ -352,7 +347,8 @@
 bool grant_scheduler::IsLate(const ask& wanted, core::time_point now) const {
   const auto reading =
       FromDouble(static_cast<double>(wanted.prompt_tokens) / pacer_.Rate());
-  return now + kStartOverhead + reading > wanted.goal_at;
+  // A caller that returns is late already, and is not to be turned away again.
+  return !wanted.returns && now + kStartOverhead + reading > wanted.goal_at;
 }
 
 bool grant_scheduler::ComesBefore(const ask& left, const ask& right,
@@ -438,6 +434,11 @@
 
 bool grant_scheduler::IsInUse(const catalog::adapter_name& adapter) const {
   if (in_use_.count(adapter) > 0) return true;
+  if (std::any_of(promises_.begin(), promises_.end(), [&](const promise& made) {
+        return made.adapter == adapter;
+      })) {
+    return true;
+  }
   return std::any_of(waiting_.begin(), waiting_.end(), [&](const auto& entry) {
     return entry.second.adapter == adapter;
   });
@@ -486,6 +487,19 @@
       total.oldest_goal = wanted.goal_at;
     }
   }
+  for (const promise& made : promises_) {
+    if (made.adapter.adapter.empty() || made.due <= now ||
+        slots_.Find(made.adapter) != nullptr ||
+        !HoldsModel(made.adapter.model)) {
+      continue;
+    }
+    const auto [position, inserted] = demand.try_emplace(made.adapter);
+    load_demand& total = position->second;
+    total.value += kReturnShare / (1.0 + made.rank);
+    total.minimum_version =
+        std::max(total.minimum_version, made.minimum_version);
+    if (inserted) total.oldest_goal = made.due;
+  }
   return demand;
 }
 
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -125,10 +125,15 @@
     /** No other prompt was unread at the grant, nor has one come since. */
     bool reads_alone = false;
   };
-  /** A refused request that was told when to return. */
+  /**
+   * A refused request that was told when to return. Its adapter is loaded by
+   * then, if it can be.
+   */
   struct promise {
     core::time_point due;
     catalog::adapter_name adapter;
+    std::int64_t minimum_version = 0;
+    int rank = 0;
   };
 
   bool IsServing(core::time_point now) const;
@@ -137,10 +142,10 @@
   bool IsLate(const ask& wanted, core::time_point now) const;
   bool ComesBefore(const ask& left, const ask& right,
                    core::time_point now) const;
-  void Refuse(const ask_key& key, refusal_reason reason,
-              core::milliseconds expected_wait, core::milliseconds patience,
-              const catalog::adapter_name& adapter, core::time_point now,
+  void Refuse(const ask& wanted, refusal_reason reason,
+              core::milliseconds expected_wait, core::time_point now,
               actions& out);
+  void Promise(const ask& wanted, core::time_point due);
   void RefuseAll(refusal_reason reason, core::time_point now, actions& out);
   void RefuseExpired(core::time_point now, actions& out);
   void Schedule(core::time_point now, actions& out);
--- a/src/grants/grant_scheduler_test.cc
+++ b/src/grants/grant_scheduler_test.cc
@@ -239,16 +239,16 @@
   engine.Ask("b0", 0, milliseconds(5000), milliseconds(9000), 200);
   engine.Ask("b1", 0, milliseconds(5000), milliseconds(9000), 200);
   engine.Run(milliseconds(700));
-  const auto lone = engine.Ask("b2", 0, milliseconds(5000),
-                               milliseconds(9000), 200);
+  const auto lone =
+      engine.Ask("b2", 0, milliseconds(5000), milliseconds(9000), 200);
   engine.Ask("b3", 0, milliseconds(5000), milliseconds(9000), 200);
   engine.Run(milliseconds(20));
-  const auto rare = engine.Ask("b4", 0, milliseconds(5000),
-                               milliseconds(9000), 200);
+  const auto rare =
+      engine.Ask("b4", 0, milliseconds(5000), milliseconds(9000), 200);
   std::vector<ask_key> wanted;
   for (int i = 0; i < 6; ++i) {
-    wanted.push_back(engine.Ask("a1", 0, milliseconds(5000),
-                                milliseconds(9000), 200));
+    wanted.push_back(
+        engine.Ask("a1", 0, milliseconds(5000), milliseconds(9000), 200));
   }
   engine.Run(milliseconds(4000));
   ASSERT_TRUE(engine.IsGranted(lone));
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -42,6 +42,8 @@
   core::time_point goal_at;
   /** A grant after this is of no use. */
   core::time_point give_up_at;
+  /** It was refused before and has returned when it was told to. */
+  bool returns = false;
 };
 
 /** What the configuration says of the engine. */
