Hold prompts that can wait while streams of the engine pause

Change: gateways report streams that are silent for half of the pause that counts; the agent then holds prompts that still meet their goal later.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -40,6 +40,8 @@
 constexpr core::milliseconds kRetryWhenShed{150};
 /** Another entry can take the request at once. */
 constexpr core::milliseconds kRetryElsewhere{20};
+/** A silence of this fraction of the pause that counts is worth a report. */
+constexpr int kPauseParts = 2;
 /** A caller that does not read loses its connection beyond this. */
 constexpr std::size_t kMaximumPendingBytes = 4 * 1024 * 1024;
 /** Gateways are counted by the agents; until heard of, so many are assumed. */
@@ -747,6 +749,7 @@
 
   void Tick() {
     const auto now = loop.Now();
+    ReportPauses(now);
     std::vector<active_pointer> due;
     for (const auto& [number, request] : requests) {
       if (now >= request->limit ||
@@ -766,6 +769,22 @@
     }
   }
 
+  /** Tells agents that streams of their engines are in a long pause. */
+  void ReportPauses(core::time_point now) {
+    std::set<std::string> pausing;
+    for (const auto& [number, request] : requests) {
+      const auto gap = request->route->event_gap;
+      if (request->ask != 0 && request->call != 0 && request->told_started &&
+          gap.count() > 0 && now - request->last_output > gap / kPauseParts &&
+          now - request->last_output < gap * kPauseParts) {
+        pausing.insert(request->agent_ip);
+      }
+    }
+    for (const std::string& ip : pausing) {
+      links->Send(ip, grants::streams_pause{});
+    }
+  }
+
   void OnLimit(const active_pointer& request) {
     const bool sent = request->attempts > 0;
     DropAttempt(*request);
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -14,6 +14,8 @@
 constexpr double kUnreadShareOfGap = 0.6;
 /** From the grant to the first output beside reading: network and a step. */
 constexpr core::milliseconds kStartOverhead{40};
+/** Left of the time to the goal when a held prompt is let through. */
+constexpr core::milliseconds kHoldReserve{60};
 /** A granted prompt without output counts as unread no longer than this. */
 constexpr core::milliseconds kLongestRead{2000};
 /** Part of the engine's memory that granted requests may fill. */
@@ -409,6 +411,10 @@
   return tokens;
 }
 
+bool grant_scheduler::CanWait(const ask& wanted, core::time_point now) const {
+  return !wanted.returns && !IsLate(wanted, now + kHoldReserve);
+}
+
 bool grant_scheduler::MayStart(const ask& wanted, core::time_point now) const {
   if (running_.size() >= facts_.batch_slots) return false;
   if (running_.empty()) return true;
@@ -423,6 +429,7 @@
     }
   }
   if (!pacer_.IsOpen(now)) return false;
+  if (pacer_.IsHeld(now) && CanWait(wanted, now)) return false;
   const std::int64_t unread = UnreadPromptTokens(now);
   const double limit =
       pacer_.Rate() * kUnreadShareOfGap * ToDouble(pacer_.EventGap());
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -86,6 +86,8 @@
   actions OnStarted(const ask_key& key, core::time_point now);
   /** A granted request has ended; `missing`: the engine lacked the adapter. */
   actions OnEnded(const ask_key& key, bool missing, core::time_point now);
+  /** A gateway sees streams of the engine in a long pause. */
+  void OnStreamsPause(core::time_point now) { pacer_.OnPause(now); }
   /** A gateway's link has ended; its requests end with it. */
   actions OnLinkLost(std::uint64_t link, core::time_point now);
 
@@ -150,6 +152,7 @@
   void RefuseExpired(core::time_point now, actions& out);
   void Schedule(core::time_point now, actions& out);
   void GrantReady(core::time_point now, actions& out);
+  bool CanWait(const ask& wanted, core::time_point now) const;
   bool MayStart(const ask& wanted, core::time_point now) const;
   void PlanOrder(core::time_point now, actions& out);
   /** What waits for an adapter that is not loaded. */
--- a/src/grants/grant_scheduler_test.cc
+++ b/src/grants/grant_scheduler_test.cc
@@ -230,6 +230,30 @@
   EXPECT_LE(loads, 24);
 }
 
+// Load pattern: an engine is slowed for moments. While its streams pause, a new
+// prompt would make them all late: it waits, but not beyond its own goal.
+TEST(grant_scheduler_test, HoldsPromptsWhileStreamsPause) {
+  engine_model engine(Facts());
+  engine.held = {Name("a1")};
+  engine.Report();
+  engine.Ask("a1");
+  engine.Run(milliseconds(300));
+  engine.scheduler.OnStreamsPause(engine.now);
+  const auto patient = engine.Ask("a1", 0, milliseconds(600));
+  const auto pressed = engine.Ask("a1", 0, milliseconds(120));
+  EXPECT_FALSE(engine.IsGranted(patient));
+  engine.Run(milliseconds(20));
+  EXPECT_TRUE(engine.IsGranted(pressed));
+  EXPECT_FALSE(engine.IsGranted(patient));
+  for (int i = 0; i < 100 && !engine.IsGranted(patient); ++i) {
+    engine.scheduler.OnStreamsPause(engine.now);
+    engine.Run(milliseconds(10));
+  }
+  ASSERT_TRUE(engine.IsGranted(patient));
+  EXPECT_LT(engine.granted.at(patient) - engine.asked_at.at(patient),
+            milliseconds(600));
+}
+
 // Load pattern: the weight store cannot keep up. A load that serves many
 // waiting requests comes before one that serves a single older request.
 TEST(grant_scheduler_test, LoadsWhatMostRequestsWaitFor) {
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -113,6 +113,7 @@
   const auto type = fields.at("type").get<std::string>();
   if (type == "status") return StatusFrom(fields);
   if (type == "hello") return HelloFrom(fields);
+  if (type == "pause") return streams_pause{};
   const auto number = fields.at("number").get<std::uint64_t>();
   if (type == "wanted") return WantedFrom(fields);
   if (type == "withdrawn") return grant_withdrawn{number};
@@ -163,6 +164,9 @@
                         {"number", ended.number},
                         {"missing", ended.adapter_missing}};
           },
+          [](const streams_pause&) {
+            return json{{"type", "pause"}};
+          },
           [](const grant_given& given) {
             return json{{"type", "given"},
                         {"number", given.number},
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -37,6 +37,8 @@
 struct run_started {
   std::uint64_t number = 0;
 };
+/** Streams of the engine are in a long pause now. */
+struct streams_pause {};
 struct run_ended {
   std::uint64_t number = 0;
   bool adapter_missing = false;
@@ -60,9 +62,9 @@
   bool has_adapters = false;
 };
 
-using message =
-    std::variant<gateway_hello, grant_wanted, grant_withdrawn, run_started,
-                 run_ended, grant_given, grant_refused, status_report>;
+using message = std::variant<gateway_hello, grant_wanted, grant_withdrawn,
+                             run_started, run_ended, streams_pause, grant_given,
+                             grant_refused, status_report>;
 
 /** Encodes as one CBOR map. */
 std::string Encode(const message& value);
--- a/src/grants/prompt_pacer.cc
+++ b/src/grants/prompt_pacer.cc
@@ -17,6 +17,8 @@
 constexpr double kBacklogTargetMs = 250.0;
 /** Reading that may come at once, as a share of the pause between events. */
 constexpr double kBurstShareOfGap = 0.05;
+/** Hold after a sign of a long pause, as a share of the pause that counts. */
+constexpr double kHoldShareOfGap = 0.25;
 /** Weight that a sample keeps when the next one arrives. */
 constexpr double kSampleMemory = 0.98;
 constexpr double kFewestSamples = 8.0;
@@ -48,6 +50,12 @@
   return std::min(most, credit_ + elapsed_ms * rate_ * share_);
 }
 
+void prompt_pacer::OnPause(core::time_point now) {
+  held_until_ =
+      now + core::milliseconds(std::llround(
+                kHoldShareOfGap * static_cast<double>(event_gap_.count())));
+}
+
 bool prompt_pacer::IsOpen(core::time_point now) const {
   return Credit(now) >= 0.0;
 }
--- a/src/grants/prompt_pacer.h
+++ b/src/grants/prompt_pacer.h
@@ -26,6 +26,9 @@
    * @param tokens of prompts that wait for nothing else.
    */
   void SetBacklog(std::int64_t tokens, core::time_point now);
+  /** Streams are in a long pause: prompts that can wait do so for a while. */
+  void OnPause(core::time_point now);
+  bool IsHeld(core::time_point now) const { return now < held_until_; }
   /** True if a prompt may be sent now. */
   bool IsOpen(core::time_point now) const;
   /** A prompt was sent. */
@@ -54,6 +57,7 @@
   /** Tokens that may be sent; negative after a long prompt. */
   double credit_ = 0.0;
   core::time_point credited_at_;
+  core::time_point held_until_;
 
   // Decayed sums of a linear regression of time over tokens.
   double count_ = 0.0;
--- a/src/sidecar/engine_steward.cc
+++ b/src/sidecar/engine_steward.cc
@@ -49,9 +49,7 @@
   ReadState();
 }
 
-void engine_steward::Stop() {
-  Perform(scheduler_.OnStopping(loop_.Now()));
-}
+void engine_steward::Stop() { Perform(scheduler_.OnStopping(loop_.Now())); }
 
 void engine_steward::OnPaused(core::milliseconds length) {
   log_.Belief("pause_noticed").Add("length_ms", length.count());
@@ -83,6 +81,10 @@
             Perform(scheduler_.OnEnded({link, ended.number},
                                        ended.adapter_missing, now));
           },
+          [&](const grants::streams_pause&) {
+            metrics_.Count("sidecar_stream_pauses_total");
+            scheduler_.OnStreamsPause(now);
+          },
           [&](const auto&) {
             log_.Belief("message_unexpected").Add("link", link);
           }},
@@ -115,25 +117,22 @@
 void engine_steward::Perform(grants::grant_scheduler::actions actions) {
   for (const grants::grant_action& action : actions) {
     std::visit(
-        overloaded{[&](const grants::grant& given) {
-                     metrics_.Count("sidecar_grants_total");
-                     send_(given.key.link,
-                           grants::grant_given{given.key.number,
-                                               given.version});
-                   },
-                   [&](const grants::refuse& refused) {
-                     metrics_.Count(
-                         "sidecar_refusals_total{reason=\"" +
-                         std::string(grants::ToString(refused.reason)) +
-                         "\"}");
-                     send_(refused.key.link,
-                           grants::grant_refused{
-                               refused.key.number, refused.reason,
-                               refused.retry_after, refused.expected_wait});
-                   },
-                   [&](const grants::engine_order& order) {
-                     PerformOrder(order);
-                   }},
+        overloaded{
+            [&](const grants::grant& given) {
+              metrics_.Count("sidecar_grants_total");
+              send_(given.key.link,
+                    grants::grant_given{given.key.number, given.version});
+            },
+            [&](const grants::refuse& refused) {
+              metrics_.Count("sidecar_refusals_total{reason=\"" +
+                             std::string(grants::ToString(refused.reason)) +
+                             "\"}");
+              send_(refused.key.link,
+                    grants::grant_refused{refused.key.number, refused.reason,
+                                          refused.retry_after,
+                                          refused.expected_wait});
+            },
+            [&](const grants::engine_order& order) { PerformOrder(order); }},
         action);
   }
 }
@@ -141,43 +140,42 @@
 void engine_steward::PerformOrder(const grants::engine_order& order) {
   order_underway_ = true;
   const std::int64_t fencing = fencing_.Value();
-  engine_.Order(
-      order, {options_.node, fencing}, options_.order_timeout,
-      [this, order, fencing, alive = alive_](grants::order_result result,
-                                             const std::string& text) {
-        if (!*alive) return;
-        order_underway_ = false;
-        const bool loads = order.what == grants::engine_order::kind::load;
-        log_.Belief("engine_order")
-            .Add("order", loads ? "load" : "unload")
-            .Add("subject", NameOf(order.subject))
-            .Add("version", order.version)
-            .Add("fencing", fencing)
-            .Add("result", std::string(grants::ToString(result)))
-            .Add("answer", text);
-        metrics_.Count(std::string("sidecar_orders_total{order=\"") +
-                       (loads ? "load" : "unload") + "\",result=\"" +
-                       std::string(grants::ToString(result)) + "\"}");
-        if (result == grants::order_result::stale_fencing) {
-          fencing_.OnStale(loop_.WallNow());
-        }
-        Perform(scheduler_.OnOrderEnded(order, result, loop_.Now()));
-      });
+  engine_.Order(order, {options_.node, fencing}, options_.order_timeout,
+                [this, order, fencing, alive = alive_](
+                    grants::order_result result, const std::string& text) {
+                  if (!*alive) return;
+                  order_underway_ = false;
+                  const bool loads =
+                      order.what == grants::engine_order::kind::load;
+                  log_.Belief("engine_order")
+                      .Add("order", loads ? "load" : "unload")
+                      .Add("subject", NameOf(order.subject))
+                      .Add("version", order.version)
+                      .Add("fencing", fencing)
+                      .Add("result", std::string(grants::ToString(result)))
+                      .Add("answer", text);
+                  metrics_.Count(std::string("sidecar_orders_total{order=\"") +
+                                 (loads ? "load" : "unload") + "\",result=\"" +
+                                 std::string(grants::ToString(result)) + "\"}");
+                  if (result == grants::order_result::stale_fencing) {
+                    fencing_.OnStale(loop_.WallNow());
+                  }
+                  Perform(scheduler_.OnOrderEnded(order, result, loop_.Now()));
+                });
 }
 
 // The engine's state.
 
 void engine_steward::ReadState() {
   const auto asked_at = loop_.Now();
-  engine_.ReadState(
-      options_.state_timeout,
-      [this, asked_at, alive = alive_](
-          const std::optional<grants::engine_state>& state,
-          const std::string& error) {
-        if (!*alive) return;
-        OnState(state, error, asked_at);
-        ScheduleRead();
-      });
+  engine_.ReadState(options_.state_timeout,
+                    [this, asked_at, alive = alive_](
+                        const std::optional<grants::engine_state>& state,
+                        const std::string& error) {
+                      if (!*alive) return;
+                      OnState(state, error, asked_at);
+                      ScheduleRead();
+                    });
 }
 
 void engine_steward::OnState(const std::optional<grants::engine_state>& state,
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -39,14 +39,15 @@
        engine_port& engine, telemetry::event_log& event_log)
       : loop(owning_loop),
         log(event_log),
-        steward(loop, engine,
-                {.node = settings.node,
-                 .grants = {.random_seed = static_cast<std::uint64_t>(
-                                core::UnixMilliseconds(loop.WallNow()))}},
-                [this](std::uint64_t link, const grants::message& value) {
-                  Send(link, value);
-                },
-                log, metrics),
+        steward(
+            loop, engine,
+            {.node = settings.node,
+             .grants = {.random_seed = static_cast<std::uint64_t>(
+                            core::UnixMilliseconds(loop.WallNow()))}},
+            [this](std::uint64_t link, const grants::message& value) {
+              Send(link, value);
+            },
+            log, metrics),
         listener(loop, settings.ip, settings.first_internal_port,
                  {.maximum_pending_bytes = 1024 * 1024}, kMaximumLinks,
                  [this](const std::shared_ptr<net::frame_link>& link) {
@@ -83,16 +84,16 @@
       const std::shared_ptr<net::frame_link>& link) {
     const std::uint64_t id = ++last_link;
     links[id] = {link, link->PeerName(), 0};
-    return {.on_open = [this, id] { SendStatus(id, links.at(id)); },
-            .on_frame =
-                [this, id](std::string_view frame) { Receive(id, frame); },
-            .on_closed =
-                [this, id](const std::string& reason) {
-                  log.Dependency("gateway " + links.at(id).gateway, "lost")
-                      .Add("reason", reason);
-                  links.erase(id);
-                  steward.OnLinkLost(id);
-                }};
+    return {
+        .on_open = [this, id] { SendStatus(id, links.at(id)); },
+        .on_frame = [this, id](std::string_view frame) { Receive(id, frame); },
+        .on_closed =
+            [this, id](const std::string& reason) {
+              log.Dependency("gateway " + links.at(id).gateway, "lost")
+                  .Add("reason", reason);
+              links.erase(id);
+              steward.OnLinkLost(id);
+            }};
   }
 
   void Receive(std::uint64_t id, std::string_view frame) {
@@ -189,8 +190,7 @@
 
 sidecar_program::sidecar_program(net::event_loop& loop,
                                  const settings::node_settings& settings,
-                                 engine_port& engine,
-                                 telemetry::event_log& log)
+                                 engine_port& engine, telemetry::event_log& log)
     : impl_(std::make_unique<impl>(loop, settings, engine, log)) {}
 
 sidecar_program::~sidecar_program() = default;
@@ -198,9 +198,7 @@
 std::uint16_t sidecar_program::LinkPort() const {
   return impl_->listener.Port();
 }
-std::uint16_t sidecar_program::AdminPort() const {
-  return impl_->admin.Port();
-}
+std::uint16_t sidecar_program::AdminPort() const { return impl_->admin.Port(); }
 void sidecar_program::Stop() { impl_->Stop(); }
 
 }  // namespace comfreyspring::sidecar
