Hold prompts at an earlier sign of a pause

Change: a silence of a third of the pause that counts (before: half) holds prompts for 0.4 of it (before: 0.25).

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -41,7 +41,7 @@
 /** Another entry can take the request at once. */
 constexpr core::milliseconds kRetryElsewhere{20};
 /** A silence of this fraction of the pause that counts is worth a report. */
-constexpr int kPauseParts = 2;
+constexpr int kPauseParts = 3;
 /** A caller that does not read loses its connection beyond this. */
 constexpr std::size_t kMaximumPendingBytes = 4 * 1024 * 1024;
 /** Gateways are counted by the agents; until heard of, so many are assumed. */
--- a/src/grants/prompt_pacer.cc
+++ b/src/grants/prompt_pacer.cc
@@ -18,7 +18,7 @@
 /** Reading that may come at once, as a share of the pause between events. */
 constexpr double kBurstShareOfGap = 0.05;
 /** Hold after a sign of a long pause, as a share of the pause that counts. */
-constexpr double kHoldShareOfGap = 0.25;
+constexpr double kHoldShareOfGap = 0.4;
 /** Weight that a sample keeps when the next one arrives. */
 constexpr double kSampleMemory = 0.98;
 constexpr double kFewestSamples = 8.0;
