--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -94,6 +94,8 @@
     int attempts = 0;
     std::set<catalog::instance_id> used;
     std::set<catalog::instance_id> excluded;
+    /** Only endpoints that were used before may be used again. */
+    bool restricted = false;
     bool may_have_run = false;
 
     // The answer of the current attempt.
@@ -259,6 +261,11 @@
       return;
     }
     const endpoint_view* chosen = Choose(*request);
+    if (chosen == nullptr && request->attempts > 0 && !request->restricted) {
+      // Better the endpoint that has just failed than none.
+      request->excluded.clear();
+      chosen = Choose(*request);
+    }
     if (chosen == nullptr) {
       GiveUp(request,
              request->refusal.empty() ? "no_endpoint" : request->refusal);
@@ -621,6 +628,7 @@
   }
 
   void RestrictToUsed(active& request) {
+    request.restricted = true;
     request.excluded.clear();
     for (const auto& [instance, view] : views) {
       if (request.used.count(instance) == 0) request.excluded.insert(instance);
