Give each platform test its own ports

Its sidecar could not start: "cannot listen on 127.0.0.1 port 65000", a port that all tests of the file used, and ctest runs four at a time. Ports now follow the process id, outside the range that the system hands out.

--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -20,8 +20,6 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "net/socket_address.h"
-#include "net/tcp_socket.h"
 
 namespace comfreyspring::process_test {
 namespace {
@@ -32,9 +30,13 @@
 constexpr const char* kHost = "127.0.0.1";
 constexpr milliseconds kLimit{8000};
 
-std::uint16_t FreePort() {
-  const auto socket = net::tcp_socket::Listen(net::socket_address(kHost, 0));
-  return net::socket_address::OfLocal(socket.Descriptor()).Port();
+/** Ports of one test process, below those that the system hands out. */
+std::uint16_t OwnPort(int index) {
+  constexpr int kFirst = 10000;
+  constexpr int kPerProcess = 8;
+  constexpr int kProcesses = 2500;
+  return static_cast<std::uint16_t>(
+      kFirst + ::getpid() % kProcesses * kPerProcess + index);
 }
 
 std::string Base64(const std::string& text) {
@@ -318,10 +320,9 @@
   void WriteSettings() {
     json file = {{"Ip", kHost},
                  {"Zone", "z"},
-                 {"InternalPorts", {FreePort(), 65535}},
+                 {"InternalPorts", {OwnPort(0), OwnPort(1)}},
                  {"Bounds", {{"GraceS", 5}, {"BudgetExtra", 50}}},
                  {"Provider", {{"Addr", Address(store_.Port())}}}};
-    file["InternalPorts"][1] = 65000;
     file["Node"] = "gateway-1";
     file["Listen"] = {{"Front", Address(caller_port_)},
                       {"Ready", Address(ready_port_)},
@@ -384,9 +385,9 @@
   net::http_client http_{loop_};
   store_stand_in store_{loop_};
   engine_stand_in engine_{loop_};
-  std::uint16_t caller_port_ = FreePort();
-  std::uint16_t ready_port_ = FreePort();
-  std::uint16_t admin_port_ = FreePort();
+  std::uint16_t caller_port_ = OwnPort(2);
+  std::uint16_t ready_port_ = OwnPort(3);
+  std::uint16_t admin_port_ = OwnPort(4);
   std::filesystem::path directory_;
   std::unique_ptr<program> sidecar_;
   std::unique_ptr<program> gateway_;
