Share the variant visitor and drop what nothing uses

NextLoad returns the order, so that the demand for loads is not added up twice for each one. Removed: catalog_follower::Offer, endpoint_view::status_at and a parameter of Send that was overwritten. Behaviour is unchanged.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/overloaded.h"
+
 namespace comfreyspring::catalog {
 namespace {
 
@@ -14,13 +16,6 @@
  */
 constexpr std::size_t kMassRemovalShare = 3;
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 }  // namespace
 
 catalog_follower::catalog_follower(net::event_loop& loop,
@@ -193,40 +188,36 @@
 void catalog_follower::Apply(std::vector<catalog_change> changes) {
   const auto now = loop_.Now();
   for (catalog_change& change : changes) {
-    std::visit(overloaded{[&](configuration& content) {
-                            Adopt(std::move(content), "platform");
-                          },
-                          [&](const endpoint_record& record) {
-                            Publish(endpoints_.OnRecord(record, now));
-                          },
-                          [&](const endpoint_removed& removed) {
-                            Publish(endpoints_.OnRemoved(removed.instance,
-                                                         AfterOutage(), now));
-                          },
-                          [&](const adapter_version_announced& announced) {
-                            std::int64_t& known = versions_[announced.adapter];
-                            if (announced.version <= known) return;
-                            log_.Belief("adapter_version")
-                                .Add("adapter",
-                                     announced.adapter.adapter.Value())
-                                .Add("model", announced.adapter.model.Value())
-                                .Add("from", known)
-                                .Add("to", announced.version);
-                            known = announced.version;
-                          },
-                          [&](const unreadable_entry& entry) {
-                            log_.Belief("entry_unreadable")
-                                .Add("key", entry.key)
-                                .Add("reason", entry.reason);
-                          }},
+    std::visit(core::overloaded{
+                   [&](configuration& content) {
+                     Adopt(std::move(content), "platform");
+                   },
+                   [&](const endpoint_record& record) {
+                     Publish(endpoints_.OnRecord(record, now));
+                   },
+                   [&](const endpoint_removed& removed) {
+                     Publish(endpoints_.OnRemoved(removed.instance,
+                                                  AfterOutage(), now));
+                   },
+                   [&](const adapter_version_announced& announced) {
+                     std::int64_t& known = versions_[announced.adapter];
+                     if (announced.version <= known) return;
+                     log_.Belief("adapter_version")
+                         .Add("adapter", announced.adapter.adapter.Value())
+                         .Add("model", announced.adapter.model.Value())
+                         .Add("from", known)
+                         .Add("to", announced.version);
+                     known = announced.version;
+                   },
+                   [&](const unreadable_entry& entry) {
+                     log_.Belief("entry_unreadable")
+                         .Add("key", entry.key)
+                         .Add("reason", entry.reason);
+                   }},
                change);
   }
 }
 
-void catalog_follower::Offer(configuration content, const std::string& origin) {
-  Adopt(std::move(content), origin);
-}
-
 void catalog_follower::Adopt(configuration content, const std::string& origin) {
   const std::int64_t current = routes_ ? routes_->Version() : 0;
   if (content.version <= current) {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -74,9 +74,6 @@
   /** Time since the platform last answered. */
   core::milliseconds Age() const;
 
-  /** Adopts a configuration that another process holds, if it is newer. */
-  void Offer(configuration content, const std::string& origin);
-
  private:
   void ReadAll();
   void ReadChanges();
--- a/src/gateway/endpoint_view.h
+++ b/src/gateway/endpoint_view.h
@@ -75,7 +75,6 @@
   /** The agent of the engine is connected and heard. */
   bool has_agent = false;
   grants::engine_status status;
-  core::time_point status_at;
   /** Adapters that the engine held when it was last heard of. */
   std::set<catalog::adapter_name> adapters;
   /** Grants asked for since the last status. */
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/hash.h"
+#include "core/overloaded.h"
 #include "gateway/endpoint_choice.h"
 #include "gateway/endpoint_view.h"
 #include "gateway/repeat_budget.h"
@@ -47,13 +48,6 @@
 /** Gateways are counted by the agents; until heard of, so many are assumed. */
 constexpr std::size_t kAssumedGateways = 32;
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 }  // namespace
 
 struct request_forwarder::impl {
@@ -275,7 +269,7 @@
     if (NeedsEngine(*request) && chosen->has_agent) {
       Ask(request, *chosen);
     } else {
-      Send(request, 0);
+      Send(request);
     }
   }
 
@@ -323,7 +317,7 @@
     const auto waited = core::ToMilliseconds(loop.Now() - request->asked_at);
     metrics.Observe("gateway_grant_wait_ms",
                     static_cast<double>(waited.count()));
-    Send(request, given.version);
+    Send(request);
   }
 
   void OnRefused(const grants::grant_refused& refused) {
@@ -379,7 +373,7 @@
 
   // Attempts.
 
-  void Send(const active_pointer& request, std::int64_t adapter_version) {
+  void Send(const active_pointer& request) {
     const auto now = loop.Now();
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->endpoint);
@@ -407,12 +401,11 @@
     ++request->attempts;
     request->used.insert(request->endpoint);
     const auto left = core::ToMilliseconds(request->limit - now);
+    const std::int64_t announced = follower.VersionOf(request->facts.adapter);
     forward_terms terms{.address = record->address,
                         .instance = record->instance,
                         .time_left = left,
-                        .adapter_version = adapter_version};
-    const std::int64_t announced = follower.VersionOf(request->facts.adapter);
-    terms.adapter_version = announced;
+                        .adapter_version = announced};
     if (NeedsEngine(*request)) terms.rank = request->route->rank;
     if (request->events_passed > 0) terms.last_event = request->events.LastId();
     net::http_call call =
@@ -926,7 +919,7 @@
 
   void OnSidecarMessage(const std::string& ip, const grants::message& value) {
     std::visit(
-        overloaded{
+        core::overloaded{
             [&](const grants::grant_given& given) { OnGiven(ip, given); },
             [&](const grants::grant_refused& refused) { OnRefused(refused); },
             [&](const grants::status_report& report) { OnStatus(ip, report); },
@@ -953,7 +946,6 @@
       }
       view.has_agent = true;
       view.status = report.status;
-      view.status_at = loop.Now();
       view.asked_since_status = 0;
       if (report.has_adapters) {
         view.adapters = {report.status.adapters.begin(),
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -459,11 +459,10 @@
   }
   const auto next = NextLoad(now);
   if (!next) return;
-  if (slots_.Find(*next) != nullptr || slots_.HasFreePlace()) {
-    const std::int64_t version = LoadDemand(now).at(*next).minimum_version;
+  if (slots_.Find(next->subject) != nullptr || slots_.HasFreePlace()) {
     loads_since_oldest_ =
         loads_since_oldest_ >= kLoadsPerOldest ? 0 : loads_since_oldest_ + 1;
-    Issue({engine_order::kind::load, *next, version}, now, out);
+    Issue(*next, now, out);
     return;
   }
   const auto victim = slots_.Victim(
@@ -526,12 +525,12 @@
                                      : load_time_.Value();
 }
 
-std::optional<catalog::adapter_name> grant_scheduler::NextLoad(
+std::optional<engine_order> grant_scheduler::NextLoad(
     core::time_point now) const {
   if (slots_.Loading() >= options_.maximum_loads) return std::nullopt;
   const bool cold_allowed = slots_.ColdLoading() < ColdLoadLimit();
   const bool oldest_first = loads_since_oldest_ >= kLoadsPerOldest;
-  std::optional<catalog::adapter_name> best;
+  std::optional<engine_order> best;
   double highest = 0.0;
   core::time_point oldest;
   for (const auto& [name, demand] : LoadDemand(now)) {
@@ -541,7 +540,7 @@
     const bool better =
         oldest_first ? demand.oldest_goal < oldest : value > highest;
     if (best && !better) continue;
-    best = name;
+    best = engine_order{engine_order::kind::load, name, demand.minimum_version};
     highest = value;
     oldest = demand.oldest_goal;
   }
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -163,7 +163,8 @@
   };
   std::map<catalog::adapter_name, load_demand> LoadDemand(
       core::time_point now) const;
-  std::optional<catalog::adapter_name> NextLoad(core::time_point now) const;
+  /** The load that is worth most now, whether or not there is a place. */
+  std::optional<engine_order> NextLoad(core::time_point now) const;
   double ValueOf(const ask& wanted, core::time_point now) const;
   bool IsCongested() const;
   std::size_t ColdLoadLimit() const;
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -5,19 +5,13 @@
 #include <vector>
 
 #include "core/error.h"
+#include "core/overloaded.h"
 
 namespace comfreyspring::grants {
 namespace {
 
 using nlohmann::json;
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 json ToJson(const catalog::adapter_name& name) {
   return json::array({name.model.Value(), name.adapter.Value()});
 }
@@ -138,7 +132,7 @@
 
 std::string Encode(const message& value) {
   const json fields = std::visit(
-      overloaded{
+      core::overloaded{
           [](const gateway_hello& hello) { return ToJson(hello); },
           [](const grant_wanted& wanted) {
             return json{{"type", "wanted"},
--- a/src/sidecar/engine_steward.cc
+++ b/src/sidecar/engine_steward.cc
@@ -3,19 +3,14 @@
 #include <utility>
 #include <variant>
 
+#include "core/overloaded.h"
+
 namespace comfreyspring::sidecar {
 namespace {
 
 /** Precision of the end of waits. */
 constexpr core::milliseconds kTickPeriod{20};
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 std::string NameOf(const catalog::adapter_name& name) {
   return name.adapter.empty() ? name.model.Value()
                               : name.model.Value() + '/' + name.adapter.Value();
@@ -66,7 +61,7 @@
                                const grants::message& value) {
   const auto now = loop_.Now();
   std::visit(
-      overloaded{
+      core::overloaded{
           [&](const grants::gateway_hello& hello) {
             scheduler_.SetFacts(hello.facts);
           },
@@ -117,7 +112,7 @@
 void engine_steward::Perform(grants::grant_scheduler::actions actions) {
   for (const grants::grant_action& action : actions) {
     std::visit(
-        overloaded{
+        core::overloaded{
             [&](const grants::grant& given) {
               metrics_.Count("sidecar_grants_total");
               send_(given.key.link,
