--- /dev/null
+++ b/tests/process/engine_stand_in.cc
@@ -0,0 +1,233 @@
+#include "engine_stand_in.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace comfreyspring::process_test {
+namespace {
+
+using core::milliseconds;
+using nlohmann::json;
+
+/** Adapters that the service's configuration lets an engine hold. */
+constexpr std::size_t kAdapterPlaces = 2;
+constexpr milliseconds kListenRetry{50};
+
+}  // namespace
+
+std::string EventText(const std::string& request, int event) {
+  return "id: " + std::to_string(event) + "\ndata: " + request + '.' +
+         std::to_string(event) + "\n\n";
+}
+
+std::string PlainText(const std::string& request) {
+  return "answer to " + request + std::string(400, '.');
+}
+
+struct engine_stand_in::run {
+  exchange_pointer exchange;
+  std::string id;
+  std::uint64_t incarnation = 0;
+  bool breaks = false;
+  bool ended = false;
+};
+
+engine_stand_in::engine_stand_in(net::event_loop& loop, engine_options options)
+    : events(options.events),
+      loop_(loop),
+      options_(std::move(options)),
+      port_(options_.port) {
+  Start("i-1");
+}
+
+engine_stand_in::~engine_stand_in() = default;
+
+void engine_stand_in::Start(const std::string& instance) {
+  if (server_) Crash();
+  instance_ = instance;
+  ++incarnation_;
+  if (incarnation_ > 1) started_ = core::UnixMilliseconds(loop_.WallNow());
+  Listen();
+}
+
+void engine_stand_in::Listen() {
+  try {
+    server_.emplace(
+        loop_, net::http_server_options{.address = options_.ip, .port = port_},
+        [this](const exchange_pointer& exchange) { Answer(exchange); });
+    port_ = server_->Port();
+  } catch (const net::net_error&) {
+    // Connections of the last incarnation are still closing.
+    if (port_ == 0) throw;
+    loop_.Schedule(kListenRetry, [this, incarnation = incarnation_] {
+      if (incarnation == incarnation_) Listen();
+    });
+  }
+}
+
+void engine_stand_in::Crash() {
+  ++incarnation_;
+  for (const auto& current : std::set(running_)) End(current, false);
+  server_.reset();
+  held.clear();
+  loading_.clear();
+  orders_ = 0;
+  highest_fencing = 0;
+}
+
+bool engine_stand_in::Happens(double chance) {
+  return std::bernoulli_distribution(chance)(random_);
+}
+
+void engine_stand_in::Answer(const exchange_pointer& exchange) {
+  const auto& request = exchange->Request();
+  if (request.path == "/v1/report") {
+    Report(*exchange);
+  } else if (request.path == "/v1/order") {
+    TakeOrder(*exchange);
+  } else {
+    Run(exchange);
+  }
+}
+
+void engine_stand_in::Report(net::http_exchange& exchange) const {
+  json adapters = json::array();
+  for (const auto& name : held) adapters.push_back(name + "@1");
+  json pending = json::array();
+  for (const auto& name : loading_) pending.push_back("m/" + name + "@1");
+  exchange.Respond(
+      {200,
+       {},
+       json{{"born", started_},
+            {"Seq", orders_},
+            {"Busy", false},
+            {"Running", running_.size()},
+            {"Pending", pending},
+            {"Models", json::array({{{"Name", "m"}, {"Adapters", adapters}}})}}
+           .dump()});
+}
+
+void engine_stand_in::TakeOrder(net::http_exchange& exchange) {
+  const auto order = json::parse(exchange.Request().body);
+  holders.insert(order.at("Holder").get<std::string>());
+  const auto fencing = order.at("Fence").get<std::int64_t>();
+  if (fencing < highest_fencing) {
+    fencing_fell = true;
+    exchange.Respond({412, {}, ""});
+    return;
+  }
+  ++orders_;
+  highest_fencing = fencing;
+  const auto name = order.at("Adapter").get<std::string>();
+  if (order.at("Op") == "unload") {
+    held.erase(name);
+    exchange.Respond({200, {}, ""});
+    return;
+  }
+  if (held.count(name) > 0) {
+    exchange.Respond({200, {}, ""});
+    return;
+  }
+  loading_.insert(name);
+  most_held = std::max(most_held, held.size() + loading_.size());
+  if (held.size() + loading_.size() > kAdapterPlaces && on_violation) {
+    on_violation("was ordered to load more adapters than it has places for");
+  }
+  if (options_.adapter_load.count() == 0) {
+    Load(name);
+  } else {
+    loop_.Schedule(options_.adapter_load,
+                   [this, name, incarnation = incarnation_] {
+                     if (incarnation == incarnation_) Load(name);
+                   });
+  }
+  exchange.Respond({202, {}, ""});
+}
+
+void engine_stand_in::Load(const std::string& adapter) {
+  if (loading_.erase(adapter) > 0) held.insert(adapter);
+}
+
+void engine_stand_in::Run(const exchange_pointer& exchange) {
+  const auto& headers = exchange->Request().headers;
+  const auto model = headers.find("model");
+  const bool holds =
+      !options_.generates ||
+      (model != headers.end() && held.count(model->second.substr(2)) > 0);
+  const std::string& id = headers.at("request-id");
+  if (headers.at("expect-instance") != instance_ || !holds) {
+    exchange->Respond({421, {{"instance", instance_}}, ""});
+    return;
+  }
+  if (running_.size() >= options_.slots || Happens(refuse_chance)) {
+    exchange->Respond({503, {{"not-run", "1"}, {"request-id", id}}, "full"});
+    return;
+  }
+  ++runs[id];
+  targets.push_back(exchange->Request().target);
+  if (on_run) on_run(exchange->Request());
+  auto current = std::make_shared<run>();
+  current->exchange = exchange;
+  current->id = id;
+  current->incarnation = incarnation_;
+  current->breaks = Happens(break_chance);
+  running_.insert(current);
+  exchange->OnClientGone([this, current] { End(current, false); });
+  if (mute) return;
+  if (!options_.generates) {
+    RunPlain(current);
+    return;
+  }
+  const auto resumed = headers.find("last-event-id");
+  const int first =
+      resumed == headers.end() ? 1 : std::stoi(resumed->second) + 1;
+  exchange->BeginStream(200, {{"content-type", "text/event-stream"},
+                              {"server-stamp", "stamp"},
+                              {"request-id", id}});
+  SendEvent(current, first);
+}
+
+void engine_stand_in::RunPlain(const std::shared_ptr<run>& current) {
+  loop_.Schedule(options_.plain_time * slowness, [this, current] {
+    if (current->ended) return;
+    if (current->breaks) {
+      current->exchange->Abort();
+    } else {
+      current->exchange->Respond(
+          {200,
+           {{"server-stamp", "stamp"}, {"request-id", current->id}},
+           PlainText(current->id)});
+    }
+    End(current, !current->breaks);
+  });
+}
+
+void engine_stand_in::SendEvent(const std::shared_ptr<run>& current,
+                                int event) {
+  if (current->ended) return;
+  const bool breaks_here = (break_after > 0 && event > break_after) ||
+                           (current->breaks && event > 1 && Happens(0.3));
+  if (breaks_here) {
+    break_after = 0;
+    current->exchange->Abort();
+    End(current, false);
+    return;
+  }
+  current->exchange->Write(EventText(current->id, event));
+  if (event >= events) {
+    current->exchange->EndStream();
+    End(current, true);
+    return;
+  }
+  loop_.Schedule(options_.event_period * slowness,
+                 [this, current, event] { SendEvent(current, event + 1); });
+}
+
+void engine_stand_in::End(const std::shared_ptr<run>& current, bool complete) {
+  if (std::exchange(current->ended, true)) return;
+  running_.erase(current);
+  if (on_end) on_end(current->id, complete);
+}
+
+}  // namespace comfreyspring::process_test
--- /dev/null
+++ b/tests/process/settings_program.cc
@@ -0,0 +1,48 @@
+#include "settings_program.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+
+namespace comfreyspring::process_test {
+
+settings_program::settings_program(const options& start) : pid_(::fork()) {
+  if (pid_ != 0) return;
+  const int output =
+      ::open(start.log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(output, STDOUT_FILENO);
+  ::dup2(output, STDERR_FILENO);
+  // A test that crashes leaves no programs behind.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  ::setenv("COMFREYSPRING_CONFIG", start.settings_file.c_str(), 1);
+  if (!start.preload.empty()) {
+    ::setenv("LD_PRELOAD", start.preload.c_str(), 1);
+  }
+  ::execl(start.binary.c_str(), start.binary.c_str(), nullptr);
+  ::_exit(127);
+}
+
+settings_program::~settings_program() {
+  if (ended_) return;
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, nullptr, 0);
+}
+
+void settings_program::Signal(int number) {
+  if (!HasEnded()) ::kill(pid_, number);
+}
+
+bool settings_program::HasEnded() {
+  int status = 0;
+  if (!ended_ && ::waitpid(pid_, &status, WNOHANG) == pid_) {
+    ended_ = true;
+    status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+  return ended_;
+}
+
+}  // namespace comfreyspring::process_test
--- /dev/null
+++ b/tests/process/store_stand_in.cc
@@ -0,0 +1,137 @@
+#include "store_stand_in.h"
+
+#include <utility>
+
+namespace comfreyspring::process_test {
+namespace {
+
+using core::milliseconds;
+using nlohmann::json;
+
+/** Answer time of a slow store. */
+constexpr milliseconds kSlowAnswer{900};
+
+std::string Base64(const std::string& text) {
+  static const std::string kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); i += 3) {
+    std::uint32_t bits = 0;
+    for (std::size_t k = 0; k < 3; ++k) {
+      bits =
+          bits << 8 |
+          (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0U);
+    }
+    for (std::size_t k = 0; k < 4; ++k) {
+      out += i + k > text.size() ? '=' : kDigits[bits >> (18 - 6 * k) & 63];
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+store_stand_in::store_stand_in(net::event_loop& loop, const std::string& ip,
+                               std::uint16_t port)
+    : loop_(loop),
+      server_(loop, {.address = ip, .port = port},
+              [this](auto exchange) { Answer(std::move(exchange)); }) {}
+
+void store_stand_in::Put(const std::string& key, const json& value) {
+  items_[key] = {{"Key", key},
+                 {"Value", Base64(value.dump())},
+                 {"Rev", revision_ + 1},
+                 {"Created", 1},
+                 {"Lease", 0}};
+  Record(items_[key]);
+}
+
+void store_stand_in::Remove(const std::string& key) {
+  if (items_.erase(key) == 0) return;
+  Record({{"Key", key}, {"Rev", revision_ + 1}, {"Deleted", true}});
+}
+
+void store_stand_in::ForgetHistory() {
+  history_.clear();
+  oldest_revision_ = ++revision_;
+  for (const auto& exchange : std::exchange(waiting_, {})) exchange->Abort();
+}
+
+void store_stand_in::Record(json event) {
+  ++revision_;
+  history_.push_back(std::move(event));
+  for (const auto& exchange : std::exchange(waiting_, {})) {
+    SendEvents(*exchange);
+  }
+}
+
+void store_stand_in::Answer(exchange_pointer exchange) {
+  switch (mode_) {
+    case store_mode::unavailable:
+      exchange->Respond({503, {}, ""});
+      return;
+    case store_mode::throttled:
+      exchange->Respond({429, {}, ""});
+      return;
+    case store_mode::silent:
+      unanswered_.push_back(std::move(exchange));
+      return;
+    case store_mode::slow:
+      loop_.Schedule(kSlowAnswer, [this, exchange] {
+        if (exchange->Request().path == "/v1/kv-range") {
+          AnswerRange(*exchange);
+        } else {
+          AnswerWatch(exchange);
+        }
+      });
+      return;
+    case store_mode::up:
+      break;
+  }
+  if (exchange->Request().path == "/v1/kv-range") {
+    AnswerRange(*exchange);
+  } else {
+    AnswerWatch(std::move(exchange));
+  }
+}
+
+void store_stand_in::AnswerRange(net::http_exchange& exchange) const {
+  json items = json::array();
+  for (const auto& [key, item] : items_) items.push_back(item);
+  exchange.Respond(
+      {200,
+       {},
+       json{{"items", items}, {"Truncated", false}, {"AsOf", revision_}}
+           .dump()});
+}
+
+void store_stand_in::AnswerWatch(exchange_pointer exchange) {
+  const auto& query = exchange->Request().query;
+  const std::int64_t after = std::stoll(query.at("after"));
+  if (after < oldest_revision_) {
+    exchange->Respond({410, {}, ""});
+    return;
+  }
+  if (after < revision_) {
+    SendEvents(*exchange);
+    return;
+  }
+  waiting_.push_back(exchange);
+  loop_.Schedule(milliseconds(std::stoi(query.at("WaitMs"))), [this, exchange] {
+    if (std::erase(waiting_, exchange) > 0) {
+      SendEvents(*exchange);
+    }
+  });
+}
+
+void store_stand_in::SendEvents(net::http_exchange& exchange) const {
+  const auto after = std::stoll(exchange.Request().query.at("after"));
+  json events = json::array();
+  for (const auto& event : history_) {
+    if (event.at("Rev").get<std::int64_t>() > after) events.push_back(event);
+  }
+  exchange.Respond(
+      {200, {}, json{{"events", events}, {"AsOf", revision_}}.dump()});
+}
+
+}  // namespace comfreyspring::process_test
--- /dev/null
+++ b/tests/process/store_stand_in.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/http_server.h"
+
+namespace comfreyspring::process_test {
+
+/** How the store answers. */
+enum class store_mode { up, unavailable, throttled, silent, slow };
+
+/** The users' store: a list of items, and waits that end when it changes. */
+class store_stand_in {
+ public:
+  explicit store_stand_in(net::event_loop& loop,
+                          const std::string& ip = "127.0.0.1",
+                          std::uint16_t port = 0);
+
+  void Put(const std::string& key, const nlohmann::json& value);
+  void Remove(const std::string& key);
+  /** Watches from before now are answered 410, waiting ones are cut. */
+  void ForgetHistory();
+  void SetMode(store_mode mode) { mode_ = mode; }
+  std::uint16_t Port() const { return server_.Port(); }
+
+ private:
+  using exchange_pointer = std::shared_ptr<net::http_exchange>;
+
+  void Answer(exchange_pointer exchange);
+  void AnswerRange(net::http_exchange& exchange) const;
+  void AnswerWatch(exchange_pointer exchange);
+  void SendEvents(net::http_exchange& exchange) const;
+  void Record(nlohmann::json event);
+
+  net::event_loop& loop_;
+  std::map<std::string, nlohmann::json> items_;
+  std::vector<nlohmann::json> history_;
+  std::int64_t revision_ = 100;
+  std::int64_t oldest_revision_ = 100;
+  store_mode mode_ = store_mode::up;
+  std::vector<exchange_pointer> waiting_;
+  std::vector<exchange_pointer> unanswered_;
+  net::http_server server_;
+};
+
+}  // namespace comfreyspring::process_test
--- a/tests/process/tcp_relay.cc
+++ b/tests/process/tcp_relay.cc
@@ -16,12 +16,12 @@
 
 constexpr int kPollMs = 5;
 
-sockaddr_in Loopback(int port) {
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
+sockaddr_in SocketAddress(const relay_address& address) {
+  sockaddr_in result = {};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(static_cast<std::uint16_t>(address.port));
+  ::inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
+  return result;
 }
 
 void SetNoDelay(int socket_handle) {
@@ -31,9 +31,15 @@
 
 }  // namespace
 
-tcp_relay::tcp_relay(int target_port) : target_port_(target_port) {
+tcp_relay::tcp_relay(int target_port)
+    : tcp_relay(relay_address{}, {.port = target_port}) {}
+
+tcp_relay::tcp_relay(relay_address listen, relay_address target)
+    : target_(std::move(target)) {
   listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
+  const int on = 1;
+  ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address = SocketAddress(listen);
   socklen_t length = sizeof address;
   if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), length) != 0 ||
       ::listen(listener_, 64) != 0 ||
@@ -49,15 +55,45 @@
   stopping_ = true;
   thread_.join();
   ::close(listener_);
-  for (const connection& open : connections_) {
-    ::close(open.client);
-    ::close(open.server);
+  for (const connection& open : connections_) Close(open);
+}
+
+void tcp_relay::Close(const connection& closed) {
+  if (closed.reset) {
+    const linger at_once = {.l_onoff = 1, .l_linger = 0};
+    for (const int handle : {closed.to_server.from, closed.to_client.from}) {
+      ::setsockopt(handle, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
   }
+  ::close(closed.to_server.from);
+  ::close(closed.to_client.from);
+}
+
+bool tcp_relay::Happens(double chance) {
+  return std::bernoulli_distribution(chance)(random_);
 }
 
 void tcp_relay::SilenceOpenConnections() {
+  SilenceOpenConnections(silenced::both, 1.0);
+}
+
+void tcp_relay::SilenceOpenConnections(silenced ways, double chance) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (connection& open : connections_) {
+    if (!Happens(chance)) continue;
+    open.to_server.silent |= ways != silenced::to_client;
+    open.to_client.silent |= ways != silenced::to_server;
+  }
+}
+
+void tcp_relay::ResetOpenConnections(double chance) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (connection& open : connections_) open.silent = true;
+  for (connection& open : connections_) open.reset |= Happens(chance);
+}
+
+void tcp_relay::SetDelay(std::chrono::milliseconds delay) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  delay_ = delay;
 }
 
 void tcp_relay::Cut() {
@@ -65,11 +101,18 @@
   SilenceOpenConnections();
 }
 
+void tcp_relay::CutSilently() {
+  cut_silently_ = true;
+  SilenceOpenConnections();
+}
+
 void tcp_relay::CutClients(std::function<bool(int port)> is_cut) {
   const std::lock_guard<std::mutex> lock(mutex_);
   is_cut_ = std::move(is_cut);
   for (connection& open : connections_) {
-    if (IsCut(open.client)) open.silent = true;
+    if (!IsCut(open.to_server.from)) continue;
+    open.to_server.silent = true;
+    open.to_client.silent = true;
   }
 }
 
@@ -77,6 +120,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   is_cut_ = nullptr;
   cut_ = false;
+  cut_silently_ = false;
 }
 
 bool tcp_relay::IsCut(int client) const {
@@ -96,8 +140,9 @@
     return;
   }
   const int server = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const sockaddr_in address = Loopback(target_port_);
-  if (::connect(server, reinterpret_cast<const sockaddr*>(&address),
+  const sockaddr_in address = SocketAddress(target_);
+  if (!cut_silently_ &&
+      ::connect(server, reinterpret_cast<const sockaddr*>(&address),
                 sizeof address) != 0) {
     ::close(client);
     ::close(server);
@@ -105,19 +150,44 @@
   }
   SetNoDelay(client);
   SetNoDelay(server);
-  connections_.push_back({client, server, false});
+  connections_.push_back({{client, server, cut_silently_, false, {}},
+                          {server, client, cut_silently_, false, {}}});
 }
 
-bool tcp_relay::Forward(int from, int to) {
+void tcp_relay::Receive(flow& way) const {
   std::array<char, 65536> buffer = {};
-  const ssize_t count = ::recv(from, buffer.data(), buffer.size(), 0);
-  if (count <= 0) return false;
-  for (ssize_t sent = 0; sent < count;) {
-    const ssize_t step =
-        ::send(to, buffer.data() + sent, static_cast<std::size_t>(count - sent),
-               MSG_NOSIGNAL);
-    if (step <= 0) return false;
-    sent += step;
+  const ssize_t count = ::recv(way.from, buffer.data(), buffer.size(), 0);
+  if (count <= 0) {
+    way.ended = true;
+    return;
+  }
+  way.held.push_back({std::chrono::steady_clock::now() + delay_,
+                      {buffer.data(), static_cast<std::size_t>(count)}});
+}
+
+bool tcp_relay::Deliver(flow& way) {
+  while (!way.held.empty() &&
+         way.held.front().due <= std::chrono::steady_clock::now()) {
+    const std::string& bytes = way.held.front().bytes;
+    for (std::size_t sent = 0; sent < bytes.size();) {
+      const ssize_t step = ::send(way.to, bytes.data() + sent,
+                                  bytes.size() - sent, MSG_NOSIGNAL);
+      if (step <= 0) return false;
+      sent += static_cast<std::size_t>(step);
+    }
+    way.held.pop_front();
+  }
+  return true;
+}
+
+bool tcp_relay::Serve(connection& open, bool client_ready,
+                      bool server_ready) const {
+  if (open.reset) return false;
+  for (flow* way : {&open.to_server, &open.to_client}) {
+    const bool ready = way == &open.to_server ? client_ready : server_ready;
+    if (way->silent) continue;
+    if (ready && !way->ended) Receive(*way);
+    if (!Deliver(*way) || (way->ended && way->held.empty())) return false;
   }
   return true;
 }
@@ -125,35 +195,29 @@
 void tcp_relay::Run() {
   while (!stopping_) {
     std::vector<pollfd> waiting = {{listener_, POLLIN, 0}};
+    const auto watch = [&waiting](const flow& way) {
+      const bool wanted = !way.silent && !way.ended;
+      waiting.push_back({wanted ? way.from : -1, POLLIN, 0});
+    };
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       for (const connection& open : connections_) {
-        const short events = open.silent ? 0 : POLLIN;
-        waiting.push_back({open.client, events, 0});
-        waiting.push_back({open.server, events, 0});
+        watch(open.to_server);
+        watch(open.to_client);
       }
     }
-    if (::poll(waiting.data(), waiting.size(), kPollMs) <= 0) continue;
+    ::poll(waiting.data(), waiting.size(), kPollMs);
     const std::lock_guard<std::mutex> lock(mutex_);
     std::vector<connection> kept;
     for (std::size_t i = 0; i < connections_.size(); ++i) {
-      const connection& open = connections_[i];
+      connection& open = connections_[i];
       const std::size_t first = 1 + 2 * i;
-      bool alive = true;
-      if (!open.silent && first + 1 < waiting.size()) {
-        if (waiting[first].revents != 0) {
-          alive = Forward(open.client, open.server);
-        }
-        if (alive && waiting[first + 1].revents != 0) {
-          alive = Forward(open.server, open.client);
-        }
-      }
-      if (alive) {
-        kept.push_back(open);
-        continue;
+      if (Serve(open, waiting[first].revents != 0,
+                waiting[first + 1].revents != 0)) {
+        kept.push_back(std::move(open));
+      } else {
+        Close(open);
       }
-      ::close(open.client);
-      ::close(open.server);
     }
     connections_ = std::move(kept);
     if ((waiting[0].revents & POLLIN) != 0) Accept();
--- /dev/null
+++ b/tests/soak/callers.cc
@@ -0,0 +1,157 @@
+#include "callers.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <utility>
+
+namespace comfreyspring::soak {
+namespace {
+
+using core::milliseconds;
+
+constexpr double kLeaveChance = 0.05;
+constexpr milliseconds kReadinessPeriod{1000};
+/** Refusals in a row that take a gateway out of rotation. */
+constexpr int kReadinessMisses = 2;
+constexpr milliseconds kStreamLimit{6000};
+constexpr milliseconds kPlainLimit{2000};
+/** A caller that hears nothing gives up so long after its limit. */
+constexpr milliseconds kPatience{1500};
+constexpr int kAdapters = 12;
+
+}  // namespace
+
+callers::callers(net::event_loop& loop, fleet_under_test& fleet,
+                 promise_record& promises, unsigned seed,
+                 double requests_per_second)
+    : loop_(loop),
+      fleet_(fleet),
+      promises_(promises),
+      http_(loop),
+      readiness_http_(loop),
+      random_(seed),
+      rate_(requests_per_second),
+      leave_chance_(kLeaveChance) {}
+
+callers::~callers() { loop_.Cancel(readiness_timer_); }
+
+void callers::Start() {
+  AskReadiness();
+  readiness_timer_ =
+      loop_.SchedulePeriodic(kReadinessPeriod, [this] { AskReadiness(); });
+  ScheduleNext();
+}
+
+void callers::Stop() { stopped_ = true; }
+
+void callers::AskReadiness() {
+  for (std::size_t i = 0; i < fleet_.CallerRelays().size(); ++i) {
+    const int gateway = static_cast<int>(i);
+    readiness_http_.Start(
+        {.url = fleet_.ReadinessUrl(gateway),
+         .connect_timeout = milliseconds(500),
+         .total_timeout = milliseconds(900)},
+        {.on_done = [this, gateway](const net::http_result& result) {
+          int& misses = misses_[gateway];
+          misses = result.status == 200 ? 0 : misses + 1;
+        }});
+  }
+}
+
+int callers::PickGateway() {
+  std::vector<int> ready;
+  const int count = static_cast<int>(fleet_.CallerRelays().size());
+  for (int i = 0; i < count; ++i) {
+    if (misses_[i] < kReadinessMisses) ready.push_back(i);
+  }
+  // All of them where fewer than half are ready.
+  if (static_cast<int>(ready.size()) * 2 < count) {
+    return std::uniform_int_distribution<int>(0, count - 1)(random_);
+  }
+  return ready[std::uniform_int_distribution<std::size_t>(
+      0, ready.size() - 1)(random_)];
+}
+
+void callers::ScheduleNext() {
+  const double wait = std::exponential_distribution<double>(rate_)(random_);
+  loop_.Schedule(milliseconds(static_cast<std::int64_t>(wait * 1e3)), [this] {
+    if (stopped_) return;
+    const auto& kinds = fleet_.Kinds();
+    Send(kinds[std::uniform_int_distribution<std::size_t>(
+             0, kinds.size() - 1)(random_)],
+         false);
+    ScheduleNext();
+  });
+}
+
+void callers::Send(const request_kind& kind, bool is_retry) {
+  const std::string id = "r" + std::to_string(++last_id_);
+  request_record request;
+  request.kind = &kind;
+  request.gateway = PickGateway();
+  request.target = kind.path + "x%20y?q=" + id;
+  request.body = "body of " + id;
+  request.sent_at = loop_.Now();
+  request.limit = kind.streams ? kStreamLimit : kPlainLimit;
+  net::http_call call;
+  call.method = "POST";
+  call.url = fleet_.CallerUrl(request.gateway) + '/';
+  call.target = request.target;
+  call.body = request.body;
+  call.headers = {{"host", "soak.example"},
+                  {"request-id", id},
+                  {"deadline-ms", std::to_string(request.limit.count())}};
+  if (kind.streams) {
+    // Small numbers are asked for most.
+    const int adapter = static_cast<int>(
+        kAdapters *
+        std::pow(std::uniform_real_distribution<double>(0, 1)(random_), 2));
+    request.model = "m/a" + std::to_string(adapter);
+    call.headers["model"] = request.model;
+    call.headers["token-count"] = "100,60";
+  }
+  call.total_timeout = request.limit + kPatience;
+  call.may_resend = false;
+  promises_.Sent(id, std::move(request));
+  ++open_;
+  const net::http_call_id handle = http_.Start(
+      std::move(call),
+      {.on_done = [this, id, &kind, is_retry](const net::http_result& result) {
+        OnAnswer(id, kind, is_retry, result);
+      }});
+  if (std::bernoulli_distribution(leave_chance_)(random_)) {
+    const milliseconds after(
+        std::uniform_int_distribution<int>(5, 400)(random_));
+    loop_.Schedule(after, [this, id, handle] { Leave(id, handle); });
+  }
+}
+
+void callers::Leave(const std::string& id, net::http_call_id call) {
+  if (promises_.IsAnswered(id)) return;
+  http_.Cancel(call);
+  --open_;
+  promises_.GaveUp(id, loop_.Now());
+}
+
+void callers::OnAnswer(const std::string& id, const request_kind& kind,
+                       bool is_retry, const net::http_result& result) {
+  --open_;
+  promises_.Answered(id, result, loop_.Now());
+  const bool is_refused = result.failure == net::http_failure::none &&
+                          (result.status == 503 || result.status == 429);
+  if (!is_refused || is_retry || stopped_) return;
+  double wait_s = 0.1;
+  const auto header = result.headers.find("retry-after");
+  if (header != result.headers.end()) wait_s = std::stod(header->second);
+  const double limit_s =
+      static_cast<double>((kind.streams ? kStreamLimit : kPlainLimit).count()) /
+      1e3;
+  wait_s = std::min(wait_s, limit_s / 3);
+  loop_.Schedule(milliseconds(static_cast<std::int64_t>(wait_s * 1e3)),
+                 [this, &kind] {
+                   if (!stopped_) Send(kind, true);
+                 });
+}
+
+}  // namespace comfreyspring::soak
--- /dev/null
+++ b/tests/soak/callers.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fleet_under_test.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "promise_record.h"
+
+namespace comfreyspring::soak {
+
+/**
+ * Open-loop load on the fleet through a balancer that asks the gateways each
+ * second whether they are ready. Callers keep connections, retry once after a
+ * refusal, and some leave early.
+ */
+class callers {
+ public:
+  callers(net::event_loop& loop, fleet_under_test& fleet,
+          promise_record& promises, unsigned seed, double requests_per_second);
+  ~callers();
+  callers(const callers&) = delete;
+  callers& operator=(const callers&) = delete;
+
+  void Start();
+  void Stop();
+  /** Nobody leaves early from now on. */
+  void Stay() { leave_chance_ = 0; }
+  void SetRate(double requests_per_second) { rate_ = requests_per_second; }
+  std::size_t Open() const { return open_; }
+
+ private:
+  void ScheduleNext();
+  void Send(const request_kind& kind, bool is_retry);
+  void Leave(const std::string& id, net::http_call_id call);
+  void OnAnswer(const std::string& id, const request_kind& kind, bool is_retry,
+                const net::http_result& result);
+  int PickGateway();
+  void AskReadiness();
+
+  net::event_loop& loop_;
+  fleet_under_test& fleet_;
+  promise_record& promises_;
+  net::http_client http_;
+  net::http_client readiness_http_;
+  std::mt19937 random_;
+  double rate_;
+  double leave_chance_;
+  std::size_t open_ = 0;
+  std::int64_t last_id_ = 0;
+  bool stopped_ = false;
+  std::map<int, int> misses_;
+  net::timer_id readiness_timer_ = 0;
+};
+
+}  // namespace comfreyspring::soak
--- /dev/null
+++ b/tests/soak/fleet_under_test.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "engine_stand_in.h"
+#include "fleet_layout.h"
+#include "net/event_loop.h"
+#include "promise_record.h"
+#include "settings_program.h"
+#include "store_stand_in.h"
+#include "tcp_relay.h"
+
+namespace comfreyspring::soak {
+
+/** Size of the fleet and where it leaves its logs. */
+struct fleet_options {
+  std::string binary_directory;
+  std::string clock_library;
+  std::filesystem::path log_directory;
+  int gateways = 3;
+  int engines = 4;
+  int plain_endpoints = 2;
+};
+
+/** One program under test: how it is run, and what the soak did to it. */
+struct program_slot {
+  std::string name;
+  /** Index among the gateways or the endpoints. */
+  int index = 0;
+  bool is_gateway = false;
+  std::unique_ptr<process_test::settings_program> process;
+  /** The soak asked it to end, or ended it. */
+  bool is_stopping = false;
+  bool is_paused = false;
+  /** It was disturbed while it was stopping: no bound on its end. */
+  bool stop_was_disturbed = false;
+  core::time_point stopping_since;
+};
+
+/** An endpoint that the fleet serves, with its registration and its relays. */
+struct endpoint_slot {
+  std::string service;
+  bool leaving = false;
+  std::unique_ptr<process_test::engine_stand_in> engine;
+  std::unique_ptr<process_test::tcp_relay> engine_relay;
+  /** None for plain services. */
+  std::unique_ptr<process_test::tcp_relay> sidecar_relay;
+};
+
+/**
+ * Gateways and sidecars as processes, stand-ins of the store and of the
+ * endpoints in this process, and a relay on each path between them.
+ */
+class fleet_under_test {
+ public:
+  fleet_under_test(net::event_loop& loop, promise_record& promises,
+                   fleet_options options);
+  ~fleet_under_test();
+  fleet_under_test(const fleet_under_test&) = delete;
+  fleet_under_test& operator=(const fleet_under_test&) = delete;
+
+  // Parts.
+
+  const std::vector<request_kind>& Kinds() const { return kinds_; }
+  std::vector<program_slot>& Programs() { return programs_; }
+  std::vector<endpoint_slot>& Endpoints() { return endpoints_; }
+  process_test::store_stand_in& Store() { return *store_; }
+  std::vector<std::unique_ptr<process_test::tcp_relay>>& StoreRelays() {
+    return store_relays_;
+  }
+  std::vector<std::unique_ptr<process_test::tcp_relay>>& CallerRelays() {
+    return caller_relays_;
+  }
+  /** Every relay of the fleet. */
+  std::vector<process_test::tcp_relay*> Relays();
+  std::string CallerUrl(int gateway) const;
+  std::string ReadinessUrl(int gateway) const;
+  std::string MetricsUrl(int gateway) const;
+
+  // Changes.
+
+  void Start(program_slot& slot);
+  /** Sets the time of day of a program off by so much. */
+  void SetClockOffset(const program_slot& slot, core::milliseconds offset);
+  /** Writes the settings file once more, with a field that nobody knows. */
+  void RewriteSettings(const program_slot& slot);
+  /** A new configuration; odd versions have one route more. */
+  void PublishConfiguration();
+  /** Writes the endpoint's entry as it is now. */
+  void Register(std::size_t endpoint);
+  void Unregister(std::size_t endpoint);
+  void Crash(std::size_t endpoint);
+  /** Starts the endpoint as a new instance and registers it. */
+  void Restart(std::size_t endpoint);
+
+  /** Reports processes that ended by themselves or do not end. */
+  void CheckProcesses();
+  /** Each line of each log is one JSON object. */
+  void CheckLogs();
+  bool HasStopped(program_slot& slot);
+
+ private:
+  void AddGateway(int index);
+  void AddEndpoint(int index, const std::string& service, bool generates);
+  nlohmann::json Settings(const program_slot& slot) const;
+  std::filesystem::path File(const program_slot& slot,
+                             const std::string& extension) const;
+
+  net::event_loop& loop_;
+  promise_record& promises_;
+  fleet_options options_;
+  fleet_layout layout_;
+  std::vector<request_kind> kinds_;
+  std::unique_ptr<process_test::store_stand_in> store_;
+  std::vector<std::unique_ptr<process_test::tcp_relay>> store_relays_;
+  std::vector<std::unique_ptr<process_test::tcp_relay>> caller_relays_;
+  std::vector<endpoint_slot> endpoints_;
+  std::vector<program_slot> programs_;
+  int last_instance_ = 0;
+  int version_ = 0;
+};
+
+}  // namespace comfreyspring::soak
--- /dev/null
+++ b/tests/soak/promise_record.cc
@@ -0,0 +1,240 @@
+#include "promise_record.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+#include "engine_stand_in.h"
+
+namespace comfreyspring::soak {
+namespace {
+
+using core::milliseconds;
+
+/** Bounds on time hold for what was left alone for so long (StableMs). */
+constexpr milliseconds kCalm{3000};
+/** After a caller's limit, and after it has left. */
+constexpr milliseconds kSlack{500};
+/** From the store's acknowledgement that an endpoint leaves (DrainMs). */
+constexpr milliseconds kDrainTime{2000};
+/** Requests that may reach an endpoint late after their caller has left. */
+constexpr int kRunsAfterCallerLeft = 3;
+/** Of the settings: RetryRatio, BudgetExtra, BudgetWindowS. */
+constexpr double kRepeatShare = 0.2;
+constexpr double kRepeatExtra = 10;
+constexpr core::seconds kRepeatWindow{10};
+
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string WholeBody(const std::string& id, const request_kind& kind,
+                      int events) {
+  if (!kind.streams) return process_test::PlainText(id);
+  std::string text;
+  for (int event = 1; event <= events; ++event) {
+    text += process_test::EventText(id, event);
+  }
+  return text;
+}
+
+}  // namespace
+
+void promise_record::Sent(const std::string& id, request_record request) {
+  sent_[request.kind->service].push_back(request.sent_at);
+  requests_[id] = std::move(request);
+}
+
+void promise_record::GaveUp(const std::string& id, core::time_point now) {
+  requests_.at(id).gave_up_at = now;
+}
+
+void promise_record::Answered(const std::string& id,
+                              const net::http_result& result,
+                              core::time_point now) {
+  request_record& request = requests_.at(id);
+  request.answered_at = now;
+  request.status = result.status;
+  CheckAnswer(id, request, result);
+  if (now > request.sent_at + request.limit + kSlack &&
+      WasCalm(request.gateway, request.sent_at, now)) {
+    Violation(id + " was held beyond its caller's limit");
+  }
+}
+
+void promise_record::CheckAnswer(const std::string& id,
+                                 const request_record& request,
+                                 const net::http_result& result) {
+  if (result.failure != net::http_failure::none) return;
+  const int status = result.status;
+  if (status >= 200 && status < 300) {
+    const auto stamp = result.headers.find("server-stamp");
+    const auto echo = result.headers.find("request-id");
+    if (stamp == result.headers.end() || echo == result.headers.end() ||
+        echo->second != id) {
+      Violation(id + " succeeded without its endpoint's signature");
+    }
+    if (result.body != WholeBody(id, *request.kind, events_)) {
+      Violation(id + " succeeded with another body: " + result.body);
+    }
+  } else if (PromisesNotRun(status)) {
+    if (!request.kind->may_repeat && request.runs > 0) {
+      Violation(id + " was answered " + std::to_string(status) +
+                " and has run");
+    }
+  } else if (status < 500) {
+    Violation(id + " was denied with " + std::to_string(status) + ": " +
+              result.body);
+  }
+}
+
+void promise_record::Ran(const net::http_request& seen,
+                         const std::string& service,
+                         const std::string& instance, core::time_point now) {
+  const std::string id = seen.headers.at("request-id");
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    Violation(id + " ran and no caller sent it");
+    return;
+  }
+  request_record& request = found->second;
+  ++request.runs;
+  runs_[service].emplace_back(now, request.runs > 1);
+  if (std::find(request.instances.begin(), request.instances.end(), instance) ==
+      request.instances.end()) {
+    request.instances.push_back(instance);
+  }
+  const auto model = seen.headers.find("model");
+  if (seen.target != request.target || seen.body != request.body ||
+      (model == seen.headers.end() ? "" : model->second) != request.model) {
+    Violation(id + " reached its endpoint changed");
+  }
+  if (service != request.kind->service) {
+    Violation(id + " was run by service " + service);
+  }
+  if (request.runs > 1 && !request.kind->may_repeat) {
+    Violation(id + " ran more than once");
+  }
+  if (!request.kind->may_repeat && PromisesNotRun(request.status)) {
+    Violation(id + " runs after it was answered " +
+              std::to_string(request.status));
+  }
+  const bool is_calm = WasCalm(request.gateway, now - kCalm, now);
+  if (request.gave_up_at && now > *request.gave_up_at + kSlack && is_calm) {
+    ++runs_after_caller_left_;
+  }
+  const auto left = leaving_.find(instance);
+  if (left != leaving_.end() && now > left->second + kDrainTime && is_calm &&
+      now > store_disturbed_ + kCalm) {
+    Violation(id + " reached " + instance + " after it was to be left alone");
+  }
+}
+
+void promise_record::RunEnded(const std::string& id, core::time_point now) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || !found->second.gave_up_at) return;
+  const request_record& request = found->second;
+  if (now > *request.gave_up_at + kSlack + kSlack && request.kind->may_repeat &&
+      WasCalm(request.gateway, *request.gave_up_at, now) &&
+      now > endpoints_disturbed_ + kCalm) {
+    Violation(id + " ran on after its caller had left");
+  }
+}
+
+void promise_record::Leaving(const std::string& instance,
+                             core::time_point now) {
+  leaving_.emplace(instance, now);
+}
+
+void promise_record::GatewayDisturbed(int gateway, core::time_point until) {
+  auto& latest = gateway_disturbed_[gateway];
+  latest = std::max(latest, until);
+}
+
+void promise_record::StoreDisturbed(core::time_point until) {
+  store_disturbed_ = std::max(store_disturbed_, until);
+}
+
+void promise_record::EndpointsDisturbed(core::time_point until) {
+  endpoints_disturbed_ = std::max(endpoints_disturbed_, until);
+}
+
+void promise_record::Violation(const std::string& what) {
+  violations_.push_back(what);
+}
+
+bool promise_record::WasCalm(int gateway, core::time_point since,
+                             core::time_point now) const {
+  const auto disturbed = gateway_disturbed_.find(gateway);
+  return disturbed == gateway_disturbed_.end() ||
+         disturbed->second + kCalm < std::min(since, now);
+}
+
+void promise_record::CheckWholeRun(core::time_point now) {
+  for (const auto& [id, request] : requests_) {
+    if (!request.answered_at && !request.gave_up_at &&
+        now > request.sent_at + request.limit + kSlack) {
+      Violation(id + " was never answered");
+    }
+  }
+  if (runs_after_caller_left_ > kRunsAfterCallerLeft) {
+    Violation(std::to_string(runs_after_caller_left_) +
+              " requests reached endpoints after their callers had left");
+  }
+  CheckRepeats();
+}
+
+void promise_record::CheckRepeats() {
+  for (const auto& [service, runs] : runs_) {
+    const auto& sent = sent_[service];
+    for (const auto& [end, is_repeat] : runs) {
+      if (!is_repeat) continue;
+      const auto in_window = [begin = end - kRepeatWindow,
+                              last = end](core::time_point time) {
+        return time > begin && time <= last;
+      };
+      const auto repeats =
+          std::count_if(runs.begin(), runs.end(), [&](const auto& entry) {
+            return entry.second && in_window(entry.first);
+          });
+      const auto requests = std::count_if(sent.begin(), sent.end(), in_window);
+      const double allowed =
+          kRepeatShare * static_cast<double>(requests) + kRepeatExtra;
+      if (static_cast<double>(repeats) > allowed) {
+        Violation(std::to_string(repeats) + " repeats at " + service +
+                  " within the window, for " + std::to_string(requests) +
+                  " requests");
+        break;
+      }
+    }
+  }
+}
+
+double promise_record::ServedShare(core::time_point since) const {
+  int sent = 0;
+  int served = 0;
+  for (const auto& [id, request] : requests_) {
+    if (request.sent_at < since || request.gave_up_at) continue;
+    ++sent;
+    if (request.status == 200) ++served;
+  }
+  return sent == 0 ? 0.0 : static_cast<double>(served) / sent;
+}
+
+std::string promise_record::Summary() const {
+  std::map<std::string, std::map<int, int>> counts;
+  for (const auto& [id, request] : requests_) {
+    ++counts[request.kind->route][request.gave_up_at ? -1 : request.status];
+  }
+  std::ostringstream text;
+  for (const auto& [route, statuses] : counts) {
+    text << ' ' << route << ':';
+    for (const auto& [status, count] : statuses) {
+      text << ' ' << (status < 0 ? "left" : std::to_string(status)) << '='
+           << count;
+    }
+  }
+  return text.str();
+}
+
+}  // namespace comfreyspring::soak
