--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -20,6 +20,7 @@
 #include "net/http_client.h"
 #include "settings_program.h"
 #include "store_stand_in.h"
+#include "tcp_relay.h"
 
 namespace comfreyspring::process_test {
 namespace {
@@ -83,16 +84,17 @@
                           {"Stride", 5},
                           {"Models", json::array({{{"Name", "m"}}})}}}}})}});
   }
-  void PutEndpoint(const std::string& state) {
+  void PutEndpoint(const std::string& state, const std::string& ip = kHost) {
     store_.Put("servers/i-1", {{"Service", "s"},
-                               {"Addr", Address(engine_.Port())},
+                               {"Addr", Address(engine_.Port(), ip)},
                                {"Zone", "z"},
                                {"Slots", 8},
                                {"State", state},
                                {"born", 5}});
   }
-  static std::string Address(std::uint16_t port) {
-    return std::string(kHost) + ':' + std::to_string(port);
+  static std::string Address(std::uint16_t port,
+                             const std::string& ip = kHost) {
+    return ip + ':' + std::to_string(port);
   }
   void WriteSettings() {
     json file = {{"Ip", kHost},
@@ -216,6 +218,20 @@
   EXPECT_FALSE(engine_.fencing_fell);
 }
 
+// Guards against links on which the agent hears nothing while its own
+// messages arrive: asks would be lost, and places kept, for ever.
+TEST_F(users_platform_test, NoticesALinkThatIsCutInOneDirection) {
+  constexpr const char* kRelay = "127.0.0.2";
+  tcp_relay agent_relay({kRelay, OwnPort(0)}, {kHost, OwnPort(0)});
+  tcp_relay engine_relay({kRelay, engine_.Port()}, {kHost, engine_.Port()});
+  PutEndpoint("ready", kRelay);
+  WaitUntilReady();
+  ASSERT_EQ(Ask("r1", "a1").status, 200);
+  agent_relay.SilenceOpenConnections(silenced::to_server, 1.0);
+  loop_.RunUntil([] { return false; }, milliseconds(4000));
+  EXPECT_EQ(Ask("r2", "a2").status, 200);
+}
+
 TEST_F(users_platform_test, ServesThroughAnOutageOfTheStore) {
   WaitUntilReady();
   store_.SetMode(store_mode::unavailable);
