Do not take requests while a server is destroyed

Cause: the destructor runs the HTTP daemon once to drop its exchanges. A request that arrived in that run was dispatched and suspended, and the daemon aborts the process when it stops with suspended connections. The new test ended the test program before; the error of a failed listen now names its reason.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cerrno>
+#include <cstring>
 #include <exception>
 #include <optional>
 #include <unordered_map>
@@ -52,7 +54,9 @@
     loop.Cancel(timeout_timer);
     loop.Cancel(accept_timer);
     watcher.reset();
-    // The daemon cannot stop while connections are suspended.
+    // The daemon cannot stop while connections are suspended, so requests that
+    // arrive in this last run are not taken.
+    closing = true;
     for (const auto& [key, exchange] : exchanges) exchange->Abort();
     MHD_run(daemon);
     MHD_stop_daemon(daemon);
@@ -78,7 +82,8 @@
         MHD_OPTION_END);
     if (daemon == nullptr) {
       throw net_error("cannot listen on " + options.address + " port " +
-                      std::to_string(options.port));
+                      std::to_string(options.port) + ": " +
+                      std::strerror(errno));
     }
   }
 
@@ -148,6 +153,7 @@
                              const char* /*version*/, const char* data,
                              std::size_t* size, void** context) noexcept {
     auto* server = static_cast<impl*>(self);
+    if (server->closing) return MHD_NO;
     if (*context == nullptr) {
       return server->BeginRequest(connection, url, method, context);
     }
@@ -216,6 +222,7 @@
   std::uint16_t port = 0;
   timer_id timeout_timer = 0;
   bool run_requested = false;
+  bool closing = false;
   int epoll_descriptor = -1;
   timer_id accept_timer = 0;
   bool connection_changed = false;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -303,6 +303,20 @@
   ExpectAlive();
 }
 
+// Guards against a server that ends the whole process when a request arrives
+// in the moment in which it is destroyed.
+TEST_F(http_server_test, DropsARequestThatArrivesAtItsEnd) {
+  std::shared_ptr<http_exchange> unanswered;
+  StartServer({}, [&](std::shared_ptr<http_exchange> exchange) {
+    unanswered = std::move(exchange);
+  });
+  test_peer peer(loop_, server_->Port());
+  loop_.RunUntil([&] { return server_->ConnectionCount() == 1; }, kLimit);
+  peer.Send("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  server_.reset();
+  EXPECT_EQ(unanswered, nullptr);
+}
+
 // The same for a body that does not announce its length.
 TEST_F(http_server_test, RefusesAnOversizedChunkedBody) {
   int handled = 0;
