Close links on which a gateway has fallen silent

Cause: the sidecar never noticed that it heard nothing from a gateway. Behind a link cut in one direction the gateway kept asking in vain, because the status still arrived, and the sidecar kept the places of requests whose end it did not hear; a gateway whose VM lost power left such places for good. The test NoticesALinkThatIsCutInOneDirection failed before and passes.

--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/error.h"
 #include "grants/messages.h"
@@ -23,6 +24,12 @@
 /** A later turn than this means that the process was paused. */
 constexpr core::milliseconds kPauseThreshold{300};
 constexpr std::size_t kMaximumLinks = 1024;
+/**
+ * A gateway says hello each second. Without a sign of life for this long its
+ * VM is gone, or the way from it is cut while its own receives: the link is
+ * closed, so that it connects anew and the places of its requests come free.
+ */
+constexpr core::milliseconds kGatewaySilence{2500};
 /** Answers on their way to gateways before the process ends. */
 constexpr core::milliseconds kStopDelay{200};
 
@@ -33,6 +40,7 @@
     std::shared_ptr<net::frame_link> link;
     std::string gateway;
     std::uint64_t sent_revision = 0;
+    core::time_point heard_at;
   };
 
   impl(net::event_loop& owning_loop, const settings::node_settings& settings,
@@ -60,6 +68,8 @@
               }) {
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       steward.OnPaused(length);
+      // What was sent meanwhile is still to be read.
+      for (auto& [id, gateway] : links) gateway.heard_at = loop.Now();
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
@@ -83,20 +93,34 @@
   net::frame_link_callbacks Accept(
       const std::shared_ptr<net::frame_link>& link) {
     const std::uint64_t id = ++last_link;
-    links[id] = {link, link->PeerName(), 0};
+    links[id] = {link, link->PeerName(), 0, loop.Now()};
     return {
         .on_open = [this, id] { SendStatus(id, links.at(id)); },
         .on_frame = [this, id](std::string_view frame) { Receive(id, frame); },
-        .on_closed =
-            [this, id](const std::string& reason) {
-              log.Dependency("gateway " + links.at(id).gateway, "lost")
-                  .Add("reason", reason);
-              links.erase(id);
-              steward.OnLinkLost(id);
-            }};
+        .on_closed = [this,
+                      id](const std::string& reason) { Lose(id, reason); }};
+  }
+
+  void Lose(std::uint64_t id, const std::string& reason) {
+    log.Dependency("gateway " + links.at(id).gateway, "lost")
+        .Add("reason", reason);
+    links.erase(id);
+    steward.OnLinkLost(id);
+  }
+
+  void CloseSilentLinks() {
+    std::vector<std::uint64_t> silent;
+    for (const auto& [id, gateway] : links) {
+      if (loop.Now() - gateway.heard_at > kGatewaySilence) silent.push_back(id);
+    }
+    for (const std::uint64_t id : silent) {
+      links.at(id).link->Close();
+      Lose(id, "silent");
+    }
   }
 
   void Receive(std::uint64_t id, std::string_view frame) {
+    links.at(id).heard_at = loop.Now();
     try {
       const grants::message value = grants::Decode(frame);
       if (const auto* hello = std::get_if<grants::gateway_hello>(&value)) {
@@ -125,6 +149,7 @@
     const auto period = std::max(
         kStatusPeriod, kStatusPeriodPerLink * static_cast<int>(links.size()));
     status_timer = loop.Schedule(period, [this] {
+      CloseSilentLinks();
       SendStatusToAll();
       ScheduleStatus();
     });
