--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -12,6 +12,7 @@
 
 constexpr int kExitSuccess = 0;
 constexpr int kExitSheetErrors = 1;
+constexpr int kExitNotFound = 1;
 constexpr int kExitUsage = 2;
 constexpr int kExitUnreachable = 3;
 
--- /dev/null
+++ b/src/ctl/explain_command.cc
@@ -0,0 +1,43 @@
+#include "ctl/explain_command.h"
+
+#include <fstream>
+#include <ostream>
+
+#include "ctl/command_line.h"
+#include "ctl/request_explanation.h"
+
+namespace comfreyspring::ctl {
+namespace {
+
+constexpr const char* kHelp =
+    "Usage: comfreyspringctl explain REQUEST-ID LOG...\n"
+    "Prints what became of a request, from logs of gateways and sidecars.\n"
+    "Exit code: 0 explained, 1 no line of the request, 2 wrong usage or a log\n"
+    "that cannot be read.\n";
+
+}  // namespace
+
+int ExplainRequest(const std::vector<std::string>& arguments, std::ostream& out,
+                   std::ostream& errors) {
+  if (!arguments.empty() && arguments.front() == "--help") {
+    out << kHelp;
+    return kExitSuccess;
+  }
+  if (arguments.size() < 2 || arguments.front().empty()) {
+    throw usage_error("explain needs a request id and at least one log");
+  }
+  request_explanation explanation(arguments.front());
+  for (std::size_t i = 1; i < arguments.size(); ++i) {
+    std::ifstream log(arguments[i]);
+    if (!log) throw usage_error("log '" + arguments[i] + "' cannot be read");
+    explanation.Read(log);
+  }
+  if (explanation.Unreadable() > 0) {
+    errors << explanation.Unreadable()
+           << " lines are not log lines and were skipped.\n";
+  }
+  explanation.Write(out);
+  return explanation.Found() ? kExitSuccess : kExitNotFound;
+}
+
+}  // namespace comfreyspring::ctl
--- /dev/null
+++ b/src/ctl/explain_command.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace comfreyspring::ctl {
+
+/**
+ * `explain`: prints what became of one request, from log files of gateways
+ * and sidecars.
+ * @returns the exit code.
+ * @throws usage_error
+ */
+int ExplainRequest(const std::vector<std::string>& arguments, std::ostream& out,
+                   std::ostream& errors);
+
+}  // namespace comfreyspring::ctl
--- a/src/ctl/program.cc
+++ b/src/ctl/program.cc
@@ -4,6 +4,7 @@
 #include <ostream>
 
 #include "ctl/command_line.h"
+#include "ctl/explain_command.h"
 #include "ctl/sheet_commands.h"
 #include "ctl/state_command.h"
 
@@ -19,9 +20,11 @@
     "  sheet compile   write the configuration documents to publish\n"
     "  sheet diff      list what a compilation would change\n"
     "  state           print the state of a running process\n"
+    "  explain         tell from logs what became of a request\n"
     "Each command explains its options with --help.\n"
-    "Exit codes: 0 success; 1 errors in the sheet; 2 wrong usage, or a file\n"
-    "that cannot be read or written; 3 a process that cannot be reached.\n";
+    "Exit codes: 0 success; 1 errors in the sheet, or a request that no log\n"
+    "names; 2 wrong usage, or a file that cannot be read or written; 3 a\n"
+    "process that cannot be reached.\n";
 
 bool IsHelp(const std::string& word) { return word == "--help"; }
 
@@ -55,6 +58,9 @@
   }
   if (command == "sheet") return RunSheet(After(arguments, 1), out);
   if (command == "state") return ShowState(After(arguments, 1), out, errors);
+  if (command == "explain") {
+    return ExplainRequest(After(arguments, 1), out, errors);
+  }
   throw usage_error("command '" + command + "' is not known");
 }
 
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -22,13 +23,22 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
+/**
+ * Upper bounds of the buckets in ms: from one hop in a data centre to the
+ * longest time limits of routes.
+ */
+constexpr std::array<double, 14> kBuckets = {
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 20000};
+
 using summary = acc::accumulator_set<
     double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::mean,
                        acc::tag::extended_p_square>>;
 
-summary MakeSummary() {
-  return summary(acc::extended_p_square_probabilities = kQuantiles);
-}
+struct histogram {
+  summary values{acc::extended_p_square_probabilities = kQuantiles};
+  /** Observations up to each bound and above the one before. */
+  std::array<std::uint64_t, kBuckets.size()> buckets{};
+};
 
 /** Estimate of `kQuantiles[index]`. */
 double QuantileOf(const summary& values, std::size_t index) {
@@ -57,7 +67,7 @@
 struct metrics::impl {
   std::map<std::string, std::uint64_t> counters;
   std::map<std::string, double> gauges;
-  std::map<std::string, summary> summaries;
+  std::map<std::string, histogram> histograms;
 };
 
 metrics::metrics() : impl_(std::make_unique<impl>()) {}
@@ -72,8 +82,12 @@
 }
 
 void metrics::Observe(const std::string& name, double milliseconds) {
-  auto [position, inserted] = impl_->summaries.try_emplace(name, MakeSummary());
-  position->second(milliseconds);
+  histogram& target = impl_->histograms[name];
+  target.values(milliseconds);
+  const auto bound =
+      std::lower_bound(kBuckets.begin(), kBuckets.end(), milliseconds);
+  if (bound == kBuckets.end()) return;
+  ++target.buckets[static_cast<std::size_t>(bound - kBuckets.begin())];
 }
 
 std::string metrics::ToText() const {
@@ -93,16 +107,21 @@
     write_type(name, "gauge");
     text << name << ' ' << value << '\n';
   }
-  for (const auto& [name, values] : impl_->summaries) {
-    write_type(name, "summary");
-    for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
+  for (const auto& [name, observed] : impl_->histograms) {
+    write_type(name, "histogram");
+    const std::string bucket = WithSuffix(name, "_bucket");
+    std::uint64_t up_to = 0;
+    for (std::size_t i = 0; i < kBuckets.size(); ++i) {
+      up_to += observed.buckets[i];
       std::ostringstream label;
-      label << "quantile=\"" << kQuantiles[i] << '"';
-      text << WithLabel(name, label.str()) << ' ' << QuantileOf(values, i)
-           << '\n';
+      label << "le=\"" << kBuckets[i] << '"';
+      text << WithLabel(bucket, label.str()) << ' ' << up_to << '\n';
     }
-    text << WithSuffix(name, "_sum") << ' ' << acc::sum(values) << '\n';
-    text << WithSuffix(name, "_count") << ' ' << acc::count(values) << '\n';
+    const auto count = acc::count(observed.values);
+    text << WithLabel(bucket, "le=\"+Inf\"") << ' ' << count << '\n';
+    text << WithSuffix(name, "_sum") << ' ' << acc::sum(observed.values)
+         << '\n';
+    text << WithSuffix(name, "_count") << ' ' << count << '\n';
   }
   return text.str();
 }
@@ -111,7 +130,8 @@
   nlohmann::json out = nlohmann::json::object();
   for (const auto& [name, value] : impl_->counters) out[name] = value;
   for (const auto& [name, value] : impl_->gauges) out[name] = value;
-  for (const auto& [name, values] : impl_->summaries) {
+  for (const auto& [name, observed] : impl_->histograms) {
+    const summary& values = observed.values;
     out[name] = {{"count", acc::count(values)},
                  {"mean_ms", acc::mean(values)},
                  {"p50_ms", QuantileOf(values, 0)},
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -26,14 +26,14 @@
   void Count(const std::string& name, std::uint64_t by = 1);
   /** Sets a gauge. */
   void SetGauge(const std::string& name, double value);
-  /** Adds one observation to a summary; its name ends in `_ms`. */
+  /** Adds one observation to a histogram; its name ends in `_ms`. */
   void Observe(const std::string& name, double milliseconds);
 
   // Reading.
 
   /** Text exposition format of common scrapers. */
   std::string ToText() const;
-  /** One member per metric; summaries have count, mean, p50, p95, p99. */
+  /** One member per metric; histograms have count, mean, p50, p95, p99. */
   nlohmann::json ToJson() const;
 
  private:
