Start prompts as soon as the engine can read them

Three limits held it outside while the engine had time: prompts were let through at 30% of the reading speed until a backlog had formed; streams counted as pausing after a third of the pause that counts, which is nearly always where an event holds 7 tokens; and adapters were loaded at a second engine (300 ms) when their own was barely fuller than the others.

Now prompts that are sent and unread stay within a fifth of the pause that counts and start at once within that; a pause is reported at half of it; and the headroom of an engine that holds the adapter is worth a load. The grant tells how much of a wait was for the load, in the log and the metrics.

--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -21,8 +21,11 @@
 constexpr double kSuspectWeight = 1.0;
 /** Wait for prompts to be read that counts like a full batch, in ms. */
 constexpr double kReadingWaitOfFullLoad = 600.0;
-/** Load by which engines of an adapter may exceed the mean of all. */
-constexpr double kLoadHeadroom = 0.15;
+/**
+ * Load by which engines of an adapter may exceed the mean of all: as much as
+ * the wait for another copy of it (a load from the weight store) counts.
+ */
+constexpr double kLoadHeadroom = 0.4;
 constexpr double kLoadFactor = 1.25;
 /** Adapters that wait for a load, per engine, that show a congested store. */
 constexpr double kScarceLoads = 1.0;
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -42,7 +42,7 @@
 /** Another entry can take the request at once. */
 constexpr core::milliseconds kRetryElsewhere{20};
 /** A silence of this fraction of the pause that counts is worth a report. */
-constexpr int kPauseParts = 3;
+constexpr int kPauseParts = 2;
 /** A caller that does not read loses its connection beyond this. */
 constexpr std::size_t kMaximumPendingBytes = 4 * 1024 * 1024;
 /** Gateways are counted by the agents; until heard of, so many are assumed. */
@@ -78,6 +78,8 @@
     /** Number of the current ask or grant; 0 if there is none. */
     std::uint64_t ask = 0;
     core::time_point asked_at;
+    /** Part of the wait for the grant that was for the adapter's load. */
+    core::milliseconds load_wait{0};
     int asks = 0;
 
     net::http_call_id call = 0;
@@ -317,6 +319,7 @@
     const auto waited = core::ToMilliseconds(loop.Now() - request->asked_at);
     metrics.Observe("gateway_grant_wait_ms",
                     static_cast<double>(waited.count()));
+    request->load_wait = given.waited_for_load;
     Send(request);
   }
 
@@ -424,6 +427,7 @@
         .Add("version", announced)
         .Add("attempt", request->attempts)
         .Add("waited_ms", core::ToMilliseconds(now - request->arrived).count())
+        .Add("load_wait_ms", request->load_wait.count())
         .Add("left_ms", left.count())
         .Add("catalog_age_ms", follower.Age().count());
     const std::uint64_t number = request->number;
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -10,8 +10,6 @@
 
 /** Weight of a new sample once there are enough of them. */
 constexpr double kSmoothing = 0.1;
-/** Unread prompts may take this part of a pause between events to read. */
-constexpr double kUnreadShareOfGap = 0.6;
 /** From the grant to the first output beside reading: network and a step. */
 constexpr core::milliseconds kStartOverhead{40};
 /** Left of the time to the goal when a held prompt is let through. */
@@ -73,6 +71,7 @@
 grant_scheduler::actions grant_scheduler::OnAsk(ask wanted,
                                                 core::time_point now) {
   actions out;
+  wanted.asked_at = now;
   links_.insert(wanted.key.link);
   const bool has_adapter = !wanted.adapter.adapter.empty();
   if (has_adapter) slots_.CountDemand(wanted.adapter, now);
@@ -347,8 +346,7 @@
 }
 
 bool grant_scheduler::IsLate(const ask& wanted, core::time_point now) const {
-  const auto reading =
-      FromDouble(static_cast<double>(wanted.prompt_tokens) / pacer_.Rate());
+  const auto reading = pacer_.ReadingTime(wanted.prompt_tokens);
   // A caller that returns is late already, and is not to be turned away again.
   return !wanted.returns && now + kStartOverhead + reading > wanted.goal_at;
 }
@@ -360,11 +358,6 @@
 }
 
 void grant_scheduler::GrantReady(core::time_point now, actions& out) {
-  std::int64_t backlog = 0;
-  for (const auto& [key, wanted] : waiting_) {
-    if (IsReady(wanted)) backlog += wanted.prompt_tokens;
-  }
-  pacer_.SetBacklog(backlog, now);
   while (!waiting_.empty()) {
     const bool oldest_first = grants_since_oldest_ >= kGrantsPerOldest;
     const ask* best = nullptr;
@@ -389,16 +382,20 @@
     if (item.wanted.event_gap.count() > 0) {
       pacer_.SetEventGap(item.wanted.event_gap);
     }
-    pacer_.OnGranted(item.wanted.prompt_tokens, now);
-    std::int64_t version = 0;
+    grant given{.key = key,
+                .waited = core::ToMilliseconds(now - item.wanted.asked_at)};
     const catalog::adapter_name& adapter = item.wanted.adapter;
     if (!adapter.adapter.empty()) {
-      version = slots_.Find(adapter)->version;
+      const adapter_slot& slot = *slots_.Find(adapter);
+      given.version = slot.version;
+      given.waited_for_load = std::max(
+          core::milliseconds(0),
+          core::ToMilliseconds(slot.changed_at - item.wanted.asked_at));
       slots_.OnUsed(adapter, now);
       ++in_use_[adapter];
     }
     running_[key] = std::move(item);
-    out.push_back(grant{key, version});
+    out.push_back(given);
   }
 }
 
@@ -428,13 +425,8 @@
       return false;
     }
   }
-  if (!pacer_.IsOpen(now)) return false;
   if (pacer_.IsHeld(now) && CanWait(wanted, now)) return false;
-  const std::int64_t unread = UnreadPromptTokens(now);
-  const double limit =
-      pacer_.Rate() * kUnreadShareOfGap * ToDouble(pacer_.EventGap());
-  return unread == 0 ||
-         static_cast<double>(unread + wanted.prompt_tokens) <= limit;
+  return pacer_.HasRoom(UnreadPromptTokens(now), wanted.prompt_tokens);
 }
 
 // Loads.
@@ -621,7 +613,7 @@
 core::milliseconds grant_scheduler::ExpectedWait(const ask& wanted,
                                                  core::time_point now) const {
   std::size_t ahead = 0;
-  std::int64_t tokens_ahead = 0;
+  std::int64_t tokens_ahead = UnreadPromptTokens(now);
   for (const auto& [key, other] : waiting_) {
     if (other.rank > wanted.rank) continue;
     ++ahead;
@@ -642,7 +634,7 @@
                       [&](const promise& made) { return made.due <= start; });
     place_wait += kReturnShare * static_cast<double>(kept) * turn;
   }
-  const auto reading_wait = pacer_.TimeFor(tokens_ahead, now);
+  const auto reading_wait = pacer_.ReadingTime(tokens_ahead);
   return std::max(FromDouble(place_wait), reading_wait) +
          ExpectedLoad(wanted, now);
 }
@@ -670,11 +662,11 @@
   }
   status.loads_waiting = loads.size();
   status.gateways = links_.size();
-  std::int64_t waiting_tokens = 0;
+  std::int64_t tokens_ahead = UnreadPromptTokens(now);
   for (const auto& [key, wanted] : waiting_) {
-    if (IsReady(wanted)) waiting_tokens += wanted.prompt_tokens;
+    if (IsReady(wanted)) tokens_ahead += wanted.prompt_tokens;
   }
-  status.reading_wait = pacer_.TimeFor(waiting_tokens, now);
+  status.reading_wait = pacer_.ReadingTime(tokens_ahead);
   status.adapters_revision = slots_.Revision();
   status.adapters = slots_.Adapters();
   return status;
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -44,6 +44,8 @@
   core::time_point give_up_at;
   /** It was refused before and has returned when it was told to. */
   bool returns = false;
+  /** Set by the scheduler. */
+  core::time_point asked_at;
 };
 
 /** What the configuration says of the engine. */
@@ -121,6 +123,9 @@
   ask_key key;
   /** Version of the adapter that the engine holds; 0 for the base model. */
   std::int64_t version = 0;
+  /** How long it has waited, and how much of that for its adapter's load. */
+  core::milliseconds waited{0};
+  core::milliseconds waited_for_load{0};
 };
 /** The request does not run here. */
 struct refuse {
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -116,7 +116,8 @@
     return run_ended{number, fields.at("missing").get<bool>()};
   }
   if (type == "given") {
-    return grant_given{number, fields.at("version").get<std::int64_t>()};
+    return grant_given{number, fields.at("version").get<std::int64_t>(),
+                       Time(fields, "load_wait")};
   }
   if (type == "refused") {
     const auto reason =
@@ -164,7 +165,8 @@
           [](const grant_given& given) {
             return json{{"type", "given"},
                         {"number", given.number},
-                        {"version", given.version}};
+                        {"version", given.version},
+                        {"load_wait", given.waited_for_load.count()}};
           },
           [](const grant_refused& refused) {
             return json{{"type", "refused"},
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -49,6 +49,8 @@
 struct grant_given {
   std::uint64_t number = 0;
   std::int64_t version = 0;
+  /** Part of the wait that was for the load of the adapter. */
+  core::milliseconds waited_for_load{0};
 };
 struct grant_refused {
   std::uint64_t number = 0;
--- a/src/grants/prompt_pacer.cc
+++ b/src/grants/prompt_pacer.cc
@@ -6,17 +6,8 @@
 namespace comfreyspring::grants {
 namespace {
 
-/**
- * Share of the engine's time that reading takes at least and at most. The low
- * share leaves room in a pause between events for an engine that is slowed for
- * moments; the high one still leaves time for the tokens of running streams.
- */
-constexpr double kLowestShare = 0.3;
-constexpr double kHighestShare = 0.75;
-/** The prompts that wait shall be read within this time. */
-constexpr double kBacklogTargetMs = 250.0;
-/** Reading that may come at once, as a share of the pause between events. */
-constexpr double kBurstShareOfGap = 0.05;
+/** Prompts may take this part of a pause between events to read. */
+constexpr double kUnreadShareOfGap = 0.2;
 /** Hold after a sign of a long pause, as a share of the pause that counts. */
 constexpr double kHoldShareOfGap = 0.4;
 /** Weight that a sample keeps when the next one arrives. */
@@ -30,25 +21,7 @@
 
 }  // namespace
 
-prompt_pacer::prompt_pacer(double initial_rate)
-    : rate_(initial_rate), share_(kLowestShare) {}
-
-void prompt_pacer::SetBacklog(std::int64_t tokens, core::time_point now) {
-  credit_ = Credit(now);
-  credited_at_ = now;
-  const double reading_ms = static_cast<double>(tokens) / rate_;
-  share_ =
-      std::clamp(reading_ms / kBacklogTargetMs, kLowestShare, kHighestShare);
-}
-
-double prompt_pacer::Credit(core::time_point now) const {
-  const double elapsed_ms = std::max(
-      0.0,
-      std::chrono::duration<double, std::milli>(now - credited_at_).count());
-  const double most =
-      rate_ * kBurstShareOfGap * static_cast<double>(event_gap_.count());
-  return std::min(most, credit_ + elapsed_ms * rate_ * share_);
-}
+prompt_pacer::prompt_pacer(double initial_rate) : rate_(initial_rate) {}
 
 void prompt_pacer::OnPause(core::time_point now) {
   held_until_ =
@@ -56,13 +29,10 @@
                 kHoldShareOfGap * static_cast<double>(event_gap_.count())));
 }
 
-bool prompt_pacer::IsOpen(core::time_point now) const {
-  return Credit(now) >= 0.0;
-}
-
-void prompt_pacer::OnGranted(std::int64_t tokens, core::time_point now) {
-  credit_ = Credit(now) - static_cast<double>(tokens);
-  credited_at_ = now;
+bool prompt_pacer::HasRoom(std::int64_t unread, std::int64_t tokens) const {
+  const double limit =
+      rate_ * kUnreadShareOfGap * static_cast<double>(event_gap_.count());
+  return unread == 0 || static_cast<double>(unread + tokens) <= limit;
 }
 
 void prompt_pacer::OnFirstOutput(std::int64_t tokens, core::milliseconds took) {
@@ -88,11 +58,8 @@
               : std::clamp(1.0 / slope, kLowestRate, kHighestRate);
 }
 
-core::milliseconds prompt_pacer::TimeFor(std::int64_t tokens,
-                                         core::time_point now) const {
-  const double missing = static_cast<double>(tokens) - Credit(now);
-  if (missing <= 0.0) return core::milliseconds(0);
-  return core::milliseconds(std::llround(missing / (rate_ * kHighestShare)));
+core::milliseconds prompt_pacer::ReadingTime(std::int64_t tokens) const {
+  return core::milliseconds(std::llround(static_cast<double>(tokens) / rate_));
 }
 
 }  // namespace comfreyspring::grants
--- a/src/sidecar/engine_steward.cc
+++ b/src/sidecar/engine_steward.cc
@@ -115,8 +115,14 @@
         core::overloaded{
             [&](const grants::grant& given) {
               metrics_.Count("sidecar_grants_total");
+              metrics_.Observe("sidecar_grant_wait_ms",
+                               static_cast<double>(given.waited.count()));
+              metrics_.Observe(
+                  "sidecar_load_wait_ms",
+                  static_cast<double>(given.waited_for_load.count()));
               send_(given.key.link,
-                    grants::grant_given{given.key.number, given.version});
+                    grants::grant_given{given.key.number, given.version,
+                                        given.waited_for_load});
             },
             [&](const grants::refuse& refused) {
               metrics_.Count("sidecar_refusals_total{reason=\"" +
