Close connections whose client left behind half a request

Cause: the HTTP daemon reads a connection once for each edge of its events.

The new test failed before.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -13,6 +13,7 @@
 #include <exception>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "net/http_exchange_state.h"
@@ -26,6 +27,13 @@
 // tells nobody when it has to be run to listen again.
 constexpr core::milliseconds kLongestRunInterval{1000};
 constexpr core::milliseconds kAcceptRetryDelay{100};
+/** Connections with half a request are looked at so often. */
+constexpr core::milliseconds kHalfRequestCheck{1000};
+
+bool IsClosedByPeer(int descriptor) {
+  char byte = 0;
+  return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
 
 }  // namespace
 
@@ -53,6 +61,7 @@
     *alive = false;
     loop.Cancel(timeout_timer);
     loop.Cancel(accept_timer);
+    loop.Cancel(half_request_timer);
     watcher.reset();
     // The daemon cannot stop while connections are suspended, so requests that
     // arrive in this last run are not taken.
@@ -164,7 +173,7 @@
       *size = 0;
       return accepted ? MHD_YES : MHD_NO;
     }
-    if (!exchange.IsDispatched()) server->Dispatch(exchange);
+    if (!exchange.IsDispatched()) server->Dispatch(exchange, connection);
     return exchange.Answer() ? MHD_YES : MHD_NO;
   }
 
@@ -175,6 +184,7 @@
     exchange->ReadHead(target.empty() ? std::string(url) : target.mapped(), url,
                        method);
     *context = exchange.get();
+    WatchHalfRequest(connection);
     http_exchange_state& reference = *exchange;
     exchanges[connection] = std::move(exchange);
     if (!reference.MustRefuseUnread(options.maximum_body_bytes)) return MHD_YES;
@@ -182,7 +192,35 @@
     return reference.Answer() ? MHD_YES : MHD_NO;
   }
 
-  void Dispatch(http_exchange_state& exchange) {
+  // The daemon does not see the end of a connection that arrives together with
+  // a part of a request: it reads less than it could, and hears of no event
+  // after that. Such connections would stay until the idle timeout and take the
+  // places of others.
+
+  void WatchHalfRequest(MHD_Connection* connection) {
+    half_requests.insert(connection);
+    if (half_request_timer != 0) return;
+    half_request_timer =
+        loop.Schedule(kHalfRequestCheck, [this] { CheckHalfRequests(); });
+  }
+
+  void CheckHalfRequests() {
+    half_request_timer = 0;
+    for (MHD_Connection* connection : half_requests) {
+      const MHD_ConnectionInfo* info = MHD_get_connection_info(
+          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      // The daemon closes it on the event that this causes.
+      if (info != nullptr && IsClosedByPeer(info->connect_fd)) {
+        ::shutdown(info->connect_fd, SHUT_RDWR);
+      }
+    }
+    if (half_requests.empty()) return;
+    half_request_timer =
+        loop.Schedule(kHalfRequestCheck, [this] { CheckHalfRequests(); });
+  }
+
+  void Dispatch(http_exchange_state& exchange, MHD_Connection* connection) {
+    half_requests.erase(connection);
     exchange.MarkDispatched();
     if (exchange.IsAnswered()) return;
     try {
@@ -198,6 +236,7 @@
                           MHD_RequestTerminationCode code) noexcept {
     auto* server = static_cast<impl*>(self);
     server->targets.erase(connection);
+    server->half_requests.erase(connection);
     const auto found = server->exchanges.find(connection);
     if (found == server->exchanges.end()) return;
     const auto exchange = found->second;
@@ -206,12 +245,18 @@
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) exchange->ReportGone();
   }
 
-  static void OnConnection(void* self, MHD_Connection* /*connection*/,
+  static void OnConnection(void* self, MHD_Connection* connection,
                            void** /*context*/,
                            MHD_ConnectionNotificationCode code) noexcept {
     auto* server = static_cast<impl*>(self);
     server->connection_changed = true;
-    if (code == MHD_CONNECTION_NOTIFY_CLOSED) server->connection_closed = true;
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+      server->connection_closed = true;
+      server->half_requests.erase(connection);
+      server->targets.erase(connection);
+    } else if (!server->closing) {
+      server->WatchHalfRequest(connection);
+    }
   }
 
   event_loop& loop;
@@ -232,6 +277,9 @@
   std::unordered_map<MHD_Connection*, std::string> targets;
   std::unordered_map<MHD_Connection*, std::shared_ptr<http_exchange_state>>
       exchanges;
+  /** New connections, and those of requests that have not arrived whole. */
+  std::unordered_set<MHD_Connection*> half_requests;
+  timer_id half_request_timer = 0;
 };
 
 http_server::http_server(event_loop& loop, http_server_options options,
@@ -254,4 +302,8 @@
   return info == nullptr ? 0 : info->num_connections;
 }
 
+std::size_t http_server::UnfinishedCount() const {
+  return impl_->exchanges.size();
+}
+
 }  // namespace comfreyspring::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -88,6 +88,8 @@
   void StopAccepting();
   /** Open connections. */
   std::size_t ConnectionCount() const;
+  /** Requests whose answers have not been written to the end. */
+  std::size_t UnfinishedCount() const;
 
  private:
   struct impl;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "net/http_client.h"
@@ -303,6 +304,51 @@
   ExpectAlive();
 }
 
+// Guards against connections that stay when their clients close them behind
+// half a request, and against the memory and the places that they take.
+TEST_F(http_server_test, DropsHalfARequestWhoseClientHasGone) {
+  StartServer({}, [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  for (const std::string half :
+       {"GET / HTTP/1.1\r\nHo",
+        "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nab"}) {
+    // Data and the end are there before the server looks.
+    auto socket =
+        tcp_socket::Connect(socket_address("127.0.0.1", server_->Port()));
+    for (int i = 0; i < 100 && socket.ConnectError() != 0; ++i) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    socket.Write(half.data(), half.size());
+    socket.Close();
+    loop_.RunUntil([&] { return server_->ConnectionCount() == 1; }, kLimit);
+    EXPECT_TRUE(
+        loop_.RunUntil([&] { return server_->ConnectionCount() == 0; }, kLimit))
+        << half;
+  }
+  ExpectAlive();
+}
+
+// Guards against a process that ends before the end of an answer is written.
+TEST_F(http_server_test, CountsAnswersThatAreNotWritten) {
+  std::shared_ptr<http_exchange> taken;
+  StartServer({}, [&](std::shared_ptr<http_exchange> exchange) {
+    taken = std::move(exchange);
+  });
+  EXPECT_EQ(server_->UnfinishedCount(), 0U);
+  test_peer peer(loop_, server_->Port());
+  peer.Send("GET / HTTP/1.1\r\nHost: test\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return taken != nullptr; }, kLimit));
+  taken->BeginStream(200, {});
+  taken->Write("end");
+  taken->EndStream();
+  taken.reset();
+  EXPECT_EQ(server_->UnfinishedCount(), 1U);
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return server_->UnfinishedCount() == 0; }, kLimit));
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return peer.Received().find("end") != std::string::npos; },
+      kLimit));
+}
+
 // Guards against a server that ends the whole process when a request arrives
 // in the moment in which it is destroyed.
 TEST_F(http_server_test, DropsARequestThatArrivesAtItsEnd) {
