--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -172,7 +172,10 @@
   void CheckDrained() {
     const auto passed = core::ToMilliseconds(loop.Now() - stop_requested_at);
     if (passed >= kShortestDrain) forwarder.RefuseNew();
-    const bool idle = passed >= kShortestDrain && forwarder.ActiveCount() == 0;
+    // Answers that the forwarder has finished may still have to be written.
+    const bool idle = passed >= kShortestDrain &&
+                      forwarder.ActiveCount() == 0 &&
+                      callers.UnfinishedCount() == 0;
     if (!idle && passed < settings.stop_grace - kStopReserve) return;
     loop.Cancel(std::exchange(drain_timer, 0));
     log.Process("stopped")
