--- a/src/ctl/explain_command.cc
+++ b/src/ctl/explain_command.cc
@@ -1,6 +1,7 @@
 #include "ctl/explain_command.h"
 
 #include <fstream>
+#include <iostream>
 #include <ostream>
 
 #include "ctl/command_line.h"
@@ -11,10 +12,13 @@
 
 constexpr const char* kHelp =
     "Usage: comfreyspringctl explain REQUEST-ID LOG...\n"
-    "Prints what became of a request, from logs of gateways and sidecars.\n"
+    "Prints what became of a request, from logs of gateways and sidecars; the\n"
+    "log - is standard input.\n"
     "Exit code: 0 explained, 1 no line of the request, 2 wrong usage or a log\n"
     "that cannot be read.\n";
 
+constexpr const char* kStandardInput = "-";
+
 }  // namespace
 
 int ExplainRequest(const std::vector<std::string>& arguments, std::ostream& out,
@@ -28,6 +32,10 @@
   }
   request_explanation explanation(arguments.front());
   for (std::size_t i = 1; i < arguments.size(); ++i) {
+    if (arguments[i] == kStandardInput) {
+      explanation.Read(std::cin);
+      continue;
+    }
     std::ifstream log(arguments[i]);
     if (!log) throw usage_error("log '" + arguments[i] + "' cannot be read");
     explanation.Read(log);
