--- a/src/ctl/request_explanation.cc
+++ b/src/ctl/request_explanation.cc
@@ -20,7 +20,7 @@
 constexpr std::int64_t kContextAfterMs = 2000;
 
 /** Events that say what a process believes of what a request depends on. */
-constexpr std::array<std::string_view, 12> kContextEvents = {
+constexpr std::array<std::string_view, 11> kContextEvents = {
     "endpoint",
     "engine_status",
     "engine_state",
@@ -31,8 +31,7 @@
     "stopping",
     "configuration_adopted",
     "mass_removal",
-    "platform_history_lost",
-    "log_lines_dropped"};
+    "platform_history_lost"};
 
 constexpr std::array<std::string_view, 6> kFinalEvents = {
     "answered", "refused", "failed", "broken_off", "caller_gone", "unrouted"};
