Replay bad moments through the placement decisions

ChooseEngine and grant_scheduler run together, without I/O, for four gateways and nine engines that share a weight store: a burst of 2.4 times the load, a third of the engines lost for three seconds, all engines replaced in turn, and a gateway that restarts at the crest. Each states how many are served and on time during and after it, that nobody is held beyond its patience, and that no engine is ordered to hold more than it can.

--- /dev/null
+++ b/src/gateway/placement_replay_test.cc
@@ -0,0 +1,412 @@
+// Replays of bad moments through the real decisions of gateways and sidecars
+// (ChooseEngine and grant_scheduler), without I/O: many requests, several
+// gateways with views of different age, and engines that read prompts one after
+// the other and load adapters from a weight store that they share.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "gateway/endpoint_choice.h"
+#include "grants/grant_scheduler.h"
+
+namespace comfreyspring::gateway {
+namespace {
+
+using core::milliseconds;
+using grants::ask_key;
+
+constexpr milliseconds kStep{5};
+constexpr milliseconds kStatusPeriod{100};
+/** A gateway has heard that an engine is gone after this. */
+constexpr milliseconds kNoticeTime{600};
+constexpr milliseconds kGoal{600};
+constexpr milliseconds kPatience{1700};
+constexpr milliseconds kLoadTime{250};
+/** Loads at once that the weight store serves at full speed. */
+constexpr std::size_t kStoreLoads = 8;
+constexpr milliseconds kRunTime{900};
+constexpr std::int64_t kPromptTokens = 800;
+/** Tokens a millisecond. */
+constexpr std::int64_t kReadingRate = 30;
+constexpr std::size_t kBatchSlots = 32;
+constexpr std::size_t kAdapterSlots = 12;
+
+catalog::adapter_name Name(int adapter) {
+  return {core::model_id("m"), core::adapter_id("a" + std::to_string(adapter))};
+}
+
+struct replayed_engine {
+  std::unique_ptr<grants::grant_scheduler> scheduler;
+  std::set<catalog::adapter_name> held;
+  /** Work left of each load, in ms at full speed. */
+  std::map<catalog::adapter_name, double> loading;
+  core::time_point read_until;
+  core::time_point up_at;
+  bool up = true;
+  std::int64_t started = 1;
+  std::int64_t orders = 0;
+};
+
+struct replayed_request {
+  int adapter = 0;
+  std::size_t gateway = 0;
+  core::time_point asked_at;
+  std::size_t engine = 0;
+  bool granted = false;
+  core::time_point first_output;
+  bool started = false;
+  bool ended = false;
+  bool refused = false;
+  bool lost = false;
+};
+
+/** What became of the requests that were asked in a span of time. */
+struct replay_outcome {
+  int asked = 0;
+  int on_time = 0;
+  int served = 0;
+  int refused = 0;
+  double OnTimeShare() const { return static_cast<double>(on_time) / asked; }
+  double ServedShare() const { return static_cast<double>(served) / asked; }
+};
+
+/**
+ * Script lines: `MS rate N` requests a second from then on, `MS lose E MS`
+ * an engine is away for a time, `MS replace E` an engine starts anew, `MS
+ * restart G` a gateway knows nothing until the next status, `MS end`.
+ */
+class placement_replay {
+ public:
+  placement_replay(std::size_t gateways, std::size_t engines, int adapters)
+      : adapters_(adapters), engines_(engines), views_(gateways) {
+    for (std::size_t i = 0; i < engines; ++i) StartEngine(i);
+    for (auto& views : views_) views.resize(engines);
+  }
+
+  void Play(const std::string& script) {
+    std::istringstream lines(script);
+    for (std::string line; std::getline(lines, line);) {
+      std::istringstream words(line);
+      int at = 0;
+      std::string verb;
+      if (!(words >> at >> verb)) continue;
+      while (now_ < start_ + milliseconds(at)) Step();
+      int first = 0;
+      words >> first;
+      if (verb == "rate") rate_ = first;
+      if (verb == "replace") Lose(static_cast<std::size_t>(first), kStep);
+      if (verb == "restart") ForgetViews(static_cast<std::size_t>(first));
+      if (verb == "lose") {
+        int length = 0;
+        words >> length;
+        Lose(static_cast<std::size_t>(first), milliseconds(length));
+      }
+    }
+  }
+
+  replay_outcome Between(int from_ms, int to_ms) const {
+    replay_outcome outcome;
+    for (const auto& [key, request] : requests_) {
+      if (request.asked_at < start_ + milliseconds(from_ms) ||
+          request.asked_at >= start_ + milliseconds(to_ms)) {
+        continue;
+      }
+      ++outcome.asked;
+      outcome.refused += request.refused ? 1 : 0;
+      if (!request.started || request.lost) continue;
+      ++outcome.served;
+      outcome.on_time += request.first_output - request.asked_at <= kGoal;
+    }
+    return outcome;
+  }
+  /** Requests that waited beyond their patience, unanswered. */
+  int HeldTooLong() const { return held_too_long_; }
+  std::size_t MostHeld() const { return most_held_; }
+
+ private:
+  void StartEngine(std::size_t index) {
+    replayed_engine& engine = engines_[index];
+    const std::int64_t started = engine.started + 1;
+    const core::time_point up_at = engine.up_at;
+    engine = {};
+    engine.started = started;
+    engine.up_at = up_at;
+    engine.scheduler = std::make_unique<grants::grant_scheduler>(
+        grants::grant_options{.random_seed = index + 1});
+    engine.scheduler->SetFacts({.batch_slots = kBatchSlots,
+                                .adapter_slots = kAdapterSlots,
+                                .cache_tokens = 130000,
+                                .models = {core::model_id("m")}});
+    Report(index);
+  }
+
+  void Lose(std::size_t index, milliseconds length) {
+    replayed_engine& engine = engines_[index];
+    engine.up = false;
+    engine.up_at = now_ + length;
+    for (auto& [key, request] : requests_) {
+      if (request.engine == index && !request.ended && !request.refused) {
+        request.ended = true;
+        request.lost = true;
+      }
+    }
+  }
+
+  void ForgetViews(std::size_t gateway) {
+    views_[gateway].assign(engines_.size(), nullptr);
+  }
+
+  void Step() {
+    now_ += kStep;
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      replayed_engine& engine = engines_[i];
+      if (!engine.up && now_ >= engine.up_at) StartEngine(i);
+      if (!engine.up) continue;
+      MoveLoads(engine);
+      Report(i);
+      Take(i, engine.scheduler->OnTick(now_));
+    }
+    MoveRuns();
+    for (std::size_t i = 0; i < views_.size(); ++i) UpdateViews(i);
+    due_ += rate_ * static_cast<double>(kStep.count()) / 1e3;
+    for (; due_ >= 1.0; due_ -= 1.0) Ask();
+  }
+
+  void MoveLoads(replayed_engine& engine) {
+    std::size_t underway = 0;
+    for (const auto& each : engines_) underway += each.loading.size();
+    const double speed =
+        underway <= kStoreLoads
+            ? 1.0
+            : static_cast<double>(kStoreLoads) / static_cast<double>(underway);
+    for (auto load = engine.loading.begin(); load != engine.loading.end();) {
+      load->second -= static_cast<double>(kStep.count()) * speed;
+      if (load->second > 0) {
+        ++load;
+        continue;
+      }
+      engine.held.insert(load->first);
+      load = engine.loading.erase(load);
+    }
+  }
+
+  void Report(std::size_t index) {
+    replayed_engine& engine = engines_[index];
+    grants::engine_state state;
+    state.started_unix_ms = engine.started;
+    state.orders_accepted = engine.orders;
+    state.models.push_back({core::model_id("m"), {}});
+    for (const auto& name : engine.held) {
+      state.models[0].adapters.push_back({name.adapter, 1});
+    }
+    for (const auto& [name, left] : engine.loading) {
+      state.loading.push_back(name);
+    }
+    Take(index, engine.scheduler->OnState(state, now_, now_));
+  }
+
+  void Take(std::size_t index,
+            const grants::grant_scheduler::actions& actions) {
+    for (const auto& action : actions) {
+      if (const auto* given = std::get_if<grants::grant>(&action)) {
+        replayed_request& request = requests_.at(given->key);
+        replayed_engine& engine = engines_[index];
+        engine.read_until = std::max(engine.read_until, now_) +
+                            milliseconds(kPromptTokens / kReadingRate);
+        request.granted = true;
+        request.first_output = engine.read_until + milliseconds(20);
+      } else if (const auto* refused = std::get_if<grants::refuse>(&action)) {
+        requests_.at(refused->key).refused = true;
+      } else {
+        CarryOut(index, std::get<grants::engine_order>(action));
+      }
+    }
+  }
+
+  void CarryOut(std::size_t index, const grants::engine_order& order) {
+    replayed_engine& engine = engines_[index];
+    ++engine.orders;
+    const bool loads = order.what == grants::engine_order::kind::load;
+    if (loads) {
+      engine.loading[order.subject] = static_cast<double>(kLoadTime.count());
+    } else {
+      engine.held.erase(order.subject);
+    }
+    most_held_ =
+        std::max(most_held_, engine.held.size() + engine.loading.size());
+    Take(index,
+         engine.scheduler->OnOrderEnded(order,
+                                        loads ? grants::order_result::accepted
+                                              : grants::order_result::done,
+                                        now_));
+  }
+
+  void MoveRuns() {
+    for (auto& [key, request] : requests_) {
+      if (request.ended || request.refused) continue;
+      if (!request.granted) {
+        if (now_ - request.asked_at > kPatience + milliseconds(100)) {
+          ++held_too_long_;
+          request.ended = true;
+        }
+        continue;
+      }
+      auto& scheduler = *engines_[request.engine].scheduler;
+      if (!request.started && now_ >= request.first_output) {
+        request.started = true;
+        Take(request.engine, scheduler.OnStarted(key, now_));
+      }
+      if (request.started && now_ >= request.first_output + kRunTime) {
+        request.ended = true;
+        Take(request.engine, scheduler.OnEnded(key, false, now_));
+      }
+    }
+  }
+
+  /** Each gateway hears of each engine at moments of its own. */
+  void UpdateViews(std::size_t gateway) {
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      auto& view = views_[gateway][i];
+      const replayed_engine& engine = engines_[i];
+      if (!engine.up) {
+        if (view && now_ - view->heard_at > kNoticeTime) view.reset();
+        continue;
+      }
+      const auto phase = kStep * static_cast<int>((gateway * 7 + i * 3) % 20);
+      if ((now_ - start_ + phase) % kStatusPeriod != milliseconds(0)) continue;
+      view = std::make_shared<heard_view>();
+      view->heard_at = now_;
+      view->record.instance = catalog::instance_id("i-" + std::to_string(i));
+      view->record.address = {"10.0.0." + std::to_string(i + 1), 80};
+      view->record.slots = kBatchSlots;
+      view->has_agent = true;
+      view->status = engine.scheduler->Status(now_);
+      view->adapters = engine.held;
+    }
+  }
+
+  void Ask() {
+    // A few adapters are asked for most.
+    const double position =
+        std::pow(std::uniform_real_distribution<double>(0, 1)(random_), 2.5);
+    replayed_request request;
+    request.adapter = static_cast<int>(adapters_ * position);
+    request.gateway = asked_++ % views_.size();
+    request.asked_at = now_;
+    endpoint_views all;
+    for (const auto& view : views_[request.gateway]) {
+      if (view) all.push_back(view.get());
+    }
+    const ask_key key{request.gateway + 1, static_cast<std::uint64_t>(asked_)};
+    const auto* chosen = ChooseEngine(
+        all, {.adapter = Name(request.adapter), .gateways = views_.size()},
+        now_);
+    if (chosen == nullptr) {
+      request.refused = true;
+      requests_[key] = request;
+      return;
+    }
+    request.engine = std::stoul(chosen->record.instance.Value().substr(2));
+    views_[request.gateway][request.engine]->asked_since_status += 1;
+    requests_[key] = request;
+    if (!engines_[request.engine].up) {
+      requests_[key].lost = true;
+      requests_[key].ended = true;
+      return;
+    }
+    Take(request.engine, engines_[request.engine].scheduler->OnAsk(
+                             {.key = key,
+                              .adapter = Name(request.adapter),
+                              .prompt_tokens = kPromptTokens,
+                              .output_tokens = 300,
+                              .event_gap = milliseconds(300),
+                              .goal_at = now_ + kGoal,
+                              .give_up_at = now_ + kPatience},
+                             now_));
+  }
+
+  struct heard_view : endpoint_view {
+    core::time_point heard_at;
+  };
+
+  const core::time_point start_{std::chrono::seconds(100)};
+  core::time_point now_ = start_;
+  int adapters_;
+  std::vector<replayed_engine> engines_;
+  std::vector<std::vector<std::shared_ptr<heard_view>>> views_;
+  std::map<ask_key, replayed_request> requests_;
+  std::mt19937 random_{20261204};
+  double rate_ = 0;
+  double due_ = 0;
+  std::size_t asked_ = 0;
+  std::size_t most_held_ = 0;
+  int held_too_long_ = 0;
+};
+
+// Nine engines, four gateways; 60 requests a second fill a quarter of the
+// batches and a fifth of the reading time.
+class placement_replay_test : public ::testing::Test {
+ protected:
+  void ExpectSound() const {
+    EXPECT_EQ(replay_.HeldTooLong(), 0);
+    EXPECT_LE(replay_.MostHeld(), kAdapterSlots);
+  }
+  placement_replay replay_{4, 9, 150};
+};
+
+// Load pattern: 2.4 times the load for three seconds.
+TEST_F(placement_replay_test, ABurstIsServed) {
+  replay_.Play("0 rate 60\n5000 rate 144\n8000 rate 60\n14000 end\n");
+  EXPECT_GE(replay_.Between(3000, 5000).OnTimeShare(), 0.9);
+  EXPECT_GE(replay_.Between(5000, 8000).ServedShare(), 0.95);
+  EXPECT_GE(replay_.Between(10000, 12000).OnTimeShare(), 0.9);
+  ExpectSound();
+}
+
+// Load pattern: a third of the engines is away for three seconds and comes back
+// empty. What was not running there is served by the others, and the home of
+// their adapters returns with them.
+TEST_F(placement_replay_test, AThirdOfTheEnginesIsLost) {
+  replay_.Play(
+      "0 rate 60\n5000 lose 0 3000\n5000 lose 1 3000\n5000 lose 2 3000\n"
+      "14000 end\n");
+  EXPECT_GE(replay_.Between(5700, 8000).ServedShare(), 0.95);
+  EXPECT_GE(replay_.Between(10000, 12000).OnTimeShare(), 0.9);
+  ExpectSound();
+}
+
+// Load pattern: all engines are replaced one after the other under load.
+TEST_F(placement_replay_test, EnginesAreReplacedInTurn) {
+  std::string script = "0 rate 60\n";
+  for (int i = 0; i < 9; ++i) {
+    script +=
+        std::to_string(5000 + i * 800) + " replace " + std::to_string(i) + '\n';
+  }
+  replay_.Play(script + "16000 end\n");
+  EXPECT_GE(replay_.Between(5000, 12200).ServedShare(), 0.85);
+  EXPECT_GE(replay_.Between(13000, 15000).OnTimeShare(), 0.9);
+  ExpectSound();
+}
+
+// Load pattern: a gateway that knows nothing joins at the crest. It must
+// neither refuse everything nor send its load where the others do not.
+TEST_F(placement_replay_test, AGatewayRestartsAtTheCrest) {
+  replay_.Play("0 rate 120\n5000 restart 1\n10000 end\n");
+  const auto before = replay_.Between(3000, 5000);
+  const auto after = replay_.Between(5200, 7200);
+  EXPECT_GE(after.ServedShare(), 0.95);
+  EXPECT_GE(after.OnTimeShare(), before.OnTimeShare() - 0.05);
+  ExpectSound();
+}
+
+}  // namespace
+}  // namespace comfreyspring::gateway
