--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -31,7 +31,6 @@
 
 using core::milliseconds;
 
-constexpr int kEvents = 12;
 constexpr milliseconds kWarmUp{3000};
 /** After the last fault the fleet serves again (RecoverS). */
 constexpr core::seconds kRecovery{12};
@@ -56,7 +55,7 @@
 
 int Run(const std::filesystem::path& directory) {
   net::event_loop loop;
-  promise_record promises(kEvents);
+  promise_record promises(fleet_under_test::kEvents);
   fleet_under_test fleet(loop, promises,
                          {.binary_directory = COMFREYSPRING_BINARY_DIRECTORY,
                           .clock_library = COMFREYSPRING_CLOCK_LIBRARY,
--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -16,7 +16,6 @@
 constexpr core::seconds kStopGrace{8};
 /** Beyond the grace period, for a busy machine. */
 constexpr core::seconds kStopSlack{2};
-constexpr int kEvents = 12;
 constexpr const char* kEngines = "engines";
 constexpr const char* kDesk = "desk";
 
@@ -185,9 +184,9 @@
        {fleet_layout::kFirstInternalPort, fleet_layout::kLastInternalPort}},
       {"Bounds",
        {{"GraceS", kStopGrace.count()},
-        {"RetryRatio", 0.2},
-        {"BudgetExtra", 10},
-        {"BudgetWindowS", 10}}},
+        {"RetryRatio", kRepeatShare},
+        {"BudgetExtra", kRepeatExtra},
+        {"BudgetWindowS", kRepeatWindow.count()}}},
       {"Provider",
        {{"Addr",
          fleet_layout::At(slot.is_gateway ? layout_.GatewayRelay(slot.index)
@@ -294,10 +293,4 @@
          "/ready";
 }
 
-std::string fleet_under_test::MetricsUrl(int gateway) const {
-  return "http://" +
-         fleet_layout::At(layout_.Gateway(gateway), fleet_layout::kAdminPort) +
-         "/metrics";
-}
-
 }  // namespace comfreyspring::soak
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -58,6 +58,9 @@
  */
 class fleet_under_test {
  public:
+  /** Events of each stream. */
+  static constexpr int kEvents = 12;
+
   fleet_under_test(net::event_loop& loop, promise_record& promises,
                    fleet_options options);
   ~fleet_under_test();
@@ -80,7 +83,6 @@
   std::vector<process_test::tcp_relay*> Relays();
   std::string CallerUrl(int gateway) const;
   std::string ReadinessUrl(int gateway) const;
-  std::string MetricsUrl(int gateway) const;
 
   // Changes.
 
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -19,10 +19,6 @@
 constexpr milliseconds kDrainTime{2000};
 /** Requests that may reach an endpoint late after their caller has left. */
 constexpr int kRunsAfterCallerLeft = 3;
-/** Of the settings: RetryRatio, BudgetExtra, BudgetWindowS. */
-constexpr double kRepeatShare = 0.2;
-constexpr double kRepeatExtra = 10;
-constexpr core::seconds kRepeatWindow{10};
 
 bool PromisesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -14,6 +14,13 @@
 
 namespace comfreyspring::soak {
 
+/** Repeats that the fleet's settings allow to a service: of its requests ... */
+constexpr double kRepeatShare = 0.2;
+/** ... and so many more, ... */
+constexpr double kRepeatExtra = 10;
+/** ... in any window of this length. */
+constexpr core::seconds kRepeatWindow{10};
+
 /** A kind of request that the callers of the soak make. */
 struct request_kind {
   std::string route;
