--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -72,7 +72,6 @@
                                                 core::time_point now) {
   actions out;
   wanted.asked_at = now;
-  links_.insert(wanted.key.link);
   const bool has_adapter = !wanted.adapter.adapter.empty();
   if (has_adapter) slots_.CountDemand(wanted.adapter, now);
   const auto refuse_for = [&](refusal_reason reason, core::milliseconds wait) {
@@ -154,7 +153,6 @@
 grant_scheduler::actions grant_scheduler::OnLinkLost(std::uint64_t link,
                                                      core::time_point now) {
   actions out;
-  links_.erase(link);
   std::erase_if(waiting_,
                 [&](const auto& entry) { return entry.first.link == link; });
   for (auto item = running_.begin(); item != running_.end();) {
@@ -661,7 +659,6 @@
     }
   }
   status.loads_waiting = loads.size();
-  status.gateways = links_.size();
   std::int64_t tokens_ahead = UnreadPromptTokens(now);
   for (const auto& [key, wanted] : waiting_) {
     if (IsReady(wanted)) tokens_ahead += wanted.prompt_tokens;
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -190,7 +190,6 @@
   std::map<ask_key, running_item> running_;
   /** Running requests by adapter. */
   std::map<catalog::adapter_name, std::size_t> in_use_;
-  std::set<std::uint64_t> links_;
   std::deque<promise> promises_;
   std::optional<engine_state> state_;
   core::time_point state_at_;
--- a/src/grants/prompt_pacer.h
+++ b/src/grants/prompt_pacer.h
@@ -43,7 +43,6 @@
   core::milliseconds ReadingTime(std::int64_t tokens) const;
   /** Longest pause between events that counts as prompt. */
   void SetEventGap(core::milliseconds gap) { event_gap_ = gap; }
-  core::milliseconds EventGap() const { return event_gap_; }
   /** Tokens that the engine reads in a millisecond. */
   double Rate() const { return rate_; }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -173,7 +173,7 @@
       *size = 0;
       return accepted ? MHD_YES : MHD_NO;
     }
-    if (!exchange.IsDispatched()) server->Dispatch(exchange, connection);
+    if (!exchange.IsDispatched()) server->Dispatch(exchange);
     return exchange.Answer() ? MHD_YES : MHD_NO;
   }
 
@@ -184,7 +184,8 @@
     exchange->ReadHead(target.empty() ? std::string(url) : target.mapped(), url,
                        method);
     *context = exchange.get();
-    WatchHalfRequest(connection);
+    new_connections.erase(connection);
+    ScheduleHalfRequestCheck();
     http_exchange_state& reference = *exchange;
     exchanges[connection] = std::move(exchange);
     if (!reference.MustRefuseUnread(options.maximum_body_bytes)) return MHD_YES;
@@ -197,30 +198,30 @@
   // after that. Such connections would stay until the idle timeout and take the
   // places of others.
 
-  void WatchHalfRequest(MHD_Connection* connection) {
-    half_requests.insert(connection);
+  void ScheduleHalfRequestCheck() {
     if (half_request_timer != 0) return;
-    half_request_timer =
-        loop.Schedule(kHalfRequestCheck, [this] { CheckHalfRequests(); });
+    half_request_timer = loop.Schedule(kHalfRequestCheck, [this] {
+      half_request_timer = 0;
+      for (MHD_Connection* connection : new_connections) DropIfGone(connection);
+      for (const auto& [connection, exchange] : exchanges) {
+        if (!exchange->IsDispatched()) DropIfGone(connection);
+      }
+      if (!new_connections.empty() || !exchanges.empty()) {
+        ScheduleHalfRequestCheck();
+      }
+    });
   }
 
-  void CheckHalfRequests() {
-    half_request_timer = 0;
-    for (MHD_Connection* connection : half_requests) {
-      const MHD_ConnectionInfo* info = MHD_get_connection_info(
-          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-      // The daemon closes it on the event that this causes.
-      if (info != nullptr && IsClosedByPeer(info->connect_fd)) {
-        ::shutdown(info->connect_fd, SHUT_RDWR);
-      }
+  static void DropIfGone(MHD_Connection* connection) {
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    // The daemon closes it on the event that this causes.
+    if (info != nullptr && IsClosedByPeer(info->connect_fd)) {
+      ::shutdown(info->connect_fd, SHUT_RDWR);
     }
-    if (half_requests.empty()) return;
-    half_request_timer =
-        loop.Schedule(kHalfRequestCheck, [this] { CheckHalfRequests(); });
   }
 
-  void Dispatch(http_exchange_state& exchange, MHD_Connection* connection) {
-    half_requests.erase(connection);
+  void Dispatch(http_exchange_state& exchange) {
     exchange.MarkDispatched();
     if (exchange.IsAnswered()) return;
     try {
@@ -236,7 +237,6 @@
                           MHD_RequestTerminationCode code) noexcept {
     auto* server = static_cast<impl*>(self);
     server->targets.erase(connection);
-    server->half_requests.erase(connection);
     const auto found = server->exchanges.find(connection);
     if (found == server->exchanges.end()) return;
     const auto exchange = found->second;
@@ -252,10 +252,11 @@
     server->connection_changed = true;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
       server->connection_closed = true;
-      server->half_requests.erase(connection);
+      server->new_connections.erase(connection);
       server->targets.erase(connection);
     } else if (!server->closing) {
-      server->WatchHalfRequest(connection);
+      server->new_connections.insert(connection);
+      server->ScheduleHalfRequestCheck();
     }
   }
 
@@ -277,8 +278,8 @@
   std::unordered_map<MHD_Connection*, std::string> targets;
   std::unordered_map<MHD_Connection*, std::shared_ptr<http_exchange_state>>
       exchanges;
-  /** New connections, and those of requests that have not arrived whole. */
-  std::unordered_set<MHD_Connection*> half_requests;
+  /** Connections without the headers of a first request. */
+  std::unordered_set<MHD_Connection*> new_connections;
   timer_id half_request_timer = 0;
 };
 
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -155,23 +155,30 @@
     });
   }
 
-  void SendStatusToAll() {
+  grants::status_report MakeReport() const {
     grants::status_report report{steward.Status(), true};
     report.status.gateways = links.size();
-    const std::string full = grants::Encode(report);
+    return report;
+  }
+
+  void SendStatusToAll() {
+    grants::status_report report = MakeReport();
+    const std::uint64_t revision = report.status.adapters_revision;
+    // Encoded for the first link that needs it; most periods none does.
+    std::string full;
     report.has_adapters = false;
     const std::string brief = grants::Encode(report);
+    report.has_adapters = true;
     for (auto& [id, gateway] : links) {
-      const std::uint64_t revision = report.status.adapters_revision;
       const bool changed = gateway.sent_revision != revision;
+      if (changed && full.empty()) full = grants::Encode(report);
       gateway.link->Send(changed ? full : brief);
       gateway.sent_revision = revision;
     }
   }
 
   void SendStatus(std::uint64_t id, gateway_link& gateway) {
-    grants::status_report report{steward.Status(), true};
-    report.status.gateways = links.size();
+    const grants::status_report report = MakeReport();
     gateway.sent_revision = report.status.adapters_revision;
     Send(id, report);
   }
--- a/tests/process/store_stand_in.cc
+++ b/tests/process/store_stand_in.cc
@@ -77,17 +77,14 @@
       unanswered_.push_back(std::move(exchange));
       return;
     case store_mode::slow:
-      loop_.Schedule(kSlowAnswer, [this, exchange] {
-        if (exchange->Request().path == "/v1/kv-range") {
-          AnswerRange(*exchange);
-        } else {
-          AnswerWatch(exchange);
-        }
-      });
+      loop_.Schedule(kSlowAnswer, [this, exchange] { AnswerNow(exchange); });
       return;
     case store_mode::up:
-      break;
+      AnswerNow(std::move(exchange));
   }
+}
+
+void store_stand_in::AnswerNow(exchange_pointer exchange) {
   if (exchange->Request().path == "/v1/kv-range") {
     AnswerRange(*exchange);
   } else {
--- a/tests/process/store_stand_in.h
+++ b/tests/process/store_stand_in.h
@@ -33,6 +33,7 @@
   using exchange_pointer = std::shared_ptr<net::http_exchange>;
 
   void Answer(exchange_pointer exchange);
+  void AnswerNow(exchange_pointer exchange);
   void AnswerRange(net::http_exchange& exchange) const;
   void AnswerWatch(exchange_pointer exchange);
   void SendEvents(net::http_exchange& exchange) const;
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -20,6 +20,10 @@
 constexpr milliseconds kPatience{1500};
 constexpr int kAdapters = 12;
 
+milliseconds LimitOf(const request_kind& kind) {
+  return kind.streams ? kStreamLimit : kPlainLimit;
+}
+
 }  // namespace
 
 callers::callers(net::event_loop& loop, fleet_under_test& fleet,
@@ -93,7 +97,7 @@
   request.target = kind.path + "x%20y?q=" + id;
   request.body = "body of " + id;
   request.sent_at = loop_.Now();
-  request.limit = kind.streams ? kStreamLimit : kPlainLimit;
+  request.limit = LimitOf(kind);
   net::http_call call;
   call.method = "POST";
   call.url = fleet_.CallerUrl(request.gateway) + '/';
@@ -144,9 +148,7 @@
   double wait_s = 0.1;
   const auto header = result.headers.find("retry-after");
   if (header != result.headers.end()) wait_s = std::stod(header->second);
-  const double limit_s =
-      static_cast<double>((kind.streams ? kStreamLimit : kPlainLimit).count()) /
-      1e3;
+  const double limit_s = static_cast<double>(LimitOf(kind).count()) / 1e3;
   wait_s = std::min(wait_s, limit_s / 3);
   loop_.Schedule(milliseconds(static_cast<std::int64_t>(wait_s * 1e3)),
                  [this, &kind] {
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -167,7 +167,7 @@
   // A process that was told to end gets its time before it is killed.
   fleet_.CheckProcesses();
   if (!slot.is_stopping) return;
-  if (!fleet_.HasStopped(slot)) slot.process->Signal(SIGKILL);
+  if (!slot.process->HasEnded()) slot.process->Signal(SIGKILL);
   fleet_.Start(slot);
   Disturb(slot, milliseconds(0));
 }
@@ -292,13 +292,10 @@
   const std::size_t index = PickEndpoint();
   if (!fleet_.Endpoints()[index].engine->IsUp()) return;
   promises_.EndpointsDisturbed(loop_.Now() + length);
-  fleet_.Crash(index);
+  fleet_.Endpoints()[index].engine->Crash();
   // Its entry lapses while it is down, or stays until it is back.
   if (Pick(2) == 0) fleet_.Unregister(index);
-  HealAfter(length, [this, index] {
-    fleet_.Unregister(index);
-    fleet_.Restart(index);
-  });
+  HealAfter(length, [this, index] { fleet_.Restart(index); });
 }
 
 void fault_schedule::CrashThird(milliseconds length) {
@@ -313,8 +310,6 @@
   const std::size_t index = PickEndpoint();
   if (!fleet_.Endpoints()[index].engine->IsUp()) return;
   promises_.EndpointsDisturbed(loop_.Now());
-  fleet_.Unregister(index);
-  fleet_.Crash(index);
   fleet_.Restart(index);
 }
 
@@ -332,8 +327,6 @@
       return;
     }
     promises_.EndpointsDisturbed(loop_.Now());
-    fleet_.Unregister(index);
-    fleet_.Crash(index);
     fleet_.Restart(index);
   });
 }
--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -95,7 +95,6 @@
     promises_.Violation("endpoint " + std::to_string(index) + ' ' + what);
   };
   endpoints_.push_back(std::move(slot));
-  engine.Crash();
   Restart(static_cast<std::size_t>(index));
 }
 
@@ -155,14 +154,11 @@
   store_->Remove("servers/" + endpoints_.at(endpoint).engine->Instance());
 }
 
-void fleet_under_test::Crash(std::size_t endpoint) {
-  endpoints_.at(endpoint).engine->Crash();
-}
-
 void fleet_under_test::Restart(std::size_t endpoint) {
+  Unregister(endpoint);
   endpoint_slot& slot = endpoints_.at(endpoint);
   slot.leaving = false;
-  slot.engine->Start("i-" + std::to_string(++last_instance_));
+  slot.engine->Start("instance-" + std::to_string(++last_instance_));
   Register(endpoint);
 }
 
@@ -234,10 +230,6 @@
   std::ofstream(File(slot, ".clock")) << text;
 }
 
-bool fleet_under_test::HasStopped(program_slot& slot) {
-  return slot.process->HasEnded();
-}
-
 void fleet_under_test::CheckProcesses() {
   for (auto& slot : programs_) {
     const bool ended = slot.process->HasEnded();
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -96,15 +96,13 @@
   /** Writes the endpoint's entry as it is now. */
   void Register(std::size_t endpoint);
   void Unregister(std::size_t endpoint);
-  void Crash(std::size_t endpoint);
-  /** Starts the endpoint as a new instance and registers it. */
+  /** Starts the endpoint as a new instance, registered in place of the old. */
   void Restart(std::size_t endpoint);
 
   /** Reports processes that ended by themselves or do not end. */
   void CheckProcesses();
   /** Each line of each log is one JSON object. */
   void CheckLogs();
-  bool HasStopped(program_slot& slot);
 
  private:
   void AddGateway(int index);
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -53,7 +53,7 @@
   request.status = result.status;
   CheckAnswer(id, request, result);
   if (now > request.sent_at + request.limit + kSlack &&
-      WasCalm(request.gateway, request.sent_at, now)) {
+      WasCalm(request.gateway, request.sent_at)) {
     Violation(id + " was held beyond its caller's limit");
   }
 }
@@ -115,7 +115,7 @@
     Violation(id + " runs after it was answered " +
               std::to_string(request.status));
   }
-  const bool is_calm = WasCalm(request.gateway, now - kCalm, now);
+  const bool is_calm = WasCalm(request.gateway, now - kCalm);
   if (request.gave_up_at && now > *request.gave_up_at + kSlack && is_calm) {
     ++runs_after_caller_left_;
   }
@@ -131,7 +131,7 @@
   if (found == requests_.end() || !found->second.gave_up_at) return;
   const request_record& request = found->second;
   if (now > *request.gave_up_at + kSlack + kSlack && request.kind->may_repeat &&
-      WasCalm(request.gateway, *request.gave_up_at, now) &&
+      WasCalm(request.gateway, *request.gave_up_at) &&
       now > endpoints_disturbed_ + kCalm) {
     Violation(id + " ran on after its caller had left");
   }
@@ -159,11 +159,10 @@
   violations_.push_back(what);
 }
 
-bool promise_record::WasCalm(int gateway, core::time_point since,
-                             core::time_point now) const {
+bool promise_record::WasCalm(int gateway, core::time_point since) const {
   const auto disturbed = gateway_disturbed_.find(gateway);
   return disturbed == gateway_disturbed_.end() ||
-         disturbed->second + kCalm < std::min(since, now);
+         disturbed->second + kCalm < since;
 }
 
 void promise_record::CheckWholeRun(core::time_point now) {
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -88,7 +88,8 @@
  private:
   void CheckAnswer(const std::string& id, const request_record& request,
                    const net::http_result& result);
-  bool WasCalm(int gateway, core::time_point since, core::time_point now) const;
+  /** The gateway was left alone for long enough before `since`, and since. */
+  bool WasCalm(int gateway, core::time_point since) const;
   void CheckRepeats();
 
   int events_;
