Bound answers without end, and keep errors and stray bytes from spreading

Change: bounds on heads, headers and gathered bodies of a call; connections are looked at before they are used again; the loop hands exceptions to the program, which logs them, and ends only when they come without end.

--- /dev/null
+++ b/src/net/connection_table.cc
@@ -0,0 +1,37 @@
+#include "net/connection_table.h"
+
+#include <sys/socket.h>
+
+#include "net/socket_address.h"
+
+namespace comfreyspring::net {
+
+void connection_table::OnOpened(int descriptor) { unnamed_.insert(descriptor); }
+
+void connection_table::OnClosed(int descriptor) {
+  unnamed_.erase(descriptor);
+  std::erase_if(descriptors_, [descriptor](const auto& entry) {
+    return entry.second == descriptor;
+  });
+}
+
+int connection_table::Find(std::uint16_t local_port) {
+  const auto known = descriptors_.find(local_port);
+  if (known != descriptors_.end()) return known->second;
+  for (const int descriptor : unnamed_) {
+    if (socket_address::OfLocal(descriptor).Port() != local_port) continue;
+    unnamed_.erase(descriptor);
+    descriptors_[local_port] = descriptor;
+    return descriptor;
+  }
+  return -1;
+}
+
+bool connection_table::HasUnexpectedInput(std::uint16_t local_port) {
+  const int descriptor = Find(local_port);
+  if (descriptor < 0) return false;
+  char byte = 0;
+  return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+}  // namespace comfreyspring::net
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cassert>
 #include <csignal>
+#include <exception>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -27,6 +28,9 @@
 constexpr rlim_t kMaximumDescriptors = 65536;
 // Keeps timers from waiting behind a flood of socket events.
 constexpr int kMaximumEventsPerTurn = 64;
+// More errors than this in a second mean that the loop does nothing else.
+constexpr int kMaximumErrors = 100;
+constexpr core::milliseconds kErrorWindow{1000};
 // Wait of a loop that has nothing to do.
 constexpr core::milliseconds kLongestWait{60000};
 
@@ -98,6 +102,9 @@
   std::vector<signal_source> signals;
   core::time_point turn_started{};
   bool stopped = false;
+  std::function<void(const std::exception&)> on_error;
+  int errors = 0;
+  core::time_point errors_since{};
 
   core::milliseconds WaitFor(core::time_point now, core::milliseconds limit) {
     if (!posted.empty() || !at_end_of_turn.empty()) {
@@ -123,10 +130,10 @@
     }
   }
 
-  static void RunAll(callback_list& list) {
+  static void RunAll(event_loop& loop, callback_list& list) {
     callback_list current;
     current.swap(list);
-    for (const auto& callback : current) callback();
+    for (const auto& callback : current) loop.Guard(callback);
   }
 
   void Turn(event_loop& loop, core::milliseconds limit) {
@@ -141,9 +148,9 @@
       ACE_Time_Value zero;
       if (reactor->handle_events(zero) <= 0) break;
     }
-    timers.RunDue(loop.Now());
-    RunAll(posted);
-    RunAll(at_end_of_turn);
+    timers.RunDue(loop.Now(), [&](const auto& step) { loop.Guard(step); });
+    RunAll(loop, posted);
+    RunAll(loop, at_end_of_turn);
   }
 };
 
@@ -201,6 +208,29 @@
   impl_->pause_listeners.push_back({threshold, std::move(callback)});
 }
 
+void event_loop::OnError(
+    std::function<void(const std::exception& failure)> callback) {
+  impl_->on_error = std::move(callback);
+}
+
+void event_loop::Guard(const std::function<void()>& step) {
+  if (!impl_->on_error) {
+    step();
+    return;
+  }
+  try {
+    step();
+  } catch (const std::exception& failure) {
+    const auto now = Now();
+    if (now - impl_->errors_since > kErrorWindow) {
+      impl_->errors_since = now;
+      impl_->errors = 0;
+    }
+    if (++impl_->errors > kMaximumErrors) throw;
+    impl_->on_error(failure);
+  }
+}
+
 void event_loop::OnSignal(int signal_number, std::function<void()> callback) {
   sigset_t set;
   sigemptyset(&set);
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -54,6 +55,12 @@
    */
   void OnPause(core::milliseconds threshold,
                std::function<void(core::milliseconds)> callback);
+  /**
+   * Takes the exceptions that callbacks let out, after which the loop goes on:
+   * one request must not end the process of all others. Without it, or when
+   * they come without end, exceptions leave Run.
+   */
+  void OnError(std::function<void(const std::exception& failure)> callback);
   /** Calls `callback` on the loop when the process receives the signal. */
   void OnSignal(int signal_number, std::function<void()> callback);
 
@@ -71,6 +78,8 @@
    * classes of this module only, which flush their writes there.
    */
   void AtEndOfTurn(std::function<void()> callback);
+  /** Runs a step and hands its exception to OnError; as AtEndOfTurn. */
+  void Guard(const std::function<void()>& step);
   /** The reactor, for classes of this module only. */
   ACE_Reactor* Reactor();
   /** Kept for a descriptor number; for classes of this module only. */
--- a/src/net/event_loop_test.cc
+++ b/src/net/event_loop_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <stdexcept>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -35,6 +37,30 @@
   EXPECT_GE(fired - start, milliseconds(15));
 }
 
+// One request's error must not end the process of all others.
+TEST(EventLoop, GoesOnAfterAnErrorInACallback) {
+  event_loop loop;
+  std::vector<std::string> errors;
+  loop.OnError([&](const std::exception& failure) {
+    errors.emplace_back(failure.what());
+  });
+  int later = 0;
+  loop.Schedule(milliseconds(1), [] { throw std::runtime_error("timer"); });
+  loop.Post([] { throw std::runtime_error("posted"); });
+  loop.Schedule(milliseconds(10), [&] { ++later; });
+  EXPECT_TRUE(loop.RunUntil([&] { return later == 1; }, kLimit));
+  EXPECT_EQ(errors, (std::vector<std::string>{"posted", "timer"}));
+}
+
+// A loop that does nothing but fail is better restarted.
+TEST(EventLoop, EndsWhenErrorsComeWithoutEnd) {
+  event_loop loop;
+  loop.OnError([](const std::exception&) {});
+  loop.SchedulePeriodic(milliseconds(1),
+                        [] { throw std::runtime_error("always"); });
+  EXPECT_THROW(loop.RunUntil([] { return false; }, kLimit), std::runtime_error);
+}
+
 // Guards against deadlines that still fire after their request has ended.
 TEST(EventLoop, RunsNoCancelledTimer) {
   event_loop loop;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -48,8 +48,8 @@
 
   http_call_id Start(http_call call, http_callbacks callbacks) {
     const http_call_id id = ++last_id;
-    auto transfer = std::make_unique<http_transfer>(loop, id, std::move(call),
-                                                    std::move(callbacks));
+    auto transfer = std::make_unique<http_transfer>(
+        loop, connections, id, std::move(call), std::move(callbacks));
     transfer->OnIdle([this, id] { Expire(id); });
     http_transfer& reference = *transfer;
     transfers[id] = std::move(transfer);
@@ -98,6 +98,17 @@
     if (transfer) transfer->ReportDone(code);
   }
 
+  /** @returns false if the call has ended. */
+  bool StartAnew(http_call_id id) {
+    const auto found = transfers.find(id);
+    if (found == transfers.end() || !found->second->UseFreshConnection()) {
+      return false;
+    }
+    curl_multi_remove_handle(multi, found->second->Easy());
+    Add(*found->second);
+    return true;
+  }
+
   void Expire(http_call_id id) { Finish(id, CURLE_OPERATION_TIMEDOUT); }
 
   void Defer(std::function<void()> action) {
@@ -128,7 +139,7 @@
     const std::weak_ptr<bool> still_alive = alive;
     for (const auto& [id, code] : finished) {
       if (!still_alive.lock()) return;
-      Finish(id, code);
+      if (!StartAnew(id)) Finish(id, code);
     }
   }
 
@@ -187,6 +198,7 @@
   }
 
   event_loop& loop;
+  connection_table connections;
   CURLM* multi;
   std::unordered_map<http_call_id, std::unique_ptr<http_transfer>> transfers;
   std::map<curl_socket_t, std::unique_ptr<io_watcher>> watchers;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -36,6 +36,14 @@
    * whose reused connection ends without an answer.
    */
   bool may_resend = true;
+  /**
+   * Heads of the answer, interim ones and trailers included. A larger answer
+   * fails the call and closes its connection.
+   */
+  std::size_t maximum_header_bytes = 16 * 1024;
+  std::size_t maximum_headers = 128;
+  /** The same for a body that is gathered; `on_data` sets its own bounds. */
+  std::size_t maximum_body_bytes = 16 * 1024 * 1024;
 };
 
 /** How far a failed call may have got. */
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -91,6 +91,79 @@
   EXPECT_EQ(result_->failure, http_failure::broken);
 }
 
+// Bytes that are no answer may come for as long as the connection is open.
+class endless_answer_test : public http_client_test,
+                            public ::testing::WithParamInterface<const char*> {
+};
+
+TEST_P(endless_answer_test, EndsTheCallAndItsConnection) {
+  Start({.url = Url(), .maximum_body_bytes = 256 * 1024});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  const std::string piece = GetParam();
+  std::size_t sent = 0;
+  if (piece.rfind("body", 0) == 0) peer->Send("HTTP/1.1 200 OK\r\n\r\n");
+  std::string many;
+  while (many.size() < 8192) many += piece;
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] {
+        if (!peer->IsClosedByPeer() && sent < 64 * 1024 * 1024) {
+          peer->Send(many);
+          sent += many.size();
+        }
+        return result_.has_value() && peer->IsClosedByPeer();
+      },
+      kLimit));
+  EXPECT_EQ(result_->failure, http_failure::broken);
+  EXPECT_LT(sent, 16U * 1024 * 1024);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    http_client_test, endless_answer_test,
+    ::testing::Values("HTTP/1.1 100 Continue\r\n\r\n",
+                      "HTTP/1.1 200 OK\r\nX-Number: 1\r\nY: 2\r\n",
+                      "HTTP/1.1 200 OK and no end of the line ",
+                      "body without a length\n", "\x01\x02\x03garbage"));
+
+// A late second copy of an answer on an idle connection is no answer to the
+// next call.
+TEST_F(http_client_test, ASecondCopyOfAnAnswerGoesToNobody) {
+  Start({.url = Url()});
+  const auto first = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*first, "\r\n\r\n"));
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  first->Send(answer);
+  ASSERT_TRUE(WaitForResult());
+  first->Send(answer);
+  loop_.RunUntil([] { return false; }, milliseconds(50));
+  Start({.method = "POST", .url = Url(), .body = "second"});
+  const auto second = listener_.Accept();
+  ASSERT_TRUE(second);
+  EXPECT_EQ(first->Received().find("second"), std::string::npos);
+  ASSERT_TRUE(WaitForBytes(*second, "second"));
+  second->Send("HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->status, 201);
+}
+
+// Guards against the end of the process: the library cannot be unwound.
+TEST_F(http_client_test, AnErrorInACallbackFailsItsCall) {
+  std::optional<http_result> result;
+  http_callbacks callbacks;
+  callbacks.on_data = [](std::string_view) {
+    throw std::runtime_error("cannot take it");
+  };
+  callbacks.on_done = [&](const http_result& done) { result = done; };
+  client_.Start({.url = Url()}, callbacks);
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+  ASSERT_TRUE(loop_.RunUntil([&] { return result.has_value(); }, kLimit));
+  EXPECT_EQ(result->failure, http_failure::broken);
+  EXPECT_EQ(result->error_message, "cannot take it");
+}
+
 // Guards against a second run of a non-repeatable call: the library would send
 // a request again when a reused connection ends without an answer.
 TEST_F(http_client_test, NeverRepeatsAPostOnAReusedConnection) {
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -1,5 +1,8 @@
 #include "net/http_transfer.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <cctype>
 #include <cstdint>
@@ -9,8 +12,6 @@
 namespace {
 
 constexpr long kKeepaliveSeconds = 10;
-// A larger answer fails the call; a streamed answer is passed on without limit.
-constexpr std::size_t kMaximumBodyBytes = 64UL * 1024 * 1024;
 
 template <class Value>
 void SetOption(CURL* easy, CURLoption option, Value value) {
@@ -19,9 +20,11 @@
 
 }  // namespace
 
-http_transfer::http_transfer(event_loop& loop, http_call_id id, http_call call,
+http_transfer::http_transfer(event_loop& loop, connection_table& connections,
+                             http_call_id id, http_call call,
                              http_callbacks callbacks)
     : loop_(loop),
+      connections_(connections),
       id_(id),
       call_(std::move(call)),
       callbacks_(std::move(callbacks)),
@@ -40,6 +43,11 @@
   SetOption(easy, CURLOPT_WRITEDATA, this);
   SetOption(easy, CURLOPT_PREREQFUNCTION, &http_transfer::OnBeforeRequest);
   SetOption(easy, CURLOPT_PREREQDATA, this);
+  // Kept by the connection, which outlives the call.
+  SetOption(easy, CURLOPT_OPENSOCKETFUNCTION, &http_transfer::OnOpenSocket);
+  SetOption(easy, CURLOPT_OPENSOCKETDATA, &connections_);
+  SetOption(easy, CURLOPT_CLOSESOCKETFUNCTION, &http_transfer::OnCloseSocket);
+  SetOption(easy, CURLOPT_CLOSESOCKETDATA, &connections_);
 }
 
 http_transfer::~http_transfer() { loop_.Cancel(idle_timer_); }
@@ -113,7 +121,7 @@
 
 int http_transfer::OnBeforeRequest(void* self, char* /*peer_address*/,
                                    char* /*local_address*/, int /*peer_port*/,
-                                   int /*local_port*/) noexcept {
+                                   int local_port) noexcept {
   auto& transfer = *static_cast<http_transfer*>(self);
   if (transfer.cancelled_) return CURL_PREREQFUNC_ABORT;
   // The library sends a request again when a reused connection ends without an
@@ -121,18 +129,67 @@
   if (transfer.times_sent_ > 0 && !transfer.IsSafeToRepeat()) {
     return CURL_PREREQFUNC_ABORT;
   }
+  if (!transfer.call_.fresh_connection &&
+      transfer.connections_.HasUnexpectedInput(
+          static_cast<std::uint16_t>(local_port))) {
+    transfer.needs_fresh_connection_ = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   ++transfer.times_sent_;
   transfer.last_activity_ = transfer.loop_.Now();
   return CURL_PREREQFUNC_OK;
 }
 
+int http_transfer::OnOpenSocket(void* table, curlsocktype /*purpose*/,
+                                curl_sockaddr* address) noexcept {
+  const int descriptor = ::socket(
+      address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+  if (descriptor >= 0) {
+    static_cast<connection_table*>(table)->OnOpened(descriptor);
+  }
+  return descriptor;
+}
+
+int http_transfer::OnCloseSocket(void* table,
+                                 curl_socket_t descriptor) noexcept {
+  static_cast<connection_table*>(table)->OnClosed(descriptor);
+  return ::close(descriptor);
+}
+
+bool http_transfer::UseFreshConnection() {
+  if (!std::exchange(needs_fresh_connection_, false) || cancelled_) {
+    return false;
+  }
+  call_.fresh_connection = true;
+  SetOption(easy_.get(), CURLOPT_FRESH_CONNECT, 1L);
+  return true;
+}
+
 std::size_t http_transfer::OnHeader(char* data, std::size_t size,
                                     std::size_t count, void* self) noexcept {
   auto& transfer = *static_cast<http_transfer*>(self);
   if (transfer.cancelled_) return 0;
   transfer.last_activity_ = transfer.loop_.Now();
-  transfer.ReadHeaderLine(std::string(data, size * count));
-  return transfer.cancelled_ ? 0 : size * count;
+  const std::size_t bytes = size * count;
+  transfer.header_bytes_ += bytes;
+  if (transfer.header_bytes_ > transfer.call_.maximum_header_bytes) {
+    transfer.refusal_ = "the head of the answer is too large";
+    return 0;
+  }
+  const bool read = transfer.Guarded(
+      [&] { transfer.ReadHeaderLine(std::string(data, bytes)); });
+  return read && !transfer.cancelled_ ? bytes : 0;
+}
+
+bool http_transfer::Guarded(const std::function<void()>& step) noexcept {
+  try {
+    step();
+    return true;
+  } catch (const std::exception& failure) {
+    // The library cannot be unwound; the call fails instead.
+    refusal_ = failure.what();
+    return false;
+  }
 }
 
 void http_transfer::ReadHeaderLine(std::string line) {
@@ -163,6 +220,9 @@
     return static_cast<char>(std::tolower(c));
   });
   const std::size_t start = line.find_first_not_of(" \t", colon + 1);
+  if (result_.headers.size() >= call_.maximum_headers) {
+    throw net_error("the answer has too many headers");
+  }
   result_.headers[name] =
       start == std::string::npos ? std::string() : line.substr(start);
 }
@@ -173,14 +233,19 @@
   const std::size_t bytes = size * count;
   if (transfer.cancelled_) return 0;
   transfer.last_activity_ = transfer.loop_.Now();
-  if (transfer.callbacks_.on_data) {
-    transfer.callbacks_.on_data({data, bytes});
-  } else if (transfer.result_.body.size() + bytes > kMaximumBodyBytes) {
+  if (!transfer.callbacks_.on_data && transfer.result_.body.size() + bytes >
+                                          transfer.call_.maximum_body_bytes) {
+    transfer.refusal_ = "the body of the answer is too large";
     return 0;
-  } else {
-    transfer.result_.body.append(data, bytes);
   }
-  return transfer.cancelled_ ? 0 : bytes;
+  const bool taken = transfer.Guarded([&] {
+    if (transfer.callbacks_.on_data) {
+      transfer.callbacks_.on_data({data, bytes});
+    } else {
+      transfer.result_.body.append(data, bytes);
+    }
+  });
+  return taken && !transfer.cancelled_ ? bytes : 0;
 }
 
 // Idle time and end.
@@ -214,7 +279,8 @@
   if (code != CURLE_OK) {
     result_.failure =
         times_sent_ == 0 ? http_failure::not_sent : http_failure::broken;
-    result_.error_message = error_text_.front() != '\0'
+    result_.error_message = !refusal_.empty() ? refusal_
+                            : error_text_.front() != '\0'
                                 ? error_text_.data()
                                 : curl_easy_strerror(code);
   }
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "net/connection_table.h"
 #include "net/http_client.h"
 
 namespace comfreyspring::net {
@@ -14,8 +15,9 @@
 /** One call of the HTTP client: its library handle and what has arrived. */
 class http_transfer {
  public:
-  http_transfer(event_loop& loop, http_call_id id, http_call call,
-                http_callbacks callbacks);
+  /** The referenced objects must outlive the transfer's connection. */
+  http_transfer(event_loop& loop, connection_table& connections,
+                http_call_id id, http_call call, http_callbacks callbacks);
   ~http_transfer();
   http_transfer(const http_transfer&) = delete;
   http_transfer& operator=(const http_transfer&) = delete;
@@ -30,6 +32,11 @@
   void OnIdle(std::function<void()> callback);
   /** Ends all callbacks; the library aborts the transfer. */
   void MarkCancelled();
+  /**
+   * @returns whether the call was not sent because its connection held bytes
+   * that answer nothing; it can be started anew then, on a new connection.
+   */
+  bool UseFreshConnection();
   /** Calls `on_done`. */
   void ReportDone(CURLcode code);
 
@@ -49,23 +56,34 @@
                              char* local_address, int peer_port,
                              int local_port) noexcept;
 
+  static int OnOpenSocket(void* table, curlsocktype purpose,
+                          curl_sockaddr* address) noexcept;
+  static int OnCloseSocket(void* table, curl_socket_t descriptor) noexcept;
+
   void SetUrlAndMethod();
   void SetHeaders();
   void SetLimits();
   bool IsSafeToRepeat() const;
   void ReadHeaderLine(std::string line);
+  /** @returns false if the step has thrown; the call is to fail then. */
+  bool Guarded(const std::function<void()>& step) noexcept;
   void ScheduleIdleCheck(core::milliseconds delay);
 
   event_loop& loop_;
+  connection_table& connections_;
   http_call_id id_;
   http_call call_;
   http_callbacks callbacks_;
   std::unique_ptr<curl_slist, list_deleter> header_list_;
   std::unique_ptr<CURL, easy_deleter> easy_;
   std::array<char, CURL_ERROR_SIZE> error_text_{};
+  /** Why this side has ended the call. */
+  std::string refusal_;
+  std::size_t header_bytes_ = 0;
   http_result result_;
   bool headers_reported_ = false;
   int times_sent_ = 0;
+  bool needs_fresh_connection_ = false;
   bool cancelled_ = false;
   std::function<void()> on_idle_;
   core::time_point last_activity_;
--- a/src/net/io_watcher.cc
+++ b/src/net/io_watcher.cc
@@ -82,11 +82,15 @@
 
   ACE_HANDLE get_handle() const override { return descriptor_; }
   int handle_input(ACE_HANDLE /*handle*/) override {
-    if (const auto current = current_) current->OnReadable();
+    if (const auto current = current_) {
+      loop_.Guard([&] { current->OnReadable(); });
+    }
     return 0;
   }
   int handle_output(ACE_HANDLE /*handle*/) override {
-    if (const auto current = current_) current->OnWritable();
+    if (const auto current = current_) {
+      loop_.Guard([&] { current->OnWritable(); });
+    }
     return 0;
   }
   /**
--- a/src/net/timer_queue.cc
+++ b/src/net/timer_queue.cc
@@ -34,7 +34,8 @@
   return entries_.begin()->first.due;
 }
 
-void timer_queue::RunDue(core::time_point now) {
+void timer_queue::RunDue(core::time_point now,
+                         const std::function<void(const callback&)>& run) {
   // Timers that the callbacks add wait for the next turn.
   const std::uint64_t last_before = last_timer_;
   while (!entries_.empty() && entries_.begin()->first.due <= now) {
@@ -47,7 +48,7 @@
       const core::time_point next = position.due + value.period;
       Insert({next > now ? next : now + value.period, position.timer}, value);
     }
-    (*value.on_due)();
+    run(*value.on_due);
   }
 }
 
--- a/src/net/timer_queue.h
+++ b/src/net/timer_queue.h
@@ -31,8 +31,9 @@
 
   /** Due time of the earliest timer. */
   std::optional<core::time_point> NextDue() const;
-  /** Runs the timers that are due at `now`, earliest first. */
-  void RunDue(core::time_point now);
+  /** Gives the timers that are due at `now` to `run`, earliest first. */
+  void RunDue(core::time_point now,
+              const std::function<void(const callback&)>& run);
 
  private:
   struct key {
--- a/src/stream/event_splitter.cc
+++ b/src/stream/event_splitter.cc
@@ -41,18 +41,21 @@
 }
 
 void event_splitter::ReadEvent(std::string_view event) {
-  ++count_;
+  bool has_field = false;
   std::size_t start = 0;
   while (start < event.size()) {
     const std::size_t end = std::min(event.find('\n', start), event.size());
     std::string_view line = event.substr(start, end - start);
     start = end + 1;
     if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (!line.empty() && line.front() != ':') has_field = true;
     if (line.substr(0, 3) != "id:") continue;
     line.remove_prefix(3);
     if (line.substr(0, 1) == " ") line.remove_prefix(1);
     last_id_ = std::string(line);
   }
+  // Comments keep a connection open and say nothing of progress.
+  if (has_field) ++count_;
 }
 
 }  // namespace comfreyspring::stream
--- a/src/stream/event_splitter.h
+++ b/src/stream/event_splitter.h
@@ -19,7 +19,7 @@
   void DropRest() { rest_.clear(); }
   /** Id of the last whole event that has one. */
   const std::string& LastId() const { return last_id_; }
-  /** Whole events so far. */
+  /** Whole events so far; comments are none. */
   std::size_t Count() const { return count_; }
 
  private:
