--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -15,6 +15,18 @@
  * lapsed in an outage that this process did not notice.
  */
 constexpr std::size_t kMassRemovalShare = 3;
+/** A reader's pause: a change is known here in less than half of its time. */
+constexpr int kPausesPerBound = 5;
+/** A process that hears of no read reads itself, which takes some time too. */
+constexpr double kLimitShareOfBound = 0.4;
+
+read_schedule_options ScheduleFor(const follower_options& options) {
+  const auto bound = options.change_bound;
+  return {.pause = bound / kPausesPerBound,
+          .confirmation_limit = core::milliseconds(static_cast<std::int64_t>(
+              kLimitShareOfBound * static_cast<double>(bound.count()))),
+          .random_seed = options.random_seed};
+}
 
 }  // namespace
 
@@ -29,13 +41,14 @@
       listener_(listener),
       log_(log),
       random_(options.random_seed),
+      schedule_(ScheduleFor(options)),
       endpoints_(options.lapse_grace),
       retry_delay_(options.first_retry),
       last_contact_(loop.Now()) {}
 
 catalog_follower::~catalog_follower() {
   *alive_ = false;
-  loop_.Cancel(retry_timer_);
+  loop_.Cancel(read_timer_);
   loop_.Cancel(tick_timer_);
 }
 
@@ -46,11 +59,41 @@
 }
 
 void catalog_follower::Restart() {
-  loop_.Cancel(std::exchange(retry_timer_, 0));
+  loop_.Cancel(std::exchange(read_timer_, 0));
   retry_delay_ = options_.first_retry;
   ReadAll();
 }
 
+void catalog_follower::OnOtherRead(const change_batch& batch) {
+  // With a gap before the batch, an own read has to fill it.
+  if (!complete_ || batch.after > revision_ || batch.revision < revision_) {
+    return;
+  }
+  if (batch.after_outage) outage_ended_ = loop_.Now();
+  std::vector<published_change> changes;
+  for (const change_document& document : batch.documents) {
+    if (document.revision > revision_) {
+      changes.push_back(source_.Decode(document));
+    }
+  }
+  NoteMassRemoval(changes);
+  std::vector<change_document> ignored;
+  Apply(std::move(changes), "gateway", ignored);
+  revision_ = batch.revision;
+  const auto read_at = loop_.Now() - batch.age;
+  schedule_.OnConfirmed(read_at);
+  last_contact_ = std::max(last_contact_, read_at);
+}
+
+void catalog_follower::SetReaderRank(std::optional<std::size_t> rank) {
+  const bool was_reader = schedule_.IsReader();
+  schedule_.OnRank(rank);
+  if (was_reader == schedule_.IsReader()) return;
+  log_.Belief("catalog_reader").Add("reads", schedule_.IsReader());
+  // Its next read may be due earlier now.
+  if (read_timer_ != 0 && connected_) ReadWhenDue();
+}
+
 std::int64_t catalog_follower::VersionOf(const adapter_name& adapter) const {
   const auto found = versions_.find(adapter);
   return found == versions_.end() ? 0 : found->second;
@@ -91,18 +134,19 @@
     return;
   }
   OnContact();
-  revision_ = read.revision;
+  revision_ = std::max(revision_, read.revision);
   std::vector<endpoint_record> records;
-  std::vector<catalog_change> others;
-  for (catalog_change& change : read.changes) {
-    if (auto* record = std::get_if<endpoint_record>(&change)) {
+  std::vector<published_change> others;
+  for (published_change& change : read.changes) {
+    if (auto* record = std::get_if<endpoint_record>(&change.content)) {
       records.push_back(std::move(*record));
     } else {
       others.push_back(std::move(change));
     }
   }
   complete_ = true;
-  Apply(std::move(others));
+  std::vector<change_document> ignored;
+  Apply(std::move(others), "platform", ignored);
   Publish(endpoints_.OnSnapshot(records, AfterOutage(), loop_.Now()));
   ReadChanges();
 }
@@ -119,13 +163,31 @@
     return;
   }
   OnContact();
+  // What another process has told meanwhile is not applied again.
+  std::erase_if(read.changes, [&](const published_change& change) {
+    return change.revision > 0 && change.revision <= revision_;
+  });
+  change_batch batch;
+  batch.after = revision_;
   revision_ = std::max(revision_, read.revision);
+  batch.revision = revision_;
   NoteMassRemoval(read.changes);
-  Apply(std::move(read.changes));
-  retry_timer_ = loop_.Schedule(options_.watch_pause, [this] {
-    retry_timer_ = 0;
+  Apply(std::move(read.changes), "platform", batch.documents);
+  batch.after_outage = AfterOutage();
+  listener_.OnOwnRead(batch);
+  ReadWhenDue();
+}
+
+/** Reads now or when it is due; what is heard meanwhile may put it off. */
+void catalog_follower::ReadWhenDue() {
+  loop_.Cancel(std::exchange(read_timer_, 0));
+  const auto left = schedule_.NextRead() - loop_.Now();
+  if (left.count() <= 0) {
     ReadChanges();
-  });
+    return;
+  }
+  read_timer_ = loop_.Schedule(std::chrono::ceil<core::milliseconds>(left),
+                               [this] { ReadWhenDue(); });
 }
 
 void catalog_follower::OnContact() {
@@ -137,6 +199,7 @@
     connected_ = true;
   }
   last_contact_ = now;
+  schedule_.OnRead(now);
   retry_delay_ = options_.first_retry;
 }
 
@@ -156,11 +219,15 @@
   const double spread = 0.5 + random_.NextUnit();
   const core::milliseconds delay(static_cast<std::int64_t>(
       spread * static_cast<double>(retry_delay_.count())));
-  retry_delay_ = std::min(retry_delay_ * 2, options_.longest_retry);
-  retry_timer_ = loop_.Schedule(delay, [this] {
-    retry_timer_ = 0;
+  // Who does not read while all goes well hears of the platform's return.
+  const auto longest = complete_ && !schedule_.IsReader()
+                           ? schedule_.ConfirmationLimit()
+                           : options_.longest_retry;
+  retry_delay_ = std::min(retry_delay_ * 2, longest);
+  read_timer_ = loop_.Schedule(delay, [this] {
+    read_timer_ = 0;
     if (complete_) {
-      ReadChanges();
+      ReadWhenDue();
     } else {
       ReadAll();
     }
@@ -168,10 +235,10 @@
 }
 
 void catalog_follower::NoteMassRemoval(
-    const std::vector<catalog_change>& changes) {
+    const std::vector<published_change>& changes) {
   const auto removed =
       std::count_if(changes.begin(), changes.end(), [](const auto& change) {
-        return std::holds_alternative<endpoint_removed>(change);
+        return std::holds_alternative<endpoint_removed>(change.content);
       });
   if (removed < 2 || static_cast<std::size_t>(removed) * kMassRemovalShare <=
                          endpoints_.Size()) {
@@ -185,40 +252,51 @@
 
 // Views.
 
-void catalog_follower::Apply(std::vector<catalog_change> changes) {
-  const auto now = loop_.Now();
-  for (catalog_change& change : changes) {
-    std::visit(core::overloaded{
-                   [&](configuration& content) {
-                     Adopt(std::move(content), "platform");
-                   },
-                   [&](const endpoint_record& record) {
-                     Publish(endpoints_.OnRecord(record, now));
-                   },
-                   [&](const endpoint_removed& removed) {
-                     Publish(endpoints_.OnRemoved(removed.instance,
-                                                  AfterOutage(), now));
-                   },
-                   [&](const adapter_version_announced& announced) {
-                     std::int64_t& known = versions_[announced.adapter];
-                     if (announced.version <= known) return;
-                     log_.Belief("adapter_version")
-                         .Add("adapter", announced.adapter.adapter.Value())
-                         .Add("model", announced.adapter.model.Value())
-                         .Add("from", known)
-                         .Add("to", announced.version);
-                     known = announced.version;
-                   },
-                   [&](const unreadable_entry& entry) {
-                     log_.Belief("entry_unreadable")
-                         .Add("key", entry.key)
-                         .Add("reason", entry.reason);
-                   }},
-               change);
+void catalog_follower::Apply(std::vector<published_change> changes,
+                             const char* origin,
+                             std::vector<change_document>& news) {
+  for (published_change& change : changes) {
+    if (ApplyOne(change.content, origin) && !change.document.empty()) {
+      news.push_back({change.revision, std::move(change.document)});
+    }
   }
 }
 
-void catalog_follower::Adopt(configuration content, const std::string& origin) {
+bool catalog_follower::ApplyOne(catalog_change& change, const char* origin) {
+  const auto now = loop_.Now();
+  return std::visit(
+      core::overloaded{[&](configuration& content) {
+                         return Adopt(std::move(content), origin);
+                       },
+                       [&](const endpoint_record& record) {
+                         return Publish(endpoints_.OnRecord(record, now));
+                       },
+                       [&](const endpoint_removed& removed) {
+                         return Publish(endpoints_.OnRemoved(
+                             removed.instance, AfterOutage(), now));
+                       },
+                       [&](const adapter_version_announced& announced) {
+                         std::int64_t& known = versions_[announced.adapter];
+                         if (announced.version <= known) return false;
+                         log_.Belief("adapter_version")
+                             .Add("adapter", announced.adapter.adapter.Value())
+                             .Add("model", announced.adapter.model.Value())
+                             .Add("from", known)
+                             .Add("to", announced.version)
+                             .Add("origin", origin);
+                         known = announced.version;
+                         return true;
+                       },
+                       [&](const unreadable_entry& entry) {
+                         log_.Belief("entry_unreadable")
+                             .Add("key", entry.key)
+                             .Add("reason", entry.reason);
+                         return false;
+                       }},
+      change);
+}
+
+bool catalog_follower::Adopt(configuration content, const char* origin) {
   const std::int64_t current = routes_ ? routes_->Version() : 0;
   if (content.version <= current) {
     if (content.version < current) {
@@ -227,7 +305,7 @@
           .Add("in_force", current)
           .Add("origin", origin);
     }
-    return;
+    return false;
   }
   log_.Belief("configuration_adopted")
       .Add("version", content.version)
@@ -236,9 +314,10 @@
       .Add("origin", origin);
   routes_ = std::make_shared<const route_table>(std::move(content));
   listener_.OnConfiguration(routes_);
+  return true;
 }
 
-void catalog_follower::Publish(const endpoint_table::changes& changes) {
+bool catalog_follower::Publish(const endpoint_table::changes& changes) {
   for (const endpoint_change& change : changes) {
     if (change.what != endpoint_change::kind::updated) {
       log_.Belief("endpoint")
@@ -250,6 +329,7 @@
     }
     listener_.OnEndpoint(change);
   }
+  return !changes.empty();
 }
 
 }  // namespace comfreyspring::catalog
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -7,6 +7,7 @@
 
 #include "catalog/catalog_source.h"
 #include "catalog/endpoint_table.h"
+#include "catalog/read_schedule.h"
 #include "catalog/route_table.h"
 #include "core/random_source.h"
 #include "net/event_loop.h"
@@ -18,11 +19,11 @@
   /** Longest wait of one read for changes. */
   core::milliseconds watch_wait{3000};
   /**
-   * Pause between two reads for changes: heartbeats of endpoints would end
-   * each wait at once, and every read has its price. A fraction of the time
-   * in which changes must be in force.
+   * Time in which changes must be in force. Reads for changes have pauses of a
+   * fraction of it: heartbeats of endpoints would end each wait at once, and
+   * every read has its price.
    */
-  core::milliseconds watch_pause{400};
+  core::milliseconds change_bound{2000};
   /** An answer that is later than this is given up: 10 times the usual. */
   core::milliseconds read_timeout{1000};
   /** First pause after a failed read; doubles up to the longest. */
@@ -42,13 +43,16 @@
   virtual void OnConfiguration(
       const std::shared_ptr<const route_table>& table) = 0;
   virtual void OnEndpoint(const endpoint_change& change) = 0;
+  /** An own read has ended well; other processes can do without one. */
+  virtual void OnOwnRead(const change_batch& batch) = 0;
 };
 
 /**
  * Keeps the views of what the platform publishes current: reads everything,
- * then waits for changes, and starts over when history is lost. The views
- * stay in force while the platform cannot be read; a version of the
- * configuration never gives way to a lower one.
+ * then waits for changes or hears of them from other processes that read, and
+ * starts over when history is lost. The views stay in force while the platform
+ * cannot be read; a version of the configuration never gives way to a lower
+ * one.
  */
 class catalog_follower {
  public:
@@ -63,6 +67,10 @@
   void Start();
   /** The process was paused: reads that are under way may be dead. */
   void Restart();
+  /** Another process has read the catalog. */
+  void OnOtherRead(const change_batch& batch);
+  /** Place among the processes that may read; nothing if it is not known. */
+  void SetReaderRank(std::optional<std::size_t> rank);
 
   /** Null until the first configuration is known. */
   const std::shared_ptr<const route_table>& Routes() const { return routes_; }
@@ -82,10 +90,14 @@
   void OnFailure(const char* call, const catalog_read& read);
   void OnContact();
   void RetryLater();
-  void Apply(std::vector<catalog_change> changes);
-  void Adopt(configuration content, const std::string& origin);
-  void Publish(const endpoint_table::changes& changes);
-  void NoteMassRemoval(const std::vector<catalog_change>& changes);
+  void ReadWhenDue();
+  void Apply(std::vector<published_change> changes, const char* origin,
+             std::vector<change_document>& news);
+  /** @returns whether the change was news. */
+  bool ApplyOne(catalog_change& change, const char* origin);
+  bool Adopt(configuration content, const char* origin);
+  bool Publish(const endpoint_table::changes& changes);
+  void NoteMassRemoval(const std::vector<published_change>& changes);
   bool AfterOutage() const;
 
   net::event_loop& loop_;
@@ -94,6 +106,7 @@
   follower_listener& listener_;
   telemetry::event_log& log_;
   core::random_source random_;
+  read_schedule schedule_;
   std::shared_ptr<const route_table> routes_;
   endpoint_table endpoints_;
   adapter_versions versions_;
@@ -106,7 +119,8 @@
   bool connected_ = false;
   /** End of the last outage, if there was one. */
   std::optional<core::time_point> outage_ended_;
-  net::timer_id retry_timer_ = 0;
+  /** The next read; 0 while one is under way. */
+  net::timer_id read_timer_ = 0;
   net::timer_id tick_timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -23,6 +23,12 @@
     last_revision = revision;
     pending = std::move(on_done);
   }
+  published_change Decode(const change_document& document) const override {
+    return {document.revision,
+            endpoint_record{.instance = instance_id(document.text),
+                            .service = core::service_id("s")},
+            document.text};
+  }
   void Answer(catalog_read read) {
     const auto callback = std::move(pending);
     pending = nullptr;
@@ -45,8 +51,12 @@
     changes.push_back(change.record.instance.Value() + ' ' +
                       std::string(ToString(change.what)));
   }
+  void OnOwnRead(const change_batch& batch) override {
+    batches.push_back(batch);
+  }
   std::vector<std::int64_t> versions;
   std::vector<std::string> changes;
+  std::vector<change_batch> batches;
 };
 
 class catalog_follower_test : public ::testing::Test {
@@ -70,7 +80,11 @@
   }
   static catalog_read Done(std::vector<catalog_change> changes,
                            std::int64_t revision) {
-    return {read_outcome::done, std::move(changes), revision, ""};
+    catalog_read read{read_outcome::done, {}, revision, ""};
+    for (catalog_change& change : changes) {
+      read.changes.push_back({0, std::move(change), ""});
+    }
+    return read;
   }
 
   net::event_loop loop_;
@@ -84,7 +98,7 @@
   recording_listener listener_;
   catalog_follower follower_{loop_,
                              source_,
-                             {.watch_pause = milliseconds(5),
+                             {.change_bound = milliseconds(25),
                               .first_retry = milliseconds(5),
                               .longest_retry = milliseconds(20),
                               .lapse_grace = milliseconds(300),
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -30,6 +30,36 @@
     std::variant<configuration, endpoint_record, endpoint_removed,
                  adapter_version_announced, unreadable_entry>;
 
+/** A change in the form of its source, which can be passed on and decoded. */
+struct change_document {
+  /** Position in the platform's history. */
+  std::int64_t revision = 0;
+  std::string text;
+};
+/** A change with where it stands in the platform's history. */
+struct published_change {
+  /** Of a change without a revision nothing is known: it is always applied. */
+  std::int64_t revision = 0;
+  catalog_change content;
+  /** Form of the source; empty if it cannot be passed on. */
+  std::string document;
+};
+
+/**
+ * What a process has read of the catalog since `after`. Whoever knows
+ * everything up to `after` knows everything up to `revision` with it.
+ */
+struct change_batch {
+  std::int64_t after = 0;
+  std::int64_t revision = 0;
+  /** Time since the read. */
+  core::milliseconds age{0};
+  /** The platform was away until just before the read. */
+  bool after_outage = false;
+  /** What has changed but for heartbeats, oldest first. */
+  std::vector<change_document> documents;
+};
+
 /** How a read of the platform ended. */
 enum class read_outcome {
   done,
@@ -43,7 +73,7 @@
 
 struct catalog_read {
   read_outcome outcome = read_outcome::unavailable;
-  std::vector<catalog_change> changes;
+  std::vector<published_change> changes;
   /** Position in the platform's history to go on from. */
   std::int64_t revision = 0;
   /** Why there is no result, for the log. */
@@ -66,6 +96,8 @@
   virtual void ReadChanges(std::int64_t revision, core::milliseconds wait,
                            core::milliseconds timeout,
                            read_callback on_done) = 0;
+  /** Decodes a change that another process has read. */
+  virtual published_change Decode(const change_document& document) const = 0;
 };
 
 }  // namespace comfreyspring::catalog
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -2,8 +2,21 @@
 
 #include <iterator>
 #include <set>
+#include <tuple>
 
 namespace comfreyspring::catalog {
+namespace {
+
+/** Heartbeats change what an engine holds, which its agent tells better. */
+bool DiffersInUse(const endpoint_record& left, const endpoint_record& right) {
+  const auto used = [](const endpoint_record& record) {
+    return std::tie(record.service, record.address, record.data_centre,
+                    record.slots, record.leaving, record.started_unix_ms);
+  };
+  return used(left) != used(right);
+}
+
+}  // namespace
 
 std::string_view ToString(endpoint_change::kind kind) {
   switch (kind) {
@@ -58,9 +71,11 @@
   }
   const bool was_leaving = found->second.record.leaving;
   const bool had_lapsed = found->second.lapses_at.has_value();
+  const bool differs = DiffersInUse(found->second.record, record);
   found->second = {record, std::nullopt};
   if (record.leaving && !was_leaving) return {{kind::leaving, record}};
   if (had_lapsed) return {{kind::returned, record}};
+  if (!differs) return {};
   return {{kind::updated, record}};
 }
 
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -40,6 +40,7 @@
    */
   changes OnSnapshot(const std::vector<endpoint_record>& records,
                      bool after_outage, core::time_point now);
+  /** A heartbeat with nothing new but the models held is no change. */
   changes OnRecord(const endpoint_record& record, core::time_point now);
   /** @param after_outage as for OnSnapshot. */
   changes OnRemoved(const instance_id& instance, bool after_outage,
--- /dev/null
+++ b/src/catalog/read_schedule.cc
@@ -0,0 +1,42 @@
+#include "catalog/read_schedule.h"
+
+#include <algorithm>
+
+namespace comfreyspring::catalog {
+namespace {
+
+/** Longest part of the limit by which processes read one after the other. */
+constexpr double kLongestSpread = 0.5;
+
+}  // namespace
+
+read_schedule::read_schedule(read_schedule_options options)
+    : options_(options), random_(options.random_seed) {}
+
+void read_schedule::OnRank(std::optional<std::size_t> rank) { rank_ = rank; }
+
+void read_schedule::OnRead(core::time_point now) {
+  read_at_ = now;
+  OnConfirmed(now);
+}
+
+void read_schedule::OnConfirmed(core::time_point read_at) {
+  if (read_at <= confirmed_at_) return;
+  confirmed_at_ = read_at;
+  spread_ = kLongestSpread * random_.NextUnit();
+}
+
+bool read_schedule::IsReader() const {
+  return !rank_ || *rank_ < options_.readers;
+}
+
+core::time_point read_schedule::NextRead() const {
+  const auto after_pause = read_at_ + options_.pause;
+  if (IsReader()) return after_pause;
+  const core::milliseconds limit(static_cast<std::int64_t>(
+      (1.0 + spread_) *
+      static_cast<double>(options_.confirmation_limit.count())));
+  return std::max(after_pause, confirmed_at_ + limit);
+}
+
+}  // namespace comfreyspring::catalog
--- /dev/null
+++ b/src/gateway/endpoint_notices_test.cc
@@ -0,0 +1,63 @@
+#include "gateway/endpoint_notices.h"
+
+#include <gtest/gtest.h>
+
+namespace comfreyspring::gateway {
+namespace {
+
+using core::milliseconds;
+
+class endpoint_notices_test : public ::testing::Test {
+ protected:
+  static catalog::endpoint_record Record(std::int64_t started) {
+    return {.instance = catalog::instance_id("i1"),
+            .service = core::service_id("s"),
+            .started_unix_ms = started};
+  }
+
+  core::time_point now_{std::chrono::seconds(100)};
+  endpoint_notices notices_;
+};
+
+TEST_F(endpoint_notices_test, AnIncarnationThatLeavesDoesNotComeBack) {
+  EXPECT_TRUE(notices_.OnLeaving(Record(5), now_));
+  EXPECT_FALSE(notices_.OnLeaving(Record(5), now_));
+  now_ += std::chrono::seconds(60);
+  notices_.OnTick(now_);
+  EXPECT_TRUE(notices_.IsLeaving(Record(5)));
+  // The same id, started anew.
+  EXPECT_FALSE(notices_.IsLeaving(Record(9)));
+}
+
+TEST_F(endpoint_notices_test, ARefusalEndsAfterItsTimeAndAMargin) {
+  notices_.OnRefusal(Record(5), milliseconds(2000), now_);
+  EXPECT_GT(notices_.RefusesFor(Record(5), now_ + milliseconds(2000)).count(),
+            0);
+  EXPECT_EQ(notices_.RefusesFor(Record(5), now_ + milliseconds(2100)).count(),
+            0);
+}
+
+TEST_F(endpoint_notices_test, AShorterRefusalDoesNotEndALongerOne) {
+  notices_.OnRefusal(Record(5), milliseconds(2000), now_);
+  notices_.OnRefusal(Record(5), milliseconds(100), now_);
+  EXPECT_GT(notices_.RefusesFor(Record(5), now_ + milliseconds(1900)).count(),
+            0);
+}
+
+// No value shuts an endpoint out for ever, and an unreadable one counts.
+TEST_F(endpoint_notices_test, BadTimesAreBounded) {
+  notices_.OnRefusal(Record(5), milliseconds(1'000'000'000'000), now_);
+  EXPECT_EQ(
+      notices_.RefusesFor(Record(5), now_ + endpoint_notices::kLongestRefusal +
+                                         milliseconds(100)),
+      milliseconds(0));
+  notices_.OnRefusal(Record(6), std::nullopt, now_);
+  EXPECT_GT(notices_.RefusesFor(Record(6), now_ + milliseconds(900)).count(),
+            0);
+  notices_.OnRefusal(Record(7), milliseconds(-5), now_);
+  EXPECT_EQ(notices_.RefusesFor(Record(7), now_ + milliseconds(100)).count(),
+            0);
+}
+
+}  // namespace
+}  // namespace comfreyspring::gateway
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -57,7 +57,9 @@
         settings(node),
         log(event_log),
         started_at(loop.Now()),
-        follower(loop, source, {.random_seed = Seed()}, *this, log),
+        follower(loop, source,
+                 {.change_bound = settings.change_bound, .random_seed = Seed()},
+                 *this, log),
         forwarder(loop, settings, protocol, http, follower, log, metrics),
         links(loop,
               {.gateway = settings.node,
@@ -83,6 +85,7 @@
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       log.Belief("pause_noticed").Add("length_ms", length.count());
       links.OnPaused();
+      forwarder.OnPaused();
       follower.Restart();
     });
     flush_timer =
@@ -129,13 +132,25 @@
     forwarder.OnEndpoint(change);
   }
 
+  void OnOwnRead(const catalog::change_batch& batch) override {
+    links.SendToRelays(batch);
+  }
+
   // sidecar_listener.
 
   void OnSidecarLost(const std::string& ip) override {
+    follower.SetReaderRank(links.ReaderRank());
     forwarder.OnSidecarLost(ip);
   }
   void OnSidecarMessage(const std::string& ip,
                         const grants::message& value) override {
+    if (const auto* batch = std::get_if<catalog::change_batch>(&value)) {
+      follower.OnOtherRead(*batch);
+      return;
+    }
+    if (std::holds_alternative<grants::status_report>(value)) {
+      follower.SetReaderRank(links.ReaderRank());
+    }
     forwarder.OnSidecarMessage(ip, value);
   }
 
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -12,6 +12,7 @@
 #include "core/hash.h"
 #include "core/overloaded.h"
 #include "gateway/endpoint_choice.h"
+#include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
 #include "gateway/repeat_budget.h"
 #include "gateway/repeat_rules.h"
@@ -34,6 +35,8 @@
 /** Idle connections are not used in the last part of their endpoint's limit. */
 constexpr core::seconds kIdleReserve{1};
 constexpr core::seconds kDefaultIdle{4};
+/** Agents answer within milliseconds; one on a slowed VM within this. */
+constexpr core::milliseconds kAskAnswerTime{300};
 /** Engines that one request asks for a grant. */
 constexpr int kMaximumAsks = 3;
 /** No configuration or no endpoint: both come back within seconds. */
@@ -45,6 +48,14 @@
 constexpr int kPauseParts = 2;
 /** A caller that does not read loses its connection beyond this. */
 constexpr std::size_t kMaximumPendingBytes = 4 * 1024 * 1024;
+/** An answer that is gathered, not passed on; the pages' answers are small. */
+constexpr std::size_t kMaximumAnswerBytes = 4 * 1024 * 1024;
+/** All gathered answers together: a tenth of the smallest VM's memory. */
+constexpr std::size_t kMaximumGatheredBytes = 16 * 1024 * 1024;
+/** Bytes without the end of an event; an event holds a few tokens. */
+constexpr std::size_t kMaximumEventBytes = 256 * 1024;
+/** Between two clean-ups of what endpoints have asked for. */
+constexpr core::milliseconds kNoticeCheckPeriod{5000};
 /** Gateways are counted by the agents; until heard of, so many are assumed. */
 constexpr std::size_t kAssumedGateways = 32;
 
@@ -78,6 +89,8 @@
     /** Number of the current ask or grant; 0 if there is none. */
     std::uint64_t ask = 0;
     core::time_point asked_at;
+    /** The agent has the ask; it is in its queue. */
+    bool queued = false;
     /** Part of the wait for the grant that was for the adapter's load. */
     core::milliseconds load_wait{0};
     int asks = 0;
@@ -223,13 +236,27 @@
     endpoint_views result;
     follower.Endpoints().ForEachUsable(
         [&](const catalog::endpoint_record& record) {
-          if (record.service != service) return;
+          if (record.service != service || notices.IsLeaving(record)) return;
+          if (notices.RefusesFor(record, loop.Now()).count() > 0) return;
           const auto found = views.find(record.instance);
           if (found != views.end()) result.push_back(&found->second);
         });
     return result;
   }
 
+  /** When the first endpoint that turns this gateway away takes requests. */
+  std::optional<core::milliseconds> EarliestReturn(
+      const core::service_id& service) const {
+    std::optional<core::milliseconds> earliest;
+    follower.Endpoints().ForEachUsable(
+        [&](const catalog::endpoint_record& record) {
+          const auto wait = notices.RefusesFor(record, loop.Now());
+          if (record.service != service || wait.count() == 0) return;
+          earliest = std::min(earliest.value_or(wait), wait);
+        });
+    return earliest;
+  }
+
   std::size_t Gateways() const {
     std::size_t known = 0;
     for (const auto& [instance, view] : views) {
@@ -263,6 +290,10 @@
       chosen = Choose(*request);
     }
     if (chosen == nullptr) {
+      if (const auto wait = EarliestReturn(request->service)) {
+        request->retry_after = std::max(
+            request->retry_after.value_or(core::milliseconds(0)), *wait);
+      }
       GiveUp(request,
              request->refusal.empty() ? "no_endpoint" : request->refusal);
       return;
@@ -282,6 +313,7 @@
     request->state = phase::waiting;
     request->ask = ++last_ask;
     request->asked_at = now;
+    request->queued = false;
     ++request->asks;
     request->agent_ip = chosen.record.address.ip;
     asks[request->ask] = request;
@@ -323,6 +355,11 @@
     Send(request);
   }
 
+  void OnQueued(const grants::grant_queued& queued) {
+    const auto found = asks.find(queued.number);
+    if (found != asks.end()) found->second->queued = true;
+  }
+
   void OnRefused(const grants::grant_refused& refused) {
     const auto found = asks.find(refused.number);
     if (found == asks.end()) return;
@@ -380,7 +417,8 @@
     const auto now = loop.Now();
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->endpoint);
-    if (record == nullptr) {
+    if (record == nullptr || notices.IsLeaving(*record) ||
+        notices.RefusesFor(*record, now).count() > 0) {
       // It has begun to leave while the grant was on its way.
       Release(*request, false);
       request->excluded.insert(request->endpoint);
@@ -399,7 +437,7 @@
     request->last_sign = now;
     request->told_started = false;
     request->status = 0;
-    request->body.clear();
+    DropBody(*request);
     request->passes_events = false;
     ++request->attempts;
     request->used.insert(request->endpoint);
@@ -438,7 +476,7 @@
              [this, number, attempt](int status,
                                      const net::header_map& headers) {
                if (auto target = Find(number, attempt)) {
-                 OnHeaders(*target, status, headers);
+                 OnHeaders(target, status, headers);
                }
              },
          .on_data =
@@ -465,7 +503,9 @@
     return found == views.end() ? nullptr : &found->second;
   }
 
-  void OnHeaders(active& request, int status, const net::header_map& headers) {
+  void OnHeaders(const active_pointer& target, int status,
+                 const net::header_map& headers) {
+    active& request = *target;
     const auto now = loop.Now();
     request.last_sign = now;
     request.status = status;
@@ -478,18 +518,84 @@
       idle_limit = std::clamp(*request.answer.idle_timeout - kIdleReserve,
                               core::seconds(1), idle_limit);
     }
-    if (endpoint_view* view = ViewOf(request)) view->results.OnSign(now);
+    if (endpoint_view* view = ViewOf(request)) {
+      view->results.OnSign(now);
+      TakeNotices(view->record, request);
+    }
+    // What follows is of no use; the connection may hold more of it.
+    if (!request.answer.authentic && !request.answer.not_run) {
+      FailAttempt(target, request.answer.for_another
+                              ? "the answer is for another request"
+                              : "the answer is not the endpoint's");
+    }
+  }
+
+  /** What the endpoint says of itself in an answer, whichever it is. */
+  void TakeNotices(const catalog::endpoint_record& record,
+                   const active& request) {
+    const auto now = loop.Now();
+    bool turns_away = false;
+    if (request.answer.leaving && notices.OnLeaving(record, now)) {
+      log.Belief("endpoint")
+          .Add("change", "says_it_leaves")
+          .Add("instance", record.instance.Value())
+          .Add("service", record.service.Value())
+          .Add("request", request.facts.id.Value());
+      turns_away = true;
+    }
+    if (request.answer.refuses_gateway) {
+      const auto length =
+          notices.OnRefusal(record, request.answer.refusal_time, now);
+      log.Belief("endpoint_refuses")
+          .Add("instance", record.instance.Value())
+          .Add("service", record.service.Value())
+          .Add("readable", request.answer.refusal_time.has_value())
+          .Add("for_ms", length.count());
+      turns_away = true;
+    }
+    if (!turns_away) return;
+    // Not inside the library's callback, which may be of one of them.
+    loop.Post([this, instance = record.instance, still_alive = alive] {
+      if (*still_alive) LeaveEndpoint(instance);
+    });
+  }
+
+  /** Ends an attempt whose answer is of no use. */
+  void FailAttempt(const active_pointer& request, const std::string& reason) {
+    http.Cancel(std::exchange(request->call, 0));
+    OnAttemptFailed(request, attempt_failure::unknown, reason);
   }
 
   static bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
   void OnData(const active_pointer& request, std::string_view data) {
-    request->last_sign = loop.Now();
     if (!request->passes_events) {
+      request->last_sign = loop.Now();
+      if (request->body.size() + data.size() > kMaximumAnswerBytes ||
+          gathered_bytes + data.size() > kMaximumGatheredBytes) {
+        FailAttempt(request, "the answer is too large");
+        return;
+      }
       request->body.append(data);
+      gathered_bytes += data.size();
       return;
     }
-    PassEvents(request, request->events.Feed(data));
+    const std::size_t events_before = request->events.Count();
+    std::string whole = request->events.Feed(data);
+    // Bytes that complete no event are no progress.
+    if (request->events.Count() > events_before) {
+      request->last_sign = loop.Now();
+    }
+    if (request->events.Rest().size() > kMaximumEventBytes) {
+      FailAttempt(request, "an event of the answer is too large");
+      return;
+    }
+    PassEvents(request, std::move(whole));
+  }
+
+  void DropBody(active& request) {
+    gathered_bytes -= request.body.size();
+    std::string().swap(request.body);
   }
 
   void PassEvents(const active_pointer& request, std::string whole) {
@@ -578,7 +684,13 @@
     const bool missing =
         failure == attempt_failure::not_run && request->answer.misdirected;
     if (endpoint_view* view = ViewOf(*request)) {
-      view->results.OnEnded(false, now);
+      if (failure == attempt_failure::not_run &&
+          request->answer.refuses_gateway) {
+        // It has told when to return; that is no failure.
+        view->results.OnDropped();
+      } else {
+        view->results.OnEnded(false, now);
+      }
       if (missing) view->adapters.erase(request->facts.adapter);
     }
     Release(*request, missing);
@@ -635,6 +747,7 @@
   void KeepFallback(active& request) {
     request.fallback = net::http_response{
         request.status, protocol.AnswerHeaders(request.headers), request.body};
+    DropBody(request);
   }
 
   // Final answers.
@@ -654,7 +767,7 @@
     } else {
       request->exchange->Respond(
           WithClose({request->status, protocol.AnswerHeaders(request->headers),
-                     std::move(request->body)}));
+                     request->body}));
     }
     Finish(request, line_class::routine, "answered", "");
   }
@@ -740,6 +853,7 @@
     if (!cause.empty()) line.Add("cause", cause);
     if (retry_after) line.Add("retry_after_ms", retry_after->count());
     Release(*request, false);
+    DropBody(*request);
     requests.erase(request->number);
   }
 
@@ -755,6 +869,11 @@
   void Tick() {
     const auto now = loop.Now();
     ReportPauses(now);
+    CloseUnansweredLinks(now);
+    if (now - notices_checked_at >= kNoticeCheckPeriod) {
+      notices_checked_at = now;
+      notices.OnTick(now);
+    }
     std::vector<active_pointer> due;
     for (const auto& [number, request] : requests) {
       if (now >= request->limit ||
@@ -774,6 +893,25 @@
     }
   }
 
+  /** An agent that does not answer an ask at once serves nobody. */
+  void CloseUnansweredLinks(core::time_point now) {
+    std::set<std::string> unanswered;
+    for (const auto& [number, request] : asks) {
+      if (request->state == phase::waiting && !request->queued &&
+          now - request->asked_at > kAskAnswerTime) {
+        unanswered.insert(request->agent_ip);
+      }
+    }
+    for (const std::string& ip : unanswered) links->OnUnanswered(ip);
+  }
+
+  void OnPaused() {
+    for (const auto& [number, request] : requests) {
+      request->asked_at = loop.Now();
+      request->last_sign = loop.Now();
+    }
+  }
+
   /** Tells agents that streams of their engines are in a long pause. */
   void ReportPauses(core::time_point now) {
     std::set<std::string> pausing;
@@ -924,6 +1062,7 @@
   void OnSidecarMessage(const std::string& ip, const grants::message& value) {
     std::visit(
         core::overloaded{
+            [&](const grants::grant_queued& queued) { OnQueued(queued); },
             [&](const grants::grant_given& given) { OnGiven(ip, given); },
             [&](const grants::grant_refused& refused) { OnRefused(refused); },
             [&](const grants::status_report& report) { OnStatus(ip, report); },
@@ -978,6 +1117,10 @@
   std::map<std::uint64_t, active_pointer> requests;
   std::map<std::uint64_t, active_pointer> asks;
   std::map<catalog::instance_id, endpoint_view> views;
+  endpoint_notices notices;
+  core::time_point notices_checked_at;
+  /** Bytes of answers that are being gathered. */
+  std::size_t gathered_bytes = 0;
   std::set<std::string> linked;
   std::map<core::service_id, repeat_budget> budgets;
   std::uint64_t last_number = 0;
@@ -1020,6 +1163,8 @@
   impl_->UpdateLinks();
 }
 
+void request_forwarder::OnPaused() { impl_->OnPaused(); }
+
 void request_forwarder::OnSidecarLost(const std::string& ip) {
   impl_->OnSidecarLost(ip);
 }
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -49,6 +49,8 @@
   void OnEndpoint(const catalog::endpoint_change& change);
   void OnConfiguration(
       const std::shared_ptr<const catalog::route_table>& table);
+  /** The process was paused: what it waits for may have come meanwhile. */
+  void OnPaused();
   void OnSidecarLost(const std::string& ip);
   void OnSidecarMessage(const std::string& ip, const grants::message& value);
 
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,13 @@
     facts.authentic = echoed != headers.end() && echoed->second == id.Value();
     facts.not_run = headers.count("not-run") > 0;
     facts.misdirected = status == 421;
+    facts.for_another = echoed != headers.end() && !facts.authentic;
+    facts.leaving = headers.count("leaving") > 0;
+    const auto refusal = headers.find("refuses-ms");
+    facts.refuses_gateway = refusal != headers.end();
+    if (facts.refuses_gateway) {
+      facts.refusal_time = milliseconds(std::stoi(refusal->second));
+    }
     return facts;
   }
   net::header_map AnswerHeaders(const net::header_map& headers) const override {
@@ -140,6 +148,10 @@
                    read_callback on_done) override {
     pending = std::move(on_done);
   }
+  catalog::published_change Decode(
+      const catalog::change_document& document) const override {
+    return {document.revision, catalog::unreadable_entry{}, document.text};
+  }
   catalog::catalog_read first;
   read_callback pending;
 };
@@ -160,19 +172,16 @@
           {.streams = true, .resumable = true, .maximum_endpoints = 2});
     configuration_.version = 3;
     configuration_.services.push_back({.id = core::service_id("plain")});
-    // Made in place: moving the variant is a false positive of g++ 12
-    // (-Wmaybe-uninitialized).
     source_.first.changes.reserve(8);
-    source_.first.changes.emplace_back(
-        std::in_place_type<catalog::configuration>, configuration_);
+    // Assigned in place: moving the variant is a false positive of g++ 12
+    // (-Wmaybe-uninitialized).
+    source_.first.changes.emplace_back().content = configuration_;
     for (const char* name : {"p1", "p2", "p3"}) {
-      const catalog::endpoint_record record{
+      source_.first.changes.emplace_back().content = catalog::endpoint_record{
           .instance = catalog::instance_id(name),
           .service = core::service_id("plain"),
           .address = {std::string("10.0.0.") + name[1], 80},
           .slots = 6};
-      source_.first.changes.emplace_back(
-          std::in_place_type<catalog::endpoint_record>, record);
     }
     forwarder_.SetLinks(links_);
     follower_.Start();
@@ -211,6 +220,7 @@
   void OnEndpoint(const catalog::endpoint_change& change) override {
     forwarder_.OnEndpoint(change);
   }
+  void OnOwnRead(const catalog::change_batch&) override {}
   void OnSidecarLost(const std::string&) override {}
   void OnSidecarMessage(const std::string&, const grants::message&) override {}
 
@@ -356,6 +366,171 @@
   EXPECT_EQ(caller->answers, 1);
 }
 
+// The answer for another request may be followed by the one that is due: a
+// connection on which that happens is not used again.
+TEST_F(request_forwarder_test, AnotherRequestsAnswerEndsItsConnection) {
+  Send("/once/a");
+  http_.Headers(200, {{"id", "other"}});
+  EXPECT_TRUE(http_.calls[0].cancelled);
+}
+
+// The belief is the gateway's own: the platform still lists the endpoint.
+TEST_F(request_forwarder_test, AnEndpointThatSaysItLeavesGetsNothingNew) {
+  const auto first = Send("/once/a");
+  const std::string left = InstanceOf(0);
+  auto headers = Own();
+  headers["leaving"] = "1";
+  http_.Answer(200, headers, "x");
+  EXPECT_EQ(first->response.status, 200);
+  for (int i = 0; i < 20; ++i) {
+    Send("/again/a");
+    EXPECT_NE(InstanceOf(http_.calls.size() - 1), left);
+    http_.Answer(200, Own(), "x");
+  }
+}
+
+TEST_F(request_forwarder_test, WhatRunsAtALeavingEndpointGoesOn) {
+  std::vector<std::shared_ptr<fake_exchange>> callers;
+  for (int i = 0; i < 6; ++i) callers.push_back(Send("/stream/a"));
+  for (std::size_t call = 0; call < 6; ++call) {
+    auto headers = Own();
+    headers["leaving"] = "1";
+    const auto on_headers = http_.calls[call].callbacks.on_headers;
+    on_headers(200, headers);
+  }
+  loop_.RunUntil([] { return false; }, milliseconds(50));
+  for (std::size_t call = 0; call < 6; ++call) {
+    EXPECT_FALSE(http_.calls[call].cancelled);
+    const auto on_data = http_.calls[call].callbacks.on_data;
+    on_data("id: 1\n\n");
+    const auto on_done = http_.calls[call].callbacks.on_done;
+    on_done({});
+    EXPECT_TRUE(callers[call]->ended);
+  }
+  // All endpoints leave: the next request is refused at once.
+  EXPECT_EQ(Send("/stream/a")->response.status, 503);
+}
+
+TEST_F(request_forwarder_test, AnEndpointThatRefusesGetsNothingForSoLong) {
+  const auto first = Send("/once/a");
+  const std::string refusing = InstanceOf(0);
+  http_.Answer(503, {{"not-run", "1"}, {"refuses-ms", "300"}});
+  EXPECT_EQ(first->response.status, 503);
+  for (int i = 0; i < 20; ++i) {
+    Send("/again/a");
+    EXPECT_NE(InstanceOf(http_.calls.size() - 1), refusing);
+    http_.Answer(200, Own(), "x");
+  }
+  loop_.RunUntil([] { return false; }, milliseconds(400));
+  std::set<std::string> used;
+  for (int i = 0; i < 40; ++i) {
+    Send("/again/a");
+    used.insert(InstanceOf(http_.calls.size() - 1));
+    http_.Answer(200, Own(), "x");
+  }
+  EXPECT_EQ(used.count(refusing), 1U);
+}
+
+// All endpoints have said so: the caller hears of the earliest return.
+TEST_F(request_forwarder_test, WithAllEndpointsRefusingTheEarliestTimeIsTold) {
+  for (const char* time : {"900", "400", "700"}) {
+    Send("/once/a");
+    http_.Answer(503, {{"not-run", "1"}, {"refuses-ms", time}});
+  }
+  const std::size_t calls = http_.calls.size();
+  const auto caller = Send("/again/a");
+  EXPECT_EQ(http_.calls.size(), calls);
+  EXPECT_EQ(caller->response.status, 503);
+  const int retry = std::stoi(caller->response.headers.at("retry"));
+  EXPECT_GT(retry, 300);
+  EXPECT_LE(retry, 450);
+}
+
+TEST_F(request_forwarder_test, AnAnswerWithoutEndIsEnded) {
+  const auto caller = Send("/once/a");
+  http_.Headers(200, Own());
+  const std::string piece(1024 * 1024, 'x');
+  for (int i = 0; i < 64 && !http_.calls[0].cancelled; ++i) http_.Data(piece);
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  EXPECT_EQ(caller->response.status, 502);
+}
+
+// Many at once: their bound is common, and all that was held is free after.
+TEST_F(request_forwarder_test, ManyAnswersWithoutEndHoldABoundedMemory) {
+  std::vector<std::shared_ptr<fake_exchange>> callers;
+  for (int i = 0; i < 40; ++i) callers.push_back(Send("/once/a"));
+  const std::string piece(1024 * 1024, 'x');
+  std::size_t held = 0;
+  for (std::size_t call = 0; call < 40; ++call) {
+    const auto on_headers = http_.calls[call].callbacks.on_headers;
+    on_headers(200, Own());
+    const auto on_data = http_.calls[call].callbacks.on_data;
+    for (int i = 0; i < 4 && !http_.calls[call].cancelled; ++i) {
+      on_data(piece);
+      if (!http_.calls[call].cancelled) held += piece.size();
+    }
+  }
+  EXPECT_LE(held, 16U * 1024 * 1024);
+  for (std::size_t call = 0; call < 40; ++call) {
+    if (http_.calls[call].cancelled) continue;
+    const auto on_done = http_.calls[call].callbacks.on_done;
+    on_done({.failure = net::http_failure::broken});
+  }
+  const auto caller = Send("/once/a");
+  http_.Answer(200, Own(), piece);
+  EXPECT_EQ(caller->response.status, 200);
+}
+
+TEST_F(request_forwarder_test, AnEventWithoutEndIsEnded) {
+  const auto caller = Send("/stream/a");
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  const std::string piece(64 * 1024, 'x');
+  for (int i = 0; i < 64 && !http_.calls[0].cancelled; ++i) http_.Data(piece);
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  EXPECT_TRUE(caller->aborted);
+  EXPECT_EQ(caller->written, "id: 1\n\n");
+}
+
+// A byte now and then is no progress; whole events are, however slow.
+TEST_F(request_forwarder_test, AStreamThatOnlyDripsBytesGoesOnElsewhere) {
+  Send("/resume/a");
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  const auto on_data = http_.calls[0].callbacks.on_data;
+  const auto drip = loop_.SchedulePeriodic(milliseconds(100), [&] {
+    if (!http_.calls[0].cancelled) on_data(":\n\n:");
+  });
+  EXPECT_TRUE(loop_.RunUntil([&] { return http_.calls.size() == 2; },
+                             milliseconds(3000)));
+  loop_.Cancel(drip);
+  EXPECT_TRUE(http_.calls[0].cancelled);
+}
+
+TEST_F(request_forwarder_test, ASlowStreamOfWholeEventsIsNotCut) {
+  const auto caller = Send("/resume/a");
+  http_.Headers(200, Own());
+  int event = 0;
+  const auto on_data = http_.calls[0].callbacks.on_data;
+  const auto slow = loop_.SchedulePeriodic(milliseconds(700), [&] {
+    on_data("id: " + std::to_string(++event) + "\n\n");
+  });
+  loop_.RunUntil([&] { return event == 5; }, milliseconds(4500));
+  loop_.Cancel(slow);
+  EXPECT_EQ(http_.calls.size(), 1U);
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  EXPECT_FALSE(caller->aborted);
+}
+
+// The gateway itself was paused: the endpoint has not been silent.
+TEST_F(request_forwarder_test, AnOwnPauseIsNoSilenceOfTheEndpoint) {
+  Send("/again/a");
+  loop_.RunUntil([] { return false; }, milliseconds(250));
+  forwarder_.OnPaused();
+  loop_.RunUntil([] { return false; }, milliseconds(150));
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
 TEST_F(request_forwarder_test, CancelsWhenTheCallerLeaves) {
   const auto caller = Send("/stream/a");
   caller->gone();
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -4,7 +4,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/error.h"
+#include "core/hash.h"
 
 namespace comfreyspring::gateway {
 namespace {
@@ -50,6 +50,7 @@
   if (found == peers_.end()) return;
   if (found->second.link) found->second.link->Close();
   peers_.erase(found);
+  ChooseRelays();
 }
 
 bool sidecar_links::IsOpen(const std::string& ip) const {
@@ -69,6 +70,40 @@
   return found->second.link->Send(grants::Encode(value));
 }
 
+void sidecar_links::SendToRelays(const grants::message& value) {
+  const std::string frame = grants::Encode(value);
+  for (const std::string& ip : relays_) peers_.at(ip).link->Send(frame);
+}
+
+std::optional<std::size_t> sidecar_links::ReaderRank() const {
+  std::optional<std::size_t> rank;
+  for (const std::string& ip : relays_) {
+    // An agent that has just started knows few gateways: the highest counts.
+    const std::size_t told = peers_.at(ip).reader_rank;
+    rank = std::max(rank.value_or(0), told);
+  }
+  return rank;
+}
+
+void sidecar_links::ChooseRelays() {
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  for (const auto& [ip, target] : peers_) {
+    if (target.open) order.emplace_back(core::Hash64(ip), ip);
+  }
+  const std::size_t count = std::min(options_.relays, order.size());
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(count),
+                    order.end());
+  relays_.clear();
+  for (std::size_t i = 0; i < count; ++i) relays_.push_back(order[i].second);
+}
+
+void sidecar_links::OnUnanswered(const std::string& ip) {
+  const auto found = peers_.find(ip);
+  if (found == peers_.end() || !found->second.open) return;
+  Lose(ip, found->second, "does not answer");
+}
+
 void sidecar_links::OnPaused() {
   // Their time starts now; what was sent meanwhile is still to be read.
   for (auto& [ip, target] : peers_) target.heard_at = loop_.Now();
@@ -89,6 +124,8 @@
     if (opened == nullptr) return;
     opened->open = true;
     opened->heard_at = loop_.Now();
+    opened->silence = options_.silence;
+    ChooseRelays();
     log_.Dependency("sidecar " + ip, "regained");
     SendHello(*opened);
   };
@@ -122,14 +159,26 @@
                         (0.5 + random_.NextUnit()) *
                         static_cast<double>(options_.reconnect.count())));
   if (!was_open) return;
+  ChooseRelays();
   log_.Dependency("sidecar " + ip, "lost").Add("reason", reason);
   listener_.OnSidecarLost(ip);
 }
 
 void sidecar_links::Receive(const std::string& ip, std::string_view frame) {
   try {
-    listener_.OnSidecarMessage(ip, grants::Decode(frame));
-  } catch (const core::error& failure) {
+    const grants::message value = grants::Decode(frame);
+    if (const auto* report = std::get_if<grants::status_report>(&value)) {
+      peer& sender = peers_.at(ip);
+      sender.silence = std::max(options_.silence,
+                                report->next_in * options_.statuses_of_silence);
+      sender.reader_rank = report->reader_rank;
+    } else if (std::holds_alternative<grants::grant_queued>(value)) {
+      // From now on it reports often.
+      peers_.at(ip).silence = options_.silence;
+    }
+    listener_.OnSidecarMessage(ip, value);
+  } catch (const std::exception& failure) {
+    // Whatever a message has led to, it must not end the process.
     log_.Belief("message_unreadable")
         .Add("sidecar", ip)
         .Add("reason", failure.what());
@@ -138,12 +187,19 @@
 
 void sidecar_links::SendHello(peer& target) {
   target.hello_at = loop_.Now();
-  target.link->Send(
-      grants::Encode(grants::gateway_hello{options_.gateway, target.facts}));
+  target.link->Send(grants::Encode(
+      grants::gateway_hello{options_.gateway, target.facts, HelloPeriod()}));
+}
+
+core::milliseconds sidecar_links::HelloPeriod() const {
+  return std::clamp(
+      options_.hello_period_per_link * static_cast<int>(peers_.size()),
+      options_.hello_period, options_.longest_hello_period);
 }
 
 void sidecar_links::Tick() {
   const auto now = loop_.Now();
+  const auto hello_period = HelloPeriod();
   std::vector<std::string> addresses;
   for (const auto& [ip, target] : peers_) addresses.push_back(ip);
   for (const std::string& ip : addresses) {
@@ -151,9 +207,9 @@
     if (found == peers_.end()) continue;
     peer& target = found->second;
     if (target.open) {
-      if (now - target.heard_at > options_.silence) {
+      if (now - target.heard_at > target.silence) {
         Lose(ip, target, "silent");
-      } else if (now - target.hello_at >= options_.hello_period) {
+      } else if (now - target.hello_at >= hello_period) {
         SendHello(target);
       }
     } else if (!target.link && now >= target.retry_at) {
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "catalog/endpoint_record.h"
 #include "core/ids.h"
@@ -23,10 +25,18 @@
   core::milliseconds connect_timeout{400};
   /** Pause before a new attempt to connect. */
   core::milliseconds reconnect{200};
-  /** An agent that is silent for longer is taken as lost. */
+  /**
+   * An agent that is silent for longer, or for so many times what it has
+   * announced, is taken as lost.
+   */
   core::milliseconds silence{600};
-  /** Own sign of life. */
+  int statuses_of_silence = 3;
+  /** Own sign of life; less often with many agents, about 80 a second. */
   core::milliseconds hello_period{1000};
+  core::milliseconds hello_period_per_link{12};
+  core::milliseconds longest_hello_period{3000};
+  /** Agents that pass on what gateways have read of the catalog. */
+  std::size_t relays = 3;
   std::uint64_t random_seed = 1;
 };
 
@@ -58,6 +68,15 @@
   std::size_t WantedCount() const { return peers_.size(); }
   /** @returns false if there is no open link. */
   bool Send(const std::string& ip, const grants::message& value);
+  /** Sends to the agents that pass it on to all gateways. */
+  void SendToRelays(const grants::message& value);
+  /**
+   * Place among the gateways that read the catalog; nothing while no relay
+   * has told it.
+   */
+  std::optional<std::size_t> ReaderRank() const;
+  /** The agent has not answered a message: the link is closed. */
+  void OnUnanswered(const std::string& ip);
   /** All links may be dead after a pause: they must be heard again. */
   void OnPaused();
 
@@ -69,6 +88,9 @@
     core::time_point heard_at;
     core::time_point hello_at;
     core::time_point retry_at;
+    /** Longest silence, after what the agent has announced. */
+    core::milliseconds silence{0};
+    std::size_t reader_rank = 0;
     /** Callbacks of earlier links are ignored. */
     std::uint64_t generation = 0;
   };
@@ -78,6 +100,8 @@
   void Receive(const std::string& ip, std::string_view frame);
   void Tick();
   void SendHello(peer& target);
+  core::milliseconds HelloPeriod() const;
+  void ChooseRelays();
 
   net::event_loop& loop_;
   sidecar_link_options options_;
@@ -85,6 +109,8 @@
   telemetry::event_log& log_;
   core::random_source random_;
   std::map<std::string, peer> peers_;
+  /** Every gateway finds the same, as far as it has the same links. */
+  std::vector<std::string> relays_;
   net::timer_id tick_timer_ = 0;
 };
 
--- a/src/gateway/traffic_protocol.h
+++ b/src/gateway/traffic_protocol.h
@@ -51,6 +51,14 @@
   bool misdirected = false;
   /** Made by the endpoint for this very request, and not re-encoded. */
   bool authentic = false;
+  /** Made by the endpoint for another request: it came late, or twice. */
+  bool for_another = false;
+  /** The endpoint leaves, and takes no new requests before long. */
+  bool leaving = false;
+  /** The endpoint wants nothing from this gateway for a time ... */
+  bool refuses_gateway = false;
+  /** ... of this length, if it has given one that can be read. */
+  std::optional<core::milliseconds> refusal_time;
   /** Idle time after which the endpoint closes the connection. */
   std::optional<core::seconds> idle_timeout;
 };
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -81,7 +81,7 @@
     refuse_for(refusal_reason::stopping, core::milliseconds(0));
     return out;
   }
-  if (!IsServing(now)) {
+  if (!IsServing(now) || state_->leaving) {
     refuse_for(refusal_reason::engine_down, kEngineReturn);
     return out;
   }
@@ -639,9 +639,15 @@
 
 // State.
 
+std::set<std::uint64_t> grant_scheduler::LinksThatWait() const {
+  std::set<std::uint64_t> links;
+  for (const auto& [key, wanted] : waiting_) links.insert(key.link);
+  return links;
+}
+
 engine_status grant_scheduler::Status(core::time_point now) const {
   engine_status status;
-  status.serving = IsServing(now) && !stopping_;
+  status.serving = IsServing(now) && !state_->leaving && !stopping_;
   status.running = running_.size();
   status.waiting = waiting_.size();
   status.batch_slots = facts_.batch_slots;
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -113,6 +113,9 @@
   engine_status Status(core::time_point now) const;
   std::size_t Running() const { return running_.size(); }
   std::size_t Waiting() const { return waiting_.size(); }
+  bool IsWaiting(const ask_key& key) const { return waiting_.count(key) > 0; }
+  /** Links of gateways whose requests wait. */
+  std::set<std::uint64_t> LinksThatWait() const;
   const slot_table& Slots() const { return slots_; }
   core::milliseconds LoadTime() const { return load_time_.Value(); }
   core::milliseconds RunTime() const { return run_time_.Value(); }
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -69,6 +69,8 @@
   std::int64_t running = 0;
   std::int64_t queued = 0;
   std::int64_t cache_used = 0;
+  /** It finishes what runs and takes no new requests before long. */
+  bool leaving = false;
 };
 
 /** An order to the engine. */
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -1,8 +1,8 @@
 #include "grants/messages.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
-#include <vector>
 
 #include "core/error.h"
 #include "core/overloaded.h"
@@ -12,185 +12,405 @@
 
 using nlohmann::json;
 
-json ToJson(const catalog::adapter_name& name) {
-  return json::array({name.model.Value(), name.adapter.Value()});
-}
+/** First field of each message; the numbers are part of the protocol. */
+enum class message_kind : std::int64_t {
+  hello = 1,
+  wanted = 2,
+  withdrawn = 3,
+  started = 4,
+  ended = 5,
+  pause = 6,
+  given = 7,
+  refused = 8,
+  status = 9,
+  queued = 10,
+  catalog = 11,
+};
+
+// Encoding.
+
+class field_writer {
+ public:
+  explicit field_writer(message_kind kind) {
+    Add(static_cast<std::int64_t>(kind));
+  }
 
-catalog::adapter_name AdapterFrom(const json& value) {
-  return {core::model_id(value.at(0).get<std::string>()),
-          core::adapter_id(value.at(1).get<std::string>())};
+  field_writer& Add(std::int64_t value) {
+    fields_.emplace_back(value);
+    return *this;
+  }
+  field_writer& Add(std::uint64_t value) {
+    fields_.emplace_back(value);
+    return *this;
+  }
+  field_writer& Add(int value) { return Add(std::int64_t{value}); }
+  field_writer& Add(bool value) {
+    fields_.emplace_back(value);
+    return *this;
+  }
+  field_writer& Add(core::milliseconds value) { return Add(value.count()); }
+  field_writer& Add(const std::string& value) {
+    fields_.emplace_back(value);
+    return *this;
+  }
+  field_writer& Add(const catalog::adapter_name& name) {
+    return Add(name.model.Value()).Add(name.adapter.Value());
+  }
+
+  std::string Finish() {
+    std::string frame;
+    json::to_cbor(json(std::move(fields_)), frame);
+    return frame;
+  }
+
+ private:
+  json::array_t fields_;
+};
+
+std::string EncodeHello(const gateway_hello& hello) {
+  field_writer out(message_kind::hello);
+  out.Add(hello.gateway.Value())
+      .Add(hello.next_in)
+      .Add(hello.facts.batch_slots)
+      .Add(hello.facts.adapter_slots)
+      .Add(hello.facts.cache_tokens)
+      .Add(hello.facts.models.size());
+  for (const auto& model : hello.facts.models) out.Add(model.Value());
+  return out.Finish();
 }
 
-core::milliseconds Time(const json& fields, const char* name) {
-  return core::milliseconds(fields.at(name).get<std::int64_t>());
+std::string EncodeStatus(const status_report& report) {
+  const engine_status& status = report.status;
+  field_writer out(message_kind::status);
+  out.Add(status.serving)
+      .Add(status.running)
+      .Add(status.waiting)
+      .Add(status.batch_slots)
+      .Add(status.free_adapter_slots)
+      .Add(status.loads_waiting)
+      .Add(status.reading_wait)
+      .Add(status.gateways)
+      .Add(status.adapters_revision)
+      .Add(report.next_in)
+      .Add(report.reader_rank)
+      .Add(report.has_adapters);
+  if (report.has_adapters) {
+    out.Add(status.adapters.size());
+    for (const auto& name : status.adapters) out.Add(name);
+  }
+  return out.Finish();
 }
 
-json ToJson(const engine_status& status, bool with_adapters) {
-  json fields = {{"type", "status"},
-                 {"serving", status.serving},
-                 {"running", status.running},
-                 {"waiting", status.waiting},
-                 {"batch", status.batch_slots},
-                 {"free", status.free_adapter_slots},
-                 {"loads", status.loads_waiting},
-                 {"reading_wait", status.reading_wait.count()},
-                 {"gateways", status.gateways},
-                 {"revision", status.adapters_revision}};
-  if (with_adapters) {
-    json& adapters = fields["adapters"] = json::array();
-    for (const auto& name : status.adapters) adapters.push_back(ToJson(name));
-  }
-  return fields;
+std::string EncodeBatch(const change_batch& batch) {
+  field_writer out(message_kind::catalog);
+  out.Add(batch.after)
+      .Add(batch.revision)
+      .Add(batch.age)
+      .Add(batch.after_outage)
+      .Add(batch.documents.size());
+  for (const catalog::change_document& document : batch.documents) {
+    out.Add(document.revision).Add(document.text);
+  }
+  return out.Finish();
 }
 
-status_report StatusFrom(const json& fields) {
-  status_report report;
-  engine_status& status = report.status;
-  status.serving = fields.at("serving").get<bool>();
-  status.running = fields.at("running").get<std::size_t>();
-  status.waiting = fields.at("waiting").get<std::size_t>();
-  status.batch_slots = fields.at("batch").get<std::size_t>();
-  status.free_adapter_slots = fields.at("free").get<std::size_t>();
-  status.loads_waiting = fields.at("loads").get<std::size_t>();
-  status.reading_wait = Time(fields, "reading_wait");
-  status.gateways = fields.at("gateways").get<std::size_t>();
-  status.adapters_revision = fields.at("revision").get<std::uint64_t>();
-  const auto adapters = fields.find("adapters");
-  if (adapters != fields.end()) {
-    report.has_adapters = true;
-    for (const json& name : *adapters) {
-      status.adapters.push_back(AdapterFrom(name));
+// Decoding.
+
+/** A field of a flat array. */
+struct field {
+  enum class kind { integer, boolean, text };
+  kind what = kind::integer;
+  std::int64_t integer = 0;
+  std::string text;
+};
+
+/** Collects the fields without a tree of values; no other form is accepted. */
+class field_collector : public json::json_sax_t {
+ public:
+  std::vector<field> fields;
+  std::string error;
+
+  bool null() override { return Reject("null"); }
+  bool boolean(bool value) override {
+    return Take({field::kind::boolean, value ? 1 : 0, {}});
+  }
+  bool number_integer(number_integer_t value) override {
+    return Take({field::kind::integer, value, {}});
+  }
+  bool number_unsigned(number_unsigned_t value) override {
+    if (value >
+        static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())) {
+      return Reject("a number out of range");
     }
+    return Take({field::kind::integer, static_cast<std::int64_t>(value), {}});
+  }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return Reject("a fraction");
+  }
+  bool string(string_t& value) override {
+    return Take({field::kind::text, 0, std::move(value)});
+  }
+  bool binary(binary_t& /*value*/) override { return Reject("bytes"); }
+  bool start_object(std::size_t /*size*/) override { return Reject("a map"); }
+  bool key(string_t& /*value*/) override { return Reject("a key"); }
+  bool end_object() override { return Reject("a map"); }
+  bool start_array(std::size_t /*size*/) override {
+    if (begun_) return Reject("a nested array");
+    begun_ = true;
+    return true;
+  }
+  bool end_array() override { return true; }
+  bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& failure) override {
+    return Reject(failure.what());
   }
-  return report;
-}
 
-json ToJson(const gateway_hello& hello) {
-  json models = json::array();
-  for (const auto& model : hello.facts.models) models.push_back(model.Value());
-  return {{"type", "hello"},
-          {"gateway", hello.gateway.Value()},
-          {"batch", hello.facts.batch_slots},
-          {"slots", hello.facts.adapter_slots},
-          {"cache", hello.facts.cache_tokens},
-          {"models", std::move(models)}};
-}
+ private:
+  bool Take(field value) {
+    if (!begun_) return Reject("a value outside of an array");
+    fields.push_back(std::move(value));
+    return true;
+  }
+  bool Reject(const std::string& reason) {
+    if (error.empty()) error = reason;
+    return false;
+  }
+
+  bool begun_ = false;
+};
+
+/** Takes fields in order. @throws core::invalid_value_error */
+class field_reader {
+ public:
+  explicit field_reader(std::vector<field>& fields) : fields_(fields) {}
+
+  std::int64_t Integer() { return Next(field::kind::integer).integer; }
+  bool Boolean() { return Next(field::kind::boolean).integer != 0; }
+  std::string Text() { return std::move(Next(field::kind::text).text); }
+  std::size_t Size() {
+    const std::int64_t value = Integer();
+    if (value < 0) throw core::invalid_value_error("a negative size");
+    return static_cast<std::size_t>(value);
+  }
+  core::milliseconds Time() { return core::milliseconds(Integer()); }
+  catalog::adapter_name Adapter() {
+    std::string model = Text();
+    return {core::model_id(std::move(model)), core::adapter_id(Text())};
+  }
+  /** Length of a list whose items take `width` fields each. */
+  std::size_t Length(std::size_t width) {
+    const std::size_t length = Size();
+    if (length > (fields_.size() - next_) / width) {
+      throw core::invalid_value_error("a list that is cut short");
+    }
+    return length;
+  }
 
-gateway_hello HelloFrom(const json& fields) {
+ private:
+  field& Next(field::kind wanted) {
+    if (next_ >= fields_.size()) {
+      throw core::invalid_value_error("a message that is cut short");
+    }
+    field& result = fields_[next_++];
+    if (result.what != wanted) {
+      throw core::invalid_value_error("field " + std::to_string(next_ - 1) +
+                                      " is of another type");
+    }
+    return result;
+  }
+
+  std::vector<field>& fields_;
+  std::size_t next_ = 0;
+};
+
+gateway_hello ReadHello(field_reader& in) {
   gateway_hello hello;
-  hello.gateway = core::process_id(fields.at("gateway").get<std::string>());
-  hello.facts.batch_slots = fields.at("batch").get<std::size_t>();
-  hello.facts.adapter_slots = fields.at("slots").get<std::size_t>();
-  hello.facts.cache_tokens = fields.at("cache").get<std::int64_t>();
-  for (const json& model : fields.at("models")) {
-    hello.facts.models.emplace_back(model.get<std::string>());
+  hello.gateway = core::process_id(in.Text());
+  hello.next_in = in.Time();
+  hello.facts.batch_slots = in.Size();
+  hello.facts.adapter_slots = in.Size();
+  hello.facts.cache_tokens = in.Integer();
+  for (std::size_t left = in.Length(1); left > 0; --left) {
+    hello.facts.models.emplace_back(in.Text());
   }
   return hello;
 }
 
-grant_wanted WantedFrom(const json& fields) {
+grant_wanted ReadWanted(field_reader& in) {
   grant_wanted wanted;
-  wanted.number = fields.at("number").get<std::uint64_t>();
-  wanted.request = fields.at("request").get<std::string>();
-  wanted.adapter = AdapterFrom(fields.at("adapter"));
-  wanted.minimum_version = fields.at("version").get<std::int64_t>();
-  wanted.rank = fields.at("rank").get<int>();
-  wanted.prompt_tokens = fields.at("prompt").get<std::int64_t>();
-  wanted.output_tokens = fields.at("output").get<std::int64_t>();
-  wanted.event_gap = Time(fields, "gap");
-  wanted.goal_in = Time(fields, "goal");
-  wanted.give_up_in = Time(fields, "give_up");
+  wanted.number = in.Size();
+  wanted.request = in.Text();
+  wanted.adapter = in.Adapter();
+  wanted.minimum_version = in.Integer();
+  wanted.rank = static_cast<int>(in.Integer());
+  wanted.prompt_tokens = in.Integer();
+  wanted.output_tokens = in.Integer();
+  wanted.event_gap = in.Time();
+  wanted.goal_in = in.Time();
+  wanted.give_up_in = in.Time();
   return wanted;
 }
 
-message FromJson(const json& fields) {
-  const auto type = fields.at("type").get<std::string>();
-  if (type == "status") return StatusFrom(fields);
-  if (type == "hello") return HelloFrom(fields);
-  if (type == "pause") return streams_pause{};
-  const auto number = fields.at("number").get<std::uint64_t>();
-  if (type == "wanted") return WantedFrom(fields);
-  if (type == "withdrawn") return grant_withdrawn{number};
-  if (type == "started") return run_started{number};
-  if (type == "ended") {
-    return run_ended{number, fields.at("missing").get<bool>()};
-  }
-  if (type == "given") {
-    return grant_given{number, fields.at("version").get<std::int64_t>(),
-                       Time(fields, "load_wait")};
-  }
-  if (type == "refused") {
-    const auto reason =
-        ParseRefusalReason(fields.at("reason").get<std::string>());
-    if (!reason) throw core::invalid_value_error("unknown refusal reason");
-    return grant_refused{number, *reason, Time(fields, "retry_after"),
-                         Time(fields, "expected_wait")};
-  }
-  throw core::invalid_value_error("message of unknown type " + type);
+grant_refused ReadRefused(field_reader& in) {
+  grant_refused refused;
+  refused.number = in.Size();
+  const std::string reason = in.Text();
+  const auto known = ParseRefusalReason(reason);
+  if (!known) {
+    throw core::invalid_value_error("unknown refusal reason " + reason);
+  }
+  refused.reason = *known;
+  refused.retry_after = in.Time();
+  refused.expected_wait = in.Time();
+  return refused;
+}
+
+status_report ReadStatus(field_reader& in) {
+  status_report report;
+  engine_status& status = report.status;
+  status.serving = in.Boolean();
+  status.running = in.Size();
+  status.waiting = in.Size();
+  status.batch_slots = in.Size();
+  status.free_adapter_slots = in.Size();
+  status.loads_waiting = in.Size();
+  status.reading_wait = in.Time();
+  status.gateways = in.Size();
+  status.adapters_revision = in.Size();
+  report.next_in = in.Time();
+  report.reader_rank = in.Size();
+  report.has_adapters = in.Boolean();
+  if (report.has_adapters) {
+    for (std::size_t left = in.Length(2); left > 0; --left) {
+      status.adapters.push_back(in.Adapter());
+    }
+  }
+  return report;
+}
+
+change_batch ReadBatch(field_reader& in) {
+  change_batch batch;
+  batch.after = in.Integer();
+  batch.revision = in.Integer();
+  batch.age = in.Time();
+  batch.after_outage = in.Boolean();
+  for (std::size_t left = in.Length(2); left > 0; --left) {
+    const std::int64_t revision = in.Integer();
+    batch.documents.push_back({revision, in.Text()});
+  }
+  return batch;
+}
+
+message ReadMessage(field_reader& in) {
+  const std::int64_t kind = in.Integer();
+  switch (static_cast<message_kind>(kind)) {
+    case message_kind::hello:
+      return ReadHello(in);
+    case message_kind::wanted:
+      return ReadWanted(in);
+    case message_kind::withdrawn:
+      return grant_withdrawn{in.Size()};
+    case message_kind::started:
+      return run_started{in.Size()};
+    case message_kind::ended: {
+      const std::uint64_t number = in.Size();
+      return run_ended{number, in.Boolean()};
+    }
+    case message_kind::pause:
+      return streams_pause{};
+    case message_kind::given: {
+      grant_given given{in.Size()};
+      given.version = in.Integer();
+      given.waited_for_load = in.Time();
+      return given;
+    }
+    case message_kind::refused:
+      return ReadRefused(in);
+    case message_kind::status:
+      return ReadStatus(in);
+    case message_kind::queued:
+      return grant_queued{in.Size()};
+    case message_kind::catalog:
+      return ReadBatch(in);
+  }
+  throw core::invalid_value_error("message of unknown kind " +
+                                  std::to_string(kind));
 }
 
 }  // namespace
 
 std::string Encode(const message& value) {
-  const json fields = std::visit(
+  return std::visit(
       core::overloaded{
-          [](const gateway_hello& hello) { return ToJson(hello); },
+          [](const gateway_hello& hello) { return EncodeHello(hello); },
           [](const grant_wanted& wanted) {
-            return json{{"type", "wanted"},
-                        {"number", wanted.number},
-                        {"request", wanted.request},
-                        {"adapter", ToJson(wanted.adapter)},
-                        {"version", wanted.minimum_version},
-                        {"rank", wanted.rank},
-                        {"prompt", wanted.prompt_tokens},
-                        {"output", wanted.output_tokens},
-                        {"gap", wanted.event_gap.count()},
-                        {"goal", wanted.goal_in.count()},
-                        {"give_up", wanted.give_up_in.count()}};
+            return field_writer(message_kind::wanted)
+                .Add(wanted.number)
+                .Add(wanted.request)
+                .Add(wanted.adapter)
+                .Add(wanted.minimum_version)
+                .Add(wanted.rank)
+                .Add(wanted.prompt_tokens)
+                .Add(wanted.output_tokens)
+                .Add(wanted.event_gap)
+                .Add(wanted.goal_in)
+                .Add(wanted.give_up_in)
+                .Finish();
           },
           [](const grant_withdrawn& withdrawn) {
-            return json{{"type", "withdrawn"}, {"number", withdrawn.number}};
+            return field_writer(message_kind::withdrawn)
+                .Add(withdrawn.number)
+                .Finish();
           },
           [](const run_started& started) {
-            return json{{"type", "started"}, {"number", started.number}};
+            return field_writer(message_kind::started)
+                .Add(started.number)
+                .Finish();
           },
           [](const run_ended& ended) {
-            return json{{"type", "ended"},
-                        {"number", ended.number},
-                        {"missing", ended.adapter_missing}};
+            return field_writer(message_kind::ended)
+                .Add(ended.number)
+                .Add(ended.adapter_missing)
+                .Finish();
           },
           [](const streams_pause&) {
-            return json{{"type", "pause"}};
+            return field_writer(message_kind::pause).Finish();
+          },
+          [](const grant_queued& queued) {
+            return field_writer(message_kind::queued)
+                .Add(queued.number)
+                .Finish();
           },
           [](const grant_given& given) {
-            return json{{"type", "given"},
-                        {"number", given.number},
-                        {"version", given.version},
-                        {"load_wait", given.waited_for_load.count()}};
+            return field_writer(message_kind::given)
+                .Add(given.number)
+                .Add(given.version)
+                .Add(given.waited_for_load)
+                .Finish();
           },
           [](const grant_refused& refused) {
-            return json{{"type", "refused"},
-                        {"number", refused.number},
-                        {"reason", ToString(refused.reason)},
-                        {"retry_after", refused.retry_after.count()},
-                        {"expected_wait", refused.expected_wait.count()}};
+            return field_writer(message_kind::refused)
+                .Add(refused.number)
+                .Add(std::string(ToString(refused.reason)))
+                .Add(refused.retry_after)
+                .Add(refused.expected_wait)
+                .Finish();
           },
-          [](const status_report& report) {
-            return ToJson(report.status, report.has_adapters);
-          }},
+          [](const status_report& report) { return EncodeStatus(report); },
+          [](const change_batch& batch) { return EncodeBatch(batch); }},
       value);
-  std::string frame;
-  json::to_cbor(fields, frame);
-  return frame;
 }
 
 message Decode(std::string_view frame) {
-  try {
-    return FromJson(json::from_cbor(frame.begin(), frame.end()));
-  } catch (const json::exception& failure) {
-    throw core::invalid_value_error(std::string("unreadable message: ") +
-                                    failure.what());
+  field_collector collector;
+  const bool whole = json::sax_parse(frame.begin(), frame.end(), &collector,
+                                     json::input_format_t::cbor);
+  if (!whole) {
+    throw core::invalid_value_error("unreadable message: " + collector.error);
   }
+  field_reader reader(collector.fields);
+  return ReadMessage(reader);
 }
 
 }  // namespace comfreyspring::grants
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -4,7 +4,9 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
+#include "catalog/catalog_source.h"
 #include "core/ids.h"
 #include "core/time.h"
 #include "grants/grant_types.h"
@@ -13,10 +15,12 @@
 
 // From a gateway to the agent of an engine.
 
-/** First message on a link, and again each second. */
+/** First message on a link, and the gateway's sign of life. */
 struct gateway_hello {
   core::process_id gateway;
   engine_facts facts;
+  /** Time until the next one. */
+  core::milliseconds next_in{0};
 };
 /** Asks for a grant; times are relative to the sending. */
 struct grant_wanted {
@@ -46,6 +50,10 @@
 
 // From the agent to a gateway.
 
+/** The request waits; sent at once if it is neither granted nor refused. */
+struct grant_queued {
+  std::uint64_t number = 0;
+};
 struct grant_given {
   std::uint64_t number = 0;
   std::int64_t version = 0;
@@ -58,19 +66,34 @@
   core::milliseconds retry_after{0};
   core::milliseconds expected_wait{0};
 };
-/** The list of adapters is sent when it has changed. */
+/** The agent's sign of life. The list of adapters is sent when it changes. */
 struct status_report {
   engine_status status;
   bool has_adapters = false;
+  /** Time until the next one. */
+  core::milliseconds next_in{0};
+  /** Place of the receiver among the gateways that may read the catalog. */
+  std::size_t reader_rank = 0;
 };
 
-using message = std::variant<gateway_hello, grant_wanted, grant_withdrawn,
-                             run_started, run_ended, streams_pause, grant_given,
-                             grant_refused, status_report>;
+// Between gateways, by way of agents: what one has read of the catalog.
+
+using catalog::change_batch;
+
+using message =
+    std::variant<gateway_hello, grant_wanted, grant_withdrawn, run_started,
+                 run_ended, streams_pause, grant_queued, grant_given,
+                 grant_refused, status_report, change_batch>;
 
-/** Encodes as one CBOR map. */
+/**
+ * Encodes as one flat CBOR array: the kind of the message and its fields in
+ * order, lists with their length in front.
+ */
 std::string Encode(const message& value);
-/** @throws core::invalid_value_error on any other bytes. */
+/**
+ * Fields that a newer sender appends are ignored.
+ * @throws core::invalid_value_error on any other bytes.
+ */
 message Decode(std::string_view frame);
 
 }  // namespace comfreyspring::grants
--- /dev/null
+++ b/src/grants/messages_test.cc
@@ -0,0 +1,127 @@
+#include "grants/messages.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "core/error.h"
+
+namespace comfreyspring::grants {
+namespace {
+
+using core::milliseconds;
+using nlohmann::json;
+
+catalog::adapter_name Adapter(const std::string& name) {
+  return {core::model_id("m"), core::adapter_id(name)};
+}
+
+template <class Message>
+Message Passed(const Message& value) {
+  return std::get<Message>(Decode(Encode(value)));
+}
+
+TEST(messages_test, KeepAnAsk) {
+  grant_wanted wanted;
+  wanted.number = 7;
+  wanted.request = "r1";
+  wanted.adapter = Adapter("a1");
+  wanted.minimum_version = 3;
+  wanted.rank = 2;
+  wanted.prompt_tokens = 800;
+  wanted.output_tokens = 60;
+  wanted.event_gap = milliseconds(300);
+  wanted.goal_in = milliseconds(-40);
+  wanted.give_up_in = milliseconds(900);
+  const grant_wanted passed = Passed(wanted);
+  EXPECT_EQ(passed.number, 7U);
+  EXPECT_EQ(passed.request, "r1");
+  EXPECT_EQ(passed.adapter, Adapter("a1"));
+  EXPECT_EQ(passed.minimum_version, 3);
+  EXPECT_EQ(passed.rank, 2);
+  EXPECT_EQ(passed.prompt_tokens, 800);
+  EXPECT_EQ(passed.output_tokens, 60);
+  EXPECT_EQ(passed.event_gap, milliseconds(300));
+  EXPECT_EQ(passed.goal_in, milliseconds(-40));
+  EXPECT_EQ(passed.give_up_in, milliseconds(900));
+}
+
+TEST(messages_test, KeepAStatusWithAndWithoutAdapters) {
+  status_report report;
+  report.status.serving = true;
+  report.status.running = 11;
+  report.status.adapters_revision = 5;
+  report.status.adapters = {Adapter("a1"), Adapter("a2")};
+  report.next_in = milliseconds(816);
+  report.reader_rank = 4;
+  EXPECT_TRUE(Passed(report).status.adapters.empty());
+  report.has_adapters = true;
+  const status_report passed = Passed(report);
+  EXPECT_EQ(passed.status.adapters, report.status.adapters);
+  EXPECT_EQ(passed.status.running, 11U);
+  EXPECT_EQ(passed.next_in, milliseconds(816));
+  EXPECT_EQ(passed.reader_rank, 4U);
+}
+
+TEST(messages_test, KeepABatchOfChanges) {
+  change_batch batch{.after = 40, .revision = 44, .age = milliseconds(3)};
+  batch.after_outage = true;
+  batch.documents = {{42, "{}"}, {44, std::string("\xff\0", 2)}};
+  const change_batch passed = Passed(batch);
+  EXPECT_EQ(passed.after, 40);
+  EXPECT_EQ(passed.revision, 44);
+  EXPECT_TRUE(passed.after_outage);
+  ASSERT_EQ(passed.documents.size(), 2U);
+  EXPECT_EQ(passed.documents[0].revision, 42);
+  EXPECT_EQ(passed.documents[1].text, std::string("\xff\0", 2));
+}
+
+// A newer peer may know more fields than this version.
+TEST(messages_test, IgnoreAppendedFields) {
+  const auto frame = json::to_cbor(json::array({2 + 1, 9, "new field"}));
+  const auto passed =
+      Decode({reinterpret_cast<const char*>(frame.data()), frame.size()});
+  EXPECT_EQ(std::get<grant_withdrawn>(passed).number, 9U);
+}
+
+TEST(messages_test, RefuseOtherForms) {
+  for (const json& form :
+       {json::object({{"type", "status"}}), json("text"), json(7),
+        json::array({3, json::array({1})}), json::array({3, 1.5}),
+        json::array({3, nullptr}), json::array({99, 1}), json::array({3}),
+        json::array({3, "number"}), json::array({3, -1}),
+        // A list that claims more items than the message has.
+        json::array({11, 1, 2, 0, false, 1'000'000'000})}) {
+    const auto frame = json::to_cbor(form);
+    EXPECT_THROW(
+        Decode({reinterpret_cast<const char*>(frame.data()), frame.size()}),
+        core::invalid_value_error)
+        << form;
+  }
+}
+
+// Whatever bytes arrive: a message or an error of the expected type.
+RC_GTEST_PROP(messages_test, AnyBytesAreAMessageOrAnError,
+              (const std::string& bytes)) {
+  try {
+    Decode(bytes);
+  } catch (const core::invalid_value_error&) {
+  }
+}
+
+RC_GTEST_PROP(messages_test, ADamagedMessageIsAMessageOrAnError,
+              (const std::vector<std::pair<std::size_t, char>>& damage)) {
+  status_report report;
+  report.has_adapters = true;
+  report.status.adapters = {Adapter("a1"), Adapter("a2")};
+  std::string frame = Encode(report);
+  for (const auto& [at, byte] : damage) frame[at % frame.size()] = byte;
+  try {
+    Decode(frame);
+  } catch (const core::invalid_value_error&) {
+  }
+}
+
+}  // namespace
+}  // namespace comfreyspring::grants
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -44,6 +44,8 @@
   double repeat_extra = 0.0;
   /** ... in any window of this length. */
   core::milliseconds repeat_window{10000};
+  /** Time in which a change of the configuration or of endpoints is known. */
+  core::milliseconds change_bound{2000};
   /** The sender of orders to an engine may change after this silence. */
   core::milliseconds order_lease{3000};
   /** Engines refuse orders with an old fencing number. */
--- /dev/null
+++ b/src/sidecar/catalog_relay.cc
@@ -0,0 +1,53 @@
+#include "sidecar/catalog_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyspring::sidecar {
+
+catalog_relay::catalog_relay(core::milliseconds confirmation_period)
+    : period_(confirmation_period) {}
+
+catalog_relay::batches catalog_relay::OnBatch(
+    const catalog::change_batch& batch, core::time_point now) {
+  batches out;
+  // An older read confirms nothing.
+  if (batch.revision < known_) return out;
+  const auto read_at = now - batch.age;
+  const bool follows = batch.after <= known_;
+  // Gateways must not take the gap before it for a time without changes.
+  if (!follows) Flush(now, out);
+  if (!pending_) {
+    pending_.emplace();
+    pending_->content.after = follows ? known_ : batch.after;
+    pending_->read_at = read_at;
+  }
+  catalog::change_batch& content = pending_->content;
+  for (const catalog::change_document& document : batch.documents) {
+    if (!follows || document.revision > known_) {
+      content.documents.push_back(document);
+    }
+  }
+  content.revision = batch.revision;
+  content.after_outage = content.after_outage || batch.after_outage;
+  pending_->read_at = std::max(pending_->read_at, read_at);
+  known_ = batch.revision;
+  if (!content.documents.empty()) Flush(now, out);
+  return out;
+}
+
+catalog_relay::batches catalog_relay::OnTick(core::time_point now) {
+  batches out;
+  if (now - flushed_at_ >= period_) Flush(now, out);
+  return out;
+}
+
+void catalog_relay::Flush(core::time_point now, batches& out) {
+  if (!pending_) return;
+  pending_->content.age = core::ToMilliseconds(now - pending_->read_at);
+  out.push_back(std::move(pending_->content));
+  pending_.reset();
+  flushed_at_ = now;
+}
+
+}  // namespace comfreyspring::sidecar
--- /dev/null
+++ b/src/sidecar/catalog_relay_test.cc
@@ -0,0 +1,77 @@
+#include "sidecar/catalog_relay.h"
+
+#include <gtest/gtest.h>
+
+namespace comfreyspring::sidecar {
+namespace {
+
+using catalog::change_batch;
+using core::milliseconds;
+
+class catalog_relay_test : public ::testing::Test {
+ protected:
+  static change_batch Batch(std::int64_t after, std::int64_t revision,
+                            std::vector<std::int64_t> changes = {}) {
+    change_batch batch{.after = after, .revision = revision};
+    for (const std::int64_t change : changes) {
+      batch.documents.push_back({change, "c" + std::to_string(change)});
+    }
+    return batch;
+  }
+
+  core::time_point now_{std::chrono::seconds(100)};
+  catalog_relay relay_{milliseconds(200)};
+};
+
+TEST_F(catalog_relay_test, PassesChangesOnAtOnce) {
+  const auto out = relay_.OnBatch(Batch(10, 14, {12}), now_);
+  ASSERT_EQ(out.size(), 1U);
+  EXPECT_EQ(out[0].after, 10);
+  EXPECT_EQ(out[0].revision, 14);
+  ASSERT_EQ(out[0].documents.size(), 1U);
+}
+
+TEST_F(catalog_relay_test, GathersConfirmations) {
+  relay_.OnBatch(Batch(10, 14, {12}), now_);
+  now_ += milliseconds(50);
+  EXPECT_TRUE(relay_.OnBatch(Batch(14, 16), now_).empty());
+  EXPECT_TRUE(relay_.OnBatch(Batch(15, 19), now_).empty());
+  now_ += milliseconds(160);
+  const auto out = relay_.OnTick(now_);
+  ASSERT_EQ(out.size(), 1U);
+  EXPECT_EQ(out[0].after, 14);
+  EXPECT_EQ(out[0].revision, 19);
+  EXPECT_EQ(out[0].age, milliseconds(160));
+  EXPECT_TRUE(relay_.OnTick(now_ + milliseconds(900)).empty());
+}
+
+// Several gateways read the same change.
+TEST_F(catalog_relay_test, PassesAChangeOnOnce) {
+  relay_.OnBatch(Batch(10, 14, {12}), now_);
+  EXPECT_TRUE(relay_.OnBatch(Batch(8, 14, {12}), now_).empty());
+  const auto out = relay_.OnBatch(Batch(11, 17, {12, 16}), now_);
+  ASSERT_EQ(out.size(), 1U);
+  ASSERT_EQ(out[0].documents.size(), 1U);
+  EXPECT_EQ(out[0].documents[0].revision, 16);
+  EXPECT_EQ(out[0].after, 14);
+}
+
+TEST_F(catalog_relay_test, AnOlderReadConfirmsNothing) {
+  relay_.OnBatch(Batch(10, 14, {12}), now_);
+  EXPECT_TRUE(relay_.OnBatch(Batch(9, 12), now_).empty());
+  EXPECT_TRUE(relay_.OnTick(now_ + milliseconds(900)).empty());
+}
+
+// What no reader has told must not pass for a time without changes.
+TEST_F(catalog_relay_test, AGapStaysAGap) {
+  relay_.OnBatch(Batch(10, 14), now_);
+  const auto out = relay_.OnBatch(Batch(30, 33, {31}), now_);
+  ASSERT_EQ(out.size(), 2U);
+  EXPECT_EQ(out[0].after, 10);
+  EXPECT_EQ(out[0].revision, 14);
+  EXPECT_EQ(out[1].after, 30);
+  EXPECT_EQ(out[1].documents.size(), 1U);
+}
+
+}  // namespace
+}  // namespace comfreyspring::sidecar
--- a/src/sidecar/engine_steward.cc
+++ b/src/sidecar/engine_steward.cc
@@ -101,6 +101,9 @@
                             .goal_at = now + wanted.goal_in,
                             .give_up_at = now + wanted.give_up_in},
                            now));
+  if (scheduler_.IsWaiting({link, wanted.number})) {
+    send_(link, grants::grant_queued{wanted.number});
+  }
 }
 
 void engine_steward::OnLinkLost(std::uint64_t link) {
@@ -140,6 +143,24 @@
 
 void engine_steward::PerformOrder(const grants::engine_order& order) {
   order_underway_ = true;
+  try {
+    SendOrder(order);
+  } catch (const std::exception& failure) {
+    // A name that a caller has made up may not be one that can be sent.
+    order_underway_ = false;
+    log_.Belief("engine_order")
+        .Add("subject", NameOf(order.subject))
+        .Add("result", "not_sent")
+        .Add("reason", failure.what());
+    loop_.Post([this, order, alive = alive_] {
+      if (!*alive) return;
+      Perform(scheduler_.OnOrderEnded(order, grants::order_result::impossible,
+                                      loop_.Now()));
+    });
+  }
+}
+
+void engine_steward::SendOrder(const grants::engine_order& order) {
   const std::int64_t fencing = fencing_.Value();
   engine_.Order(order, {options_.node, fencing}, options_.order_timeout,
                 [this, order, fencing, alive = alive_](
--- a/src/sidecar/engine_steward.h
+++ b/src/sidecar/engine_steward.h
@@ -62,6 +62,7 @@
  private:
   void Perform(grants::grant_scheduler::actions actions);
   void PerformOrder(const grants::engine_order& order);
+  void SendOrder(const grants::engine_order& order);
   void ReadState();
   void OnState(const std::optional<grants::engine_state>& state,
                const std::string& error, core::time_point asked_at);
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -1,35 +1,44 @@
 #include "sidecar/sidecar_program.h"
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "core/error.h"
+#include "core/hash.h"
 #include "grants/messages.h"
 #include "net/frame_link.h"
 #include "net/http_server.h"
+#include "sidecar/catalog_relay.h"
 #include "sidecar/engine_steward.h"
 #include "telemetry/metrics.h"
 
 namespace comfreyspring::sidecar {
 namespace {
 
-/** Gateways learn within this time how full the engine is ... */
+/** Gateways that wait for a grant learn within this time how it stands. */
 constexpr core::milliseconds kStatusPeriod{100};
-/** ... or less often when so many read it: about 80 messages a second. */
+/** The others less often when they are many: about 80 messages a second. */
 constexpr core::milliseconds kStatusPeriodPerLink{12};
+constexpr core::milliseconds kLongestStatusPeriod{2000};
 constexpr core::milliseconds kLogFlushPeriod{50};
 constexpr core::milliseconds kStateLogPeriod{5000};
 /** A later turn than this means that the process was paused. */
 constexpr core::milliseconds kPauseThreshold{300};
 constexpr std::size_t kMaximumLinks = 1024;
+/** A part of the time after which a gateway without confirmation reads. */
+constexpr core::milliseconds kConfirmationPeriod{200};
 /**
- * A gateway says hello each second. Without a sign of life for this long its
- * VM is gone, or the way from it is cut while its own receives: the link is
- * closed, so that it connects anew and the places of its requests come free.
+ * Without a sign of life for this long, or for so many times what it has
+ * announced, a gateway's VM is gone, or the way from it is cut while its own
+ * receives: the link is closed, so that it connects anew and the places of its
+ * requests come free.
  */
 constexpr core::milliseconds kGatewaySilence{2500};
+constexpr int kHellosOfSilence = 3;
 /** Answers on their way to gateways before the process ends. */
 constexpr core::milliseconds kStopDelay{200};
 
@@ -39,8 +48,11 @@
   struct gateway_link {
     std::shared_ptr<net::frame_link> link;
     std::string gateway;
-    std::uint64_t sent_revision = 0;
+    std::optional<std::uint64_t> sent_revision;
     core::time_point heard_at;
+    core::milliseconds silence = kGatewaySilence;
+    core::time_point status_due;
+    std::size_t reader_rank = 0;
   };
 
   impl(net::event_loop& owning_loop, const settings::node_settings& settings,
@@ -75,7 +87,11 @@
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
     state_timer =
         loop.SchedulePeriodic(kStateLogPeriod, [this] { steward.LogState(); });
-    ScheduleStatus();
+    status_timer = loop.SchedulePeriodic(kStatusPeriod, [this] {
+      CloseSilentLinks();
+      SendDueStatuses();
+      SendBatches(relay.OnTick(loop.Now()));
+    });
     steward.Start();
   }
 
@@ -93,9 +109,10 @@
   net::frame_link_callbacks Accept(
       const std::shared_ptr<net::frame_link>& link) {
     const std::uint64_t id = ++last_link;
-    links[id] = {link, link->PeerName(), 0, loop.Now()};
+    links[id] = {
+        .link = link, .gateway = link->PeerName(), .heard_at = loop.Now()};
     return {
-        .on_open = [this, id] { SendStatus(id, links.at(id)); },
+        .on_open = [this, id] { SendStatus(links.at(id)); },
         .on_frame = [this, id](std::string_view frame) { Receive(id, frame); },
         .on_closed = [this,
                       id](const std::string& reason) { Lose(id, reason); }};
@@ -105,13 +122,14 @@
     log.Dependency("gateway " + links.at(id).gateway, "lost")
         .Add("reason", reason);
     links.erase(id);
+    RankReaders();
     steward.OnLinkLost(id);
   }
 
   void CloseSilentLinks() {
     std::vector<std::uint64_t> silent;
     for (const auto& [id, gateway] : links) {
-      if (loop.Now() - gateway.heard_at > kGatewaySilence) silent.push_back(id);
+      if (loop.Now() - gateway.heard_at > gateway.silence) silent.push_back(id);
     }
     for (const std::uint64_t id : silent) {
       links.at(id).link->Close();
@@ -124,63 +142,82 @@
     try {
       const grants::message value = grants::Decode(frame);
       if (const auto* hello = std::get_if<grants::gateway_hello>(&value)) {
-        auto& name = links.at(id).gateway;
-        if (name != hello->gateway.Value()) {
-          name = hello->gateway.Value();
-          log.Dependency("gateway " + name, "regained");
-        }
+        OnHello(links.at(id), *hello);
+      }
+      if (const auto* batch = std::get_if<grants::change_batch>(&value)) {
+        SendBatches(relay.OnBatch(*batch, loop.Now()));
+        return;
       }
       steward.OnMessage(id, value);
-    } catch (const core::error& failure) {
+    } catch (const std::exception& failure) {
+      // Whatever a message has led to, it must not end the process.
       log.Belief("message_unreadable")
           .Add("gateway", links.at(id).gateway)
           .Add("reason", failure.what());
     }
   }
 
+  void OnHello(gateway_link& gateway, const grants::gateway_hello& hello) {
+    gateway.silence =
+        std::max(kGatewaySilence, hello.next_in * kHellosOfSilence);
+    if (gateway.gateway == hello.gateway.Value()) return;
+    gateway.gateway = hello.gateway.Value();
+    log.Dependency("gateway " + gateway.gateway, "regained");
+    RankReaders();
+  }
+
   void Send(std::uint64_t id, const grants::message& value) {
     const auto found = links.find(id);
     if (found != links.end()) found->second.link->Send(grants::Encode(value));
   }
 
-  // Status.
+  // The catalog.
 
-  void ScheduleStatus() {
-    const auto period = std::max(
-        kStatusPeriod, kStatusPeriodPerLink * static_cast<int>(links.size()));
-    status_timer = loop.Schedule(period, [this] {
-      CloseSilentLinks();
-      SendStatusToAll();
-      ScheduleStatus();
-    });
+  /** Each agent puts the gateways in the same order, whoever is linked. */
+  void RankReaders() {
+    std::vector<std::pair<std::uint64_t, gateway_link*>> order;
+    for (auto& [id, gateway] : links) {
+      order.emplace_back(core::Hash64(gateway.gateway), &gateway);
+    }
+    std::sort(order.begin(), order.end());
+    for (std::size_t rank = 0; rank < order.size(); ++rank) {
+      order[rank].second->reader_rank = rank;
+    }
   }
 
-  grants::status_report MakeReport() const {
-    grants::status_report report{steward.Status(), true};
-    report.status.gateways = links.size();
-    return report;
+  void SendBatches(const catalog_relay::batches& batches) {
+    for (const catalog::change_batch& batch : batches) {
+      const std::string frame = grants::Encode(batch);
+      for (auto& [id, gateway] : links) gateway.link->Send(frame);
+    }
   }
 
-  void SendStatusToAll() {
-    grants::status_report report = MakeReport();
-    const std::uint64_t revision = report.status.adapters_revision;
-    // Encoded for the first link that needs it; most periods none does.
-    std::string full;
-    report.has_adapters = false;
-    const std::string brief = grants::Encode(report);
-    report.has_adapters = true;
+  // Status.
+
+  core::milliseconds StatusPeriod() const {
+    return std::clamp(kStatusPeriodPerLink * static_cast<int>(links.size()),
+                      kStatusPeriod, kLongestStatusPeriod);
+  }
+
+  void SendDueStatuses() {
+    const auto now = loop.Now();
+    const auto waiting = steward.Scheduler().LinksThatWait();
     for (auto& [id, gateway] : links) {
-      const bool changed = gateway.sent_revision != revision;
-      if (changed && full.empty()) full = grants::Encode(report);
-      gateway.link->Send(changed ? full : brief);
-      gateway.sent_revision = revision;
+      const bool waits = waiting.count(id) > 0;
+      if (waits || now >= gateway.status_due) SendStatus(gateway, waits);
     }
   }
 
-  void SendStatus(std::uint64_t id, gateway_link& gateway) {
-    const grants::status_report report = MakeReport();
+  void SendStatus(gateway_link& gateway, bool waits = false) {
+    grants::status_report report{steward.Status()};
+    report.status.gateways = links.size();
+    report.reader_rank = gateway.reader_rank;
+    report.has_adapters =
+        gateway.sent_revision != report.status.adapters_revision;
+    report.next_in = waits ? kStatusPeriod : StatusPeriod();
     gateway.sent_revision = report.status.adapters_revision;
-    Send(id, report);
+    gateway.status_due = loop.Now() + report.next_in;
+    gateway.link->Send(grants::Encode(report));
   }
 
   // Operators.
@@ -198,7 +235,7 @@
     stopping = true;
     log.Process("stopping").Add("running", steward.Scheduler().Running());
     steward.Stop();
-    SendStatusToAll();
+    for (auto& [id, gateway] : links) SendStatus(gateway);
     loop.Schedule(kStopDelay, [this] {
       log.Process("stopped");
       log.Flush();
@@ -212,6 +249,7 @@
   std::map<std::uint64_t, gateway_link> links;
   std::uint64_t last_link = 0;
   engine_steward steward;
+  catalog_relay relay{kConfirmationPeriod};
   net::frame_listener listener;
   net::http_server admin;
   net::timer_id flush_timer = 0;
--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -96,9 +96,10 @@
   for (const auto& name : held) adapters.push_back(name + "@1");
   json pending = json::array();
   for (const auto& name : loading_) pending.push_back("m/" + name + "@1");
+  net::header_map headers;
+  if (leaving) headers["server-leaving"] = "1";
   exchange.Respond(
-      {200,
-       {},
+      {200, std::move(headers),
        json{{"born", started_},
             {"Seq", orders_},
             {"Busy", false},
@@ -182,9 +183,11 @@
   const auto resumed = headers.find("last-event-id");
   const int first =
       resumed == headers.end() ? 1 : std::stoi(resumed->second) + 1;
-  exchange->BeginStream(200, {{"content-type", "text/event-stream"},
-                              {"server-stamp", "stamp"},
-                              {"request-id", id}});
+  net::header_map answer = {{"content-type", "text/event-stream"},
+                            {"server-stamp", "stamp"},
+                            {"request-id", id}};
+  if (leaving) answer["server-leaving"] = "1";
+  exchange->BeginStream(200, std::move(answer));
   SendEvent(current, first);
 }
 
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -85,6 +85,8 @@
   double break_chance = 0;
   /** Chance that a request is refused as not run. */
   double refuse_chance = 0;
+  /** All answers say that it leaves. */
+  bool leaving = false;
   /** Requests run and are not answered. */
   bool mute = false;
   /** Factor on the time of events and answers. */
--- a/tests/process/settings_program.cc
+++ b/tests/process/settings_program.cc
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 
 namespace comfreyspring::process_test {
 
@@ -32,6 +33,15 @@
   ::waitpid(pid_, nullptr, 0);
 }
 
+long settings_program::ResidentKib() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.rfind("VmRSS:", 0) == 0) return std::stol(line.substr(6));
+  }
+  return 0;
+}
+
 void settings_program::Signal(int number) {
   if (!HasEnded()) ::kill(pid_, number);
 }
--- a/tests/process/settings_program.h
+++ b/tests/process/settings_program.h
@@ -25,6 +25,8 @@
   settings_program& operator=(const settings_program&) = delete;
 
   void Signal(int number);
+  /** Memory of the process that is in use, in KiB; 0 if it has ended. */
+  long ResidentKib() const;
   /** True once it has ended; `Status` is its exit code then. */
   bool HasEnded();
   /** Exit code; the negative number of a signal that ended it. */
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -4,10 +4,12 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -18,6 +20,8 @@
 #include "engine_stand_in.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "net/socket_address.h"
+#include "net/tcp_socket.h"
 #include "settings_program.h"
 #include "store_stand_in.h"
 #include "tcp_relay.h"
@@ -60,29 +64,38 @@
   }
 
   void PutConfiguration(int version) {
-    store_.Put(
-        "op/config",
-        {{"Version", version},
-         {"Routes", json::array({{{"Name", "r"},
-                                  {"Host", "h.example"},
-                                  {"Prefix", "/p/"},
-                                  {"Kind", "stream"},
-                                  {"TimeoutMs", 5000},
-                                  {"GoalMs", 600},
-                                  {"GapTargetMs", 300},
-                                  {"Priority", 0},
-                                  {"Service", "s"},
-                                  {"Attempts", 2},
-                                  {"Resumable", true}}})},
-         {"Services",
-          json::array({{{"Name", "s"},
-                        {"MaxConns", 100},
-                        {"Engine",
-                         {{"Slots", 8},
-                          {"AdapterSlots", 2},
-                          {"KvCapacity", 100000},
-                          {"Stride", 5},
-                          {"Models", json::array({{{"Name", "m"}}})}}}}})}});
+    store_.Put("op/config",
+               {{"Version", version},
+                {"Routes", json::array({{{"Name", "r"},
+                                         {"Host", "h.example"},
+                                         {"Prefix", "/p/"},
+                                         {"Kind", "stream"},
+                                         {"TimeoutMs", 5000},
+                                         {"GoalMs", 600},
+                                         {"GapTargetMs", 300},
+                                         {"Priority", 0},
+                                         {"Service", "s"},
+                                         {"Attempts", 2},
+                                         {"Resumable", true}},
+                                        {{"Name", "q"},
+                                         {"Host", "h.example"},
+                                         {"Prefix", "/q/"},
+                                         {"Kind", "non_idempotent"},
+                                         {"TimeoutMs", 3000},
+                                         {"GoalMs", 600},
+                                         {"Priority", 0},
+                                         {"Service", "plain"},
+                                         {"Attempts", 1}}})},
+                {"Services",
+                 json::array({{{"Name", "s"},
+                               {"MaxConns", 100},
+                               {"Engine",
+                                {{"Slots", 8},
+                                 {"AdapterSlots", 2},
+                                 {"KvCapacity", 100000},
+                                 {"Stride", 5},
+                                 {"Models", json::array({{{"Name", "m"}}})}}}},
+                              {{"Name", "plain"}, {"MaxConns", 500}}})}});
   }
   void PutEndpoint(const std::string& state, const std::string& ip = kHost) {
     store_.Put("servers/i-1", {{"Service", "s"},
@@ -275,6 +288,185 @@
   EXPECT_EQ(gateway_->Status(), 0);
 }
 
+// Guards against a message of one caller that ends the process of all: a name
+// that is no text cannot be put into an order.
+TEST_F(users_platform_test, AnAdapterNameThatIsNoTextHarmsNobody) {
+  WaitUntilReady();
+  EXPECT_EQ(Ask("r1", "\xff\xfe").status, 503);
+  EXPECT_EQ(Ask("r2", "a2").status, 200);
+  EXPECT_FALSE(sidecar_->HasEnded());
+  EXPECT_FALSE(gateway_->HasEnded());
+}
+
+TEST_F(users_platform_test, AnEngineThatSaysItLeavesGetsNothingNew) {
+  WaitUntilReady();
+  ASSERT_EQ(Ask("r1", "a1").status, 200);
+  engine_.leaving = true;
+  ASSERT_EQ(Ask("r2", "a1").status, 200);
+  // The platform lists it as ready, and goes away and comes back.
+  EXPECT_EQ(Ask("r3", "a1").status, 503);
+  store_.SetMode(store_mode::unavailable);
+  loop_.RunUntil([] { return false; }, milliseconds(1500));
+  store_.SetMode(store_mode::up);
+  PutEndpoint("ready");
+  loop_.RunUntil([] { return false; }, milliseconds(1500));
+  EXPECT_EQ(Ask("r4", "a1").status, 503);
+  EXPECT_EQ(engine_.runs.count("r3") + engine_.runs.count("r4"), 0U);
+}
+
+/** Answers each connection with bytes that have no end. */
+class flooding_service {
+ public:
+  flooding_service(net::event_loop& loop, std::string start, std::string piece)
+      : loop_(loop),
+        start_(std::move(start)),
+        socket_(net::tcp_socket::Listen(net::socket_address(kHost, 0))) {
+    while (piece_.size() < 64 * 1024) piece_ += piece;
+    timer_ = loop_.SchedulePeriodic(milliseconds(1), [this] { Turn(); });
+  }
+  ~flooding_service() { loop_.Cancel(timer_); }
+  flooding_service(const flooding_service&) = delete;
+  flooding_service& operator=(const flooding_service&) = delete;
+
+  std::uint16_t Port() const {
+    return net::socket_address::OfLocal(socket_.Descriptor()).Port();
+  }
+  std::size_t Accepted() const { return accepted_; }
+  std::size_t Open() const { return open_.size(); }
+
+ private:
+  void Turn() {
+    for (auto next = socket_.Accept(); next.IsValid();
+         next = socket_.Accept()) {
+      ++accepted_;
+      next.Write(start_.data(), start_.size());
+      open_.push_back(std::move(next));
+    }
+    std::erase_if(open_, [this](net::tcp_socket& connection) {
+      return connection.Write(piece_.data(), piece_.size()).outcome ==
+             net::transfer_result::kind::ended;
+    });
+  }
+
+  net::event_loop& loop_;
+  std::string start_;
+  std::string piece_;
+  net::tcp_socket socket_;
+  std::vector<net::tcp_socket> open_;
+  std::size_t accepted_ = 0;
+  net::timer_id timer_ = 0;
+};
+
+// Bytes without end, in a head or a body, on many connections at once: each
+// caller gets a true outcome, each connection is closed, memory stays flat.
+TEST_F(users_platform_test, BytesWithoutEndStayBounded) {
+  constexpr int kCallers = 200;
+  // Well within what the smallest entry VMs leave (160 MB).
+  constexpr long kMemoryKib = 64L * 1024;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nserver-stamp: s\r\nrequest-id: r1\r\n";
+  struct flood {
+    std::string start;
+    std::string piece;
+  };
+  for (const flood& each :
+       {flood{head, "x-more: 1\r\n"}, flood{"", "\x01\x02 no answer"},
+        flood{"HTTP/1.1 200 OK\r\nx: ", "y"}, flood{head + "\r\n", "body"},
+        flood{"", "HTTP/1.1 100 Continue\r\n\r\n"}, flood{head, "x"},
+        flood{head + "transfer-encoding: chunked\r\n\r\n", "4\r\nmore\r\n"}}) {
+    flooding_service service(loop_, each.start, each.piece);
+    store_.Put("servers/i-f", {{"Service", "plain"},
+                               {"Addr", Address(service.Port())},
+                               {"Zone", "z"},
+                               {"Slots", 500},
+                               {"State", "ready"},
+                               {"born", 7}});
+    WaitUntilReady();
+    loop_.RunUntil([] { return false; }, milliseconds(600));
+    const long before = gateway_->ResidentKib();
+    long most = before;
+    std::vector<int> statuses;
+    for (int i = 0; i < kCallers; ++i) {
+      http_.Start({.method = "POST",
+                   .url = "http://" + Address(caller_port_) + "/",
+                   .target = "/q/x",
+                   .headers = {{"host", "h.example"},
+                               {"request-id", "r1"},
+                               {"deadline-ms", "3000"}},
+                   .total_timeout = kLimit},
+                  {.on_done = [&](const net::http_result& done) {
+                    statuses.push_back(done.status);
+                  }});
+    }
+    EXPECT_TRUE(loop_.RunUntil(
+        [&] {
+          most = std::max(most, gateway_->ResidentKib());
+          return statuses.size() == kCallers && service.Open() == 0;
+        },
+        kLimit))
+        << statuses.size() << ' ' << service.Open();
+    EXPECT_LT(most - before, kMemoryKib) << each.piece;
+    for (const int status : statuses) {
+      EXPECT_TRUE(status == 502 || status == 504 || status == 503) << status;
+    }
+    EXPECT_GT(service.Accepted(), 0U);
+    EXPECT_FALSE(gateway_->HasEnded());
+    store_.Remove("servers/i-f");
+  }
+}
+
+// A planned stop under load: callers with new connections and with kept ones;
+// every request that was taken gets its whole answer.
+TEST_F(users_platform_test, AStopUnderLoadCutsNothing) {
+  engine_stand_in service(loop_, {.slots = 200, .generates = false});
+  store_.Put("servers/i-1p", {{"Service", "plain"},
+                              {"Addr", Address(service.Port())},
+                              {"Zone", "z"},
+                              {"Slots", 200},
+                              {"State", "ready"},
+                              {"born", 7}});
+  service.Start("i-1p");
+  WaitUntilReady();
+  loop_.RunUntil([] { return false; }, milliseconds(600));
+  std::map<int, int> outcomes;
+  int broken = 0;
+  int number = 0;
+  bool stop = false;
+  std::function<void(bool)> call = [&](bool fresh) {
+    const std::string id = "s" + std::to_string(++number);
+    http_.Start(
+        {.method = "POST",
+         .url = "http://" + Address(caller_port_) + "/",
+         .target = "/q/x",
+         .headers = {{"host", "h.example"},
+                     {"request-id", id},
+                     {"deadline-ms", "3000"}},
+         .total_timeout = kLimit,
+         .fresh_connection = fresh,
+         .may_resend = false},
+        {.on_done = [&, fresh, id](const net::http_result& done) {
+          if (done.failure == net::http_failure::broken) {
+            // Cut without an answer: was it taken?
+            if (service.runs.count(id) > 0) ++broken;
+          } else if (done.failure == net::http_failure::none) {
+            ++outcomes[done.status];
+            EXPECT_TRUE(done.status != 200 || done.body == PlainText(id));
+          }
+          const bool ended = done.failure == net::http_failure::not_sent;
+          if (!stop && !ended) call(fresh);
+        }});
+  };
+  for (int i = 0; i < 40; ++i) call(i % 2 == 0);
+  loop_.RunUntil([] { return false; }, milliseconds(300));
+  gateway_->Signal(SIGTERM);
+  EXPECT_TRUE(loop_.RunUntil([&] { return gateway_->HasEnded(); }, kLimit));
+  stop = true;
+  loop_.RunUntil([] { return false; }, milliseconds(200));
+  EXPECT_EQ(gateway_->Status(), 0);
+  EXPECT_EQ(broken, 0);
+  EXPECT_GT(outcomes[200], 100);
+}
+
 TEST_F(users_platform_test, ExplainsAWrongSettingsFile) {
   std::ofstream(Path("wrong")) << "{\"Node\":7}";
   settings_program failing(
