Keep places and loads only for callers that can return in time

Cause: a refused caller was told when its turn would come, a place was kept and its adapter loaded by then.

Change: asks tell how soon the caller can return; Retry-After stays within that; nothing is kept for a turn that comes later; a place is kept only for the time that a load takes; loads for later come after those of requests that wait, and not while the weight store is congested. engine_state lines say what places are taken by.

grant_scheduler_test.CallersThatReturnTooEarlyTakeNoPlaces replays the load.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -37,6 +37,8 @@
 constexpr core::seconds kDefaultIdle{4};
 /** Agents answer within milliseconds; one on a slowed VM within this. */
 constexpr core::milliseconds kAskAnswerTime{300};
+/** Callers return after such a part of the time they have left, or before. */
+constexpr int kPartsOfTimeToReturn = 3;
 /** Engines that one request asks for a grant. */
 constexpr int kMaximumAsks = 3;
 /** No configuration or no endpoint: both come back within seconds. */
@@ -336,7 +338,9 @@
             .output_tokens = request->facts.expected_output_tokens,
             .event_gap = request->route->event_gap,
             .goal_in = goal_in,
-            .give_up_in = give_up_in});
+            .give_up_in = give_up_in,
+            .longest_return = core::ToMilliseconds(request->limit - now) /
+                              kPartsOfTimeToReturn});
   }
 
   void OnGiven(const std::string& ip, const grants::grant_given& given) {
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -275,10 +275,13 @@
   // Jitter keeps callers that were refused together from returning together.
   auto retry_after =
       FromDouble(ToDouble(expected_wait) * (1.0 + 0.2 * random_.NextUnit()));
-  retry_after =
-      std::clamp(retry_after, kShortestRetryAfter, kLongestRetryAfter);
-  if (reason == refusal_reason::wait_too_long ||
-      reason == refusal_reason::wait_expired) {
+  const auto longest = std::clamp(wanted.longest_return, kShortestRetryAfter,
+                                  kLongestRetryAfter);
+  // What is kept for a caller that returns before its turn is of no use.
+  const bool in_time = retry_after <= longest;
+  retry_after = std::clamp(retry_after, kShortestRetryAfter, longest);
+  if (in_time && (reason == refusal_reason::wait_too_long ||
+                  reason == refusal_reason::wait_expired)) {
     Promise(wanted, now + retry_after);
   }
   out.push_back(refuse{wanted.key, reason, retry_after, expected_wait});
@@ -429,10 +432,17 @@
 
 // Loads.
 
-bool grant_scheduler::IsInUse(const catalog::adapter_name& adapter) const {
+/** A place is kept for the time that the adapter's load would take. */
+bool grant_scheduler::IsNear(const promise& made, core::time_point now) const {
+  return made.due - kPromiseEarly - load_time_.Value() <= now &&
+         now < made.due + kPromiseLate;
+}
+
+bool grant_scheduler::IsInUse(const catalog::adapter_name& adapter,
+                              core::time_point now) const {
   if (in_use_.count(adapter) > 0) return true;
   if (std::any_of(promises_.begin(), promises_.end(), [&](const promise& made) {
-        return made.adapter == adapter;
+        return made.adapter == adapter && IsNear(made, now);
       })) {
     return true;
   }
@@ -456,7 +466,8 @@
     return;
   }
   const auto victim = slots_.Victim(
-      [&](const catalog::adapter_name& name) { return !IsInUse(name); }, now);
+      [&](const catalog::adapter_name& name) { return !IsInUse(name, now); },
+      now);
   if (victim) Issue({engine_order::kind::unload, *victim, 0}, now, out);
 }
 
@@ -483,8 +494,10 @@
       total.oldest_goal = wanted.goal_at;
     }
   }
+  // Callers that are here go before those that may return.
+  if (!demand.empty() || IsCongested()) return demand;
   for (const promise& made : promises_) {
-    if (made.adapter.adapter.empty() || made.due <= now ||
+    if (made.adapter.adapter.empty() || !IsNear(made, now) ||
         slots_.Find(made.adapter) != nullptr ||
         !HoldsModel(made.adapter.model)) {
       continue;
@@ -592,13 +605,7 @@
                 ToDouble(load_time_.Value()) / 2.0;
   double wait = own_time + loading_ms / static_cast<double>(ColdLoadLimit());
   // Places come free as the requests that use them end.
-  std::size_t unused =
-      slots_.Capacity() - std::min(slots_.Size(), slots_.Capacity());
-  for (const auto& [name, other] : slots_.Slots()) {
-    if (other.phase == adapter_slot::state::resident && !IsInUse(name)) {
-      ++unused;
-    }
-  }
+  const std::size_t unused = UnusedPlaces(now);
   if (unused <= ahead.size()) {
     const auto missing = static_cast<double>(ahead.size() - unused + 1);
     const auto places =
@@ -637,8 +644,41 @@
          ExpectedLoad(wanted, now);
 }
 
+std::size_t grant_scheduler::UnusedPlaces(core::time_point now) const {
+  std::size_t unused =
+      slots_.Capacity() - std::min(slots_.Size(), slots_.Capacity());
+  for (const auto& [name, slot] : slots_.Slots()) {
+    if (slot.phase == adapter_slot::state::resident && !IsInUse(name, now)) {
+      ++unused;
+    }
+  }
+  return unused;
+}
+
 // State.
 
+grant_scheduler::place_use grant_scheduler::PlaceUse(
+    core::time_point now) const {
+  place_use use;
+  for (const auto& [name, slot] : slots_.Slots()) {
+    const auto wants = [&name = name](const auto& entry) {
+      return entry.second.adapter == name;
+    };
+    if (slot.phase != adapter_slot::state::resident) {
+      ++use.loading;
+    } else if (in_use_.count(name) > 0) {
+      ++use.running;
+    } else if (std::any_of(waiting_.begin(), waiting_.end(), wants)) {
+      ++use.waited_for;
+    } else if (IsInUse(name, now)) {
+      ++use.promised;
+    } else {
+      ++use.unused;
+    }
+  }
+  return use;
+}
+
 std::set<std::uint64_t> grant_scheduler::LinksThatWait() const {
   std::set<std::uint64_t> links;
   for (const auto& [key, wanted] : waiting_) links.insert(key.link);
@@ -651,13 +691,7 @@
   status.running = running_.size();
   status.waiting = waiting_.size();
   status.batch_slots = facts_.batch_slots;
-  status.free_adapter_slots =
-      slots_.Capacity() - std::min(slots_.Size(), slots_.Capacity());
-  for (const auto& [name, slot] : slots_.Slots()) {
-    if (slot.phase == adapter_slot::state::resident && !IsInUse(name)) {
-      ++status.free_adapter_slots;
-    }
-  }
+  status.free_adapter_slots = UnusedPlaces(now);
   std::set<catalog::adapter_name> loads;
   for (const auto& [key, wanted] : waiting_) {
     if (!wanted.adapter.adapter.empty() && !IsReady(wanted)) {
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -117,6 +117,15 @@
   /** Links of gateways whose requests wait. */
   std::set<std::uint64_t> LinksThatWait() const;
   const slot_table& Slots() const { return slots_; }
+  /** What the places for adapters are taken by; each counts once. */
+  struct place_use {
+    std::size_t running = 0;
+    std::size_t loading = 0;
+    std::size_t waited_for = 0;
+    std::size_t promised = 0;
+    std::size_t unused = 0;
+  };
+  place_use PlaceUse(core::time_point now) const;
   core::milliseconds LoadTime() const { return load_time_.Value(); }
   core::milliseconds RunTime() const { return run_time_.Value(); }
   /** Prompt tokens that the engine reads in a millisecond. */
@@ -164,6 +173,8 @@
     std::int64_t minimum_version = 0;
     core::time_point oldest_goal;
   };
+  /** Places that are empty or hold an adapter that nobody needs now. */
+  std::size_t UnusedPlaces(core::time_point now) const;
   std::map<catalog::adapter_name, load_demand> LoadDemand(
       core::time_point now) const;
   /** The load that is worth most now, whether or not there is a place. */
@@ -175,7 +186,9 @@
                                 core::time_point now) const;
   void PlanModelLoad(core::time_point now, actions& out);
   void Issue(const engine_order& order, core::time_point now, actions& out);
-  bool IsInUse(const catalog::adapter_name& adapter) const;
+  bool IsNear(const promise& made, core::time_point now) const;
+  bool IsInUse(const catalog::adapter_name& adapter,
+               core::time_point now) const;
   std::int64_t UnreadPromptTokens(core::time_point now) const;
   core::milliseconds ExpectedWait(const ask& wanted,
                                   core::time_point now) const;
--- a/src/grants/grant_scheduler_test.cc
+++ b/src/grants/grant_scheduler_test.cc
@@ -31,7 +31,8 @@
   ask_key Ask(const std::string& adapter, int rank = 0,
               milliseconds goal = milliseconds(600),
               milliseconds patience = milliseconds(1700),
-              std::int64_t tokens = 800) {
+              std::int64_t tokens = 800,
+              milliseconds longest_return = milliseconds(4000)) {
     const ask_key key{1, ++last_number_};
     asked_at[key] = now;
     tokens_[key] = tokens;
@@ -42,7 +43,8 @@
                           .output_tokens = 300,
                           .event_gap = milliseconds(300),
                           .goal_at = now + goal,
-                          .give_up_at = now + patience},
+                          .give_up_at = now + patience,
+                          .longest_return = longest_return},
                          now));
     return key;
   }
@@ -556,5 +558,41 @@
   }
 }
 
+// Load pattern: few places, all in use, and callers that are refused return
+// before their turn can come. What was kept and loaded for them took places and
+// the weight store's time from those who waited.
+TEST(grant_scheduler_test, CallersThatReturnTooEarlyTakeNoPlaces) {
+  engine_model model({.batch_slots = 64,
+                      .adapter_slots = 3,
+                      .cache_tokens = 200'000,
+                      .models = {core::model_id("m")}});
+  model.run_time = milliseconds(2000);
+  model.Run(milliseconds(100));
+  std::vector<ask_key> early;
+  for (int round = 0; round < 6; ++round) {
+    for (int i = 0; i < 3; ++i) model.Ask("hot" + std::to_string(i));
+    for (int i = 0; i < 4; ++i) {
+      early.push_back(model.Ask(
+          "rare" + std::to_string(round) + std::to_string(i), 0,
+          milliseconds(600), milliseconds(300), 800, milliseconds(400)));
+    }
+    model.Run(milliseconds(500));
+  }
+  model.Run(milliseconds(4000));
+  int refused = 0;
+  for (const ask_key& key : early) {
+    if (!model.IsRefused(key)) continue;
+    ++refused;
+    EXPECT_LE(model.refused.at(key).retry_after, milliseconds(400));
+  }
+  ASSERT_GT(refused, 12);
+  const auto loads = std::count_if(
+      model.orders.begin(), model.orders.end(), [](const engine_order& order) {
+        return order.what == engine_order::kind::load &&
+               order.subject.adapter.Value()[0] == 'r';
+      });
+  EXPECT_LE(loads, static_cast<std::ptrdiff_t>(early.size()) - refused);
+}
+
 }  // namespace
 }  // namespace comfreyspring::grants
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -42,6 +42,8 @@
   core::time_point goal_at;
   /** A grant after this is of no use. */
   core::time_point give_up_at;
+  /** Its caller returns after a refusal within this time, if it does. */
+  core::milliseconds longest_return{4000};
   /** It was refused before and has returned when it was told to. */
   bool returns = false;
   /** Set by the scheduler. */
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -249,6 +249,7 @@
   wanted.event_gap = in.Time();
   wanted.goal_in = in.Time();
   wanted.give_up_in = in.Time();
+  wanted.longest_return = in.Time();
   return wanted;
 }
 
@@ -356,6 +357,7 @@
                 .Add(wanted.event_gap)
                 .Add(wanted.goal_in)
                 .Add(wanted.give_up_in)
+                .Add(wanted.longest_return)
                 .Finish();
           },
           [](const grant_withdrawn& withdrawn) {
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -34,6 +34,8 @@
   core::milliseconds event_gap{0};
   core::milliseconds goal_in{0};
   core::milliseconds give_up_in{0};
+  /** A caller that is refused returns after this at the latest. */
+  core::milliseconds longest_return{0};
 };
 struct grant_withdrawn {
   std::uint64_t number = 0;
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -34,6 +34,7 @@
   wanted.event_gap = milliseconds(300);
   wanted.goal_in = milliseconds(-40);
   wanted.give_up_in = milliseconds(900);
+  wanted.longest_return = milliseconds(700);
   const grant_wanted passed = Passed(wanted);
   EXPECT_EQ(passed.number, 7U);
   EXPECT_EQ(passed.request, "r1");
@@ -45,6 +46,7 @@
   EXPECT_EQ(passed.event_gap, milliseconds(300));
   EXPECT_EQ(passed.goal_in, milliseconds(-40));
   EXPECT_EQ(passed.give_up_in, milliseconds(900));
+  EXPECT_EQ(passed.longest_return, milliseconds(700));
 }
 
 TEST(messages_test, KeepAStatusWithAndWithoutAdapters) {
--- a/src/sidecar/engine_steward.cc
+++ b/src/sidecar/engine_steward.cc
@@ -99,7 +99,8 @@
                             .output_tokens = wanted.output_tokens,
                             .event_gap = wanted.event_gap,
                             .goal_at = now + wanted.goal_in,
-                            .give_up_at = now + wanted.give_up_in},
+                            .give_up_at = now + wanted.give_up_in,
+                            .longest_return = wanted.longest_return},
                            now));
   if (scheduler_.IsWaiting({link, wanted.number})) {
     send_(link, grants::grant_queued{wanted.number});
@@ -244,11 +245,17 @@
 
 void engine_steward::LogState() {
   const auto status = Status();
+  const auto places = scheduler_.PlaceUse(loop_.Now());
   log_.Belief("engine_state")
       .Add("serving", status.serving)
       .Add("running", status.running)
       .Add("waiting", status.waiting)
       .Add("free_adapter_slots", status.free_adapter_slots)
+      .Add("places_running", places.running)
+      .Add("places_loading", places.loading)
+      .Add("places_waited_for", places.waited_for)
+      .Add("places_promised", places.promised)
+      .Add("places_unused", places.unused)
       .Add("loads_waiting", status.loads_waiting)
       .Add("run_time_ms", scheduler_.RunTime().count())
       .Add("load_time_ms", scheduler_.LoadTime().count())
