--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -185,5 +185,70 @@
             0);
 }
 
+// Several processes: a few read, the others hear of it.
+
+TEST_F(catalog_follower_test, AppliesWhatAnotherProcessHasRead) {
+  source_.Answer(Done({Record("i1")}, 40));
+  follower_.OnOtherRead(
+      {.after = 38, .revision = 44, .documents = {{39, "i0"}, {42, "i2"}}});
+  EXPECT_EQ(listener_.changes,
+            (std::vector<std::string>{"i1 added", "i2 added"}));
+  // Its own read, which was under way, brings the same.
+  catalog_read read{read_outcome::done, {}, 44, ""};
+  read.changes.push_back(source_.Decode({42, "i2"}));
+  source_.Answer(std::move(read));
+  EXPECT_EQ(listener_.changes.size(), 2U);
+}
+
+// What lies between the own view and the batch would be lost.
+TEST_F(catalog_follower_test, ABatchAfterAGapIsNotApplied) {
+  source_.Answer(Done({Record("i1")}, 40));
+  follower_.OnOtherRead(
+      {.after = 41, .revision = 44, .documents = {{42, "i2"}}});
+  EXPECT_EQ(listener_.changes, std::vector<std::string>{"i1 added"});
+  source_.Answer(Done({}, 44));
+  WaitForRead();
+  EXPECT_EQ(source_.last_revision, 44);
+}
+
+TEST_F(catalog_follower_test, AnOlderBatchChangesNothing) {
+  source_.Answer(Done({Record("i1")}, 40));
+  follower_.OnOtherRead(
+      {.after = 30, .revision = 39, .documents = {{35, "i0"}}});
+  EXPECT_EQ(listener_.changes, std::vector<std::string>{"i1 added"});
+}
+
+TEST_F(catalog_follower_test, WhoIsNoReaderReadsWhenItHearsOfNoRead) {
+  source_.Answer(Done({Record("i1")}, 40));
+  follower_.SetReaderRank(9);
+  source_.Answer(Done({}, 41));
+  const int reads = source_.change_reads;
+  const auto start = loop_.Now();
+  std::int64_t revision = 41;
+  while (loop_.Now() - start < milliseconds(200)) {
+    follower_.OnOtherRead({.after = revision, .revision = revision + 1});
+    ++revision;
+    Wait(milliseconds(2));
+  }
+  EXPECT_EQ(source_.change_reads, reads);
+  WaitForRead();
+  EXPECT_EQ(source_.change_reads, reads + 1);
+  EXPECT_EQ(source_.last_revision, revision);
+}
+
+// The others need not hear of heartbeats.
+TEST_F(catalog_follower_test, TellsOthersWhatIsNews) {
+  source_.Answer(Done({Record("i1")}, 40));
+  catalog_read read{read_outcome::done, {}, 43, ""};
+  read.changes.push_back(source_.Decode({42, "i1"}));
+  read.changes.push_back(source_.Decode({43, "i2"}));
+  source_.Answer(std::move(read));
+  ASSERT_EQ(listener_.batches.size(), 1U);
+  EXPECT_EQ(listener_.batches[0].after, 40);
+  EXPECT_EQ(listener_.batches[0].revision, 43);
+  ASSERT_EQ(listener_.batches[0].documents.size(), 1U);
+  EXPECT_EQ(listener_.batches[0].documents[0].text, "i2");
+}
+
 }  // namespace
 }  // namespace comfreyspring::catalog
