--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
  */
 
 #include "gateway/endpoint_choice.h"
+#include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
 #include "gateway/gateway_program.h"
 #include "gateway/repeat_budget.h"
