--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -231,6 +231,21 @@
   EXPECT_FALSE(engine_.fencing_fell);
 }
 
+// An agent that does not answer an ask is left soon, however rarely it reports;
+// when it goes on, it has its place again.
+TEST_F(users_platform_test, AFrozenSidecarDelaysNobodyForLong) {
+  WaitUntilReady();
+  ASSERT_EQ(Ask("r1", "a1").status, 200);
+  sidecar_->Signal(SIGSTOP);
+  const auto asked_at = loop_.Now();
+  EXPECT_EQ(Ask("r2", "a1").status, 200);
+  EXPECT_LT(loop_.Now() - asked_at, milliseconds(900));
+  sidecar_->Signal(SIGCONT);
+  loop_.RunUntil([] { return false; }, milliseconds(1500));
+  EXPECT_EQ(Ask("r3", "a2").status, 200);
+  EXPECT_FALSE(sidecar_->HasEnded());
+}
+
 // Guards against links on which the agent hears nothing while its own
 // messages arrive: asks would be lost, and places kept, for ever.
 TEST_F(users_platform_test, NoticesALinkThatIsCutInOneDirection) {
