Log from whom the end of an outage of the store is known

The logs could not tell whether an entry was taken for lapsed because of the outage just ended, of one long past, or of none. platform_outage_ended says from whom the end is known and by how much it moved; endpoint lines bear the revision and how long a lapsed entry's endpoint stays in use; sent lines and gateway_sent_after_entry_lapsed_ms show requests to such endpoints.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -69,7 +69,7 @@
   if (!complete_ || batch.after > revision_ || batch.revision < revision_) {
     return;
   }
-  if (batch.after_outage) outage_ended_ = loop_.Now();
+  if (batch.after_outage) SetOutageEnd("gateway");
   std::vector<published_change> changes;
   for (const change_document& document : batch.documents) {
     if (document.revision > revision_) {
@@ -195,7 +195,7 @@
   if (!connected_) {
     const auto away = core::ToMilliseconds(now - last_contact_);
     log_.Dependency("platform", "regained").Add("away_ms", away.count());
-    if (away >= options_.outage_after) outage_ended_ = now;
+    if (away >= options_.outage_after) SetOutageEnd("platform");
     connected_ = true;
   }
   last_contact_ = now;
@@ -247,7 +247,17 @@
   log_.Belief("mass_removal")
       .Add("removed", static_cast<std::int64_t>(removed))
       .Add("known", static_cast<std::int64_t>(endpoints_.Size()));
-  outage_ended_ = loop_.Now();
+  SetOutageEnd("mass_removal");
+}
+
+void catalog_follower::SetOutageEnd(const char* origin) {
+  const auto now = loop_.Now();
+  auto line = log_.Belief("platform_outage_ended");
+  line.Add("origin", origin);
+  if (outage_ended_) {
+    line.Add("moved_by_ms", core::ToMilliseconds(now - *outage_ended_).count());
+  }
+  outage_ended_ = now;
 }
 
 // Views.
@@ -320,12 +330,20 @@
 bool catalog_follower::Publish(const endpoint_table::changes& changes) {
   for (const endpoint_change& change : changes) {
     if (change.what != endpoint_change::kind::updated) {
-      log_.Belief("endpoint")
-          .Add("change", std::string(ToString(change.what)))
+      auto line = log_.Belief("endpoint");
+      line.Add("change", std::string(ToString(change.what)))
           .Add("instance", change.record.instance.Value())
           .Add("service", change.record.service.Value())
           .Add("address", change.record.address.ToString())
+          .Add("revision", revision_)
           .Add("catalog_age_ms", Age().count());
+      if (outage_ended_) {
+        line.Add("outage_ended_ms",
+                 core::ToMilliseconds(loop_.Now() - *outage_ended_).count());
+      }
+      if (change.usable_for) {
+        line.Add("usable_for_ms", change.usable_for->count());
+      }
     }
     listener_.OnEndpoint(change);
   }
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -99,6 +99,8 @@
   bool Publish(const endpoint_table::changes& changes);
   void NoteMassRemoval(const std::vector<published_change>& changes);
   bool AfterOutage() const;
+  /** @param origin from where the end is known, for the log. */
+  void SetOutageEnd(const char* origin);
 
   net::event_loop& loop_;
   catalog_source& source_;
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -66,13 +66,13 @@
   using kind = endpoint_change::kind;
   const auto found = entries_.find(record.instance);
   if (found == entries_.end()) {
-    entries_[record.instance] = {record, std::nullopt};
+    entries_[record.instance] = {.record = record};
     return {{record.leaving ? kind::leaving : kind::added, record}};
   }
   const bool was_leaving = found->second.record.leaving;
   const bool had_lapsed = found->second.lapses_at.has_value();
   const bool differs = DiffersInUse(found->second.record, record);
-  found->second = {record, std::nullopt};
+  found->second = {.record = record};
   if (record.leaving && !was_leaving) return {{kind::leaving, record}};
   if (had_lapsed) return {{kind::returned, record}};
   if (!differs) return {};
@@ -96,7 +96,9 @@
   if (after_outage && !removed.record.leaving) {
     if (removed.lapses_at) return;
     removed.lapses_at = now + lapse_grace_;
-    out.push_back({endpoint_change::kind::lapsed, removed.record});
+    removed.removed_at = now;
+    out.push_back(
+        {endpoint_change::kind::lapsed, removed.record, lapse_grace_});
     return;
   }
   out.push_back({endpoint_change::kind::gone, removed.record});
@@ -131,4 +133,11 @@
   return &found->second.record;
 }
 
+std::optional<core::milliseconds> endpoint_table::LapsedFor(
+    const instance_id& instance, core::time_point now) const {
+  const auto found = entries_.find(instance);
+  if (found == entries_.end() || !found->second.lapses_at) return std::nullopt;
+  return core::ToMilliseconds(now - found->second.removed_at);
+}
+
 }  // namespace comfreyspring::catalog
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
   enum class kind { added, updated, leaving, lapsed, returned, gone };
   kind what = kind::added;
   endpoint_record record;
+  /** Of a lapsed entry: time for which the endpoint stays in use. */
+  std::optional<core::milliseconds> usable_for;
 };
 
 std::string_view ToString(endpoint_change::kind kind);
@@ -53,6 +56,9 @@
       const std::function<void(const endpoint_record&)>& visit) const;
   /** @returns null unless the endpoint may get new work. */
   const endpoint_record* FindUsable(const instance_id& instance) const;
+  /** Time since the entry of a usable endpoint lapsed, if it has. */
+  std::optional<core::milliseconds> LapsedFor(const instance_id& instance,
+                                              core::time_point now) const;
   std::size_t Size() const { return entries_.size(); }
 
  private:
@@ -60,6 +66,7 @@
     endpoint_record record;
     /** Set while an entry that an outage removed is kept. */
     std::optional<core::time_point> lapses_at;
+    core::time_point removed_at;
   };
 
   void Remove(std::map<instance_id, entry>::iterator position,
--- a/src/catalog/endpoint_table_test.cc
+++ b/src/catalog/endpoint_table_test.cc
@@ -59,6 +59,15 @@
   EXPECT_TRUE(IsUsable("i1"));
 }
 
+TEST_F(endpoint_table_test, TellsForHowLongAnEntryHasLapsed) {
+  table_.OnSnapshot({Record("i1"), Record("i2")}, false, now_);
+  const auto changes = table_.OnSnapshot({Record("i2")}, true, now_);
+  EXPECT_EQ(changes.at(0).usable_for, milliseconds(2500));
+  now_ += milliseconds(700);
+  EXPECT_EQ(table_.LapsedFor(instance_id("i1"), now_), milliseconds(700));
+  EXPECT_EQ(table_.LapsedFor(instance_id("i2"), now_), std::nullopt);
+}
+
 TEST_F(endpoint_table_test, GraceDoesNotStartAnew) {
   table_.OnSnapshot({Record("i1")}, false, now_);
   table_.OnSnapshot({}, true, now_);
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -474,8 +474,9 @@
     call.maximum_connection_idle = idle_limit;
     call.may_resend = false;
     views.at(request->endpoint).results.OnSent(now);
-    log.Request(line_class::routine, "sent", request->facts.id.Value())
-        .Add("route", request->route->name)
+    auto line =
+        log.Request(line_class::routine, "sent", request->facts.id.Value());
+    line.Add("route", request->route->name)
         .Add("configuration", request->table->Version())
         .Add("endpoint", request->endpoint.Value())
         .Add("granted", request->ask != 0)
@@ -486,6 +487,12 @@
         .Add("load_wait_ms", request->load_wait.count())
         .Add("left_ms", left.count())
         .Add("catalog_age_ms", follower.Age().count());
+    if (const auto lapsed =
+            follower.Endpoints().LapsedFor(request->endpoint, now)) {
+      line.Add("entry_lapsed_ms", lapsed->count());
+      metrics.Observe("gateway_sent_after_entry_lapsed_ms",
+                      static_cast<double>(lapsed->count()));
+    }
     const std::uint64_t number = request->number;
     const int attempt = request->attempts;
     request->call = http.Start(
@@ -995,6 +1002,10 @@
   void OnEndpoint(const catalog::endpoint_change& change) {
     using kind = catalog::endpoint_change::kind;
     const catalog::instance_id& instance = change.record.instance;
+    if (change.what != kind::updated) {
+      metrics.Count("gateway_endpoint_changes_total{change=\"" +
+                    std::string(ToString(change.what)) + "\"}");
+    }
     if (change.what == kind::gone) {
       views.erase(instance);
       UpdateLinks();
