--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -134,7 +134,15 @@
     return;
   }
   OnContact();
-  revision_ = std::max(revision_, read.revision);
+  if (complete_ && read.revision < revision_) {
+    // Another process has told of changes after it, which it would undo.
+    log_.Belief("snapshot_outdated")
+        .Add("revision", read.revision)
+        .Add("known", revision_);
+    ReadChanges();
+    return;
+  }
+  revision_ = read.revision;
   std::vector<endpoint_record> records;
   std::vector<published_change> others;
   for (published_change& change : read.changes) {
