Give silent reads of the store up within the bound

Callers were sent to engines that had left because their gateway was blind: a read for changes that got no byte took 3,000 + 1,000 ms to fail, twice in a row when it began while the store was still away, and a good read after an outage was known as such only when something changed. Waits, pauses and limits are now fractions of the bound of a change (500, 400 and 1,000 ms at 2,000), and the first read after a loss does not wait.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -17,6 +17,13 @@
 constexpr std::size_t kMassRemovalShare = 3;
 /** A reader's pause: a change is known here in less than half of its time. */
 constexpr int kPausesPerBound = 5;
+/**
+ * A read on a connection on which nothing comes any more is given up after its
+ * wait and its time for the answer: together three quarters of the bound, so
+ * that the next read still finds what is new in time.
+ */
+constexpr int kWaitsPerBound = 4;
+constexpr int kTimeoutsPerBound = 2;
 /** A process that hears of no read reads itself, which takes some time too. */
 constexpr double kLimitShareOfBound = 0.4;
 
@@ -109,9 +116,17 @@
 
 // Reads.
 
+core::milliseconds catalog_follower::LongestWait() const {
+  return options_.change_bound / kWaitsPerBound;
+}
+
+core::milliseconds catalog_follower::ReadTimeout() const {
+  return options_.change_bound / kTimeoutsPerBound;
+}
+
 void catalog_follower::ReadAll() {
   const std::uint64_t generation = ++generation_;
-  source_.ReadAll(options_.read_timeout,
+  source_.ReadAll(ReadTimeout(),
                   [this, generation, alive = alive_](catalog_read read) {
                     if (!*alive || generation != generation_) return;
                     OnAll(std::move(read));
@@ -120,8 +135,9 @@
 
 void catalog_follower::ReadChanges() {
   const std::uint64_t generation = ++generation_;
-  source_.ReadChanges(revision_, options_.watch_wait,
-                      options_.watch_wait + options_.read_timeout,
+  // After an outage the first answer must not wait for a change.
+  const auto wait = connected_ ? LongestWait() : core::milliseconds(0);
+  source_.ReadChanges(revision_, wait, wait + ReadTimeout(),
                       [this, generation, alive = alive_](catalog_read read) {
                         if (!*alive || generation != generation_) return;
                         OnChanges(std::move(read));
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -16,16 +16,12 @@
 namespace comfreyspring::catalog {
 
 struct follower_options {
-  /** Longest wait of one read for changes. */
-  core::milliseconds watch_wait{3000};
   /**
-   * Time in which changes must be in force. Reads for changes have pauses of a
-   * fraction of it: heartbeats of endpoints would end each wait at once, and
-   * every read has its price.
+   * Time in which changes must be in force. The waits of reads for changes, the
+   * pauses between them (heartbeats of endpoints would end each wait at once,
+   * and every read has its price) and their limits are fractions of it.
    */
   core::milliseconds change_bound{2000};
-  /** An answer that is later than this is given up: 10 times the usual. */
-  core::milliseconds read_timeout{1000};
   /** First pause after a failed read; doubles up to the longest. */
   core::milliseconds first_retry{50};
   core::milliseconds longest_retry{400};
@@ -83,6 +79,10 @@
   core::milliseconds Age() const;
 
  private:
+  /** Longest wait of one read for changes. */
+  core::milliseconds LongestWait() const;
+  /** An answer that is later than this is given up. */
+  core::milliseconds ReadTimeout() const;
   void ReadAll();
   void ReadChanges();
   void OnAll(catalog_read read);
