Do not count a wait for changes as time without the store

Callers were sent to an engine that had left for as long as after an outage, though there was none: the time away was counted from the last answer, and a read may wait for a change for a while. Any cut of a waiting read was an outage of as long as it had waited. The time is now counted from when an answer was missing: from the cut, or from the end of the wait.

Test: catalog_follower_test.AReadThatWasCutWhileItWaitedIsNoOutage failed on the code before, also with the shorter first retry that it now has.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -126,6 +126,7 @@
 
 void catalog_follower::ReadAll() {
   const std::uint64_t generation = ++generation_;
+  wait_ends_ = loop_.Now();
   source_.ReadAll(ReadTimeout(),
                   [this, generation, alive = alive_](catalog_read read) {
                     if (!*alive || generation != generation_) return;
@@ -137,6 +138,7 @@
   const std::uint64_t generation = ++generation_;
   // After an outage the first answer must not wait for a change.
   const auto wait = connected_ ? LongestWait() : core::milliseconds(0);
+  wait_ends_ = loop_.Now() + wait;
   source_.ReadChanges(revision_, wait, wait + ReadTimeout(),
                       [this, generation, alive = alive_](catalog_read read) {
                         if (!*alive || generation != generation_) return;
@@ -219,7 +221,7 @@
   if (!connected_) {
     const auto away = core::ToMilliseconds(now - last_contact_);
     log_.Dependency("platform", "regained").Add("away_ms", away.count());
-    if (away >= options_.outage_after) SetOutageEnd("platform");
+    if (EndsOutage(now)) SetOutageEnd("platform");
     connected_ = true;
   }
   last_contact_ = now;
@@ -227,9 +229,16 @@
   retry_delay_ = options_.first_retry;
 }
 
+bool catalog_follower::EndsOutage(core::time_point now) const {
+  // Others may have read meanwhile.
+  const auto since = std::max(missing_since_, last_contact_);
+  return now - since >= options_.outage_after;
+}
+
 void catalog_follower::OnFailure(const char* call, const catalog_read& read) {
   if (connected_) {
     connected_ = false;
+    missing_since_ = std::min(loop_.Now(), wait_ends_);
     log_.Dependency("platform", "lost")
         .Add("call", call)
         .Add("reason", read.error)
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -89,6 +89,8 @@
   void OnChanges(catalog_read read);
   void OnFailure(const char* call, const catalog_read& read);
   void OnContact();
+  /** @returns whether the platform was away until just now. */
+  bool EndsOutage(core::time_point now) const;
   void RetryLater();
   void ReadWhenDue();
   void Apply(std::vector<published_change> changes, const char* origin,
@@ -119,6 +121,10 @@
   core::milliseconds retry_delay_;
   core::time_point last_contact_;
   bool connected_ = false;
+  /** The read that is under way may wait for a change until then. */
+  core::time_point wait_ends_;
+  /** While not connected: since when an answer has been missing. */
+  core::time_point missing_since_;
   /** End of the last outage, if there was one. */
   std::optional<core::time_point> outage_ended_;
   /** The next read; 0 while one is under way. */
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -209,6 +209,7 @@
   catalog_follower follower{loop_,
                             source,
                             {.change_bound = milliseconds(400),
+                             .first_retry = milliseconds(5),
                              .lapse_grace = milliseconds(300),
                              .outage_after = milliseconds(50)},
                             listener,
