Tell other gateways of an outage with its end, not as if it were over now

Callers were sent to engines that had left minutes after an outage: a gateway that heard of a batch after_outage took the present for the outage's end and marked its own next batch, so that gateways renewed each other's belief until they ended, and each removal was taken for the outage's work. A batch now bears the revision and the age of the outage's end as its reader knows it. outage_record keeps the earliest end of one outage, ignores one that only the teller had, and counts a later one anew; relays age what they hold. Messages of the version before say only that there was an outage; they are read as telling none.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -14,6 +14,7 @@
 #include "catalog/catalog_source.h"
 #include "catalog/endpoint_record.h"
 #include "catalog/endpoint_table.h"
+#include "catalog/outage_record.h"
 #include "catalog/read_schedule.h"
 #include "catalog/route.h"
 #include "catalog/route_table.h"
--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -24,6 +24,8 @@
  */
 constexpr int kWaitsPerBound = 4;
 constexpr int kTimeoutsPerBound = 2;
+/** Others need not hear of an outage that ended longer ago. */
+constexpr core::milliseconds kOutageTold{10'000};
 /** A process that hears of no read reads itself, which takes some time too. */
 constexpr double kLimitShareOfBound = 0.4;
 
@@ -51,7 +53,8 @@
       schedule_(ScheduleFor(options)),
       endpoints_(options.lapse_grace),
       retry_delay_(options.first_retry),
-      last_contact_(loop.Now()) {}
+      last_contact_(loop.Now()),
+      outages_(options.outage_after) {}
 
 catalog_follower::~catalog_follower() {
   *alive_ = false;
@@ -76,7 +79,11 @@
   if (!complete_ || batch.after > revision_ || batch.revision < revision_) {
     return;
   }
-  if (batch.after_outage) SetOutageEnd("gateway");
+  if (batch.last_outage &&
+      outages_.OnTold(*batch.last_outage, last_contact_,
+                      schedule_.LongestSilence(), loop_.Now())) {
+    LogOutage("gateway");
+  }
   std::vector<published_change> changes;
   for (const change_document& document : batch.documents) {
     if (document.revision > revision_) {
@@ -111,7 +118,8 @@
 }
 
 bool catalog_follower::AfterOutage() const {
-  return outage_ended_ && loop_.Now() - *outage_ended_ < options_.lapse_grace;
+  const auto& last = outages_.Last();
+  return last && loop_.Now() - last->ended < options_.lapse_grace;
 }
 
 // Reads.
@@ -151,7 +159,7 @@
     OnFailure("read_all", read);
     return;
   }
-  OnContact();
+  OnContact(read.revision);
   if (complete_ && read.revision < revision_) {
     // Another process has told of changes after it, which it would undo.
     log_.Belief("snapshot_outdated")
@@ -179,7 +187,7 @@
 
 void catalog_follower::OnChanges(catalog_read read) {
   if (read.outcome == read_outcome::history_lost) {
-    OnContact();
+    OnContact(revision_);
     log_.Belief("platform_history_lost").Add("revision", revision_);
     ReadAll();
     return;
@@ -188,7 +196,7 @@
     OnFailure("read_changes", read);
     return;
   }
-  OnContact();
+  OnContact(read.revision);
   // What another process has told meanwhile is not applied again.
   std::erase_if(read.changes, [&](const published_change& change) {
     return change.revision > 0 && change.revision <= revision_;
@@ -199,7 +207,7 @@
   batch.revision = revision_;
   NoteMassRemoval(read.changes);
   Apply(std::move(read.changes), "platform", batch.documents);
-  batch.after_outage = AfterOutage();
+  batch.last_outage = outages_.ToTell(kOutageTold, loop_.Now());
   listener_.OnOwnRead(batch);
   ReadWhenDue();
 }
@@ -216,12 +224,16 @@
                                [this] { ReadWhenDue(); });
 }
 
-void catalog_follower::OnContact() {
+void catalog_follower::OnContact(std::int64_t revision) {
   const auto now = loop_.Now();
   if (!connected_) {
     const auto away = core::ToMilliseconds(now - last_contact_);
     log_.Dependency("platform", "regained").Add("away_ms", away.count());
-    if (EndsOutage(now)) SetOutageEnd("platform");
+    // Others may have read meanwhile.
+    const auto missing_since = std::max(missing_since_, last_contact_);
+    if (outages_.OnRegained(missing_since, revision, now)) {
+      LogOutage("platform");
+    }
     connected_ = true;
   }
   last_contact_ = now;
@@ -229,12 +241,6 @@
   retry_delay_ = options_.first_retry;
 }
 
-bool catalog_follower::EndsOutage(core::time_point now) const {
-  // Others may have read meanwhile.
-  const auto since = std::max(missing_since_, last_contact_);
-  return now - since >= options_.outage_after;
-}
-
 void catalog_follower::OnFailure(const char* call, const catalog_read& read) {
   if (connected_) {
     connected_ = false;
@@ -280,17 +286,17 @@
   log_.Belief("mass_removal")
       .Add("removed", static_cast<std::int64_t>(removed))
       .Add("known", static_cast<std::int64_t>(endpoints_.Size()));
-  SetOutageEnd("mass_removal");
+  outages_.OnUnnoticed(revision_, loop_.Now());
+  LogOutage("mass_removal");
 }
 
-void catalog_follower::SetOutageEnd(const char* origin) {
-  const auto now = loop_.Now();
-  auto line = log_.Belief("platform_outage_ended");
-  line.Add("origin", origin);
-  if (outage_ended_) {
-    line.Add("moved_by_ms", core::ToMilliseconds(now - *outage_ended_).count());
-  }
-  outage_ended_ = now;
+void catalog_follower::LogOutage(const char* origin) {
+  const outage_record::outage& last = *outages_.Last();
+  log_.Belief("platform_outage_ended")
+      .Add("origin", origin)
+      .Add("revision", last.revision)
+      .Add("lasted_ms", core::ToMilliseconds(last.ended - last.began).count())
+      .Add("ended_ms", core::ToMilliseconds(loop_.Now() - last.ended).count());
 }
 
 // Views.
@@ -370,9 +376,9 @@
           .Add("address", change.record.address.ToString())
           .Add("revision", revision_)
           .Add("catalog_age_ms", Age().count());
-      if (outage_ended_) {
+      if (const auto& last = outages_.Last()) {
         line.Add("outage_ended_ms",
-                 core::ToMilliseconds(loop_.Now() - *outage_ended_).count());
+                 core::ToMilliseconds(loop_.Now() - last->ended).count());
       }
       if (change.usable_for) {
         line.Add("usable_for_ms", change.usable_for->count());
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -7,6 +7,7 @@
 
 #include "catalog/catalog_source.h"
 #include "catalog/endpoint_table.h"
+#include "catalog/outage_record.h"
 #include "catalog/read_schedule.h"
 #include "catalog/route_table.h"
 #include "core/random_source.h"
@@ -88,9 +89,8 @@
   void OnAll(catalog_read read);
   void OnChanges(catalog_read read);
   void OnFailure(const char* call, const catalog_read& read);
-  void OnContact();
-  /** @returns whether the platform was away until just now. */
-  bool EndsOutage(core::time_point now) const;
+  /** @param revision position of the answer in the platform's history. */
+  void OnContact(std::int64_t revision);
   void RetryLater();
   void ReadWhenDue();
   void Apply(std::vector<published_change> changes, const char* origin,
@@ -101,8 +101,8 @@
   bool Publish(const endpoint_table::changes& changes);
   void NoteMassRemoval(const std::vector<published_change>& changes);
   bool AfterOutage() const;
-  /** @param origin from where the end is known, for the log. */
-  void SetOutageEnd(const char* origin);
+  /** @param origin from where its end is known. */
+  void LogOutage(const char* origin);
 
   net::event_loop& loop_;
   catalog_source& source_;
@@ -125,8 +125,7 @@
   core::time_point wait_ends_;
   /** While not connected: since when an answer has been missing. */
   core::time_point missing_since_;
-  /** End of the last outage, if there was one. */
-  std::optional<core::time_point> outage_ended_;
+  outage_record outages_;
   /** The next read; 0 while one is under way. */
   net::timer_id read_timer_ = 0;
   net::timer_id tick_timer_ = 0;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -189,7 +189,7 @@
   source_.Answer(Done({}, 50));
   ASSERT_FALSE(listener_.batches.empty());
   change_batch told = listener_.batches.back();
-  EXPECT_TRUE(told.after_outage);
+  EXPECT_TRUE(told.last_outage);
   std::int64_t revision = 50;
   for (int i = 0; i < 20; ++i) {
     Wait(milliseconds(20));
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "catalog/endpoint_record.h"
+#include "catalog/outage_record.h"
 #include "catalog/route.h"
 #include "core/time.h"
 
@@ -54,8 +55,8 @@
   std::int64_t revision = 0;
   /** Time since the read. */
   core::milliseconds age{0};
-  /** The platform was away until just before the read. */
-  bool after_outage = false;
+  /** The last outage that the reader knows of, if it ended lately. */
+  std::optional<told_outage> last_outage;
   /** What has changed but for heartbeats, oldest first. */
   std::vector<change_document> documents;
 };
--- /dev/null
+++ b/src/catalog/outage_record_test.cc
@@ -0,0 +1,114 @@
+#include "catalog/outage_record.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace comfreyspring::catalog {
+namespace {
+
+using core::milliseconds;
+
+constexpr milliseconds kUsualGap{400};
+
+class outage_record_test : public ::testing::Test {
+ protected:
+  /** Time of the test, in milliseconds. */
+  static core::time_point At(int time) {
+    return core::time_point{milliseconds(time)};
+  }
+  bool Told(std::int64_t revision, int ended, int last_contact, int now) {
+    return record_.OnTold({revision, milliseconds(now - ended)},
+                          At(last_contact), kUsualGap, At(now));
+  }
+  core::time_point End() const { return record_.Last()->ended; }
+
+  outage_record record_{milliseconds(1000)};
+};
+
+TEST_F(outage_record_test, AShortLossIsNoOutage) {
+  EXPECT_FALSE(record_.OnRegained(At(5000), 40, At(5900)));
+  EXPECT_FALSE(record_.Last());
+  EXPECT_TRUE(record_.OnRegained(At(6000), 41, At(7000)));
+  EXPECT_EQ(End(), At(7000));
+}
+
+TEST_F(outage_record_test, TheFirstReadAfterAnOutageDatesItsEnd) {
+  record_.OnRegained(At(5000), 44, At(13000));
+  EXPECT_TRUE(Told(41, 9100, 5000, 13050));
+  EXPECT_EQ(End(), At(9100));
+  EXPECT_EQ(record_.Last()->revision, 41);
+  // A third process noticed later.
+  EXPECT_FALSE(Told(46, 13400, 13050, 13450));
+  EXPECT_EQ(End(), At(9100));
+}
+
+TEST_F(outage_record_test, WhoHeardFirstKeepsThatEndWhenItReadsItself) {
+  EXPECT_TRUE(Told(41, 9100, 5000, 9200));
+  EXPECT_FALSE(record_.OnRegained(At(5500), 44, At(13000)));
+  EXPECT_EQ(End(), At(9100));
+}
+
+TEST_F(outage_record_test, AnOutageOfAnotherProcessAloneDoesNotCount) {
+  EXPECT_FALSE(Told(41, 9100, 9000, 9200));
+  EXPECT_FALSE(record_.Last());
+}
+
+TEST_F(outage_record_test, ALaterOutageCountsAnew) {
+  record_.OnRegained(At(5000), 41, At(9000));
+  EXPECT_TRUE(Told(60, 29000, 25000, 29100));
+  EXPECT_EQ(End(), At(29000));
+  EXPECT_TRUE(record_.OnRegained(At(40000), 70, At(45000)));
+  EXPECT_EQ(End(), At(45000));
+}
+
+TEST_F(outage_record_test, TellsOfAnOutageForAWhile) {
+  record_.OnRegained(At(5000), 41, At(9000));
+  const auto told = record_.ToTell(milliseconds(5000), At(9300));
+  ASSERT_TRUE(told);
+  EXPECT_EQ(told->ended, milliseconds(300));
+  EXPECT_EQ(told->revision, 41);
+  EXPECT_FALSE(record_.ToTell(milliseconds(5000), At(14100)));
+}
+
+// Three processes regain the platform one after the other and tell each other
+// in any order: no end moves on.
+RC_GTEST_PROP(outage_record_property, TellingDoesNotProlongAnOutage,
+              (const std::vector<std::uint8_t>& steps)) {
+  struct process {
+    outage_record record{milliseconds(1000)};
+    core::time_point last_contact{milliseconds(5000)};
+    core::time_point regains;
+  };
+  std::vector<process> processes(3);
+  for (std::size_t i = 0; i < processes.size(); ++i) {
+    processes[i].regains =
+        core::time_point{milliseconds(10000 + 1500 * static_cast<int>(i))};
+  }
+  core::time_point now{milliseconds(10000)};
+  for (const std::uint8_t step : steps) {
+    now += milliseconds(step % 50);
+    for (process& reader : processes) {
+      if (reader.regains > now) continue;
+      if (reader.last_contact < reader.regains) {
+        reader.record.OnRegained(reader.last_contact, 50, reader.regains);
+      }
+      reader.last_contact = now;
+    }
+    const process& from = processes[step / 50 % 3];
+    process& to = processes[step / 150 % 3];
+    const auto told = from.record.ToTell(milliseconds(5000), now);
+    if (!told) continue;
+    const auto before = to.record.Last();
+    to.record.OnTold(*told, to.last_contact, kUsualGap, now);
+    to.last_contact = now;
+    if (before) {
+      RC_ASSERT(to.record.Last()->ended <= before->ended);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace comfreyspring::catalog
--- a/src/catalog/read_schedule.cc
+++ b/src/catalog/read_schedule.cc
@@ -30,6 +30,12 @@
   return !rank_ || *rank_ < options_.readers;
 }
 
+core::milliseconds read_schedule::LongestSilence() const {
+  return core::milliseconds(static_cast<std::int64_t>(
+      (1.0 + kLongestSpread) *
+      static_cast<double>(options_.confirmation_limit.count())));
+}
+
 core::time_point read_schedule::NextRead() const {
   const auto after_pause = read_at_ + options_.pause;
   if (IsReader()) return after_pause;
--- a/src/catalog/read_schedule.h
+++ b/src/catalog/read_schedule.h
@@ -43,6 +43,8 @@
   core::milliseconds ConfirmationLimit() const {
     return options_.confirmation_limit;
   }
+  /** Longest time between two confirmations or reads while all goes well. */
+  core::milliseconds LongestSilence() const;
   /** When the next read is due, as far as is known now. */
   core::time_point NextRead() const;
 
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -110,11 +110,14 @@
   out.Add(batch.after)
       .Add(batch.revision)
       .Add(batch.age)
-      .Add(batch.after_outage)
+      .Add(batch.last_outage.has_value())
       .Add(batch.documents.size());
   for (const catalog::change_document& document : batch.documents) {
     out.Add(document.revision).Add(document.text);
   }
+  if (batch.last_outage) {
+    out.Add(batch.last_outage->revision).Add(batch.last_outage->ended);
+  }
   return out.Finish();
 }
 
@@ -189,6 +192,7 @@
  public:
   explicit field_reader(std::vector<field>& fields) : fields_(fields) {}
 
+  bool AtEnd() const { return next_ >= fields_.size(); }
   std::int64_t Integer() { return Next(field::kind::integer).integer; }
   bool Boolean() { return Next(field::kind::boolean).integer != 0; }
   std::string Text() { return std::move(Next(field::kind::text).text); }
@@ -300,11 +304,16 @@
   batch.after = in.Integer();
   batch.revision = in.Integer();
   batch.age = in.Time();
-  batch.after_outage = in.Boolean();
+  const bool has_outage = in.Boolean();
   for (std::size_t left = in.Length(2); left > 0; --left) {
     const std::int64_t revision = in.Integer();
     batch.documents.push_back({revision, in.Text()});
   }
+  // Senders of the version before say only that there was one.
+  if (has_outage && !in.AtEnd()) {
+    const std::int64_t revision = in.Integer();
+    batch.last_outage = {revision, in.Time()};
+  }
   return batch;
 }
 
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -70,17 +70,27 @@
 
 TEST(messages_test, KeepABatchOfChanges) {
   change_batch batch{.after = 40, .revision = 44, .age = milliseconds(3)};
-  batch.after_outage = true;
+  batch.last_outage = {41, milliseconds(70)};
   batch.documents = {{42, "{}"}, {44, std::string("\xff\0", 2)}};
   const change_batch passed = Passed(batch);
   EXPECT_EQ(passed.after, 40);
   EXPECT_EQ(passed.revision, 44);
-  EXPECT_TRUE(passed.after_outage);
+  ASSERT_TRUE(passed.last_outage);
+  EXPECT_EQ(passed.last_outage->revision, 41);
+  EXPECT_EQ(passed.last_outage->ended, milliseconds(70));
   ASSERT_EQ(passed.documents.size(), 2U);
   EXPECT_EQ(passed.documents[0].revision, 42);
   EXPECT_EQ(passed.documents[1].text, std::string("\xff\0", 2));
 }
 
+// The version before says that there was an outage, not when it ended.
+TEST(messages_test, ReadABatchWithoutTheEndOfTheOutage) {
+  const auto frame = json::to_cbor(json::array({11, 40, 44, 3, true, 0}));
+  const auto passed =
+      Decode({reinterpret_cast<const char*>(frame.data()), frame.size()});
+  EXPECT_FALSE(std::get<change_batch>(passed).last_outage);
+}
+
 // A newer peer may know more fields than this version.
 TEST(messages_test, IgnoreAppendedFields) {
   const auto frame = json::to_cbor(json::array({2 + 1, 9, "new field"}));
--- a/src/sidecar/catalog_relay.cc
+++ b/src/sidecar/catalog_relay.cc
@@ -29,7 +29,13 @@
     }
   }
   content.revision = batch.revision;
-  content.after_outage = content.after_outage || batch.after_outage;
+  if (batch.last_outage) {
+    const auto ended = now - batch.last_outage->ended;
+    if (!content.last_outage || ended > pending_->outage_ended) {
+      content.last_outage = batch.last_outage;
+      pending_->outage_ended = ended;
+    }
+  }
   pending_->read_at = std::max(pending_->read_at, read_at);
   known_ = batch.revision;
   if (!content.documents.empty()) Flush(now, out);
@@ -44,7 +50,12 @@
 
 void catalog_relay::Flush(core::time_point now, batches& out) {
   if (!pending_) return;
-  pending_->content.age = core::ToMilliseconds(now - pending_->read_at);
+  catalog::change_batch& content = pending_->content;
+  content.age = core::ToMilliseconds(now - pending_->read_at);
+  if (content.last_outage) {
+    content.last_outage->ended =
+        core::ToMilliseconds(now - pending_->outage_ended);
+  }
   out.push_back(std::move(pending_->content));
   pending_.reset();
   flushed_at_ = now;
--- a/src/sidecar/catalog_relay.h
+++ b/src/sidecar/catalog_relay.h
@@ -33,6 +33,8 @@
   struct pending_batch {
     catalog::change_batch content;
     core::time_point read_at;
+    /** Of the last outage in the content. */
+    core::time_point outage_ended;
   };
 
   void Flush(core::time_point now, batches& out);
--- a/src/sidecar/catalog_relay_test.cc
+++ b/src/sidecar/catalog_relay_test.cc
@@ -45,6 +45,22 @@
   EXPECT_TRUE(relay_.OnTick(now_ + milliseconds(900)).empty());
 }
 
+// Whoever hears of an outage must know how long ago it ended.
+TEST_F(catalog_relay_test, TellsWhenTheLastOutageEnded) {
+  relay_.OnBatch(Batch(10, 14, {12}), now_);
+  change_batch batch = Batch(14, 16);
+  batch.last_outage = {13, milliseconds(900)};
+  relay_.OnBatch(batch, now_);
+  batch.last_outage = {15, milliseconds(300)};
+  relay_.OnBatch(batch, now_);
+  now_ += milliseconds(200);
+  const auto out = relay_.OnTick(now_);
+  ASSERT_EQ(out.size(), 1U);
+  ASSERT_TRUE(out[0].last_outage);
+  EXPECT_EQ(out[0].last_outage->revision, 15);
+  EXPECT_EQ(out[0].last_outage->ended, milliseconds(500));
+}
+
 // Several gateways read the same change.
 TEST_F(catalog_relay_test, PassesAChangeOnOnce) {
   relay_.OnBatch(Batch(10, 14, {12}), now_);
