Use the endpoint of a missing entry no longer than the bound allows

Callers were sent to an engine for 2.5 s after it had left, wherever its removal was taken for an outage's work: the grace period began at each removal and is longer than the 2 s in which a leaving engine must be out of use. UsableUntil now decides from the outage and the removal: what was removed up to the first read after the outage is kept until the time in which living engines are listed again (2.5 s from the return); what was removed later, at most three quarters of the bound after the entry was last known to be listed, and never past that time. Whoever has written its entry since the outage has left.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -51,7 +51,6 @@
       log_(log),
       random_(options.random_seed),
       schedule_(ScheduleFor(options)),
-      endpoints_(options.lapse_grace),
       retry_delay_(options.first_retry),
       last_contact_(loop.Now()),
       outages_(options.outage_after) {}
@@ -90,9 +89,10 @@
       changes.push_back(source_.Decode(document));
     }
   }
-  NoteMassRemoval(changes);
+  NoteMassRemoval(changes, revision_);
   std::vector<change_document> ignored;
-  Apply(std::move(changes), "gateway", ignored);
+  Apply(std::move(changes), {"gateway", batch.revision, last_contact_},
+        ignored);
   revision_ = batch.revision;
   const auto read_at = loop_.Now() - batch.age;
   schedule_.OnConfirmed(read_at);
@@ -117,9 +117,12 @@
   return core::ToMilliseconds(loop_.Now() - last_contact_);
 }
 
-bool catalog_follower::AfterOutage() const {
+absence catalog_follower::AbsenceAt(std::int64_t removed_at,
+                                    const read_facts& read) const {
   const auto& last = outages_.Last();
-  return last && loop_.Now() - last->ended < options_.lapse_grace;
+  return {UsableUntil(last, removed_at, read.known_until,
+                      {options_.return_time, options_.change_bound}),
+          last ? last->revision : 0};
 }
 
 // Reads.
@@ -159,6 +162,7 @@
     OnFailure("read_all", read);
     return;
   }
+  const read_facts facts{"platform", read.revision, last_contact_};
   OnContact(read.revision);
   if (complete_ && read.revision < revision_) {
     // Another process has told of changes after it, which it would undo.
@@ -169,19 +173,20 @@
     return;
   }
   revision_ = read.revision;
-  std::vector<endpoint_record> records;
+  std::vector<endpoint_table::listed_entry> entries;
   std::vector<published_change> others;
   for (published_change& change : read.changes) {
     if (auto* record = std::get_if<endpoint_record>(&change.content)) {
-      records.push_back(std::move(*record));
+      entries.push_back({std::move(*record), change.revision});
     } else {
       others.push_back(std::move(change));
     }
   }
   complete_ = true;
   std::vector<change_document> ignored;
-  Apply(std::move(others), "platform", ignored);
-  Publish(endpoints_.OnSnapshot(records, AfterOutage(), loop_.Now()));
+  Apply(std::move(others), facts, ignored);
+  Publish(endpoints_.OnSnapshot(entries, AbsenceAt(read.revision, facts),
+                                loop_.Now()));
   ReadChanges();
 }
 
@@ -196,6 +201,7 @@
     OnFailure("read_changes", read);
     return;
   }
+  const read_facts facts{"platform", read.revision, last_contact_};
   OnContact(read.revision);
   // What another process has told meanwhile is not applied again.
   std::erase_if(read.changes, [&](const published_change& change) {
@@ -205,8 +211,8 @@
   batch.after = revision_;
   revision_ = std::max(revision_, read.revision);
   batch.revision = revision_;
-  NoteMassRemoval(read.changes);
-  Apply(std::move(read.changes), "platform", batch.documents);
+  NoteMassRemoval(read.changes, batch.after);
+  Apply(std::move(read.changes), facts, batch.documents);
   batch.last_outage = outages_.ToTell(kOutageTold, loop_.Now());
   listener_.OnOwnRead(batch);
   ReadWhenDue();
@@ -274,7 +280,7 @@
 }
 
 void catalog_follower::NoteMassRemoval(
-    const std::vector<published_change>& changes) {
+    const std::vector<published_change>& changes, std::int64_t known_before) {
   const auto removed =
       std::count_if(changes.begin(), changes.end(), [](const auto& change) {
         return std::holds_alternative<endpoint_removed>(change.content);
@@ -286,8 +292,9 @@
   log_.Belief("mass_removal")
       .Add("removed", static_cast<std::int64_t>(removed))
       .Add("known", static_cast<std::int64_t>(endpoints_.Size()));
-  outages_.OnUnnoticed(revision_, loop_.Now());
-  LogOutage("mass_removal");
+  if (outages_.OnUnnoticed(known_before, options_.return_time, loop_.Now())) {
+    LogOutage("mass_removal");
+  }
 }
 
 void catalog_follower::LogOutage(const char* origin) {
@@ -302,47 +309,50 @@
 // Views.
 
 void catalog_follower::Apply(std::vector<published_change> changes,
-                             const char* origin,
+                             const read_facts& read,
                              std::vector<change_document>& news) {
   for (published_change& change : changes) {
-    if (ApplyOne(change.content, origin) && !change.document.empty()) {
+    if (ApplyOne(change, read) && !change.document.empty()) {
       news.push_back({change.revision, std::move(change.document)});
     }
   }
 }
 
-bool catalog_follower::ApplyOne(catalog_change& change, const char* origin) {
-  const auto now = loop_.Now();
+bool catalog_follower::ApplyOne(published_change& change,
+                                const read_facts& read) {
   return std::visit(
-      core::overloaded{[&](configuration& content) {
-                         return Adopt(std::move(content), origin);
-                       },
-                       [&](const endpoint_record& record) {
-                         return Publish(endpoints_.OnRecord(record, now));
-                       },
-                       [&](const endpoint_removed& removed) {
-                         return Publish(endpoints_.OnRemoved(
-                             removed.instance, AfterOutage(), now));
-                       },
-                       [&](const adapter_version_announced& announced) {
-                         std::int64_t& known = versions_[announced.adapter];
-                         if (announced.version <= known) return false;
-                         log_.Belief("adapter_version")
-                             .Add("adapter", announced.adapter.adapter.Value())
-                             .Add("model", announced.adapter.model.Value())
-                             .Add("from", known)
-                             .Add("to", announced.version)
-                             .Add("origin", origin);
-                         known = announced.version;
-                         return true;
-                       },
-                       [&](const unreadable_entry& entry) {
-                         log_.Belief("entry_unreadable")
-                             .Add("key", entry.key)
-                             .Add("reason", entry.reason);
-                         return false;
-                       }},
-      change);
+      core::overloaded{
+          [&](configuration& content) {
+            return Adopt(std::move(content), read.origin);
+          },
+          [&](const endpoint_record& record) {
+            return Publish(endpoints_.OnRecord({record, change.revision}));
+          },
+          [&](const endpoint_removed& removed) {
+            const std::int64_t removed_at =
+                change.revision > 0 ? change.revision : read.revision;
+            return Publish(endpoints_.OnRemoved(
+                removed.instance, AbsenceAt(removed_at, read), loop_.Now()));
+          },
+          [&](const adapter_version_announced& announced) {
+            std::int64_t& known = versions_[announced.adapter];
+            if (announced.version <= known) return false;
+            log_.Belief("adapter_version")
+                .Add("adapter", announced.adapter.adapter.Value())
+                .Add("model", announced.adapter.model.Value())
+                .Add("from", known)
+                .Add("to", announced.version)
+                .Add("origin", read.origin);
+            known = announced.version;
+            return true;
+          },
+          [&](const unreadable_entry& entry) {
+            log_.Belief("entry_unreadable")
+                .Add("key", entry.key)
+                .Add("reason", entry.reason);
+            return false;
+          }},
+      change.content);
 }
 
 bool catalog_follower::Adopt(configuration content, const char* origin) {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -27,7 +27,7 @@
   core::milliseconds first_retry{50};
   core::milliseconds longest_retry{400};
   /** Entries that an outage removed are back within this time. */
-  core::milliseconds lapse_grace{2500};
+  core::milliseconds return_time{absence_limits().return_time};
   /** Failures for this long count as an outage of the platform. */
   core::milliseconds outage_after{1000};
   std::uint64_t random_seed = 1;
@@ -93,14 +93,24 @@
   void OnContact(std::int64_t revision);
   void RetryLater();
   void ReadWhenDue();
-  void Apply(std::vector<published_change> changes, const char* origin,
+  /** What is known of the read that has brought changes. */
+  struct read_facts {
+    const char* origin;
+    /** Position of the answer in the platform's history. */
+    std::int64_t revision = 0;
+    /** Everything was known up to then before it. */
+    core::time_point known_until;
+  };
+  void Apply(std::vector<published_change> changes, const read_facts& read,
              std::vector<change_document>& news);
   /** @returns whether the change was news. */
-  bool ApplyOne(catalog_change& change, const char* origin);
+  bool ApplyOne(published_change& change, const read_facts& read);
   bool Adopt(configuration content, const char* origin);
   bool Publish(const endpoint_table::changes& changes);
-  void NoteMassRemoval(const std::vector<published_change>& changes);
-  bool AfterOutage() const;
+  void NoteMassRemoval(const std::vector<published_change>& changes,
+                       std::int64_t known_before);
+  /** @param removed_at as for UsableUntil. */
+  absence AbsenceAt(std::int64_t removed_at, const read_facts& read) const;
   /** @param origin from where its end is known. */
   void LogOutage(const char* origin);
 
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -109,7 +109,7 @@
                              {.change_bound = milliseconds(100),
                               .first_retry = milliseconds(5),
                               .longest_retry = milliseconds(20),
-                              .lapse_grace = milliseconds(300),
+                              .return_time = milliseconds(300),
                               .outage_after = milliseconds(50)},
                              listener_,
                              log_};
@@ -210,7 +210,7 @@
                             source,
                             {.change_bound = milliseconds(400),
                              .first_retry = milliseconds(5),
-                             .lapse_grace = milliseconds(300),
+                             .return_time = milliseconds(300),
                              .outage_after = milliseconds(50)},
                             listener,
                             log_};
@@ -250,6 +250,17 @@
   EXPECT_NE(follower_.Endpoints().FindUsable(instance_id("i2")), nullptr);
 }
 
+// Engines that leave together look like an outage, and must keep to the bound.
+TEST_F(catalog_follower_test, ManyThatLeaveAtOnceKeepToTheBound) {
+  source_.Answer(Done({Record("i1"), Record("i2"), Record("i3")}, 40));
+  source_.Answer(Done({endpoint_removed{instance_id("i1")},
+                       endpoint_removed{instance_id("i2")}},
+                      44));
+  Wait(milliseconds(200));
+  EXPECT_EQ(follower_.Endpoints().FindUsable(instance_id("i1")), nullptr);
+  EXPECT_EQ(follower_.Endpoints().FindUsable(instance_id("i2")), nullptr);
+}
+
 TEST_F(catalog_follower_test, AnUnreadableEntryChangesNothing) {
   source_.Answer(Done({Configuration(3), Record("i1")}, 40));
   source_.Answer(Done({unreadable_entry{"op/config", "not JSON"}}, 41));
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -36,43 +36,40 @@
   return "unknown";
 }
 
-endpoint_table::endpoint_table(core::milliseconds lapse_grace)
-    : lapse_grace_(lapse_grace) {}
-
 endpoint_table::changes endpoint_table::OnSnapshot(
-    const std::vector<endpoint_record>& records, bool after_outage,
+    const std::vector<listed_entry>& entries, const absence& missing,
     core::time_point now) {
   changes out;
   std::set<instance_id> listed;
-  for (const endpoint_record& record : records) {
-    listed.insert(record.instance);
-    for (endpoint_change& change : OnRecord(record, now)) {
+  for (const listed_entry& each : entries) {
+    listed.insert(each.record.instance);
+    for (endpoint_change& change : OnRecord(each)) {
       out.push_back(std::move(change));
     }
   }
   for (auto position = entries_.begin(); position != entries_.end();) {
     const auto next = std::next(position);
     if (listed.count(position->first) == 0) {
-      Remove(position, after_outage, now, out);
+      Remove(position, missing, now, out);
     }
     position = next;
   }
   return out;
 }
 
-endpoint_table::changes endpoint_table::OnRecord(const endpoint_record& record,
-                                                 core::time_point now) {
-  static_cast<void>(now);
+endpoint_table::changes endpoint_table::OnRecord(const listed_entry& listed) {
   using kind = endpoint_change::kind;
+  const endpoint_record& record = listed.record;
+  const entry fresh{.record = record, .revision = listed.revision};
   const auto found = entries_.find(record.instance);
   if (found == entries_.end()) {
-    entries_[record.instance] = {.record = record};
+    entries_[record.instance] = fresh;
     return {{record.leaving ? kind::leaving : kind::added, record}};
   }
   const bool was_leaving = found->second.record.leaving;
-  const bool had_lapsed = found->second.lapses_at.has_value();
+  const bool had_lapsed = found->second.usable_until.has_value();
   const bool differs = DiffersInUse(found->second.record, record);
-  found->second = {.record = record};
+  found->second = fresh;
   if (record.leaving && !was_leaving) return {{kind::leaving, record}};
   if (had_lapsed) return {{kind::returned, record}};
   if (!differs) return {};
@@ -80,25 +77,27 @@
 }
 
 endpoint_table::changes endpoint_table::OnRemoved(const instance_id& instance,
-                                                  bool after_outage,
+                                                  const absence& missing,
                                                   core::time_point now) {
   changes out;
   const auto found = entries_.find(instance);
-  if (found != entries_.end()) Remove(found, after_outage, now, out);
+  if (found != entries_.end()) Remove(found, missing, now, out);
   return out;
 }
 
 void endpoint_table::Remove(std::map<instance_id, entry>::iterator position,
-                            bool after_outage, core::time_point now,
+                            const absence& missing, core::time_point now,
                             changes& out) {
   entry& removed = position->second;
+  if (removed.usable_until) return;
   // What has announced that it leaves does not come back.
-  if (after_outage && !removed.record.leaving) {
-    if (removed.lapses_at) return;
-    removed.lapses_at = now + lapse_grace_;
+  const bool may_live = missing.usable_until > now && !removed.record.leaving &&
+                        removed.revision <= missing.outage_revision;
+  if (may_live) {
+    removed.usable_until = missing.usable_until;
     removed.removed_at = now;
-    out.push_back(
-        {endpoint_change::kind::lapsed, removed.record, lapse_grace_});
+    out.push_back({endpoint_change::kind::lapsed, removed.record,
+                   core::ToMilliseconds(missing.usable_until - now)});
     return;
   }
   out.push_back({endpoint_change::kind::gone, removed.record});
@@ -109,8 +108,8 @@
   changes out;
   for (auto position = entries_.begin(); position != entries_.end();) {
     const auto next = std::next(position);
-    const auto& lapses_at = position->second.lapses_at;
-    if (lapses_at && *lapses_at <= now) {
+    const auto& usable_until = position->second.usable_until;
+    if (usable_until && *usable_until <= now) {
       out.push_back({endpoint_change::kind::gone, position->second.record});
       entries_.erase(position);
     }
@@ -136,7 +135,8 @@
 std::optional<core::milliseconds> endpoint_table::LapsedFor(
     const instance_id& instance, core::time_point now) const {
   const auto found = entries_.find(instance);
-  if (found == entries_.end() || !found->second.lapses_at) return std::nullopt;
+  if (found == entries_.end() || !found->second.usable_until)
+    return std::nullopt;
   return core::ToMilliseconds(now - found->second.removed_at);
 }
 
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -22,31 +23,41 @@
 
 std::string_view ToString(endpoint_change::kind kind);
 
+/** What it means that an entry is missing. */
+struct absence {
+  /** Until then an endpoint whose entry may have lapsed stays in use. */
+  core::time_point usable_until;
+  /**
+   * Endpoints that have written their entry since this position were there
+   * after the outage: they have left.
+   */
+  std::int64_t outage_revision = 0;
+};
+
 /**
  * Endpoints as the platform lists them.
  *
  * An entry that disappears while the platform is well means that its endpoint
  * has left or died. After an outage of the platform entries are missing whose
- * endpoints live: they are kept for a grace period in which living endpoints
+ * endpoints live: they stay in use for a while, in which living endpoints
  * register again.
  */
 class endpoint_table {
  public:
-  /** @param lapse_grace how long an entry that an outage removed is kept. */
-  explicit endpoint_table(core::milliseconds lapse_grace);
-
   using changes = std::vector<endpoint_change>;
 
-  /**
-   * Replaces the whole view.
-   * @param after_outage the platform could not be read just before.
-   */
-  changes OnSnapshot(const std::vector<endpoint_record>& records,
-                     bool after_outage, core::time_point now);
+  /** An entry and the position of its last change in the history. */
+  struct listed_entry {
+    endpoint_record record;
+    std::int64_t revision = 0;
+  };
+
+  /** Replaces the whole view. */
+  changes OnSnapshot(const std::vector<listed_entry>& entries,
+                     const absence& missing, core::time_point now);
   /** A heartbeat with nothing new but the models held is no change. */
-  changes OnRecord(const endpoint_record& record, core::time_point now);
-  /** @param after_outage as for OnSnapshot. */
-  changes OnRemoved(const instance_id& instance, bool after_outage,
+  changes OnRecord(const listed_entry& listed);
+  changes OnRemoved(const instance_id& instance, const absence& missing,
                     core::time_point now);
   /** Ends grace periods. Call about every 100 ms. */
   changes OnTick(core::time_point now);
@@ -64,15 +75,15 @@
  private:
   struct entry {
     endpoint_record record;
-    /** Set while an entry that an outage removed is kept. */
-    std::optional<core::time_point> lapses_at;
+    std::int64_t revision = 0;
+    /** Set while an entry that may have lapsed is kept. */
+    std::optional<core::time_point> usable_until;
     core::time_point removed_at;
   };
 
   void Remove(std::map<instance_id, entry>::iterator position,
-              bool after_outage, core::time_point now, changes& out);
+              const absence& missing, core::time_point now, changes& out);
 
-  core::milliseconds lapse_grace_;
   std::map<instance_id, entry> entries_;
 };
 
--- a/src/catalog/endpoint_table_test.cc
+++ b/src/catalog/endpoint_table_test.cc
@@ -20,14 +20,22 @@
     return table_.FindUsable(instance_id(name)) != nullptr;
   }
 
+  static endpoint_table::listed_entry Listed(const endpoint_record& record,
+                                             std::int64_t revision = 5) {
+    return {record, revision};
+  }
+  /** Meaning of an absence that may be the work of an outage. */
+  absence MayHaveLapsed() const { return {now_ + milliseconds(2500), 10}; }
+  static absence HasLeft() { return {core::time_point::min(), 0}; }
+
   core::time_point now_{std::chrono::seconds(100)};
-  endpoint_table table_{milliseconds(2500)};
+  endpoint_table table_;
 };
 
 TEST_F(endpoint_table_test, ALeavingEndpointGetsNoNewWork) {
-  table_.OnRecord(Record("i1"), now_);
+  table_.OnRecord(Listed(Record("i1")));
   EXPECT_TRUE(IsUsable("i1"));
-  const auto changes = table_.OnRecord(Record("i1", true), now_);
+  const auto changes = table_.OnRecord(Listed(Record("i1", true)));
   ASSERT_EQ(changes.size(), 1U);
   EXPECT_EQ(changes[0].what, kind::leaving);
   EXPECT_FALSE(IsUsable("i1"));
@@ -35,8 +43,8 @@
 
 // Some endpoints never announce that they leave: their entry is removed.
 TEST_F(endpoint_table_test, ARemovedEndpointIsGoneAtOnce) {
-  table_.OnRecord(Record("i1"), now_);
-  const auto changes = table_.OnRemoved(instance_id("i1"), false, now_);
+  table_.OnRecord(Listed(Record("i1")));
+  const auto changes = table_.OnRemoved(instance_id("i1"), HasLeft(), now_);
   ASSERT_EQ(changes.size(), 1U);
   EXPECT_EQ(changes[0].what, kind::gone);
   EXPECT_FALSE(IsUsable("i1"));
@@ -44,13 +52,14 @@
 
 // An outage of the platform removes entries of endpoints that live.
 TEST_F(endpoint_table_test, AnEntryThatLapsedInAnOutageIsKeptForAWhile) {
-  table_.OnSnapshot({Record("i1"), Record("i2"), Record("i3", true)}, false,
-                    now_);
-  table_.OnSnapshot({}, true, now_);
+  table_.OnSnapshot(
+      {Listed(Record("i1")), Listed(Record("i2")), Listed(Record("i3", true))},
+      HasLeft(), now_);
+  table_.OnSnapshot({}, MayHaveLapsed(), now_);
   EXPECT_TRUE(IsUsable("i1"));
   EXPECT_EQ(table_.Size(), 2U);
   now_ += milliseconds(2000);
-  const auto returned = table_.OnRecord(Record("i1"), now_);
+  const auto returned = table_.OnRecord(Listed(Record("i1")));
   EXPECT_EQ(returned[0].what, kind::returned);
   now_ += milliseconds(600);
   const auto gone = table_.OnTick(now_);
@@ -60,19 +69,31 @@
 }
 
 TEST_F(endpoint_table_test, TellsForHowLongAnEntryHasLapsed) {
-  table_.OnSnapshot({Record("i1"), Record("i2")}, false, now_);
-  const auto changes = table_.OnSnapshot({Record("i2")}, true, now_);
+  table_.OnSnapshot({Listed(Record("i1")), Listed(Record("i2"))}, HasLeft(),
+                    now_);
+  const auto changes =
+      table_.OnSnapshot({Listed(Record("i2"))}, MayHaveLapsed(), now_);
   EXPECT_EQ(changes.at(0).usable_for, milliseconds(2500));
   now_ += milliseconds(700);
   EXPECT_EQ(table_.LapsedFor(instance_id("i1"), now_), milliseconds(700));
   EXPECT_EQ(table_.LapsedFor(instance_id("i2"), now_), std::nullopt);
 }
 
+// It has registered again after the outage, so its entry did not lapse in it.
+TEST_F(endpoint_table_test, WhoHasRegisteredSinceTheOutageHasLeft) {
+  table_.OnRecord(Listed(Record("i1"), 9));
+  table_.OnRecord(Listed(Record("i2"), 11));
+  EXPECT_EQ(table_.OnRemoved(instance_id("i1"), MayHaveLapsed(), now_)[0].what,
+            kind::lapsed);
+  EXPECT_EQ(table_.OnRemoved(instance_id("i2"), MayHaveLapsed(), now_)[0].what,
+            kind::gone);
+}
+
 TEST_F(endpoint_table_test, GraceDoesNotStartAnew) {
-  table_.OnSnapshot({Record("i1")}, false, now_);
-  table_.OnSnapshot({}, true, now_);
+  table_.OnSnapshot({Listed(Record("i1"))}, HasLeft(), now_);
+  table_.OnSnapshot({}, MayHaveLapsed(), now_);
   now_ += milliseconds(2000);
-  table_.OnSnapshot({}, true, now_);
+  table_.OnSnapshot({}, MayHaveLapsed(), now_);
   now_ += milliseconds(600);
   EXPECT_EQ(table_.OnTick(now_).size(), 1U);
 }
--- a/src/catalog/outage_record.cc
+++ b/src/catalog/outage_record.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace comfreyspring::catalog {
+namespace {
+
+/** The rest is for requests on their way to an endpoint. */
+constexpr double kUsedShareOfBound = 0.75;
+
+}  // namespace
 
 outage_record::outage_record(core::milliseconds shortest)
     : shortest_(shortest) {}
@@ -31,8 +37,12 @@
   return true;
 }
 
-void outage_record::OnUnnoticed(std::int64_t revision, core::time_point now) {
-  last_ = {now, now, revision};
+bool outage_record::OnUnnoticed(std::int64_t known_before,
+                                core::milliseconds return_time,
+                                core::time_point now) {
+  if (last_ && now - last_->ended < return_time) return false;
+  last_ = {now, now, known_before};
+  return true;
 }
 
 std::optional<told_outage> outage_record::ToTell(core::milliseconds age_limit,
@@ -43,4 +53,16 @@
   return told_outage{last_->revision, age};
 }
 
+core::time_point UsableUntil(const std::optional<outage_record::outage>& last,
+                             std::int64_t removed_at,
+                             core::time_point listed_at,
+                             const absence_limits& limits) {
+  if (!last) return core::time_point::min();
+  const auto returned_by = last->ended + limits.return_time;
+  if (removed_at <= last->revision) return returned_by;
+  const core::milliseconds used(static_cast<std::int64_t>(
+      kUsedShareOfBound * static_cast<double>(limits.leaving_bound.count())));
+  return std::min(returned_by, listed_at + used);
+}
+
 }  // namespace comfreyspring::catalog
--- a/src/catalog/outage_record.h
+++ b/src/catalog/outage_record.h
@@ -52,8 +52,14 @@
    */
   bool OnTold(const told_outage& told, core::time_point last_contact,
               core::milliseconds usual_gap, core::time_point now);
-  /** Entries were removed as in an outage, which nobody has noticed. */
-  void OnUnnoticed(std::int64_t revision, core::time_point now);
+  /**
+   * Entries were removed as in an outage, which nobody has noticed.
+   * @param known_before position in the history before they were removed.
+   * @returns whether that is news: an outage that ended within `return_time`
+   *     explains them.
+   */
+  bool OnUnnoticed(std::int64_t known_before, core::milliseconds return_time,
+                   core::time_point now);
 
   const std::optional<outage>& Last() const { return last_; }
   /** @returns nothing if the outage ended longer than `age_limit` ago. */
@@ -65,4 +71,31 @@
   std::optional<outage> last_;
 };
 
+struct absence_limits {
+  /**
+   * After an outage of the platform living endpoints are listed again within
+   * this time: 2 s for their registration, and half a second to read of it.
+   */
+  core::milliseconds return_time{2500};
+  /** An endpoint whose entry is removed is out of use within this time. */
+  core::milliseconds leaving_bound{2000};
+};
+
+/**
+ * Until when an endpoint is used whose entry is missing. Pure.
+ *
+ * Load pattern that it answers: an outage of the platform removes entries of
+ * endpoints that live, which would all be missed at once; others have left
+ * since the platform's return, and must be out of use within the bound.
+ *
+ * @param removed_at position in the platform's history at which, or before
+ *     which, the entry was removed.
+ * @param listed_at when the entry was last known to be listed.
+ * @returns a time that is over if the endpoint must not be used any more.
+ */
+core::time_point UsableUntil(const std::optional<outage_record::outage>& last,
+                             std::int64_t removed_at,
+                             core::time_point listed_at,
+                             const absence_limits& limits);
+
 }  // namespace comfreyspring::catalog
--- a/src/catalog/outage_record_test.cc
+++ b/src/catalog/outage_record_test.cc
@@ -73,6 +73,45 @@
   EXPECT_FALSE(record_.ToTell(milliseconds(5000), At(14100)));
 }
 
+TEST_F(outage_record_test, AnOutageExplainsRemovalsForAWhile) {
+  record_.OnRegained(At(5000), 41, At(9000));
+  EXPECT_FALSE(record_.OnUnnoticed(43, milliseconds(2500), At(9100)));
+  EXPECT_EQ(record_.Last()->revision, 41);
+  EXPECT_TRUE(record_.OnUnnoticed(60, milliseconds(2500), At(20000)));
+  EXPECT_EQ(record_.Last()->revision, 60);
+}
+
+class usable_until_test : public outage_record_test {
+ protected:
+  /** @param listed when the entry was last known to be listed. */
+  core::time_point Until(std::int64_t removed_at, int listed) const {
+    return UsableUntil(record_.Last(), removed_at, At(listed),
+                       {milliseconds(2500), milliseconds(2000)});
+  }
+};
+
+TEST_F(usable_until_test, WithoutAnOutageARemovedEntryIsGone) {
+  EXPECT_EQ(Until(50, 9000), core::time_point::min());
+}
+
+TEST_F(usable_until_test, AnEntryThatLapsedInTheOutageHasTimeToReturn) {
+  record_.OnRegained(At(5000), 50, At(9000));
+  EXPECT_EQ(Until(50, 5000), At(11500));
+}
+
+// Grace that is longer than the bound sends callers to endpoints that left.
+TEST_F(usable_until_test, ARemovalAfterTheReturnKeepsToTheBound) {
+  record_.OnRegained(At(5000), 50, At(9000));
+  EXPECT_EQ(Until(51, 9100), At(10600));
+  EXPECT_EQ(Until(60, 10500), At(11500));
+}
+
+// A second outage that nobody noticed may be a mass of endpoints that leave.
+TEST_F(usable_until_test, ManyRemovalsAtOnceKeepToTheBound) {
+  record_.OnUnnoticed(59, milliseconds(2500), At(20000));
+  EXPECT_EQ(Until(60, 19600), At(21100));
+}
+
 // Three processes regain the platform one after the other and tell each other
 // in any order: no end moves on.
 RC_GTEST_PROP(outage_record_property, TellingDoesNotProlongAnOutage,
