Let requests that wait at a removed engine ask elsewhere at once

Callers whose request waited for its turn at an engine were held until their limit when its entry was removed without a notice: the link to its agent is closed then, so that neither grant nor refusal came. Engines that announce that they leave were handled, those that are gone were not. Test: users_platform_test.WhoWaitsAtAnEngineThatIsGoneIsNotHeld failed before (no answer within 1,500 ms).

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1007,6 +1007,7 @@
                     std::string(ToString(change.what)) + "\"}");
     }
     if (change.what == kind::gone) {
+      LeaveEndpoint(instance);
       views.erase(instance);
       UpdateLinks();
       return;
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -299,6 +299,45 @@
   EXPECT_EQ(Ask("after", "a1").status, 200);
 }
 
+// A request that waits for its turn at an engine whose entry is removed would
+// wait until its limit: nobody answers it any more.
+TEST_F(users_platform_test, WhoWaitsAtAnEngineThatIsGoneIsNotHeld) {
+  WaitUntilReady();
+  engine_.events = 100;
+  const auto start = [&](const std::string& id,
+                         std::optional<net::http_result>& result) {
+    http_.Start(
+        {.method = "POST",
+         .url = "http://" + Address(caller_port_) + "/",
+         .target = "/p/x",
+         .headers = {{"host", "h.example"},
+                     {"request-id", id},
+                     {"model", "m/a1"},
+                     {"token-count", "100,20"},
+                     {"deadline-ms", "5000"}},
+         .total_timeout = kLimit},
+        {.on_done = [&](const net::http_result& done) { result = done; }});
+  };
+  std::vector<std::optional<net::http_result>> running(8);
+  for (std::size_t i = 0; i < running.size(); ++i) {
+    start("r" + std::to_string(i), running[i]);
+  }
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return engine_.Running() == running.size(); }, kLimit));
+  std::optional<net::http_result> waiting;
+  start("waits", waiting);
+  loop_.RunUntil([] { return false; }, milliseconds(200));
+  ASSERT_FALSE(waiting);
+  store_.Remove("servers/i-1");
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return waiting.has_value(); }, milliseconds(1500)));
+  ASSERT_TRUE(waiting);
+  EXPECT_EQ(waiting->status, 503);
+  // What runs there ends as usual.
+  EXPECT_TRUE(loop_.RunUntil([&] { return running[0].has_value(); }, kLimit));
+  EXPECT_EQ(running[0]->status, 200);
+}
+
 TEST_F(users_platform_test, ALeavingEngineGetsNothing) {
   WaitUntilReady();
   PutEndpoint("draining");
