Count the time for which a machine was suspended

Callers would be served from beliefs that seem fresh: the loop's clock was CLOCK_MONOTONIC, which stands still while a machine is suspended, so neither a pause was noticed (links, catalog and patience were not renewed) nor did anything known before age. The loop's time is now CLOCK_BOOTTIME.

Test: suspended_machine_test.TheTimeCountsAndIsNoticedAsAPause failed before.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cassert>
 #include <csignal>
+#include <ctime>
 #include <exception>
 #include <map>
 #include <string>
@@ -171,8 +172,13 @@
 }
 
 core::time_point event_loop::Now() const {
-  return std::chrono::time_point_cast<core::microseconds>(
-      std::chrono::steady_clock::now());
+  // CLOCK_MONOTONIC stands still while the machine is suspended: whatever is
+  // known here would seem as fresh afterwards as before.
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return core::time_point(std::chrono::duration_cast<core::microseconds>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 core::wall_time event_loop::WallNow() const {
