Age what waited for a paused process by its pause

A gateway would hold itself for informed, and an outage for just ended, by what had waited in the sockets of a paused relay or in its own: the age in a batch is that at its sending. Batches that are read within 100 ms after a pause now count as older by its length (backlog_age, in catalog_relay and catalog_follower).

Tests: catalog_follower_test.ABatchThatWaitedOutAPauseIsAsOldAsThePause and catalog_relay_test.CountsAPauseInTheAgeOfWhatWaited; the former fails without the change.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -10,6 +10,7 @@
  * net (timers) and telemetry (log).
  */
 
+#include "catalog/backlog_age.h"
 #include "catalog/catalog_follower.h"
 #include "catalog/catalog_source.h"
 #include "catalog/endpoint_record.h"
--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -74,7 +74,8 @@
   ReadAll();
 }
 
-void catalog_follower::Restart() {
+void catalog_follower::OnPaused(core::milliseconds length) {
+  backlog_.OnPaused(length, loop_.Now());
   loop_.Cancel(std::exchange(read_timer_, 0));
   retry_delay_ = options_.first_retry;
   ReadAll();
@@ -85,10 +86,14 @@
   if (!complete_ || batch.after > revision_ || batch.revision < revision_) {
     return;
   }
-  if (batch.last_outage &&
-      outages_.OnTold(*batch.last_outage, last_contact_,
-                      schedule_.LongestSilence(), loop_.Now())) {
-    LogOutage("gateway");
+  const auto waited = backlog_.At(loop_.Now());
+  if (batch.last_outage) {
+    told_outage told = *batch.last_outage;
+    told.ended += waited;
+    if (outages_.OnTold(told, last_contact_, schedule_.LongestSilence(),
+                        loop_.Now())) {
+      LogOutage("gateway");
+    }
   }
   std::vector<published_change> changes;
   for (const change_document& document : batch.documents) {
@@ -101,7 +106,7 @@
   Apply(std::move(changes), {"gateway", batch.revision, last_contact_},
         ignored);
   revision_ = batch.revision;
-  const auto read_at = loop_.Now() - batch.age;
+  const auto read_at = loop_.Now() - batch.age - waited;
   schedule_.OnConfirmed(read_at);
   last_contact_ = std::max(last_contact_, read_at);
 }
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 
+#include "catalog/backlog_age.h"
 #include "catalog/catalog_source.h"
 #include "catalog/endpoint_table.h"
 #include "catalog/outage_record.h"
@@ -63,7 +64,7 @@
 
   void Start();
   /** The process was paused: reads that are under way may be dead. */
-  void Restart();
+  void OnPaused(core::milliseconds length);
   /** Another process has read the catalog. */
   void OnOtherRead(const change_batch& batch);
   /** Place among the processes that may read; nothing if it is not known. */
@@ -136,6 +137,7 @@
   /** While not connected: since when an answer has been missing. */
   core::time_point missing_since_;
   outage_record outages_;
+  backlog_age backlog_;
   /** The next read; 0 while one is under way. */
   net::timer_id read_timer_ = 0;
   net::timer_id tick_timer_ = 0;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -294,7 +294,7 @@
 TEST_F(catalog_follower_test, ARestartIgnoresOlderAnswers) {
   source_.Answer(Done({Configuration(3)}, 40));
   const auto stale = source_.pending;
-  follower_.Restart();
+  follower_.OnPaused(milliseconds(500));
   stale(Done({Configuration(4)}, 41));
   EXPECT_EQ(follower_.Routes()->Version(), 3);
   source_.Answer(Done({Configuration(5)}, 45));
@@ -343,6 +343,18 @@
   EXPECT_EQ(listener_.changes, std::vector<std::string>{"i1 added"});
 }
 
+// What has waited for a paused gateway confirms nothing about the present.
+TEST_F(catalog_follower_test, ABatchThatWaitedOutAPauseIsAsOldAsThePause) {
+  source_.Answer(Done({Record("i1")}, 40));
+  Wait(milliseconds(60));
+  follower_.OnPaused(milliseconds(3000));
+  follower_.OnOtherRead({.after = 40, .revision = 41});
+  EXPECT_GE(follower_.Age(), milliseconds(60));
+  Wait(milliseconds(150));
+  follower_.OnOtherRead({.after = 41, .revision = 42});
+  EXPECT_LT(follower_.Age(), milliseconds(60));
+}
+
 TEST_F(catalog_follower_test, WhoIsNoReaderReadsWhenItHearsOfNoRead) {
   source_.Answer(Done({Record("i1")}, 40));
   follower_.SetReaderRank(9);
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -86,7 +86,7 @@
       log.Belief("pause_noticed").Add("length_ms", length.count());
       links.OnPaused();
       forwarder.OnPaused();
-      follower.Restart();
+      follower.OnPaused(length);
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
--- a/src/sidecar/catalog_relay.h
+++ b/src/sidecar/catalog_relay.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "catalog/backlog_age.h"
 #include "catalog/catalog_source.h"
 #include "core/time.h"
 
@@ -25,6 +26,10 @@
 
   /** A gateway has read the catalog. @returns what goes to all gateways. */
   batches OnBatch(const catalog::change_batch& batch, core::time_point now);
+  /** The process was paused; batches that come now may have waited. */
+  void OnPaused(core::milliseconds length, core::time_point now) {
+    backlog_.OnPaused(length, now);
+  }
   /** Call about each 100 ms. @returns as OnBatch. */
   batches OnTick(core::time_point now);
 
@@ -44,6 +49,7 @@
   std::int64_t known_ = 0;
   std::optional<pending_batch> pending_;
   core::time_point flushed_at_;
+  catalog::backlog_age backlog_;
 };
 
 }  // namespace comfreyspring::sidecar
--- a/src/sidecar/catalog_relay_test.cc
+++ b/src/sidecar/catalog_relay_test.cc
@@ -61,6 +61,22 @@
   EXPECT_EQ(out[0].last_outage->ended, milliseconds(500));
 }
 
+// A batch that has waited in a paused process is older than it says.
+TEST_F(catalog_relay_test, CountsAPauseInTheAgeOfWhatWaited) {
+  relay_.OnPaused(milliseconds(3000), now_);
+  change_batch batch = Batch(10, 14, {12});
+  batch.last_outage = {9, milliseconds(400)};
+  const auto out = relay_.OnBatch(batch, now_ + milliseconds(2));
+  ASSERT_EQ(out.size(), 1U);
+  EXPECT_EQ(out[0].age, milliseconds(3000));
+  ASSERT_TRUE(out[0].last_outage);
+  EXPECT_EQ(out[0].last_outage->ended, milliseconds(3400));
+  const auto later =
+      relay_.OnBatch(Batch(14, 17, {16}), now_ + milliseconds(500));
+  ASSERT_EQ(later.size(), 1U);
+  EXPECT_EQ(later[0].age, milliseconds(0));
+}
+
 // Several gateways read the same change.
 TEST_F(catalog_relay_test, PassesAChangeOnOnce) {
   relay_.OnBatch(Batch(10, 14, {12}), now_);
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -80,6 +80,7 @@
               }) {
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       steward.OnPaused(length);
+      relay.OnPaused(length, loop.Now());
       // What was sent meanwhile is still to be read.
       for (auto& [id, gateway] : links) gateway.heard_at = loop.Now();
     });
