Make an engine's status once a turn, not once a link

Each turn a sidecar built its status, adapter list included, anew for every link that was due. Nothing changes between them.

--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -211,14 +211,23 @@
   void SendDueStatuses() {
     const auto now = loop.Now();
     const auto waiting = steward.Scheduler().LinksThatWait();
+    // Nothing changes between the links of one turn.
+    std::optional<grants::engine_status> status;
     for (auto& [id, gateway] : links) {
       const bool waits = waiting.count(id) > 0;
-      if (waits || now >= gateway.status_due) SendStatus(gateway, waits);
+      if (!waits && now < gateway.status_due) continue;
+      if (!status) status = steward.Status();
+      SendStatus(gateway, *status, waits);
     }
   }
 
   void SendStatus(gateway_link& gateway, bool waits = false) {
-    grants::status_report report{steward.Status()};
+    SendStatus(gateway, steward.Status(), waits);
+  }
+
+  void SendStatus(gateway_link& gateway, const grants::engine_status& status,
+                  bool waits) {
+    grants::status_report report{status};
     report.status.gateways = links.size();
     report.reader_rank = gateway.reader_rank;
     report.has_adapters =
