Serve metrics on a port that the deploy file can name

COMFREYSPRING_METRICS_PORT sets it; a wrong value ends the start with one line, a port that is taken costs one line and nothing else.

--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -82,6 +82,19 @@
             AnswerAdmin(*exchange);
           });
     }
+    if (settings.metrics_port) {
+      std::string reason;
+      scrapers = net::http_server::TryListen(
+          loop, {.address = settings.ip, .port = *settings.metrics_port},
+          [this](const std::shared_ptr<net::http_exchange>& exchange) {
+            AnswerAdmin(*exchange);
+          },
+          reason);
+      // Nobody is served worse without it.
+      if (!scrapers) {
+        log.Dependency("metrics listener", "lost").Add("reason", reason);
+      }
+    }
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       log.Belief("pause_noticed").Add("length_ms", length.count());
       links.OnPaused();
@@ -214,6 +227,7 @@
   net::http_server callers;
   net::http_server readiness;
   std::optional<net::http_server> admin;
+  std::unique_ptr<net::http_server> scrapers;
   net::timer_id flush_timer = 0;
   net::timer_id drain_timer = 0;
 };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -290,6 +290,19 @@
 
 http_server::~http_server() = default;
 
+std::unique_ptr<http_server> http_server::TryListen(event_loop& loop,
+                                                    http_server_options options,
+                                                    handler on_request,
+                                                    std::string& reason) {
+  try {
+    return std::make_unique<http_server>(loop, std::move(options),
+                                         std::move(on_request));
+  } catch (const net_error& failure) {
+    reason = failure.what();
+    return nullptr;
+  }
+}
+
 std::uint16_t http_server::Port() const { return impl_->port; }
 
 void http_server::StopAccepting() {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -80,6 +80,11 @@
   http_server(event_loop& loop, http_server_options options,
               handler on_request);
   ~http_server();
+  /** @returns null, with the reason, if the address cannot be bound. */
+  static std::unique_ptr<http_server> TryListen(event_loop& loop,
+                                                http_server_options options,
+                                                handler on_request,
+                                                std::string& reason);
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -25,6 +25,8 @@
   std::optional<core::network_address> readiness_listener;
   /** For operators and other entries. */
   std::optional<core::network_address> admin_listener;
+  /** Port for scrapers of metrics, besides the admin address. */
+  std::optional<std::uint16_t> metrics_port;
   /** Ports for the processes of this system, both ends included. */
   std::uint16_t first_internal_port = 0;
   std::uint16_t last_internal_port = 0;
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -564,5 +564,34 @@
   EXPECT_NE(line.find("Node"), std::string::npos) << line;
 }
 
+TEST_F(users_platform_test, ALineAboutAFailedStartIsJson) {
+  std::ofstream(Path("wrong"))
+      << R"({"Node":"n","Ip":"127.0.0.1","Zone":"z","InternalPorts":[1,2],)"
+      << R"("Seeds":[{"a":"b"}]})";
+  settings_program failing(
+      {Binary("gateway"), Path("wrong"), Path("wrong.log")});
+  ASSERT_TRUE(loop_.RunUntil([&] { return failing.HasEnded(); }, kLimit));
+  std::ifstream log(Path("wrong.log"));
+  std::string line;
+  std::getline(log, line);
+  EXPECT_TRUE(json::accept(line)) << line;
+}
+
+TEST_F(users_platform_test, MetricsHaveAPortOfTheirOwn) {
+  WaitUntilReady();
+  ::setenv("COMFREYSPRING_METRICS_PORT", std::to_string(OwnPort(5)).c_str(), 1);
+  gateway_ = Start("gateway");
+  ::setenv("COMFREYSPRING_METRICS_PORT", "70000", 1);
+  settings_program wrong({Binary("gateway"), Path("gateway"), Path("bad.log")});
+  ::unsetenv("COMFREYSPRING_METRICS_PORT");
+  WaitUntilReady();
+  const auto answer =
+      Call({.url = "http://" + Address(OwnPort(5)) + "/metrics"});
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_NE(answer.body.find("gateway_catalog_age_ms"), std::string::npos);
+  ASSERT_TRUE(loop_.RunUntil([&] { return wrong.HasEnded(); }, kLimit));
+  EXPECT_EQ(wrong.Status(), 2);
+}
+
 }  // namespace
 }  // namespace comfreyspring::process_test
