Serve callers that come before a gateway's first configuration

Callers whose connections wait at a process that starts come in its first milliseconds, all at once; each was answered 503 (no_configuration), which cost its next attempt, although the configuration is read 13 to 54 ms after the start. They now wait for the first read, 500 ms from the start at most; after that, and in an outage, the answer is at once as before.

Tests: starting_gateway_test (three); WhoComesBeforeTheConfigurationIsServed needs this change.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -28,6 +28,11 @@
 constexpr core::milliseconds kTickPeriod{20};
 /** A connection to an endpoint takes a few milliseconds. */
 constexpr core::milliseconds kConnectTimeout{250};
+/**
+ * The first read of the configuration takes some tens of milliseconds, on a
+ * slow VM some hundreds; later than this the platform is away.
+ */
+constexpr core::milliseconds kFirstReadTime{500};
 /** Left of a time limit for the answer's way to the caller. */
 constexpr core::milliseconds kAnswerReserve{20};
 /** For callers that name no time. */
@@ -143,11 +148,16 @@
         random(static_cast<std::uint64_t>(
             core::UnixMilliseconds(owning_loop.WallNow()))) {
     tick_timer = loop.SchedulePeriodic(kTickPeriod, [this] { Tick(); });
+    first_read_timer = loop.Schedule(kFirstReadTime, [this] {
+      awaits_first_read = false;
+      TakeEarlyRequests();
+    });
   }
 
   ~impl() {
     *alive = false;
     loop.Cancel(tick_timer);
+    loop.Cancel(first_read_timer);
     for (const auto& [number, request] : requests) {
       if (request->call != 0) http.Cancel(request->call);
     }
@@ -173,6 +183,44 @@
                                 .retry_after = kRetryElsewhere});
       return;
     }
+    if (!follower.Routes() && awaits_first_read) {
+      KeepEarly(request);
+      return;
+    }
+    Route(request);
+  }
+
+  // Load pattern: callers wait at a process that starts, and come all at once.
+  // To refuse them would cost each its next attempt, a moment before it can be
+  // served.
+
+  void KeepEarly(const active_pointer& request) {
+    early.push_back(request);
+    request->exchange->OnClientGone(
+        [this, number = request->number, still_alive = alive] {
+          if (!*still_alive) return;
+          std::erase_if(early, [number](const active_pointer& kept) {
+            return kept->number == number;
+          });
+        });
+  }
+
+  void TakeEarlyRequests() {
+    for (const active_pointer& request : std::exchange(early, {})) {
+      Route(request);
+    }
+  }
+
+  void OnConfiguration() {
+    UpdateLinks();
+    if (early.empty()) return;
+    // The endpoints follow in the same read.
+    loop.Post([this, still_alive = alive] {
+      if (*still_alive) TakeEarlyRequests();
+    });
+  }
+
+  void Route(const active_pointer& request) {
     request->table = follower.Routes();
     if (!request->table) {
       AnswerUnrouted(*request, {.status = 503,
@@ -1158,6 +1206,11 @@
   core::seconds idle_limit = kDefaultIdle;
   bool draining = false;
   bool refuses_new = false;
+  /** The first read of the configuration may still end soon. */
+  bool awaits_first_read = true;
+  net::timer_id first_read_timer = 0;
+  /** Requests that came before the first configuration, oldest first. */
+  std::vector<active_pointer> early;
   net::timer_id tick_timer = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
@@ -1190,7 +1243,7 @@
 void request_forwarder::OnConfiguration(
     const std::shared_ptr<const catalog::route_table>& table) {
   static_cast<void>(table);
-  impl_->UpdateLinks();
+  impl_->OnConfiguration();
 }
 
 void request_forwarder::OnPaused() { impl_->OnPaused(); }
@@ -1209,7 +1262,7 @@
 void request_forwarder::RefuseNew() { impl_->refuses_new = true; }
 
 std::size_t request_forwarder::ActiveCount() const {
-  return impl_->requests.size();
+  return impl_->requests.size() + impl_->early.size();
 }
 
 void request_forwarder::UpdateMetrics() {
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/sidecar_links.h"
@@ -143,7 +144,14 @@
 
 class fixed_source final : public catalog::catalog_source {
  public:
-  void ReadAll(milliseconds, read_callback on_done) override { on_done(first); }
+  void ReadAll(milliseconds, read_callback on_done) override {
+    if (is_late) {
+      pending = std::move(on_done);
+    } else {
+      on_done(first);
+    }
+  }
+  void AnswerLate() { std::exchange(pending, nullptr)(first); }
   void ReadChanges(std::int64_t, milliseconds, milliseconds,
                    read_callback on_done) override {
     pending = std::move(on_done);
@@ -153,6 +161,7 @@
     return {document.revision, catalog::unreadable_entry{}, document.text};
   }
   catalog::catalog_read first;
+  bool is_late = false;
   read_callback pending;
 };
 
@@ -247,6 +256,45 @@
   sidecar_links links_{loop_, {}, *this, log_};
 };
 
+/** The first read of the configuration is still under way. */
+class starting_gateway_test : public request_forwarder_test {
+ protected:
+  void SetUp() override {
+    source_.is_late = true;
+    request_forwarder_test::SetUp();
+  }
+};
+
+TEST_F(starting_gateway_test, WhoComesBeforeTheConfigurationIsServed) {
+  const auto caller = Send("/once/a");
+  EXPECT_EQ(caller->answers, 0);
+  EXPECT_EQ(forwarder_.ActiveCount(), 1U);
+  source_.AnswerLate();
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return !http_.calls.empty(); }, milliseconds(1000)));
+  http_.Answer(200, Own(), "x");
+  EXPECT_EQ(caller->response.status, 200);
+}
+
+TEST_F(starting_gateway_test, NobodyIsHeldLongForAPlatformThatIsAway) {
+  const auto caller = Send("/once/a");
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return caller->answers > 0; }, milliseconds(800)));
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.body, "no_configuration");
+  const auto later = Send("/once/a");
+  EXPECT_EQ(later->response.status, 503);
+}
+
+TEST_F(starting_gateway_test, WhoLeavesBeforeTheConfigurationIsForgotten) {
+  const auto caller = Send("/once/a");
+  caller->gone();
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+  source_.AnswerLate();
+  loop_.RunUntil([] { return false; }, milliseconds(50));
+  EXPECT_TRUE(http_.calls.empty());
+}
+
 TEST_F(request_forwarder_test, PassesAnAnswerBackUnchanged) {
   const auto caller = Send("/once/a?b=%20");
   ASSERT_EQ(http_.calls.size(), 1U);
