Take neither a hung read nor lost history for an outage, and its end from data

Engines that left while the store dropped its history (reads hang for a second or two, then are cut) were taken for lapsed: the hang counted as an outage. The time away now counts from the first read that failed; a fresh read is answered at once when the store is well. And the answer that history is lost was taken for knowledge of the entries: after a real outage it gave their endpoints 75% of the bound instead of the time in which they return, after none it kept endpoints that were gone. Reads are given up after 1,000 ms at most, so that outages are noticed at larger bounds too.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -24,6 +24,8 @@
  */
 constexpr int kWaitsPerBound = 4;
 constexpr int kTimeoutsPerBound = 2;
+/** A slow platform answers within a few hundred milliseconds. */
+constexpr core::milliseconds kLongestTimeout{1000};
 /**
  * While the platform does not answer, reads are short, so that its return is
  * noticed soon. Some have all their time, for a platform that is slow; drawn by
@@ -87,13 +89,11 @@
     return;
   }
   const auto waited = backlog_.At(loop_.Now());
-  if (batch.last_outage) {
-    told_outage told = *batch.last_outage;
-    told.ended += waited;
-    if (outages_.OnTold(told, last_contact_, schedule_.LongestSilence(),
-                        loop_.Now())) {
-      LogOutage("gateway");
-    }
+  // What has waited cannot be dated; the next batch tells it again.
+  if (batch.last_outage && waited.count() == 0 &&
+      outages_.OnTold(*batch.last_outage, last_contact_,
+                      schedule_.LongestSilence(), loop_.Now())) {
+    LogOutage("gateway");
   }
   std::vector<published_change> changes;
   for (const change_document& document : batch.documents) {
@@ -144,7 +144,8 @@
 }
 
 core::milliseconds catalog_follower::ReadTimeout() {
-  const auto timeout = options_.change_bound / kTimeoutsPerBound;
+  const auto timeout =
+      std::min(options_.change_bound / kTimeoutsPerBound, kLongestTimeout);
   if (connected_ || !complete_ || random_.NextUnit() < kLongReadShare) {
     return timeout;
   }
@@ -153,7 +154,6 @@
 
 void catalog_follower::ReadAll() {
   const std::uint64_t generation = ++generation_;
-  wait_ends_ = loop_.Now();
   source_.ReadAll(ReadTimeout(),
                   [this, generation, alive = alive_](catalog_read read) {
                     if (!*alive || generation != generation_) return;
@@ -165,7 +165,6 @@
   const std::uint64_t generation = ++generation_;
   // After an outage the first answer must not wait for a change.
   const auto wait = connected_ ? LongestWait() : core::milliseconds(0);
-  wait_ends_ = loop_.Now() + wait;
   source_.ReadChanges(revision_, wait, wait + ReadTimeout(),
                       [this, generation, alive = alive_](catalog_read read) {
                         if (!*alive || generation != generation_) return;
@@ -208,7 +207,7 @@
 
 void catalog_follower::OnChanges(catalog_read read) {
   if (read.outcome == read_outcome::history_lost) {
-    OnContact(revision_);
+    // It tells nothing of what is listed; the next answer does.
     log_.Belief("platform_history_lost").Add("revision", revision_);
     ReadAll();
     return;
@@ -266,7 +265,7 @@
 void catalog_follower::OnFailure(const char* call, const catalog_read& read) {
   if (connected_) {
     connected_ = false;
-    missing_since_ = std::min(loop_.Now(), wait_ends_);
+    missing_since_ = loop_.Now();
     log_.Dependency("platform", "lost")
         .Add("call", call)
         .Add("reason", read.error)
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -132,9 +132,7 @@
   core::milliseconds retry_delay_;
   core::time_point last_contact_;
   bool connected_ = false;
-  /** The read that is under way may wait for a change until then. */
-  core::time_point wait_ends_;
-  /** While not connected: since when an answer has been missing. */
+  /** While not connected: when the first read failed. */
   core::time_point missing_since_;
   outage_record outages_;
   backlog_age backlog_;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -226,6 +226,32 @@
   EXPECT_EQ(listener.changes.back(), "i1 gone");
 }
 
+// A read that hung says little of the platform: a fresh one is answered at
+// once. An entry that went meanwhile has left.
+TEST_F(catalog_follower_test, AHungReadIsNoOutageIfTheNextOneIsAnswered) {
+  source_.Answer(Done({Record("i1"), Record("i2")}, 40));
+  Wait(milliseconds(150));
+  source_.Answer({read_outcome::unavailable, {}, 0, "reset"});
+  WaitForRead();
+  source_.Answer({read_outcome::history_lost, {}, 0, "410"});
+  source_.Answer(Done({Record("i2")}, 60));
+  EXPECT_EQ(listener_.changes.back(), "i1 gone");
+}
+
+// The answer that history is lost tells nothing of the entries.
+TEST_F(catalog_follower_test, EntriesThatLapsedWithTheHistoryAreKept) {
+  source_.Answer(Done({Record("i1"), Record("i2")}, 40));
+  source_.Answer({read_outcome::unavailable, {}, 0, "down"});
+  Wait(milliseconds(80));
+  WaitForRead();
+  source_.Answer({read_outcome::history_lost, {}, 0, "410"});
+  source_.Answer(Done({Record("i2")}, 60));
+  Wait(milliseconds(150));
+  EXPECT_NE(follower_.Endpoints().FindUsable(instance_id("i1")), nullptr);
+  Wait(milliseconds(300));
+  EXPECT_EQ(follower_.Endpoints().FindUsable(instance_id("i1")), nullptr);
+}
+
 // A connection on which nothing comes any more must not hide a change for
 // longer than the time in which it must be in force.
 TEST_F(catalog_follower_test, ASilentReadIsGivenUpWithinTheBound) {
--- a/src/catalog/outage_record.h
+++ b/src/catalog/outage_record.h
@@ -27,7 +27,7 @@
 class outage_record {
  public:
   struct outage {
-    /** An answer was missing since then. */
+    /** The first read failed then, or the platform was last heard of. */
     core::time_point began;
     core::time_point ended;
     /** As in told_outage. */
@@ -39,7 +39,8 @@
 
   /**
    * A read has succeeded again after one that had not.
-   * @param missing_since when the answer was due that did not come.
+   * @param missing_since when the first read failed: reads that hung say
+   *     little of the platform, fresh ones are answered when it is well.
    * @returns whether that was an outage.
    */
   bool OnRegained(core::time_point missing_since, std::int64_t revision,
--- a/src/sidecar/catalog_relay.cc
+++ b/src/sidecar/catalog_relay.cc
@@ -13,8 +13,8 @@
   batches out;
   // An older read confirms nothing.
   if (batch.revision < known_) return out;
-  const auto sent_at = now - backlog_.At(now);
-  const auto read_at = sent_at - batch.age;
+  const auto waited = backlog_.At(now);
+  const auto read_at = now - batch.age - waited;
   const bool follows = batch.after <= known_;
   // Gateways must not take the gap before it for a time without changes.
   if (!follows) Flush(now, out);
@@ -30,8 +30,9 @@
     }
   }
   content.revision = batch.revision;
-  if (batch.last_outage) {
-    const auto ended = sent_at - batch.last_outage->ended;
+  // What has waited cannot be dated; the next batch tells it again.
+  if (batch.last_outage && waited.count() == 0) {
+    const auto ended = now - batch.last_outage->ended;
     if (!content.last_outage || ended > pending_->outage_ended) {
       content.last_outage = batch.last_outage;
       pending_->outage_ended = ended;
