--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -135,8 +135,9 @@
 std::optional<core::milliseconds> endpoint_table::LapsedFor(
     const instance_id& instance, core::time_point now) const {
   const auto found = entries_.find(instance);
-  if (found == entries_.end() || !found->second.usable_until)
+  if (found == entries_.end() || !found->second.usable_until) {
     return std::nullopt;
+  }
   return core::ToMilliseconds(now - found->second.removed_at);
 }
 
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -82,19 +82,6 @@
             AnswerAdmin(*exchange);
           });
     }
-    if (settings.metrics_port) {
-      std::string reason;
-      scrapers = net::http_server::TryListen(
-          loop, {.address = settings.ip, .port = *settings.metrics_port},
-          [this](const std::shared_ptr<net::http_exchange>& exchange) {
-            AnswerAdmin(*exchange);
-          },
-          reason);
-      // Nobody is served worse without it.
-      if (!scrapers) {
-        log.Dependency("metrics listener", "lost").Add("reason", reason);
-      }
-    }
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       log.Belief("pause_noticed").Add("length_ms", length.count());
       links.OnPaused();
@@ -227,7 +214,6 @@
   net::http_server callers;
   net::http_server readiness;
   std::optional<net::http_server> admin;
-  std::unique_ptr<net::http_server> scrapers;
   net::timer_id flush_timer = 0;
   net::timer_id drain_timer = 0;
 };
@@ -254,5 +240,8 @@
 }
 bool gateway_program::IsReady() const { return impl_->IsReady(); }
 void gateway_program::Stop() { impl_->Stop(); }
+void gateway_program::AnswerOperator(net::http_exchange& exchange) {
+  impl_->AnswerAdmin(exchange);
+}
 
 }  // namespace comfreyspring::gateway
--- a/src/gateway/gateway_program.h
+++ b/src/gateway/gateway_program.h
@@ -7,6 +7,7 @@
 #include "gateway/traffic_protocol.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "net/http_server.h"
 #include "settings/node_settings.h"
 #include "telemetry/event_log.h"
 
@@ -36,6 +37,8 @@
   bool IsReady() const;
   /** Takes no new callers, serves the open requests and ends the loop. */
   void Stop();
+  /** Answers what operators and scrapers ask, as on the admin address. */
+  void AnswerOperator(net::http_exchange& exchange);
 
  private:
   struct impl;
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -78,19 +78,6 @@
               [this](const std::shared_ptr<net::http_exchange>& exchange) {
                 AnswerAdmin(*exchange);
               }) {
-    if (settings.metrics_port) {
-      std::string reason;
-      scrapers = net::http_server::TryListen(
-          loop, {.address = settings.ip, .port = *settings.metrics_port},
-          [this](const std::shared_ptr<net::http_exchange>& exchange) {
-            AnswerAdmin(*exchange);
-          },
-          reason);
-      // Nobody is served worse without it.
-      if (!scrapers) {
-        log.Dependency("metrics listener", "lost").Add("reason", reason);
-      }
-    }
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       steward.OnPaused(length);
       relay.OnPaused(length, loop.Now());
@@ -283,7 +270,6 @@
   catalog_relay relay{kConfirmationPeriod};
   net::frame_listener listener;
   net::http_server admin;
-  std::unique_ptr<net::http_server> scrapers;
   net::timer_id flush_timer = 0;
   net::timer_id status_timer = 0;
   net::timer_id state_timer = 0;
@@ -302,5 +288,8 @@
 }
 std::uint16_t sidecar_program::AdminPort() const { return impl_->admin.Port(); }
 void sidecar_program::Stop() { impl_->Stop(); }
+void sidecar_program::AnswerOperator(net::http_exchange& exchange) {
+  impl_->AnswerAdmin(exchange);
+}
 
 }  // namespace comfreyspring::sidecar
--- a/src/sidecar/sidecar_program.h
+++ b/src/sidecar/sidecar_program.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "net/event_loop.h"
+#include "net/http_server.h"
 #include "settings/node_settings.h"
 #include "sidecar/engine_port.h"
 #include "telemetry/event_log.h"
@@ -24,6 +25,8 @@
   std::uint16_t AdminPort() const;
   /** Refuses new work and ends the loop soon. */
   void Stop();
+  /** Answers what operators and scrapers ask, as on the admin address. */
+  void AnswerOperator(net::http_exchange& exchange);
 
  private:
   struct impl;
