End a stand-in's stream that is resumed after its last event

The trace: all 12 events of r1653 were passed on, its engine ended before the end of the stream, the gateway resumed after event 12, and the stand-in, asked to go on after its last event, made another one.

--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -209,6 +209,12 @@
 void engine_stand_in::SendEvent(const std::shared_ptr<run>& current,
                                 int event) {
   if (current->ended) return;
+  if (event > events) {
+    // Resumed after its last event: only the end was missing.
+    current->exchange->EndStream();
+    End(current, true);
+    return;
+  }
   const bool breaks_here = (break_after > 0 && event > break_after) ||
                            (current->breaks && event > 1 && Happens(0.3));
   if (breaks_here) {
