--- a/src/ctl/request_explanation.cc
+++ b/src/ctl/request_explanation.cc
@@ -20,8 +20,10 @@
 constexpr std::int64_t kContextAfterMs = 2000;
 
 /** Events about the state of endpoints, engines and other dependencies. */
-constexpr std::array<std::string_view, 11> kContextEvents = {
+constexpr std::array<std::string_view, 13> kContextEvents = {
     "endpoint",
+    "endpoint_limit",
+    "engine_limit",
     "engine_status",
     "engine_state",
     "engine_instance",
--- a/src/gateway/endpoint_notices.cc
+++ b/src/gateway/endpoint_notices.cc
@@ -7,6 +7,8 @@
 
 /** A draining endpoint is gone long before this time. */
 constexpr core::milliseconds kDrainingRetention{600'000};
+/** An endpoint that is in use names its limit far more often. */
+constexpr core::milliseconds kLimitRetention{600'000};
 /** Allowance for clocks that run at different rates. */
 constexpr core::milliseconds kBackoffMargin{50};
 
@@ -28,6 +30,27 @@
   return backoff;
 }
 
+limits::limit_change endpoint_notices::OnLimit(
+    const catalog::endpoint_record& record,
+    const limits::limit_announcement& announcement,
+    const limits::response_interval& generated) {
+  if (announcement.present) {
+    if (!announcement.rate) return limits::limit_change::none;
+    return limits_[IncarnationOf(record)].OnNamed(*announcement.rate,
+                                                  generated);
+  }
+  const auto found = limits_.find(IncarnationOf(record));
+  if (found == limits_.end()) return limits::limit_change::none;
+  return found->second.OnNotNamed(generated);
+}
+
+std::optional<limits::request_rate> endpoint_notices::LimitOf(
+    const catalog::endpoint_record& record) const {
+  if (limits_.empty()) return std::nullopt;
+  const auto found = limits_.find(IncarnationOf(record));
+  return found == limits_.end() ? std::nullopt : found->second.Rate();
+}
+
 bool endpoint_notices::IsDraining(
     const catalog::endpoint_record& record) const {
   return !draining_since_.empty() &&
@@ -50,6 +73,9 @@
   });
   std::erase_if(backoff_until_,
                 [&](const auto& entry) { return entry.second <= now; });
+  std::erase_if(limits_, [&](const auto& entry) {
+    return now - entry.second.LastNamed().latest > kLimitRetention;
+  });
 }
 
 }  // namespace comfreyspring::gateway
--- a/src/gateway/endpoint_notices.h
+++ b/src/gateway/endpoint_notices.h
@@ -6,11 +6,14 @@
 
 #include "catalog/endpoint_record.h"
 #include "core/time.h"
+#include "limits/limit_announcement.h"
+#include "limits/limit_record.h"
 
 namespace comfreyspring::gateway {
 
 /**
- * Drain and backoff notices that endpoints have sent in their responses. Pure:
+ * Notices that endpoints have sent in their responses: drain, backoff and
+ * request rate limit. Pure:
  * depends only on the notices and the time passed in.
  *
  * Notices outlive the catalog's entries: an endpoint that has announced its
@@ -38,10 +41,22 @@
                                std::optional<core::milliseconds> requested,
                                core::time_point now);
 
+  /**
+   * Applies what a response says about the limit of this incarnation. An
+   * unreadable limit changes nothing.
+   * @param generated when the endpoint generated the response.
+   */
+  limits::limit_change OnLimit(const catalog::endpoint_record& record,
+                               const limits::limit_announcement& announcement,
+                               const limits::response_interval& generated);
+
   bool IsDraining(const catalog::endpoint_record& record) const;
   /** Time until the endpoint may be sent requests again; 0 if it may now. */
   core::milliseconds BackoffLeft(const catalog::endpoint_record& record,
                                  core::time_point now) const;
+  /** The limit in force, as far as this gateway knows. */
+  std::optional<limits::request_rate> LimitOf(
+      const catalog::endpoint_record& record) const;
   /** Removes expired notices. Call every few seconds. */
   void OnTick(core::time_point now);
 
@@ -66,6 +81,7 @@
 
   std::map<incarnation, core::time_point> draining_since_;
   std::map<incarnation, core::time_point> backoff_until_;
+  std::map<incarnation, limits::limit_record> limits_;
 };
 
 }  // namespace comfreyspring::gateway
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -94,6 +94,11 @@
 /** Number of gateways until a sidecar reports how many are connected to it. */
 constexpr std::size_t kAssumedGateways = 32;
 
+/** For logs; empty without a limit. */
+std::string RateText(const std::optional<limits::request_rate>& rate) {
+  return rate ? std::to_string(rate->PerSecond()) : std::string();
+}
+
 }  // namespace
 
 struct request_forwarder::impl {
@@ -587,6 +592,10 @@
         .Add("load_wait_ms", request->load_wait.count())
         .Add("left_ms", left.count())
         .Add("catalog_age_ms", follower.Age().count());
+    if (const auto limit = notices.LimitOf(*record)) {
+      line.Add("limit_per_s", RateText(limit));
+      metrics.Count("gateway_sent_under_limit_total");
+    }
     if (const auto lapsed =
             follower.Endpoints().LapsedFor(request->endpoint, now)) {
       line.Add("entry_lapsed_ms", lapsed->count());
@@ -680,6 +689,7 @@
           .Add("for_ms", length.count());
       unavailable = true;
     }
+    NoteLimit(record, request);
     if (!unavailable) return;
     // Deferred: the HTTP library's current callback may belong to one of the
     // affected requests.
@@ -688,6 +698,31 @@
     });
   }
 
+  void NoteLimit(const catalog::endpoint_record& record,
+                 const active_request& request) {
+    const limits::limit_announcement& announced = request.response.limit;
+    // Only the endpoint itself can end its limit.
+    if (!announced.present && !request.response.authentic) return;
+    const auto before = notices.LimitOf(record);
+    const auto change = notices.OnLimit(
+        record, announced, {.earliest = request.sent_at, .latest = loop.Now()});
+    const bool unreadable = announced.present && !announced.rate;
+    if (change == limits::limit_change::none && !unreadable) return;
+    metrics.Count("gateway_endpoint_limit_changes_total{change=\"" +
+                  std::string(unreadable ? "unreadable" : ToString(change)) +
+                  "\"}");
+    log.SystemEvent("endpoint_limit")
+        .Add("change", unreadable ? "unreadable" : ToString(change))
+        .Add("instance", record.instance.Value())
+        .Add("service", record.service.Value())
+        .Add("origin", "response")
+        .Add("request", request.metadata.id.Value())
+        .Add("before_per_s", RateText(before))
+        .Add("per_s", RateText(notices.LimitOf(record)))
+        .Add("response_age_ms",
+             core::ToMilliseconds(loop.Now() - request.sent_at).count());
+  }
+
   /** Cancels an attempt whose response is unusable. */
   void FailAttempt(const request_pointer& request, const std::string& reason) {
     http.Cancel(std::exchange(request->call, 0));
--- a/src/gateway/traffic_protocol.h
+++ b/src/gateway/traffic_protocol.h
@@ -8,6 +8,7 @@
 #include "catalog/route.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "limits/limit_announcement.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
@@ -78,6 +79,8 @@
   bool requests_backoff = false;
   /** ... of this length, if it gave one that is readable. */
   std::optional<core::milliseconds> backoff;
+  /** What the endpoint says about its request rate limit. */
+  limits::limit_announcement limit;
   /** Idle time after which the endpoint closes the connection. */
   std::optional<core::seconds> idle_timeout;
 };
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -10,6 +10,7 @@
 #include "catalog/endpoint_record.h"
 #include "catalog/route.h"
 #include "core/time.h"
+#include "limits/limit_announcement.h"
 
 namespace comfreyspring::grants {
 
@@ -85,6 +86,8 @@
    * new ones.
    */
   bool leaving = false;
+  /** What this report says about the engine's request rate limit. */
+  limits::limit_announcement limit;
 };
 
 /** An order to the engine to load or unload a model or an adapter. */
--- /dev/null
+++ b/src/limits/request_rate.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+
+namespace comfreyspring::limits {
+
+/** A number of requests per second; not negative. */
+class request_rate {
+ public:
+  /** Rates above this never bind. */
+  static constexpr double kMaximumPerSecond = 1e9;
+
+  request_rate() = default;
+  constexpr explicit request_rate(double per_second)
+      : per_second_(per_second) {}
+
+  constexpr double PerSecond() const { return per_second_; }
+  friend auto operator<=>(const request_rate&, const request_rate&) = default;
+
+ private:
+  double per_second_ = 0.0;
+};
+
+}  // namespace comfreyspring::limits
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -223,6 +223,7 @@
           .Add("orders", state->orders_accepted);
       engine_started_ms_ = state->started_unix_ms;
     }
+    LogReportedLimit(state->limit);
     Perform(scheduler_.OnState(*state, requested_at, now));
     return;
   }
@@ -237,6 +238,22 @@
   Perform(scheduler_.OnEngineDown(now));
 }
 
+void scheduler_driver::LogReportedLimit(
+    const limits::limit_announcement& limit) {
+  if (limit.present == reported_limit_.present &&
+      limit.rate == reported_limit_.rate) {
+    return;
+  }
+  reported_limit_ = limit;
+  auto line = log_.SystemEvent("engine_limit");
+  line.Add("origin", "report").Add("named", limit.present);
+  if (limit.rate) {
+    line.Add("per_s", std::to_string(limit.rate->PerSecond()));
+  } else {
+    line.Add("readable", !limit.present);
+  }
+}
+
 void scheduler_driver::ScheduleRead() {
   const bool urgent = !engine_reachable_ || order_in_flight_ ||
                       scheduler_.Slots().Loading() > 0;
--- a/src/sidecar/scheduler_driver.h
+++ b/src/sidecar/scheduler_driver.h
@@ -69,6 +69,7 @@
   void ReadState();
   void OnState(const std::optional<grants::engine_state>& state,
                const std::string& error, core::time_point requested_at);
+  void LogReportedLimit(const limits::limit_announcement& limit);
   void ScheduleRead();
   void OnRequest(std::uint64_t link, const grants::grant_request& request);
 
@@ -81,6 +82,7 @@
   grants::grant_scheduler scheduler_;
   grants::fencing_counter fencing_;
   std::int64_t engine_started_ms_ = 0;
+  limits::limit_announcement reported_limit_;
   core::time_point last_answer_at_;
   bool engine_reachable_ = false;
   bool order_in_flight_ = false;
