Add failing tests for the request rate limits that endpoints name

The stand-ins of engines and plain services name a limit in their answers (and in reports, if the test wants it), arrival_record counts what arrives at them over all gateways by the users' rule, and request_limit_test runs four gateways, three engines with sidecars and two plain endpoints as processes. The fifth guards the other side: a limit that is not named any more is forgotten.

--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -13,6 +13,7 @@
 /** Adapters that an engine may hold by the service's configuration. */
 constexpr std::size_t kAdapterCapacity = 2;
 constexpr milliseconds kListenRetry{50};
+constexpr const char* kLimitHeader = "server-limit";
 
 }  // namespace
 
@@ -71,6 +72,7 @@
   for (const auto& current : std::set(running_)) End(current, false);
   server_.reset();
   held.clear();
+  limit.reset();
   loading_.clear();
   orders_ = 0;
   highest_fencing = 0;
@@ -91,13 +93,27 @@
   }
 }
 
+net::header_map engine_stand_in::Notices() const {
+  net::header_map headers;
+  if (leaving) headers["server-leaving"] = "1";
+  if (limit) headers[kLimitHeader] = *limit;
+  return headers;
+}
+
+net::header_map engine_stand_in::ResponseHeaders(const std::string& id) {
+  if (limit && on_limit_named) on_limit_named(id);
+  net::header_map headers = Notices();
+  headers["request-id"] = id;
+  return headers;
+}
+
 void engine_stand_in::Report(net::http_exchange& exchange) const {
   json adapters = json::array();
   for (const auto& name : held) adapters.push_back(name + "@1");
   json pending = json::array();
   for (const auto& name : loading_) pending.push_back("m/" + name + "@1");
-  net::header_map headers;
-  if (leaving) headers["server-leaving"] = "1";
+  net::header_map headers = Notices();
+  if (!limit_in_reports) headers.erase(kLimitHeader);
   exchange.Respond(
       {200, std::move(headers),
        json{{"born", started_},
@@ -157,13 +173,19 @@
       !options_.generates ||
       (model != headers.end() && held.count(model->second.substr(2)) > 0);
   const std::string& id = headers.at("request-id");
+  if (on_arrival) on_arrival(id);
   if (headers.at("expect-instance") != instance_ || !holds) {
-    exchange->Respond({421, {{"instance", instance_}}, ""});
+    net::header_map answer = ResponseHeaders(id);
+    answer["instance"] = instance_;
+    answer.erase("request-id");
+    exchange->Respond({421, std::move(answer), ""});
     return;
   }
   if (running_.size() >= options_.slots ||
       DrawWithProbability(refuse_probability)) {
-    exchange->Respond({503, {{"not-run", "1"}, {"request-id", id}}, "full"});
+    net::header_map answer = ResponseHeaders(id);
+    answer["not-run"] = "1";
+    exchange->Respond({503, std::move(answer), "full"});
     return;
   }
   ++runs[id];
@@ -184,10 +206,9 @@
   const auto resumed = headers.find("last-event-id");
   const int first =
       resumed == headers.end() ? 1 : std::stoi(resumed->second) + 1;
-  net::header_map answer = {{"content-type", "text/event-stream"},
-                            {"server-stamp", "stamp"},
-                            {"request-id", id}};
-  if (leaving) answer["server-leaving"] = "1";
+  net::header_map answer = ResponseHeaders(id);
+  answer["content-type"] = "text/event-stream";
+  answer["server-stamp"] = "stamp";
   exchange->BeginStream(200, std::move(answer));
   SendEvent(current, first);
 }
@@ -198,10 +219,10 @@
     if (current->breaks) {
       current->exchange->Abort();
     } else {
+      net::header_map answer = ResponseHeaders(current->id);
+      answer["server-stamp"] = "stamp";
       current->exchange->Respond(
-          {200,
-           {{"server-stamp", "stamp"}, {"request-id", current->id}},
-           PlainText(current->id)});
+          {200, std::move(answer), PlainText(current->id)});
     }
     End(current, !current->breaks);
   });
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -59,6 +59,10 @@
   /** Starts as a new instance at the same address. */
   void Start(const std::string& instance);
 
+  /** Called for each request that arrives, also if it is rejected. */
+  std::function<void(const std::string& id)> on_arrival;
+  /** Called when a response to this request names the limit. */
+  std::function<void(const std::string& id)> on_limit_named;
   /** Called when a request begins to run. */
   std::function<void(const net::http_request&)> on_run;
   /** Called when a run ends; `complete` if the whole answer was written. */
@@ -87,6 +91,10 @@
   double refuse_probability = 0;
   /** Reports and stream answers carry the header `server-leaving`. */
   bool leaving = false;
+  /** Responses name this request rate limit (header `server-limit`). */
+  std::optional<std::string> limit;
+  /** Reports name it too. */
+  bool limit_in_reports = true;
   /** Requests start to run but are never answered. */
   bool unresponsive = false;
   /** Multiplies event period and processing time. */
@@ -96,6 +104,9 @@
   using exchange_pointer = std::shared_ptr<net::http_exchange>;
   struct run;
 
+  /** Headers that every response carries. */
+  net::header_map Notices() const;
+  net::header_map ResponseHeaders(const std::string& id);
   void Listen();
   void Answer(const exchange_pointer& exchange);
   void Report(net::http_exchange& exchange) const;
--- a/tests/soak/fleet_layout.h
+++ b/tests/process/fleet_layout.h
@@ -3,11 +3,12 @@
 #include <cstdint>
 #include <string>
 
-namespace comfreyspring::soak {
+namespace comfreyspring::process_test {
 
 /**
- * Addresses of one soak run. Each run uses its own /24 of loopback, so that
- * several can run in parallel; all runs use the same ports.
+ * Addresses of one fleet of gateways and sidecars. Each test process uses its
+ * own /24 of loopback, so that several can run in parallel; all use the same
+ * ports.
  */
 class fleet_layout {
  public:
@@ -43,4 +44,4 @@
   std::string network_;
 };
 
-}  // namespace comfreyspring::soak
+}  // namespace comfreyspring::process_test
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -17,6 +17,8 @@
 
 namespace comfreyspring::soak {
 
+using process_test::fleet_layout;
+
 /** Size of the fleet, paths of its programs and its log directory. */
 struct fleet_options {
   std::string binary_directory;
