Count the requests of a rate-limited engine in its sidecar

What callers saw: nothing yet; the engine in need got its usual share of the load, more than it said it could take, until it would have failed them.

Cause: nothing read the limit that an engine names in its answers. It binds all gateways together, and each of them sends alone.

Gateways pass on what answers say (limit_observed); the grant that was answered dates the answer, so that one that waited in a paused gateway ends nothing. A restarted sidecar hears the limit from the engine's report or from each gateway, ahead of that gateway's first grant request; a limit belongs to one start of an engine. Waiting requests that the limit leaves no time for are refused at once (rate_limited) or go elsewhere; the expected wait, the load by which gateways choose and the retry times follow the limit. Status reports tell every gateway; the count of observations in them shows which is newer.

--- a/src/ctl/request_explanation.cc
+++ b/src/ctl/request_explanation.cc
@@ -43,7 +43,7 @@
   std::string_view meaning;
 };
 
-constexpr std::array<cause_description, 17> kCauseDescriptions = {{
+constexpr std::array<cause_description, 18> kCauseDescriptions = {{
     {"wait_too_long",
      "the expected wait for the engine's queue or for adapter loads exceeded "
      "the wait limit of the request; compare running, waiting, "
@@ -51,6 +51,9 @@
     {"wait_expired",
      "the wait for a slot or for its adapter reached its limit; compare "
      "loads_waiting and load_time_ms of its engine_state"},
+    {"rate_limited",
+     "the endpoints of the service limit their request rates, and no share of "
+     "them was left in time; see endpoint_limit and engine_limit lines"},
     {"engine_down",
      "the engine did not answer its sidecar; see engine_instance and "
      "dependency lines"},
--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -153,9 +153,19 @@
     if (evaluated) all.push_back(*evaluated);
   }
   if (all.empty()) return {};
+  // The load of a rate-limited engine says nothing about that of the others.
   double mean = 0.0;
-  for (const candidate& each : all) mean += each.load;
-  mean /= static_cast<double>(all.size());
+  std::size_t unlimited = 0;
+  for (const candidate& each : all) {
+    if (each.view->status.limit) continue;
+    mean += each.load;
+    ++unlimited;
+  }
+  if (unlimited == 0) {
+    for (const candidate& each : all) mean += each.load;
+    unlimited = all.size();
+  }
+  mean /= static_cast<double>(unlimited);
   double loads_waiting = 0.0;
   for (const candidate& each : all) {
     loads_waiting += static_cast<double>(each.view->status.loads_waiting);
--- a/src/gateway/endpoint_notices.cc
+++ b/src/gateway/endpoint_notices.cc
@@ -12,6 +12,8 @@
 /** Allowance for clocks that run at different rates. */
 constexpr core::milliseconds kBackoffMargin{50};
 
+using limits::IncarnationOf;
+
 }  // namespace
 
 bool endpoint_notices::OnDraining(const catalog::endpoint_record& record,
@@ -44,6 +46,13 @@
   return found->second.OnNotNamed(generated);
 }
 
+limits::limit_change endpoint_notices::OnLimitDecided(
+    const catalog::endpoint_record& record,
+    const std::optional<limits::request_rate>& rate, core::time_point now) {
+  if (!rate && !LimitOf(record)) return limits::limit_change::none;
+  return limits_[IncarnationOf(record)].Adopt(rate, now);
+}
+
 std::optional<limits::request_rate> endpoint_notices::LimitOf(
     const catalog::endpoint_record& record) const {
   if (limits_.empty()) return std::nullopt;
--- a/src/gateway/endpoint_notices.h
+++ b/src/gateway/endpoint_notices.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <optional>
 
 #include "catalog/endpoint_record.h"
 #include "core/time.h"
+#include "limits/endpoint_incarnation.h"
 #include "limits/limit_announcement.h"
 #include "limits/limit_record.h"
 
@@ -50,6 +50,14 @@
                                const limits::limit_announcement& announcement,
                                const limits::response_interval& generated);
 
+  /**
+   * Adopts the limit of the sidecar that counts the requests of this
+   * incarnation; nothing: there is none.
+   */
+  limits::limit_change OnLimitDecided(
+      const catalog::endpoint_record& record,
+      const std::optional<limits::request_rate>& rate, core::time_point now);
+
   bool IsDraining(const catalog::endpoint_record& record) const;
   /** Time until the endpoint may be sent requests again; 0 if it may now. */
   core::milliseconds BackoffLeft(const catalog::endpoint_record& record,
@@ -61,27 +69,9 @@
   void OnTick(core::time_point now);
 
  private:
-  /**
-   * Includes the start time, since an instance id may be reused by a later
-   * incarnation.
-   */
-  struct incarnation {
-    catalog::instance_id instance;
-    std::int64_t started_unix_ms = 0;
-    // clang-tidy 14 mistakes the compiler's own comparison with 0 for a
-    // pointer.
-    // NOLINTBEGIN(modernize-use-nullptr)
-    friend auto operator<=>(const incarnation&, const incarnation&) = default;
-    // NOLINTEND(modernize-use-nullptr)
-  };
-
-  static incarnation IncarnationOf(const catalog::endpoint_record& record) {
-    return {record.instance, record.started_unix_ms};
-  }
-
-  std::map<incarnation, core::time_point> draining_since_;
-  std::map<incarnation, core::time_point> backoff_until_;
-  std::map<incarnation, limits::limit_record> limits_;
+  std::map<limits::endpoint_incarnation, core::time_point> draining_since_;
+  std::map<limits::endpoint_incarnation, core::time_point> backoff_until_;
+  std::map<limits::endpoint_incarnation, limits::limit_record> limits_;
 };
 
 }  // namespace comfreyspring::gateway
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -94,11 +94,6 @@
 /** Number of gateways until a sidecar reports how many are connected to it. */
 constexpr std::size_t kAssumedGateways = 32;
 
-/** For logs; empty without a limit. */
-std::string RateText(const std::optional<limits::request_rate>& rate) {
-  return rate ? std::to_string(rate->PerSecond()) : std::string();
-}
-
 }  // namespace
 
 struct request_forwarder::impl {
@@ -593,7 +588,7 @@
         .Add("left_ms", left.count())
         .Add("catalog_age_ms", follower.Age().count());
     if (const auto limit = notices.LimitOf(*record)) {
-      line.Add("limit_per_s", RateText(limit));
+      line.Add("limit_per_s", limits::ToText(limit));
       metrics.Count("gateway_sent_under_limit_total");
     }
     if (const auto lapsed =
@@ -655,7 +650,7 @@
     }
     if (endpoint_view* view = ViewOf(request)) {
       view->results.OnProgress(now);
-      ApplyNotices(view->record, request);
+      ApplyNotices(*view, request);
     }
     // The rest of the response is useless, and the connection may carry more of
     // it, so the connection is dropped.
@@ -667,8 +662,8 @@
   }
 
   /** Applies drain and backoff notices, which any response may carry. */
-  void ApplyNotices(const catalog::endpoint_record& record,
-                    const active_request& request) {
+  void ApplyNotices(endpoint_view& view, const active_request& request) {
+    const catalog::endpoint_record& record = view.record;
     const auto now = loop.Now();
     bool unavailable = false;
     if (request.response.draining && notices.OnDraining(record, now)) {
@@ -689,7 +684,7 @@
           .Add("for_ms", length.count());
       unavailable = true;
     }
-    NoteLimit(record, request);
+    NoteLimit(view, request);
     if (!unavailable) return;
     // Deferred: the HTTP library's current callback may belong to one of the
     // affected requests.
@@ -698,31 +693,42 @@
     });
   }
 
-  void NoteLimit(const catalog::endpoint_record& record,
-                 const active_request& request) {
+  void NoteLimit(endpoint_view& view, const active_request& request) {
+    const catalog::endpoint_record& record = view.record;
     const limits::limit_announcement& announced = request.response.limit;
     // Only the endpoint itself can end its limit.
     if (!announced.present && !request.response.authentic) return;
+    const bool is_news =
+        announced.present
+            ? announced.rate && announced.rate != view.status.limit
+            : view.status.limit.has_value();
+    if (view.has_sidecar && is_news) {
+      SendLimit(view, request.grant_number, announced.rate);
+    }
     const auto before = notices.LimitOf(record);
     const auto change = notices.OnLimit(
         record, announced, {.earliest = request.sent_at, .latest = loop.Now()});
     const bool unreadable = announced.present && !announced.rate;
     if (change == limits::limit_change::none && !unreadable) return;
-    metrics.Count("gateway_endpoint_limit_changes_total{change=\"" +
-                  std::string(unreadable ? "unreadable" : ToString(change)) +
-                  "\"}");
-    log.SystemEvent("endpoint_limit")
-        .Add("change", unreadable ? "unreadable" : ToString(change))
-        .Add("instance", record.instance.Value())
-        .Add("service", record.service.Value())
-        .Add("origin", "response")
+    LogLimit(record, unreadable ? "unreadable" : ToString(change), "response",
+             before)
         .Add("request", request.metadata.id.Value())
-        .Add("before_per_s", RateText(before))
-        .Add("per_s", RateText(notices.LimitOf(record)))
         .Add("response_age_ms",
              core::ToMilliseconds(loop.Now() - request.sent_at).count());
   }
 
+  /** Tells the sidecar, which counts the requests of all gateways. */
+  void SendLimit(endpoint_view& view, std::uint64_t grant,
+                 const std::optional<limits::request_rate>& rate) {
+    const bool sent = links->Send(
+        view.record.address.ip,
+        grants::limit_observed{.endpoint = limits::IncarnationOf(view.record),
+                               .own_engine = true,
+                               .number = grant,
+                               .rate = rate});
+    if (sent) ++limits_sent[view.record.address.ip];
+  }
+
   /** Cancels an attempt whose response is unusable. */
   void FailAttempt(const request_pointer& request, const std::string& reason) {
     http.Cancel(std::exchange(request->call, 0));
@@ -1229,8 +1235,11 @@
 
   void OnSidecarLost(const std::string& ip) {
     std::vector<request_pointer> waiting;
+    limits_sent.erase(ip);
     for (auto& [instance, view] : views) {
-      if (view.record.address.ip == ip) view.has_sidecar = false;
+      if (view.record.address.ip != ip) continue;
+      view.has_sidecar = false;
+      view.status.limit.reset();
     }
     for (const auto& [number, request] : requests) {
       if (request->grant_number == 0 || request->sidecar_ip != ip) continue;
@@ -1279,8 +1288,19 @@
             .Add("running", report.status.running)
             .Add("waiting", report.status.waiting);
       }
-      view.has_sidecar = true;
+      const bool was_linked = std::exchange(view.has_sidecar, true);
       view.status = report.status;
+      if (!was_linked && !report.status.limit) {
+        // Before the first grant request: a sidecar that has just started may
+        // not know the limit.
+        if (const auto limit = notices.LimitOf(view.record)) {
+          SendLimit(view, 0, limit);
+        }
+      }
+      // An older status does not contain what this gateway has reported since.
+      if (report.limits_observed == limits_sent[ip]) {
+        AdoptLimit(view.record, report.status.limit, "sidecar");
+      }
       view.grants_requested_since_status = 0;
       if (report.has_adapters) {
         view.adapters = {report.status.adapters.begin(),
@@ -1289,6 +1309,32 @@
     }
   }
 
+  /** Takes over the decision of the sidecar that counts the requests. */
+  void AdoptLimit(const catalog::endpoint_record& record,
+                  const std::optional<limits::request_rate>& rate,
+                  std::string_view origin) {
+    const auto before = notices.LimitOf(record);
+    const auto change = notices.OnLimitDecided(record, rate, loop.Now());
+    if (change == limits::limit_change::none) return;
+    LogLimit(record, ToString(change), origin, before);
+  }
+
+  telemetry::event_log::line LogLimit(
+      const catalog::endpoint_record& record, std::string_view change,
+      std::string_view origin,
+      const std::optional<limits::request_rate>& before) {
+    metrics.Count("gateway_endpoint_limit_changes_total{change=\"" +
+                  std::string(change) + "\"}");
+    auto line = log.SystemEvent("endpoint_limit");
+    line.Add("change", change)
+        .Add("instance", record.instance.Value())
+        .Add("service", record.service.Value())
+        .Add("origin", origin)
+        .Add("before_per_s", limits::ToText(before))
+        .Add("per_s", limits::ToText(notices.LimitOf(record)));
+    return line;
+  }
+
   retry_budget& BudgetOf(const core::service_id& service) {
     return budgets
         .try_emplace(service,
@@ -1310,6 +1356,8 @@
   std::map<std::uint64_t, request_pointer> open_grants;
   std::map<catalog::instance_id, endpoint_view> views;
   endpoint_notices notices;
+  /** Number of limits reported on the current link to each sidecar. */
+  std::map<std::string, std::uint64_t> limits_sent;
   core::time_point notices_cleaned_at;
   /** Bytes of the buffered responses. */
   std::size_t buffered_bytes = 0;
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -55,6 +55,11 @@
 constexpr core::milliseconds kReservationEarly{100};
 constexpr core::milliseconds kReservationLate{500};
 constexpr std::size_t kMaximumReservations = 512;
+/**
+ * Rate at which a slower limit is exceeded, if only responses to requests can
+ * tell that it has ended.
+ */
+constexpr limits::request_rate kProbeRate{0.25};
 /** Share of refused callers that retry at the same engine. */
 constexpr double kRetryShare = 0.5;
 
@@ -117,7 +122,11 @@
   if (!request.is_retry) {
     const auto wait = ExpectedWait(request, now);
     if (now + wait > request.deadline) {
-      refuse_for(refusal_reason::wait_too_long, wait);
+      const bool is_limited =
+          now + QueueWaitForLimit(request, now) > request.deadline;
+      refuse_for(is_limited ? refusal_reason::rate_limited
+                            : refusal_reason::wait_too_long,
+                 wait);
       return out;
     }
   }
@@ -150,7 +159,11 @@
   actions out;
   waiting_.erase(key);
   const auto found = running_.find(key);
-  if (found != running_.end()) RemoveRunning(found, now);
+  if (found != running_.end()) {
+    // The grant was still on its way, so the request has not been sent.
+    if (found->second.took_token) tokens_.Return(now);
+    RemoveRunning(found, now);
+  }
   Schedule(now, out);
   return out;
 }
@@ -226,6 +239,10 @@
       state_ && (state.started_unix_ms != state_->started_unix_ms ||
                  state.orders_accepted < state_->orders_accepted);
   if (restarted) slots_.Clear();
+  const bool is_other_incarnation =
+      limit_started_unix_ms_ != 0 && state.started_unix_ms != 0 &&
+      limit_started_unix_ms_ != state.started_unix_ms;
+  if (restarted || is_other_incarnation) ForgetLimit();
   for (const auto& done : slots_.Reconcile(state, requested_at, now)) {
     (done.warm ? warm_load_time_ : load_time_).Add(done.took);
   }
@@ -233,10 +250,114 @@
   state_ = state;
   state_at_ = now;
   needs_state_ = false;
+  const limits::response_interval generated{requested_at, now};
+  if (state.limit.rate) {
+    reports_name_limit_ = true;
+    limit_started_unix_ms_ = state.started_unix_ms;
+    OnLimitChange(limit_.OnNamed(*state.limit.rate, generated), now, out);
+  } else if (reports_name_limit_ && !state.limit.present) {
+    OnLimitChange(limit_.OnNotNamed(generated), now, out);
+  }
+  Schedule(now, out);
+  return out;
+}
+
+grant_scheduler::actions grant_scheduler::OnLimitObserved(
+    const limit_observation& observation, core::time_point now) {
+  actions out;
+  const std::int64_t started = observation.endpoint.started_unix_ms;
+  if (state_ && started != 0 && state_->started_unix_ms != 0 &&
+      started != state_->started_unix_ms) {
+    return out;
+  }
+  // The response was generated after the grant.
+  limits::response_interval generated{
+      .latest = std::min(observation.response_received, now)};
+  if (observation.request) {
+    const auto found = running_.find(*observation.request);
+    if (found != running_.end()) generated.earliest = found->second.granted_at;
+  }
+  if (observation.rate) {
+    if (started != 0) limit_started_unix_ms_ = started;
+    OnLimitChange(limit_.OnNamed(*observation.rate, generated), now, out);
+  } else {
+    OnLimitChange(limit_.OnNotNamed(generated), now, out);
+  }
   Schedule(now, out);
   return out;
 }
 
+void grant_scheduler::ForgetLimit() {
+  limit_ = {};
+  limit_started_unix_ms_ = 0;
+  reports_name_limit_ = false;
+}
+
+void grant_scheduler::OnLimitChange(limits::limit_change change,
+                                    core::time_point now, actions& out) {
+  if (!Limit()) return;
+  if (change == limits::limit_change::heard) tokens_ = limits::token_bucket();
+  // Reports can show the end of a limit, so that no request need be spent.
+  tokens_.SetRate(
+      reports_name_limit_ ? *Limit() : std::max(*Limit(), kProbeRate), now);
+  if (change != limits::limit_change::none) ReturnUnservable(now, out);
+}
+
+core::milliseconds grant_scheduler::LimitWait(double grants,
+                                              core::time_point now) const {
+  return Limit() ? tokens_.TimeUntil(grants, now) : core::milliseconds(0);
+}
+
+core::milliseconds grant_scheduler::QueueWaitForLimit(
+    const engine_request& request, core::time_point now) const {
+  if (!Limit()) return core::milliseconds(0);
+  double ahead = 1.0;
+  for (const auto& [key, other] : waiting_) {
+    if (other.priority <= request.priority) ahead += 1.0;
+  }
+  const auto start = now + LimitWait(ahead, now);
+  if (start == now) return core::milliseconds(0);
+  const auto reserved =
+      std::count_if(reservations_.begin(), reservations_.end(),
+                    [&](const reservation& each) { return each.due <= start; });
+  return LimitWait(ahead + kRetryShare * static_cast<double>(reserved), now);
+}
+
+/**
+ * Returns the waiting requests that the limit leaves no time for, or whose
+ * gateways know of less loaded engines.
+ */
+void grant_scheduler::ReturnUnservable(core::time_point now, actions& out) {
+  std::vector<const engine_request*> order;
+  for (const auto& [key, request] : waiting_) order.push_back(&request);
+  std::sort(order.begin(), order.end(),
+            [&](const engine_request* left, const engine_request* right) {
+              return ComesBefore(*left, *right, now);
+            });
+  std::vector<request_key> elsewhere;
+  std::vector<request_key> unservable;
+  double ahead = 1.0;
+  for (const engine_request* request : order) {
+    const auto wait = LimitWait(ahead, now);
+    if (wait.count() > 0 && request->load_bound > 0.0) {
+      elsewhere.push_back(request->key);
+    } else if (now + wait > request->deadline) {
+      unservable.push_back(request->key);
+    } else {
+      ahead += 1.0;
+    }
+  }
+  for (const request_key& key : elsewhere) {
+    waiting_.erase(key);
+    out.push_back(refusal{key, refusal_reason::fuller_than_known});
+  }
+  for (const request_key& key : unservable) {
+    const engine_request request = waiting_.extract(key).mapped();
+    Refuse(request, refusal_reason::rate_limited, ExpectedWait(request, now),
+           now, out);
+  }
+}
+
 grant_scheduler::actions grant_scheduler::OnEngineDown(core::time_point now) {
   actions out;
   needs_state_ = true;
@@ -320,8 +441,12 @@
   // A reservation is useless if the caller retries before it is due.
   const bool in_time = retry_after <= longest;
   retry_after = std::clamp(retry_after, kMinimumRetryAfter, longest);
-  if (in_time && (reason == refusal_reason::wait_too_long ||
-                  reason == refusal_reason::wait_expired)) {
+  // A rate-limited request whose gateway knows of other engines goes there.
+  const bool waits_here =
+      reason == refusal_reason::wait_too_long ||
+      reason == refusal_reason::wait_expired ||
+      (reason == refusal_reason::rate_limited && request.load_bound <= 0.0);
+  if (in_time && waits_here) {
     Reserve(request, now + retry_after);
   }
   out.push_back(refusal{request.key, reason, retry_after, expected_wait});
@@ -423,6 +548,7 @@
     const request_key key = best->key;
     running_item item{.request = waiting_.extract(key).mapped(),
                       .granted_at = now};
+    item.took_token = Limit() && tokens_.TryTake(now);
     item.prefills_alone = PendingPrefillTokens(now) == 0;
     if (!item.prefills_alone) {
       for (auto& [other_key, other] : running_) {
@@ -466,6 +592,7 @@
 
 bool grant_scheduler::CanStart(const engine_request& request,
                                core::time_point now) const {
+  if (LimitWait(1.0, now).count() > 0) return false;
   if (running_.size() >= config_.batch_slots) return false;
   if (running_.empty()) return true;
   if (config_.cache_tokens > 0) {
@@ -699,7 +826,8 @@
     slot_wait += kRetryShare * static_cast<double>(reserved_count) * turn;
   }
   const auto prefill_wait = pacer_.PrefillTime(tokens_ahead);
-  return std::max(FromDouble(slot_wait), prefill_wait) +
+  return std::max({FromDouble(slot_wait), prefill_wait,
+                   QueueWaitForLimit(request, now)}) +
          ExpectedLoad(request, now);
 }
 
@@ -763,6 +891,8 @@
     if (IsReady(request)) tokens_ahead += request.prompt_tokens;
   }
   status.prefill_wait = pacer_.PrefillTime(tokens_ahead);
+  status.limit = Limit();
+  status.limit_wait = LimitWait(static_cast<double>(waiting_.size() + 1), now);
   status.adapters_revision = slots_.Revision();
   status.adapters = slots_.Adapters();
   return status;
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -13,6 +13,8 @@
 #include "grants/grant_types.h"
 #include "grants/prompt_pacer.h"
 #include "grants/slot_table.h"
+#include "limits/limit_record.h"
+#include "limits/token_bucket.h"
 
 namespace comfreyspring::grants {
 
@@ -79,6 +81,9 @@
  *   parallel, and it replaces only adapters that no request uses or waits for.
  * - Gateways with outdated status reports: a request that would have to wait
  *   here is returned immediately if its gateway knows of less loaded engines.
+ * - An engine in need that limits its request rate: grants are counted against
+ *   the limit, over all gateways. The limit shortens the queue that may wait
+ *   here; the rest is returned or refused immediately.
  * - Restart of the engine or the agent: no adapter is assumed to be loaded
  *   until the engine has reported its state.
  */
@@ -116,6 +121,9 @@
                   core::time_point now);
   /** The engine does not respond. */
   actions OnEngineDown(core::time_point now);
+  /** A gateway has received a response of the engine. */
+  actions OnLimitObserved(const limit_observation& observation,
+                          core::time_point now);
   actions OnOrderEnded(const engine_order& order, order_result result,
                        core::time_point now);
   /**
@@ -134,6 +142,10 @@
   // State.
 
   engine_status Status(core::time_point now) const;
+  /** The request rate limit in force at the engine. */
+  const std::optional<limits::request_rate>& Limit() const {
+    return limit_.Rate();
+  }
   std::size_t Running() const { return running_.size(); }
   std::size_t Waiting() const { return waiting_.size(); }
   bool IsWaiting(const request_key& key) const {
@@ -161,6 +173,8 @@
     engine_request request;
     core::time_point granted_at;
     bool started = false;
+    /** The grant was counted against the limit. */
+    bool took_token = false;
     /** No other prompt was in prefill at the time of the grant or since. */
     bool prefills_alone = false;
   };
@@ -175,6 +189,15 @@
     int priority = 0;
   };
 
+  void OnLimitChange(limits::limit_change change, core::time_point now,
+                     actions& out);
+  void ForgetLimit();
+  void ReturnUnservable(core::time_point now, actions& out);
+  /** Time until the limit allows this many grants, one after another. */
+  core::milliseconds LimitWait(double grants, core::time_point now) const;
+  /** Time until the limit allows this request, after those before it. */
+  core::milliseconds QueueWaitForLimit(const engine_request& request,
+                                       core::time_point now) const;
   bool IsServing(core::time_point now) const;
   bool ExceedsLoadBound(const engine_request& request,
                         core::time_point now) const;
@@ -241,6 +264,12 @@
   std::optional<engine_order> order_in_flight_;
   core::time_point order_backoff_until_;
   std::map<catalog::adapter_name, core::time_point> unavailable_until_;
+  limits::limit_record limit_;
+  /** Start of the engine that named the limit; 0 if unknown. */
+  std::int64_t limit_started_unix_ms_ = 0;
+  /** Reports of this engine name its limit, so they also show its end. */
+  bool reports_name_limit_ = false;
+  limits::token_bucket tokens_;
   bool stopping_ = false;
   bool needs_state_ = true;
   int grants_since_oldest_ = 0;
--- a/src/grants/grant_types.cc
+++ b/src/grants/grant_types.cc
@@ -10,7 +10,7 @@
     refusal_reason::wait_too_long,       refusal_reason::wait_expired,
     refusal_reason::engine_down,         refusal_reason::model_absent,
     refusal_reason::adapter_unavailable, refusal_reason::stopping,
-    refusal_reason::fuller_than_known};
+    refusal_reason::fuller_than_known,   refusal_reason::rate_limited};
 
 }  // namespace
 
@@ -48,6 +48,8 @@
       return "stopping";
     case refusal_reason::fuller_than_known:
       return "fuller_than_known";
+    case refusal_reason::rate_limited:
+      return "rate_limited";
   }
   return "unknown";
 }
@@ -56,9 +58,18 @@
               std::size_t more) {
   const double requests =
       static_cast<double>(status.running + status.waiting + more);
-  return requests / static_cast<double>(std::max<std::size_t>(1, batch_slots)) +
-         static_cast<double>(status.prefill_wait.count()) /
-             kPrefillWaitAtFullLoad;
+  double load =
+      requests / static_cast<double>(std::max<std::size_t>(1, batch_slots)) +
+      static_cast<double>(status.prefill_wait.count()) / kPrefillWaitAtFullLoad;
+  if (status.limit) {
+    constexpr double kSlowestPerMs = 1e-6;
+    const double per_ms =
+        std::max(kSlowestPerMs, status.limit->PerSecond() / 1e3);
+    const double wait_ms = static_cast<double>(status.limit_wait.count()) +
+                           static_cast<double>(more) / per_ms;
+    load += std::min(kMaximumLimitLoad, wait_ms / kPrefillWaitAtFullLoad);
+  }
+  return load;
 }
 
 std::optional<refusal_reason> ParseRefusalReason(std::string_view text) {
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -10,7 +10,9 @@
 #include "catalog/endpoint_record.h"
 #include "catalog/route.h"
 #include "core/time.h"
+#include "limits/endpoint_incarnation.h"
 #include "limits/limit_announcement.h"
+#include "limits/request_rate.h"
 
 namespace comfreyspring::grants {
 
@@ -134,6 +136,9 @@
   stopping,
   /** It would have to wait, and the gateway knows of less loaded engines. */
   fuller_than_known,
+  /** The endpoint's request rate limit is used up for longer than it can wait.
+   */
+  rate_limited,
 };
 
 std::string_view ToString(refusal_reason reason);
@@ -159,6 +164,17 @@
 };
 using grant_action = std::variant<grant, refusal, engine_order>;
 
+/** What a gateway has learnt from a response about the limit of its endpoint.
+ */
+struct limit_observation {
+  limits::endpoint_incarnation endpoint;
+  /** The granted request that was answered; nothing if there was no grant. */
+  std::optional<request_key> request;
+  /** Nothing: the response names no limit. */
+  std::optional<limits::request_rate> rate;
+  core::time_point response_received;
+};
+
 /** Status by which gateways choose an engine. */
 struct engine_status {
   /** The engine responds, has a model and accepts requests. */
@@ -172,6 +188,10 @@
   std::size_t loads_waiting = 0;
   /** Time until the engine has prefilled the prompts ahead of a new one. */
   core::milliseconds prefill_wait{0};
+  /** The engine's request rate limit, over all gateways. */
+  std::optional<limits::request_rate> limit;
+  /** Time until this limit would let a new request start. */
+  core::milliseconds limit_wait{0};
   /** Number of gateways linked to the agent. */
   std::size_t gateways = 0;
   /** Changes whenever the list of adapters changes. */
@@ -182,6 +202,8 @@
 
 /** Prefill wait, in milliseconds, that weighs as much as a full batch. */
 constexpr double kPrefillWaitAtFullLoad = 600.0;
+/** Load that a request rate limit adds at most. */
+constexpr double kMaximumLimitLoad = 2.0;
 
 /**
  * Load of an engine, by which gateways compare engines.
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -26,10 +26,13 @@
   status = 9,
   queued = 10,
   catalog = 11,
+  limit_observed = 12,
 };
 
 /** Loads are transmitted as integers in units of 1/kLoadScale. */
 constexpr double kLoadScale = 1000.0;
+/** Rates are transmitted as integers in units of 1/kRateScale per second. */
+constexpr double kRateScale = 1e6;
 
 // Encoding.
 
@@ -61,6 +64,19 @@
     return Add(name.model.Value()).Add(name.adapter.Value());
   }
 
+  /** A flag, followed by the rate if there is one. */
+  field_writer& Add(const std::optional<limits::request_rate>& rate) {
+    Add(rate.has_value());
+    if (rate) {
+      Add(static_cast<std::int64_t>(
+          std::llround(rate->PerSecond() * kRateScale)));
+    }
+    return *this;
+  }
+  field_writer& Add(const limits::endpoint_incarnation& endpoint) {
+    return Add(endpoint.instance.Value()).Add(endpoint.started_unix_ms);
+  }
+
   std::string Finish() {
     std::string frame;
     json::to_cbor(json(std::move(fields_)), frame);
@@ -102,6 +118,7 @@
     out.Add(status.adapters.size());
     for (const auto& name : status.adapters) out.Add(name);
   }
+  out.Add(status.limit).Add(status.limit_wait).Add(report.limits_observed);
   return out.Finish();
 }
 
@@ -216,6 +233,16 @@
     std::string model = Text();
     return {core::model_id(std::move(model)), core::adapter_id(Text())};
   }
+  std::optional<limits::request_rate> Rate() {
+    if (!Boolean()) return std::nullopt;
+    const double rate = static_cast<double>(Integer()) / kRateScale;
+    if (rate < 0.0) throw core::invalid_value_error("negative rate");
+    return limits::request_rate(rate);
+  }
+  limits::endpoint_incarnation Incarnation() {
+    catalog::instance_id instance(Text());
+    return {std::move(instance), Integer()};
+  }
   /** Reads the length of a list whose items have `width` fields each. */
   std::size_t Length(std::size_t width) {
     const std::size_t length = Size();
@@ -307,9 +334,25 @@
       status.adapters.push_back(in.Adapter());
     }
   }
+  // Senders of earlier versions know no limits.
+  if (!in.AtEnd()) {
+    status.limit = in.Rate();
+    status.limit_wait = in.Time();
+    report.limits_observed = in.Size();
+  }
   return report;
 }
 
+limit_observed ReadObservation(field_reader& in) {
+  limit_observed observed;
+  observed.endpoint = in.Incarnation();
+  observed.own_engine = in.Boolean();
+  observed.number = in.Size();
+  observed.rate = in.Rate();
+  observed.age = in.Time();
+  return observed;
+}
+
 change_batch ReadBatch(field_reader& in) {
   change_batch batch;
   batch.after = in.Integer();
@@ -359,6 +402,8 @@
       return grant_queued{in.Size()};
     case message_kind::catalog:
       return ReadBatch(in);
+    case message_kind::limit_observed:
+      return ReadObservation(in);
   }
   throw core::invalid_value_error("unknown message kind " +
                                   std::to_string(kind));
@@ -406,6 +451,15 @@
           [](const streams_stalled&) {
             return field_writer(message_kind::stalled).Finish();
           },
+          [](const limit_observed& observed) {
+            return field_writer(message_kind::limit_observed)
+                .Add(observed.endpoint)
+                .Add(observed.own_engine)
+                .Add(observed.number)
+                .Add(observed.rate)
+                .Add(observed.age)
+                .Finish();
+          },
           [](const grant_queued& queued) {
             return field_writer(message_kind::queued)
                 .Add(queued.number)
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -54,6 +55,18 @@
   std::uint64_t number = 0;
   bool adapter_missing = false;
 };
+/** What a response says about the request rate limit of its endpoint. */
+struct limit_observed {
+  limits::endpoint_incarnation endpoint;
+  /** The endpoint is the agent's own engine. */
+  bool own_engine = false;
+  /** Grant of the request that was answered; 0 if there was none. */
+  std::uint64_t number = 0;
+  /** Nothing: the response names no limit. */
+  std::optional<limits::request_rate> rate;
+  /** Time since the response was received. */
+  core::milliseconds age{0};
+};
 
 // From the agent to a gateway.
 
@@ -87,6 +100,8 @@
   core::milliseconds next_in{0};
   /** Rank of the receiving gateway among the readers of the catalog. */
   std::size_t reader_rank = 0;
+  /** Number of `limit_observed` messages received on this link. */
+  std::uint64_t limits_observed = 0;
 };
 
 // Catalog changes read by one gateway and relayed to the others by agents.
@@ -95,8 +110,8 @@
 
 using message =
     std::variant<gateway_hello, grant_request, grant_withdrawn, run_started,
-                 run_ended, streams_stalled, grant_queued, grant_issued,
-                 grant_refused, status_report, change_batch>;
+                 run_ended, streams_stalled, limit_observed, grant_queued,
+                 grant_issued, grant_refused, status_report, change_batch>;
 
 /**
  * Encodes a message as one flat CBOR array: the message kind, then the fields
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -68,6 +68,44 @@
   EXPECT_EQ(decoded.reader_rank, 4U);
 }
 
+TEST(messages_test, RoundTripOfALimit) {
+  status_report report;
+  report.has_adapters = true;
+  report.status.adapters = {Adapter("a1")};
+  report.status.limit = limits::request_rate(1.2);
+  report.status.limit_wait = milliseconds(833);
+  report.limits_observed = 4;
+  const status_report status = RoundTrip(report);
+  EXPECT_EQ(status.status.limit, limits::request_rate(1.2));
+  EXPECT_EQ(status.status.limit_wait, milliseconds(833));
+  EXPECT_EQ(status.limits_observed, 4U);
+
+  limit_observed observed{
+      .endpoint = {catalog::instance_id("i-1"), 1767374709625},
+      .own_engine = true,
+      .number = 9,
+      .rate = limits::request_rate(1e9),
+      .age = milliseconds(40)};
+  const limit_observed decoded = RoundTrip(observed);
+  EXPECT_EQ(decoded.endpoint, observed.endpoint);
+  EXPECT_TRUE(decoded.own_engine);
+  EXPECT_EQ(decoded.number, 9U);
+  EXPECT_EQ(decoded.rate, limits::request_rate(1e9));
+  EXPECT_EQ(decoded.age, milliseconds(40));
+  observed.rate.reset();
+  EXPECT_FALSE(RoundTrip(observed).rate);
+}
+
+// Sidecars of the previous version send statuses without limits.
+TEST(messages_test, ReadsAStatusWithoutALimit) {
+  const auto frame = json::to_cbor(
+      json::array({9, true, 3, 1, 64, 2, 0, 40, 4, 7, 100, 0, false}));
+  const auto decoded = std::get<status_report>(
+      Decode({reinterpret_cast<const char*>(frame.data()), frame.size()}));
+  EXPECT_EQ(decoded.status.running, 3U);
+  EXPECT_FALSE(decoded.status.limit);
+}
+
 TEST(messages_test, RoundTripOfAChangeBatch) {
   change_batch batch{.after = 40, .revision = 44, .age = milliseconds(3)};
   batch.last_outage = {41, milliseconds(70)};
--- a/src/limits/limit_record.cc
+++ b/src/limits/limit_record.cc
@@ -50,4 +50,17 @@
   return limit_change::ended;
 }
 
+limit_change limit_record::Adopt(const std::optional<request_rate>& rate,
+                                 core::time_point now) {
+  if (rate == rate_) return limit_change::none;
+  if (!rate) {
+    last_named_.latest = std::min(last_named_.latest, now);
+    return OnNotNamed({now, now});
+  }
+  const bool was_known = rate_.has_value();
+  rate_ = rate;
+  last_named_ = {now, now};
+  return was_known ? limit_change::changed : limit_change::heard;
+}
+
 }  // namespace comfreyspring::limits
--- a/src/limits/limit_record.h
+++ b/src/limits/limit_record.h
@@ -33,7 +33,16 @@
   /** A response that names no limit. */
   limit_change OnNotNamed(const response_interval& generated);
 
+  /**
+   * Replaces what is known by the decision of the process that counts the
+   * requests of the endpoint.
+   */
+  limit_change Adopt(const std::optional<request_rate>& rate,
+                     core::time_point now);
+
   const std::optional<request_rate>& Rate() const { return rate_; }
+  /** Nothing is known of a limit, not even that it has ended. */
+  bool IsNew() const { return !rate_ && !ended_by_; }
   /** Generation of the newest response that named the limit in force. */
   const response_interval& LastNamed() const { return last_named_; }
 
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -11,6 +11,8 @@
  * and catalog (names).
  */
 
+#include "limits/endpoint_incarnation.h"
 #include "limits/limit_announcement.h"
 #include "limits/limit_record.h"
 #include "limits/request_rate.h"
+#include "limits/token_bucket.h"
--- a/src/limits/request_rate.h
+++ b/src/limits/request_rate.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace comfreyspring::limits {
 
@@ -23,4 +24,7 @@
   double per_second_ = 0.0;
 };
 
+/** For logs and state dumps; empty without a rate. */
+std::string ToText(const std::optional<request_rate>& rate);
+
 }  // namespace comfreyspring::limits
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -82,6 +82,9 @@
             metrics_.Count("sidecar_stream_pauses_total");
             scheduler_.OnStreamsStalled(now);
           },
+          [&](const grants::limit_observed& observed) {
+            OnLimitObserved(link, observed);
+          },
           [&](const auto&) {
             log_.SystemEvent("message_unexpected").Add("link", link);
           }},
@@ -111,6 +114,40 @@
   }
 }
 
+void scheduler_driver::OnLimitObserved(std::uint64_t link,
+                                       const grants::limit_observed& observed) {
+  const auto now = loop_.Now();
+  if (!observed.own_engine) return;
+  grants::limit_observation observation{
+      .endpoint = observed.endpoint,
+      .rate = observed.rate,
+      .response_received = now - observed.age};
+  if (observed.number != 0) observation.request = {link, observed.number};
+  const auto before = scheduler_.Limit();
+  Perform(scheduler_.OnLimitObserved(observation, now));
+  NoteLimitChange(before, "response");
+}
+
+void scheduler_driver::NoteLimitChange(
+    const std::optional<limits::request_rate>& before,
+    std::string_view origin) {
+  const auto& after = scheduler_.Limit();
+  if (after == before) return;
+  const auto change = !before  ? limits::limit_change::heard
+                      : !after ? limits::limit_change::ended
+                               : limits::limit_change::changed;
+  metrics_.Count("sidecar_engine_limit_changes_total{change=\"" +
+                 std::string(ToString(change)) + "\"}");
+  log_.SystemEvent("engine_limit")
+      .Add("change", ToString(change))
+      .Add("origin", origin)
+      .Add("before_per_s", limits::ToText(before))
+      .Add("per_s", limits::ToText(after))
+      .Add("waiting", scheduler_.Waiting())
+      .Add("running", scheduler_.Running());
+  if (on_status_change_) on_status_change_();
+}
+
 void scheduler_driver::OnLinkLost(std::uint64_t link) {
   Perform(scheduler_.OnLinkLost(link, loop_.Now()));
 }
@@ -223,8 +260,10 @@
           .Add("orders", state->orders_accepted);
       engine_started_ms_ = state->started_unix_ms;
     }
-    LogReportedLimit(state->limit);
+    LogUnreadableLimit(state->limit);
+    const auto limit_before = scheduler_.Limit();
     Perform(scheduler_.OnState(*state, requested_at, now));
+    NoteLimitChange(limit_before, "report");
     return;
   }
   metrics_.Count("sidecar_state_failures_total");
@@ -238,20 +277,18 @@
   Perform(scheduler_.OnEngineDown(now));
 }
 
-void scheduler_driver::LogReportedLimit(
+void scheduler_driver::LogUnreadableLimit(
     const limits::limit_announcement& limit) {
-  if (limit.present == reported_limit_.present &&
-      limit.rate == reported_limit_.rate) {
-    return;
-  }
-  reported_limit_ = limit;
-  auto line = log_.SystemEvent("engine_limit");
-  line.Add("origin", "report").Add("named", limit.present);
-  if (limit.rate) {
-    line.Add("per_s", std::to_string(limit.rate->PerSecond()));
-  } else {
-    line.Add("readable", !limit.present);
+  const bool is_unreadable = limit.present && !limit.rate;
+  // Reports follow each other closely, so only the first one is logged.
+  if (is_unreadable && !reported_limit_is_unreadable_) {
+    metrics_.Count("sidecar_engine_limit_changes_total{change=\"unreadable\"}");
+    log_.SystemEvent("engine_limit")
+        .Add("change", "unreadable")
+        .Add("origin", "report")
+        .Add("per_s", limits::ToText(scheduler_.Limit()));
   }
+  reported_limit_is_unreadable_ = is_unreadable;
 }
 
 void scheduler_driver::ScheduleRead() {
@@ -295,6 +332,10 @@
   metrics_.SetGauge("sidecar_loads_waiting",
                     static_cast<double>(status.loads_waiting));
   metrics_.SetGauge("sidecar_serving", status.serving ? 1 : 0);
+  metrics_.SetGauge("sidecar_engine_limit_per_s",
+                    status.limit ? status.limit->PerSecond() : -1.0);
+  metrics_.SetGauge("sidecar_engine_limit_wait_ms",
+                    static_cast<double>(status.limit_wait.count()));
   metrics_.SetGauge("sidecar_load_time_ms",
                     static_cast<double>(scheduler_.LoadTime().count()));
   metrics_.SetGauge("sidecar_run_time_ms",
--- a/src/sidecar/scheduler_driver.h
+++ b/src/sidecar/scheduler_driver.h
@@ -3,8 +3,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "grants/fencing_counter.h"
 #include "grants/grant_scheduler.h"
@@ -50,6 +53,10 @@
   scheduler_driver(const scheduler_driver&) = delete;
   scheduler_driver& operator=(const scheduler_driver&) = delete;
 
+  /** Called when gateways should get the engine's status soon. */
+  void OnStatusChange(std::function<void()> callback) {
+    on_status_change_ = std::move(callback);
+  }
   void Start();
   void OnMessage(std::uint64_t link, const grants::message& value);
   void OnLinkLost(std::uint64_t link);
@@ -69,7 +76,12 @@
   void ReadState();
   void OnState(const std::optional<grants::engine_state>& state,
                const std::string& error, core::time_point requested_at);
-  void LogReportedLimit(const limits::limit_announcement& limit);
+  void OnLimitObserved(std::uint64_t link,
+                       const grants::limit_observed& observed);
+  /** Logs a change of the engine's limit and passes it on. */
+  void NoteLimitChange(const std::optional<limits::request_rate>& before,
+                       std::string_view origin);
+  void LogUnreadableLimit(const limits::limit_announcement& limit);
   void ScheduleRead();
   void OnRequest(std::uint64_t link, const grants::grant_request& request);
 
@@ -82,7 +94,8 @@
   grants::grant_scheduler scheduler_;
   grants::fencing_counter fencing_;
   std::int64_t engine_started_ms_ = 0;
-  limits::limit_announcement reported_limit_;
+  bool reported_limit_is_unreadable_ = false;
+  std::function<void()> on_status_change_;
   core::time_point last_answer_at_;
   bool engine_reachable_ = false;
   bool order_in_flight_ = false;
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -60,6 +60,7 @@
     core::milliseconds timeout = kGatewayTimeout;
     core::time_point status_due;
     std::size_t reader_rank = 0;
+    std::uint64_t limits_observed = 0;
   };
 
   impl(net::event_loop& owning_loop, const settings::node_settings& settings,
@@ -100,6 +101,9 @@
       SendDueStatuses();
       SendBatches(relay.OnTick(loop.Now()));
     });
+    driver.OnStatusChange([this] {
+      for (auto& [id, gateway] : links) gateway.status_due = loop.Now();
+    });
     driver.Start();
   }
 
@@ -156,6 +160,9 @@
         SendBatches(relay.OnBatch(*batch, loop.Now()));
         return;
       }
+      if (std::holds_alternative<grants::limit_observed>(value)) {
+        ++links.at(id).limits_observed;
+      }
       driver.OnMessage(id, value);
     } catch (const std::exception& failure) {
       // An error in one message must not end the process.
@@ -241,6 +248,7 @@
     grants::status_report report{status};
     report.status.gateways = links.size();
     report.reader_rank = gateway.reader_rank;
+    report.limits_observed = gateway.limits_observed;
     report.has_adapters =
         gateway.sent_revision != report.status.adapters_revision;
     report.next_in = waits ? kStatusPeriod : StatusPeriod();
