Count the requests of a rate-limited plain endpoint in one sidecar

What callers saw: nothing yet; a plain endpoint that named a limit got 94 requests in 4 s where 17 were allowed.

Cause: a plain endpoint has no sidecar beside it, and gateways send to it without asking anybody, so that nothing counted over all of them.

Change: sidecars are the meeting points that all gateways reach already. A gateway that reaches neither sends 0.25 requests a second over all gateways, to hear of the end. The check stands in request_forwarder::Send, the last step before sending, and so holds for first attempts, retries and resumptions. Refused requests go to other endpoints at once; if all are limited they wait in the sidecar's queue as long as they can be served in time, else they are refused with retry times that follow each other at the rate of the limit. Only a response whose permit was issued after the last naming ends a limit, and all gateways are told.

--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -227,8 +227,16 @@
   const peer_medians medians = MediansOf(endpoints, now);
   const endpoint_view* best = nullptr;
   double lowest = 0.0;
+  const endpoint_view* next_permitted = nullptr;
   for (const endpoint_view* view : endpoints) {
     if (IsExcluded(*view, request)) continue;
+    if (view->next_permit_at > now) {
+      if (next_permitted == nullptr ||
+          view->next_permit_at < next_permitted->next_permit_at) {
+        next_permitted = view;
+      }
+      continue;
+    }
     const double latency =
         view->results.LatencyMs(now).value_or(medians.latency_ms);
     const double relative =
@@ -245,7 +253,7 @@
     best = view;
     lowest = cost;
   }
-  return best;
+  return best != nullptr ? best : next_permitted;
 }
 
 }  // namespace comfreyspring::gateway
--- a/src/gateway/endpoint_choice.h
+++ b/src/gateway/endpoint_choice.h
@@ -50,7 +50,9 @@
 
 /**
  * Chooses the plain endpoint with the lowest expected time (outstanding
- * requests times latency). Failing and silent endpoints are penalised.
+ * requests times latency). Failing and silent endpoints are penalised, and
+ * rate-limited ones are left out until their next permit is due, unless there
+ * are no others.
  * @returns null if there is none.
  */
 const endpoint_view* ChoosePlainEndpoint(const endpoint_views& endpoints,
--- a/src/gateway/endpoint_view.h
+++ b/src/gateway/endpoint_view.h
@@ -77,6 +77,11 @@
 struct endpoint_view {
   catalog::endpoint_record record;
   endpoint_results results;
+  /**
+   * A rate-limited endpoint is not expected to have a permit for this gateway
+   * before this time.
+   */
+  core::time_point next_permit_at;
 
   // For model engines.
 
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -17,6 +17,7 @@
 #include "gateway/retry_budget.h"
 #include "gateway/retry_policy.h"
 #include "gateway/sidecar_links.h"
+#include "limits/token_bucket.h"
 #include "stream/event_splitter.h"
 
 namespace comfreyspring::gateway {
@@ -93,6 +94,11 @@
 constexpr core::milliseconds kNoticeCleanupPeriod{5000};
 /** Number of gateways until a sidecar reports how many are connected to it. */
 constexpr std::size_t kAssumedGateways = 32;
+/**
+ * Requests to a rate-limited endpoint that no sidecar counts, over all
+ * gateways.
+ */
+constexpr double kProbesPerSecond = 0.25;
 
 }  // namespace
 
@@ -118,7 +124,7 @@
     request_timeouts timeouts;
 
     phase state = phase::waiting;
-    /** Endpoint of the current grant request or attempt. */
+    /** Endpoint of the current grant or permit request, or attempt. */
     catalog::instance_id endpoint;
     std::string sidecar_ip;
     /** Number of the current grant request or grant; 0 if there is none. */
@@ -134,6 +140,12 @@
     /** Part of the wait for the grant that was due to loading the adapter. */
     core::milliseconds load_wait{0};
     int grant_requests = 0;
+    /** The current grant request is one for a permit. */
+    bool awaits_permit = false;
+    /** The next attempt has a permit. */
+    bool has_permit = false;
+    /** Number of the permit of the current attempt; 0 if there is none. */
+    std::uint64_t permit_number = 0;
 
     net::http_call_id call = 0;
     core::time_point sent_at;
@@ -452,6 +464,17 @@
     if (request->state != phase::waiting) return;
     const auto waited =
         core::ToMilliseconds(loop.Now() - request->grant_requested_at);
+    if (std::exchange(request->awaits_permit, false)) {
+      metrics.Observe("gateway_permit_wait_ms",
+                      static_cast<double>(waited.count()));
+      // A permit is for one request; its sidecar keeps no run.
+      open_grants.erase(found);
+      request->grant_number = 0;
+      request->has_permit = true;
+      request->permit_number = granted.number;
+      Send(request);
+      return;
+    }
     metrics.Observe("gateway_grant_wait_ms",
                     static_cast<double>(waited.count()));
     request->load_wait = granted.waited_for_load;
@@ -470,6 +493,10 @@
     if (request->state != phase::waiting) return;
     open_grants.erase(found);
     request->grant_number = 0;
+    if (std::exchange(request->awaits_permit, false)) {
+      OnPermitRefused(request, refused);
+      return;
+    }
     request->excluded.insert(request->endpoint);
     request->refusal = std::string(grants::ToString(refused.reason));
     if (refused.reason == grants::refusal_reason::fuller_than_known) {
@@ -510,6 +537,161 @@
             next->adapters.count(request.metadata.adapter) > 0);
   }
 
+  // Permits: the requests of a rate-limited endpoint without a sidecar of its
+  // own are counted by a sidecar that all gateways choose alike.
+
+  struct coordinator {
+    std::string ip;
+    bool is_fallback = false;
+  };
+
+  /** @returns nothing if no sidecar that counts for it can be reached. */
+  std::optional<coordinator> CoordinatorOf(
+      const catalog::endpoint_record& record) const {
+    const std::string* first = nullptr;
+    const std::string* second = nullptr;
+    std::uint64_t first_weight = 0;
+    std::uint64_t second_weight = 0;
+    for (const std::string& ip : linked_ips) {
+      const auto weight = core::RendezvousWeight(record.instance.Value(), ip);
+      if (first == nullptr || weight > first_weight) {
+        second = std::exchange(first, &ip);
+        second_weight = std::exchange(first_weight, weight);
+      } else if (second == nullptr || weight > second_weight) {
+        second = &ip;
+        second_weight = weight;
+      }
+    }
+    const auto is_usable = [&](const std::string* ip) {
+      return ip != nullptr && links->IsOpen(*ip) &&
+             stopping_sidecars.count(*ip) == 0;
+    };
+    if (is_usable(first)) return coordinator{*first, false};
+    if (is_usable(second)) return coordinator{*second, true};
+    return std::nullopt;
+  }
+
+  /**
+   * Whether the request must not be sent to this endpoint without a permit. A
+   * grant of the endpoint's own sidecar is counted there.
+   */
+  bool NeedsPermit(const active_request& request,
+                   const catalog::endpoint_record& record) const {
+    return !NeedsEngine(request) && !request.has_permit &&
+           notices.LimitOf(record).has_value();
+  }
+
+  bool HasUnlimitedAlternative(const active_request& request) const {
+    const auto candidates = ViewsOf(request.service);
+    return std::any_of(
+        candidates.begin(), candidates.end(), [&](const endpoint_view* view) {
+          return request.excluded.count(view->record.instance) == 0 &&
+                 !notices.LimitOf(view->record);
+        });
+  }
+
+  void RequestPermit(const request_pointer& request,
+                     const catalog::endpoint_record& record) {
+    const auto now = loop.Now();
+    const auto limit = notices.LimitOf(record).value();
+    const auto asked = CoordinatorOf(record);
+    if (!asked) {
+      RequestProbe(request, record);
+      return;
+    }
+    request->state = phase::waiting;
+    request->awaits_permit = true;
+    request->grant_number = ++last_grant_number;
+    request->grant_requested_at = now;
+    request->queued = false;
+    ++request->grant_requests;
+    request->sidecar_ip = asked->ip;
+    open_grants[request->grant_number] = request;
+    // Waits only if there is nowhere else to go.
+    const bool may_wait = request->grant_requests >= kMaximumGrantRequests ||
+                          !HasUnlimitedAlternative(*request);
+    const auto longest_wait =
+        std::max(request->timeouts.maximum_grant_wait -
+                     core::ToMilliseconds(now - request->last_output),
+                 core::milliseconds(0));
+    links->Send(
+        asked->ip,
+        grants::permit_request{
+            .number = request->grant_number,
+            .endpoint = limits::IncarnationOf(record),
+            .is_fallback = asked->is_fallback,
+            .rate = limit,
+            .priority = request->route->priority,
+            .deadline_in = may_wait ? longest_wait : core::milliseconds(0),
+            .maximum_retry_after =
+                core::ToMilliseconds(request->deadline - now) /
+                kRetryTimeDivisor});
+  }
+
+  /**
+   * Without a sidecar that counts, gateways together send so few requests that
+   * they stay within any limit, to hear when it ends.
+   */
+  void RequestProbe(const request_pointer& request,
+                    const catalog::endpoint_record& record) {
+    const auto now = loop.Now();
+    ++request->grant_requests;
+    // Gateways begin at different times.
+    const auto position =
+        probes
+            .try_emplace(limits::IncarnationOf(record), 1.0, random.NextUnit())
+            .first;
+    position->second.SetRate(
+        limits::request_rate(kProbesPerSecond /
+                             static_cast<double>(GatewayCount())),
+        now);
+    if (position->second.TryTake(now)) {
+      request->has_permit = true;
+      Send(request);
+      return;
+    }
+    OnPermitRefused(request, {.reason = grants::refusal_reason::rate_limited,
+                              .retry_after = WithJitter(kRetryAfterUnready),
+                              .expected_wait = WithJitter(kRetryAfterUnready)});
+  }
+
+  void OnPermitRefused(const request_pointer& request,
+                       const grants::grant_refused& refused) {
+    const auto now = loop.Now();
+    if (refused.reason == grants::refusal_reason::stopping) {
+      // Another sidecar counts from now on.
+      stopping_sidecars.insert(request->sidecar_ip);
+      Dispatch(request);
+      return;
+    }
+    if (endpoint_view* view = ViewOf(*request)) {
+      view->next_permit_at = now + refused.expected_wait;
+    }
+    request->excluded.insert(request->endpoint);
+    request->refusal = std::string(grants::ToString(refused.reason));
+    request->retry_after = refused.retry_after;
+    metrics.Count("gateway_permits_refused_total");
+    log.Request(line_class::failure, "permit_refused",
+                request->metadata.id.Value())
+        .Add("endpoint", request->endpoint.Value())
+        .Add("expected_wait_ms", refused.expected_wait.count())
+        .Add("retry_after_ms", refused.retry_after.count())
+        .Add("asks", request->grant_requests);
+    if (request->grant_requests < kMaximumGrantRequests &&
+        ChooseEndpoint(*request).view != nullptr) {
+      Dispatch(request);
+    } else {
+      GiveUp(request, request->refusal);
+    }
+  }
+
+  /** Gives back the permit of an attempt that is not made. */
+  void ReturnPermit(active_request& request) {
+    if (!std::exchange(request.has_permit, false)) return;
+    links->Send(request.sidecar_ip,
+                grants::grant_withdrawn{request.permit_number});
+  }
+
   /**
    * Withdraws the current grant request, or ends the granted run, at its
    * sidecar.
@@ -525,6 +707,7 @@
     }
     open_grants.erase(request.grant_number);
     request.grant_number = 0;
+    request.awaits_permit = false;
   }
 
   // Attempts.
@@ -538,17 +721,24 @@
       // The endpoint was removed, or started to drain or back off, while the
       // grant was in transit.
       ReleaseGrant(*request, false);
+      ReturnPermit(*request);
       request->excluded.insert(request->endpoint);
       Dispatch(request);
       return;
     }
+    if (NeedsPermit(*request, *record)) {
+      RequestPermit(request, *record);
+      return;
+    }
     if (request->attempts > 0 &&
         !BudgetOf(request->service).TryTake(GatewayCount(), now)) {
       metrics.Count("gateway_repeats_over_budget_total");
       ReleaseGrant(*request, false);
+      ReturnPermit(*request);
       GiveUp(request, "repeat_budget");
       return;
     }
+    if (!std::exchange(request->has_permit, false)) request->permit_number = 0;
     request->state = phase::sent;
     request->sent_at = now;
     request->last_progress = now;
@@ -580,6 +770,7 @@
         .Add("configuration", request->table->Version())
         .Add("endpoint", request->endpoint.Value())
         .Add("granted", request->grant_number != 0)
+        .Add("permitted", request->permit_number != 0)
         .Add("adapter", request->metadata.adapter.adapter.Value())
         .Add("version", announced)
         .Add("attempt", request->attempts)
@@ -696,27 +887,51 @@
   void NoteLimit(endpoint_view& view, const active_request& request) {
     const catalog::endpoint_record& record = view.record;
     const limits::limit_announcement& announced = request.response.limit;
+    const auto before = notices.LimitOf(record);
+    if (announced.present && !announced.rate) {
+      LogLimit(record, "unreadable", "response", before)
+          .Add("request", request.metadata.id.Value());
+      return;
+    }
     // Only the endpoint itself can end its limit.
     if (!announced.present && !request.response.authentic) return;
-    const bool is_news =
-        announced.present
-            ? announced.rate && announced.rate != view.status.limit
-            : view.status.limit.has_value();
-    if (view.has_sidecar && is_news) {
-      SendLimit(view, request.grant_number, announced.rate);
-    }
-    const auto before = notices.LimitOf(record);
+    const auto& counted = view.has_sidecar ? view.status.limit : before;
+    const bool is_counted =
+        counted != announced.rate && ReportLimit(view, request, announced.rate);
+    // Whether the limit has ended is for the sidecar that counts to decide: it
+    // hears the responses to all gateways.
+    if (!announced.present && is_counted) return;
     const auto change = notices.OnLimit(
         record, announced, {.earliest = request.sent_at, .latest = loop.Now()});
-    const bool unreadable = announced.present && !announced.rate;
-    if (change == limits::limit_change::none && !unreadable) return;
-    LogLimit(record, unreadable ? "unreadable" : ToString(change), "response",
-             before)
+    if (change == limits::limit_change::none) return;
+    if (change == limits::limit_change::ended) view.next_permit_at = {};
+    LogLimit(record, ToString(change), "response", before)
         .Add("request", request.metadata.id.Value())
         .Add("response_age_ms",
              core::ToMilliseconds(loop.Now() - request.sent_at).count());
   }
 
+  /**
+   * Reports a response to the sidecar that counts the requests of its endpoint.
+   * @returns false if there is none.
+   */
+  bool ReportLimit(endpoint_view& view, const active_request& request,
+                   const std::optional<limits::request_rate>& rate) {
+    if (view.has_sidecar) {
+      SendLimit(view, request.grant_number, rate);
+      return true;
+    }
+    const auto counts = CoordinatorOf(view.record);
+    if (!counts) return false;
+    const bool is_issuer = counts->ip == request.sidecar_ip;
+    return links->Send(
+        counts->ip,
+        grants::limit_observed{.endpoint = limits::IncarnationOf(view.record),
+                               .is_fallback = counts->is_fallback,
+                               .number = is_issuer ? request.permit_number : 0,
+                               .rate = rate});
+  }
+
   /** Tells the sidecar, which counts the requests of all gateways. */
   void SendLimit(endpoint_view& view, std::uint64_t grant,
                  const std::optional<limits::request_rate>& rate) {
@@ -1054,6 +1269,9 @@
     if (now - notices_cleaned_at >= kNoticeCleanupPeriod) {
       notices_cleaned_at = now;
       notices.OnTick(now);
+      std::erase_if(probes, [this](const auto& entry) {
+        return views.count(entry.first.instance) == 0;
+      });
     }
     std::vector<request_pointer> due;
     for (const auto& [number, request] : requests) {
@@ -1236,6 +1454,7 @@
   void OnSidecarLost(const std::string& ip) {
     std::vector<request_pointer> waiting;
     limits_sent.erase(ip);
+    stopping_sidecars.erase(ip);
     for (auto& [instance, view] : views) {
       if (view.record.address.ip != ip) continue;
       view.has_sidecar = false;
@@ -1254,6 +1473,7 @@
     for (const request_pointer& request : waiting) {
       open_grants.erase(request->grant_number);
       request->grant_number = 0;
+      request->awaits_permit = false;
       Dispatch(request);
     }
   }
@@ -1267,6 +1487,7 @@
             },
             [&](const grants::grant_refused& refused) { OnRefused(refused); },
             [&](const grants::status_report& report) { OnStatus(ip, report); },
+            [&](const grants::limit_notice& notice) { OnLimitNotice(notice); },
             [&](const auto&) {
               log.SystemEvent("message_unexpected").Add("sidecar", ip);
             }},
@@ -1309,6 +1530,19 @@
     }
   }
 
+  void OnLimitNotice(const grants::limit_notice& notice) {
+    const auto found = views.find(notice.endpoint.instance);
+    if (found == views.end()) return;
+    endpoint_view& view = found->second;
+    // The endpoint's own sidecar knows better.
+    if (view.has_sidecar ||
+        limits::IncarnationOf(view.record) != notice.endpoint) {
+      return;
+    }
+    AdoptLimit(view.record, notice.rate, "coordinator");
+    if (!notice.rate) view.next_permit_at = {};
+  }
+
   /** Takes over the decision of the sidecar that counts the requests. */
   void AdoptLimit(const catalog::endpoint_record& record,
                   const std::optional<limits::request_rate>& rate,
@@ -1358,6 +1592,10 @@
   endpoint_notices notices;
   /** Number of limits reported on the current link to each sidecar. */
   std::map<std::string, std::uint64_t> limits_sent;
+  /** Sidecars that still have a link but give no permits any more. */
+  std::set<std::string> stopping_sidecars;
+  /** Limit the requests to endpoints whose requests no sidecar counts. */
+  std::map<limits::endpoint_incarnation, limits::token_bucket> probes;
   core::time_point notices_cleaned_at;
   /** Bytes of the buffered responses. */
   std::size_t buffered_bytes = 0;
--- a/src/grants/grants.h
+++ b/src/grants/grants.h
@@ -9,11 +9,12 @@
  * loaded and unloaded. It also defines the messages between gateways and the
  * agent. Owns the queue, the table of running requests and the view of the
  * engine's adapter slots. Performs no I/O: takes events and the time, returns
- * actions. Depends on core, catalog (names) and adapters (eviction).
+ * actions. Depends on core, catalog (names), adapters (eviction) and limits.
  */
 
 #include "grants/fencing_counter.h"
 #include "grants/grant_scheduler.h"
 #include "grants/grant_types.h"
 #include "grants/messages.h"
+#include "grants/permit_table.h"
 #include "grants/slot_table.h"
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -27,6 +27,8 @@
   queued = 10,
   catalog = 11,
   limit_observed = 12,
+  permit = 13,
+  limit_notice = 14,
 };
 
 /** Loads are transmitted as integers in units of 1/kLoadScale. */
@@ -343,10 +345,23 @@
   return report;
 }
 
+permit_request ReadPermit(field_reader& in) {
+  permit_request permit;
+  permit.number = in.Size();
+  permit.endpoint = in.Incarnation();
+  permit.is_fallback = in.Boolean();
+  permit.rate = in.Rate().value_or(limits::request_rate());
+  permit.priority = static_cast<int>(in.Integer());
+  permit.deadline_in = in.Time();
+  permit.maximum_retry_after = in.Time();
+  return permit;
+}
+
 limit_observed ReadObservation(field_reader& in) {
   limit_observed observed;
   observed.endpoint = in.Incarnation();
   observed.own_engine = in.Boolean();
+  observed.is_fallback = in.Boolean();
   observed.number = in.Size();
   observed.rate = in.Rate();
   observed.age = in.Time();
@@ -404,6 +419,13 @@
       return ReadBatch(in);
     case message_kind::limit_observed:
       return ReadObservation(in);
+    case message_kind::permit:
+      return ReadPermit(in);
+    case message_kind::limit_notice: {
+      limit_notice notice{in.Incarnation()};
+      notice.rate = in.Rate();
+      return notice;
+    }
   }
   throw core::invalid_value_error("unknown message kind " +
                                   std::to_string(kind));
@@ -451,10 +473,28 @@
           [](const streams_stalled&) {
             return field_writer(message_kind::stalled).Finish();
           },
+          [](const permit_request& permit) {
+            return field_writer(message_kind::permit)
+                .Add(permit.number)
+                .Add(permit.endpoint)
+                .Add(permit.is_fallback)
+                .Add(std::optional(permit.rate))
+                .Add(permit.priority)
+                .Add(permit.deadline_in)
+                .Add(permit.maximum_retry_after)
+                .Finish();
+          },
+          [](const limit_notice& notice) {
+            return field_writer(message_kind::limit_notice)
+                .Add(notice.endpoint)
+                .Add(notice.rate)
+                .Finish();
+          },
           [](const limit_observed& observed) {
             return field_writer(message_kind::limit_observed)
                 .Add(observed.endpoint)
                 .Add(observed.own_engine)
+                .Add(observed.is_fallback)
                 .Add(observed.number)
                 .Add(observed.rate)
                 .Add(observed.age)
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -55,12 +55,28 @@
   std::uint64_t number = 0;
   bool adapter_missing = false;
 };
+/**
+ * Requests a permit for one request to an endpoint that limits its rate and
+ * whose own agent cannot be asked. Answered like a grant request.
+ */
+struct permit_request {
+  std::uint64_t number = 0;
+  limits::endpoint_incarnation endpoint;
+  /** The gateway does not reach the agent that counts first. */
+  bool is_fallback = false;
+  limits::request_rate rate;
+  int priority = 0;
+  core::milliseconds deadline_in{0};
+  core::milliseconds maximum_retry_after{0};
+};
 /** What a response says about the request rate limit of its endpoint. */
 struct limit_observed {
   limits::endpoint_incarnation endpoint;
   /** The endpoint is the agent's own engine. */
   bool own_engine = false;
-  /** Grant of the request that was answered; 0 if there was none. */
+  /** See `permit_request`. */
+  bool is_fallback = false;
+  /** Grant or permit of the request that was answered; 0 if there was none. */
   std::uint64_t number = 0;
   /** Nothing: the response names no limit. */
   std::optional<limits::request_rate> rate;
@@ -104,14 +120,22 @@
   std::uint64_t limits_observed = 0;
 };
 
+/** The limit of an endpoint whose requests this agent counts has changed. */
+struct limit_notice {
+  limits::endpoint_incarnation endpoint;
+  /** Nothing: it has ended. */
+  std::optional<limits::request_rate> rate;
+};
+
 // Catalog changes read by one gateway and relayed to the others by agents.
 
 using catalog::change_batch;
 
 using message =
     std::variant<gateway_hello, grant_request, grant_withdrawn, run_started,
-                 run_ended, streams_stalled, limit_observed, grant_queued,
-                 grant_issued, grant_refused, status_report, change_batch>;
+                 run_ended, streams_stalled, permit_request, limit_observed,
+                 grant_queued, grant_issued, grant_refused, status_report,
+                 limit_notice, change_batch>;
 
 /**
  * Encodes a message as one flat CBOR array: the message kind, then the fields
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -83,12 +83,14 @@
   limit_observed observed{
       .endpoint = {catalog::instance_id("i-1"), 1767374709625},
       .own_engine = true,
+      .is_fallback = true,
       .number = 9,
       .rate = limits::request_rate(1e9),
       .age = milliseconds(40)};
   const limit_observed decoded = RoundTrip(observed);
   EXPECT_EQ(decoded.endpoint, observed.endpoint);
   EXPECT_TRUE(decoded.own_engine);
+  EXPECT_TRUE(decoded.is_fallback);
   EXPECT_EQ(decoded.number, 9U);
   EXPECT_EQ(decoded.rate, limits::request_rate(1e9));
   EXPECT_EQ(decoded.age, milliseconds(40));
@@ -96,6 +98,30 @@
   EXPECT_FALSE(RoundTrip(observed).rate);
 }
 
+TEST(messages_test, RoundTripOfAPermitRequest) {
+  const permit_request request{
+      .number = 12,
+      .endpoint = {catalog::instance_id("i-1"), 1767374709625},
+      .is_fallback = true,
+      .rate = limits::request_rate(0.2),
+      .priority = 3,
+      .deadline_in = milliseconds(900),
+      .maximum_retry_after = milliseconds(700)};
+  const permit_request decoded = RoundTrip(request);
+  EXPECT_EQ(decoded.number, 12U);
+  EXPECT_EQ(decoded.endpoint, request.endpoint);
+  EXPECT_TRUE(decoded.is_fallback);
+  EXPECT_EQ(decoded.rate, request.rate);
+  EXPECT_EQ(decoded.priority, 3);
+  EXPECT_EQ(decoded.deadline_in, milliseconds(900));
+  EXPECT_EQ(decoded.maximum_retry_after, milliseconds(700));
+  limit_notice notice{request.endpoint, request.rate};
+  EXPECT_EQ(RoundTrip(notice).rate, request.rate);
+  notice.rate.reset();
+  EXPECT_FALSE(RoundTrip(notice).rate);
+  EXPECT_EQ(RoundTrip(notice).endpoint, request.endpoint);
+}
+
 // Sidecars of the previous version send statuses without limits.
 TEST(messages_test, ReadsAStatusWithoutALimit) {
   const auto frame = json::to_cbor(
--- a/src/limits/token_bucket.h
+++ b/src/limits/token_bucket.h
@@ -6,8 +6,8 @@
 namespace comfreyspring::limits {
 
 /**
- * Counts requests against a rate. Starts empty, since nothing is known of the
- * requests before.
+ * Counts requests against a rate. Normally starts empty, since nothing is known
+ * of the requests before.
  */
 class token_bucket {
  public:
@@ -16,7 +16,8 @@
   /** Longest wait that is reported. */
   static constexpr core::milliseconds kMaximumWait{10'000'000};
 
-  explicit token_bucket(double burst = kBurst) : burst_(burst) {}
+  explicit token_bucket(double burst = kBurst, double tokens = 0.0)
+      : burst_(burst), tokens_(tokens) {}
 
   /** Keeps the tokens, as far as they fit. */
   void SetRate(request_rate rate, core::time_point now);
@@ -35,7 +36,7 @@
 
   double burst_;
   request_rate rate_;
-  double tokens_ = 0.0;
+  double tokens_;
   core::time_point refilled_at_;
 };
 
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -20,15 +20,18 @@
 
 scheduler_driver::scheduler_driver(net::event_loop& loop, engine_port& engine,
                                    scheduler_driver_options options,
-                                   sender send, telemetry::event_log& log,
+                                   sender send, broadcaster send_to_all,
+                                   telemetry::event_log& log,
                                    telemetry::metrics& metrics)
     : loop_(loop),
       engine_(engine),
       options_(std::move(options)),
       send_(std::move(send)),
+      send_to_all_(std::move(send_to_all)),
       log_(log),
       metrics_(metrics),
       scheduler_(options_.grants),
+      permits_(options_.grants.random_seed),
       fencing_(loop.WallNow()),
       last_answer_at_(loop.Now()) {}
 
@@ -39,12 +42,17 @@
 }
 
 void scheduler_driver::Start() {
-  tick_timer_ = loop_.SchedulePeriodic(
-      kTickPeriod, [this] { Perform(scheduler_.OnTick(loop_.Now())); });
+  tick_timer_ = loop_.SchedulePeriodic(kTickPeriod, [this] {
+    Perform(scheduler_.OnTick(loop_.Now()));
+    Perform(permits_.OnTick(loop_.Now()));
+  });
   ReadState();
 }
 
-void scheduler_driver::Stop() { Perform(scheduler_.OnStopping(loop_.Now())); }
+void scheduler_driver::Stop() {
+  Perform(scheduler_.OnStopping(loop_.Now()));
+  Perform(permits_.OnStopping(loop_.Now()));
+}
 
 void scheduler_driver::OnPaused(core::milliseconds length) {
   log_.SystemEvent("pause_noticed").Add("length_ms", length.count());
@@ -70,6 +78,7 @@
           },
           [&](const grants::grant_withdrawn& withdrawn) {
             Perform(scheduler_.OnWithdrawn({link, withdrawn.number}, now));
+            Perform(permits_.OnWithdrawn({link, withdrawn.number}, now));
           },
           [&](const grants::run_started& started) {
             Perform(scheduler_.OnStarted({link, started.number}, now));
@@ -82,6 +91,9 @@
             metrics_.Count("sidecar_stream_pauses_total");
             scheduler_.OnStreamsStalled(now);
           },
+          [&](const grants::permit_request& request) {
+            OnPermitRequest(link, request);
+          },
           [&](const grants::limit_observed& observed) {
             OnLimitObserved(link, observed);
           },
@@ -114,15 +126,63 @@
   }
 }
 
+void scheduler_driver::OnPermitRequest(std::uint64_t link,
+                                       const grants::permit_request& request) {
+  const auto now = loop_.Now();
+  metrics_.Count("sidecar_permit_requests_total");
+  const bool was_known = permits_.LimitOf(request.endpoint).has_value();
+  const auto actions = permits_.OnRequest(
+      {.key = {link, request.number},
+       .endpoint = request.endpoint,
+       .role = request.is_fallback ? grants::permit_role::fallback
+                                   : grants::permit_role::primary,
+       .rate = request.rate,
+       .priority = request.priority,
+       .deadline = now + request.deadline_in,
+       .maximum_retry_after = request.maximum_retry_after},
+      now);
+  const auto limit = permits_.LimitOf(request.endpoint);
+  // A fallback does not see what most gateways hear of the endpoint.
+  if (limit && !was_known && !request.is_fallback) {
+    send_to_all_(grants::limit_notice{request.endpoint, limit});
+  } else if (limit != request.rate) {
+    send_(link, grants::limit_notice{request.endpoint, limit});
+  }
+  Perform(actions);
+  if (permits_.IsWaiting({link, request.number})) {
+    send_(link, grants::grant_queued{request.number});
+  }
+}
+
 void scheduler_driver::OnLimitObserved(std::uint64_t link,
                                        const grants::limit_observed& observed) {
   const auto now = loop_.Now();
-  if (!observed.own_engine) return;
   grants::limit_observation observation{
       .endpoint = observed.endpoint,
       .rate = observed.rate,
       .response_received = now - observed.age};
   if (observed.number != 0) observation.request = {link, observed.number};
+  if (!observed.own_engine) {
+    const auto before = permits_.LimitOf(observed.endpoint);
+    const auto change = permits_.OnLimitObserved(observation, now);
+    if (change == limits::limit_change::none) return;
+    const auto after = permits_.LimitOf(observed.endpoint);
+    metrics_.Count("sidecar_counted_limit_changes_total{change=\"" +
+                   std::string(ToString(change)) + "\"}");
+    log_.SystemEvent("endpoint_limit")
+        .Add("change", ToString(change))
+        .Add("instance", observed.endpoint.instance.Value())
+        .Add("origin", "gateway")
+        .Add("before_per_s", limits::ToText(before))
+        .Add("per_s", limits::ToText(after));
+    const grants::limit_notice notice{observed.endpoint, after};
+    if (observed.is_fallback) {
+      send_(link, notice);
+    } else {
+      send_to_all_(notice);
+    }
+    return;
+  }
   const auto before = scheduler_.Limit();
   Perform(scheduler_.OnLimitObserved(observation, now));
   NoteLimitChange(before, "response");
@@ -148,7 +208,14 @@
   if (on_status_change_) on_status_change_();
 }
 
+void scheduler_driver::OnGatewayLinked(std::uint64_t link) {
+  for (const auto& known : permits_.Limits()) {
+    send_(link, grants::limit_notice{known.endpoint, known.rate});
+  }
+}
+
 void scheduler_driver::OnLinkLost(std::uint64_t link) {
+  permits_.OnLinkLost(link);
   Perform(scheduler_.OnLinkLost(link, loop_.Now()));
 }
 
@@ -334,6 +401,10 @@
   metrics_.SetGauge("sidecar_serving", status.serving ? 1 : 0);
   metrics_.SetGauge("sidecar_engine_limit_per_s",
                     status.limit ? status.limit->PerSecond() : -1.0);
+  metrics_.SetGauge("sidecar_counted_limits",
+                    static_cast<double>(permits_.Limits().size()));
+  metrics_.SetGauge("sidecar_permits_waiting",
+                    static_cast<double>(permits_.Waiting()));
   metrics_.SetGauge("sidecar_engine_limit_wait_ms",
                     static_cast<double>(status.limit_wait.count()));
   metrics_.SetGauge("sidecar_load_time_ms",
--- a/src/sidecar/scheduler_driver.h
+++ b/src/sidecar/scheduler_driver.h
@@ -12,6 +12,7 @@
 #include "grants/fencing_counter.h"
 #include "grants/grant_scheduler.h"
 #include "grants/messages.h"
+#include "grants/permit_table.h"
 #include "net/event_loop.h"
 #include "sidecar/engine_port.h"
 #include "telemetry/event_log.h"
@@ -44,11 +45,16 @@
   /** Sends a message over a link. Ignored if the link is closed. */
   using sender =
       std::function<void(std::uint64_t link, const grants::message& value)>;
+  using broadcaster = std::function<void(const grants::message& value)>;
 
-  /** The referenced objects must outlive the driver. */
+  /**
+   * The referenced objects must outlive the driver.
+   * @param send_to_all sends to all gateways.
+   */
   scheduler_driver(net::event_loop& loop, engine_port& engine,
                    scheduler_driver_options options, sender send,
-                   telemetry::event_log& log, telemetry::metrics& metrics);
+                   broadcaster send_to_all, telemetry::event_log& log,
+                   telemetry::metrics& metrics);
   ~scheduler_driver();
   scheduler_driver(const scheduler_driver&) = delete;
   scheduler_driver& operator=(const scheduler_driver&) = delete;
@@ -59,6 +65,8 @@
   }
   void Start();
   void OnMessage(std::uint64_t link, const grants::message& value);
+  /** A gateway has linked: tells it the limits that are counted here. */
+  void OnGatewayLinked(std::uint64_t link);
   void OnLinkLost(std::uint64_t link);
   void OnPaused(core::milliseconds length);
   void Stop();
@@ -76,6 +84,8 @@
   void ReadState();
   void OnState(const std::optional<grants::engine_state>& state,
                const std::string& error, core::time_point requested_at);
+  void OnPermitRequest(std::uint64_t link,
+                       const grants::permit_request& request);
   void OnLimitObserved(std::uint64_t link,
                        const grants::limit_observed& observed);
   /** Logs a change of the engine's limit and passes it on. */
@@ -89,9 +99,11 @@
   engine_port& engine_;
   scheduler_driver_options options_;
   sender send_;
+  broadcaster send_to_all_;
   telemetry::event_log& log_;
   telemetry::metrics& metrics_;
   grants::grant_scheduler scheduler_;
+  grants::permit_table permits_;
   grants::fencing_counter fencing_;
   std::int64_t engine_started_ms_ = 0;
   bool reported_limit_is_unreadable_ = false;
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -75,7 +75,8 @@
             [this](std::uint64_t link, const grants::message& value) {
               Send(link, value);
             },
-            log, metrics),
+            [this](const grants::message& value) { SendToAll(value); }, log,
+            metrics),
         listener(loop, settings.ip, settings.first_internal_port,
                  {.maximum_pending_bytes = 1024 * 1024}, kMaximumLinks,
                  [this](const std::shared_ptr<net::frame_link>& link) {
@@ -154,7 +155,7 @@
     try {
       const grants::message value = grants::Decode(frame);
       if (const auto* hello = std::get_if<grants::gateway_hello>(&value)) {
-        OnHello(links.at(id), *hello);
+        OnHello(id, *hello);
       }
       if (const auto* batch = std::get_if<grants::change_batch>(&value)) {
         SendBatches(relay.OnBatch(*batch, loop.Now()));
@@ -172,13 +173,15 @@
     }
   }
 
-  void OnHello(gateway_link& gateway, const grants::gateway_hello& hello) {
+  void OnHello(std::uint64_t id, const grants::gateway_hello& hello) {
+    gateway_link& gateway = links.at(id);
     gateway.timeout =
         std::max(kGatewayTimeout, hello.next_in * kMissedHellosLimit);
     if (gateway.gateway == hello.gateway.Value()) return;
     gateway.gateway = hello.gateway.Value();
     log.Dependency("gateway " + gateway.gateway, "regained");
     AssignReaderRanks();
+    driver.OnGatewayLinked(id);
   }
 
   void Send(std::uint64_t id, const grants::message& value) {
@@ -213,10 +216,12 @@
   }
 
   void SendBatches(const catalog_relay::batches& batches) {
-    for (const catalog::change_batch& batch : batches) {
-      const std::string frame = grants::Encode(batch);
-      for (auto& [id, gateway] : links) gateway.link->Send(frame);
-    }
+    for (const catalog::change_batch& batch : batches) SendToAll(batch);
+  }
+
+  void SendToAll(const grants::message& value) {
+    const std::string frame = grants::Encode(value);
+    for (auto& [id, gateway] : links) gateway.link->Send(frame);
   }
 
   // Status.
--- a/tests/process/request_limit_test.cc
+++ b/tests/process/request_limit_test.cc
@@ -343,6 +343,36 @@
   }
 }
 
+TEST_F(request_limit_test, LimitsOfAllPlainEndpointsAreUsed) {
+  constexpr double kLimit = 3.0;
+  StartLoad("order", milliseconds(25));
+  Wait(milliseconds(1000));
+  for (int i = kEngines; i < kEngines + kPlain; ++i) SetLimit(i, kLimit);
+  Wait(milliseconds(3000));
+  const auto since = loop_.Now();
+  Wait(milliseconds(8000));
+  for (int i = kEngines; i < kEngines + kPlain; ++i) {
+    EXPECT_GE(ArrivedSince(i, since) / (kLimit * 8.0), 0.7) << "endpoint " << i;
+  }
+  StopLoad();
+  ExpectLimitsKept();
+}
+
+// One gateway hears that the limits have ended, and all of them must.
+TEST_F(request_limit_test, LimitsOfPlainEndpointsThatEndAreForgotten) {
+  StartLoad("order", milliseconds(25));
+  Wait(milliseconds(1000));
+  for (int i = kEngines; i < kEngines + kPlain; ++i) SetLimit(i, 2.0);
+  Wait(milliseconds(4000));
+  for (int i = kEngines; i < kEngines + kPlain; ++i) SetLimit(i, std::nullopt);
+  Wait(milliseconds(2000));
+  const auto since = loop_.Now();
+  Wait(milliseconds(2000));
+  StopLoad();
+  ExpectLimitsKept();
+  EXPECT_GE(ServedShare(since), 0.99);
+}
+
 // Guards against a limit that is remembered for longer than the endpoint names
 // it, by any gateway.
 TEST_F(request_limit_test, ALimitThatIsNotNamedAnyMoreIsForgotten) {
