Keep an engine's request limit while its sidecar is lost

Cause: without its sidecar an engine is sent requests for the adapters that it holds by each gateway alone, which counts nothing.

Change: such sends need a permit as those to plain endpoints do. A gateway that knows when the next permit is due does not choose the engine before.

--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -110,7 +110,7 @@
     result.has_free_slot = view.status.free_adapter_slots > 0;
   } else {
     // Without its sidecar an engine can only serve the adapters that it holds.
-    if (!result.holds_adapter) return std::nullopt;
+    if (!result.holds_adapter || view.next_permit_at > now) return std::nullopt;
     result.load = static_cast<double>(view.results.Outstanding()) *
                   static_cast<double>(request.gateways) / slots;
     if (result.load >= 1.0) return std::nullopt;
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -537,8 +537,9 @@
             next->adapters.count(request.metadata.adapter) > 0);
   }
 
-  // Permits: the requests of a rate-limited endpoint without a sidecar of its
-  // own are counted by a sidecar that all gateways choose alike.
+  // Permits: the requests of a rate-limited endpoint whose own sidecar cannot be
+  // asked, or that has none, are counted by a sidecar that all gateways choose
+  // alike.
 
   struct coordinator {
     std::string ip;
@@ -552,7 +553,10 @@
     const std::string* second = nullptr;
     std::uint64_t first_weight = 0;
     std::uint64_t second_weight = 0;
+    // An engine's own sidecar may still grant requests of other gateways.
+    const bool has_own = linked_ips.count(record.address.ip) > 0;
     for (const std::string& ip : linked_ips) {
+      if (ip == record.address.ip) continue;
       const auto weight = core::RendezvousWeight(record.instance.Value(), ip);
       if (first == nullptr || weight > first_weight) {
         second = std::exchange(first, &ip);
@@ -566,8 +570,8 @@
       return ip != nullptr && links->IsOpen(*ip) &&
              stopping_sidecars.count(*ip) == 0;
     };
-    if (is_usable(first)) return coordinator{*first, false};
-    if (is_usable(second)) return coordinator{*second, true};
+    if (is_usable(first)) return coordinator{*first, has_own};
+    if (!has_own && is_usable(second)) return coordinator{*second, true};
     return std::nullopt;
   }
 
@@ -577,7 +581,7 @@
    */
   bool NeedsPermit(const active_request& request,
                    const catalog::endpoint_record& record) const {
-    return !NeedsEngine(request) && !request.has_permit &&
+    return request.grant_number == 0 && !request.has_permit &&
            notices.LimitOf(record).has_value();
   }
 
