Notice a pause that begins while the event loop handles an event

What callers saw: requests that had been granted one after another to a suspended gateway were all sent the moment it was resumed (13 and 14 in 300 ms to engines that take 10 a second).

Cause: the loop looked for a pause only between two turns. A gateway under load is mostly stopped within a turn, and then handled the backlog of its sockets as current before it noticed.

Change: the loop looks for a pause after each event.

Evidence: EventLoop.ReportsAPauseDuringAnEventBeforeTheNextEvent fails without it.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -149,7 +149,11 @@
     ReportPause(due, now);
     for (int i = 0; i < kMaximumEventsPerTurn; ++i) {
       ACE_Time_Value zero;
-      if (reactor->handle_events(zero) <= 0) break;
+      const int handled = reactor->handle_events(zero);
+      // The pause may have begun while an event was handled.
+      const core::time_point after = loop.Now();
+      ReportPause(std::exchange(turn_started, after), after);
+      if (handled <= 0) break;
     }
     timers.RunDue(loop.Now(), [&](const auto& step) { loop.Guard(step); });
     RunAll(loop, posted);
--- a/src/net/event_loop_test.cc
+++ b/src/net/event_loop_test.cc
@@ -152,6 +152,25 @@
   EXPECT_LT(reported, milliseconds(5000));
 }
 
+// Guards against events of a pause being handled as current ones because the
+// pause began while the loop handled another event.
+TEST(EventLoop, ReportsAPauseDuringAnEventBeforeTheNextEvent) {
+  event_loop loop;
+  std::vector<std::string> order;
+  loop.OnPause(milliseconds(100),
+               [&](milliseconds) { order.emplace_back("pause"); });
+  for (const int number : {SIGUSR1, SIGUSR2}) {
+    loop.OnSignal(number, [&] {
+      order.emplace_back("event");
+      if (order.size() == 1) std::this_thread::sleep_for(milliseconds(300));
+    });
+  }
+  ASSERT_EQ(std::raise(SIGUSR1), 0);
+  ASSERT_EQ(std::raise(SIGUSR2), 0);
+  ASSERT_TRUE(loop.RunUntil([&] { return order.size() == 3; }, kLimit));
+  EXPECT_EQ(order, (std::vector<std::string>{"event", "pause", "event"}));
+}
+
 // Guards against false reports from a loop that was merely idle.
 TEST(EventLoop, ReportsNoPauseWhenIdle) {
   event_loop loop;
