Request grants anew after a pause of the gateway

Cause: grants that waited in the sockets of the gateway were used together.

Change: a gateway that was paused gives the open grants and permits of rate-limited endpoints back and requests them anew.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1316,6 +1316,28 @@
       request->grant_requested_at = loop.Now();
       request->last_progress = loop.Now();
     }
+    RenewGrantsUnderLimits();
+  }
+
+  /**
+   * Grants that arrived one after another during a pause must not be used
+   * together, so they are given back and requested anew.
+   */
+  void RenewGrantsUnderLimits() {
+    std::vector<request_pointer> waiting;
+    for (const auto& [number, request] : requests) {
+      if (request->state != phase::waiting || request->grant_number == 0) {
+        continue;
+      }
+      const endpoint_view* view = ViewOf(*request);
+      if (view != nullptr && notices.LimitOf(view->record)) {
+        waiting.push_back(request);
+      }
+    }
+    for (const request_pointer& request : waiting) {
+      ReleaseGrant(*request, false);
+      Dispatch(request);
+    }
   }
 
   /**
--- a/tests/process/request_limit_test.cc
+++ b/tests/process/request_limit_test.cc
@@ -186,10 +186,11 @@
 
   static int GatewayOf(const std::string& id) { return id[0] - '0'; }
 
-  /** Sends requests of this route to all gateways in turn. */
-  void StartLoad(const std::string& route, milliseconds period) {
+  /** Sends requests of this route to the first gateways in turn. */
+  void StartLoad(const std::string& route, milliseconds period,
+                 int gateways = kGateways) {
     load_timer_ = loop_.SchedulePeriodic(
-        period, [this, route] { Send(route, ++sent_ % kGateways); });
+        period, [this, route, gateways] { Send(route, ++sent_ % gateways); });
   }
   void StopLoad() {
     loop_.Cancel(load_timer_);
@@ -373,6 +374,25 @@
   EXPECT_GE(ServedShare(since), 0.99);
 }
 
+// Guards against a gateway that sends, when it is resumed, all requests that
+// were granted one after another while it was suspended.
+TEST_F(request_limit_test, AResumedGatewaySendsNoGrantsThatHaveWaited) {
+  constexpr double kLimit = 10.0;
+  StartLoad("stream", milliseconds(10), 1);
+  Wait(milliseconds(1000));
+  for (int i = 0; i < kEngines; ++i) SetLimit(i, kLimit);
+  Wait(milliseconds(3000));
+  gateways_[0]->Signal(SIGSTOP);
+  Wait(milliseconds(2000));
+  const auto resumed = loop_.Now();
+  gateways_[0]->Signal(SIGCONT);
+  Wait(milliseconds(300));
+  for (int i = 0; i < kEngines; ++i) {
+    EXPECT_LE(ArrivedSince(i, resumed), kLimit * 0.3 + 5.0) << "engine " << i;
+  }
+  StopLoad();
+}
+
 // Guards against a limit that is remembered for longer than the endpoint names
 // it, by any gateway.
 TEST_F(request_limit_test, ALimitThatIsNotNamedAnyMoreIsForgotten) {
