Let the soak play endpoints that name request rate limits

Arrivals at the stand-ins are counted by the users' rule with its own excuses (a restart, suspension or cut of the gateway itself); the worst span is printed. Links between gateways and engines or sidecars excuse nothing.

--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -1,6 +1,7 @@
 #include "fault_schedule.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <memory>
 #include <utility>
@@ -31,11 +32,19 @@
 constexpr milliseconds kStoreStableTime{3000};
 constexpr int kLeaveSpreadMs = 3000;
 constexpr int kLeavingAfterOutage = 3;
+/** Time after which an endpoint's limit must be kept (StableMs). */
+constexpr milliseconds kLimitAdaptTime{3000};
 /** Minimum time between two outages. */
 constexpr milliseconds kMinTimeBetweenOutages{9000};
 
 bool IsDrawn(fault_family drawn_from, fault_family family) {
-  if (drawn_from == fault_family::all) return family != fault_family::leaving;
+  if (drawn_from == fault_family::all) {
+    return family != fault_family::leaving && family != fault_family::limits;
+  }
+  if (drawn_from == fault_family::limits &&
+      (family == fault_family::processes || family == fault_family::links)) {
+    return true;
+  }
   return family == drawn_from;
 }
 
@@ -74,6 +83,13 @@
       {"leave_after_outage", fault_family::leaving, &f::LeaveAfterOutage},
       {"lapse_in_outage", fault_family::leaving, &f::LapseInOutage},
       {"drain_in_outage", fault_family::leaving, &f::DrainEndpoint},
+      {"limit", fault_family::limits, &f::NameLimit},
+      {"limit_many", fault_family::limits, &f::NameLimits},
+      {"limit_again", fault_family::limits, &f::NameLimit},
+      {"limit_changes", fault_family::limits, &f::ChangeLimit},
+      {"limit_unreadable", fault_family::limits, &f::NameUnreadableLimit},
+      {"limit_kill", fault_family::limits, &f::KillLimitedSidecar},
+      {"limit_replace", fault_family::limits, &f::ReplaceEndpoint},
   };
   return kFaults;
 }
@@ -166,6 +182,26 @@
   }
 }
 
+void fault_schedule::RecordInterruption(const program_slot& slot,
+                                        milliseconds length) {
+  if (slot.is_gateway) {
+    promises_.GatewayInterrupted(slot.index, loop_.Now() + length);
+  }
+}
+
+void fault_schedule::RecordLinkFault(const process_test::tcp_relay& relay,
+                                     milliseconds length) {
+  RecordDisturbanceOfAll(length);
+  for (const auto& slot : fleet_.Programs()) {
+    if (!slot.is_gateway) continue;
+    const auto gateway = static_cast<std::size_t>(slot.index);
+    if (fleet_.StoreRelays()[gateway].get() == &relay ||
+        fleet_.CallerRelays()[gateway].get() == &relay) {
+      RecordInterruption(slot, length);
+    }
+  }
+}
+
 void fault_schedule::RecordDisturbanceOfAll(milliseconds length) {
   for (const auto& slot : fleet_.Programs()) RecordDisturbance(slot, length);
   promises_.StoreDisturbed(loop_.Now() + length);
@@ -176,6 +212,7 @@
 
 void fault_schedule::Kill(program_slot& slot, milliseconds downtime) {
   RecordDisturbance(slot, downtime);
+  RecordInterruption(slot, downtime);
   slot.is_stopping = true;
   slot.stop_was_disturbed = true;
   slot.process->Signal(SIGKILL);
@@ -189,6 +226,7 @@
   if (!slot.process->HasEnded()) slot.process->Signal(SIGKILL);
   fleet_.Start(slot);
   RecordDisturbance(slot, milliseconds(0));
+  RecordInterruption(slot, milliseconds(0));
 }
 
 void fault_schedule::KillOne(milliseconds length) {
@@ -223,6 +261,7 @@
   slot.is_paused = true;
   slot.stop_was_disturbed = true;
   RecordDisturbance(slot, length);
+  RecordInterruption(slot, length);
   slot.process->Signal(SIGSTOP);
   HealAfter(length, [&slot] {
     slot.is_paused = false;
@@ -240,39 +279,42 @@
 // Links.
 
 void fault_schedule::ResetConnections(milliseconds /*length*/) {
-  RecordDisturbanceOfAll(milliseconds(0));
   const double chance = Pick(2) == 0 ? 0.5 : 1.0;
-  PickRelay().ResetOpenConnections(chance);
+  auto& relay = PickRelay();
+  RecordLinkFault(relay, milliseconds(0));
+  relay.ResetOpenConnections(chance);
 }
 
 void fault_schedule::SilenceConnections(milliseconds /*length*/) {
-  RecordDisturbanceOfAll(milliseconds(0));
-  PickRelay().SilenceOpenConnections(silenced::both, 0.7);
+  auto& relay = PickRelay();
+  RecordLinkFault(relay, milliseconds(0));
+  relay.SilenceOpenConnections(silenced::both, 0.7);
 }
 
 void fault_schedule::SilenceOneWay(milliseconds /*length*/) {
-  RecordDisturbanceOfAll(milliseconds(0));
   const auto way = Pick(2) == 0 ? silenced::to_server : silenced::to_client;
-  PickRelay().SilenceOpenConnections(way, 0.7);
+  auto& relay = PickRelay();
+  RecordLinkFault(relay, milliseconds(0));
+  relay.SilenceOpenConnections(way, 0.7);
 }
 
 void fault_schedule::DelayLink(milliseconds length) {
-  RecordDisturbanceOfAll(length);
   auto& relay = PickRelay();
+  RecordLinkFault(relay, length);
   relay.SetDelay(kLinkDelay);
   HealAfter(length, [&relay] { relay.SetDelay(milliseconds(0)); });
 }
 
 void fault_schedule::CutLink(milliseconds length) {
-  RecordDisturbanceOfAll(length);
   auto& relay = PickRelay();
+  RecordLinkFault(relay, length);
   relay.Cut();
   HealAfter(length, [&relay] { relay.Heal(); });
 }
 
 void fault_schedule::CutLinkSilently(milliseconds length) {
-  RecordDisturbanceOfAll(length);
   auto& relay = PickRelay();
+  RecordLinkFault(relay, length);
   relay.CutSilently();
   HealAfter(length, [&relay] { relay.Heal(); });
 }
@@ -433,6 +475,72 @@
   HealAfter(length, [&engine] { engine.refuse_probability = 0; });
 }
 
+// Limits.
+
+double fault_schedule::DrawRate() {
+  constexpr std::array kRates = {0.0, 0.2, 1.2, 1.8, 2.5, 5.0, 8.0, 1e9};
+  return kRates[static_cast<std::size_t>(Pick(kRates.size()))];
+}
+
+void fault_schedule::Limit(std::size_t endpoint, milliseconds length) {
+  auto& engine = *fleet_.Endpoints()[endpoint].engine;
+  if (!engine.IsUp() || limited_.count(endpoint) > 0) return;
+  const std::string instance = engine.Instance();
+  limited_[endpoint] = instance;
+  engine.limit_in_reports = Pick(2) == 0;
+  fleet_.SetLimit(endpoint, DrawRate());
+  HealAfter(length, [this, endpoint, instance] {
+    limited_.erase(endpoint);
+    const auto& current = *fleet_.Endpoints()[endpoint].engine;
+    if (current.Instance() == instance) fleet_.SetLimit(endpoint, std::nullopt);
+  });
+}
+
+void fault_schedule::NameLimit(milliseconds length) {
+  Limit(PickEndpoint(), kLimitAdaptTime + 2 * length);
+}
+
+void fault_schedule::NameLimits(milliseconds length) {
+  for (std::size_t i = 0; i < fleet_.Endpoints().size(); ++i) {
+    if (Pick(2) == 0) Limit(i, kLimitAdaptTime + length);
+  }
+  SetTarget("half of the endpoints");
+}
+
+void fault_schedule::ChangeLimit(milliseconds length) {
+  if (limited_.empty()) {
+    NameLimit(length);
+    return;
+  }
+  const auto chosen = std::next(limited_.begin(), Pick(limited_.size()));
+  const auto& [endpoint, instance] = *chosen;
+  SetTarget("endpoint-" + std::to_string(endpoint));
+  if (fleet_.Endpoints()[endpoint].engine->Instance() != instance) return;
+  fleet_.SetLimit(endpoint, DrawRate());
+}
+
+void fault_schedule::NameUnreadableLimit(milliseconds length) {
+  constexpr std::array kTexts = {"", "1,2", "-1", "nan", "soon"};
+  const std::size_t endpoint = PickEndpoint();
+  if (limited_.count(endpoint) > 0) return;
+  auto& engine = *fleet_.Endpoints()[endpoint].engine;
+  engine.limit = kTexts[static_cast<std::size_t>(Pick(kTexts.size()))];
+  HealAfter(length, [this, endpoint, &engine] {
+    if (limited_.count(endpoint) == 0) engine.limit.reset();
+  });
+}
+
+void fault_schedule::KillLimitedSidecar(milliseconds length) {
+  for (auto& slot : fleet_.Programs()) {
+    const auto endpoint = static_cast<std::size_t>(slot.index);
+    if (slot.is_gateway || limited_.count(endpoint) == 0) continue;
+    SetTarget(slot.name);
+    Kill(slot, length);
+    return;
+  }
+  KillOne(length);
+}
+
 // Clocks.
 
 void fault_schedule::StepClock(milliseconds length) {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -12,8 +13,9 @@
 namespace comfreyspring::soak {
 
 /**
- * Which faults a schedule draws from. `all` leaves out `leaving`, so that the
- * schedules of older seeds stay as they were.
+ * Which faults a schedule draws from. `all` leaves out `leaving` and `limits`,
+ * so that the schedules of older seeds stay as they were. `limits` also draws
+ * faults of processes and links.
  */
 enum class fault_family {
   all,
@@ -23,6 +25,7 @@
   endpoints,
   clocks,
   leaving,
+  limits,
 };
 
 /**
@@ -103,6 +106,20 @@
   void BreakAnswers(core::milliseconds length);
   void RefuseRequests(core::milliseconds length);
 
+  // Limits.
+  /** An endpoint names a request rate limit for a while. */
+  void NameLimit(core::milliseconds length);
+  /** Half of the endpoints name limits at the same time. */
+  void NameLimits(core::milliseconds length);
+  /** An endpoint that names a limit names another one. */
+  void ChangeLimit(core::milliseconds length);
+  /** An endpoint names something that is not a rate. */
+  void NameUnreadableLimit(core::milliseconds length);
+  /** Kills the sidecar of an engine that names a limit. */
+  void KillLimitedSidecar(core::milliseconds length);
+  void Limit(std::size_t endpoint, core::milliseconds length);
+  double DrawRate();
+
   // Clocks.
   void StepClock(core::milliseconds length);
 
@@ -112,6 +129,10 @@
   process_test::tcp_relay& PickRelay();
   void RecordDisturbanceOfAll(core::milliseconds length);
   void RecordDisturbance(const program_slot& slot, core::milliseconds length);
+  /** The slot is restarted, suspended or cut off. */
+  void RecordInterruption(const program_slot& slot, core::milliseconds length);
+  void RecordLinkFault(const process_test::tcp_relay& relay,
+                       core::milliseconds length);
   void SetTarget(const std::string& target) { target_ = target; }
 
   net::event_loop& loop_;
@@ -121,6 +142,8 @@
   std::vector<const fault*> choices_;
   core::time_point started_;
   core::time_point outage_ends_at_;
+  /** Endpoints that name a limit, with their instances. */
+  std::map<std::size_t, std::string> limited_;
   bool stopped_ = false;
   std::string target_;
   std::vector<std::string> history_;
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -23,8 +23,9 @@
 DEFINE_int32(engines, 4, "number of engines, each with a sidecar process");
 DEFINE_int32(plain, 3, "number of endpoints of the plain service");
 DEFINE_double(rate, 40, "requests per second");
-DEFINE_string(faults, "all",
-              "all, processes, links, store, endpoints, clocks or leaving");
+DEFINE_string(
+    faults, "all",
+    "all, processes, links, store, endpoints, clocks, leaving or limits");
 DEFINE_string(directory, "",
               "directory for logs; they are kept if the run fails");
 
@@ -50,7 +51,8 @@
     {"store", fault_family::store},
     {"endpoints", fault_family::endpoints},
     {"clocks", fault_family::clocks},
-    {"leaving", fault_family::leaving}};
+    {"leaving", fault_family::leaving},
+    {"limits", fault_family::limits}};
 
 void Wait(net::event_loop& loop, milliseconds length) {
   loop.RunUntil([] { return false; }, length);
@@ -101,7 +103,11 @@
   }
   std::cout << "seed " << FLAGS_seed << ": " << faults.History().size()
             << " faults," << promises.Summary() << ", "
-            << promises.Violations().size() << " promises broken" << std::endl;
+            << promises.Violations().size() << " promises broken";
+  if (const auto worst = promises.WorstSpan()) {
+    std::cout << ", worst span: " << worst->ToString();
+  }
+  std::cout << std::endl;
   return promises.Violations().empty() ? 0 : 1;
 }
 
--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -91,6 +91,12 @@
   engine.on_end = [this](const std::string& id, bool complete) {
     if (!complete) promises_.RunEnded(id, loop_.Now());
   };
+  engine.on_arrival = [this, &engine](const std::string& id) {
+    promises_.Arrived(id, engine.Instance(), loop_.Now());
+  };
+  engine.on_limit_named = [this, &engine](const std::string& id) {
+    promises_.LimitNamed(id, engine.Instance(), loop_.Now());
+  };
   engine.on_violation = [this, index](const std::string& what) {
     promises_.Violation("endpoint " + std::to_string(index) + ' ' + what);
   };
@@ -150,6 +156,14 @@
                {"born", slot.engine->StartedAt()}});
 }
 
+void fleet_under_test::SetLimit(std::size_t endpoint,
+                                std::optional<double> per_second) {
+  engine_stand_in& engine = *endpoints_.at(endpoint).engine;
+  engine.limit.reset();
+  if (per_second) engine.limit = std::to_string(*per_second);
+  promises_.LimitSet(engine.Instance(), per_second, loop_.Now());
+}
+
 void fleet_under_test::Unregister(std::size_t endpoint) {
   store_->Remove("servers/" + endpoints_.at(endpoint).engine->Instance());
 }
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,8 @@
   void PublishConfiguration();
   /** Writes the endpoint's current state to its entry in the store. */
   void Register(std::size_t endpoint);
+  /** The endpoint names this request rate limit; nothing: it names none. */
+  void SetLimit(std::size_t endpoint, std::optional<double> per_second);
   void Unregister(std::size_t endpoint);
   /** Starts the endpoint as a new instance, registered in place of the old. */
   void Restart(std::size_t endpoint);
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -151,6 +151,10 @@
   latest = std::max(latest, until);
 }
 
+void promise_record::GatewayInterrupted(int gateway, core::time_point until) {
+  arrivals_.GatewayDisturbed(gateway, until);
+}
+
 void promise_record::StoreDisturbed(core::time_point until) {
   store_disturbed_ = std::max(store_disturbed_, until);
 }
@@ -163,6 +167,40 @@
   violations_.push_back(what);
 }
 
+void promise_record::LimitSet(const std::string& instance,
+                              std::optional<double> per_second,
+                              core::time_point now) {
+  arrivals_.LimitSet(instance, per_second, now);
+}
+
+void promise_record::LimitNamed(const std::string& id,
+                                const std::string& instance,
+                                core::time_point now) {
+  const auto found = requests_.find(id);
+  if (found != requests_.end()) {
+    arrivals_.Named(instance, found->second.gateway, now);
+  }
+}
+
+void promise_record::Arrived(const std::string& id, const std::string& instance,
+                             core::time_point now) {
+  const auto found = requests_.find(id);
+  if (found != requests_.end()) {
+    arrivals_.Arrived(instance, found->second.gateway, now);
+  }
+}
+
+void promise_record::CheckRequestLimits(core::time_point now) {
+  for (auto& span : arrivals_.WorstSpans(now)) {
+    if (span.arrivals > span.allowed) {
+      Violation(span.ToString() + ", although it names a limit");
+    }
+    if (!worst_span_ || span.Ratio() > worst_span_->Ratio()) {
+      worst_span_ = std::move(span);
+    }
+  }
+}
+
 bool promise_record::WasFaultFree(int gateway, core::time_point since) const {
   const auto disturbed = gateway_disturbed_.find(gateway);
   return disturbed == gateway_disturbed_.end() ||
@@ -182,6 +220,7 @@
         " requests reached endpoints after their callers had cancelled them");
   }
   CheckRetryBudget();
+  CheckRequestLimits(now);
 }
 
 void promise_record::CheckRetryBudget() {
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "arrival_record.h"
 #include "core/time.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -70,16 +71,32 @@
   }
   /** The store has acknowledged that the instance is leaving the fleet. */
   void Leaving(const std::string& instance, core::time_point now);
+  /** A fault that excuses missed time bounds. */
   void GatewayDisturbed(int gateway, core::time_point until);
+  /** The gateway is restarted, suspended or cut off. */
+  void GatewayInterrupted(int gateway, core::time_point until);
   void StoreDisturbed(core::time_point until);
   void EndpointsDisturbed(core::time_point until);
   void Violation(const std::string& what);
+  /** The endpoint names this request rate limit; nothing: it names none. */
+  void LimitSet(const std::string& instance, std::optional<double> per_second,
+                core::time_point now);
+  /** A response to this request names the limit. */
+  void LimitNamed(const std::string& id, const std::string& instance,
+                  core::time_point now);
+  /** A request has arrived at an endpoint, whether or not it runs there. */
+  void Arrived(const std::string& id, const std::string& instance,
+               core::time_point now);
 
   // Results.
 
   /** Checks the guarantees that cover the whole run. Call it once. */
   void CheckWholeRun(core::time_point now);
   const std::vector<std::string>& Violations() const { return violations_; }
+  /** Span with the most requests relative to the limit of its endpoint. */
+  std::optional<process_test::arrival_record::span> WorstSpan() const {
+    return worst_span_;
+  }
   /** Human-readable counts by route and status. */
   std::string Summary() const;
   /** Share of requests sent since `since` that were answered with 200. */
@@ -91,6 +108,7 @@
   /** True if no fault affected the gateway from shortly before `since` on. */
   bool WasFaultFree(int gateway, core::time_point since) const;
   void CheckRetryBudget();
+  void CheckRequestLimits(core::time_point now);
 
   int events_;
   std::map<std::string, request_record> requests_;
@@ -101,6 +119,8 @@
   /** Times of the runs of each service; true marks a retry. */
   std::map<std::string, std::vector<std::pair<core::time_point, bool>>> runs_;
   std::map<std::string, std::vector<core::time_point>> sent_;
+  process_test::arrival_record arrivals_;
+  std::optional<process_test::arrival_record::span> worst_span_;
   int runs_after_cancellation_ = 0;
   std::vector<std::string> violations_;
 };
