--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1475,6 +1475,25 @@
       links->AddOrUpdate(ip, config);
       linked_ips.insert(ip);
     }
+    RenewMovedPermits();
+  }
+
+  /** Requests permits at another sidecar if it counts for them from now on. */
+  void RenewMovedPermits() {
+    std::vector<request_pointer> moved;
+    for (const auto& [number, request] : requests) {
+      if (!request->awaits_permit) continue;
+      const endpoint_view* view = ViewOf(*request);
+      if (view == nullptr) continue;
+      const auto counts = CoordinatorOf(view->record);
+      if (!counts || counts->ip != request->sidecar_ip) {
+        moved.push_back(request);
+      }
+    }
+    for (const request_pointer& request : moved) {
+      ReleaseGrant(*request, false);
+      Dispatch(request);
+    }
   }
 
   void OnSidecarLost(const std::string& ip) {
--- a/tests/process/request_limit_test.cc
+++ b/tests/process/request_limit_test.cc
@@ -374,6 +374,30 @@
   EXPECT_GE(ServedShare(since), 0.99);
 }
 
+// Guards against requests that wait until their deadline for the permit of a
+// sidecar whose engine has left, and two sidecars that count for long.
+TEST_F(request_limit_test, PermitsMoveWhenTheCountingSidecarLeaves) {
+  StartLoad("order", milliseconds(25));
+  Wait(milliseconds(1000));
+  for (int i = kEngines; i < kEngines + kPlain; ++i) SetLimit(i, 2.0);
+  Wait(milliseconds(3500));
+  const auto changed = loop_.Now();
+  for (int i = 0; i < kEngines - 1; ++i) {
+    store_.Remove("servers/" + Engine(i).Instance());
+  }
+  Wait(milliseconds(4000));
+  StopLoad();
+  ExpectLimitsKept();
+  for (const outcome& each : outcomes_) {
+    if (each.sent_at < changed - milliseconds(1500)) continue;
+    EXPECT_LT(each.answered_at - each.sent_at, milliseconds(2500))
+        << each.status;
+  }
+  for (int i = kEngines; i < kEngines + kPlain; ++i) {
+    EXPECT_GT(ArrivedSince(i, changed + milliseconds(1000)), 0);
+  }
+}
+
 // Guards against a gateway that sends, when it is resumed, all requests that
 // were granted one after another while it was suspended.
 TEST_F(request_limit_test, AResumedGatewaySendsNoGrantsThatHaveWaited) {
