Keep all values of a repeated response header

A header that an endpoint sent twice was taken for its last value, so that one of two contradictory limits counted. Different values form a list now, as HTTP says, and a list is no readable limit. The list is bounded; equal values stay one. http_client_test.RepeatedHeadersFormAList fails without it.

--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -289,6 +289,19 @@
 }
 
 // Guards against callbacks of a destroyed client.
+// Guards against one of two contradictory values being taken for the only one.
+TEST_F(http_client_test, RepeatedHeadersFormAList) {
+  Start({.url = Url()});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send(
+      "HTTP/1.1 200 OK\r\nx-a: 1\r\nx-b: 1\r\nx-a: 2\r\nx-b: 1\r\n"
+      "Content-Length: 0\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->headers.at("x-a"), "1, 2");
+  EXPECT_EQ(result_->headers.at("x-b"), "1");
+}
+
 TEST_F(http_client_test, CanBeDestroyedWithCallsInFlight) {
   int done = 0;
   {
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -11,6 +11,9 @@
 namespace comfreyspring::net {
 namespace {
 
+/** Limit for the values of a header that is repeated. */
+constexpr std::size_t kMaximumListedBytes = 16 * 1024;
+
 constexpr long kKeepaliveSeconds = 10;
 
 template <class Value>
@@ -223,8 +226,15 @@
   if (result_.headers.size() >= call_.maximum_headers) {
     throw net_error("the response has too many headers");
   }
-  result_.headers[name] =
+  std::string value =
       start == std::string::npos ? std::string() : line.substr(start);
+  const auto [position, inserted] = result_.headers.try_emplace(name, value);
+  if (inserted || position->second == value) return;
+  // Different values form a list, so that none of them is lost.
+  position->second += ", " + value;
+  if (position->second.size() > kMaximumListedBytes) {
+    throw net_error("a repeated header of the response is too long");
+  }
 }
 
 std::size_t http_transfer::OnBody(char* data, std::size_t size,
