Take limits only from responses to the request itself

A response to another request dates wrongly, and other bytes are no answer of the endpoint. Shows the limits in the gateway's state and as the gauge gateway_endpoint_limits. New tests: a limit that no sidecar counts is only probed, all endpoints limited means an immediate refusal with a retry time, unreadable limits and those of other requests change nothing.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -537,9 +537,9 @@
             next->adapters.count(request.metadata.adapter) > 0);
   }
 
-  // Permits: the requests of a rate-limited endpoint whose own sidecar cannot be
-  // asked, or that has none, are counted by a sidecar that all gateways choose
-  // alike.
+  // Permits: the requests of a rate-limited endpoint whose own sidecar cannot
+  // be asked, or that has none, are counted by a sidecar that all gateways
+  // choose alike.
 
   struct coordinator {
     std::string ip;
@@ -892,6 +892,8 @@
     const catalog::endpoint_record& record = view.record;
     const limits::limit_announcement& announced = request.response.limit;
     const auto before = notices.LimitOf(record);
+    // Other bytes may be of another request or endpoint.
+    if (!request.response.authentic && !request.response.not_run) return;
     if (announced.present && !announced.rate) {
       LogLimit(record, "unreadable", "response", before)
           .Add("request", request.metadata.id.Value());
@@ -1719,6 +1721,12 @@
   const auto& table = impl_->follower.Routes();
   impl_->metrics.SetGauge("gateway_configuration_version",
                           table ? static_cast<double>(table->Version()) : 0);
+  impl_->metrics.SetGauge(
+      "gateway_endpoint_limits",
+      static_cast<double>(std::count_if(
+          impl_->views.begin(), impl_->views.end(), [this](const auto& entry) {
+            return impl_->notices.LimitOf(entry.second.record).has_value();
+          })));
   impl_->metrics.SetGauge("gateway_sidecars_open",
                           static_cast<double>(impl_->links->OpenCount()));
   impl_->metrics.SetGauge("gateway_sidecars_wanted",
@@ -1734,18 +1742,20 @@
   const auto now = impl_->loop.Now();
   nlohmann::json endpoints = nlohmann::json::array();
   for (const auto& [instance, view] : impl_->views) {
-    endpoints.push_back({{"instance", instance.Value()},
-                         {"service", view.record.service.Value()},
-                         {"address", view.record.address.ToString()},
-                         {"leaving", view.record.leaving},
-                         {"outstanding", view.results.Outstanding()},
-                         {"failure_share", view.results.FailureShare(now)},
-                         {"silence_ms", view.results.Silence(now).count()},
-                         {"has_agent", view.has_sidecar},
-                         {"running", view.status.running},
-                         {"waiting", view.status.waiting},
-                         {"free_adapter_slots", view.status.free_adapter_slots},
-                         {"adapters", view.adapters.size()}});
+    endpoints.push_back(
+        {{"instance", instance.Value()},
+         {"service", view.record.service.Value()},
+         {"address", view.record.address.ToString()},
+         {"leaving", view.record.leaving},
+         {"limit_per_s", limits::ToText(impl_->notices.LimitOf(view.record))},
+         {"outstanding", view.results.Outstanding()},
+         {"failure_share", view.results.FailureShare(now)},
+         {"silence_ms", view.results.Silence(now).count()},
+         {"has_agent", view.has_sidecar},
+         {"running", view.status.running},
+         {"waiting", view.status.waiting},
+         {"free_adapter_slots", view.status.free_adapter_slots},
+         {"adapters", view.adapters.size()}});
   }
   nlohmann::json requests = nlohmann::json::array();
   for (const auto& [number, request] : impl_->requests) {
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -58,6 +58,11 @@
     metadata.misdirected = status == 421;
     metadata.for_other_request = echoed != headers.end() && !metadata.authentic;
     metadata.draining = headers.count("leaving") > 0;
+    const auto limit = headers.find("limit-per-s");
+    metadata.limit.present = limit != headers.end();
+    if (metadata.limit.present && limit->second != "unreadable") {
+      metadata.limit.rate = limits::request_rate(std::stod(limit->second));
+    }
     const auto refusal = headers.find("refuses-ms");
     metadata.requests_backoff = refusal != headers.end();
     if (metadata.requests_backoff) {
@@ -501,6 +506,54 @@
   EXPECT_LE(retry, 450);
 }
 
+// No sidecar can count the requests of all gateways, so only a few requests are
+// sent to hear when the limit ends; the other endpoints serve the rest.
+TEST_F(request_forwarder_test, ALimitThatNoSidecarCountsIsOnlyProbed) {
+  Send("/once/a");
+  const std::string limited = InstanceOf(0);
+  http_.Respond(200, {{"id", "r1"}, {"limit-per-s", "50"}}, "x");
+  int sent_there = 0;
+  for (int i = 0; i < 60; ++i) {
+    const auto caller = Send("/again/a");
+    if (InstanceOf(http_.calls.size() - 1) == limited) ++sent_there;
+    http_.Respond(200, {{"id", "r1"}}, "x");
+    EXPECT_EQ(caller->response.status, 200);
+  }
+  EXPECT_LE(sent_there, 1);
+  log_.Flush();
+  EXPECT_NE(log_text_.find("\"per_s\":\"50\""), std::string::npos);
+}
+
+// Guards against callers that wait for endpoints that cannot take them.
+TEST_F(request_forwarder_test, RefusesAtOnceIfAllEndpointsAreRateLimited) {
+  for (int i = 0; i < 12; ++i) {
+    const std::size_t calls = http_.calls.size();
+    Send("/once/a");
+    if (http_.calls.size() == calls) continue;
+    http_.Respond(200, {{"id", "r1"}, {"limit-per-s", "0"}}, "x");
+  }
+  const std::size_t calls = http_.calls.size();
+  EXPECT_LE(calls, 6U);
+  const auto caller = Send("/once/a");
+  EXPECT_EQ(http_.calls.size(), calls);
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.body, "rate_limited");
+  EXPECT_GT(std::stoi(caller->response.headers.at("retry")), 0);
+}
+
+TEST_F(request_forwarder_test, IgnoresLimitsThatAreUnreadableOrOfOthers) {
+  Send("/once/a");
+  http_.Respond(200, {{"id", "r1"}, {"limit-per-s", "unreadable"}}, "x");
+  Send("/once/a");
+  http_.Respond(200, {{"id", "other"}, {"limit-per-s", "0"}}, "x");
+  const auto state = nlohmann::json::parse(forwarder_.Dump());
+  for (const auto& endpoint : state.at("endpoints")) {
+    EXPECT_EQ(endpoint.at("limit_per_s"), "");
+  }
+  log_.Flush();
+  EXPECT_NE(log_text_.find("\"change\":\"unreadable\""), std::string::npos);
+}
+
 TEST_F(request_forwarder_test, CancelsAnEndlessResponse) {
   const auto caller = Send("/once/a");
   http_.Headers(200, Own());
