End a limit by reports only if reports have named it

Cause: an engine's reports had named one limit; its next one was named in responses only. Every report, 100 ms apart, ended it, and the next response began it anew (33 changes within 5 s in the sidecar's log).

Change: reports end a limit only if they have named that limit itself.

--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -295,7 +295,11 @@
 
 void grant_scheduler::OnLimitChange(limits::limit_change change,
                                     core::time_point now, actions& out) {
-  if (!Limit()) return;
+  if (!Limit()) {
+    // The next limit may be named in responses only.
+    reports_name_limit_ = false;
+    return;
+  }
   if (change == limits::limit_change::heard) tokens_ = limits::token_bucket();
   // Reports can show the end of a limit, so that no request need be spent.
   tokens_.SetRate(
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -267,7 +267,7 @@
   limits::limit_record limit_;
   /** Start of the engine that named the limit; 0 if unknown. */
   std::int64_t limit_started_unix_ms_ = 0;
-  /** Reports of this engine name its limit, so they also show its end. */
+  /** Reports name the limit in force, so they also show its end. */
   bool reports_name_limit_ = false;
   limits::token_bucket tokens_;
   bool stopping_ = false;
--- a/src/grants/scheduler_limit_test.cc
+++ b/src/grants/scheduler_limit_test.cc
@@ -181,6 +181,19 @@
   EXPECT_FALSE(scheduler_.Limit());
 }
 
+// Guards against a limit that responses name and every report ends, because
+// reports had named an earlier limit of the same engine.
+TEST_F(scheduler_limit_test, ReportsThatNamedAnEarlierLimitDoNotEndThisOne) {
+  Report({.present = true, .rate = request_rate(3.0)});
+  now_ += milliseconds(20);
+  Report();
+  ASSERT_FALSE(scheduler_.Limit());
+  now_ += milliseconds(20);
+  Observe(request_rate(1.0));
+  Pass(milliseconds(1000));
+  EXPECT_EQ(scheduler_.Limit(), request_rate(1.0));
+}
+
 // Only a response can tell that a limit of zero has ended, so a request is
 // granted now and then, unless the engine's reports tell.
 TEST_F(scheduler_limit_test, ALimitOfZeroIsProbed) {
