Count observations of all limits by the link that carries them

What callers saw: nothing; a gateway did not learn an engine's limit from its sidecar once it had reported another endpoint's limit to that sidecar, and would have sent to the engine uncounted when the sidecar was lost.

Cause: the sidecar counts all observations of a link, the gateway counted only those about the sidecar's own engine, so that no status was ever newer. The count also outlived the link of an engine that had left, and so did the note that a sidecar is stopping.

Change: one state per link, dropped with it. Whether an endpoint has a sidecar of its own follows from its service, not from its address. An endpoint that keeps naming something unreadable is logged once.

--- a/src/gateway/endpoint_view.h
+++ b/src/gateway/endpoint_view.h
@@ -82,6 +82,8 @@
    * before this time.
    */
   core::time_point next_permit_at;
+  /** Its latest response names a limit that cannot be read. */
+  bool limit_is_unreadable = false;
 
   // For model engines.
 
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -105,6 +105,13 @@
 struct request_forwarder::impl {
   enum class phase { waiting, sent };
 
+  struct link_state {
+    /** Number of `limit_observed` messages sent. */
+    std::uint64_t limits_sent = 0;
+    /** The sidecar gives no permits any more. */
+    bool is_stopping = false;
+  };
+
   /** One request of a caller. */
   struct active_request {
     std::uint64_t number = 0;
@@ -554,9 +561,12 @@
     std::uint64_t first_weight = 0;
     std::uint64_t second_weight = 0;
     // An engine's own sidecar may still grant requests of other gateways.
-    const bool has_own = linked_ips.count(record.address.ip) > 0;
+    const auto* service = follower.Routes()
+                              ? follower.Routes()->FindService(record.service)
+                              : nullptr;
+    const bool has_own = service != nullptr && service->engine.has_value();
     for (const std::string& ip : linked_ips) {
-      if (ip == record.address.ip) continue;
+      if (has_own && ip == record.address.ip) continue;
       const auto weight = core::RendezvousWeight(record.instance.Value(), ip);
       if (first == nullptr || weight > first_weight) {
         second = std::exchange(first, &ip);
@@ -567,8 +577,9 @@
       }
     }
     const auto is_usable = [&](const std::string* ip) {
-      return ip != nullptr && links->IsOpen(*ip) &&
-             stopping_sidecars.count(*ip) == 0;
+      if (ip == nullptr || !links->IsOpen(*ip)) return false;
+      const auto state = link_states.find(*ip);
+      return state == link_states.end() || !state->second.is_stopping;
     };
     if (is_usable(first)) return coordinator{*first, has_own};
     if (!has_own && is_usable(second)) return coordinator{*second, true};
@@ -664,7 +675,7 @@
     const auto now = loop.Now();
     if (refused.reason == grants::refusal_reason::stopping) {
       // Another sidecar counts from now on.
-      stopping_sidecars.insert(request->sidecar_ip);
+      link_states[request->sidecar_ip].is_stopping = true;
       Dispatch(request);
       return;
     }
@@ -894,7 +905,11 @@
     const auto before = notices.LimitOf(record);
     // Other bytes may be of another request or endpoint.
     if (!request.response.authentic && !request.response.not_run) return;
-    if (announced.present && !announced.rate) {
+    const bool is_unreadable = announced.present && !announced.rate;
+    const bool was_unreadable =
+        std::exchange(view.limit_is_unreadable, is_unreadable);
+    if (is_unreadable) {
+      if (was_unreadable) return;
       LogLimit(record, "unreadable", "response", before)
           .Add("request", request.metadata.id.Value());
       return;
@@ -923,31 +938,28 @@
    */
   bool ReportLimit(endpoint_view& view, const active_request& request,
                    const std::optional<limits::request_rate>& rate) {
+    const auto endpoint = limits::IncarnationOf(view.record);
     if (view.has_sidecar) {
-      SendLimit(view, request.grant_number, rate);
-      return true;
+      return SendLimit(view.record.address.ip, {.endpoint = endpoint,
+                                                .own_engine = true,
+                                                .number = request.grant_number,
+                                                .rate = rate});
     }
     const auto counts = CoordinatorOf(view.record);
     if (!counts) return false;
     const bool is_issuer = counts->ip == request.sidecar_ip;
-    return links->Send(
-        counts->ip,
-        grants::limit_observed{.endpoint = limits::IncarnationOf(view.record),
-                               .is_fallback = counts->is_fallback,
-                               .number = is_issuer ? request.permit_number : 0,
-                               .rate = rate});
-  }
-
-  /** Tells the sidecar, which counts the requests of all gateways. */
-  void SendLimit(endpoint_view& view, std::uint64_t grant,
-                 const std::optional<limits::request_rate>& rate) {
-    const bool sent = links->Send(
-        view.record.address.ip,
-        grants::limit_observed{.endpoint = limits::IncarnationOf(view.record),
-                               .own_engine = true,
-                               .number = grant,
-                               .rate = rate});
-    if (sent) ++limits_sent[view.record.address.ip];
+    return SendLimit(counts->ip,
+                     {.endpoint = endpoint,
+                      .is_fallback = counts->is_fallback,
+                      .number = is_issuer ? request.permit_number : 0,
+                      .rate = rate});
+  }
+
+  /** @returns false if there is no open link. */
+  bool SendLimit(const std::string& ip, const grants::limit_observed& value) {
+    const bool sent = links->Send(ip, value);
+    if (sent) ++link_states[ip].limits_sent;
+    return sent;
   }
 
   /** Cancels an attempt whose response is unusable. */
@@ -1470,7 +1482,9 @@
       wanted[view.record.address.ip] = std::move(config);
     }
     for (const std::string& ip : linked_ips) {
-      if (wanted.count(ip) == 0) links->Remove(ip);
+      if (wanted.count(ip) > 0) continue;
+      links->Remove(ip);
+      link_states.erase(ip);
     }
     linked_ips.clear();
     for (const auto& [ip, config] : wanted) {
@@ -1500,8 +1514,7 @@
 
   void OnSidecarLost(const std::string& ip) {
     std::vector<request_pointer> waiting;
-    limits_sent.erase(ip);
-    stopping_sidecars.erase(ip);
+    link_states.erase(ip);
     for (auto& [instance, view] : views) {
       if (view.record.address.ip != ip) continue;
       view.has_sidecar = false;
@@ -1562,11 +1575,13 @@
         // Before the first grant request: a sidecar that has just started may
         // not know the limit.
         if (const auto limit = notices.LimitOf(view.record)) {
-          SendLimit(view, 0, limit);
+          SendLimit(ip, {.endpoint = limits::IncarnationOf(view.record),
+                         .own_engine = true,
+                         .rate = limit});
         }
       }
       // An older status does not contain what this gateway has reported since.
-      if (report.limits_observed == limits_sent[ip]) {
+      if (report.limits_observed == link_states[ip].limits_sent) {
         AdoptLimit(view.record, report.status.limit, "sidecar");
       }
       view.grants_requested_since_status = 0;
@@ -1637,10 +1652,8 @@
   std::map<std::uint64_t, request_pointer> open_grants;
   std::map<catalog::instance_id, endpoint_view> views;
   endpoint_notices notices;
-  /** Number of limits reported on the current link to each sidecar. */
-  std::map<std::string, std::uint64_t> limits_sent;
-  /** Sidecars that still have a link but give no permits any more. */
-  std::set<std::string> stopping_sidecars;
+  /** State of the current link to each sidecar, by IP address. */
+  std::map<std::string, link_state> link_states;
   /** Limit the requests to endpoints whose requests no sidecar counts. */
   std::map<limits::endpoint_incarnation, limits::token_bucket> probes;
   core::time_point notices_cleaned_at;
--- a/tests/process/request_limit_test.cc
+++ b/tests/process/request_limit_test.cc
@@ -374,6 +374,31 @@
   EXPECT_GE(ServedShare(since), 0.99);
 }
 
+// Guards against a gateway that does not learn an engine's limit from its
+// sidecar because it has reported limits of other endpoints to that sidecar.
+TEST_F(request_limit_test, LimitsInReportsReachGatewaysThatReportedOthers) {
+  for (int i = kEngines; i < kEngines + kPlain; ++i) SetLimit(i, 5.0);
+  StartLoad("order", milliseconds(25), 1);
+  Wait(milliseconds(1500));
+  for (int i = 0; i < kEngines; ++i) SetLimit(i, 2.0);
+  Wait(milliseconds(1500));
+  StopLoad();
+  std::optional<net::http_result> state;
+  http_.Start(
+      {.url = "http://" +
+              fleet_layout::At(layout_.Gateway(0), fleet_layout::kAdminPort) +
+              "/debug/state",
+       .total_timeout = kTimeout},
+      {.on_done = [&](const net::http_result& done) { state = done; }});
+  ASSERT_TRUE(loop_.RunUntil([&] { return state.has_value(); }, kTimeout));
+  const json dump = json::parse(state->body);
+  ASSERT_EQ(dump.at("endpoints").size(), endpoints_.size());
+  for (const auto& each : dump.at("endpoints")) {
+    EXPECT_NE(each.at("limit_per_s").get<std::string>(), "")
+        << each.at("instance");
+  }
+}
+
 // Guards against requests that wait until their deadline for the permit of a
 // sidecar whose engine has left, and two sidecars that count for long.
 TEST_F(request_limit_test, PermitsMoveWhenTheCountingSidecarLeaves) {
