Name the limit in refusals and explain it

The lines grant_refused and permit_refused tell the limit of the endpoint that refused, and comfreyspringctl explain shows the lines about limits of the request's own endpoints, also from the sidecar that counts.

--- a/src/ctl/request_explanation.cc
+++ b/src/ctl/request_explanation.cc
@@ -178,6 +178,11 @@
     const bool is_other_sidecar =
         dependency.rfind("sidecar ", 0) == 0 &&
         hosts.count(dependency.substr(std::string("sidecar ").size())) == 0;
+    if (event == "endpoint_limit") {
+      // Any sidecar may count the requests of the endpoint.
+      if (names_endpoint) context.push_back(line);
+      continue;
+    }
     if (sidecars.count(process) > 0 ||
         (is_own_process &&
          (is_endpoint_event ? names_endpoint : !is_other_sidecar))) {
--- a/src/ctl/request_explanation_test.cc
+++ b/src/ctl/request_explanation_test.cc
@@ -65,6 +65,24 @@
   EXPECT_EQ(text.find("r2"), std::string::npos) << text;
 }
 
+// The limit of the endpoint is shown, also as the sidecar that counts knows it;
+// limits of other endpoints are not.
+TEST(RequestExplanation, ShowsTheRequestLimitOfTheEndpoint) {
+  const std::string text = Explain(
+      "r1", Line(20004, "gateway-1", "refused",
+                 R"("request":"r1","status":503,"cause":"rate_limited")") +
+                Line(20003, "gateway-1", "permit_refused",
+                     R"("request":"r1","endpoint":"i-7","limit_per_s":"1.2")") +
+                Line(18000, "sidecar-3", "endpoint_limit",
+                     R"("change":"heard","instance":"i-7","per_s":"1.2")") +
+                Line(18001, "gateway-1", "endpoint_limit",
+                     R"("change":"heard","instance":"i-8","per_s":"9")"));
+  ExpectInOrder(text, {"permit_refused endpoint=i-7 limit_per_s=1.2",
+                       "sidecar-3  endpoint_limit",
+                       "Outcome: refused 503, cause rate_limited: "});
+  EXPECT_EQ(text.find("i-8"), std::string::npos) << text;
+}
+
 // An interrupted stream is shown with the events of its endpoint, including
 // those that the gateway logged afterwards.
 TEST(RequestExplanation, ShowsTheRemovedEndpointOfAnInterruptedStream) {
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -517,6 +517,7 @@
                 request->metadata.id.Value())
         .Add("endpoint", request->endpoint.Value())
         .Add("reason", request->refusal)
+        .Add("limit_per_s", LimitText(*request))
         .Add("expected_wait_ms", refused.expected_wait.count())
         .Add("retry_after_ms", refused.retry_after.count())
         .Add("asks", request->grant_requests);
@@ -689,6 +690,7 @@
     log.Request(line_class::failure, "permit_refused",
                 request->metadata.id.Value())
         .Add("endpoint", request->endpoint.Value())
+        .Add("limit_per_s", LimitText(*request))
         .Add("expected_wait_ms", refused.expected_wait.count())
         .Add("retry_after_ms", refused.retry_after.count())
         .Add("asks", request->grant_requests);
@@ -700,6 +702,13 @@
     }
   }
 
+  /** Limit of the request's endpoint; empty if it names none. */
+  std::string LimitText(const active_request& request) {
+    const endpoint_view* view = ViewOf(request);
+    return view == nullptr ? std::string()
+                           : limits::ToText(notices.LimitOf(view->record));
+  }
+
   /** Gives back the permit of an attempt that is not made. */
   void ReturnPermit(active_request& request) {
     if (!std::exchange(request.has_permit, false)) return;
