--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -94,11 +94,6 @@
 constexpr core::milliseconds kNoticeCleanupPeriod{5000};
 /** Number of gateways until a sidecar reports how many are connected to it. */
 constexpr std::size_t kAssumedGateways = 32;
-/**
- * Requests to a rate-limited endpoint that no sidecar counts, over all
- * gateways.
- */
-constexpr double kProbesPerSecond = 0.25;
 
 }  // namespace
 
@@ -658,7 +653,7 @@
             .try_emplace(limits::IncarnationOf(record), 1.0, random.NextUnit())
             .first;
     position->second.SetRate(
-        limits::request_rate(kProbesPerSecond /
+        limits::request_rate(limits::kProbeRate.PerSecond() /
                              static_cast<double>(GatewayCount())),
         now);
     if (position->second.TryTake(now)) {
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -47,19 +47,12 @@
 constexpr core::milliseconds kAdapterRetryDelay{3000};
 /** Typical time until a restarted engine serves requests again. */
 constexpr core::milliseconds kEngineRestartTime{1000};
-constexpr core::milliseconds kMinimumRetryAfter{100};
-constexpr core::milliseconds kMaximumRetryAfter{4000};
 /**
  * Window around the due time in which a retry is matched to its reservation.
  */
 constexpr core::milliseconds kReservationEarly{100};
 constexpr core::milliseconds kReservationLate{500};
 constexpr std::size_t kMaximumReservations = 512;
-/**
- * Rate at which a slower limit is exceeded, if only responses to requests can
- * tell that it has ended.
- */
-constexpr limits::request_rate kProbeRate{0.25};
 /** Share of refused callers that retry at the same engine. */
 constexpr double kRetryShare = 0.5;
 
@@ -303,7 +296,8 @@
   if (change == limits::limit_change::heard) tokens_ = limits::token_bucket();
   // Reports can show the end of a limit, so that no request need be spent.
   tokens_.SetRate(
-      reports_name_limit_ ? *Limit() : std::max(*Limit(), kProbeRate), now);
+      reports_name_limit_ ? *Limit() : std::max(*Limit(), limits::kProbeRate),
+      now);
   if (change != limits::limit_change::none) ReturnUnservable(now, out);
 }
 
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -120,6 +120,10 @@
 
 std::string_view ToString(order_result result);
 
+/** Retry times of refused requests. */
+inline constexpr core::milliseconds kMinimumRetryAfter{100};
+inline constexpr core::milliseconds kMaximumRetryAfter{4000};
+
 /** Why a request was refused. */
 enum class refusal_reason {
   /** It could not start before its deadline. */
--- a/src/grants/permit_table.cc
+++ b/src/grants/permit_table.cc
@@ -7,14 +7,10 @@
 namespace comfreyspring::grants {
 namespace {
 
-/** Rate at which a slower limit is exceeded, to hear when it ends. */
-constexpr limits::request_rate kProbeRate{0.25};
 /** An endpoint without requests for this long is forgotten. */
 constexpr core::milliseconds kEntryRetention{60'000};
 /** Longer than a response takes. */
 constexpr core::milliseconds kIssuedRetention{60'000};
-constexpr core::milliseconds kMinimumRetryAfter{100};
-constexpr core::milliseconds kMaximumRetryAfter{4000};
 
 }  // namespace
 
@@ -25,7 +21,7 @@
 void permit_table::SetRates(entry& target, core::time_point now) {
   const auto& limit = target.limit.Rate();
   if (!limit) return;
-  const double rate = std::max(*limit, kProbeRate).PerSecond();
+  const double rate = std::max(*limit, limits::kProbeRate).PerSecond();
   for (const permit_role role : {permit_role::primary, permit_role::fallback}) {
     target.Lane(role).tokens.SetRate(limits::request_rate(rate * Share(role)),
                                      now);
@@ -82,7 +78,8 @@
   const auto longest = std::clamp(wanted.maximum_retry_after,
                                   kMinimumRetryAfter, kMaximumRetryAfter);
   if (due <= now + kMaximumRetryAfter) {
-    const double interval_ms = 1e3 / std::max(rate, kProbeRate.PerSecond());
+    const double interval_ms =
+        1e3 / std::max(rate, limits::kProbeRate.PerSecond());
     queue.next_return_at = due + core::milliseconds(std::llround(interval_ms));
   } else {
     // Beyond the schedule, retries are spread at random.
--- a/src/limits/request_rate.h
+++ b/src/limits/request_rate.h
@@ -24,6 +24,12 @@
   double per_second_ = 0.0;
 };
 
+/**
+ * Rate at which a slower limit is exceeded where only a response can tell that
+ * it has ended: one request in four seconds.
+ */
+inline constexpr request_rate kProbeRate{0.25};
+
 /** For logs and state dumps; empty without a rate. */
 std::string ToText(const std::optional<request_rate>& rate);
 
