--- a/src/limits/request_rate.h
+++ b/src/limits/request_rate.h
@@ -18,7 +18,10 @@
       : per_second_(per_second) {}
 
   constexpr double PerSecond() const { return per_second_; }
+  // clang-tidy 14 mistakes the compiler's own comparison with 0 for a pointer.
+  // NOLINTBEGIN(modernize-use-nullptr)
   friend auto operator<=>(const request_rate&, const request_rate&) = default;
+  // NOLINTEND(modernize-use-nullptr)
 
  private:
   double per_second_ = 0.0;
--- a/tests/process/arrival_record.cc
+++ b/tests/process/arrival_record.cc
@@ -15,11 +15,9 @@
 constexpr double kExtra = 5.0;
 
 double Allowed(double per_second) {
-  return per_second * kTolerance *
-             core::seconds(std::chrono::duration_cast<core::seconds>(
-                               arrival_record::kSpan))
-                 .count() +
-         kExtra;
+  const double span_seconds =
+      std::chrono::duration<double>(arrival_record::kSpan).count();
+  return per_second * kTolerance * span_seconds + kExtra;
 }
 
 }  // namespace
@@ -96,14 +94,15 @@
 std::vector<arrival_record::span> arrival_record::WorstSpans(
     core::time_point end) const {
   std::vector<span> spans;
-  for (const auto& [instance, target] : endpoints_) {
+  for (const auto& entry : endpoints_) {
+    const endpoint& target = entry.second;
     std::optional<core::time_point> since;
-    const auto close = [&, &name = instance](core::time_point until) {
+    const auto close = [&](core::time_point until) {
       if (!since) return;
       span worst = WorstSpan(target, *since + kAdaptTime, until);
       since.reset();
       if (worst.arrivals == 0) return;
-      worst.instance = name;
+      worst.instance = entry.first;
       spans.push_back(std::move(worst));
     };
     for (const naming& each : target.namings) {
