Add failing tests for streams that end inside an event

The stand-in engine gets an HTTP server of its own on sockets, since the library frames every stream: it can leave out length and chunks, and end a message in order after part of an event. On the current logic the caller gets such a stream framed as complete (users_platform_test, two tests), and the forwarder does the same without processes (stream_end_test, seven cases).

--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -140,6 +140,10 @@
     const auto callback = calls.back().callbacks.on_done;
     callback({.failure = failure, .error_message = "broken"});
   }
+  void End(net::body_end end) {
+    const auto callback = calls.back().callbacks.on_done;
+    callback({.end = end});
+  }
   void Respond(int status, const net::header_map& headers,
                const std::string& body = "") {
     Headers(status, headers);
@@ -424,6 +428,85 @@
   EXPECT_EQ(caller->responses, 1);
 }
 
+/** A stream that ends without an error; the parameter tells how. */
+class stream_end_test : public request_forwarder_test,
+                        public ::testing::WithParamInterface<net::body_end> {
+ protected:
+  std::shared_ptr<fake_exchange> Stream(const std::string& target,
+                                        const std::string& body) {
+    auto caller = Send(target);
+    http_.Headers(200, Own());
+    if (!body.empty()) http_.Data(body);
+    http_.End(GetParam());
+    return caller;
+  }
+};
+
+INSTANTIATE_TEST_SUITE_P(ends, stream_end_test,
+                         ::testing::Values(net::body_end::framed,
+                                           net::body_end::connection),
+                         [](const auto& instance) {
+                           return std::string(ToString(instance.param));
+                         });
+
+// An engine that breaks off may end the message in order.
+TEST_P(stream_end_test, InsideAnEventIsNotComplete) {
+  for (const std::string rest :
+       {"i", "id: 2", "id: 2\n", "id: 2\r\ndata: b", "data: b\r", ": comm"}) {
+    const auto caller = Stream("/stream/a", "id: 1\ndata: a\n\n" + rest);
+    EXPECT_FALSE(caller->ended) << rest;
+    EXPECT_TRUE(caller->aborted) << rest;
+    EXPECT_EQ(caller->written, "id: 1\ndata: a\n\n") << rest;
+  }
+}
+
+TEST_P(stream_end_test, InsideAnEventIsResumed) {
+  const auto caller = Stream("/resume/a", "id: 1\ndata: a\n\nid: 2\ndat");
+  ASSERT_EQ(http_.calls.size(), 2U);
+  EXPECT_EQ(http_.calls[1].call.headers.at("after"), "1");
+  http_.Headers(200, Own());
+  http_.Data("id: 2\ndata: b\n\n");
+  http_.End(GetParam());
+  EXPECT_EQ(caller->written, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_TRUE(caller->ended);
+  EXPECT_EQ(caller->responses, 1);
+}
+
+TEST_P(stream_end_test, InsideTheFirstEventIsAFailureBeforeTheResponse) {
+  const auto caller = Stream("/stream/a", "id: 1\nda");
+  EXPECT_EQ(caller->response.status, 502);
+  EXPECT_FALSE(caller->streaming);
+  Stream("/resume/a", "id: 1\nda");
+  EXPECT_EQ(http_.calls.size(), 3U);
+  EXPECT_EQ(http_.calls[2].call.headers.at("after"), "");
+}
+
+TEST_P(stream_end_test, BetweenEventsIsComplete) {
+  for (const std::string body : {"id: 1\n\n", "id: 1\r\n\r\n", "id: 1\r\r",
+                                 "id: 1\n\n: comment\n", "id: 1\n\n\n"}) {
+    const auto caller = Stream("/stream/a", body);
+    EXPECT_TRUE(caller->ended) << body;
+    EXPECT_EQ(caller->written, body);
+  }
+}
+
+// An empty stream that ends with its connection looks like one that broke off
+// ahead of its first event.
+TEST_P(stream_end_test, WithoutAnEventIsCompleteOnlyIfFramed) {
+  const bool is_framed = GetParam() == net::body_end::framed;
+  EXPECT_EQ(Stream("/stream/a", "")->response.status, is_framed ? 200 : 502);
+  const auto resumed = Stream("/resume/a", "id: 1\ndata: a\n\nid");
+  http_.Headers(200, Own());
+  http_.End(GetParam());
+  EXPECT_EQ(resumed->ended, is_framed);
+}
+
+// A response without a stream may end with its connection; the users' protocol
+// has no other sign of its end.
+TEST_P(stream_end_test, OfAPlainBodyIsComplete) {
+  EXPECT_EQ(Stream("/once/a", "body")->response.body, "body");
+}
+
 // A response to another request may be followed on the same connection by the
 // one that is due. Such a connection must not be reused.
 TEST_F(request_forwarder_test, AResponseToAnotherRequestEndsItsConnection) {
--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -55,7 +55,7 @@
 void engine_stand_in::Listen() {
   try {
     server_.emplace(
-        loop_, net::http_server_options{.address = options_.ip, .port = port_},
+        loop_, options_.ip, port_,
         [this](const exchange_pointer& exchange) { Answer(exchange); });
     port_ = server_->Port();
   } catch (const net::net_error&) {
@@ -209,6 +209,7 @@
   net::header_map answer = ResponseHeaders(id);
   answer["content-type"] = "text/event-stream";
   answer["server-stamp"] = "stamp";
+  if (unframed_streams) exchange->SetFraming(stream_framing::connection);
   exchange->BeginStream(200, std::move(answer));
   SendEvent(current, first);
 }
@@ -242,7 +243,7 @@
       (current->breaks && event > 1 && DrawWithProbability(0.3));
   if (breaks_here) {
     break_after = 0;
-    current->exchange->Abort();
+    BreakOff(*current, event);
     End(current, false);
     return;
   }
@@ -256,6 +257,16 @@
                  [this, current, event] { SendEvent(current, event + 1); });
 }
 
+void engine_stand_in::BreakOff(run& current, int event) const {
+  if (!break_inside_event) {
+    current.exchange->Abort();
+    return;
+  }
+  current.exchange->Write(
+      EventText(current.id, event).substr(0, *break_inside_event));
+  current.exchange->EndStream();
+}
+
 void engine_stand_in::End(const std::shared_ptr<run>& current, bool complete) {
   if (std::exchange(current->ended, true)) return;
   running_.erase(current);
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -12,7 +12,7 @@
 
 #include "core/time.h"
 #include "net/event_loop.h"
-#include "net/http_server.h"
+#include "raw_http_server.h"
 
 namespace comfreyspring::process_test {
 
@@ -89,6 +89,15 @@
   double break_probability = 0;
   /** Probability that a request is refused as not run. */
   double refuse_probability = 0;
+  /** Streams have neither a length nor chunks; they end with their connection.
+   */
+  bool unframed_streams = false;
+  /**
+   * A stream that breaks off ends in order within this many bytes of its next
+   * event, 0 for between two events. Unset, it ends with the connection but
+   * without its last chunk.
+   */
+  std::optional<std::size_t> break_inside_event;
   /** Reports and stream answers carry the header `server-leaving`. */
   bool leaving = false;
   /** Responses name this request rate limit (header `server-limit`). */
@@ -101,7 +110,7 @@
   int slowdown_factor = 1;
 
  private:
-  using exchange_pointer = std::shared_ptr<net::http_exchange>;
+  using exchange_pointer = std::shared_ptr<raw_exchange>;
   struct run;
 
   /** Headers that every response carries. */
@@ -115,6 +124,8 @@
   void Run(const exchange_pointer& exchange);
   void RunPlain(const std::shared_ptr<run>& current);
   void SendEvent(const std::shared_ptr<run>& current, int event);
+  /** Ends a stream within its next event. */
+  void BreakOff(run& current, int event) const;
   void End(const std::shared_ptr<run>& current, bool complete);
   bool DrawWithProbability(double chance);
 
@@ -129,7 +140,7 @@
   /** Timers of an earlier incarnation see a different number and do nothing. */
   std::uint64_t incarnation_ = 0;
   std::uint16_t port_ = 0;
-  std::optional<net::http_server> server_;
+  std::optional<raw_http_server> server_;
 };
 
 }  // namespace comfreyspring::process_test
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -77,6 +77,16 @@
                                          {"Service", "s"},
                                          {"Attempts", 2},
                                          {"Resumable", true}},
+                                        {{"Name", "o"},
+                                         {"Host", "h.example"},
+                                         {"Prefix", "/o/"},
+                                         {"Kind", "stream"},
+                                         {"TimeoutMs", 5000},
+                                         {"GoalMs", 600},
+                                         {"GapTargetMs", 300},
+                                         {"Priority", 0},
+                                         {"Service", "s"},
+                                         {"Attempts", 2}},
                                         {{"Name", "q"},
                                          {"Host", "h.example"},
                                          {"Prefix", "/q/"},
@@ -145,11 +155,11 @@
     EXPECT_TRUE(loop_.RunUntil([&] { return result.has_value(); }, kTimeout));
     return result.value_or(net::http_result{});
   }
-  net::http_result SendStream(const std::string& id,
-                              const std::string& adapter) {
+  net::http_result SendStream(const std::string& id, const std::string& adapter,
+                              const std::string& target = "/p/x%20y?q=1") {
     return Call({.method = "POST",
                  .url = "http://" + Address(caller_port_) + "/",
-                 .target = "/p/x%20y?q=1",
+                 .target = target,
                  .headers = {{"host", "h.example"},
                              {"request-id", id},
                              {"model", "m/" + adapter},
@@ -218,6 +228,40 @@
   EXPECT_EQ(engine_.runs["r1"], 2);
 }
 
+TEST_F(users_platform_test, AnUnframedStreamIsPassedOnWhole) {
+  WaitUntilReady();
+  engine_.unframed_streams = true;
+  const auto answer = SendStream("r1", "a1");
+  EXPECT_EQ(answer.failure, net::http_failure::none);
+  EXPECT_EQ(answer.end, net::body_end::framed);
+  EXPECT_EQ(answer.body, Events(5));
+}
+
+// Guards against a truncated stream that reaches its caller as complete: the
+// engine breaks off inside an event and ends the message in order.
+TEST_F(users_platform_test, AStreamThatEndsInsideAnEventIsNotComplete) {
+  WaitUntilReady();
+  for (const bool unframed : {true, false}) {
+    engine_.unframed_streams = unframed;
+    engine_.break_inside_event = 9;
+    engine_.break_after = 3;
+    const auto answer = SendStream("r1", "a1", "/o/x");
+    EXPECT_EQ(answer.failure, net::http_failure::broken) << unframed;
+    EXPECT_EQ(answer.body, Events(3)) << unframed;
+  }
+}
+
+TEST_F(users_platform_test, AStreamThatEndsInsideAnEventIsResumed) {
+  WaitUntilReady();
+  engine_.unframed_streams = true;
+  engine_.break_inside_event = 9;
+  engine_.break_after = 3;
+  const auto answer = SendStream("r1", "a1");
+  EXPECT_EQ(answer.failure, net::http_failure::none);
+  EXPECT_EQ(answer.body, Events(5));
+  EXPECT_EQ(engine_.runs["r1"], 2);
+}
+
 // Guards against an outage while the sidecar is down: requests for loaded
 // adapters are still served, and the restarted sidecar has a fencing token that
 // is not lower.
