Split event streams whose lines end with CR, and tell whether one ends inside an event

Lines of an event stream end with LF, CRLF or CR. The splitter knew the first two, so a stream with CR alone was held back until its end and given to the caller at once. It reads lines now, also where CR and LF arrive apart, and tells whether the bytes so far end inside an event; comments and empty lines after the last event are no part of one.

Tests: KnowsWhetherItEndsInsideAnEvent and InputBoundariesDoNotAffectOutput draw all three line ends; the second one fails on the splitter before (a stream with CR gives no event). stream_test: 15 pass.

--- a/src/stream/event_splitter.cc
+++ b/src/stream/event_splitter.cc
@@ -5,55 +5,72 @@
 namespace comfreyspring::stream {
 namespace {
 
-struct event_end {
-  /** Bytes up to and including the empty line; 0 if there is none. */
-  std::size_t size = 0;
-};
-
-/** An event ends with an empty line; lines end with LF or CRLF. */
-event_end FindEnd(std::string_view text, std::size_t from) {
-  for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
-       at = text.find('\n', at + 1)) {
-    if (text.substr(at + 1, 1) == "\n") return {at + 2};
-    if (text.substr(at + 1, 2) == "\r\n") return {at + 3};
+constexpr const char* kLineEnds = "\r\n";
+
+/** Calls `visit` with each complete line of `text`, without its end. */
+template <class Visitor>
+void ForEachLine(std::string_view text, Visitor visit) {
+  std::size_t start = 0;
+  while (true) {
+    const std::size_t end = text.find_first_of(kLineEnds, start);
+    if (end == std::string_view::npos) return;
+    visit(text.substr(start, end - start));
+    start = end + (text.substr(end, 2) == "\r\n" ? 2 : 1);
   }
-  return {};
+}
+
+bool IsField(std::string_view line) {
+  return !line.empty() && line.front() != ':';
 }
 
 }  // namespace
 
 std::string event_splitter::Feed(std::string_view bytes) {
-  // The end of an event may span the old and the new bytes.
-  std::size_t from = rest_.size() < 3 ? 0 : rest_.size() - 3;
+  if (bytes.empty()) return {};
+  const bool completes_crlf = after_cr_ && bytes.front() == '\n';
+  after_cr_ = bytes.back() == '\r';
+  // The CR has ended an event, which is taken already.
+  std::size_t taken = completes_crlf && rest_.empty() ? 1 : 0;
+  if (completes_crlf) ++line_start_;
   rest_.append(bytes);
-  std::size_t taken = 0;
-  while (true) {
-    const event_end end =
-        FindEnd(std::string_view{rest_}.substr(taken), from - taken);
-    if (end.size == 0) break;
-    ReadEvent(std::string_view{rest_}.substr(taken, end.size));
-    taken += end.size;
-    from = taken;
+  for (std::size_t end = rest_.find_first_of(kLineEnds, line_start_);
+       end != std::string::npos;
+       end = rest_.find_first_of(kLineEnds, line_start_)) {
+    const bool is_empty = end == line_start_;
+    line_start_ = end + (rest_.compare(end, 2, "\r\n") == 0 ? 2 : 1);
+    if (!is_empty) continue;
+    ReadEvent(std::string_view{rest_}.substr(taken, line_start_ - taken));
+    taken = line_start_;
   }
   std::string whole = rest_.substr(0, taken);
   rest_.erase(0, taken);
+  line_start_ -= taken;
   return whole;
 }
 
+void event_splitter::DropRest() {
+  rest_.clear();
+  line_start_ = 0;
+  after_cr_ = false;
+}
+
+bool event_splitter::EndsInsideEvent() const {
+  if (line_start_ < rest_.size()) return true;
+  bool has_field = false;
+  ForEachLine(rest_,
+              [&](std::string_view line) { has_field |= IsField(line); });
+  return has_field;
+}
+
 void event_splitter::ReadEvent(std::string_view event) {
   bool has_field = false;
-  std::size_t start = 0;
-  while (start < event.size()) {
-    const std::size_t end = std::min(event.find('\n', start), event.size());
-    std::string_view line = event.substr(start, end - start);
-    start = end + 1;
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    if (!line.empty() && line.front() != ':') has_field = true;
-    if (line.substr(0, 3) != "id:") continue;
+  ForEachLine(event, [&](std::string_view line) {
+    has_field |= IsField(line);
+    if (line.substr(0, 3) != "id:") return;
     line.remove_prefix(3);
     if (line.substr(0, 1) == " ") line.remove_prefix(1);
     last_id_ = std::string(line);
-  }
+  });
   // Comments are keep-alives and do not count as progress.
   if (has_field) ++count_;
 }
--- a/src/stream/event_splitter.h
+++ b/src/stream/event_splitter.h
@@ -7,16 +7,22 @@
 
 /**
  * Splits a server-sent event stream into whole events, so that a response that
- * breaks off inside an event can be continued from another source.
+ * breaks off inside an event can be continued from another source. Lines end
+ * with LF, CRLF or CR; an empty line ends an event.
  */
 class event_splitter {
  public:
   /** Adds bytes. @returns the events completed by them, concatenated. */
   std::string Feed(std::string_view bytes);
 
-  /** Bytes of the incomplete event at the end. */
+  /** Bytes after the last whole event. */
   const std::string& Rest() const { return rest_; }
-  void DropRest() { rest_.clear(); }
+  void DropRest();
+  /**
+   * Whether the bytes so far end inside an event or a line. Comments and empty
+   * lines after the last event are no part of an event.
+   */
+  bool EndsInsideEvent() const;
   /** Id of the last whole event that has one. */
   const std::string& LastId() const { return last_id_; }
   /** Whole events so far; comment-only events are not counted. */
@@ -26,6 +32,11 @@
   void ReadEvent(std::string_view event);
 
   std::string rest_;
+  /** Start of the last, incomplete line of `rest_`. */
+  std::size_t line_start_ = 0;
+  /** The last byte was a CR; an LF that follows belongs to the same line end.
+   */
+  bool after_cr_ = false;
   std::string last_id_;
   std::size_t count_ = 0;
 };
--- a/src/stream/event_splitter_test.cc
+++ b/src/stream/event_splitter_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 namespace comfreyspring::stream {
 namespace {
@@ -24,13 +26,60 @@
   EXPECT_EQ(splitter.LastId(), "12");
 }
 
+TEST(event_splitter_test, CommentsAndEmptyLinesAreNoPartOfAnEvent) {
+  for (const std::string after :
+       {"", "\n", "\r\n\r\n", ": comment\n", ": comment\r", ":\n\n"}) {
+    event_splitter splitter;
+    EXPECT_EQ(splitter.Feed("id: 1\n\n" + after) + splitter.Rest(),
+              "id: 1\n\n" + after);
+    EXPECT_FALSE(splitter.EndsInsideEvent()) << after;
+    EXPECT_EQ(splitter.Count(), 1U);
+  }
+}
+
+TEST(event_splitter_test, AnUnfinishedLineEndsInsideAnEvent) {
+  for (const std::string after : {"i", ": comm", "\n:", "data: x\n", "x\r\n"}) {
+    event_splitter splitter;
+    splitter.Feed("id: 1\n\n" + after);
+    EXPECT_TRUE(splitter.EndsInsideEvent()) << after;
+    splitter.DropRest();
+    EXPECT_FALSE(splitter.EndsInsideEvent()) << after;
+    EXPECT_EQ(splitter.Feed("id: 2\n\n"), "id: 2\n\n");
+  }
+}
+
+std::string DrawLineEnd() {
+  return *rc::gen::element<std::string>("\n", "\r\n", "\r");
+}
+
+// A response that breaks off anywhere must be distinguishable from a complete
+// one.
+RC_GTEST_PROP(event_splitter_property, KnowsWhetherItEndsInsideAnEvent, ()) {
+  const std::string end = DrawLineEnd();
+  std::string text;
+  std::vector<std::size_t> boundaries = {0};
+  const auto events = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < events; ++i) {
+    text += "id: " + std::to_string(i) + end + "data: x" + end + end;
+    boundaries.push_back(text.size());
+    // The LF of the empty line adds nothing.
+    if (end == "\r\n") boundaries.push_back(text.size() - 1);
+  }
+  event_splitter splitter;
+  for (std::size_t size = 0; size <= text.size(); ++size) {
+    if (size > 0) splitter.Feed(text.substr(size - 1, 1));
+    const bool at_boundary = std::find(boundaries.begin(), boundaries.end(),
+                                       size) != boundaries.end();
+    RC_ASSERT(splitter.EndsInsideEvent() == !at_boundary);
+  }
+}
+
 // The forwarded bytes must not depend on how the network splits the input.
 RC_GTEST_PROP(event_splitter_property, InputBoundariesDoNotAffectOutput, ()) {
   std::string text;
   const auto events = *rc::gen::inRange(1, 12);
   for (int i = 0; i < events; ++i) {
-    const bool crlf = *rc::gen::arbitrary<bool>();
-    const std::string end = crlf ? "\r\n" : "\n";
+    const std::string end = DrawLineEnd();
     text += "id: " + std::to_string(i) + end +
             "data: " + std::string(static_cast<std::size_t>(i % 5), 'x') + end +
             end;
