Do not pass on a stream that ends inside an event as complete

Cause: an answer without length and chunks ends with its connection. An engine that breaks off may close in order, so the HTTP client reports a complete response, and the gateway forwarded the half event as 'the last event that may lack its empty line' and ended the caller's stream in order. Evidence: in the record the run of each such request 'ends: 200 crashed' while the engine goes on, and the gateway counted one and five events of it; the process test gives the same picture.

A stream is complete now only if nothing is left of an event, whatever marked the end of the message; a stream without any event needs a mark, since it looks like one that broke off ahead of the first event. Everything else is a failed attempt: resumed where the route allows, the connection is aborted where events were sent already, 502 before.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -174,6 +174,8 @@
     // Response to the caller.
     bool response_started = false;
     std::size_t events_sent = 0;
+    /** Events of earlier attempts. */
+    std::size_t events_before_attempt = 0;
     /** An error response of an endpoint, returned if all retries fail. */
     std::optional<net::http_response> fallback;
     std::optional<core::milliseconds> retry_after;
@@ -767,6 +769,7 @@
     request->status = 0;
     DiscardBody(*request);
     request->forwards_events = false;
+    request->events_before_attempt = request->events.Count();
     ++request->attempts;
     request->used.insert(request->endpoint);
     const auto left = core::ToMilliseconds(request->deadline - now);
@@ -1056,9 +1059,9 @@
     const auto now = loop.Now();
     request->call = 0;
     request->body_end = result.end;
-    const bool complete = result.failure == net::http_failure::none;
+    const auto defect = DefectOf(*request, result);
     const bool good =
-        complete && request->response.authentic && IsSuccess(request->status);
+        !defect && request->response.authentic && IsSuccess(request->status);
     endpoint_view* view = ViewOf(*request);
     if (good) {
       if (view != nullptr) {
@@ -1072,7 +1075,23 @@
       Succeed(request);
       return;
     }
-    OnAttemptFailed(request, Classify(*request, result), result.error_message);
+    OnAttemptFailed(request, Classify(*request, result), defect.value_or(""));
+  }
+
+  /** @returns why the response is incomplete; nothing if it is complete. */
+  static std::optional<std::string> DefectOf(const active_request& request,
+                                             const net::http_result& result) {
+    if (result.failure != net::http_failure::none) return result.error_message;
+    if (!request.forwards_events) return std::nullopt;
+    // Whatever ended the message, the stream was broken off.
+    if (request.events.EndsInsideEvent()) {
+      return "the stream ended inside an event";
+    }
+    if (result.end == net::body_end::connection &&
+        request.events.Count() == request.events_before_attempt) {
+      return "the connection ended before the first event of the stream";
+    }
+    return std::nullopt;
   }
 
   attempt_failure Classify(const active_request& request,
@@ -1168,7 +1187,7 @@
 
   void Succeed(const request_pointer& request) {
     if (request->forwards_events) {
-      // The last event of a complete response may lack its empty line.
+      // Comments may follow the last event.
       if (!request->response_started && request->events.Rest().empty()) {
         request->exchange->Respond(WithCloseIfDraining(
             {request->status, protocol.ResponseHeaders(request->headers), ""}));
