Judge an attempt only by its own response

The metadata of a response is cleared with each attempt. The test AnAttemptWithoutAResponseIsNotReportedAsNotRun failed before (third send, no answer) and passes; gateway_test: 76 pass.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -767,6 +767,8 @@
     request->last_progress = now;
     request->run_started_sent = false;
     request->status = 0;
+    request->headers.clear();
+    request->response = {};
     DiscardBody(*request);
     request->forwards_events = false;
     request->events_before_attempt = request->events.Count();
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -361,6 +361,16 @@
   EXPECT_EQ(caller->response.status, 502);
 }
 
+// What the first endpoint stated is no statement of the second one.
+TEST_F(request_forwarder_test, AnAttemptWithoutAResponseIsNotReportedAsNotRun) {
+  const auto caller = Send("/once/a");
+  http_.Respond(503, {{"not-run", "1"}});
+  ASSERT_EQ(http_.calls.size(), 2U);
+  http_.Done();
+  EXPECT_EQ(http_.calls.size(), 2U);
+  EXPECT_EQ(caller->response.status, 502);
+}
+
 TEST_F(request_forwarder_test, RetriesAnIdempotentCallElsewhere) {
   const auto caller = Send("/again/a");
   http_.Respond(500, Own(), "failed");
