Report a response cut within its headers as broken

libcurl accepts headers that end with their connection: the call ended without an error, with the status of the first line, no body, and without reporting its headers. A response that broke off there looked complete to everything that uses the client: the order of an adapter counted as accepted, and a request's attempt had no response at all.

The client now requires the empty line. Test: AResponseCutWithinItsHeadersIsBroken cuts a head at each byte, and failed for all cuts after the status line; AFramedResponseCutAtAnyByteIsBroken (length, chunks with trailers) passed before and stays as a guard. net_test: 87 pass.

--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -115,6 +115,33 @@
   EXPECT_EQ(end_of("200 OK\r\nConnection: close", ""), body_end::connection);
 }
 
+// A response that marks its own end is incomplete until the mark has arrived,
+// wherever the connection ends.
+TEST_F(response_end_test, AFramedResponseCutAtAnyByteIsBroken) {
+  for (const std::string whole :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nhel\r\n2\r\nlo\r\n0\r\nX-Sum: 1\r\n\r\n"}) {
+    ASSERT_EQ(Receive(whole).failure, http_failure::none) << whole;
+    const std::size_t head = whole.find("\r\n\r\n") + 4;
+    // The carriage return of the last empty line already ends the trailers.
+    const std::size_t end = whole.size() - (whole.back() == '\n' ? 1 : 0);
+    for (std::size_t cut = head; cut < end; ++cut) {
+      EXPECT_EQ(Receive(whole.substr(0, cut)).failure, http_failure::broken)
+          << whole.substr(0, cut);
+    }
+  }
+}
+
+// Headers that were cut off may have held the length.
+TEST_F(response_end_test, AResponseCutWithinItsHeadersIsBroken) {
+  const std::string head = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n";
+  for (std::size_t cut = 0; cut < head.size(); ++cut) {
+    EXPECT_EQ(Receive(head.substr(0, cut)).failure, http_failure::broken)
+        << head.substr(0, cut);
+  }
+}
+
 TEST_F(http_client_test, ReportsGarbageAsBroken) {
   Start({.url = Url()});
   const auto peer = listener_.Accept();
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -301,7 +301,10 @@
   if (cancelled_) return;
   cancelled_ = true;
   result_.end = BodyEnd();
-  if (code != CURLE_OK) {
+  // The library accepts headers that end with their connection.
+  const bool headers_cut = code == CURLE_OK && !headers_reported_;
+  if (headers_cut) abort_reason_ = "the response headers are incomplete";
+  if (code != CURLE_OK || headers_cut) {
     result_.failure =
         times_sent_ == 0 ? http_failure::not_sent : http_failure::broken;
     result_.error_message = !abort_reason_.empty() ? abort_reason_
