Reject a response with two different lengths

With Content-Length 4 and 2 the client took the last one, so a response of four bytes was complete after two, and the rest stood where the next response on the connection is due. RFC 9112 makes such a message invalid. Test: ContradictoryLengthsBreakTheResponse, failed before.

--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -142,6 +142,13 @@
   }
 }
 
+TEST_F(response_end_test, ContradictoryLengthsBreakTheResponse) {
+  EXPECT_EQ(Receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                    "Content-Length: 2\r\n\r\nbody")
+                .failure,
+            http_failure::broken);
+}
+
 TEST_F(http_client_test, ReportsGarbageAsBroken) {
   Start({.url = Url()});
   const auto peer = listener_.Accept();
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -230,6 +230,9 @@
       start == std::string::npos ? std::string() : line.substr(start);
   const auto [position, inserted] = result_.headers.try_emplace(name, value);
   if (inserted || position->second == value) return;
+  if (name == "content-length") {
+    throw net_error("the response has two different lengths");
+  }
   // Different values form a list, so that none of them is lost.
   position->second += ", " + value;
   if (position->second.size() > kMaximumListedBytes) {
