Reset the connection of an HTTP/1.0 client whose stream is aborted

A client of HTTP/1.0 gets a stream without chunks; the end of the connection is its end. An aborted stream was closed in order and so looked complete. The connection is reset now.

--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 
 #include "core/text.h"
+#include "net/tcp_socket.h"
 
 namespace comfreyspring::net {
 namespace {
@@ -58,7 +59,9 @@
 // The request.
 
 void http_exchange_state::ReadHead(std::string target, const char* url,
-                                   const char* method) {
+                                   const char* method,
+                                   std::string_view version) {
+  lacks_chunks_ = version == MHD_HTTP_VERSION_1_0;
   request_.method = method;
   request_.target = std::move(target);
   request_.path = url;
@@ -150,7 +153,10 @@
                                         std::size_t capacity) noexcept {
   http_exchange_state& state =
       **static_cast<std::shared_ptr<http_exchange_state>*>(self);
-  if (state.aborted_ || state.gone_) return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (state.aborted_ || state.gone_) {
+    state.MarkIncomplete();
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  }
   const std::size_t bytes = std::min(capacity, state.PendingBytes());
   if (bytes > 0) {
     std::memcpy(target, state.stream_data_.data() + state.stream_sent_, bytes);
@@ -220,25 +226,29 @@
   daemon_->RequestRun();
 }
 
-void http_exchange_state::WatchForDisconnect() {
-  if (disconnect_watcher_ || watch_ended_) return;
+int http_exchange_state::Descriptor() const {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info->connect_fd;
+}
+
+void http_exchange_state::MarkIncomplete() const {
+  if (lacks_chunks_ && connection_ != nullptr) ResetConnection(Descriptor());
+}
+
+void http_exchange_state::WatchForDisconnect() {
+  if (disconnect_watcher_ || watch_ended_) return;
   const auto on_readable = [self = weak_from_this()] {
     if (const auto state = self.lock()) state->CheckForDisconnect();
   };
-  disconnect_watcher_.emplace(daemon_->Loop(), info->connect_fd,
-                              io_interest::read,
+  disconnect_watcher_.emplace(daemon_->Loop(), Descriptor(), io_interest::read,
                               io_watcher::callbacks{on_readable, nullptr});
 }
 
 void http_exchange_state::CheckForDisconnect() {
   if (connection_ == nullptr) return;
-  const MHD_ConnectionInfo* info =
-      MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
   char byte = 0;
-  const ssize_t size =
-      recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t size = recv(Descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (size < 0 && (errno == EAGAIN || errno == EINTR)) return;
   // Readable data is a pipelined request, which the daemon reads after this
   // response. The socket stays readable until then, so the watcher would spin.
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -35,8 +35,9 @@
 
   // Called by the server.
 
-  /** Reads the method, path, query and headers. */
-  void ReadHead(std::string target, const char* url, const char* method);
+  /** Reads the method, path, query, version and headers. */
+  void ReadHead(std::string target, const char* url, const char* method,
+                std::string_view version);
   /** Returns true if the body is too large and gets a 413 without being read.
    */
   bool MustRefuseUnread(std::size_t maximum_bytes) const;
@@ -75,6 +76,9 @@
   static ssize_t ReadStream(void* self, std::uint64_t position, char* target,
                             std::size_t capacity) noexcept;
 
+  /** Resets the connection if nothing else marks a stream as incomplete. */
+  void MarkIncomplete() const;
+  int Descriptor() const;
   bool QueueWhole();
   bool QueueStream();
   void Suspend();
@@ -85,6 +89,8 @@
   http_daemon* daemon_;
   MHD_Connection* connection_;
   http_request request_;
+  /** Streams to the client end with the connection, without a last chunk. */
+  bool lacks_chunks_ = false;
   std::size_t body_bytes_ = 0;
   bool body_refused_ = false;
   bool dispatched_ = false;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -159,12 +159,12 @@
   /** Called by the daemon after the headers, for body data, and at the end. */
   static MHD_Result OnAccess(void* self, MHD_Connection* connection,
                              const char* url, const char* method,
-                             const char* /*version*/, const char* data,
+                             const char* version, const char* data,
                              std::size_t* size, void** context) noexcept {
     auto* server = static_cast<impl*>(self);
     if (server->closing) return MHD_NO;
     if (*context == nullptr) {
-      return server->BeginRequest(connection, url, method, context);
+      return server->BeginRequest(connection, url, method, version, context);
     }
     auto& exchange = *static_cast<http_exchange_state*>(*context);
     if (*size > 0) {
@@ -178,11 +178,12 @@
   }
 
   MHD_Result BeginRequest(MHD_Connection* connection, const char* url,
-                          const char* method, void** context) {
+                          const char* method, const char* version,
+                          void** context) {
     auto exchange = std::make_shared<http_exchange_state>(*this, connection);
     const auto target = targets.extract(connection);
     exchange->ReadHead(target.empty() ? std::string(url) : target.mapped(), url,
-                       method);
+                       method, version);
     *context = exchange.get();
     new_connections.erase(connection);
     SchedulePartialRequestCheck();
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -167,6 +167,45 @@
   EXPECT_EQ(result.body, "half");
 }
 
+/** What a raw client receives of a stream that is aborted after "half". */
+class aborted_stream_test : public http_server_test {
+ protected:
+  std::string Receive(const std::string& request,
+                      const header_map& response_headers) {
+    StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+      exchange->BeginStream(200, response_headers);
+      exchange->Write("half");
+      loop_.Schedule(milliseconds(10), [exchange] { exchange->Abort(); });
+    });
+    test_peer peer(loop_, server_->Port());
+    peer.Send(request);
+    EXPECT_TRUE(loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, kLimit));
+    was_reset_ = peer.WasReset();
+    return peer.Received();
+  }
+
+  bool was_reset_ = false;
+};
+
+// A response of unknown length must stay recognisable as incomplete while the
+// server drains, when it announces the end of the connection.
+TEST_F(aborted_stream_test, HasNoLastChunkOnAClosingConnection) {
+  const std::string received = Receive("GET / HTTP/1.1\r\nHost: test\r\n\r\n",
+                                       {{"connection", "close"}});
+  EXPECT_NE(received.find("chunked"), std::string::npos) << received;
+  EXPECT_NE(received.find("4\r\nhalf"), std::string::npos) << received;
+  EXPECT_EQ(received.find("\r\n0\r\n"), std::string::npos) << received;
+}
+
+// Without chunks only a reset tells the client that the end of the connection
+// is not the end of the response.
+TEST_F(aborted_stream_test, IsResetForAClientWithoutChunks) {
+  const std::string received =
+      Receive("GET / HTTP/1.0\r\nHost: test\r\n\r\n", {});
+  EXPECT_EQ(received.find("chunked"), std::string::npos) << received;
+  EXPECT_TRUE(was_reset_) << received;
+}
+
 // Guards against an unnoticed disconnect: the HTTP library does not poll a
 // suspended connection.
 TEST_F(http_server_test, ReportsAClientThatLeavesMidStream) {
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -33,6 +33,12 @@
 
 }  // namespace
 
+void ResetConnection(int descriptor) {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  ::connect(descriptor, &none, sizeof(none));
+}
+
 tcp_socket::tcp_socket(int descriptor) : descriptor_(descriptor) {
   if (IsValid()) SetFlag(descriptor_, IPPROTO_TCP, TCP_NODELAY);
 }
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -16,6 +16,12 @@
   std::string reason;
 };
 
+/**
+ * Ends a connection with a reset, so that its peer does not take the end for
+ * an orderly one. Bytes that are not acknowledged yet are discarded.
+ */
+void ResetConnection(int descriptor);
+
 /** Owns a non-blocking TCP socket with TCP_NODELAY. */
 class tcp_socket {
  public:
--- a/src/net/test_peer.h
+++ b/src/net/test_peer.h
@@ -34,6 +34,8 @@
   }
   const std::string& Received() const { return received_; }
   bool IsClosedByPeer() const { return closed_; }
+  /** The connection ended with a reset, not in order. */
+  bool WasReset() const { return reset_; }
 
  private:
   void Read() {
@@ -42,6 +44,7 @@
     received_.append(buffer.data(), result.bytes);
     if (result.outcome != transfer_result::kind::ended) return;
     closed_ = true;
+    reset_ = result.reason.find("reset by peer") != std::string::npos;
     watcher_.reset();
   }
 
@@ -49,6 +52,7 @@
   std::optional<io_watcher> watcher_;
   std::string received_;
   bool closed_ = false;
+  bool reset_ = false;
 };
 
 /** Raw TCP listener for tests. */
