Deliver the events that arrived before a stream broke off

When whole events and the end of a broken stream were read in one turn, the gateway aborted the caller's connection before the events were written to it: answers that were ready got lost. http_exchange::EndIncomplete sends what was written and then aborts; a caller that does not read is still disconnected at once. Test: AnIncompleteStreamDeliversWhatWasWritten (with Abort, as before, nothing of its 300,000 bytes is delivered).

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1051,7 +1051,10 @@
     request->events_sent = request->events.Count();
     request->last_output = now;
     if (request->exchange->PendingBytes() > kMaximumPendingBytes) {
-      AbortStream(request, "caller_does_not_read");
+      CancelAttempt(*request);
+      request->exchange->Abort();
+      Finish(request, line_class::failure, "broken_off",
+             "caller_does_not_read");
       return;
     }
     request->exchange->Write(std::move(complete_events));
@@ -1255,12 +1258,12 @@
   }
 
   /**
-   * Aborts the connection, so that the caller sees that the stream is
-   * incomplete.
+   * Delivers the events so far and aborts the connection, so that the caller
+   * sees that the stream is incomplete.
    */
   void AbortStream(const request_pointer& request, const std::string& cause) {
     CancelAttempt(*request);
-    request->exchange->Abort();
+    request->exchange->EndIncomplete();
     Finish(request, line_class::failure, "broken_off", cause);
   }
 
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -98,6 +98,7 @@
   }
   void Write(std::string data) override { written += data; }
   void EndStream() override { ended = true; }
+  void EndIncomplete() override { aborted = true; }
   void Abort() override { aborted = true; }
   void OnClientGone(std::function<void()> callback) override {
     gone = std::move(callback);
--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -169,6 +169,10 @@
     }
     return static_cast<ssize_t>(bytes);
   }
+  if (state.incomplete_) {
+    state.MarkIncomplete();
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  }
   if (state.stream_ended_) return MHD_CONTENT_READER_END_OF_STREAM;
   state.Suspend();
   return 0;
@@ -204,6 +208,15 @@
   Resume();
 }
 
+void http_exchange_state::EndIncomplete() {
+  if (!streaming_) {
+    Abort();
+    return;
+  }
+  incomplete_ = true;
+  EndStream();
+}
+
 void http_exchange_state::Abort() {
   aborted_ = true;
   on_gone_ = nullptr;
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -64,6 +64,7 @@
   void BeginStream(int status, header_map headers);
   void Write(std::string data);
   void EndStream();
+  void EndIncomplete();
   void Abort();
   void OnClientGone(std::function<void()> callback);
   std::size_t PendingBytes() const {
@@ -103,6 +104,8 @@
   std::string stream_data_;
   std::size_t stream_sent_ = 0;
   bool stream_ended_ = false;
+  /** The end of the stream is no complete response. */
+  bool incomplete_ = false;
   bool aborted_ = false;
   bool queued_ = false;
 
@@ -136,6 +139,7 @@
   }
   void Write(std::string data) override { state_->Write(std::move(data)); }
   void EndStream() override { state_->EndStream(); }
+  void EndIncomplete() override { state_->EndIncomplete(); }
   void Abort() override { state_->Abort(); }
   void OnClientGone(std::function<void()> callback) override {
     state_->OnClientGone(std::move(callback));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -49,6 +49,8 @@
   virtual void Write(std::string data) = 0;
   /** Ends a streamed response. */
   virtual void EndStream() = 0;
+  /** Sends what was written to a stream, then aborts. */
+  virtual void EndIncomplete() = 0;
   /** Closes the connection so that the client sees a truncated response. */
   virtual void Abort() = 0;
   /** Called once if the client disconnects before the response is complete. */
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -167,6 +167,19 @@
   EXPECT_EQ(result.body, "half");
 }
 
+// Output that was ready is delivered, whatever comes after it.
+TEST_F(http_server_test, AnIncompleteStreamDeliversWhatWasWritten) {
+  std::string data(300'000, 'x');
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->BeginStream(200, {});
+    exchange->Write(data);
+    exchange->EndIncomplete();
+  });
+  const http_result result = Get("/");
+  EXPECT_EQ(result.failure, http_failure::broken);
+  EXPECT_EQ(result.body.size(), data.size());
+}
+
 /** What a raw client receives of a stream that is aborted after "half". */
 class aborted_stream_test : public http_server_test {
  protected:
--- a/tests/process/raw_http_server.cc
+++ b/tests/process/raw_http_server.cc
@@ -76,6 +76,7 @@
   void BeginStream(int status, net::header_map headers) override;
   void Write(std::string data) override;
   void EndStream() override;
+  void EndIncomplete() override { CloseInOrder(); }
   void Abort() override;
   void OnClientGone(std::function<void()> callback) override {
     on_gone_ = std::move(callback);
