Do not end a failed stream of our own API as a complete message

The entry wrote an error event and then ended the message with its last chunk. The message now lacks its end.

--- a/src/entry/fake_exchange.h
+++ b/src/entry/fake_exchange.h
@@ -25,7 +25,10 @@
   }
   void Write(std::string data) override { recorded_response.body += data; }
   void EndStream() override { ++response_count; }
-  void EndIncomplete() override { aborted = true; }
+  void EndIncomplete() override {
+    ++response_count;
+    aborted = true;
+  }
   void Abort() override { aborted = true; }
   void OnClientGone(std::function<void()> callback) override {
     client_gone = std::move(callback);
--- a/src/entry/request_controller_test.cc
+++ b/src/entry/request_controller_test.cc
@@ -216,6 +216,7 @@
   EXPECT_EQ(Text(), "a b ");
   EXPECT_TRUE(Error());
   EXPECT_FALSE(Done());
+  EXPECT_TRUE(exchange_->aborted);
   EXPECT_EQ(exchange_->response_count, 1);
 }
 
--- a/src/entry/response_writer.cc
+++ b/src/entry/response_writer.cc
@@ -69,9 +69,10 @@
     exchange_->Respond(failure.ToResponse(request_));
     return;
   }
-  // No [DONE] follows, so that a client does not take the stream as complete.
+  // Neither [DONE] nor the end of the message follows, so that a client does
+  // not take the stream as complete.
   exchange_->Write("event: error\n" + Event(failure.Body(request_)));
-  exchange_->EndStream();
+  exchange_->EndIncomplete();
 }
 
 net::header_map response_writer::ResponseHeaders(
--- a/tests/process/answer_checks.cc
+++ b/tests/process/answer_checks.cc
@@ -19,7 +19,7 @@
                                const std::string& text) {
   if (answer.status != 200) return !OutcomeOf(answer).empty();
   const stream_text parsed = ParseStream(answer.body);
-  return parsed.done ? parsed.text == text : parsed.error;
+  return parsed.done ? parsed.text == text : parsed.error && !answer.complete;
 }
 
 }  // namespace comfreyspring::process_test
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -105,6 +105,7 @@
   const stream_text parsed = ParseStream(answer.body);
   EXPECT_FALSE(parsed.done);
   EXPECT_TRUE(parsed.error) << answer.body;
+  EXPECT_FALSE(answer.complete);
 }
 
 // Guards against a stream that is lost when its connection stops delivering
