Let the soak play streams that end inside an event or without framing

The relay passes a reset on as a reset, since without framing only that tells a broken answer from a complete one.

--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -209,7 +209,7 @@
   net::header_map answer = ResponseHeaders(id);
   answer["content-type"] = "text/event-stream";
   answer["server-stamp"] = "stamp";
-  if (unframed_streams) exchange->SetFraming(stream_framing::connection);
+  if (unframed) exchange->SetFraming(stream_framing::connection);
   exchange->BeginStream(200, std::move(answer));
   SendEvent(current, first);
 }
@@ -222,13 +222,23 @@
     } else {
       net::header_map answer = ResponseHeaders(current->id);
       answer["server-stamp"] = "stamp";
-      current->exchange->Respond(
-          {200, std::move(answer), PlainText(current->id)});
+      AnswerPlain(*current, std::move(answer));
     }
     End(current, !current->breaks);
   });
 }
 
+void engine_stand_in::AnswerPlain(run& current, net::header_map headers) const {
+  if (!unframed) {
+    current.exchange->Respond({200, std::move(headers), PlainText(current.id)});
+    return;
+  }
+  current.exchange->SetFraming(stream_framing::connection);
+  current.exchange->BeginStream(200, std::move(headers));
+  current.exchange->Write(PlainText(current.id));
+  current.exchange->EndStream();
+}
+
 void engine_stand_in::SendEvent(const std::shared_ptr<run>& current,
                                 int event) {
   if (current->ended) return;
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -89,9 +89,8 @@
   double break_probability = 0;
   /** Probability that a request is refused as not run. */
   double refuse_probability = 0;
-  /** Streams have neither a length nor chunks; they end with their connection.
-   */
-  bool unframed_streams = false;
+  /** Answers have neither a length nor chunks; they end with the connection. */
+  bool unframed = false;
   /**
    * A stream that breaks off ends in order within this many bytes of its next
    * event, 0 for between two events. Unset, it ends with the connection but
@@ -123,6 +122,7 @@
   void Load(const std::string& adapter);
   void Run(const exchange_pointer& exchange);
   void RunPlain(const std::shared_ptr<run>& current);
+  void AnswerPlain(run& current, net::header_map headers) const;
   void SendEvent(const std::shared_ptr<run>& current, int event);
   /** Ends a stream within its next event. */
   void BreakOff(run& current, int event) const;
--- a/tests/process/raw_http_server.cc
+++ b/tests/process/raw_http_server.cc
@@ -87,6 +87,9 @@
   void CloseInOrder() override;
   void FinishRaw() override;
 
+  bool EndsWithConnection() const {
+    return framing_ == stream_framing::connection;
+  }
   void ReportGone() {
     if (const auto callback = std::exchange(on_gone_, nullptr)) callback();
   }
@@ -127,6 +130,15 @@
     HandleNext();
   }
 
+  /** Aborts the current response. */
+  void Abort() {
+    if (!watcher_) return;
+    if (current_ && current_->EndsWithConnection()) {
+      net::ResetConnection(socket_.Descriptor());
+    }
+    Close();
+  }
+
   void Close() {
     if (!watcher_) return;
     const auto kept = shared_from_this();
@@ -224,7 +236,7 @@
 }
 
 void exchange::Abort() {
-  if (const auto owner = owner_.lock()) owner->Close();
+  if (const auto owner = owner_.lock()) owner->Abort();
 }
 
 void exchange::SendRaw(std::string bytes) {
@@ -253,7 +265,7 @@
 
   ~impl() {
     watcher.reset();
-    for (const auto& open : std::set(connections)) open->Close();
+    for (const auto& open : std::set(connections)) open->Abort();
   }
 
   impl(const impl&) = delete;
--- a/tests/process/raw_http_server.h
+++ b/tests/process/raw_http_server.h
@@ -16,7 +16,10 @@
 /** Exchange that can also violate the protocol. */
 class raw_exchange : public net::http_exchange {
  public:
-  /** Must be called ahead of `BeginStream`. */
+  /**
+   * Must be called ahead of `BeginStream`. Without chunks, an aborted stream is
+   * reset.
+   */
   virtual void SetFraming(stream_framing framing) = 0;
   /** Sends bytes as they are, whatever the state of the response. */
   virtual void SendRaw(std::string bytes) = 0;
@@ -29,7 +32,7 @@
 /**
  * HTTP/1.1 server for stand-ins, written on sockets so that its responses may
  * lack any framing. Reads requests with a length, one at a time on a
- * connection, and closes connections in order when it is destroyed.
+ * connection. Its destruction aborts all responses.
  */
 class raw_http_server {
  public:
--- a/tests/process/tcp_relay.cc
+++ b/tests/process/tcp_relay.cc
@@ -160,6 +160,7 @@
   const ssize_t count = ::recv(direction.from, buffer.data(), buffer.size(), 0);
   if (count <= 0) {
     direction.ended = true;
+    direction.was_reset = count < 0;
     return;
   }
   direction.held.push_back({std::chrono::steady_clock::now() + delay_,
@@ -189,7 +190,9 @@
         direction == &open.to_server ? client_ready : server_ready;
     if (direction->silent) continue;
     if (ready && !direction->ended) Receive(*direction);
-    if (!Deliver(*direction) || (direction->ended && direction->held.empty()))
+    // The other side sees the kind of end that this one saw.
+    open.reset = direction->was_reset || !Deliver(*direction);
+    if (open.reset || (direction->ended && direction->held.empty()))
       return false;
   }
   return true;
--- a/tests/process/tcp_relay.h
+++ b/tests/process/tcp_relay.h
@@ -70,6 +70,7 @@
     int to = -1;
     bool silent = false;
     bool ended = false;
+    bool was_reset = false;
     std::deque<held_bytes> held;
   };
   struct connection {
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -230,7 +230,7 @@
 
 TEST_F(users_platform_test, AnUnframedStreamIsPassedOnWhole) {
   WaitUntilReady();
-  engine_.unframed_streams = true;
+  engine_.unframed = true;
   const auto answer = SendStream("r1", "a1");
   EXPECT_EQ(answer.failure, net::http_failure::none);
   EXPECT_EQ(answer.end, net::body_end::framed);
@@ -242,7 +242,7 @@
 TEST_F(users_platform_test, AStreamThatEndsInsideAnEventIsNotComplete) {
   WaitUntilReady();
   for (const bool unframed : {true, false}) {
-    engine_.unframed_streams = unframed;
+    engine_.unframed = unframed;
     engine_.break_inside_event = 9;
     engine_.break_after = 3;
     const auto answer = SendStream("r1", "a1", "/o/x");
@@ -253,7 +253,7 @@
 
 TEST_F(users_platform_test, AStreamThatEndsInsideAnEventIsResumed) {
   WaitUntilReady();
-  engine_.unframed_streams = true;
+  engine_.unframed = true;
   engine_.break_inside_event = 9;
   engine_.break_after = 3;
   const auto answer = SendStream("r1", "a1");
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -34,18 +34,20 @@
 constexpr int kLeavingAfterOutage = 3;
 /** Time after which an endpoint's limit must be kept (StableMs). */
 constexpr milliseconds kLimitAdaptTime{3000};
+/** A stand-in's events are at least this long. */
+constexpr std::size_t kShortestEventBytes = 18;
 /** Minimum time between two outages. */
 constexpr milliseconds kMinTimeBetweenOutages{9000};
 
 bool IsDrawn(fault_family drawn_from, fault_family family) {
   if (drawn_from == fault_family::all) {
-    return family != fault_family::leaving && family != fault_family::limits;
+    return family < fault_family::leaving;
   }
-  if (drawn_from == fault_family::limits &&
-      (family == fault_family::processes || family == fault_family::links)) {
-    return true;
+  if (family == fault_family::processes || family == fault_family::links) {
+    return drawn_from >= fault_family::limits || family == drawn_from;
   }
-  return family == drawn_from;
+  return family == drawn_from || (family == fault_family::endpoints &&
+                                  drawn_from == fault_family::streams);
 }
 
 }  // namespace
@@ -90,6 +92,10 @@
       {"limit_unreadable", fault_family::limits, &f::NameUnreadableLimit},
       {"limit_kill", fault_family::limits, &f::KillLimitedSidecar},
       {"limit_replace", fault_family::limits, &f::ReplaceEndpoint},
+      {"unframed", fault_family::streams, &f::UnframeAnswers},
+      {"unframed_again", fault_family::streams, &f::UnframeAnswers},
+      {"inside_event", fault_family::streams, &f::BreakInsideEvents},
+      {"inside_event_again", fault_family::streams, &f::BreakInsideEvents},
   };
   return kFaults;
 }
@@ -475,6 +481,24 @@
   HealAfter(length, [&engine] { engine.refuse_probability = 0; });
 }
 
+// Streams.
+
+void fault_schedule::UnframeAnswers(milliseconds length) {
+  auto& engine = *fleet_.Endpoints()[PickEndpoint()].engine;
+  engine.unframed = true;
+  HealAfter(length, [&engine] { engine.unframed = false; });
+}
+
+void fault_schedule::BreakInsideEvents(milliseconds length) {
+  auto& engine = *fleet_.Endpoints()[PickEndpoint()].engine;
+  engine.break_inside_event = 1 + Pick(kShortestEventBytes - 1);
+  engine.break_probability = kFailureProbability;
+  HealAfter(length, [&engine] {
+    engine.break_inside_event.reset();
+    engine.break_probability = 0;
+  });
+}
+
 // Limits.
 
 double fault_schedule::DrawRate() {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -13,9 +13,10 @@
 namespace comfreyspring::soak {
 
 /**
- * Which faults a schedule draws from. `all` leaves out `leaving` and `limits`,
- * so that the schedules of older seeds stay as they were. `limits` also draws
- * faults of processes and links.
+ * Which faults a schedule draws from. `all` leaves out `leaving` and the
+ * families after it, so that the schedules of older seeds stay as they were.
+ * `limits` also draws faults of processes and links, `streams` those of
+ * endpoints besides.
  */
 enum class fault_family {
   all,
@@ -26,6 +27,7 @@
   clocks,
   leaving,
   limits,
+  streams,
 };
 
 /**
@@ -120,6 +122,12 @@
   void Limit(std::size_t endpoint, core::milliseconds length);
   double DrawRate();
 
+  // Streams.
+  /** An endpoint's answers end with their connection. */
+  void UnframeAnswers(core::milliseconds length);
+  /** Streams end in order inside an event. */
+  void BreakInsideEvents(core::milliseconds length);
+
   // Clocks.
   void StepClock(core::milliseconds length);
 
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -25,7 +25,8 @@
 DEFINE_double(rate, 40, "requests per second");
 DEFINE_string(
     faults, "all",
-    "all, processes, links, store, endpoints, clocks, leaving or limits");
+    "all, processes, links, store, endpoints, clocks, leaving, limits or "
+    "streams");
 DEFINE_string(directory, "",
               "directory for logs; they are kept if the run fails");
 
@@ -52,7 +53,8 @@
     {"endpoints", fault_family::endpoints},
     {"clocks", fault_family::clocks},
     {"leaving", fault_family::leaving},
-    {"limits", fault_family::limits}};
+    {"limits", fault_family::limits},
+    {"streams", fault_family::streams}};
 
 void Wait(net::event_loop& loop, milliseconds length) {
   loop.RunUntil([] { return false; }, length);
