--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -50,6 +50,8 @@
 using adapter_id = strong_id<struct adapter_tag>;
 /** A version of an adapter. */
 using version_id = strong_id<struct version_tag>;
+/** A part of a prompt, which other prompts may share. */
+using prompt_part_id = strong_id<struct prompt_part_tag>;
 /** One request from a caller; unique across all entries. */
 using request_id = strong_id<struct request_tag>;
 /** One attempt to run a request on an endpoint; retries have their own ids. */
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1159,6 +1159,7 @@
         .Add("after_ms", core::ToMilliseconds(now - request->sent_at).count())
         .Add("events_passed", request->events_sent)
         .Add("unfinished_event_bytes", request->events.Rest().size())
+        .Add("prompt_parts", PartsText(*request))
         .Add("repeats", decision != retry_decision::give_up);
     if (decision == retry_decision::give_up) {
       GiveUp(request, ToString(failure));
@@ -1173,6 +1174,14 @@
     Dispatch(request);
   }
 
+  static std::string PartsText(const active_request& request) {
+    std::string text;
+    for (const auto& part : request.metadata.shared_parts) {
+      text += (text.empty() ? "" : " ") + part.Value();
+    }
+    return text;
+  }
+
   void RestrictToUsed(active_request& request) {
     request.restricted = true;
     request.excluded.clear();
--- a/src/gateway/traffic_protocol.h
+++ b/src/gateway/traffic_protocol.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "catalog/endpoint_record.h"
 #include "catalog/route.h"
@@ -28,6 +29,8 @@
   std::int64_t maximum_output_tokens = 0;
   /** The caller's estimate; the maximum if it gives none. */
   std::int64_t expected_output_tokens = 0;
+  /** Parts of the prompt that other requests may share, from its beginning. */
+  std::vector<core::prompt_part_id> shared_parts;
   /**
    * Id of the last event that the caller has received; empty for a new stream.
    */
