--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -211,9 +211,27 @@
   answer["server-stamp"] = "stamp";
   if (unframed) exchange->SetFraming(stream_framing::connection);
   exchange->BeginStream(200, std::move(answer));
+  if (IsDeadly(exchange->Request())) {
+    loop_.Schedule(options_.event_period, [this, id = id, current] {
+      if (current->ended) return;
+      Crash();
+      if (on_crash) on_crash(id);
+    });
+    return;
+  }
   SendEvent(current, first);
 }
 
+bool engine_stand_in::IsDeadly(const net::http_request& request) const {
+  const auto prompt = request.headers.find("prompt-prefix");
+  if (prompt == request.headers.end()) return false;
+  return std::any_of(deadly_parts.begin(), deadly_parts.end(),
+                     [&](const std::string& part) {
+                       return (',' + prompt->second).find(',' + part + ':') !=
+                              std::string::npos;
+                     });
+}
+
 void engine_stand_in::RunPlain(const std::shared_ptr<run>& current) {
   loop_.Schedule(options_.plain_time * slowdown_factor, [this, current] {
     if (current->ended) return;
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -97,6 +97,13 @@
    * without its last chunk.
    */
   std::optional<std::size_t> break_inside_event;
+  /**
+   * Parts of prompts on which the engine ends: a request with one gets the
+   * headers of its answer, and no event.
+   */
+  std::set<std::string> deadly_parts;
+  /** Called when a request has ended the engine; it is down already. */
+  std::function<void(const std::string& id)> on_crash;
   /** Reports and stream answers carry the header `server-leaving`. */
   bool leaving = false;
   /** Responses name this request rate limit (header `server-limit`). */
@@ -126,6 +133,7 @@
   void SendEvent(const std::shared_ptr<run>& current, int event);
   /** Ends a stream within its next event. */
   void BreakOff(run& current, int event) const;
+  bool IsDeadly(const net::http_request& request) const;
   void End(const std::shared_ptr<run>& current, bool complete);
   bool DrawWithProbability(double chance);
 
