Add the module quarantine: what crashes of engines say about prompts

Decides, from records of crashes that processes exchange, which parts of prompts are suspected of ending engines and which are quarantined. Records are merged by union, so whoever holds the same ones decides the same, in whatever order they came (property test). A crash alone proves nothing; a part is quarantined after three crashes that follow each other causally, so engines that end together count as one, and an answer that goes on clears the part of all crashes known by then.

--- /dev/null
+++ b/src/quarantine/crash_evidence.cc
@@ -0,0 +1,219 @@
+#include "quarantine/crash_evidence.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace comfreyspring::quarantine {
+
+std::string_view ToString(part_state state) {
+  switch (state) {
+    case part_state::clear:
+      return "clear";
+    case part_state::suspected:
+      return "suspected";
+    case part_state::quarantined:
+      return "quarantined";
+  }
+  return "clear";
+}
+
+// Events.
+
+std::optional<crash_record> crash_evidence::OnCrash(const crash_record& record,
+                                                    core::time_point now) {
+  if (record.parts.empty() || record.age >= kRecordLifetime) {
+    return std::nullopt;
+  }
+  const auto [position, is_new] = records_.try_emplace(record.crash);
+  entry& known = position->second;
+  const auto at = now - std::max(record.age, core::milliseconds(0));
+  known.at = is_new ? at : std::min(known.at, at);
+  bool changed = is_new;
+  for (const suspected_part& reported : record.parts) {
+    const auto [found, inserted] =
+        known.parts.size() < kMaximumPartsPerRecord
+            ? known.parts.try_emplace(reported.part, reported)
+            : std::pair(known.parts.find(reported.part), false);
+    if (found == known.parts.end()) continue;
+    suspected_part& part = found->second;
+    const suspected_part before = part;
+    part.level = std::max(part.level, reported.level);
+    part.cleared |= reported.cleared;
+    if (!inserted && part == before) continue;
+    changed = true;
+    if (part.cleared) {
+      Forget(part.part, record.crash);
+    } else {
+      parts_[part.part].levels[record.crash] = part.level;
+    }
+    Update(part.part, now);
+  }
+  if (!changed) return std::nullopt;
+  auto merged = RecordOf(record.crash, known, now);
+  LimitRecords(now);
+  return merged;
+}
+
+std::vector<crash_record> crash_evidence::OnAnswered(
+    const std::vector<core::prompt_part_id>& parts, core::time_point now) {
+  std::set<crash_id> crashes;
+  for (const auto& part : parts) {
+    const auto found = parts_.find(part);
+    if (found == parts_.end()) continue;
+    for (const auto& [crash, level] : found->second.levels) {
+      records_.at(crash).parts.at(part).cleared = true;
+      crashes.insert(crash);
+    }
+    found->second.levels.clear();
+    Update(part, now);
+  }
+  std::vector<crash_record> changed;
+  for (const crash_id& crash : crashes) {
+    changed.push_back(RecordOf(crash, records_.at(crash), now));
+  }
+  return changed;
+}
+
+void crash_evidence::OnTick(core::time_point now) {
+  for (auto position = records_.begin(); position != records_.end();) {
+    const auto next = std::next(position);
+    if (now - position->second.at >= kRecordLifetime) Remove(position, now);
+    position = next;
+  }
+  std::vector<core::prompt_part_id> known;
+  for (const auto& [part, total] : parts_) known.push_back(part);
+  for (const auto& part : known) Update(part, now);
+}
+
+void crash_evidence::Remove(std::map<crash_id, entry>::iterator position,
+                            core::time_point now) {
+  const auto removed = records_.extract(position);
+  for (const auto& [part, suspected] : removed.mapped().parts) {
+    if (suspected.cleared) continue;
+    Forget(part, removed.key());
+    Update(part, now);
+  }
+}
+
+void crash_evidence::Forget(const core::prompt_part_id& part,
+                            const crash_id& crash) {
+  const auto found = parts_.find(part);
+  if (found != parts_.end()) found->second.levels.erase(crash);
+}
+
+void crash_evidence::Update(const core::prompt_part_id& part,
+                            core::time_point now) {
+  const auto found = parts_.find(part);
+  if (found == parts_.end()) return;
+  summary& total = found->second;
+  const part_state before = total.state;
+  total.state = part_state::clear;
+  std::set<int> levels;
+  core::time_point latest;
+  for (const auto& [crash, level] : total.levels) {
+    levels.insert(level);
+    latest = std::max(latest, records_.at(crash).at);
+  }
+  if (!levels.empty()) total.state = part_state::suspected;
+  if (levels.size() >= kLevelsToQuarantine) {
+    auto length = kFirstQuarantine;
+    for (std::size_t level = kLevelsToQuarantine;
+         level < levels.size() && length < kLongestQuarantine; ++level) {
+      length *= 2;
+    }
+    total.quarantined_until = latest + std::min(length, kLongestQuarantine);
+    if (now < total.quarantined_until) total.state = part_state::quarantined;
+  }
+  if (total.state != before) {
+    changes_.push_back({part, before, total.state, total.levels.size()});
+  }
+  if (total.state == part_state::clear) parts_.erase(found);
+}
+
+// State.
+
+part_state crash_evidence::StateOf(const core::prompt_part_id& part) const {
+  const auto found = parts_.find(part);
+  return found == parts_.end() ? part_state::clear : found->second.state;
+}
+
+int crash_evidence::LevelOf(const core::prompt_part_id& part) const {
+  const auto found = parts_.find(part);
+  if (found == parts_.end()) return 0;
+  int highest = 0;
+  for (const auto& [crash, level] : found->second.levels) {
+    highest = std::max(highest, level);
+  }
+  return highest + 1;
+}
+
+std::size_t crash_evidence::CrashesOf(const core::prompt_part_id& part) const {
+  const auto found = parts_.find(part);
+  return found == parts_.end() ? 0 : found->second.levels.size();
+}
+
+core::milliseconds crash_evidence::QuarantineLeft(
+    const core::prompt_part_id& part, core::time_point now) const {
+  const auto found = parts_.find(part);
+  if (found == parts_.end() || found->second.state != part_state::quarantined) {
+    return core::milliseconds(0);
+  }
+  return std::max(core::ToMilliseconds(found->second.quarantined_until - now),
+                  core::milliseconds(1));
+}
+
+std::vector<crash_record> crash_evidence::Records(core::time_point now) const {
+  std::vector<crash_record> result;
+  result.reserve(records_.size());
+  for (const auto& [crash, known] : records_) {
+    result.push_back(RecordOf(crash, known, now));
+  }
+  return result;
+}
+
+std::vector<part_change> crash_evidence::Parts() const {
+  std::vector<part_change> result;
+  for (const auto& [part, known] : parts_) {
+    result.push_back({part, known.state, known.state, known.levels.size()});
+  }
+  return result;
+}
+
+std::vector<part_change> crash_evidence::TakeChanges() {
+  return std::exchange(changes_, {});
+}
+
+crash_record crash_evidence::RecordOf(const crash_id& crash, const entry& known,
+                                      core::time_point now) {
+  crash_record record{.crash = crash,
+                      .age = core::ToMilliseconds(now - known.at)};
+  for (const auto& [part, suspected] : known.parts) {
+    record.parts.push_back(suspected);
+  }
+  return record;
+}
+
+bool crash_evidence::SupportsQuarantine(const entry& known) const {
+  return std::any_of(known.parts.begin(), known.parts.end(),
+                     [this](const auto& each) {
+                       return !each.second.cleared &&
+                              StateOf(each.first) == part_state::quarantined;
+                     });
+}
+
+void crash_evidence::LimitRecords(core::time_point now) {
+  while (records_.size() > kMaximumRecords) {
+    // The oldest one, those of quarantined parts last.
+    const auto removed = std::min_element(
+        records_.begin(), records_.end(),
+        [this](const auto& left, const auto& right) {
+          return std::pair(SupportsQuarantine(left.second), left.second.at) <
+                 std::pair(SupportsQuarantine(right.second), right.second.at);
+        });
+    Remove(removed, now);
+  }
+}
+
+}  // namespace comfreyspring::quarantine
--- /dev/null
+++ b/src/quarantine/crash_evidence.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "quarantine/crash_record.h"
+
+namespace comfreyspring::quarantine {
+
+enum class part_state {
+  clear,
+  /** May be sent to one engine at a time, alone among suspected parts. */
+  suspected,
+  /** Must not be sent to any engine. */
+  quarantined,
+};
+
+std::string_view ToString(part_state state);
+
+/** A part is in another state than before. */
+struct part_change {
+  core::prompt_part_id part;
+  part_state before = part_state::clear;
+  part_state after = part_state::clear;
+  /** Crashes that it is suspected of. */
+  std::size_t crashes = 0;
+};
+
+/**
+ * The crashes that a process knows of, and what they say about the parts of
+ * prompts.
+ *
+ * One crash suspects each prompt that had not begun to be answered, so it
+ * proves nothing. A part is quarantined after `kLevelsToQuarantine` crashes
+ * that follow each other: each request was sent when the crash before was
+ * known, and no answer with the part has gone on in between. Engines that end
+ * together, such as those of a rack, therefore count as one. An answer that
+ * goes on clears the part of all crashes known by then.
+ *
+ * A quarantine ends after a time that doubles with each further crash. The
+ * part is suspected then: one request may try it, and a crash renews the
+ * quarantine.
+ */
+class crash_evidence {
+ public:
+  static constexpr std::size_t kLevelsToQuarantine = 3;
+  static constexpr core::milliseconds kFirstQuarantine{60'000};
+  static constexpr core::milliseconds kLongestQuarantine{600'000};
+  /** Longer than the longest quarantine, so that its part stays suspected. */
+  static constexpr core::milliseconds kRecordLifetime{1'800'000};
+  static constexpr std::size_t kMaximumRecords = 256;
+  /** A batch of 64 requests with a few parts each. */
+  static constexpr std::size_t kMaximumPartsPerRecord = 256;
+
+  /**
+   * Merges a record.
+   * @returns the merged record, to be passed on; nothing if it says nothing
+   * new.
+   */
+  std::optional<crash_record> OnCrash(const crash_record& record,
+                                      core::time_point now);
+  /**
+   * An answer to a prompt with these parts has gone on.
+   * @returns the records that have changed.
+   */
+  std::vector<crash_record> OnAnswered(
+      const std::vector<core::prompt_part_id>& parts, core::time_point now);
+  /** Ends quarantines and removes old records. Call every second or so. */
+  void OnTick(core::time_point now);
+
+  part_state StateOf(const core::prompt_part_id& part) const;
+  /** Level of the part in a request that is sent now. */
+  int LevelOf(const core::prompt_part_id& part) const;
+  /** Crashes that the part is suspected of. */
+  std::size_t CrashesOf(const core::prompt_part_id& part) const;
+  /** Time until the part may be tried again; 0 if it is not quarantined. */
+  core::milliseconds QuarantineLeft(const core::prompt_part_id& part,
+                                    core::time_point now) const;
+  std::vector<crash_record> Records(core::time_point now) const;
+  std::size_t RecordCount() const { return records_.size(); }
+  /** Suspected and quarantined parts. */
+  std::vector<part_change> Parts() const;
+  /** Changes of state since the last call. */
+  std::vector<part_change> TakeChanges();
+
+ private:
+  struct entry {
+    core::time_point at;
+    std::map<core::prompt_part_id, suspected_part> parts;
+  };
+  struct summary {
+    /** Crashes that the part is suspected of and was not cleared of. */
+    std::map<crash_id, int> levels;
+    core::time_point quarantined_until;
+    part_state state = part_state::clear;
+  };
+
+  static crash_record RecordOf(const crash_id& crash, const entry& known,
+                               core::time_point now);
+  bool SupportsQuarantine(const entry& known) const;
+  /** Keeps the record within the limit by removing another one. */
+  void LimitRecords(core::time_point now);
+  void Remove(std::map<crash_id, entry>::iterator position,
+              core::time_point now);
+  /** The part is not suspected of this crash any more. */
+  void Forget(const core::prompt_part_id& part, const crash_id& crash);
+  /** Derives the state of a part from the crashes that it is suspected of. */
+  void Update(const core::prompt_part_id& part, core::time_point now);
+
+  std::map<crash_id, entry> records_;
+  std::map<core::prompt_part_id, summary> parts_;
+  std::vector<part_change> changes_;
+};
+
+}  // namespace comfreyspring::quarantine
--- /dev/null
+++ b/src/quarantine/crash_evidence_test.cc
@@ -0,0 +1,197 @@
+#include "quarantine/crash_evidence.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+
+namespace comfreyspring::quarantine {
+namespace {
+
+using core::milliseconds;
+using core::prompt_part_id;
+using core::time_point;
+
+const prompt_part_id kPart{std::string("p")};
+constexpr time_point kStart{std::chrono::seconds(1000)};
+
+crash_record Crash(int number, int level, const prompt_part_id& part = kPart) {
+  return {.crash = {core::process_id("sidecar-" + std::to_string(number)), 7},
+          .parts = {{part, level}}};
+}
+
+/** Crashes that follow each other, each after the one before was known. */
+crash_evidence AfterChain(int length) {
+  crash_evidence evidence;
+  for (int i = 0; i < length; ++i) {
+    EXPECT_EQ(evidence.LevelOf(kPart), i);
+    evidence.OnCrash(Crash(i, i), kStart);
+  }
+  return evidence;
+}
+
+TEST(crash_evidence_test, ACrashOnlySuspectsAPart) {
+  crash_evidence evidence;
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::clear);
+  EXPECT_EQ(evidence.LevelOf(kPart), 0);
+  EXPECT_TRUE(evidence.OnCrash(Crash(1, 0), kStart));
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::suspected);
+  EXPECT_EQ(evidence.LevelOf(kPart), 1);
+  EXPECT_FALSE(evidence.OnCrash(Crash(1, 0), kStart));
+}
+
+TEST(crash_evidence_test, CrashesThatFollowEachOtherQuarantineAPart) {
+  EXPECT_EQ(AfterChain(2).StateOf(kPart), part_state::suspected);
+  const auto evidence = AfterChain(3);
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::quarantined);
+  EXPECT_EQ(evidence.QuarantineLeft(kPart, kStart),
+            crash_evidence::kFirstQuarantine);
+}
+
+// A rack that loses power ends engines whose requests were sent before any of
+// these crashes was known.
+TEST(crash_evidence_test, EnginesThatEndTogetherCountOnce) {
+  crash_evidence evidence;
+  for (int engine = 0; engine < 50; ++engine) {
+    evidence.OnCrash(Crash(engine, 0), kStart);
+  }
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::suspected);
+}
+
+TEST(crash_evidence_test, AnAnswerClearsThePartOfAllKnownCrashes) {
+  auto evidence = AfterChain(3);
+  const auto changed = evidence.OnAnswered({kPart}, kStart);
+  EXPECT_EQ(changed.size(), 3U);
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::clear);
+  EXPECT_EQ(evidence.LevelOf(kPart), 0);
+  // Others learn it from the changed records, and an older copy of a record
+  // does not bring the suspicion back.
+  auto other = AfterChain(3);
+  for (const auto& record : changed)
+    EXPECT_TRUE(other.OnCrash(record, kStart).has_value());
+  EXPECT_EQ(other.StateOf(kPart), part_state::clear);
+  EXPECT_FALSE(other.OnCrash(Crash(1, 1), kStart));
+  // Later crashes count from the beginning.
+  evidence.OnCrash(Crash(9, 0), kStart);
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::suspected);
+}
+
+TEST(crash_evidence_test, AnAnswerWithOtherPartsChangesNothing) {
+  auto evidence = AfterChain(3);
+  EXPECT_TRUE(
+      evidence.OnAnswered({prompt_part_id(std::string("q"))}, kStart).empty());
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::quarantined);
+}
+
+TEST(crash_evidence_test, AQuarantineEndsAndOneCrashRenewsIt) {
+  auto evidence = AfterChain(3);
+  auto now = kStart + crash_evidence::kFirstQuarantine;
+  evidence.OnTick(now - milliseconds(1));
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::quarantined);
+  evidence.OnTick(now);
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::suspected);
+  evidence.OnCrash(Crash(4, evidence.LevelOf(kPart)), now);
+  EXPECT_EQ(evidence.QuarantineLeft(kPart, now),
+            2 * crash_evidence::kFirstQuarantine);
+}
+
+TEST(crash_evidence_test, TheAgeOfARecordCounts) {
+  crash_evidence evidence;
+  for (int i = 0; i < 3; ++i) {
+    auto record = Crash(i, i);
+    record.age = milliseconds(20'000);
+    evidence.OnCrash(record, kStart);
+  }
+  EXPECT_EQ(evidence.QuarantineLeft(kPart, kStart),
+            crash_evidence::kFirstQuarantine - milliseconds(20'000));
+  EXPECT_EQ(evidence.Records(kStart + milliseconds(500)).front().age,
+            milliseconds(20'500));
+  auto expired = Crash(8, 0, prompt_part_id(std::string("q")));
+  expired.age = crash_evidence::kRecordLifetime;
+  EXPECT_FALSE(evidence.OnCrash(expired, kStart));
+}
+
+TEST(crash_evidence_test, RecordsExpire) {
+  auto evidence = AfterChain(3);
+  evidence.OnTick(kStart + crash_evidence::kRecordLifetime);
+  EXPECT_EQ(evidence.RecordCount(), 0U);
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::clear);
+}
+
+TEST(crash_evidence_test, ReportsChangesOfState) {
+  auto evidence = AfterChain(3);
+  const auto changes = evidence.TakeChanges();
+  ASSERT_EQ(changes.size(), 2U);
+  EXPECT_EQ(changes[0].after, part_state::suspected);
+  EXPECT_EQ(changes[1].after, part_state::quarantined);
+  EXPECT_EQ(changes[1].crashes, 3U);
+  evidence.OnAnswered({kPart}, kStart);
+  ASSERT_EQ(evidence.TakeChanges().size(), 1U);
+  EXPECT_TRUE(evidence.TakeChanges().empty());
+}
+
+// Memory is bounded, and a storm of other crashes does not release a part.
+TEST(crash_evidence_test, KeepsTheRecordsOfAQuarantineInAStormOfCrashes) {
+  auto evidence = AfterChain(3);
+  for (int i = 0; i < 1000; ++i) {
+    crash_record record = Crash(100 + i, 0);
+    record.parts.clear();
+    for (int part = 0; part < 20; ++part) {
+      record.parts.push_back(
+          {prompt_part_id("q" + std::to_string(i * 20 + part)), 0});
+    }
+    evidence.OnCrash(record, kStart + milliseconds(i));
+  }
+  EXPECT_EQ(evidence.RecordCount(), crash_evidence::kMaximumRecords);
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::quarantined);
+}
+
+TEST(crash_evidence_test, LimitsThePartsOfARecord) {
+  crash_evidence evidence;
+  crash_record record = Crash(1, 0);
+  for (int part = 0; part < 10'000; ++part) {
+    record.parts.push_back({prompt_part_id(std::to_string(part)), 0});
+  }
+  evidence.OnCrash(record, kStart);
+  EXPECT_EQ(evidence.Records(kStart).front().parts.size(),
+            crash_evidence::kMaximumPartsPerRecord);
+}
+
+// Whoever has heard the same decides the same, in whatever order and however
+// often it was heard.
+RC_GTEST_PROP(crash_evidence_property, OrderAndRepetitionDoNotMatter, ()) {
+  std::vector<crash_record> records;
+  const int count = *rc::gen::inRange(1, 12);
+  for (int i = 0; i < count; ++i) {
+    crash_record record = Crash(*rc::gen::inRange(0, 5), 0);
+    record.parts.clear();
+    for (int part = 0; part < *rc::gen::inRange(1, 4); ++part) {
+      record.parts.push_back(
+          {prompt_part_id(std::to_string(*rc::gen::inRange(0, 4))),
+           *rc::gen::inRange(0, 4), *rc::gen::arbitrary<bool>()});
+    }
+    records.push_back(record);
+  }
+  crash_evidence first;
+  for (const auto& record : records) first.OnCrash(record, kStart);
+  std::mt19937 random(static_cast<unsigned>(*rc::gen::inRange(0, 1000)));
+  auto repeated = records;
+  repeated.insert(repeated.end(), records.begin(), records.end());
+  std::shuffle(repeated.begin(), repeated.end(), random);
+  crash_evidence second;
+  for (const auto& record : repeated) second.OnCrash(record, kStart);
+  for (int part = 0; part < 4; ++part) {
+    const prompt_part_id id(std::to_string(part));
+    RC_ASSERT(first.StateOf(id) == second.StateOf(id));
+    RC_ASSERT(first.LevelOf(id) == second.LevelOf(id));
+  }
+  // What one sends to the other says nothing new.
+  for (const auto& record : first.Records(kStart)) {
+    RC_ASSERT(!second.OnCrash(record, kStart));
+  }
+}
+
+}  // namespace
+}  // namespace comfreyspring::quarantine
