Record in the sidecar which prompts may have ended its engine

No gateway knows all requests that an engine had when it ended; the sidecar that granted them does. A gateway says which run it has lost before its answer went on; the sidecar asks the engine at once (its reports are free on the same VM) and tells the gateway whether the engine has ended: a cut or broken connection ends no engine. The end of a draining engine blames nobody.

Requests that a gateway marks as isolated run one at a time without output, so that the next crash tells which one it was.

--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -53,6 +53,10 @@
 constexpr core::milliseconds kReservationEarly{100};
 constexpr core::milliseconds kReservationLate{500};
 constexpr std::size_t kMaximumReservations = 512;
+/** Isolated requests that may wait here, each for the ones before it. */
+constexpr std::size_t kMaximumIsolatedWaiting = 4;
+/** Typical time from the grant of an isolated request to its first output. */
+constexpr core::milliseconds kIsolatedStartTime{150};
 /** Share of refused callers that retry at the same engine. */
 constexpr double kRetryShare = 0.5;
 
@@ -111,6 +115,11 @@
                core::ToMilliseconds(unavailable->second - now));
     return out;
   }
+  if (request.isolated && IsolatedWaiting() >= kMaximumIsolatedWaiting) {
+    refuse_for(refusal_reason::wait_too_long,
+               kIsolatedStartTime * static_cast<int>(IsolatedWaiting()));
+    return out;
+  }
   request.is_retry = TakeReservation(request.adapter, now);
   if (!request.is_retry) {
     const auto wait = ExpectedWait(request, now);
@@ -147,6 +156,33 @@
          request.load_bound + tolerance;
 }
 
+const engine_request* grant_scheduler::FindRunning(
+    const request_key& key) const {
+  const auto found = running_.find(key);
+  return found == running_.end() ? nullptr : &found->second.request;
+}
+
+std::vector<const engine_request*> grant_scheduler::RunningWithoutOutput()
+    const {
+  std::vector<const engine_request*> result;
+  for (const auto& [key, item] : running_) {
+    if (!item.started) result.push_back(&item.request);
+  }
+  return result;
+}
+
+bool grant_scheduler::IsIsolationTaken() const {
+  return std::any_of(running_.begin(), running_.end(), [](const auto& entry) {
+    return entry.second.request.isolated && !entry.second.started;
+  });
+}
+
+std::size_t grant_scheduler::IsolatedWaiting() const {
+  return static_cast<std::size_t>(
+      std::count_if(waiting_.begin(), waiting_.end(),
+                    [](const auto& entry) { return entry.second.isolated; }));
+}
+
 grant_scheduler::actions grant_scheduler::OnWithdrawn(const request_key& key,
                                                       core::time_point now) {
   actions out;
@@ -532,9 +568,10 @@
 void grant_scheduler::GrantReady(core::time_point now, actions& out) {
   while (!waiting_.empty()) {
     const bool oldest_first = grants_since_oldest_ >= kGrantsPerOldest;
+    const bool isolation_taken = IsIsolationTaken();
     const engine_request* best = nullptr;
     for (const auto& [key, request] : waiting_) {
-      if (!IsReady(request)) continue;
+      if (!IsReady(request) || (request.isolated && isolation_taken)) continue;
       if (best == nullptr ||
           (oldest_first ? request.first_output_due < best->first_output_due
                         : ComesBefore(request, *best, now))) {
@@ -824,8 +861,13 @@
     slot_wait += kRetryShare * static_cast<double>(reserved_count) * turn;
   }
   const auto prefill_wait = pacer_.PrefillTime(tokens_ahead);
+  const auto isolation_wait =
+      request.isolated
+          ? kIsolatedStartTime * static_cast<int>(IsolatedWaiting() +
+                                                  (IsIsolationTaken() ? 1 : 0))
+          : core::milliseconds(0);
   return std::max({FromDouble(slot_wait), prefill_wait,
-                   QueueWaitForLimit(request, now)}) +
+                   QueueWaitForLimit(request, now), isolation_wait}) +
          ExpectedLoad(request, now);
 }
 
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -84,6 +84,9 @@
  * - An engine in need that limits its request rate: grants are counted against
  *   the limit, over all gateways. The limit shortens the queue that may wait
  *   here; the rest is returned or refused immediately.
+ * - Prompts that may end the engine: one at a time is ahead of its first
+ * output, so that a crash tells which one it was; few wait for their turn, the
+ * rest is refused immediately.
  * - Restart of the engine or the agent: no adapter is assumed to be loaded
  *   until the engine has reported its state.
  */
@@ -151,6 +154,10 @@
   bool IsWaiting(const request_key& key) const {
     return waiting_.count(key) > 0;
   }
+  /** Null if the request does not run. */
+  const engine_request* FindRunning(const request_key& key) const;
+  /** Granted requests without output. */
+  std::vector<const engine_request*> RunningWithoutOutput() const;
   /** Links of the gateways that have waiting requests. */
   std::set<std::uint64_t> LinksWithWaitingRequests() const;
   const slot_table& Slots() const { return slots_; }
@@ -203,6 +210,9 @@
                         core::time_point now) const;
   bool HoldsModel(const core::model_id& model) const;
   bool IsReady(const engine_request& request) const;
+  /** An isolated request is ahead of its first output. */
+  bool IsIsolationTaken() const;
+  std::size_t IsolatedWaiting() const;
   bool IsLate(const engine_request& request, core::time_point now) const;
   bool ComesBefore(const engine_request& left, const engine_request& right,
                    core::time_point now) const;
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -13,6 +13,7 @@
 #include "limits/endpoint_incarnation.h"
 #include "limits/limit_announcement.h"
 #include "limits/request_rate.h"
+#include "quarantine/crash_record.h"
 
 namespace comfreyspring::grants {
 
@@ -58,6 +59,13 @@
    * The request was refused before and has been retried at the suggested time.
    */
   bool is_retry = false;
+  /**
+   * Its prompt may end the engine, so no other such request may be ahead of its
+   * first output at the same time.
+   */
+  bool isolated = false;
+  /** Parts of its prompt to blame if the engine ends before its answer. */
+  std::vector<quarantine::suspected_part> blamed_parts;
   /** Set by the scheduler. */
   core::time_point received_at;
 };
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -29,6 +29,8 @@
   limit_observed = 12,
   permit = 13,
   limit_notice = 14,
+  run_checked = 15,
+  crash = 16,
 };
 
 /** Loads are transmitted as integers in units of 1/kLoadScale. */
@@ -36,6 +38,9 @@
 /** Rates are transmitted as integers in units of 1/kRateScale per second. */
 constexpr double kRateScale = 1e6;
 
+/** Far above the number of crashes that any part survives. */
+constexpr std::int64_t kMaximumLevel = 1'000'000;
+
 // Encoding.
 
 class field_writer {
@@ -79,6 +84,13 @@
     return Add(endpoint.instance.Value()).Add(endpoint.started_unix_ms);
   }
 
+  /** Their number, then part and level of each. */
+  field_writer& Add(const std::vector<quarantine::suspected_part>& parts) {
+    Add(parts.size());
+    for (const auto& each : parts) Add(each.part.Value()).Add(each.level);
+    return *this;
+  }
+
   std::string Finish() {
     std::string frame;
     json::to_cbor(json(std::move(fields_)), frame);
@@ -124,6 +136,16 @@
   return out.Finish();
 }
 
+std::string EncodeCrash(const quarantine::crash_record& record) {
+  field_writer out(message_kind::crash);
+  out.Add(record.crash.sidecar.Value())
+      .Add(record.crash.engine_started_unix_ms)
+      .Add(record.age)
+      .Add(record.parts);
+  for (const auto& part : record.parts) out.Add(part.cleared);
+  return out.Finish();
+}
+
 std::string EncodeBatch(const change_batch& batch) {
   field_writer out(message_kind::catalog);
   out.Add(batch.after)
@@ -245,6 +267,18 @@
     catalog::instance_id instance(Text());
     return {std::move(instance), Integer()};
   }
+  std::vector<quarantine::suspected_part> Parts() {
+    std::vector<quarantine::suspected_part> parts;
+    for (std::size_t left = Length(2); left > 0; --left) {
+      core::prompt_part_id part(Text());
+      const std::int64_t level = Integer();
+      if (level < 0 || level > kMaximumLevel) {
+        throw core::invalid_value_error("level of a prompt part out of range");
+      }
+      parts.push_back({std::move(part), static_cast<int>(level)});
+    }
+    return parts;
+  }
   /** Reads the length of a list whose items have `width` fields each. */
   std::size_t Length(std::size_t width) {
     const std::size_t length = Size();
@@ -299,6 +333,11 @@
   request.deadline_in = in.Time();
   request.maximum_retry_after = in.Time();
   request.load_bound = static_cast<double>(in.Integer()) / kLoadScale;
+  // Senders of earlier versions blame no parts.
+  if (!in.AtEnd()) {
+    request.isolated = in.Boolean();
+    request.blamed_parts = in.Parts();
+  }
   return request;
 }
 
@@ -386,6 +425,16 @@
   return batch;
 }
 
+crash_notice ReadCrash(field_reader& in) {
+  quarantine::crash_record record;
+  record.crash.sidecar = core::process_id(in.Text());
+  record.crash.engine_started_unix_ms = in.Integer();
+  record.age = in.Time();
+  record.parts = in.Parts();
+  for (auto& part : record.parts) part.cleared = in.Boolean();
+  return {std::move(record)};
+}
+
 message ReadMessage(field_reader& in) {
   const std::int64_t kind = in.Integer();
   switch (static_cast<message_kind>(kind)) {
@@ -399,7 +448,8 @@
       return run_started{in.Size()};
     case message_kind::ended: {
       const std::uint64_t number = in.Size();
-      return run_ended{number, in.Boolean()};
+      const bool adapter_missing = in.Boolean();
+      return run_ended{number, adapter_missing, !in.AtEnd() && in.Boolean()};
     }
     case message_kind::stalled:
       return streams_stalled{};
@@ -421,6 +471,12 @@
       return ReadObservation(in);
     case message_kind::permit:
       return ReadPermit(in);
+    case message_kind::run_checked: {
+      const std::uint64_t number = in.Size();
+      return run_checked{number, in.Boolean()};
+    }
+    case message_kind::crash:
+      return ReadCrash(in);
     case message_kind::limit_notice: {
       limit_notice notice{in.Incarnation()};
       notice.rate = in.Rate();
@@ -452,6 +508,8 @@
                 .Add(request.maximum_retry_after)
                 .Add(static_cast<std::int64_t>(
                     std::llround(request.load_bound * kLoadScale)))
+                .Add(request.isolated)
+                .Add(request.blamed_parts)
                 .Finish();
           },
           [](const grant_withdrawn& withdrawn) {
@@ -468,6 +526,7 @@
             return field_writer(message_kind::ended)
                 .Add(ended.number)
                 .Add(ended.adapter_missing)
+                .Add(ended.lost)
                 .Finish();
           },
           [](const streams_stalled&) {
@@ -484,6 +543,13 @@
                 .Add(permit.maximum_retry_after)
                 .Finish();
           },
+          [](const run_checked& checked) {
+            return field_writer(message_kind::run_checked)
+                .Add(checked.number)
+                .Add(checked.engine_ended)
+                .Finish();
+          },
+          [](const crash_notice& notice) { return EncodeCrash(notice.record); },
           [](const limit_notice& notice) {
             return field_writer(message_kind::limit_notice)
                 .Add(notice.endpoint)
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -42,6 +42,9 @@
    * is no such limit.
    */
   double load_bound = 0.0;
+  /** See `engine_request`. */
+  bool isolated = false;
+  std::vector<quarantine::suspected_part> blamed_parts;
 };
 struct grant_withdrawn {
   std::uint64_t number = 0;
@@ -54,6 +57,11 @@
 struct run_ended {
   std::uint64_t number = 0;
   bool adapter_missing = false;
+  /**
+   * The connection to the engine ended before the answer went on. Answered with
+   * `run_checked`.
+   */
+  bool lost = false;
 };
 /**
  * Requests a permit for one request to an endpoint that limits its rate and
@@ -120,6 +128,12 @@
   std::uint64_t limits_observed = 0;
 };
 
+/** Whether the engine of a lost run has ended. */
+struct run_checked {
+  std::uint64_t number = 0;
+  bool engine_ended = false;
+};
+
 /** The limit of an endpoint whose requests this agent counts has changed. */
 struct limit_notice {
   limits::endpoint_incarnation endpoint;
@@ -127,6 +141,13 @@
   std::optional<limits::request_rate> rate;
 };
 
+// In both directions.
+
+/** The sender has learnt of a crash, or more about a known one. */
+struct crash_notice {
+  quarantine::crash_record record;
+};
+
 // Catalog changes read by one gateway and relayed to the others by agents.
 
 using catalog::change_batch;
@@ -135,7 +156,7 @@
     std::variant<gateway_hello, grant_request, grant_withdrawn, run_started,
                  run_ended, streams_stalled, permit_request, limit_observed,
                  grant_queued, grant_issued, grant_refused, status_report,
-                 limit_notice, change_batch>;
+                 run_checked, limit_notice, crash_notice, change_batch>;
 
 /**
  * Encodes a message as one flat CBOR array: the message kind, then the fields
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -36,6 +36,9 @@
   request.deadline_in = milliseconds(900);
   request.maximum_retry_after = milliseconds(700);
   request.load_bound = 0.475;
+  request.isolated = true;
+  request.blamed_parts = {{core::prompt_part_id("p"), 2},
+                          {core::prompt_part_id("q"), 0}};
   const grant_request decoded = RoundTrip(request);
   EXPECT_EQ(decoded.number, 7U);
   EXPECT_EQ(decoded.request_id, "r1");
@@ -49,6 +52,32 @@
   EXPECT_EQ(decoded.deadline_in, milliseconds(900));
   EXPECT_EQ(decoded.maximum_retry_after, milliseconds(700));
   EXPECT_DOUBLE_EQ(decoded.load_bound, 0.475);
+  EXPECT_TRUE(decoded.isolated);
+  EXPECT_EQ(decoded.blamed_parts, request.blamed_parts);
+}
+
+TEST(messages_test, RoundTripOfACrash) {
+  const crash_notice notice{{.crash = {core::process_id("side-1"), 1700},
+                             .age = milliseconds(250),
+                             .parts = {{core::prompt_part_id("p"), 2, true},
+                                       {core::prompt_part_id("q"), 0}}}};
+  const auto decoded = RoundTrip(notice).record;
+  EXPECT_EQ(decoded.crash, notice.record.crash);
+  EXPECT_EQ(decoded.age, milliseconds(250));
+  EXPECT_EQ(decoded.parts, notice.record.parts);
+  const auto checked = RoundTrip(run_checked{8, true});
+  EXPECT_EQ(checked.number, 8U);
+  EXPECT_TRUE(checked.engine_ended);
+  EXPECT_TRUE(RoundTrip(run_ended{7, false, true}).lost);
+}
+
+// A level that another process cannot have counted must not overflow here.
+TEST(messages_test, RejectsLevelsOutOfRange) {
+  for (const int level : {-1, 2'000'000'000}) {
+    EXPECT_THROW(Decode(Encode(crash_notice{
+                     {.parts = {{core::prompt_part_id("p"), level}}}})),
+                 core::invalid_value_error);
+  }
 }
 
 TEST(messages_test, RoundTripOfAStatusWithAndWithoutAdapters) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -68,6 +68,8 @@
 
 struct http_result {
   http_failure failure = http_failure::none;
+  /** Nothing listens at the peer's address; `failure` is `not_sent`. */
+  bool connection_refused = false;
   /** Meaningful if `failure` is `none`. */
   body_end end = body_end::framed;
   /** 0 if no status line arrived. */
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -54,10 +54,12 @@
   Start({.url = url});
   ASSERT_TRUE(WaitForResult());
   EXPECT_EQ(result_->failure, http_failure::not_sent);
+  EXPECT_TRUE(result_->connection_refused);
   EXPECT_FALSE(result_->error_message.empty());
   Start({.url = "not a url"});
   ASSERT_TRUE(WaitForResult());
   EXPECT_EQ(result_->failure, http_failure::not_sent);
+  EXPECT_FALSE(result_->connection_refused);
 }
 
 TEST_F(http_client_test, ReportsAClosedConnectionAsBroken) {
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <utility>
 
@@ -310,6 +311,10 @@
   if (code != CURLE_OK || headers_cut) {
     result_.failure =
         times_sent_ == 0 ? http_failure::not_sent : http_failure::broken;
+    long system_error = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_OS_ERRNO, &system_error);
+    result_.connection_refused =
+        code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
     result_.error_message = !abort_reason_.empty() ? abort_reason_
                             : error_text_.front() != '\0'
                                 ? error_text_.data()
--- a/src/sidecar/engine_port.h
+++ b/src/sidecar/engine_port.h
@@ -16,13 +16,20 @@
   std::int64_t fencing_number = 0;
 };
 
+/** Result of a read of the engine's state. */
+struct state_reading {
+  /** Nothing if the engine gave no valid response. */
+  std::optional<grants::engine_state> state;
+  /** Why there is no state. */
+  std::string error;
+  /** Nothing listens at the engine's address: its process has ended. */
+  bool is_refused = false;
+};
+
 /** Interface to the engine on this VM. */
 class engine_port {
  public:
-  /** Called without a state but with an error if the engine did not respond. */
-  using state_callback =
-      std::function<void(const std::optional<grants::engine_state>& state,
-                         const std::string& error)>;
+  using state_callback = std::function<void(const state_reading& reading)>;
   using order_callback =
       std::function<void(grants::order_result result, const std::string& text)>;
 
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -10,6 +10,8 @@
 
 /** Resolution of request deadlines. */
 constexpr core::milliseconds kTickPeriod{20};
+/** Resolution of the lifetime of crash records. */
+constexpr core::milliseconds kEvidencePeriod{1000};
 
 std::string NameOf(const catalog::adapter_name& name) {
   return name.adapter.empty() ? name.model.Value()
@@ -33,19 +35,24 @@
       scheduler_(options_.grants),
       permits_(options_.grants.random_seed),
       fencing_(loop.WallNow()),
+      watch_(options_.node),
       last_answer_at_(loop.Now()) {}
 
 scheduler_driver::~scheduler_driver() {
   *alive_ = false;
   loop_.Cancel(read_timer_);
   loop_.Cancel(tick_timer_);
+  loop_.Cancel(evidence_timer_);
 }
 
 void scheduler_driver::Start() {
   tick_timer_ = loop_.SchedulePeriodic(kTickPeriod, [this] {
     Perform(scheduler_.OnTick(loop_.Now()));
     Perform(permits_.OnTick(loop_.Now()));
+    Perform(watch_.OnTick(scheduler_.RunningWithoutOutput(), loop_.Now()));
   });
+  evidence_timer_ = loop_.SchedulePeriodic(
+      kEvidencePeriod, [this] { evidence_.OnTick(loop_.Now()); });
   ReadState();
 }
 
@@ -83,9 +90,9 @@
           [&](const grants::run_started& started) {
             Perform(scheduler_.OnStarted({link, started.number}, now));
           },
-          [&](const grants::run_ended& ended) {
-            Perform(scheduler_.OnEnded({link, ended.number},
-                                       ended.adapter_missing, now));
+          [&](const grants::run_ended& ended) { OnRunEnded(link, ended); },
+          [&](const grants::crash_notice& notice) {
+            OnCrash(notice.record, "gateway");
           },
           [&](const grants::streams_stalled&) {
             metrics_.Count("sidecar_stream_pauses_total");
@@ -119,7 +126,9 @@
        .first_output_due = now + request.first_output_due_in,
        .deadline = now + request.deadline_in,
        .load_bound = request.load_bound,
-       .maximum_retry_after = request.maximum_retry_after},
+       .maximum_retry_after = request.maximum_retry_after,
+       .isolated = request.isolated,
+       .blamed_parts = request.blamed_parts},
       now));
   if (scheduler_.IsWaiting({link, request.number})) {
     send_(link, grants::grant_queued{request.number});
@@ -212,6 +221,9 @@
   for (const auto& known : permits_.Limits()) {
     send_(link, grants::limit_notice{known.endpoint, known.rate});
   }
+  for (auto& record : evidence_.Records(loop_.Now())) {
+    send_(link, grants::crash_notice{std::move(record)});
+  }
 }
 
 void scheduler_driver::OnLinkLost(std::uint64_t link) {
@@ -219,6 +231,46 @@
   Perform(scheduler_.OnLinkLost(link, loop_.Now()));
 }
 
+// Crashes of the engine.
+
+void scheduler_driver::OnRunEnded(std::uint64_t link,
+                                  const grants::run_ended& ended) {
+  const auto now = loop_.Now();
+  const grants::request_key key{link, ended.number};
+  if (ended.lost) {
+    const auto* run = scheduler_.FindRunning(key);
+    watch_.OnRunLost(key,
+                     run == nullptr ? std::vector<quarantine::suspected_part>()
+                                    : run->blamed_parts,
+                     now);
+    ReadStateNow();
+  }
+  Perform(scheduler_.OnEnded(key, ended.adapter_missing, now));
+}
+
+void scheduler_driver::Perform(const crash_watch::findings& found) {
+  if (found.crash) OnCrash(*found.crash, "engine");
+  for (const auto& verdict : found.verdicts) {
+    send_(verdict.run.link,
+          grants::run_checked{verdict.run.number, verdict.engine_ended});
+  }
+}
+
+void scheduler_driver::OnCrash(const quarantine::crash_record& record,
+                               std::string_view origin) {
+  auto merged = evidence_.OnCrash(record, loop_.Now());
+  if (!merged) return;
+  metrics_.Count("sidecar_crash_records_total{origin=\"" + std::string(origin) +
+                 "\"}");
+  auto line = log_.SystemEvent("crash_record");
+  line.Add("origin", origin)
+      .Add("sidecar", merged->crash.sidecar.Value())
+      .Add("engine_started_ms", merged->crash.engine_started_unix_ms)
+      .Add("age_ms", merged->age.count())
+      .Add("parts", quarantine::ToText(merged->parts));
+  send_to_all_(grants::crash_notice{std::move(*merged)});
+}
+
 // Actions.
 
 void scheduler_driver::Perform(grants::grant_scheduler::actions actions) {
@@ -299,21 +351,34 @@
 
 void scheduler_driver::ReadState() {
   const auto requested_at = loop_.Now();
-  engine_.ReadState(options_.state_timeout,
-                    [this, requested_at, alive = alive_](
-                        const std::optional<grants::engine_state>& state,
-                        const std::string& error) {
-                      if (!*alive) return;
-                      OnState(state, error, requested_at);
-                      ScheduleRead();
-                    });
+  read_in_progress_ = true;
+  engine_.ReadState(
+      options_.state_timeout,
+      [this, requested_at, alive = alive_](const state_reading& reading) {
+        if (!*alive) return;
+        read_in_progress_ = false;
+        OnState(reading, requested_at);
+        if (std::exchange(reads_again_, false)) {
+          ReadState();
+        } else {
+          ScheduleRead();
+        }
+      });
+}
+
+void scheduler_driver::ReadStateNow() {
+  if (read_in_progress_) {
+    reads_again_ = true;
+    return;
+  }
+  loop_.Cancel(std::exchange(read_timer_, 0));
+  ReadState();
 }
 
-void scheduler_driver::OnState(const std::optional<grants::engine_state>& state,
-                               const std::string& error,
+void scheduler_driver::OnState(const state_reading& reading,
                                core::time_point requested_at) {
   const auto now = loop_.Now();
-  if (state) {
+  if (const auto& state = reading.state) {
     last_answer_at_ = now;
     if (!engine_reachable_) {
       engine_reachable_ = true;
@@ -328,17 +393,20 @@
       engine_started_ms_ = state->started_unix_ms;
     }
     LogUnreadableLimit(state->limit);
+    Perform(watch_.OnEngineAnswered(state->started_unix_ms, state->leaving,
+                                    requested_at, now));
     const auto limit_before = scheduler_.Limit();
     Perform(scheduler_.OnState(*state, requested_at, now));
     NoteLimitChange(limit_before, "report");
     return;
   }
   metrics_.Count("sidecar_state_failures_total");
+  if (reading.is_refused) watch_.OnEngineRefused(now);
   if (now - last_answer_at_ < options_.down_after) return;
   if (engine_reachable_) {
     engine_reachable_ = false;
     log_.Dependency("engine", "lost")
-        .Add("reason", error)
+        .Add("reason", reading.error)
         .Add("silent_ms", core::ToMilliseconds(now - last_answer_at_).count());
   }
   Perform(scheduler_.OnEngineDown(now));
@@ -360,7 +428,7 @@
 
 void scheduler_driver::ScheduleRead() {
   const bool urgent = !engine_reachable_ || order_in_flight_ ||
-                      scheduler_.Slots().Loading() > 0;
+                      watch_.IsPending() || scheduler_.Slots().Loading() > 0;
   read_timer_ = loop_.Schedule(
       urgent ? options_.urgent_state_period : options_.state_period, [this] {
         read_timer_ = 0;
@@ -403,6 +471,8 @@
                     status.limit ? status.limit->PerSecond() : -1.0);
   metrics_.SetGauge("sidecar_counted_limits",
                     static_cast<double>(permits_.Limits().size()));
+  metrics_.SetGauge("sidecar_crash_records",
+                    static_cast<double>(evidence_.RecordCount()));
   metrics_.SetGauge("sidecar_permits_waiting",
                     static_cast<double>(permits_.Waiting()));
   metrics_.SetGauge("sidecar_engine_limit_wait_ms",
--- a/src/sidecar/scheduler_driver.h
+++ b/src/sidecar/scheduler_driver.h
@@ -14,6 +14,8 @@
 #include "grants/messages.h"
 #include "grants/permit_table.h"
 #include "net/event_loop.h"
+#include "quarantine/crash_evidence.h"
+#include "sidecar/crash_watch.h"
 #include "sidecar/engine_port.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
@@ -65,7 +67,10 @@
   }
   void Start();
   void OnMessage(std::uint64_t link, const grants::message& value);
-  /** A gateway has linked: tells it the limits that are counted here. */
+  /**
+   * A gateway has linked: tells it the limits that are counted here, and the
+   * crashes of engines.
+   */
   void OnGatewayLinked(std::uint64_t link);
   void OnLinkLost(std::uint64_t link);
   void OnPaused(core::milliseconds length);
@@ -82,8 +87,13 @@
   void PerformOrder(const grants::engine_order& order);
   void SendOrder(const grants::engine_order& order);
   void ReadState();
-  void OnState(const std::optional<grants::engine_state>& state,
-               const std::string& error, core::time_point requested_at);
+  /** Reads the state without waiting for the next period. */
+  void ReadStateNow();
+  void OnState(const state_reading& reading, core::time_point requested_at);
+  void OnRunEnded(std::uint64_t link, const grants::run_ended& ended);
+  void Perform(const crash_watch::findings& found);
+  /** Adds to the evidence; passes on to the gateways what is new. */
+  void OnCrash(const quarantine::crash_record& record, std::string_view origin);
   void OnPermitRequest(std::uint64_t link,
                        const grants::permit_request& request);
   void OnLimitObserved(std::uint64_t link,
@@ -105,6 +115,11 @@
   grants::grant_scheduler scheduler_;
   grants::permit_table permits_;
   grants::fencing_counter fencing_;
+  crash_watch watch_;
+  /** Crashes of all engines, kept for gateways that link later. */
+  quarantine::crash_evidence evidence_;
+  bool read_in_progress_ = false;
+  bool reads_again_ = false;
   std::int64_t engine_started_ms_ = 0;
   bool reported_limit_is_unreadable_ = false;
   std::function<void()> on_status_change_;
@@ -113,6 +128,7 @@
   bool order_in_flight_ = false;
   net::timer_id read_timer_ = 0;
   net::timer_id tick_timer_ = 0;
+  net::timer_id evidence_timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/sidecar/sidecar_program_test.cc
+++ b/src/sidecar/sidecar_program_test.cc
@@ -29,7 +29,7 @@
     grants::engine_state state;
     state.started_unix_ms = 1;
     state.models.push_back({core::model_id("m"), {}});
-    on_done(state, "");
+    on_done({.state = state});
   }
   void Order(const grants::engine_order& order, const order_sender&,
              milliseconds, order_callback on_done) override {
