Keep prompts that crash engines from them

Cause: what a request does to the engine it runs on was charged to the engine alone. The gateway took the end of the connection for the endpoint's fault, sent the request to the next engine, and nothing remembered the prompt.

Now a request is judged by the parts that its prompt shares with others. After a crash the parts without a recent answer are suspected: requests with them go to one engine, the same for all gateways, one at a time. After three crashes that follow each other they are refused at once: 503 with the time until they may be tried again, since they have not run and 4xx is not for proper requests. Waiting ones are refused and those without output at an engine are cancelled. A request under which two engines have ended is not sent again; one whose engine has ended waits for the sidecar's verdict, at most 300 ms.

--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -220,6 +220,25 @@
   return {BestOf(all, less_loaded)->view};
 }
 
+const endpoint_view* ChooseIsolationEngine(const endpoint_views& engines,
+                                           const choice_request& request,
+                                           const core::prompt_part_id& part) {
+  const endpoint_view* best = nullptr;
+  std::uint64_t highest = 0;
+  for (const endpoint_view* view : engines) {
+    if (IsExcluded(*view, request) || !view->has_sidecar ||
+        !view->status.serving) {
+      continue;
+    }
+    const auto weight =
+        core::RendezvousWeight(part.Value(), view->record.address.ToString());
+    if (best != nullptr && weight <= highest) continue;
+    best = view;
+    highest = weight;
+  }
+  return best;
+}
+
 const endpoint_view* ChoosePlainEndpoint(const endpoint_views& endpoints,
                                          const choice_request& request,
                                          core::random_source& random,
--- a/src/gateway/endpoint_choice.h
+++ b/src/gateway/endpoint_choice.h
@@ -48,6 +48,16 @@
 engine_choice ChooseEngine(const endpoint_views& engines,
                            const choice_request& request, core::time_point now);
 
+/**
+ * Chooses the engine for prompts with a part that may end it: the first one in
+ * rendezvous order whose sidecar lets such requests run one at a time, so that
+ * all gateways use the same engine.
+ * @returns null if there is none.
+ */
+const endpoint_view* ChooseIsolationEngine(const endpoint_views& engines,
+                                           const choice_request& request,
+                                           const core::prompt_part_id& part);
+
 /**
  * Chooses the plain endpoint with the lowest expected time (outstanding
  * requests times latency). Failing and silent endpoints are penalised, and
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -14,6 +14,7 @@
 #include "gateway/endpoint_choice.h"
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
+#include "gateway/prompt_quarantine.h"
 #include "gateway/retry_budget.h"
 #include "gateway/retry_policy.h"
 #include "gateway/sidecar_links.h"
@@ -90,6 +91,17 @@
 constexpr std::size_t kMaximumBufferedBytes = 16 * 1024 * 1024;
 /** Limit for the bytes of an incomplete event; an event holds a few tokens. */
 constexpr std::size_t kMaximumEventBytes = 256 * 1024;
+/**
+ * A sidecar tells within some tens of milliseconds whether the engine of a lost
+ * run has ended; a slowed one may not answer at all.
+ */
+constexpr core::milliseconds kVerdictTimeout{300};
+/** A request under which this many engines have ended is not sent again. */
+constexpr int kMaximumEnginesEnded = 2;
+/** An answer with this many events has gone on. */
+constexpr std::size_t kEventsToGoOn = 2;
+constexpr core::milliseconds kQuarantinePeriod{1000};
+constexpr const char* kNotRunMessage = "The request has not run.";
 /** Interval between removals of expired drain and backoff notices. */
 constexpr core::milliseconds kNoticeCleanupPeriod{5000};
 /** Number of gateways until a sidecar reports how many are connected to it. */
@@ -98,7 +110,25 @@
 }  // namespace
 
 struct request_forwarder::impl {
-  enum class phase { waiting, sent };
+  enum class phase {
+    /** For a grant or a permit. */
+    waiting,
+    sent,
+    /** For whether the engine of the lost attempt has ended. */
+    awaiting_verdict,
+  };
+
+  static const char* PhaseName(phase state) {
+    switch (state) {
+      case phase::waiting:
+        return "waiting";
+      case phase::sent:
+        return "sent";
+      case phase::awaiting_verdict:
+        return "awaiting_verdict";
+    }
+    return "waiting";
+  }
 
   struct link_state {
     /** Number of `limit_observed` messages sent. */
@@ -149,6 +179,22 @@
     /** Number of the permit of the current attempt; 0 if there is none. */
     std::uint64_t permit_number = 0;
 
+    /**
+     * The request may end its engine, so it runs at the one engine that this
+     * part selects; nothing if it may run at any.
+     */
+    std::optional<core::prompt_part_id> isolation;
+    bool grant_is_isolated = false;
+    /** What is blamed if the engine of the current grant ends. */
+    std::vector<quarantine::suspected_part> blamed_parts;
+    /** Engines that ended before the answer went on. */
+    int engines_ended = 0;
+    /** The answer of the current attempt has gone on. */
+    bool answer_went_on = false;
+    /** Lost grant on which the sidecar's verdict is awaited, and until when. */
+    std::uint64_t lost_number = 0;
+    core::time_point verdict_due;
+
     net::http_call_id call = 0;
     core::time_point sent_at;
     core::time_point last_progress;
@@ -370,6 +416,170 @@
     return known > 0 ? known : kAssumedGateways;
   }
 
+  // Prompts that crash engines.
+
+  /**
+   * Decides how the request may be sent.
+   * @returns false if it was refused.
+   */
+  bool Admit(const request_pointer& request) {
+    if (!NeedsEngine(*request)) return true;
+    const auto& parts = request->metadata.shared_parts;
+    const auto judgement = quarantine.Judge(parts, loop.Now());
+    switch (judgement.admission) {
+      case prompt_admission::refused:
+        RefusePrompt(request, judgement);
+        return false;
+      case prompt_admission::isolated:
+        request->isolation = judgement.part;
+        return true;
+      case prompt_admission::any:
+        break;
+    }
+    request->isolation.reset();
+    if (request->engines_ended > 0) {
+      request->isolation =
+          parts.empty() ? core::prompt_part_id(request->metadata.id.Value())
+                        : parts.back();
+    }
+    return true;
+  }
+
+  void RefusePrompt(const request_pointer& request,
+                    const prompt_judgement& judgement) {
+    metrics.Count("gateway_quarantined_requests_total");
+    log.Request(line_class::failure, "prompt_quarantined",
+                request->metadata.id.Value())
+        .Add("part", judgement.part.Value())
+        .Add("crashes", quarantine.Evidence().CrashesOf(judgement.part))
+        .Add("quarantine_left_ms", judgement.retry_after.count());
+    request->retry_after = judgement.retry_after;
+    GiveUp(request, "prompt_quarantined",
+           "A part of the prompt has ended several engines; the request has "
+           "not run.");
+  }
+
+  /** Whether a grant still fits what is known of the request's prompt. */
+  bool GrantFitsPrompt(const active_request& request) const {
+    const auto judgement =
+        quarantine.Judge(request.metadata.shared_parts, loop.Now());
+    if (judgement.admission == prompt_admission::any) return true;
+    if (judgement.admission == prompt_admission::refused ||
+        request.grant_number == 0 || !request.grant_is_isolated) {
+      return false;
+    }
+    // A crash that has become known since must count.
+    return std::none_of(
+        request.blamed_parts.begin(), request.blamed_parts.end(),
+        [this](const quarantine::suspected_part& blamed) {
+          return quarantine.Evidence().LevelOf(blamed.part) > blamed.level;
+        });
+  }
+
+  /** Waits until the sidecar knows whether the engine has ended. */
+  void AwaitVerdict(const request_pointer& request, std::uint64_t number) {
+    request->state = phase::awaiting_verdict;
+    request->lost_number = number;
+    request->verdict_due = loop.Now() + kVerdictTimeout;
+    lost_runs[number] = request;
+  }
+
+  void OnRunChecked(const grants::run_checked& checked) {
+    const auto found = lost_runs.find(checked.number);
+    if (found == lost_runs.end()) return;
+    const request_pointer request = found->second;
+    OnVerdict(request, checked.engine_ended, "sidecar");
+  }
+
+  void OnVerdict(const request_pointer& request, bool engine_ended,
+                 const char* origin) {
+    lost_runs.erase(std::exchange(request->lost_number, 0));
+    metrics.Count(std::string("gateway_lost_runs_total{engine_ended=\"") +
+                  (engine_ended ? "true" : "false") + "\"}");
+    log.Request(line_class::failure, "run_lost", request->metadata.id.Value())
+        .Add("endpoint", request->endpoint.Value())
+        .Add("engine_ended", engine_ended)
+        .Add("origin", origin);
+    request->state = phase::waiting;
+    if (engine_ended && ++request->engines_ended >= kMaximumEnginesEnded) {
+      GiveUp(request, "engines_ended");
+      return;
+    }
+    Dispatch(request);
+  }
+
+  void CheckVerdictTimeouts(core::time_point now) {
+    std::vector<request_pointer> due;
+    for (const auto& [number, request] : lost_runs) {
+      if (now >= request->verdict_due) due.push_back(request);
+    }
+    // Unknown: the VM may be gone, the engine with it.
+    for (const auto& request : due) OnVerdict(request, true, "timeout");
+  }
+
+  void NoteAnswerWentOn(active_request& request) {
+    if (std::exchange(request.answer_went_on, true)) return;
+    const auto& parts = request.metadata.shared_parts;
+    if (parts.empty()) return;
+    for (auto& record : quarantine.OnAnswered(parts, loop.Now())) {
+      links->SendToRelays(grants::crash_notice{std::move(record)});
+    }
+    LogPartChanges("answer");
+  }
+
+  void OnCrashNotice(const grants::crash_notice& notice) {
+    auto merged = quarantine.OnCrash(notice.record, loop.Now());
+    if (!merged) return;
+    metrics.Count("gateway_crash_records_total");
+    links->SendToRelays(grants::crash_notice{std::move(*merged)});
+    LogPartChanges("crash");
+  }
+
+  void LogPartChanges(const char* cause) {
+    bool has_quarantined = false;
+    for (const auto& change : quarantine.TakeChanges()) {
+      has_quarantined |= change.after == quarantine::part_state::quarantined;
+      metrics.Count("gateway_prompt_part_changes_total{state=\"" +
+                    std::string(ToString(change.after)) + "\"}");
+      log.SystemEvent("prompt_part")
+          .Add("part", change.part.Value())
+          .Add("before", ToString(change.before))
+          .Add("after", ToString(change.after))
+          .Add("cause", cause)
+          .Add("crashes", change.crashes);
+    }
+    if (has_quarantined) RefuseQuarantined();
+  }
+
+  /**
+   * Answers requests that can't be served any more. Those that an engine has
+   * and did not begin to answer are cancelled there.
+   */
+  void RefuseQuarantined() {
+    const auto now = loop.Now();
+    std::vector<request_pointer> affected;
+    for (const auto& [number, request] : requests) {
+      const bool began =
+          request->state == phase::sent &&
+          request->events.Count() > request->events_before_attempt;
+      if (!began && NeedsEngine(*request) &&
+          quarantine.Judge(request->metadata.shared_parts, now).admission ==
+              prompt_admission::refused) {
+        affected.push_back(request);
+      }
+    }
+    for (const request_pointer& request : affected) {
+      if (request->state == phase::sent) {
+        CancelAttempt(*request);
+        request->may_have_run = true;
+      }
+      ReleaseGrant(*request, false);
+      ReturnPermit(*request);
+      RefusePrompt(request,
+                   quarantine.Judge(request->metadata.shared_parts, now));
+    }
+  }
+
   engine_choice ChooseEndpoint(const active_request& request) {
     const auto now = loop.Now();
     const choice_request wanted{.adapter = request.metadata.adapter,
@@ -377,6 +587,9 @@
                                 .excluded = &request.excluded,
                                 .gateways = GatewayCount()};
     const auto candidates = ViewsOf(request.service);
+    if (request.isolation) {
+      return {ChooseIsolationEngine(candidates, wanted, *request.isolation)};
+    }
     return NeedsEngine(request) ? ChooseEngine(candidates, wanted, now)
                                 : engine_choice{ChoosePlainEndpoint(
                                       candidates, wanted, random, now)};
@@ -392,6 +605,7 @@
       OnDeadline(request);
       return;
     }
+    if (!Admit(request)) return;
     engine_choice choice = ChooseEndpoint(*request);
     if (choice.view == nullptr && !request->restricted &&
         (request->attempts > 0 || request->view_was_outdated)) {
@@ -430,6 +644,9 @@
     ++request->grant_requests;
     request->sidecar_ip = chosen.record.address.ip;
     open_grants[request->grant_number] = request;
+    request->grant_is_isolated = request->isolation.has_value();
+    request->blamed_parts =
+        quarantine.BlamedParts(request->metadata.shared_parts, now);
     const auto first_output_due_in =
         request->route->first_output_target -
         core::ToMilliseconds(now - request->arrived);
@@ -456,7 +673,9 @@
                 kRetryTimeDivisor,
             .load_bound = request->grant_requests < kMaximumGrantRequests
                               ? choice.load_bound
-                              : 0.0});
+                              : 0.0,
+            .isolated = request->grant_is_isolated,
+            .blamed_parts = request->blamed_parts});
   }
 
   void OnGranted(const std::string& ip, const grants::grant_issued& granted) {
@@ -719,14 +938,15 @@
    * Withdraws the current grant request, or ends the granted run, at its
    * sidecar.
    */
-  void ReleaseGrant(active_request& request, bool adapter_missing) {
+  void ReleaseGrant(active_request& request, bool adapter_missing,
+                    bool lost = false) {
     if (request.grant_number == 0) return;
     if (request.state == phase::waiting) {
       links->Send(request.sidecar_ip,
                   grants::grant_withdrawn{request.grant_number});
     } else {
-      links->Send(request.sidecar_ip,
-                  grants::run_ended{request.grant_number, adapter_missing});
+      links->Send(request.sidecar_ip, grants::run_ended{request.grant_number,
+                                                        adapter_missing, lost});
     }
     open_grants.erase(request.grant_number);
     request.grant_number = 0;
@@ -749,6 +969,13 @@
       Dispatch(request);
       return;
     }
+    if (NeedsEngine(*request) && !GrantFitsPrompt(*request)) {
+      // The engine of another request has ended since.
+      ReleaseGrant(*request, false);
+      ReturnPermit(*request);
+      Dispatch(request);
+      return;
+    }
     if (NeedsPermit(*request, *record)) {
       RequestPermit(request, *record);
       return;
@@ -772,6 +999,7 @@
     DiscardBody(*request);
     request->forwards_events = false;
     request->events_before_attempt = request->events.Count();
+    request->answer_went_on = false;
     ++request->attempts;
     request->used.insert(request->endpoint);
     const auto left = core::ToMilliseconds(request->deadline - now);
@@ -1050,6 +1278,10 @@
     }
     request->events_sent = request->events.Count();
     request->last_output = now;
+    if (request->events_sent >=
+        request->events_before_attempt + kEventsToGoOn) {
+      NoteAnswerWentOn(*request);
+    }
     if (request->exchange->PendingBytes() > kMaximumPendingBytes) {
       CancelAttempt(*request);
       request->exchange->Abort();
@@ -1077,10 +1309,14 @@
         }
       }
       ReleaseGrant(*request, false);
+      NoteAnswerWentOn(*request);
       Succeed(request);
       return;
     }
-    OnAttemptFailed(request, Classify(*request, result), defect.value_or(""));
+    const bool ended_early =
+        defect.has_value() && result.failure != net::http_failure::not_sent;
+    OnAttemptFailed(request, Classify(*request, result), defect.value_or(""),
+                    ended_early);
   }
 
   /** @returns why the response is incomplete; nothing if it is complete. */
@@ -1114,8 +1350,9 @@
     return attempt_failure::failed;
   }
 
+  /** @param ended_early the connection ended before the response did. */
   void OnAttemptFailed(const request_pointer& request, attempt_failure failure,
-                       const std::string& text) {
+                       const std::string& text, bool ended_early = false) {
     const auto now = loop.Now();
     const bool missing =
         failure == attempt_failure::not_run && request->response.misdirected;
@@ -1129,7 +1366,9 @@
       }
       if (missing) view->adapters.erase(request->metadata.adapter);
     }
-    ReleaseGrant(*request, missing);
+    const bool is_lost = ended_early && !request->answer_went_on;
+    const std::uint64_t lost_number = is_lost ? request->grant_number : 0;
+    ReleaseGrant(*request, missing, is_lost);
     if (failure == attempt_failure::not_sent) {
       request->used.erase(request->endpoint);
     } else if (failure != attempt_failure::not_run) {
@@ -1171,6 +1410,10 @@
     } else if (!missing) {
       request->excluded.insert(request->endpoint);
     }
+    if (lost_number != 0) {
+      AwaitVerdict(request, lost_number);
+      return;
+    }
     Dispatch(request);
   }
 
@@ -1220,7 +1463,8 @@
   }
 
   /** Sends the final response to a request that is not retried. */
-  void GiveUp(const request_pointer& request, const std::string& cause) {
+  void GiveUp(const request_pointer& request, const std::string& cause,
+              const char* message = kNotRunMessage) {
     if (request->response_started) {
       AbortStream(request, cause);
       return;
@@ -1242,7 +1486,7 @@
     Respond(request,
             {.status = 503,
              .type = cause,
-             .message = "The request has not run.",
+             .message = message,
              .retry_after = request->retry_after.value_or(
                  request->attempts > 0 ? kRetryAfterShed
                                        : WithJitter(kRetryAfterUnready))});
@@ -1310,6 +1554,7 @@
     if (!cause.empty()) line.Add("cause", cause);
     if (retry_after) line.Add("retry_after_ms", retry_after->count());
     ReleaseGrant(*request, false);
+    lost_runs.erase(request->lost_number);
     DiscardBody(*request);
     requests.erase(request->number);
   }
@@ -1327,6 +1572,12 @@
     const auto now = loop.Now();
     ReportStalledStreams(now);
     CloseUnansweredLinks(now);
+    CheckVerdictTimeouts(now);
+    if (now - quarantine_checked_at >= kQuarantinePeriod) {
+      quarantine_checked_at = now;
+      quarantine.OnTick(now);
+      LogPartChanges("time");
+    }
     if (now - notices_cleaned_at >= kNoticeCleanupPeriod) {
       notices_cleaned_at = now;
       notices.OnTick(now);
@@ -1372,6 +1623,7 @@
     for (const auto& [number, request] : requests) {
       request->grant_requested_at = loop.Now();
       request->last_progress = loop.Now();
+      request->verdict_due = loop.Now() + kVerdictTimeout;
     }
     RenewGrantsUnderLimits();
   }
@@ -1433,7 +1685,7 @@
     Respond(request,
             {.status = 503,
              .type = "time_limit",
-             .message = "The request has not run.",
+             .message = kNotRunMessage,
              .retry_after = request->retry_after.value_or(kRetryAfterUnready)});
   }
 
@@ -1573,6 +1825,13 @@
         request->grant_number = 0;
       }
     }
+    std::vector<request_pointer> awaiting;
+    for (const auto& [number, request] : lost_runs) {
+      if (request->sidecar_ip == ip) awaiting.push_back(request);
+    }
+    for (const request_pointer& request : awaiting) {
+      OnVerdict(request, true, "link_lost");
+    }
     for (const request_pointer& request : waiting) {
       open_grants.erase(request->grant_number);
       request->grant_number = 0;
@@ -1591,6 +1850,8 @@
             [&](const grants::grant_refused& refused) { OnRefused(refused); },
             [&](const grants::status_report& report) { OnStatus(ip, report); },
             [&](const grants::limit_notice& notice) { OnLimitNotice(notice); },
+            [&](const grants::run_checked& checked) { OnRunChecked(checked); },
+            [&](const grants::crash_notice& notice) { OnCrashNotice(notice); },
             [&](const auto&) {
               log.SystemEvent("message_unexpected").Add("sidecar", ip);
             }},
@@ -1614,6 +1875,7 @@
       }
       const bool was_linked = std::exchange(view.has_sidecar, true);
       view.status = report.status;
+      if (!was_linked) SendCrashRecords(ip);
       if (!was_linked && !report.status.limit) {
         // Before the first grant request: a sidecar that has just started may
         // not know the limit.
@@ -1635,6 +1897,13 @@
     }
   }
 
+  /** A sidecar that has just started knows no crashes. */
+  void SendCrashRecords(const std::string& ip) {
+    for (auto& record : quarantine.Evidence().Records(loop.Now())) {
+      links->Send(ip, grants::crash_notice{std::move(record)});
+    }
+  }
+
   void OnLimitNotice(const grants::limit_notice& notice) {
     const auto found = views.find(notice.endpoint.instance);
     if (found == views.end()) return;
@@ -1695,6 +1964,10 @@
   std::map<std::uint64_t, request_pointer> open_grants;
   std::map<catalog::instance_id, endpoint_view> views;
   endpoint_notices notices;
+  prompt_quarantine quarantine;
+  core::time_point quarantine_checked_at;
+  /** Requests that await a verdict, by the number of the lost grant. */
+  std::map<std::uint64_t, request_pointer> lost_runs;
   /** State of the current link to each sidecar, by IP address. */
   std::map<std::string, link_state> link_states;
   /** Limit the requests to endpoints whose requests no sidecar counts. */
@@ -1783,6 +2056,16 @@
           impl_->views.begin(), impl_->views.end(), [this](const auto& entry) {
             return impl_->notices.LimitOf(entry.second.record).has_value();
           })));
+  const auto parts = impl_->quarantine.Evidence().Parts();
+  const auto quarantined =
+      std::count_if(parts.begin(), parts.end(), [](const auto& part) {
+        return part.after == quarantine::part_state::quarantined;
+      });
+  impl_->metrics.SetGauge("gateway_quarantined_prompt_parts",
+                          static_cast<double>(quarantined));
+  impl_->metrics.SetGauge(
+      "gateway_suspected_prompt_parts",
+      static_cast<double>(parts.size()) - static_cast<double>(quarantined));
   impl_->metrics.SetGauge("gateway_sidecars_open",
                           static_cast<double>(impl_->links->OpenCount()));
   impl_->metrics.SetGauge("gateway_sidecars_wanted",
@@ -1818,18 +2101,28 @@
     requests.push_back(
         {{"request", request->metadata.id.Value()},
          {"route", request->route->name},
-         {"state", request->state == impl::phase::waiting ? "waiting" : "sent"},
+         {"state", impl::PhaseName(request->state)},
          {"endpoint", request->endpoint.Value()},
          {"attempts", request->attempts},
          {"events", request->events_sent},
          {"age_ms", core::ToMilliseconds(now - request->arrived).count()}});
   }
+  nlohmann::json parts = nlohmann::json::array();
+  for (const auto& part : impl_->quarantine.Evidence().Parts()) {
+    parts.push_back({{"part", part.part.Value()},
+                     {"state", ToString(part.after)},
+                     {"crashes", part.crashes},
+                     {"quarantine_left_ms", impl_->quarantine.Evidence()
+                                                .QuarantineLeft(part.part, now)
+                                                .count()}});
+  }
   const auto& table = impl_->follower.Routes();
   const nlohmann::json dump = {
       {"configuration_version", table ? table->Version() : 0},
       {"catalog_age_ms", impl_->follower.Age().count()},
       {"draining", impl_->draining},
       {"gateways", impl_->GatewayCount()},
+      {"prompt_parts", std::move(parts)},
       {"endpoints", std::move(endpoints)},
       {"requests", std::move(requests)}};
   return dump.dump(2);
