--- a/src/gateway/prompt_quarantine_test.cc
+++ b/src/gateway/prompt_quarantine_test.cc
@@ -64,9 +64,9 @@
 }
 
 TEST_F(prompt_quarantine_test, PromptsWithoutSharedPartsAreNotJudged) {
-  Crash({});
+  for (int i = 0; i < 5; ++i) Crash({});
   EXPECT_EQ(Admission({}), prompt_admission::any);
-  EXPECT_EQ(quarantine_.Evidence().RecordCount(), 0U);
+  EXPECT_TRUE(quarantine_.Evidence().Parts().empty());
 }
 
 // A part that was sound until now is found as well, once its answers are old.
--- a/src/grants/limit_replay_test.cc
+++ b/src/grants/limit_replay_test.cc
@@ -9,11 +9,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <utility>
 #include <vector>
 
+#include "core/simulated_time.h"
 #include "grants/grant_scheduler.h"
 #include "grants/permit_table.h"
 
@@ -21,6 +21,7 @@
 namespace {
 
 using core::milliseconds;
+using core::simulated_time;
 using core::time_point;
 using limits::request_rate;
 
@@ -34,39 +35,6 @@
 const limits::endpoint_incarnation kEndpoint{catalog::instance_id("i"),
                                              kStarted};
 
-/** Events in the order of their time. */
-class simulated_time {
- public:
-  time_point Now() const { return now_; }
-  void After(milliseconds delay, std::function<void()> step) {
-    steps_.push({now_ + delay, ++last_, std::move(step)});
-  }
-  void RunFor(milliseconds length) {
-    const time_point end = now_ + length;
-    while (!steps_.empty() && steps_.top().at <= end) {
-      auto step = steps_.top();
-      steps_.pop();
-      now_ = step.at;
-      step.run();
-    }
-    now_ = end;
-  }
-
- private:
-  struct entry {
-    time_point at;
-    std::uint64_t number = 0;
-    std::function<void()> run;
-    bool operator<(const entry& other) const {
-      return at != other.at ? at > other.at : number > other.number;
-    }
-  };
-
-  time_point now_{std::chrono::seconds(1000)};
-  std::uint64_t last_ = 0;
-  std::priority_queue<entry> steps_;
-};
-
 /** Arrivals at the endpoint. */
 class arrivals {
  public:
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -6,6 +6,18 @@
 #include <utility>
 
 namespace comfreyspring::quarantine {
+namespace {
+
+/** Other crashes within this time of a crash speak for a common reason. */
+constexpr core::milliseconds kStormWindow{1000};
+/** Weight of a crash beside none, one, and more unexplained ones. */
+constexpr double kWeightAlone = 1.0;
+constexpr double kWeightBesideOne = 0.75;
+constexpr double kWeightInStorm = 0.5;
+/** Crashes, one after the other, that make a part a likely explanation. */
+constexpr std::size_t kChainThatExplains = 2;
+
+}  // namespace
 
 std::string_view ToString(part_state state) {
   switch (state) {
@@ -23,14 +35,13 @@
 
 std::optional<crash_record> crash_evidence::OnCrash(const crash_record& record,
                                                     core::time_point now) {
-  if (record.parts.empty() || record.age >= kRecordLifetime) {
-    return std::nullopt;
-  }
+  if (record.age >= kRecordLifetime) return std::nullopt;
   const auto [position, is_new] = records_.try_emplace(record.crash);
   entry& known = position->second;
   const auto at = now - std::max(record.age, core::milliseconds(0));
   known.at = is_new ? at : std::min(known.at, at);
   bool changed = is_new;
+  part_list affected;
   for (const suspected_part& reported : record.parts) {
     const auto [found, inserted] =
         known.parts.size() < kMaximumPartsPerRecord
@@ -48,9 +59,10 @@
     } else {
       parts_[part.part].levels[record.crash] = part.level;
     }
-    Update(part.part, now);
+    affected.push_back(part.part);
   }
   if (!changed) return std::nullopt;
+  Update(affected, now);
   auto merged = RecordOf(record.crash, known, now);
   LimitRecords(now);
   return merged;
@@ -67,8 +79,9 @@
       crashes.insert(crash);
     }
     found->second.levels.clear();
-    Update(part, now);
   }
+  if (crashes.empty()) return {};
+  Update(parts, now);
   std::vector<crash_record> changed;
   for (const crash_id& crash : crashes) {
     changed.push_back(RecordOf(crash, records_.at(crash), now));
@@ -82,19 +95,19 @@
     if (now - position->second.at >= kRecordLifetime) Remove(position, now);
     position = next;
   }
-  std::vector<core::prompt_part_id> known;
-  for (const auto& [part, total] : parts_) known.push_back(part);
-  for (const auto& part : known) Update(part, now);
+  Update({}, now);
 }
 
 void crash_evidence::Remove(std::map<crash_id, entry>::iterator position,
                             core::time_point now) {
   const auto removed = records_.extract(position);
+  part_list affected;
   for (const auto& [part, suspected] : removed.mapped().parts) {
     if (suspected.cleared) continue;
     Forget(part, removed.key());
-    Update(part, now);
+    affected.push_back(part);
   }
+  Update(affected, now);
 }
 
 void crash_evidence::Forget(const core::prompt_part_id& part,
@@ -103,33 +116,79 @@
   if (found != parts_.end()) found->second.levels.erase(crash);
 }
 
-void crash_evidence::Update(const core::prompt_part_id& part,
-                            core::time_point now) {
-  const auto found = parts_.find(part);
-  if (found == parts_.end()) return;
-  summary& total = found->second;
-  const part_state before = total.state;
-  total.state = part_state::clear;
-  std::set<int> levels;
-  core::time_point latest;
-  for (const auto& [crash, level] : total.levels) {
-    levels.insert(level);
-    latest = std::max(latest, records_.at(crash).at);
+void crash_evidence::Update(const part_list& changed, core::time_point now) {
+  for (const core::prompt_part_id& part : changed) {
+    const auto found = parts_.find(part);
+    if (found == parts_.end()) continue;
+    summary& total = found->second;
+    std::set<int> levels;
+    for (const auto& [crash, level] : total.levels) levels.insert(level);
+    total.chain_length = levels.size();
+    if (levels.empty()) {
+      SetState(part, total, part_state::clear);
+      parts_.erase(found);
+    } else if (levels.size() < kCrashesToQuarantine) {
+      SetState(part, total, part_state::suspected);
+    }
   }
-  if (!levels.empty()) total.state = part_state::suspected;
-  if (levels.size() >= kLevelsToQuarantine) {
+  // What explains a crash changes the weight of others.
+  for (auto& [part, total] : parts_) {
+    if (total.chain_length < kCrashesToQuarantine) continue;
+    const double weight = WeightOf(part, total);
     auto length = kFirstQuarantine;
-    for (std::size_t level = kLevelsToQuarantine;
-         level < levels.size() && length < kLongestQuarantine; ++level) {
-      length *= 2;
+    for (double needed = kCrashesToQuarantine + 1; needed <= weight;
+         needed += 1.0) {
+      length = std::min(2 * length, kLongestQuarantine);
     }
-    total.quarantined_until = latest + std::min(length, kLongestQuarantine);
-    if (now < total.quarantined_until) total.state = part_state::quarantined;
+    core::time_point latest;
+    for (const auto& [crash, level] : total.levels) {
+      latest = std::max(latest, records_.at(crash).at);
+    }
+    total.quarantined_until = latest + length;
+    const bool is_quarantined =
+        weight >= kCrashesToQuarantine && now < total.quarantined_until;
+    SetState(part, total,
+             is_quarantined ? part_state::quarantined : part_state::suspected);
   }
-  if (total.state != before) {
-    changes_.push_back({part, before, total.state, total.levels.size()});
+}
+
+void crash_evidence::SetState(const core::prompt_part_id& part, summary& total,
+                              part_state state) {
+  const part_state before = std::exchange(total.state, state);
+  if (before == state) return;
+  changes_.push_back({part, before, state, total.levels.size()});
+}
+
+double crash_evidence::WeightOf(const core::prompt_part_id& part,
+                                const summary& total) const {
+  std::map<int, double> highest;
+  for (const auto& [crash, level] : total.levels) {
+    const auto others = UnexplainedNear(records_.at(crash).at, part);
+    const double weight = others == 0   ? kWeightAlone
+                          : others == 1 ? kWeightBesideOne
+                                        : kWeightInStorm;
+    highest[level] = std::max(highest[level], weight);
   }
-  if (total.state == part_state::clear) parts_.erase(found);
+  double sum = 0.0;
+  for (const auto& [level, weight] : highest) sum += weight;
+  return sum;
+}
+
+std::size_t crash_evidence::UnexplainedNear(
+    core::time_point at, const core::prompt_part_id& part) const {
+  const auto explains = [this](const auto& suspected) {
+    if (suspected.second.cleared) return false;
+    const auto found = parts_.find(suspected.first);
+    return found != parts_.end() &&
+           found->second.chain_length >= kChainThatExplains;
+  };
+  return static_cast<std::size_t>(
+      std::count_if(records_.begin(), records_.end(), [&](const auto& known) {
+        const entry& other = known.second;
+        return other.at > at - kStormWindow && other.at < at + kStormWindow &&
+               other.parts.count(part) == 0 &&
+               std::none_of(other.parts.begin(), other.parts.end(), explains);
+      }));
 }
 
 // State.
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -34,19 +34,23 @@
  * prompts.
  *
  * One crash suspects each prompt that had not begun to be answered, so it
- * proves nothing. A part is quarantined after `kLevelsToQuarantine` crashes
+ * proves nothing. A part is quarantined after `kCrashesToQuarantine` crashes
  * that follow each other: each request was sent when the crash before was
  * known, and no answer with the part has gone on in between. Engines that end
  * together, such as those of a rack, therefore count as one. An answer that
  * goes on clears the part of all crashes known by then.
  *
+ * A crash counts less if others at about the same time have nothing to do with
+ * the part, nor with another one that is suspected of several: engines end for
+ * other reasons then. At most twice as many crashes are needed.
+ *
  * A quarantine ends after a time that doubles with each further crash. The
  * part is suspected then: one request may try it, and a crash renews the
  * quarantine.
  */
 class crash_evidence {
  public:
-  static constexpr std::size_t kLevelsToQuarantine = 3;
+  static constexpr std::size_t kCrashesToQuarantine = 3;
   static constexpr core::milliseconds kFirstQuarantine{60'000};
   static constexpr core::milliseconds kLongestQuarantine{600'000};
   /** Longer than the longest quarantine, so that its part stays suspected. */
@@ -94,9 +98,12 @@
   struct summary {
     /** Crashes that the part is suspected of and was not cleared of. */
     std::map<crash_id, int> levels;
+    /** Number of these that follow each other. */
+    std::size_t chain_length = 0;
     core::time_point quarantined_until;
     part_state state = part_state::clear;
   };
+  using part_list = std::vector<core::prompt_part_id>;
 
   static crash_record RecordOf(const crash_id& crash, const entry& known,
                                core::time_point now);
@@ -107,8 +114,15 @@
               core::time_point now);
   /** The part is not suspected of this crash any more. */
   void Forget(const core::prompt_part_id& part, const crash_id& crash);
-  /** Derives the state of a part from the crashes that it is suspected of. */
-  void Update(const core::prompt_part_id& part, core::time_point now);
+  /** Derives the states of parts after the crashes of these have changed. */
+  void Update(const part_list& changed, core::time_point now);
+  void SetState(const core::prompt_part_id& part, summary& total,
+                part_state state);
+  /** Weight of the crashes that the part is suspected of. */
+  double WeightOf(const core::prompt_part_id& part, const summary& total) const;
+  /** Crashes at about this time that neither the part nor another explains. */
+  std::size_t UnexplainedNear(core::time_point at,
+                              const core::prompt_part_id& part) const;
 
   std::map<crash_id, entry> records_;
   std::map<core::prompt_part_id, summary> parts_;
--- a/src/quarantine/crash_evidence_test.cc
+++ b/src/quarantine/crash_evidence_test.cc
@@ -60,6 +60,37 @@
   EXPECT_EQ(evidence.StateOf(kPart), part_state::suspected);
 }
 
+// Among many crashes that a part has nothing to do with, those that it has been
+// beside prove less.
+TEST(crash_evidence_test, CrashesBesideOthersCountLess) {
+  crash_evidence evidence;
+  auto now = kStart;
+  int needed = 0;
+  while (evidence.StateOf(kPart) != part_state::quarantined && needed < 20) {
+    for (int other = 0; other < 3; ++other) {
+      evidence.OnCrash(
+          {.crash = {core::process_id("other"), 10 * needed + other}}, now);
+    }
+    evidence.OnCrash(Crash(needed, needed), now);
+    ++needed;
+    now += milliseconds(2000);
+  }
+  EXPECT_EQ(needed, 6);
+  EXPECT_EQ(evidence.QuarantineLeft(kPart, now - milliseconds(2000)),
+            crash_evidence::kFirstQuarantine);
+}
+
+TEST(crash_evidence_test, TwoPartsThatCrashEnginesAreBothQuarantined) {
+  const prompt_part_id other{std::string("q")};
+  crash_evidence evidence;
+  for (int i = 0; i < 3; ++i) {
+    evidence.OnCrash(Crash(i, i), kStart);
+    evidence.OnCrash(Crash(10 + i, i, other), kStart);
+  }
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::quarantined);
+  EXPECT_EQ(evidence.StateOf(other), part_state::quarantined);
+}
+
 TEST(crash_evidence_test, AnAnswerClearsThePartOfAllKnownCrashes) {
   auto evidence = AfterChain(3);
   const auto changed = evidence.OnAnswered({kPart}, kStart);
@@ -132,9 +163,11 @@
   EXPECT_TRUE(evidence.TakeChanges().empty());
 }
 
-// Memory is bounded, and a storm of other crashes does not release a part.
+// Memory is bounded, and a later storm of other crashes does not release a
+// part.
 TEST(crash_evidence_test, KeepsTheRecordsOfAQuarantineInAStormOfCrashes) {
   auto evidence = AfterChain(3);
+  const auto later = kStart + milliseconds(10'000);
   for (int i = 0; i < 1000; ++i) {
     crash_record record = Crash(100 + i, 0);
     record.parts.clear();
@@ -142,7 +175,7 @@
       record.parts.push_back(
           {prompt_part_id("q" + std::to_string(i * 20 + part)), 0});
     }
-    evidence.OnCrash(record, kStart + milliseconds(i));
+    evidence.OnCrash(record, later + milliseconds(i));
   }
   EXPECT_EQ(evidence.RecordCount(), crash_evidence::kMaximumRecords);
   EXPECT_EQ(evidence.StateOf(kPart), part_state::quarantined);
--- a/src/quarantine/crash_record.h
+++ b/src/quarantine/crash_record.h
@@ -37,8 +37,8 @@
 };
 
 /**
- * What may have ended an engine. Copies are merged by union, so that their
- * order and number do not matter.
+ * What may have ended an engine; no parts if no prompt can have. Copies are
+ * merged by union, so that their order and number do not matter.
  */
 struct crash_record {
   crash_id crash;
--- a/src/sidecar/crash_watch.cc
+++ b/src/sidecar/crash_watch.cc
@@ -76,7 +76,7 @@
     // Their gateways are cut off or suspended.
     for (const auto* request : without_output) Blame(request->blamed_parts);
   }
-  if (!end_->blames_nobody && !end_->parts.empty()) {
+  if (!end_->blames_nobody && (is_first || !end_->parts.empty())) {
     result.crash =
         quarantine::crash_record{.crash = {sidecar_, end_->started_unix_ms},
                                  .age = core::ToMilliseconds(now - end_->at),
--- a/src/sidecar/crash_watch_test.cc
+++ b/src/sidecar/crash_watch_test.cc
@@ -77,9 +77,13 @@
   EXPECT_FALSE(Settle().crash);
 }
 
+// A crash that no prompt is blamed for tells that engines end for other
+// reasons.
 TEST_F(crash_watch_test, ALateReportAddsToTheRecord) {
   watch_.OnEngineRefused(now_);
-  EXPECT_FALSE(Settle().crash);
+  const auto first = Settle();
+  ASSERT_TRUE(first.crash);
+  EXPECT_TRUE(first.crash->parts.empty());
   now_ += milliseconds(500);
   watch_.OnRunLost({1, 7}, Parts("p"), now_);
   const auto found = watch_.OnTick({}, now_);
