Test quarantines through restarts and crashes without a common part

Four more process tests: refusals are at once and name a time, a quarantine outlives restarts of all gateways and of all sidecars, engines that end on their own and broken answers condemn no part.

--- a/tests/process/prompt_quarantine_test.cc
+++ b/tests/process/prompt_quarantine_test.cc
@@ -4,7 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <string>
@@ -123,6 +125,44 @@
     return sent == 0 ? 0.0 : static_cast<double>(served) / sent;
   }
 
+  /** Requests of these ids that were answered. */
+  std::vector<fleet_outcome> OutcomesOf(
+      const std::set<std::string>& ids) const {
+    std::vector<fleet_outcome> found;
+    for (const fleet_outcome& each : outcomes_) {
+      if (ids.count(each.id) > 0) found.push_back(each);
+    }
+    return found;
+  }
+  /** Sends requests with the part until it is quarantined. */
+  void QuarantineThePart() {
+    StartSoundLoad();
+    Wait(milliseconds(1500));
+    StartDeadlyLoad();
+    Wait(milliseconds(4000));
+    loop_.Cancel(deadly_timer_);
+    Wait(milliseconds(500));
+    ASSERT_FALSE(crashes_.empty());
+  }
+  /** Sends one request with the part through each gateway. */
+  void ExpectRefusedEverywhere() {
+    const std::size_t crashes = crashes_.size();
+    std::set<std::string> ids;
+    for (int gateway = 0; gateway < kGateways; ++gateway) {
+      ids.insert(
+          Send("stream", gateway, {{"prompt-prefix", Prompt("dead:40,")}}));
+    }
+    Wait(milliseconds(500));
+    const auto outcomes = OutcomesOf(ids);
+    EXPECT_EQ(outcomes.size(), ids.size());
+    for (const fleet_outcome& each : outcomes) {
+      EXPECT_EQ(each.status, 503) << each.id;
+      EXPECT_LT(each.answered_at - each.sent_at, milliseconds(100)) << each.id;
+      EXPECT_GT(each.retry_after_s, 20.0) << each.id;
+    }
+    EXPECT_EQ(crashes_.size(), crashes);
+  }
+
   std::mt19937 random_{1};
   int prepared_ = 0;
   int restarts_ = 0;
@@ -144,5 +184,71 @@
   EXPECT_GE(SoundShare(FifthCrash() + 2 * kStableTime), 0.98);
 }
 
+// Callers that can't be served must not wait, nor return at once.
+TEST_F(prompt_quarantine_test, RequestsWithAQuarantinedPartAreRefusedAtOnce) {
+  QuarantineThePart();
+  ExpectRefusedEverywhere();
+  StopLoad();
+  const auto state = nlohmann::json::parse(AdminPage(0, "/debug/state"));
+  ASSERT_EQ(state.at("prompt_parts").size(), 1U) << state.at("prompt_parts");
+  EXPECT_EQ(state.at("prompt_parts")[0].at("part"), "dead");
+  EXPECT_EQ(state.at("prompt_parts")[0].at("state"), "quarantined");
+}
+
+// Guards against a process that starts without what the others know.
+TEST_F(prompt_quarantine_test, AQuarantineOutlivesRestartsOfAllProcesses) {
+  QuarantineThePart();
+  for (int gateway = 0; gateway < kGateways; ++gateway) {
+    StartGateway(gateway);
+    WaitUntilReady(gateway);
+    Wait(milliseconds(300));
+  }
+  ExpectRefusedEverywhere();
+  for (int engine = 0; engine < kEngines; ++engine) StartSidecar(engine);
+  Wait(milliseconds(1500));
+  for (int gateway = 0; gateway < kGateways; ++gateway) {
+    StartGateway(gateway);
+    WaitUntilReady(gateway);
+  }
+  Wait(milliseconds(1000));
+  ExpectRefusedEverywhere();
+  StopLoad();
+}
+
+// Guards against parts that are condemned for engines that end on their own,
+// one after the other and several at once, and for sidecars that are killed.
+TEST_F(prompt_quarantine_test, EnginesThatEndForOtherReasonsCondemnNoPart) {
+  StartSoundLoad();
+  Wait(milliseconds(1500));
+  for (int round = 0; round < 8; ++round) {
+    CrashWithoutCause(round % kEngines);
+    if (round % 3 == 0) CrashWithoutCause((round + 1) % kEngines);
+    if (round % 4 == 1) StartSidecar((round + 3) % kEngines);
+    Wait(milliseconds(900));
+  }
+  Wait(milliseconds(2500));
+  const auto since = loop_.Now();
+  Wait(milliseconds(2000));
+  StopLoad();
+  for (int gateway = 0; gateway < kGateways; ++gateway) {
+    const auto state =
+        nlohmann::json::parse(AdminPage(gateway, "/debug/state"));
+    EXPECT_TRUE(state.at("prompt_parts").empty()) << state.at("prompt_parts");
+  }
+  EXPECT_GE(SoundShare(since), 0.99);
+}
+
+// An answer that breaks off is the fault of no prompt while its engine runs.
+TEST_F(prompt_quarantine_test, BrokenAnswersCondemnNoPart) {
+  StartSoundLoad();
+  for (int i = 0; i < kEngines; ++i) Engine(i).break_probability = 0.5;
+  Wait(milliseconds(5000));
+  for (int i = 0; i < kEngines; ++i) Engine(i).break_probability = 0;
+  Wait(milliseconds(500));
+  StopLoad();
+  const auto state = nlohmann::json::parse(AdminPage(0, "/debug/state"));
+  EXPECT_TRUE(state.at("prompt_parts").empty()) << state.at("prompt_parts");
+}
+
 }  // namespace
 }  // namespace comfreyspring::process_test
