Reject frames that are nested too deeply before the decoder recurses

A frame of a megabyte of one byte (nested arrays, maps or strings of indefinite length) ended the process that decoded it with a segmentation fault: the library's CBOR reader recurses for each, also into what its caller then rejects. Both decoders check the structure of a frame first; frames of the system have definite lengths and little depth. Tests: RejectsDeeplyNestedFrames of grants and wire (segmentation fault before); a property compares the check with what the library writes.

--- a/src/core/json_parser.h
+++ b/src/core/json_parser.h
@@ -4,7 +4,7 @@
 #include <string_view>
 
 #include "core/error.h"
-#include "core/json_nesting.h"
+#include "core/nesting.h"
 
 namespace comfreyspring::core {
 
--- a/src/core/json_parser_test.cc
+++ b/src/core/json_parser_test.cc
@@ -36,6 +36,50 @@
   return deepest + 1;
 }
 
+TEST(cbor_nesting_test, RejectsIndefiniteLengthsTagsAndCutItems) {
+  for (const std::string frame :
+       {"\x9f\xff", "\xbf\xff", "\x7f\xff", "\x5f\xff", "\xc0\x01", "\x82\x01",
+        "\x63"
+        "ab",
+        "\x19\x01", "\xff", "", "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"}) {
+    EXPECT_FALSE(IsCborNestedWithin(frame, kMaximumCborDepth));
+  }
+}
+
+// Whatever the library writes must pass, up to its depth.
+RC_GTEST_PROP(cbor_nesting_property, FindsTheDepthOfAnyEncodedValue, ()) {
+  nlohmann::json value = 1;
+  std::size_t depth = 0;
+  const int size = *rc::gen::inRange(0, 12);
+  for (int i = 0; i < size; ++i) {
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        value = nlohmann::json::array({value, -7, std::string(300, 'x')});
+        ++depth;
+        break;
+      case 1:
+        value = {{"a", nlohmann::json::array()}, {"b", value}};
+        ++depth;
+        break;
+      case 2:
+        value = nlohmann::json::array({value, 1.5, nullptr, true, 70'000});
+        ++depth;
+        break;
+      default:
+        value = nlohmann::json::array({nlohmann::json::object(), value});
+        ++depth;
+        break;
+    }
+  }
+  // The empty containers beside the first value are one level deeper.
+  const std::size_t deepest = DepthOf(value);
+  std::string frame;
+  nlohmann::json::to_cbor(value, frame);
+  RC_ASSERT(deepest >= depth);
+  RC_ASSERT(IsCborNestedWithin(frame, deepest));
+  if (deepest > 0) RC_ASSERT(!IsCborNestedWithin(frame, deepest - 1));
+}
+
 // The depth must be that of the value which the library makes of the text.
 RC_GTEST_PROP(json_parser_property, FindsTheDepthOfAnyValidText, ()) {
   std::string text;
--- a/src/core/json_nesting.h
+++ b/src/core/nesting.h
@@ -12,7 +12,16 @@
  */
 bool IsNestedWithin(std::string_view json_text, std::size_t depth);
 
-/** Above the depth of every message and document of the system. */
+/**
+ * Whether a CBOR item is nested at most this deep and all its parts have
+ * definite lengths, as in each frame between processes of the system. Decoders
+ * recurse for each level and for each indefinite length.
+ */
+bool IsCborNestedWithin(std::string_view frame, std::size_t depth);
+
+/** Above the depth of every document of the system and of its platform. */
 inline constexpr std::size_t kMaximumJsonDepth = 64;
+/** Above the depth of every frame. */
+inline constexpr std::size_t kMaximumCborDepth = 16;
 
 }  // namespace comfreyspring::core
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "core/nesting.h"
 #include "core/overloaded.h"
 
 namespace comfreyspring::grants {
@@ -592,6 +593,10 @@
 }
 
 message Decode(std::string_view frame) {
+  // The library recurses into what it then rejects.
+  if (!core::IsCborNestedWithin(frame, 1)) {
+    throw core::invalid_value_error("unreadable message: not a flat array");
+  }
   field_collector collector;
   const bool whole = json::sax_parse(frame.begin(), frame.end(), &collector,
                                      json::input_format_t::cbor);
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -71,6 +71,17 @@
   EXPECT_TRUE(RoundTrip(run_ended{7, false, true}).lost);
 }
 
+// Guards against a frame that exhausts the stack of its reader.
+TEST(messages_test, RejectsDeeplyNestedFrames) {
+  constexpr std::size_t kSize = 1'000'000;
+  for (const char nesting : {'\x81', '\xa1', '\x9f', '\xbf', '\x7f', '\x5f'}) {
+    EXPECT_THROW(Decode(std::string(kSize, nesting)),
+                 core::invalid_value_error);
+    EXPECT_THROW(Decode('\x81' + std::string(kSize, nesting)),
+                 core::invalid_value_error);
+  }
+}
+
 // A level that another process cannot have counted must not overflow here.
 TEST(messages_test, RejectsLevelsOutOfRange) {
   for (const int level : {-1, 2'000'000'000}) {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/nesting.h"
+
 namespace nlohmann {
 
 /** Ids are encoded as strings. */
@@ -253,6 +255,9 @@
 
 message Decode(std::string_view frame) {
   std::string type = "unknown";
+  if (!core::IsCborNestedWithin(frame, core::kMaximumCborDepth)) {
+    throw wire_error("frame is malformed or nested too deeply");
+  }
   try {
     const json parsed = json::from_cbor(frame.begin(), frame.end());
     type = parsed.at(kTypeField).get<std::string>();
--- a/src/wire/codec_test.cc
+++ b/src/wire/codec_test.cc
@@ -45,6 +45,15 @@
   }
 }
 
+// Guards against a frame that exhausts the stack of its reader.
+TEST(Codec, RejectsDeeplyNestedFrames) {
+  constexpr std::size_t kSize = 1'000'000;
+  for (const char nesting : {'\x81', '\xa1', '\x9f', '\xbf', '\x7f', '\x5f'}) {
+    EXPECT_THROW(Decode(std::string(kSize, nesting)), wire_error);
+    EXPECT_THROW(Decode('\x81' + std::string(kSize, nesting)), wire_error);
+  }
+}
+
 // Guards against an exception of another type, which would terminate the
 // process, on malformed data from a faulty peer.
 RC_GTEST_PROP(Codec, ThrowsOnlyWireErrorOnArbitraryBytes,
