Parse all JSON from outside within a depth

Events and status of engines on our own API could end the agent (the text of an error prints the value, which recurses); the parsers of other documents follow suit: configuration, VM list, callers' bodies, settings, pages that comfreyspringctl reads. Tests: SurvivesDeeplyNestedValues of the agent (segmentation fault before), a nested body at the entry (passed before), OddEntriesOfAnotherWriterAreSkipped with gateway and sidecar as processes.

--- a/src/agent/engine_controller.cc
+++ b/src/agent/engine_controller.cc
@@ -8,6 +8,7 @@
 
 #include "agent/fencing_number.h"
 #include "agent/foreign_run_guard.h"
+#include "core/json_parser.h"
 
 namespace comfreyspring::agent {
 
@@ -88,7 +89,7 @@
 
   void OnStatusDone(const net::http_result& result, int validation,
                     int commands) {
-    json status = json::parse(result.body, nullptr, false);
+    json status = core::TryParseJson(result.body);
     if (result.status != kOk || !status.is_object()) {
       OnStatusFailed(result);
       return;
--- a/src/agent/engine_controller_test.cc
+++ b/src/agent/engine_controller_test.cc
@@ -396,5 +396,20 @@
   EXPECT_FALSE(engine_.IsUp());
 }
 
+// Guards against a value of the engine that exhausts the stack when it is
+// copied or printed.
+TEST_F(engine_controller_test, SurvivesDeeplyNestedValues) {
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  http_.Answer(WaitForCall("/status"), 200,
+               R"({"instance_id":)" + nested + '}');
+  EXPECT_FALSE(engine_.IsUp());
+  AnswerStatus(Status());
+  const auto call = Run();
+  EXPECT_CALL(listener_, OnOutput(_, _)).Times(0);
+  http_.EventText(call, R"({"adapter":)" + nested + R"(,"version":"v1"})");
+}
+
 }  // namespace
 }  // namespace comfreyspring::agent
--- a/src/agent/engine_stream.cc
+++ b/src/agent/engine_stream.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "agent/event_stream_parser.h"
+#include "core/json_parser.h"
 
 namespace comfreyspring::agent {
 
@@ -78,7 +79,7 @@
   }
 
   std::string CompletionBody() const {
-    json input = json::parse(run.request->body, nullptr, false);
+    json input = core::TryParseJson(run.request->body);
     if (!input.is_object()) input = json::object();
     const std::int64_t maximum = input.value("max_tokens", std::int64_t{16});
     std::string id = attempt.Value();
@@ -136,7 +137,7 @@
       return;
     }
     for (const std::string& text : parser.Feed(data)) {
-      const json event = json::parse(text, nullptr, false);
+      const json event = core::TryParseJson(text);
       if (!event.is_object()) {
         Interrupt("the engine sent an event that is not JSON");
         return;
@@ -358,7 +359,7 @@
   void OnCancelDone(const net::http_result& result) {
     if (phase == stream_phase::ended) return;
     if (result.status == kOk) {
-      const json response = json::parse(result.body, nullptr, false);
+      const json response = core::TryParseJson(result.body);
       if (response.is_object() && response.value("cancelled", false)) {
         EndAfterCancel();
         return;
--- a/src/agent/test_doubles.h
+++ b/src/agent/test_doubles.h
@@ -59,9 +59,13 @@
   }
   /** Sends one event of a streamed response. */
   void Event(net::http_call_id id, const nlohmann::json& event) {
+    EventText(id, event.dump());
+  }
+  /** The same, for data that need not be JSON. */
+  void EventText(net::http_call_id id, const std::string& data) {
     const auto callbacks = calls_.at(id).second;
     callbacks.on_headers(200, {});
-    callbacks.on_data("data: " + event.dump() + "\n\n");
+    callbacks.on_data("data: " + data + "\n\n");
   }
   void Fail(net::http_call_id id, net::http_failure failure) {
     Done(id, {.failure = failure, .error_message = "test"});
--- a/src/config/documents.cc
+++ b/src/config/documents.cc
@@ -9,6 +9,7 @@
 
 #include "config/validation.h"
 #include "core/hash.h"
+#include "core/json_parser.h"
 
 namespace comfreyspring::config {
 namespace {
@@ -246,7 +247,7 @@
 }
 
 void ReadPart(const std::string& bytes, configuration& set) {
-  const json part = json::parse(bytes);
+  const json part = core::TryParseJson(bytes);
   const auto kind = part.at("kind").get<std::string>();
   const json& records = part.at("records");
   if (kind == "models") return ReadRecords<core::model_id>(records, set);
@@ -380,7 +381,7 @@
          "the manifest exceeds the size limit of a stored value");
   }
   try {
-    manifest value = ReadManifest(json::parse(bytes));
+    manifest value = ReadManifest(core::TryParseJson(bytes));
     CheckLimits(value);
     if (EncodeManifest(value) != bytes) {
       Fail(document_fault::checksum_mismatch,
--- a/src/ctl/request_explanation.cc
+++ b/src/ctl/request_explanation.cc
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "core/json_parser.h"
+
 namespace comfreyspring::ctl {
 namespace {
 
@@ -118,8 +120,7 @@
   for (std::string text; std::getline(log, text);) {
     const std::size_t brace = text.find('{');
     if (brace == std::string::npos) continue;
-    json line = json::parse(text.begin() + static_cast<std::ptrdiff_t>(brace),
-                            text.end(), nullptr, false);
+    json line = core::TryParseJson(std::string_view{text}.substr(brace));
     if (!line.is_object() || !line.contains("time_ms") ||
         !line["time_ms"].is_number_integer() || Text(line, "event").empty()) {
       ++malformed_lines_;
--- a/src/ctl/state_command.cc
+++ b/src/ctl/state_command.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <ostream>
 
+#include "core/json_parser.h"
 #include "ctl/command_line.h"
 #include "net/http_client.h"
 
@@ -58,9 +59,7 @@
     errors << url << " answered with status " << result->status << ".\n";
     return std::nullopt;
   }
-  constexpr bool kNoExceptions = false;
-  nlohmann::json state =
-      nlohmann::json::parse(result->body, nullptr, kNoExceptions);
+  nlohmann::json state = core::TryParseJson(result->body);
   if (state.is_discarded()) {
     errors << "The answer from " << url << " is not valid JSON.\n";
     return std::nullopt;
--- a/src/entry/config_controller.cc
+++ b/src/entry/config_controller.cc
@@ -9,6 +9,7 @@
 
 #include "config/documents.h"
 #include "config/store_dump.h"
+#include "core/json_parser.h"
 
 namespace comfreyspring::entry {
 namespace {
@@ -127,7 +128,7 @@
                 << (reachable ? "reachable." : "not reachable.");
     }
     if (result.status != kOk) return std::nullopt;
-    json response = json::parse(result.body, nullptr, false);
+    json response = core::TryParseJson(result.body);
     const bool valid = response.is_object() && response.contains("value") &&
                        response["value"].is_string();
     if (!valid) return std::nullopt;
--- a/src/entry/filters.cc
+++ b/src/entry/filters.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "core/json_parser.h"
 #include "core/uuid.h"
 
 namespace comfreyspring::entry {
@@ -33,7 +34,7 @@
 }
 
 json ParseBody(const std::string& body) {
-  json parsed = json::parse(body, nullptr, false);
+  json parsed = core::TryParseJson(body);
   if (parsed.is_discarded()) throw BadRequest("the body is not valid JSON");
   if (!parsed.is_object()) throw BadRequest("the body is not a JSON object");
   return parsed;
--- a/src/entry/filters_test.cc
+++ b/src/entry/filters_test.cc
@@ -103,6 +103,10 @@
   EXPECT_EQ(StatusOf(Completion(R"({"model":"other","prompt":"p"})")), 404);
   EXPECT_EQ(StatusOf(Completion(R"({"model":"straps@v9","prompt":"p"})")), 404);
   EXPECT_EQ(StatusOf(Completion(std::string(2 << 20, ' '))), 413);
+  EXPECT_EQ(StatusOf(Completion(R"({"model":"straps","prompt":)" +
+                                std::string(200'000, '[') +
+                                std::string(200'000, ']') + '}')),
+            400);
   EXPECT_EQ(StatusOf({.method = "GET", .path = "/v1/completions"}), 405);
   EXPECT_EQ(StatusOf({.method = "GET", .path = "/nothing"}), 404);
   EXPECT_EQ(StatusOf({.method = "POST", .path = "/v1/services/none/x"}), 404);
--- a/src/entry/membership_controller.cc
+++ b/src/entry/membership_controller.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/json_parser.h"
+
 namespace comfreyspring::entry {
 namespace {
 
@@ -14,7 +16,7 @@
 constexpr core::milliseconds kInitialHeartbeatLimit{3000};
 
 wire::vm_list ParseVmList(const std::string& body) {
-  const json parsed = json::parse(body);
+  const json parsed = core::TryParseJson(body);
   wire::vm_list list;
   list.revision = parsed.at("revision").get<std::int64_t>();
   for (const json& item : parsed.at("vms")) {
--- a/tests/process/store_stand_in.cc
+++ b/tests/process/store_stand_in.cc
@@ -38,8 +38,13 @@
               [this](auto exchange) { Answer(std::move(exchange)); }) {}
 
 void store_stand_in::Put(const std::string& key, const json& value) {
+  PutBytes(key, value.dump());
+}
+
+void store_stand_in::PutBytes(const std::string& key,
+                              const std::string& value) {
   items_[key] = {{"Key", key},
-                 {"Value", Base64(value.dump())},
+                 {"Value", Base64(value)},
                  {"Rev", revision_ + 1},
                  {"Created", 1},
                  {"Lease", 0}};
--- a/tests/process/store_stand_in.h
+++ b/tests/process/store_stand_in.h
@@ -23,6 +23,8 @@
                           std::uint16_t port = 0);
 
   void Put(const std::string& key, const nlohmann::json& value);
+  /** Writes a value that need not be JSON. */
+  void PutBytes(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   /**
    * Drops the event history: pending watches are aborted, and later watches
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -434,6 +434,52 @@
   EXPECT_FALSE(gateway_->HasEnded());
 }
 
+// Guards against an entry of another writer that ends each process that reads
+// it, or after which a gateway does not follow the other entries any more.
+TEST_F(users_platform_test, OddEntriesOfAnotherWriterAreSkipped) {
+  WaitUntilReady();
+  const std::string nested =
+      std::string(70'000, '[') + std::string(70'000, ']');
+  const auto with = [&](const std::string& field, const std::string& value) {
+    json entry = {{"Service", "s"},   {"Addr", Address(engine_.Port())},
+                  {"Zone", "z"},      {"Slots", 8},
+                  {"State", "ready"}, {"born", 5}};
+    entry[field] = "?";
+    std::string text = entry.dump();
+    return text.replace(text.find("\"?\""), 3, value);
+  };
+  const std::vector<std::string> odd = {
+      with("Slots", nested),
+      with("Models", nested),
+      with("Models", R"([{"Name":"m","Adapters":[)" + nested + "]}]"),
+      with("Slots", "18446744073709551615"),
+      with("Slots", "1e999"),
+      with("born", "18446744073709551615"),
+      with("Addr", R"("127.0.0.1:99999")"),
+      with("Addr", R"("127.0.0.1:0")"),
+      nested,
+      "\xff\xfe"};
+  for (std::size_t i = 0; i < odd.size(); ++i) {
+    store_.PutBytes("servers/odd-" + std::to_string(i), odd[i]);
+    loop_.RunUntil([] { return false; }, milliseconds(60));
+  }
+  store_.Remove("servers/i-1");
+  loop_.RunUntil([] { return false; }, milliseconds(3500));
+  EXPECT_EQ(SendStream("r1", "a1").status, 503);
+  PutEndpoint("ready");
+  loop_.RunUntil([] { return false; }, milliseconds(1500));
+  EXPECT_EQ(SendStream("r2", "a1").status, 200);
+  // A process that starts reads all entries at once.
+  gateway_.reset();
+  sidecar_.reset();
+  gateway_ = Start("gateway");
+  StartSidecar();
+  WaitUntilReady();
+  EXPECT_EQ(SendStream("r3", "a1").status, 200);
+  EXPECT_FALSE(gateway_->HasEnded());
+  EXPECT_FALSE(sidecar_->HasEnded());
+}
+
 TEST_F(users_platform_test, AnEngineThatSaysItLeavesGetsNothingNew) {
   WaitUntilReady();
   ASSERT_EQ(SendStream("r1", "a1").status, 200);
