Send a second attempt at an endpoint on a new connection

The second attempt bears the id of the first one, so a refusal of the first that the endpoint writes once more on the connection is taken for the answer to the second, which runs: it ran twice, or its caller was told 503. On another connection nothing of the first one can arrive. Repeats at the same endpoint are rare, so are the connections that this costs.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1001,7 +1001,7 @@
     request->events_before_attempt = request->events.Count();
     request->answer_went_on = false;
     ++request->attempts;
-    request->used.insert(request->endpoint);
+    const bool is_again = !request->used.insert(request->endpoint).second;
     const auto left = core::ToMilliseconds(request->deadline - now);
     const std::int64_t announced =
         follower.VersionOf(request->metadata.adapter);
@@ -1017,6 +1017,9 @@
     call.total_timeout = left + kResponseReserve;
     call.maximum_connection_idle = idle_limit;
     call.may_resend = false;
+    // The endpoint may write its earlier answer to this request once more, on
+    // the connection that it had then.
+    call.fresh_connection = is_again;
     views.at(request->endpoint).results.OnSent(now);
     auto line =
         log.Request(line_class::routine, "sent", request->metadata.id.Value());
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -518,6 +518,20 @@
   EXPECT_EQ(Stream("/once/a", "body")->response.body, "body");
 }
 
+// The earlier answer to the request, written once more, bears the same id.
+TEST_F(request_forwarder_test, ASecondAttemptAtAnEndpointHasANewConnection) {
+  Send("/again/a");
+  std::set<std::string> used;
+  for (std::size_t attempt = 0; attempt < 4; ++attempt) {
+    ASSERT_GT(http_.calls.size(), attempt);
+    const bool is_again = !used.insert(InstanceOf(attempt)).second;
+    EXPECT_EQ(http_.calls[attempt].call.fresh_connection, is_again) << attempt;
+    auto headers = Own();
+    headers["not-run"] = "1";
+    http_.Respond(503, headers);
+  }
+}
+
 // A response to another request may be followed on the same connection by the
 // one that is due. Such a connection must not be reused.
 TEST_F(request_forwarder_test, AResponseToAnotherRequestEndsItsConnection) {
--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -46,6 +46,7 @@
 
 void engine_stand_in::Start(const std::string& instance) {
   if (server_) Crash();
+  refused_.clear();
   instance_ = instance;
   ++incarnation_;
   if (incarnation_ > 1) started_ = core::UnixMilliseconds(loop_.WallNow());
@@ -177,15 +178,15 @@
   if (headers.at("expect-instance") != instance_ || !holds) {
     net::header_map answer = ResponseHeaders(id);
     answer["instance"] = instance_;
-    answer.erase("request-id");
+    answer["not-run"] = "1";
     exchange->Respond({421, std::move(answer), ""});
     return;
   }
-  if (running_.size() >= options_.slots ||
+  RepeatRefusal(exchange);
+  if (running_.size() >= options_.slots || refuse_next > 0 ||
       DrawWithProbability(refuse_probability)) {
-    net::header_map answer = ResponseHeaders(id);
-    answer["not-run"] = "1";
-    exchange->Respond({503, std::move(answer), "full"});
+    refuse_next = std::max(refuse_next - 1, 0);
+    Refuse(exchange, id);
     return;
   }
   ++runs[id];
@@ -232,6 +233,27 @@
                      });
 }
 
+void engine_stand_in::Refuse(const exchange_pointer& exchange,
+                             const std::string& id) {
+  net::header_map answer = ResponseHeaders(id);
+  answer["not-run"] = "1";
+  refused_[exchange->Connection()] = id;
+  exchange->Respond({503, std::move(answer), "full"});
+}
+
+void engine_stand_in::RepeatRefusal(const exchange_pointer& exchange) {
+  const auto refused = refused_.find(exchange->Connection());
+  if (refused == refused_.end() || repeats_refusals == repeated_refusal::none) {
+    return;
+  }
+  const std::string named = repeats_refusals == repeated_refusal::without_id
+                                ? std::string()
+                                : "request-id: " + refused->second + "\r\n";
+  exchange->SendRaw("HTTP/1.1 503 Full\r\nnot-run: 1\r\n" + named +
+                    "content-length: 4\r\n\r\nfull");
+  refused_.erase(refused);
+}
+
 void engine_stand_in::RunPlain(const std::shared_ptr<run>& current) {
   loop_.Schedule(options_.plain_time * slowdown_factor, [this, current] {
     if (current->ended) return;
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -89,6 +89,15 @@
   double break_probability = 0;
   /** Probability that a request is refused as not run. */
   double refuse_probability = 0;
+  /** Number of requests that are refused as not run. */
+  int refuse_next = 0;
+  /** How a refusal is written again. */
+  enum class repeated_refusal { none, unchanged, without_id };
+  /**
+   * A refusal is written again when the next request arrives on its connection,
+   * ahead of that request's answer.
+   */
+  repeated_refusal repeats_refusals = repeated_refusal::none;
   /** Answers have neither a length nor chunks; they end with the connection. */
   bool unframed = false;
   /**
@@ -133,6 +142,9 @@
   void SendEvent(const std::shared_ptr<run>& current, int event);
   /** Ends a stream within its next event. */
   void BreakOff(run& current, int event) const;
+  void Refuse(const exchange_pointer& exchange, const std::string& id);
+  /** Writes the refusal that the connection had before once more. */
+  void RepeatRefusal(const exchange_pointer& exchange);
   bool IsDeadly(const net::http_request& request) const;
   void End(const std::shared_ptr<run>& current, bool complete);
   bool DrawWithProbability(double chance);
@@ -144,6 +156,8 @@
   std::int64_t orders_ = 0;
   std::set<std::string> loading_;
   std::set<std::shared_ptr<run>> running_;
+  /** Ids of the latest refusals, by connection. */
+  std::map<std::uint64_t, std::string> refused_;
   std::mt19937 random_{1};
   /** Timers of an earlier incarnation see a different number and do nothing. */
   std::uint64_t incarnation_ = 0;
--- a/tests/process/raw_http_server.cc
+++ b/tests/process/raw_http_server.cc
@@ -68,8 +68,11 @@
 
 class exchange final : public raw_exchange {
  public:
-  exchange(std::weak_ptr<connection> owner, net::http_request request)
-      : owner_(std::move(owner)), request_(std::move(request)) {}
+  exchange(std::weak_ptr<connection> owner, std::uint64_t number,
+           net::http_request request)
+      : owner_(std::move(owner)),
+        connection_(number),
+        request_(std::move(request)) {}
 
   const net::http_request& Request() const override { return request_; }
   void Respond(net::http_response response) override;
@@ -83,6 +86,7 @@
   }
   std::size_t PendingBytes() const override { return 0; }
   void SetFraming(stream_framing framing) override { framing_ = framing; }
+  std::uint64_t Connection() const override { return connection_; }
   void SendRaw(std::string bytes) override;
   void CloseInOrder() override;
   void FinishRaw() override;
@@ -96,6 +100,7 @@
 
  private:
   std::weak_ptr<connection> owner_;
+  std::uint64_t connection_;
   net::http_request request_;
   stream_framing framing_ = stream_framing::chunks;
   std::function<void()> on_gone_;
@@ -103,10 +108,11 @@
 
 class connection final : public std::enable_shared_from_this<connection> {
  public:
-  connection(net::event_loop& loop, net::tcp_socket socket,
-             const raw_http_server::handler& on_request,
+  connection(net::event_loop& loop, std::uint64_t number,
+             net::tcp_socket socket, const raw_http_server::handler& on_request,
              std::function<void(const std::shared_ptr<connection>&)> on_closed)
-      : socket_(std::move(socket)),
+      : number_(number),
+        socket_(std::move(socket)),
         on_request_(on_request),
         on_closed_(std::move(on_closed)) {
     watcher_.emplace(
@@ -173,7 +179,8 @@
     const std::size_t size = ParseRequest(input_, request);
     if (size == 0) return;
     input_.erase(0, size);
-    current_ = std::make_shared<exchange>(weak_from_this(), std::move(request));
+    current_ = std::make_shared<exchange>(weak_from_this(), number_,
+                                          std::move(request));
     on_request_(current_);
   }
 
@@ -196,6 +203,7 @@
                                           : net::io_interest::read_write);
   }
 
+  std::uint64_t number_;
   net::tcp_socket socket_;
   const raw_http_server::handler& on_request_;
   std::function<void(const std::shared_ptr<connection>&)> on_closed_;
@@ -274,7 +282,7 @@
   void Accept() {
     for (auto next = socket.Accept(); next.IsValid(); next = socket.Accept()) {
       connections.insert(std::make_shared<connection>(
-          loop, std::move(next), on_request,
+          loop, ++last_connection, std::move(next), on_request,
           [this](const std::shared_ptr<connection>& closed) {
             connections.erase(closed);
           }));
@@ -286,6 +294,7 @@
   net::tcp_socket socket;
   std::optional<net::io_watcher> watcher;
   std::set<std::shared_ptr<connection>> connections;
+  std::uint64_t last_connection = 0;
 };
 
 raw_http_server::raw_http_server(net::event_loop& loop, const std::string& ip,
--- a/tests/process/raw_http_server.h
+++ b/tests/process/raw_http_server.h
@@ -21,6 +21,8 @@
    * reset.
    */
   virtual void SetFraming(stream_framing framing) = 0;
+  /** Number of the connection, from 1. */
+  virtual std::uint64_t Connection() const = 0;
   /** Sends bytes as they are, whatever the state of the response. */
   virtual void SendRaw(std::string bytes) = 0;
   /** Ends the connection in order once all bytes are sent. */
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -599,6 +599,48 @@
   }
 }
 
+// Guards against a refusal that an endpoint writes once more on a kept
+// connection: the request that is due there runs, so its caller must not be
+// told that it has not, and it must not run again elsewhere.
+TEST_F(users_platform_test, ARepeatedRefusalIsNotTakenForTheNextAnswer) {
+  engine_stand_in service(loop_, {.slots = 200, .generates = false});
+  service.Start("i-1p");
+  store_.Put("servers/i-1p", {{"Service", "plain"},
+                              {"Addr", Address(service.Port())},
+                              {"Zone", "z"},
+                              {"Slots", 200},
+                              {"State", "ready"},
+                              {"born", 7}});
+  WaitUntilReady();
+  loop_.RunUntil([] { return false; }, milliseconds(600));
+  const auto order = [&](const std::string& id) {
+    return Call({.method = "POST",
+                 .url = "http://" + Address(caller_port_) + "/",
+                 .target = "/q/x",
+                 .headers = {{"host", "h.example"},
+                             {"request-id", id},
+                             {"deadline-ms", "3000"}}})
+        .status;
+  };
+  using repeated = engine_stand_in::repeated_refusal;
+  for (const repeated how : {repeated::unchanged, repeated::without_id}) {
+    service.repeats_refusals = how;
+    const std::string name = how == repeated::unchanged ? "u" : "w";
+    // The first attempt is refused, the second one is sent to the same
+    // endpoint, the only one.
+    for (int refusals = 1; refusals <= 4; ++refusals) {
+      service.refuse_next = refusals;
+      for (int i = 0; i < 3; ++i) {
+        const std::string id =
+            name + std::to_string(refusals) + '-' + std::to_string(i);
+        const int status = order(id);
+        EXPECT_TRUE(status != 503 || service.runs.count(id) == 0) << id;
+        EXPECT_LE(service.runs[id], 1) << id;
+      }
+    }
+  }
+}
+
 // Guards against lost answers in a planned stop under load, with new and with
 // persistent connections: each accepted request must get its complete answer.
 TEST_F(users_platform_test, AStopUnderLoadLosesNoAnswers) {
