Pass on a continued stream only if it goes on where it broke off

A stream breaks off and is resumed at another engine.

The first event of a continuation must have the next id (a higher one where ids were not consecutive), and the content type must be the same; else the attempt has failed and the next one continues after the events that were due.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -219,6 +219,8 @@
 
     // Response to the caller.
     bool response_started = false;
+    /** Of the stream that has been started. */
+    std::string content_type;
     std::size_t events_sent = 0;
     /** Events of earlier attempts. */
     std::size_t events_before_attempt = 0;
@@ -998,6 +1000,7 @@
     request->response = {};
     DiscardBody(*request);
     request->forwards_events = false;
+    request->events.BeginContinuation();
     request->events_before_attempt = request->events.Count();
     request->answer_went_on = false;
     ++request->attempts;
@@ -1091,7 +1094,6 @@
         protocol.ReadResponse(status, headers, request.metadata.id);
     request.forwards_events = request.route->streams && IsSuccess(status) &&
                               request.response.authentic;
-    request.events.DropRest();
     if (request.response.idle_timeout) {
       idle_limit = std::clamp(*request.response.idle_timeout - kIdleMargin,
                               core::seconds(1), idle_limit);
@@ -1106,9 +1108,17 @@
       FailAttempt(target, request.response.for_other_request
                               ? "the response belongs to another request"
                               : "the response was not sent by the endpoint");
+    } else if (request.forwards_events && request.response_started &&
+               ContentType(headers) != request.content_type) {
+      FailAttempt(target, "the stream continues with another content type");
     }
   }
 
+  static std::string ContentType(const net::header_map& headers) {
+    const auto found = headers.find("content-type");
+    return found == headers.end() ? std::string() : found->second;
+  }
+
   /** Applies drain and backoff notices, which any response may carry. */
   void ApplyNotices(endpoint_view& view, const active_request& request) {
     const catalog::endpoint_record& record = view.record;
@@ -1225,7 +1235,17 @@
       return;
     }
     const std::size_t events_before = request->events.Count();
+    std::optional<stream::event_splitter> kept;
+    if (events_before > 0 && events_before == request->events_before_attempt) {
+      kept = request->events;
+    }
     std::string complete_events = request->events.Feed(data);
+    if (kept && !request->events.ContinuesInOrder()) {
+      // The next attempt continues after the events that were due.
+      request->events = std::move(*kept);
+      FailAttempt(request, "the stream does not continue after the last event");
+      return;
+    }
     // Only complete events count as progress.
     if (request->events.Count() > events_before) {
       request->last_progress = loop.Now();
@@ -1263,6 +1283,7 @@
       request->first_event = core::ToMilliseconds(now - request->arrived);
       metrics.Observe("gateway_first_event_ms",
                       static_cast<double>(request->first_event.count()));
+      request->content_type = ContentType(request->headers);
       auto headers = protocol.ResponseHeaders(request->headers);
       if (draining) headers["connection"] = "close";
       request->exchange->BeginStream(request->status, std::move(headers));
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -518,6 +518,71 @@
   EXPECT_EQ(Stream("/once/a", "body")->response.body, "body");
 }
 
+/** What further endpoints answer to a stream that has broken off. */
+struct bad_continuation {
+  const char* name;
+  int status;
+  bool authentic;
+  std::string type;
+  std::string body;
+  net::http_failure failure = net::http_failure::none;
+};
+
+class bad_continuation_test
+    : public request_forwarder_test,
+      public ::testing::WithParamInterface<bad_continuation> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, bad_continuation_test,
+    ::testing::Values(
+        bad_continuation{"Error", 500, true, "text/plain", "no memory\n\n"},
+        bad_continuation{"ErrorWithoutMark", 500, false, "text/plain",
+                         "bad\n\n"},
+        bad_continuation{"ErrorAsEvents", 500, true, "text/event-stream",
+                         "id: 3\ndata: error\n\n"},
+        bad_continuation{"HeadCutOff", 0, false, "", "",
+                         net::http_failure::broken},
+        bad_continuation{"SuccessOfAnotherType", 200, true, "application/json",
+                         "{\"error\":\"no memory\"}\n\n"},
+        bad_continuation{"TextInsteadOfEvents", 200, true, "text/event-stream",
+                         "HTTP/1.1 500 Error\r\nx: y\r\n\r\nno memory"},
+        bad_continuation{"FromTheBeginning", 200, true, "text/event-stream",
+                         "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+        bad_continuation{"OneLeftOut", 200, true, "text/event-stream",
+                         "id: 4\ndata: d\n\n"}),
+    [](const auto& instance) { return std::string(instance.param.name); });
+
+// Nothing but the events that are due may follow in the caller's stream, and
+// the stream must not look complete.
+TEST_P(bad_continuation_test, DoesNotReachTheCallersStream) {
+  const auto caller = Send("/resume/a");
+  auto first = Own();
+  first["content-type"] = "text/event-stream";
+  http_.Headers(200, first);
+  http_.Data("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  http_.Done(net::http_failure::broken);
+  std::size_t answered = 1;
+  while (http_.calls.size() > answered && answered < 10) {
+    answered = http_.calls.size();
+    EXPECT_EQ(http_.calls.back().call.headers.at("after"), "2");
+    if (GetParam().status != 0) {
+      net::header_map headers;
+      if (GetParam().authentic) headers = Own();
+      headers["content-type"] = GetParam().type;
+      http_.Headers(GetParam().status, headers);
+      if (!http_.calls.back().cancelled) http_.Data(GetParam().body);
+    }
+    if (!http_.calls.back().cancelled && http_.calls.size() == answered) {
+      http_.Done(GetParam().failure);
+    }
+  }
+  EXPECT_GE(answered, 2U);
+  EXPECT_EQ(caller->written, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_FALSE(caller->ended);
+  EXPECT_TRUE(caller->aborted);
+  EXPECT_EQ(caller->responses, 1);
+}
+
 // The earlier answer to the request, written once more, bears the same id.
 TEST_F(request_forwarder_test, ASecondAttemptAtAnEndpointHasANewConnection) {
   Send("/again/a");
--- a/src/stream/event_splitter.cc
+++ b/src/stream/event_splitter.cc
@@ -1,6 +1,9 @@
 #include "stream/event_splitter.h"
 
-#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <utility>
 
 namespace comfreyspring::stream {
 namespace {
@@ -19,6 +22,14 @@
   }
 }
 
+std::optional<std::uint64_t> ParseNumber(const std::string& text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return value;
+}
+
 bool IsField(std::string_view line) {
   return !line.empty() && line.front() != ':';
 }
@@ -62,17 +73,40 @@
   return has_field;
 }
 
+void event_splitter::BeginContinuation() {
+  DropRest();
+  is_first_of_continuation_ = count_ > 0;
+  continues_in_order_ = true;
+}
+
 void event_splitter::ReadEvent(std::string_view event) {
   bool has_field = false;
+  std::optional<std::string> id;
   ForEachLine(event, [&](std::string_view line) {
     has_field |= IsField(line);
     if (line.substr(0, 3) != "id:") return;
     line.remove_prefix(3);
     if (line.substr(0, 1) == " ") line.remove_prefix(1);
-    last_id_ = std::string(line);
+    id = std::string(line);
   });
   // Comments are keep-alives and do not count as progress.
-  if (has_field) ++count_;
+  if (!has_field) return;
+  CheckOrder(id.value_or(""));
+  if (id) last_id_ = std::move(*id);
+  ++count_;
+}
+
+void event_splitter::CheckOrder(const std::string& id) {
+  const auto before = ParseNumber(last_id_);
+  const auto number = ParseNumber(id);
+  const bool is_next = before && number && *number == *before + 1;
+  if (std::exchange(is_first_of_continuation_, false)) {
+    // Streams whose events have no numbers can't be checked.
+    continues_in_order_ =
+        !before || is_next ||
+        (!ids_are_consecutive_ && number && *number > *before);
+  }
+  if (count_ > 0) ids_are_consecutive_ &= is_next;
 }
 
 }  // namespace comfreyspring::stream
--- a/src/stream/event_splitter.h
+++ b/src/stream/event_splitter.h
@@ -28,8 +28,21 @@
   /** Whole events so far; comment-only events are not counted. */
   std::size_t Count() const { return count_; }
 
+  /**
+   * Drops the rest: the next bytes are those of another source that was asked
+   * to continue after `LastId`.
+   */
+  void BeginContinuation();
+  /**
+   * False if the first event since `BeginContinuation` does not follow the last
+   * one before: its id must be higher, and the next one if ids were consecutive
+   * until then.
+   */
+  bool ContinuesInOrder() const { return continues_in_order_; }
+
  private:
   void ReadEvent(std::string_view event);
+  void CheckOrder(const std::string& id);
 
   std::string rest_;
   /** Start of the last, incomplete line of `rest_`. */
@@ -39,6 +52,9 @@
   bool after_cr_ = false;
   std::string last_id_;
   std::size_t count_ = 0;
+  bool ids_are_consecutive_ = true;
+  bool is_first_of_continuation_ = false;
+  bool continues_in_order_ = true;
 };
 
 }  // namespace comfreyspring::stream
--- a/src/stream/event_splitter_test.cc
+++ b/src/stream/event_splitter_test.cc
@@ -48,6 +48,31 @@
   }
 }
 
+TEST(event_splitter_test, KnowsWhetherAContinuationFollows) {
+  const auto continues = [](const std::string& before,
+                            const std::string& after) {
+    event_splitter splitter;
+    splitter.Feed(before);
+    splitter.BeginContinuation();
+    splitter.Feed(after);
+    return splitter.ContinuesInOrder();
+  };
+  const std::string two = "id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 6\nda";
+  EXPECT_TRUE(continues(two, "id: 6\ndata: c\n\n"));
+  EXPECT_TRUE(continues(two, ": comment\n\nid: 6\n\nid: 7\n\n"));
+  EXPECT_TRUE(continues(two, ""));
+  // From the beginning, the last one again, one left out, without an id.
+  EXPECT_FALSE(continues(two, "id: 1\ndata: a\n\n"));
+  EXPECT_FALSE(continues(two, "id: 5\ndata: b\n\n"));
+  EXPECT_FALSE(continues(two, "id: 7\ndata: d\n\n"));
+  EXPECT_FALSE(continues(two, "{\"error\":\"overloaded\"}\n\n"));
+  EXPECT_TRUE(continues("id: 10\n\nid: 20\n\n", "id: 30\n\n"));
+  EXPECT_FALSE(continues("id: 10\n\nid: 20\n\n", "id: 10\n\n"));
+  // Nothing can be said of streams whose events have no numbers.
+  EXPECT_TRUE(continues("data: a\n\n", "data: b\n\n"));
+  EXPECT_TRUE(continues("id: x\n\n", "id: y\n\n"));
+}
+
 std::string DrawLineEnd() {
   return *rc::gen::element<std::string>("\n", "\r\n", "\r");
 }
