Let the soak play prompts that crash engines

Counted at the stand-ins: deadly requests later than 3 s after the fifth crash from gateways that were not interrupted (allowed: 3), and sound requests that are refused for a part of their prompt (allowed: none). Prompts have parts in all families now, so crashes and breaks of the others must condemn none.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -20,6 +20,8 @@
  */
 constexpr milliseconds kTimeoutMargin{1500};
 constexpr int kAdapters = 12;
+/** Prompts share their first part, and their second one with some others. */
+constexpr std::int64_t kSubjects = 9;
 
 milliseconds DeadlineOf(const request_kind& kind) {
   return kind.streams ? kStreamDeadline : kPlainDeadline;
@@ -115,6 +117,13 @@
     request.model = "m/a" + std::to_string(adapter);
     call.headers["model"] = request.model;
     call.headers["token-count"] = "100,60";
+    request.deadly = deadly_share_ > 0 &&
+                     std::bernoulli_distribution(deadly_share_)(random_);
+    call.headers["prompt-prefix"] =
+        "first:100,subject" + std::to_string(last_id_ % kSubjects) + ":50," +
+        (request.deadly ? std::string(fleet_under_test::kDeadlyPart) + ":30,"
+                        : std::string()) +
+        id + ":20";
   }
   call.total_timeout = request.deadline + kTimeoutMargin;
   call.may_resend = false;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -29,6 +29,8 @@
   void Stop();
   /** Requests sent from now on are not cancelled. */
   void DisableCancellation() { cancel_probability_ = 0; }
+  /** Share of the streams whose prompts end engines. */
+  void SetDeadlyShare(double share) { deadly_share_ = share; }
   void SetRate(double requests_per_second) { rate_ = requests_per_second; }
   std::size_t Open() const { return open_; }
 
@@ -49,6 +51,7 @@
   std::mt19937 random_;
   double rate_;
   double cancel_probability_;
+  double deadly_share_ = 0;
   std::size_t open_ = 0;
   std::int64_t last_id_ = 0;
   bool stopped_ = false;
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -46,8 +46,10 @@
   if (family == fault_family::processes || family == fault_family::links) {
     return drawn_from >= fault_family::limits || family == drawn_from;
   }
-  return family == drawn_from || (family == fault_family::endpoints &&
-                                  drawn_from == fault_family::streams);
+  if (family == fault_family::endpoints || family == fault_family::streams) {
+    return drawn_from >= fault_family::streams || family == drawn_from;
+  }
+  return family == drawn_from;
 }
 
 }  // namespace
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -16,7 +16,8 @@
  * Which faults a schedule draws from. `all` leaves out `leaving` and the
  * families after it, so that the schedules of older seeds stay as they were.
  * `limits` also draws faults of processes and links, `streams` those of
- * endpoints besides.
+ * endpoints besides, and `deadly` those of `streams`, beside prompts that end
+ * engines.
  */
 enum class fault_family {
   all,
@@ -28,6 +29,7 @@
   leaving,
   limits,
   streams,
+  deadly,
 };
 
 /**
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -25,8 +25,8 @@
 DEFINE_double(rate, 40, "requests per second");
 DEFINE_string(
     faults, "all",
-    "all, processes, links, store, endpoints, clocks, leaving, limits or "
-    "streams");
+    "all, processes, links, store, endpoints, clocks, leaving, limits, "
+    "streams or deadly");
 DEFINE_string(directory, "",
               "directory for logs; they are kept if the run fails");
 
@@ -54,7 +54,11 @@
     {"clocks", fault_family::clocks},
     {"leaving", fault_family::leaving},
     {"limits", fault_family::limits},
-    {"streams", fault_family::streams}};
+    {"streams", fault_family::streams},
+    {"deadly", fault_family::deadly}};
+
+/** Share of streams with a deadly prompt, in the family `deadly`. */
+constexpr double kDeadlyShare = 0.08;
 
 void Wait(net::event_loop& loop, milliseconds length) {
   loop.RunUntil([] { return false; }, length);
@@ -75,6 +79,7 @@
                         kFamilies.at(FLAGS_faults));
   const net::timer_id checks = loop.SchedulePeriodic(
       kProcessCheckInterval, [&fleet] { fleet.CheckProcesses(); });
+  if (FLAGS_faults == "deadly") load.SetDeadlyShare(kDeadlyShare);
   Wait(loop, kWarmUp);
   load.Start();
   faults.Start();
--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -16,6 +16,8 @@
 constexpr core::seconds kStopGrace{8};
 /** Tolerance beyond the grace period, for a busy machine. */
 constexpr core::seconds kStopSlack{2};
+/** Time until an engine that a request has ended is back. */
+constexpr milliseconds kCrashedTime{1500};
 constexpr const char* kEngines = "engines";
 constexpr const char* kDesk = "desk";
 
@@ -97,6 +99,10 @@
   engine.on_limit_named = [this, &engine](const std::string& id) {
     promises_.LimitNamed(id, engine.Instance(), loop_.Now());
   };
+  engine.deadly_parts = {kDeadlyPart};
+  engine.on_crash = [this, index](const std::string& /*id*/) {
+    OnCrash(static_cast<std::size_t>(index));
+  };
   engine.on_violation = [this, index](const std::string& what) {
     promises_.Violation("endpoint " + std::to_string(index) + ' ' + what);
   };
@@ -104,6 +110,15 @@
   Restart(static_cast<std::size_t>(index));
 }
 
+void fleet_under_test::OnCrash(std::size_t endpoint) {
+  promises_.EngineCrashed(loop_.Now());
+  promises_.EndpointsDisturbed(loop_.Now() + kCrashedTime);
+  loop_.Schedule(kCrashedTime, [this, endpoint] {
+    // Another fault may have restarted it.
+    if (!endpoints_.at(endpoint).engine->IsUp()) Restart(endpoint);
+  });
+}
+
 // Configuration and registrations.
 
 void fleet_under_test::PublishConfiguration() {
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -61,6 +61,8 @@
  */
 class fleet_under_test {
  public:
+  /** Part of a prompt that ends the engines. */
+  static constexpr const char* kDeadlyPart = "deadly";
   /** Number of events in each stream. */
   static constexpr int kEvents = 12;
 
@@ -112,6 +114,8 @@
  private:
   void AddGateway(int index);
   void AddEndpoint(int index, const std::string& service, bool generates);
+  /** A request has ended the engine; it comes back after some time. */
+  void OnCrash(std::size_t endpoint);
   nlohmann::json Settings(const program_slot& slot) const;
   std::filesystem::path File(const program_slot& slot,
                              const std::string& extension) const;
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds kDrainTime{2000};
 /** Cancelled requests that may still reach an endpoint late. */
 constexpr int kMaxRunsAfterCancellation = 3;
+/** Crashes after which deadly prompts must be known. */
+constexpr std::size_t kCrashesBeforeBound = 5;
 
 bool GuaranteesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -74,6 +76,10 @@
       Violation(id + " succeeded with an unexpected body: " + result.body);
     }
   } else if (GuaranteesNotRun(status)) {
+    if (!request.deadly &&
+        result.body.find("prompt_quarantined") != std::string::npos) {
+      Violation(id + " was refused for a part of its prompt that is sound");
+    }
     if (!request.kind->may_retry && request.runs > 0) {
       Violation(id + " was answered " + std::to_string(status) +
                 " although it has run");
@@ -95,6 +101,12 @@
   }
   request_record& request = found->second;
   ++request.runs;
+  if (request.deadly) {
+    const auto interrupted = interrupted_.find(request.gateway);
+    deadly_runs_.emplace_back(now,
+                              interrupted == interrupted_.end() ||
+                                  interrupted->second + kFaultFreeTime < now);
+  }
   runs_[service].emplace_back(now, request.runs > 1);
   if (std::find(request.instances.begin(), request.instances.end(), instance) ==
       request.instances.end()) {
@@ -153,6 +165,8 @@
 
 void promise_record::GatewayInterrupted(int gateway, core::time_point until) {
   arrivals_.GatewayDisturbed(gateway, until);
+  auto& latest = interrupted_[gateway];
+  latest = std::max(latest, until);
 }
 
 void promise_record::StoreDisturbed(core::time_point until) {
@@ -221,6 +235,22 @@
   }
   CheckRetryBudget();
   CheckRequestLimits(now);
+  CheckDeadlyRequests();
+}
+
+void promise_record::CheckDeadlyRequests() {
+  if (crashes_.size() < kCrashesBeforeBound) return;
+  const auto bound = crashes_[kCrashesBeforeBound - 1] + kFaultFreeTime;
+  const auto after = std::count_if(
+      deadly_runs_.begin(), deadly_runs_.end(),
+      [&](const auto& run) { return run.first > bound && run.second; });
+  if (after > kDeadlyRequestsAllowed) {
+    Violation(std::to_string(after) +
+              " requests with a deadly prompt reached engines later than " +
+              std::to_string(kFaultFreeTime.count()) +
+              " ms after the fifth of " + std::to_string(crashes_.size()) +
+              " crashes");
+  }
 }
 
 void promise_record::CheckRetryBudget() {
@@ -253,7 +283,9 @@
   int sent = 0;
   int served = 0;
   for (const auto& [id, request] : requests_) {
-    if (request.sent_at < since || request.cancelled_at) continue;
+    if (request.sent_at < since || request.cancelled_at || request.deadly) {
+      continue;
+    }
     ++sent;
     if (request.status == 200) ++served;
   }
@@ -263,7 +295,8 @@
 std::string promise_record::Summary() const {
   std::map<std::string, std::map<int, int>> counts;
   for (const auto& [id, request] : requests_) {
-    ++counts[request.kind->route][request.cancelled_at ? -1 : request.status];
+    ++counts[request.deadly ? "deadly" : request.kind->route]
+            [request.cancelled_at ? -1 : request.status];
   }
   std::ostringstream text;
   for (const auto& [route, statuses] : counts) {
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -22,6 +22,9 @@
 /** Length of the sliding window in which retries are counted. */
 constexpr core::seconds kRetryBudgetWindow{10};
 
+/** Requests with a deadly prompt that may reach engines after the bound. */
+constexpr int kDeadlyRequestsAllowed = 3;
+
 /** A kind of request that the callers of the soak make. */
 struct request_kind {
   std::string route;
@@ -40,6 +43,8 @@
   std::string model;
   core::time_point sent_at;
   core::milliseconds deadline{0};
+  /** Its prompt ends the engines that begin to answer it. */
+  bool deadly = false;
   std::optional<core::time_point> cancelled_at;
   std::optional<core::time_point> answered_at;
   int status = 0;
@@ -84,6 +89,8 @@
   /** A response to this request names the limit. */
   void LimitNamed(const std::string& id, const std::string& instance,
                   core::time_point now);
+  /** A request has ended its engine. */
+  void EngineCrashed(core::time_point now) { crashes_.push_back(now); }
   /** A request has arrived at an endpoint, whether or not it runs there. */
   void Arrived(const std::string& id, const std::string& instance,
                core::time_point now);
@@ -99,7 +106,10 @@
   }
   /** Human-readable counts by route and status. */
   std::string Summary() const;
-  /** Share of requests sent since `since` that were answered with 200. */
+  /**
+   * Share of requests sent since `since` that were answered with 200, without
+   * those that end engines.
+   */
   double ServedShare(core::time_point since) const;
 
  private:
@@ -109,6 +119,7 @@
   bool WasFaultFree(int gateway, core::time_point since) const;
   void CheckRetryBudget();
   void CheckRequestLimits(core::time_point now);
+  void CheckDeadlyRequests();
 
   int events_;
   std::map<std::string, request_record> requests_;
@@ -120,6 +131,11 @@
   std::map<std::string, std::vector<std::pair<core::time_point, bool>>> runs_;
   std::map<std::string, std::vector<core::time_point>> sent_;
   process_test::arrival_record arrivals_;
+  /** When each gateway was last interrupted, or will have been. */
+  std::map<int, core::time_point> interrupted_;
+  std::vector<core::time_point> crashes_;
+  /** Runs of deadly requests, and whether their gateway was undisturbed. */
+  std::vector<std::pair<core::time_point, bool>> deadly_runs_;
   std::optional<process_test::arrival_record::span> worst_span_;
   int runs_after_cancellation_ = 0;
   std::vector<std::string> violations_;
