Blame no run that was granted after its engine had ended

The sidecar knows when it granted a run and when it found the engine gone; it blames only earlier ones. Test: ARunGrantedAfterTheEndIsNotBlamed.

--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -156,17 +156,17 @@
          request.load_bound + tolerance;
 }
 
-const engine_request* grant_scheduler::FindRunning(
+std::optional<granted_run> grant_scheduler::FindRunning(
     const request_key& key) const {
   const auto found = running_.find(key);
-  return found == running_.end() ? nullptr : &found->second.request;
+  if (found == running_.end()) return std::nullopt;
+  return granted_run{&found->second.request, found->second.granted_at};
 }
 
-std::vector<const engine_request*> grant_scheduler::RunningWithoutOutput()
-    const {
-  std::vector<const engine_request*> result;
+std::vector<granted_run> grant_scheduler::RunningWithoutOutput() const {
+  std::vector<granted_run> result;
   for (const auto& [key, item] : running_) {
-    if (!item.started) result.push_back(&item.request);
+    if (!item.started) result.push_back({&item.request, item.granted_at});
   }
   return result;
 }
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -154,10 +154,10 @@
   bool IsWaiting(const request_key& key) const {
     return waiting_.count(key) > 0;
   }
-  /** Null if the request does not run. */
-  const engine_request* FindRunning(const request_key& key) const;
+  /** Nothing if the request does not run. */
+  std::optional<granted_run> FindRunning(const request_key& key) const;
   /** Granted requests without output. */
-  std::vector<const engine_request*> RunningWithoutOutput() const;
+  std::vector<granted_run> RunningWithoutOutput() const;
   /** Links of the gateways that have waiting requests. */
   std::set<std::uint64_t> LinksWithWaitingRequests() const;
   const slot_table& Slots() const { return slots_; }
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -70,6 +70,13 @@
   core::time_point received_at;
 };
 
+/** A request that runs on the engine. */
+struct granted_run {
+  /** Valid until the scheduler's next event. */
+  const engine_request* request = nullptr;
+  core::time_point granted_at;
+};
+
 /** Properties of an engine from the configuration. */
 struct engine_config {
   std::size_t batch_slots = 0;
--- a/src/grants/scheduler_isolation_test.cc
+++ b/src/grants/scheduler_isolation_test.cc
@@ -91,9 +91,10 @@
   const auto second = Submit(false);
   Apply(scheduler_.OnStarted(first, now_));
   ASSERT_EQ(scheduler_.RunningWithoutOutput().size(), 1U);
-  EXPECT_EQ(scheduler_.RunningWithoutOutput().front()->key, second);
-  EXPECT_NE(scheduler_.FindRunning(first), nullptr);
-  EXPECT_EQ(scheduler_.FindRunning({9, 9}), nullptr);
+  EXPECT_EQ(scheduler_.RunningWithoutOutput().front().request->key, second);
+  ASSERT_TRUE(scheduler_.FindRunning(first));
+  EXPECT_EQ(scheduler_.FindRunning(first)->granted_at, now_);
+  EXPECT_FALSE(scheduler_.FindRunning({9, 9}));
 }
 
 }  // namespace
--- a/src/sidecar/crash_watch.cc
+++ b/src/sidecar/crash_watch.cc
@@ -11,8 +11,8 @@
 void crash_watch::OnRunLost(
     const grants::request_key& run,
     const std::vector<quarantine::suspected_part>& blamed,
-    core::time_point now) {
-  lost_.push_back({run, now, blamed});
+    core::time_point granted_at, core::time_point now) {
+  lost_.push_back({run, granted_at, now, blamed});
 }
 
 crash_watch::findings crash_watch::OnEngineAnswered(
@@ -48,7 +48,9 @@
   return end_ && now - end_->at < kLateReports;
 }
 
-void crash_watch::Blame(const std::vector<quarantine::suspected_part>& parts) {
+void crash_watch::Blame(const std::vector<quarantine::suspected_part>& parts,
+                        core::time_point granted_at) {
+  if (granted_at >= end_->at) return;
   for (const auto& blamed : parts) {
     const auto same = std::find_if(
         end_->parts.begin(), end_->parts.end(),
@@ -62,19 +64,21 @@
 }
 
 crash_watch::findings crash_watch::OnTick(
-    const std::vector<const grants::engine_request*>& without_output,
+    const std::vector<grants::granted_run>& without_output,
     core::time_point now) {
   findings result;
   if (!IsEnding(now) || now - end_->at < kSettleTime) return result;
   const bool is_first = !std::exchange(end_->is_recorded, true);
   if (!is_first && lost_.empty()) return result;
   for (const lost_run& run : std::exchange(lost_, {})) {
-    Blame(run.blamed);
+    Blame(run.blamed, run.granted_at);
     result.verdicts.push_back({run.key, true});
   }
   if (is_first) {
     // Their gateways are cut off or suspended.
-    for (const auto* request : without_output) Blame(request->blamed_parts);
+    for (const auto& run : without_output) {
+      Blame(run.request->blamed_parts, run.granted_at);
+    }
   }
   if (!end_->blames_nobody && (is_first || !end_->parts.empty())) {
     result.crash =
--- a/src/sidecar/crash_watch.h
+++ b/src/sidecar/crash_watch.h
@@ -38,10 +38,14 @@
 
   explicit crash_watch(core::process_id sidecar);
 
-  /** The engine should be asked for its state without delay. */
+  /**
+   * The engine should be asked for its state without delay.
+   * @param granted_at a run that was granted after the engine's end has not
+   *     ended it.
+   */
   void OnRunLost(const grants::request_key& run,
                  const std::vector<quarantine::suspected_part>& blamed,
-                 core::time_point now);
+                 core::time_point granted_at, core::time_point now);
   findings OnEngineAnswered(std::int64_t started_unix_ms, bool leaving,
                             core::time_point requested_at,
                             core::time_point now);
@@ -51,9 +55,8 @@
    * Call every 10 to 50 ms.
    * @param without_output granted requests without output.
    */
-  findings OnTick(
-      const std::vector<const grants::engine_request*>& without_output,
-      core::time_point now);
+  findings OnTick(const std::vector<grants::granted_run>& without_output,
+                  core::time_point now);
 
   /** Lost runs wait for a verdict. */
   bool IsPending() const { return !lost_.empty(); }
@@ -61,6 +64,7 @@
  private:
   struct lost_run {
     grants::request_key key;
+    core::time_point granted_at;
     core::time_point lost_at;
     std::vector<quarantine::suspected_part> blamed;
   };
@@ -75,7 +79,8 @@
 
   void BeginEnd(core::time_point now);
   bool IsEnding(core::time_point now) const;
-  void Blame(const std::vector<quarantine::suspected_part>& parts);
+  void Blame(const std::vector<quarantine::suspected_part>& parts,
+             core::time_point granted_at);
 
   core::process_id sidecar_;
   /** 0 if no report was received yet. */
--- a/src/sidecar/crash_watch_test.cc
+++ b/src/sidecar/crash_watch_test.cc
@@ -36,7 +36,7 @@
 };
 
 TEST_F(crash_watch_test, AnEngineThatAnswersHasNotEnded) {
-  watch_.OnRunLost({1, 7}, Parts("p"), now_);
+  watch_.OnRunLost({1, 7}, Parts("p"), kStart - milliseconds(100), now_);
   EXPECT_TRUE(watch_.IsPending());
   now_ += milliseconds(5);
   const auto found = Answer();
@@ -51,22 +51,23 @@
 TEST_F(crash_watch_test, AnOlderReportIsNoVerdict) {
   const auto requested_at = now_;
   now_ += milliseconds(10);
-  watch_.OnRunLost({1, 7}, Parts("p"), now_);
+  watch_.OnRunLost({1, 7}, Parts("p"), kStart - milliseconds(100), now_);
   EXPECT_TRUE(watch_.OnEngineAnswered(kFirstRun, false, requested_at, now_)
                   .verdicts.empty());
   EXPECT_TRUE(watch_.IsPending());
 }
 
 TEST_F(crash_watch_test, RecordsThePromptsOfAllGatewaysThatLostRuns) {
-  watch_.OnRunLost({1, 7}, Parts("p", 2), now_);
+  watch_.OnRunLost({1, 7}, Parts("p", 2), kStart - milliseconds(100), now_);
   watch_.OnEngineRefused(now_);
   now_ += milliseconds(10);
-  watch_.OnRunLost({2, 9}, Parts("q"), now_);
+  watch_.OnRunLost({2, 9}, Parts("q"), kStart - milliseconds(100), now_);
   EXPECT_TRUE(watch_.OnTick({}, now_).verdicts.empty());
   grants::engine_request silent;
   silent.blamed_parts = Parts("r", 1);
   now_ += crash_watch::kSettleTime;
-  const auto found = watch_.OnTick({&silent}, now_);
+  const auto found =
+      watch_.OnTick({{&silent, kStart - milliseconds(100)}}, now_);
   EXPECT_EQ(found.verdicts.size(), 2U);
   ASSERT_TRUE(found.crash);
   EXPECT_EQ(found.crash->crash.engine_started_unix_ms, kFirstRun);
@@ -85,15 +86,27 @@
   ASSERT_TRUE(first.crash);
   EXPECT_TRUE(first.crash->parts.empty());
   now_ += milliseconds(500);
-  watch_.OnRunLost({1, 7}, Parts("p"), now_);
+  watch_.OnRunLost({1, 7}, Parts("p"), kStart - milliseconds(100), now_);
   const auto found = watch_.OnTick({}, now_);
   ASSERT_TRUE(found.crash);
   EXPECT_TRUE(found.verdicts.at(0).engine_ended);
 }
 
+// Requests that are granted before the end is known reach a dead engine.
+TEST_F(crash_watch_test, ARunGrantedAfterTheEndIsNotBlamed) {
+  watch_.OnRunLost({1, 7}, Parts("p"), kStart - milliseconds(100), now_);
+  watch_.OnEngineRefused(now_);
+  now_ += milliseconds(10);
+  watch_.OnRunLost({1, 8}, Parts("q"), now_, now_);
+  const auto found = Settle();
+  EXPECT_EQ(found.verdicts.size(), 2U);
+  ASSERT_TRUE(found.crash);
+  EXPECT_EQ(found.crash->parts, Parts("p"));
+}
+
 // The engine may be back before it is found to be down.
 TEST_F(crash_watch_test, AnotherStartTimeShowsThatTheEngineHasEnded) {
-  watch_.OnRunLost({1, 7}, Parts("p"), now_);
+  watch_.OnRunLost({1, 7}, Parts("p"), kStart - milliseconds(100), now_);
   now_ += milliseconds(5);
   EXPECT_TRUE(Answer(kFirstRun + 400).verdicts.empty());
   const auto found = Settle();
@@ -102,13 +115,13 @@
   EXPECT_TRUE(found.verdicts.at(0).engine_ended);
   // What is lost long after that is for the new run to explain.
   now_ += crash_watch::kLateReports;
-  watch_.OnRunLost({1, 8}, Parts("q"), now_);
+  watch_.OnRunLost({1, 8}, Parts("q"), kStart - milliseconds(100), now_);
   EXPECT_FALSE(Answer(kFirstRun + 400).verdicts.at(0).engine_ended);
 }
 
 TEST_F(crash_watch_test, TheEndOfADrainingEngineBlamesNobody) {
   Answer(kFirstRun, true);
-  watch_.OnRunLost({1, 7}, Parts("p"), now_);
+  watch_.OnRunLost({1, 7}, Parts("p"), kStart - milliseconds(100), now_);
   watch_.OnEngineRefused(now_);
   const auto found = Settle();
   EXPECT_FALSE(found.crash);
@@ -117,7 +130,7 @@
 
 TEST_F(crash_watch_test, AnEngineThatWasNeverSeenBlamesNobody) {
   crash_watch fresh{core::process_id("side-1")};
-  fresh.OnRunLost({1, 7}, Parts("p"), now_);
+  fresh.OnRunLost({1, 7}, Parts("p"), kStart - milliseconds(100), now_);
   fresh.OnEngineRefused(now_);
   const auto found = fresh.OnTick({}, now_ + crash_watch::kSettleTime);
   EXPECT_FALSE(found.crash);
@@ -128,7 +141,7 @@
   for (int run = 0; run < 3; ++run) {
     const std::int64_t started = kFirstRun + run;
     Answer(started);
-    watch_.OnRunLost({1, 7}, Parts("p"), now_);
+    watch_.OnRunLost({1, 7}, Parts("p"), kStart - milliseconds(100), now_);
     watch_.OnEngineRefused(now_);
     const auto found = Settle();
     ASSERT_TRUE(found.crash) << run;
--- a/src/sidecar/quarantine_replay_test.cc
+++ b/src/sidecar/quarantine_replay_test.cc
@@ -274,12 +274,10 @@
         engine& target = engines_[at];
         const grants::request_key key{sent->gateway, number};
         if (!went_on) {
-          const auto* run = target.scheduler->FindRunning(key);
-          target.watch->OnRunLost(
-              key,
-              run == nullptr ? std::vector<quarantine::suspected_part>()
-                             : run->blamed_parts,
-              time_.Now());
+          if (const auto run = target.scheduler->FindRunning(key)) {
+            target.watch->OnRunLost(key, run->request->blamed_parts,
+                                    run->granted_at, time_.Now());
+          }
           if (!target.up) target.watch->OnEngineRefused(time_.Now());
         }
         Apply(at, target.scheduler->OnEnded(key, false, time_.Now()));
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -238,11 +238,11 @@
   const auto now = loop_.Now();
   const grants::request_key key{link, ended.number};
   if (ended.lost) {
-    const auto* run = scheduler_.FindRunning(key);
-    watch_.OnRunLost(key,
-                     run == nullptr ? std::vector<quarantine::suspected_part>()
-                                    : run->blamed_parts,
-                     now);
+    if (const auto run = scheduler_.FindRunning(key)) {
+      watch_.OnRunLost(key, run->request->blamed_parts, run->granted_at, now);
+    } else {
+      watch_.OnRunLost(key, {}, now, now);
+    }
     ReadStateNow();
   }
   Perform(scheduler_.OnEnded(key, ended.adapter_missing, now));
