Do not quarantine a part for crashes that another one explains

The part with the most weight explains its crashes first; what is left must carry the others. Parts with the same crashes can't be told apart and are quarantined together: only prompts with all of them are refused. Prompts with one of them run in isolation, and the next crash or answer decides.

Tests: tied_parts_test (three cases) and the order property, which compares quarantines of pairs too.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -1,5 +1,7 @@
 #include "gateway/prompt_quarantine.h"
 
+#include <algorithm>
+
 namespace comfreyspring::gateway {
 
 using quarantine::part_state;
@@ -12,23 +14,19 @@
 
 prompt_judgement prompt_quarantine::Judge(const part_list& parts,
                                           core::time_point now) const {
+  if (const auto* found = evidence_.QuarantineOf(parts)) {
+    return {prompt_admission::refused, found->parts.back(),
+            std::max(core::ToMilliseconds(found->until - now),
+                     core::milliseconds(1))};
+  }
   prompt_judgement judgement;
   int highest_level = 0;
   for (const core::prompt_part_id& part : parts) {
-    switch (evidence_.StateOf(part)) {
-      case part_state::clear:
-        break;
-      case part_state::suspected: {
-        const int level = evidence_.LevelOf(part);
-        if (level < highest_level || history_.IsRecent(part, now)) break;
-        highest_level = level;
-        judgement = {prompt_admission::isolated, part};
-        break;
-      }
-      case part_state::quarantined:
-        return {prompt_admission::refused, part,
-                evidence_.QuarantineLeft(part, now)};
-    }
+    if (evidence_.StateOf(part) == part_state::clear) continue;
+    const int level = evidence_.LevelOf(part);
+    if (level < highest_level || history_.IsRecent(part, now)) continue;
+    highest_level = level;
+    judgement = {prompt_admission::isolated, part};
   }
   return judgement;
 }
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -2135,10 +2135,15 @@
   for (const auto& part : impl_->quarantine.Evidence().Parts()) {
     parts.push_back({{"part", part.part.Value()},
                      {"state", ToString(part.after)},
-                     {"crashes", part.crashes},
-                     {"quarantine_left_ms", impl_->quarantine.Evidence()
-                                                .QuarantineLeft(part.part, now)
-                                                .count()}});
+                     {"crashes", part.crashes}});
+  }
+  nlohmann::json quarantines = nlohmann::json::array();
+  for (const auto& each : impl_->quarantine.Evidence().Quarantines()) {
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto& part : each.parts) members.push_back(part.Value());
+    quarantines.push_back(
+        {{"parts", std::move(members)},
+         {"left_ms", core::ToMilliseconds(each.until - now).count()}});
   }
   const auto& table = impl_->follower.Routes();
   const nlohmann::json dump = {
@@ -2147,6 +2152,7 @@
       {"draining", impl_->draining},
       {"gateways", impl_->GatewayCount()},
       {"prompt_parts", std::move(parts)},
+      {"prompt_quarantines", std::move(quarantines)},
       {"endpoints", std::move(endpoints)},
       {"requests", std::move(requests)}};
   return dump.dump(2);
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -120,35 +120,71 @@
   for (const core::prompt_part_id& part : changed) {
     const auto found = parts_.find(part);
     if (found == parts_.end()) continue;
-    summary& total = found->second;
     std::set<int> levels;
-    for (const auto& [crash, level] : total.levels) levels.insert(level);
-    total.chain_length = levels.size();
-    if (levels.empty()) {
-      SetState(part, total, part_state::clear);
-      parts_.erase(found);
-    } else if (levels.size() < kCrashesToQuarantine) {
-      SetState(part, total, part_state::suspected);
+    for (const auto& [crash, level] : found->second.levels) {
+      levels.insert(level);
     }
+    found->second.chain_length = levels.size();
+    if (!levels.empty()) continue;
+    SetState(part, found->second, part_state::clear);
+    parts_.erase(found);
   }
-  // What explains a crash changes the weight of others.
+  UpdateQuarantines(now);
   for (auto& [part, total] : parts_) {
-    if (total.chain_length < kCrashesToQuarantine) continue;
-    const double weight = WeightOf(part, total);
+    const bool is_quarantined =
+        std::any_of(quarantines_.begin(), quarantines_.end(),
+                    [&part = part](const quarantined_parts& each) {
+                      return std::find(each.parts.begin(), each.parts.end(),
+                                       part) != each.parts.end();
+                    });
+    SetState(part, total,
+             is_quarantined ? part_state::quarantined : part_state::suspected);
+  }
+}
+
+/** Lets the parts with the most weight explain their crashes first. */
+void crash_evidence::UpdateQuarantines(core::time_point now) {
+  quarantines_.clear();
+  std::set<crash_id> explained;
+  while (true) {
+    double highest = 0.0;
+    std::vector<const std::pair<const core::prompt_part_id, summary>*> best;
+    for (const auto& candidate : parts_) {
+      if (candidate.second.chain_length < kCrashesToQuarantine) continue;
+      const double weight =
+          WeightOf(candidate.first, candidate.second, explained);
+      if (weight < kCrashesToQuarantine || weight < highest) continue;
+      if (weight > highest) best.clear();
+      highest = weight;
+      best.push_back(&candidate);
+    }
+    if (best.empty()) return;
+    quarantined_parts found;
+    core::time_point latest;
+    const std::set<crash_id> explained_before = explained;
+    for (const auto* candidate : best) {
+      const auto& levels = candidate->second.levels;
+      // Others with the same weight, but other crashes, have their own turn.
+      const bool shares_crashes =
+          found.parts.empty() ||
+          std::any_of(levels.begin(), levels.end(), [&](const auto& crash) {
+            return explained.count(crash.first) > 0 &&
+                   explained_before.count(crash.first) == 0;
+          });
+      if (!shares_crashes) continue;
+      found.parts.push_back(candidate->first);
+      for (const auto& [crash, level] : levels) {
+        explained.insert(crash);
+        latest = std::max(latest, records_.at(crash).at);
+      }
+    }
     auto length = kFirstQuarantine;
-    for (double needed = kCrashesToQuarantine + 1; needed <= weight;
+    for (double needed = kCrashesToQuarantine + 1; needed <= highest;
          needed += 1.0) {
       length = std::min(2 * length, kLongestQuarantine);
     }
-    core::time_point latest;
-    for (const auto& [crash, level] : total.levels) {
-      latest = std::max(latest, records_.at(crash).at);
-    }
-    total.quarantined_until = latest + length;
-    const bool is_quarantined =
-        weight >= kCrashesToQuarantine && now < total.quarantined_until;
-    SetState(part, total,
-             is_quarantined ? part_state::quarantined : part_state::suspected);
+    found.until = latest + length;
+    if (now < found.until) quarantines_.push_back(std::move(found));
   }
 }
 
@@ -160,9 +196,11 @@
 }
 
 double crash_evidence::WeightOf(const core::prompt_part_id& part,
-                                const summary& total) const {
+                                const summary& total,
+                                const std::set<crash_id>& explained) const {
   std::map<int, double> highest;
   for (const auto& [crash, level] : total.levels) {
+    if (explained.count(crash) > 0) continue;
     const auto others = UnexplainedNear(records_.at(crash).at, part);
     const double weight = others == 0   ? kWeightAlone
                           : others == 1 ? kWeightBesideOne
@@ -213,14 +251,17 @@
   return found == parts_.end() ? 0 : found->second.levels.size();
 }
 
-core::milliseconds crash_evidence::QuarantineLeft(
-    const core::prompt_part_id& part, core::time_point now) const {
-  const auto found = parts_.find(part);
-  if (found == parts_.end() || found->second.state != part_state::quarantined) {
-    return core::milliseconds(0);
-  }
-  return std::max(core::ToMilliseconds(found->second.quarantined_until - now),
-                  core::milliseconds(1));
+const quarantined_parts* crash_evidence::QuarantineOf(
+    const std::vector<core::prompt_part_id>& parts) const {
+  const auto is_in_prompt = [&parts](const core::prompt_part_id& part) {
+    return std::find(parts.begin(), parts.end(), part) != parts.end();
+  };
+  const auto found = std::find_if(
+      quarantines_.begin(), quarantines_.end(),
+      [&](const quarantined_parts& each) {
+        return std::all_of(each.parts.begin(), each.parts.end(), is_in_prompt);
+      });
+  return found == quarantines_.end() ? nullptr : &*found;
 }
 
 std::vector<crash_record> crash_evidence::Records(core::time_point now) const {
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -14,10 +15,16 @@
   clear,
   /** May be sent to one engine at a time, alone among suspected parts. */
   suspected,
-  /** Must not be sent to any engine. */
+  /** Prompts with it, or with it and others, must not be sent to any engine. */
   quarantined,
 };
 
+/** Prompts with all of these parts must not be sent to any engine. */
+struct quarantined_parts {
+  std::vector<core::prompt_part_id> parts;
+  core::time_point until;
+};
+
 std::string_view ToString(part_state state);
 
 /** A part is in another state than before. */
@@ -44,6 +51,11 @@
  * the part, nor with another one that is suspected of several: engines end for
  * other reasons then. At most twice as many crashes are needed.
  *
+ * A crash that a part explains does not speak against others. Parts that have
+ * the same crashes can't be told apart, so they are quarantined together: only
+ * prompts with all of them. Prompts with some of them remain suspected, and
+ * the next crash or answer decides.
+ *
  * A quarantine ends after a time that doubles with each further crash. The
  * part is suspected then: one request may try it, and a crash renews the
  * quarantine.
@@ -76,13 +88,19 @@
   void OnTick(core::time_point now);
 
   part_state StateOf(const core::prompt_part_id& part) const;
+  /**
+   * The quarantine that holds for a prompt with these parts; null if there is
+   * none.
+   */
+  const quarantined_parts* QuarantineOf(
+      const std::vector<core::prompt_part_id>& parts) const;
   /** Level of the part in a request that is sent now. */
   int LevelOf(const core::prompt_part_id& part) const;
   /** Crashes that the part is suspected of. */
   std::size_t CrashesOf(const core::prompt_part_id& part) const;
-  /** Time until the part may be tried again; 0 if it is not quarantined. */
-  core::milliseconds QuarantineLeft(const core::prompt_part_id& part,
-                                    core::time_point now) const;
+  const std::vector<quarantined_parts>& Quarantines() const {
+    return quarantines_;
+  }
   std::vector<crash_record> Records(core::time_point now) const;
   std::size_t RecordCount() const { return records_.size(); }
   /** Suspected and quarantined parts. */
@@ -100,7 +118,6 @@
     std::map<crash_id, int> levels;
     /** Number of these that follow each other. */
     std::size_t chain_length = 0;
-    core::time_point quarantined_until;
     part_state state = part_state::clear;
   };
   using part_list = std::vector<core::prompt_part_id>;
@@ -114,18 +131,21 @@
               core::time_point now);
   /** The part is not suspected of this crash any more. */
   void Forget(const core::prompt_part_id& part, const crash_id& crash);
-  /** Derives the states of parts after the crashes of these have changed. */
+  /** Derives all states after the crashes of these parts have changed. */
   void Update(const part_list& changed, core::time_point now);
+  void UpdateQuarantines(core::time_point now);
   void SetState(const core::prompt_part_id& part, summary& total,
                 part_state state);
-  /** Weight of the crashes that the part is suspected of. */
-  double WeightOf(const core::prompt_part_id& part, const summary& total) const;
+  /** Weight of the crashes of a part that are not explained yet. */
+  double WeightOf(const core::prompt_part_id& part, const summary& total,
+                  const std::set<crash_id>& explained) const;
   /** Crashes at about this time that neither the part nor another explains. */
   std::size_t UnexplainedNear(core::time_point at,
                               const core::prompt_part_id& part) const;
 
   std::map<crash_id, entry> records_;
   std::map<core::prompt_part_id, summary> parts_;
+  std::vector<quarantined_parts> quarantines_;
   std::vector<part_change> changes_;
 };
 
--- a/src/quarantine/crash_evidence_test.cc
+++ b/src/quarantine/crash_evidence_test.cc
@@ -22,6 +22,13 @@
           .parts = {{part, level}}};
 }
 
+/** Length of the quarantine of prompts with the part; 0 if there is none. */
+milliseconds Quarantine(const crash_evidence& evidence, time_point since) {
+  const auto* found = evidence.QuarantineOf({kPart});
+  return found == nullptr ? milliseconds(0)
+                          : core::ToMilliseconds(found->until - since);
+}
+
 /** Crashes that follow each other, each after the one before was known. */
 crash_evidence AfterChain(int length) {
   crash_evidence evidence;
@@ -46,8 +53,7 @@
   EXPECT_EQ(AfterChain(2).StateOf(kPart), part_state::suspected);
   const auto evidence = AfterChain(3);
   EXPECT_EQ(evidence.StateOf(kPart), part_state::quarantined);
-  EXPECT_EQ(evidence.QuarantineLeft(kPart, kStart),
-            crash_evidence::kFirstQuarantine);
+  EXPECT_EQ(Quarantine(evidence, kStart), crash_evidence::kFirstQuarantine);
 }
 
 // A rack that loses power ends engines whose requests were sent before any of
@@ -76,7 +82,7 @@
     now += milliseconds(2000);
   }
   EXPECT_EQ(needed, 6);
-  EXPECT_EQ(evidence.QuarantineLeft(kPart, now - milliseconds(2000)),
+  EXPECT_EQ(Quarantine(evidence, now - milliseconds(2000)),
             crash_evidence::kFirstQuarantine);
 }
 
@@ -91,6 +97,53 @@
   EXPECT_EQ(evidence.StateOf(other), part_state::quarantined);
 }
 
+// Two parts stood in each prompt that ended an engine: only prompts with both
+// are refused until one of them is told apart.
+class tied_parts_test : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    for (int i = 0; i < 3; ++i) CrashWith({"dead", "subject"}, i);
+  }
+  static std::vector<prompt_part_id> Prompt(
+      const std::vector<std::string>& names) {
+    std::vector<prompt_part_id> parts;
+    for (const std::string& name : names) parts.emplace_back(name);
+    return parts;
+  }
+  void CrashWith(const std::vector<std::string>& names, int level) {
+    crash_record record{.crash = {core::process_id("s"), ++crashes_}};
+    for (const std::string& name : names) {
+      record.parts.push_back({prompt_part_id(name), level});
+    }
+    evidence_.OnCrash(record, kStart);
+  }
+  bool IsRefused(const std::vector<std::string>& names) const {
+    return evidence_.QuarantineOf(Prompt(names)) != nullptr;
+  }
+
+  crash_evidence evidence_;
+  std::int64_t crashes_ = 0;
+};
+
+TEST_F(tied_parts_test, OnlyPromptsWithAllOfThemAreRefused) {
+  EXPECT_TRUE(IsRefused({"first", "subject", "dead"}));
+  EXPECT_FALSE(IsRefused({"first", "subject"}));
+  EXPECT_FALSE(IsRefused({"first", "dead"}));
+}
+
+TEST_F(tied_parts_test, AnAnswerLeavesTheOther) {
+  evidence_.OnAnswered(Prompt({"first", "subject"}), kStart);
+  EXPECT_TRUE(IsRefused({"first", "dead"}));
+  EXPECT_FALSE(IsRefused({"first", "subject"}));
+}
+
+TEST_F(tied_parts_test, AFurtherCrashWithOneExplainsTheCrashesOfBoth) {
+  CrashWith({"dead"}, 3);
+  EXPECT_TRUE(IsRefused({"first", "dead"}));
+  EXPECT_TRUE(IsRefused({"subject", "dead"}));
+  EXPECT_FALSE(IsRefused({"first", "subject"}));
+}
+
 TEST(crash_evidence_test, AnAnswerClearsThePartOfAllKnownCrashes) {
   auto evidence = AfterChain(3);
   const auto changed = evidence.OnAnswered({kPart}, kStart);
@@ -124,8 +177,7 @@
   evidence.OnTick(now);
   EXPECT_EQ(evidence.StateOf(kPart), part_state::suspected);
   evidence.OnCrash(Crash(4, evidence.LevelOf(kPart)), now);
-  EXPECT_EQ(evidence.QuarantineLeft(kPart, now),
-            2 * crash_evidence::kFirstQuarantine);
+  EXPECT_EQ(Quarantine(evidence, now), 2 * crash_evidence::kFirstQuarantine);
 }
 
 TEST(crash_evidence_test, TheAgeOfARecordCounts) {
@@ -135,7 +187,7 @@
     record.age = milliseconds(20'000);
     evidence.OnCrash(record, kStart);
   }
-  EXPECT_EQ(evidence.QuarantineLeft(kPart, kStart),
+  EXPECT_EQ(Quarantine(evidence, kStart),
             crash_evidence::kFirstQuarantine - milliseconds(20'000));
   EXPECT_EQ(evidence.Records(kStart + milliseconds(500)).front().age,
             milliseconds(20'500));
@@ -219,6 +271,12 @@
     const prompt_part_id id(std::to_string(part));
     RC_ASSERT(first.StateOf(id) == second.StateOf(id));
     RC_ASSERT(first.LevelOf(id) == second.LevelOf(id));
+    for (int other = 0; other < 4; ++other) {
+      const std::vector<prompt_part_id> prompt = {
+          id, prompt_part_id(std::to_string(other))};
+      RC_ASSERT((first.QuarantineOf(prompt) == nullptr) ==
+                (second.QuarantineOf(prompt) == nullptr));
+    }
   }
   // What one sends to the other says nothing new.
   for (const auto& record : first.Records(kStart)) {
