Do not charge a gateway for requests lost on silent connections

Trace: no gateway has a log line of these requests (r1286, r1610, r1612). The fault 'silence link-5' at 27.2 s silences the open connections between the callers and gateway 2 for good; a caller reuses an idle one of them seconds after the fault has ended, and its request never leaves the relay. A caller can only notice that by its own timeout, which then closes the connection.

All other late answers are violations as before.

--- a/tests/process/tcp_relay.cc
+++ b/tests/process/tcp_relay.cc
@@ -124,6 +124,22 @@
   cut_silently_ = false;
 }
 
+bool tcp_relay::HasSwallowed(const std::string& text) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return swallowed_.find(text) != std::string::npos;
+}
+
+void tcp_relay::Swallow(flow& to_server) {
+  std::array<char, 65536> buffer = {};
+  const ssize_t count =
+      ::recv(to_server.from, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  if (count > 0) {
+    swallowed_.append(buffer.data(), static_cast<std::size_t>(count));
+  } else if (count == 0) {
+    to_server.ended = true;
+  }
+}
+
 bool tcp_relay::IsCut(int client) const {
   if (cut_) return true;
   if (!is_cut_) return false;
@@ -217,6 +233,9 @@
     std::vector<connection> kept;
     for (std::size_t i = 0; i < connections_.size(); ++i) {
       connection& open = connections_[i];
+      if (open.to_server.silent && !open.to_server.ended) {
+        Swallow(open.to_server);
+      }
       const std::size_t first = 1 + 2 * i;
       if (Serve(open, waiting[first].revents != 0,
                 waiting[first + 1].revents != 0)) {
--- a/tests/process/tcp_relay.h
+++ b/tests/process/tcp_relay.h
@@ -56,6 +56,8 @@
   /** Like `Cut`, for clients whose local port satisfies the predicate. */
   void CutClients(std::function<bool(int port)> is_cut);
   void Heal();
+  /** Whether a silent connection has received this text from its client. */
+  bool HasSwallowed(const std::string& text);
   /** Forwards new connections to another port, for restarted targets. */
   void SetTarget(int target_port) { target_.port = target_port; }
 
@@ -90,6 +92,8 @@
   /** Forwards both directions. @returns false once it is to be closed. */
   bool Serve(connection& open, bool client_ready, bool server_ready) const;
   bool DrawWithProbability(double chance);
+  /** Reads what clients send on silent connections, without forwarding it. */
+  void Swallow(flow& to_server);
   static void Close(const connection& closed);
 
   relay_address target_;
@@ -103,6 +107,7 @@
   std::mt19937 random_{1};
   std::mutex mutex_;
   std::vector<connection> connections_;
+  std::string swallowed_;
   std::thread thread_;
 };
 
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -91,7 +91,10 @@
   Wait(loop, kFaultFreeLoad);
   load.Stop();
   loop.RunUntil([&load] { return load.Open() == 0; }, kFinalAnswersTimeout);
-  promises.CheckWholeRun(loop.Now());
+  promises.CheckWholeRun(loop.Now(), [&](const std::string& id, int gateway) {
+    return fleet.CallerRelays()[static_cast<std::size_t>(gateway)]
+        ->HasSwallowed("request-id: " + id + "\r\n");
+  });
   fleet.CheckProcesses();
   fleet.CheckLogs();
   loop.Cancel(checks);
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -56,7 +56,7 @@
   CheckAnswer(id, request, result);
   if (now > request.sent_at + request.deadline + kSlack &&
       WasFaultFree(request.gateway, request.sent_at)) {
-    Violation(id + " was answered after its deadline");
+    late_.push_back(id);
   }
 }
 
@@ -221,7 +221,16 @@
          disturbed->second + kFaultFreeTime < since;
 }
 
-void promise_record::CheckWholeRun(core::time_point now) {
+void promise_record::CheckWholeRun(
+    core::time_point now,
+    const std::function<bool(const std::string& id, int gateway)>& never_sent) {
+  for (const std::string& id : late_) {
+    if (never_sent(id, requests_.at(id).gateway)) {
+      never_sent_.insert(id);
+    } else {
+      Violation(id + " was answered after its deadline");
+    }
+  }
   for (const auto& [id, request] : requests_) {
     if (!request.answered_at && !request.cancelled_at &&
         now > request.sent_at + request.deadline + kSlack) {
@@ -283,7 +292,8 @@
   int sent = 0;
   int served = 0;
   for (const auto& [id, request] : requests_) {
-    if (request.sent_at < since || request.cancelled_at || request.deadly) {
+    if (request.sent_at < since || request.cancelled_at || request.deadly ||
+        never_sent_.count(id) > 0) {
       continue;
     }
     ++sent;
@@ -306,6 +316,9 @@
            << count;
     }
   }
+  if (!never_sent_.empty()) {
+    text << ", lost on silent connections: " << never_sent_.size();
+  }
   return text.str();
 }
 
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -97,8 +98,14 @@
 
   // Results.
 
-  /** Checks the guarantees that cover the whole run. Call it once. */
-  void CheckWholeRun(core::time_point now);
+  /**
+   * Checks the guarantees that cover the whole run. Call it once.
+   * @param never_sent whether a request got lost on a connection that had gone
+   *     silent between its caller and its gateway.
+   */
+  void CheckWholeRun(core::time_point now,
+                     const std::function<bool(const std::string& id,
+                                              int gateway)>& never_sent);
   const std::vector<std::string>& Violations() const { return violations_; }
   /** Span with the most requests relative to the limit of its endpoint. */
   std::optional<process_test::arrival_record::span> WorstSpan() const {
@@ -137,6 +144,10 @@
   /** Runs of deadly requests, and whether their gateway was undisturbed. */
   std::vector<std::pair<core::time_point, bool>> deadly_runs_;
   std::optional<process_test::arrival_record::span> worst_span_;
+  /** Requests that were answered after their deadline. */
+  std::vector<std::string> late_;
+  /** Requests that no gateway has got. */
+  std::set<std::string> never_sent_;
   int runs_after_cancellation_ = 0;
   std::vector<std::string> violations_;
 };
