Shorten grace periods when an earlier end of an outage becomes known

Cause: a gateway that is cut off for longer than the others dates the end of an outage by its own first read. An engine that left between the real end and that read counts as lapsed and keeps the time that this gateway gave it, 2,400 ms from its own read, even when the others tell it a moment later that the outage had ended sooner.

Change: the table of endpoints keeps what a grace period was computed from, and a report that moves the end of the outage computes it again, taking the entry as listed at that end. Periods are only shortened.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -101,6 +101,7 @@
       outages_.OnReported(*batch.last_outage, last_contact_,
                           schedule_.MaximumConfirmationGap(), loop_.Now())) {
     LogOutage("gateway");
+    ShortenGracePeriods();
   }
   std::vector<published_change> changes;
   for (const change_document& document : batch.documents) {
@@ -139,9 +140,25 @@
 removal_grace catalog_follower::GraceFor(std::int64_t removed_at,
                                          const read_context& read) const {
   const auto& last = outages_.Last();
-  return {UsableUntil(last, removed_at, read.known_until,
-                      {options_.reregistration_time, options_.change_bound}),
-          last ? last->revision : 0};
+  return {UsableUntil(last, removed_at, read.known_until, GraceLimits()),
+          last ? last->revision : 0, removed_at, read.known_until};
+}
+
+/**
+ * Another process has seen the end of the outage earlier than this one, so
+ * that entries that this one took as lapsed may have been removed after it.
+ */
+void catalog_follower::ShortenGracePeriods() {
+  endpoints_.ShortenGrace([this](const removal_grace& grace) {
+    const auto& last = outages_.Last();
+    // An entry that was removed after the outage was listed at its end.
+    const auto listed_at = std::max(grace.listed_at, last->ended);
+    return UsableUntil(last, grace.removal_revision, listed_at, GraceLimits());
+  });
+}
+
+removal_grace_limits catalog_follower::GraceLimits() const {
+  return {options_.reregistration_time, options_.change_bound};
 }
 
 // Reads.
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -125,6 +125,8 @@
   /** @param removed_at see UsableUntil. */
   removal_grace GraceFor(std::int64_t removed_at,
                          const read_context& read) const;
+  void ShortenGracePeriods();
+  removal_grace_limits GraceLimits() const;
   /** @param origin source of the information that the outage has ended. */
   void LogOutage(const char* origin);
 
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -204,6 +204,32 @@
   EXPECT_EQ(listener_.changes.back(), "i1 gone");
 }
 
+// A process that was cut off for longer than the others learns from them when
+// the outage has ended. Endpoints that have left since then must be out of use
+// within the bound; those whose entries lapsed before may still come back.
+TEST_F(catalog_follower_test, AnEarlierEndOfTheOutageShortensGracePeriods) {
+  source_.Answer(Done({Record("lapsed"), Record("left")}, 40));
+  source_.Answer({read_outcome::unavailable, {}, 0, "cut off"});
+  Wait(milliseconds(600));
+  WaitForRead();
+  catalog_read read{read_outcome::done, {}, 60, ""};
+  read.changes.push_back({44, endpoint_removed{instance_id("lapsed")}, ""});
+  read.changes.push_back({60, endpoint_removed{instance_id("left")}, ""});
+  source_.Answer(std::move(read));
+  EXPECT_EQ(listener_.changes.back(), "left lapsed");
+  follower_.OnPeerRead({.after = 60,
+                        .revision = 60,
+                        .last_outage = reported_outage{45, milliseconds(80)}});
+  const auto has_changed = [&](const char* change) {
+    return std::ranges::count(listener_.changes, change) > 0;
+  };
+  EXPECT_TRUE(loop_.RunUntil([&] { return has_changed("left gone"); },
+                             milliseconds(500)));
+  EXPECT_FALSE(has_changed("lapsed gone"));
+  EXPECT_TRUE(loop_.RunUntil([&] { return has_changed("lapsed gone"); },
+                             milliseconds(500)));
+}
+
 // A read that fails while it waits for changes does not imply an outage.
 TEST_F(catalog_follower_test, AReadThatFailsWhileWaitingIsNoOutage) {
   recording_listener listener;
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -1,5 +1,6 @@
 #include "catalog/endpoint_table.h"
 
+#include <algorithm>
 #include <iterator>
 #include <set>
 #include <tuple>
@@ -70,7 +71,7 @@
     return {{record.leaving ? kind::leaving : kind::added, record}};
   }
   const bool was_leaving = found->second.record.leaving;
-  const bool had_lapsed = found->second.usable_until.has_value();
+  const bool had_lapsed = found->second.grace.has_value();
   const bool differs = DiffersInUse(found->second.record, record);
   found->second = fresh;
   if (record.leaving && !was_leaving) return {{kind::leaving, record}};
@@ -92,12 +93,12 @@
                             const removal_grace& grace, core::time_point now,
                             changes& out) {
   entry& removed = position->second;
-  if (removed.usable_until) return;
+  if (removed.grace) return;
   // An endpoint that has announced its shutdown does not come back.
   const bool may_live = grace.usable_until > now && !removed.record.leaving &&
                         removed.revision <= grace.outage_revision;
   if (may_live) {
-    removed.usable_until = grace.usable_until;
+    removed.grace = grace;
     removed.removed_at = now;
     out.push_back({endpoint_change::kind::lapsed, removed.record,
                    core::ToMilliseconds(grace.usable_until - now)});
@@ -107,12 +108,21 @@
   entries_.erase(position);
 }
 
+void endpoint_table::ShortenGrace(
+    const std::function<core::time_point(const removal_grace&)>& usable_until) {
+  for (auto& [instance, known] : entries_) {
+    if (!known.grace) continue;
+    auto& until = known.grace->usable_until;
+    until = std::min(until, usable_until(*known.grace));
+  }
+}
+
 endpoint_table::changes endpoint_table::OnTick(core::time_point now) {
   changes out;
   for (auto position = entries_.begin(); position != entries_.end();) {
     const auto next = std::next(position);
-    const auto& usable_until = position->second.usable_until;
-    if (usable_until && *usable_until <= now) {
+    const auto& grace = position->second.grace;
+    if (grace && grace->usable_until <= now) {
       out.push_back({endpoint_change::kind::gone, position->second.record});
       entries_.erase(position);
     }
@@ -138,7 +148,7 @@
 std::optional<core::milliseconds> endpoint_table::LapsedFor(
     const instance_id& instance, core::time_point now) const {
   const auto found = entries_.find(instance);
-  if (found == entries_.end() || !found->second.usable_until) {
+  if (found == entries_.end() || !found->second.grace) {
     return std::nullopt;
   }
   return core::ToMilliseconds(now - found->second.removed_at);
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -33,6 +33,10 @@
    * means that the endpoint has left.
    */
   std::int64_t outage_revision = 0;
+  /** Position in the history at or before which the entry was removed. */
+  std::int64_t removal_revision = 0;
+  /** When the entry was last known to be listed. */
+  core::time_point listed_at;
 };
 
 /**
@@ -60,6 +64,12 @@
   changes OnRecord(const listed_entry& listed);
   changes OnRemoved(const instance_id& instance, const removal_grace& grace,
                     core::time_point now);
+  /**
+   * More is known of the outage: shortens grace periods that it shortens.
+   * @param usable_until end of the grace period of a removal.
+   */
+  void ShortenGrace(const std::function<core::time_point(const removal_grace&)>&
+                        usable_until);
   /** Ends grace periods. Call about every 100 ms. */
   changes OnTick(core::time_point now);
 
@@ -79,8 +89,8 @@
   struct entry {
     endpoint_record record;
     std::int64_t revision = 0;
-    /** End of the grace period, set while the entry is missing. */
-    std::optional<core::time_point> usable_until;
+    /** Set while the entry is missing. */
+    std::optional<removal_grace> grace;
     core::time_point removed_at;
   };
 
