Read a body in tiny pieces over many turns of the loop

Cause: libcurl reads a socket up to a hundred times in one call while bytes keep coming, and calls back for each chunk. An endpoint that floods its responses with chunks of four bytes keeps one turn of the gateway's loop busy for 100,000 and more callbacks; with 200 such connections a turn takes seconds, and deadlines, other callers and admin requests wait that long.

Change: after 128 pieces a transfer pauses until the end of the turn; the library keeps what it has decoded and hands it over in larger pieces.

Figures: one body of 20,000 chunks was read in one turn, now at most 128 callbacks a turn (test, bound 1,000).

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -55,6 +55,7 @@
     auto transfer = std::make_unique<http_transfer>(
         loop, connections, id, std::move(call), std::move(callbacks));
     transfer->OnIdle([this, id] { Expire(id); });
+    transfer->OnHold([this, id] { Defer([this, id] { Resume(id); }); });
     http_transfer& reference = *transfer;
     transfers[id] = std::move(transfer);
     if (inside_library) {
@@ -116,6 +117,16 @@
     return true;
   }
 
+  void Resume(http_call_id id) {
+    const auto found = transfers.find(id);
+    if (found == transfers.end()) return;
+    inside_library = true;
+    const CURLcode code = found->second->Resume();
+    inside_library = false;
+    // The library does not end a transfer that fails here.
+    if (code != CURLE_OK) Finish(id, code);
+  }
+
   void Expire(http_call_id id) { Finish(id, CURLE_OPERATION_TIMEDOUT); }
 
   void Defer(std::function<void()> action) {
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -173,6 +174,9 @@
   const std::string piece = GetParam();
   std::size_t sent = 0;
   if (piece.rfind("body", 0) == 0) peer->Send("HTTP/1.1 200 OK\r\n\r\n");
+  if (piece.rfind("1\r\n", 0) == 0) {
+    peer->Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  }
   std::string many;
   while (many.size() < 8192) many += piece;
   ASSERT_TRUE(loop_.RunUntil(
@@ -193,7 +197,45 @@
     ::testing::Values("HTTP/1.1 100 Continue\r\n\r\n",
                       "HTTP/1.1 200 OK\r\nX-Number: 1\r\nY: 2\r\n",
                       "HTTP/1.1 200 OK and no end of the line ",
-                      "body without a length\n", "\x01\x02\x03garbage"));
+                      "body without a length\n", "1\r\nx\r\n",
+                      "\x01\x02\x03garbage"));
+
+// A body in tiny pieces must not hold the loop: timers and other calls wait for
+// the end of a turn.
+TEST_F(http_client_test, ABodyInTinyPiecesIsReadInManyTurns) {
+  constexpr int kPieces = 20'000;
+  constexpr int kMaximumPiecesPerTurn = 1'000;
+  int pieces_in_turn = 0;
+  int most_in_turn = 0;
+  std::string body;
+  http_callbacks callbacks;
+  callbacks.on_data = [&](std::string_view data) {
+    most_in_turn = std::max(most_in_turn, ++pieces_in_turn);
+    body += data;
+  };
+  callbacks.on_done = [this](const http_result& result) { result_ = result; };
+  client_.Start({.url = Url()}, callbacks);
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  std::string response =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string expected;
+  for (int i = 0; i < kPieces; ++i) {
+    const char letter = static_cast<char>('a' + i % 26);
+    response += std::string("1\r\n") + letter + "\r\n";
+    expected += letter;
+  }
+  peer->Send(response + "0\r\n\r\n");
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] {
+        pieces_in_turn = 0;
+        return result_.has_value();
+      },
+      kLimit));
+  EXPECT_EQ(result_->failure, http_failure::none);
+  EXPECT_EQ(body, expected);
+  EXPECT_LE(most_in_turn, kMaximumPiecesPerTurn);
+}
 
 // A late duplicate of a response on an idle connection must not be taken for
 // the response to the next call.
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -17,6 +17,12 @@
 
 constexpr long kKeepaliveSeconds = 10;
 
+/**
+ * Pieces of a body, such as chunks, after which the loop turns to other work. A
+ * peer that sends faster than the body is read would hold the loop otherwise.
+ */
+constexpr int kPiecesBetweenHolds = 128;
+
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -36,6 +42,7 @@
       call_(std::move(call)),
       callbacks_(std::move(callbacks)),
       easy_(curl_easy_init()),
+      pieces_until_hold_(kPiecesBetweenHolds),
       last_activity_(loop.Now()) {
   if (!easy_) return;
   SetUrlAndMethod();
@@ -246,6 +253,12 @@
   auto& transfer = *static_cast<http_transfer*>(self);
   const std::size_t bytes = size * count;
   if (transfer.cancelled_) return 0;
+  if (transfer.pieces_until_hold_ == 0) {
+    transfer.pieces_until_hold_ = kPiecesBetweenHolds;
+    return transfer.Guarded([&] { transfer.on_hold_(); }) ? CURL_WRITEFUNC_PAUSE
+                                                          : 0;
+  }
+  --transfer.pieces_until_hold_;
   transfer.last_activity_ = transfer.loop_.Now();
   if (!transfer.callbacks_.on_data && transfer.result_.body.size() + bytes >
                                           transfer.call_.maximum_body_bytes) {
@@ -262,6 +275,14 @@
   return taken && !transfer.cancelled_ ? bytes : 0;
 }
 
+void http_transfer::OnHold(std::function<void()> callback) {
+  on_hold_ = std::move(callback);
+}
+
+CURLcode http_transfer::Resume() {
+  return curl_easy_pause(easy_.get(), CURLPAUSE_CONT);
+}
+
 // Idle timeout and completion.
 
 void http_transfer::OnIdle(std::function<void()> callback) {
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -30,6 +30,13 @@
 
   /** Sets the callback for the call's idle timeout. */
   void OnIdle(std::function<void()> callback);
+  /**
+   * Sets the callback for a body of which the loop has read enough for one
+   * turn. No more is read until Resume.
+   */
+  void OnHold(std::function<void()> callback);
+  /** Continues to read the body; passes on what the library has kept. */
+  CURLcode Resume();
   /** Suppresses all further callbacks; the library aborts the transfer. */
   void MarkCancelled();
   /**
@@ -88,6 +95,8 @@
   bool needs_fresh_connection_ = false;
   bool cancelled_ = false;
   std::function<void()> on_idle_;
+  std::function<void()> on_hold_;
+  int pieces_until_hold_;
   core::time_point last_activity_;
   timer_id idle_timer_ = 0;
 };
