Explain requests that were refused for their prompts

comfreyspringctl explain prints, for a request refused for a part of its prompt, what the gateway knew of that part and the crashes that the part is suspected of, however long ago; for others the crashes of the request's own engines. Each crash once, as its own sidecar recorded it. The causes prompt_quarantined and engines_ended have descriptions. Test: ShowsTheCrashesOfAQuarantinedPrompt.

--- a/src/ctl/request_explanation.cc
+++ b/src/ctl/request_explanation.cc
@@ -22,20 +22,12 @@
 constexpr std::int64_t kContextAfterMs = 2000;
 
 /** Events about the state of endpoints, engines and other dependencies. */
-constexpr std::array<std::string_view, 13> kContextEvents = {
-    "endpoint",
-    "endpoint_limit",
-    "engine_limit",
-    "engine_status",
-    "engine_state",
-    "engine_instance",
-    "dependency",
-    "pause_noticed",
-    "starting",
-    "stopping",
-    "configuration_adopted",
-    "mass_removal",
-    "platform_history_lost"};
+constexpr std::array<std::string_view, 15> kContextEvents = {
+    "crash_record",          "endpoint",      "endpoint_limit",
+    "engine_limit",          "engine_status", "engine_state",
+    "engine_instance",       "dependency",    "pause_noticed",
+    "prompt_part",           "starting",      "stopping",
+    "configuration_adopted", "mass_removal",  "platform_history_lost"};
 
 constexpr std::array<std::string_view, 6> kFinalEvents = {
     "answered", "refused", "failed", "broken_off", "caller_gone", "unrouted"};
@@ -45,7 +37,7 @@
   std::string_view meaning;
 };
 
-constexpr std::array<cause_description, 18> kCauseDescriptions = {{
+constexpr std::array<cause_description, 20> kCauseDescriptions = {{
     {"wait_too_long",
      "the expected wait for the engine's queue or for adapter loads exceeded "
      "the wait limit of the request; compare running, waiting, "
@@ -61,6 +53,12 @@
      "dependency lines"},
     {"model_absent", "the engine does not have the model (after a restart)"},
     {"adapter_unavailable", "the adapter is not available on the engine"},
+    {"prompt_quarantined",
+     "a part of the prompt ended several engines, so that it is not sent to "
+     "any; see prompt_part and crash_record lines"},
+    {"engines_ended",
+     "two engines ended under the request, so that it is not sent to another "
+     "one; see crash_record lines"},
     {"no_endpoint", "no endpoint of the service could accept the request"},
     {"not_run", "the endpoints refused the request without running it"},
     {"repeat_budget", "the retry budget was exhausted"},
@@ -96,6 +94,12 @@
   return address.substr(0, address.rfind(':'));
 }
 
+/** The record of a crash that the part is suspected of. */
+bool IsCrashOf(const json& line, const std::string& part) {
+  const std::string parts = ' ' + Text(line, "parts");
+  return parts.find(' ' + part + ':') != std::string::npos;
+}
+
 void WriteLine(const json& line, std::int64_t start_ms, std::ostream& out) {
   const std::int64_t offset = TimeOf(line) - start_ms;
   out << "  " << (offset < 0 ? "" : "+") << offset << " ms  "
@@ -143,9 +147,12 @@
 std::vector<json> request_explanation::SelectContext() const {
   std::set<std::string> instances;
   std::set<std::string> processes;
+  std::string quarantined_part;
   for (const json& line : request_lines_) {
     if (!Text(line, "endpoint").empty())
       instances.insert(Text(line, "endpoint"));
+    if (Text(line, "event") == "prompt_quarantined")
+      quarantined_part = Text(line, "part");
     processes.insert(Text(line, "process"));
   }
   // A sidecar belongs to the endpoint whose host matches that of its engine.
@@ -167,9 +174,27 @@
   const std::int64_t last = TimeOf(request_lines_.back()) + kContextAfterMs;
   std::vector<json> context;
   for (const json& line : context_candidates_) {
-    if (TimeOf(line) < first || TimeOf(line) > last) continue;
+    if (TimeOf(line) > last) continue;
     const std::string event = Text(line, "event");
     const std::string process = Text(line, "process");
+    if (event == "prompt_part" || event == "crash_record") {
+      // A quarantine may have begun long before the request.
+      const bool explains_quarantine =
+          !quarantined_part.empty() &&
+          (event == "prompt_part" ? processes.count(process) > 0 &&
+                                        Text(line, "part") == quarantined_part
+                                  : IsCrashOf(line, quarantined_part));
+      const bool is_crash_of_endpoint = event == "crash_record" &&
+                                        sidecars.count(process) > 0 &&
+                                        TimeOf(line) >= first;
+      // Others repeat what the engine's own sidecar has recorded.
+      if (Text(line, "origin") != "gateway" &&
+          (explains_quarantine || is_crash_of_endpoint)) {
+        context.push_back(line);
+      }
+      continue;
+    }
+    if (TimeOf(line) < first) continue;
     const bool names_endpoint = instances.count(Text(line, "instance")) > 0 ||
                                 instances.count(Text(line, "endpoint")) > 0;
     const bool is_endpoint_event =
--- a/src/ctl/request_explanation_test.cc
+++ b/src/ctl/request_explanation_test.cc
@@ -83,6 +83,39 @@
   EXPECT_EQ(text.find("i-8"), std::string::npos) << text;
 }
 
+// A refusal for its prompt is shown with the crashes that the prompt is
+// suspected of, however long ago they were, and none of others.
+TEST(RequestExplanation, ShowsTheCrashesOfAQuarantinedPrompt) {
+  const std::string text = Explain(
+      "r1",
+      Line(90004, "gateway-1", "refused",
+           R"("request":"r1","status":503,"cause":"prompt_quarantined")") +
+          Line(90003, "gateway-1", "prompt_quarantined",
+               R"("request":"r1","part":"p3","crashes":3)") +
+          Line(40000, "sidecar-7", "crash_record",
+               R"("origin":"engine","parts":"p1:0 p3:0")") +
+          Line(40010, "sidecar-8", "crash_record",
+               R"("origin":"gateway","parts":"p1:0 p3:0")") +
+          Line(50000, "sidecar-8", "crash_record",
+               R"("origin":"engine","parts":"p33:1")") +
+          Line(60000, "sidecar-9", "crash_record",
+               R"("origin":"engine","parts":"p3:2")") +
+          Line(60040, "gateway-1", "prompt_part",
+               R"("part":"p3","after":"quarantined")") +
+          Line(60041, "gateway-2", "prompt_part",
+               R"("part":"p3","after":"quarantined")") +
+          Line(60042, "gateway-1", "prompt_part",
+               R"("part":"p4","after":"suspected")"));
+  ExpectInOrder(text, {"prompt_quarantined crashes=3 part=p3",
+                       "sidecar-7  crash_record origin=engine",
+                       "sidecar-9  crash_record origin=engine parts=p3:2",
+                       "gateway-1  prompt_part after=quarantined part=p3",
+                       "Outcome: refused 503, cause prompt_quarantined: "});
+  EXPECT_EQ(text.find("sidecar-8"), std::string::npos) << text;
+  EXPECT_EQ(text.find("gateway-2"), std::string::npos) << text;
+  EXPECT_EQ(text.find("p4"), std::string::npos) << text;
+}
+
 // An interrupted stream is shown with the events of its endpoint, including
 // those that the gateway logged afterwards.
 TEST(RequestExplanation, ShowsTheRemovedEndpointOfAnInterruptedStream) {
