--- a/src/ctl/request_explanation_test.cc
+++ b/src/ctl/request_explanation_test.cc
@@ -145,8 +145,9 @@
   for (const std::string cause :
        {"wait_too_long", "wait_expired", "engine_down", "model_absent",
         "adapter_unavailable", "no_endpoint", "not_run", "repeat_budget",
-        "time_limit", "stopping", "no_configuration", "no_route", "unknown",
-        "not_sent", "stalled", "caller_does_not_read"}) {
+        "rate_limited", "prompt_quarantined", "engines_ended", "time_limit",
+        "stopping", "no_configuration", "no_route", "unknown", "not_sent",
+        "stalled", "caller_does_not_read"}) {
     const std::string text = Explain(
         "r1", Line(1, "gateway-1", "failed",
                    R"("request":"r1","status":502,"cause":")" + cause + '"'));
