--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -530,10 +530,10 @@
   }
 
   void OnCrashNotice(const grants::crash_notice& notice) {
-    auto merged = quarantine.OnCrash(notice.record, loop.Now());
-    if (!merged) return;
+    auto news = quarantine.OnCrash(notice.record, loop.Now());
+    if (!news) return;
     metrics.Count("gateway_crash_records_total");
-    links->SendToRelays(grants::crash_notice{std::move(*merged)});
+    links->SendToRelays(grants::crash_notice{std::move(*news)});
     LogPartChanges("crash");
   }
 
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -85,8 +85,8 @@
  *   the limit, over all gateways. The limit shortens the queue that may wait
  *   here; the rest is returned or refused immediately.
  * - Prompts that may end the engine: one at a time is ahead of its first
- * output, so that a crash tells which one it was; few wait for their turn, the
- * rest is refused immediately.
+ *   output, so that a crash tells which one it was; few wait for their turn,
+ *   the rest is refused immediately.
  * - Restart of the engine or the agent: no adapter is assumed to be loaded
  *   until the engine has reported its state.
  */
--- a/src/sidecar/quarantine_replay_test.cc
+++ b/src/sidecar/quarantine_replay_test.cc
@@ -380,12 +380,12 @@
   }
 
   void OnSidecarRecord(std::size_t at, const quarantine::crash_record& record) {
-    const auto merged = engines_[at].evidence.OnCrash(record, time_.Now());
-    if (!merged) return;
+    const auto news = engines_[at].evidence.OnCrash(record, time_.Now());
+    if (!news) return;
     for (std::size_t gateway = 0; gateway < gateways_.size(); ++gateway) {
       if (!Reaches(gateway, at)) continue;
-      time_.After(Latency(), [this, gateway, merged] {
-        const auto known = gateways_[gateway].OnCrash(*merged, time_.Now());
+      time_.After(Latency(), [this, gateway, news] {
+        const auto known = gateways_[gateway].OnCrash(*news, time_.Now());
         if (known) SendToRelays(gateway, *known);
       });
     }
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -258,17 +258,17 @@
 
 void scheduler_driver::OnCrash(const quarantine::crash_record& record,
                                std::string_view origin) {
-  auto merged = evidence_.OnCrash(record, loop_.Now());
-  if (!merged) return;
+  auto news = evidence_.OnCrash(record, loop_.Now());
+  if (!news) return;
   metrics_.Count("sidecar_crash_records_total{origin=\"" + std::string(origin) +
                  "\"}");
   auto line = log_.SystemEvent("crash_record");
   line.Add("origin", origin)
-      .Add("sidecar", merged->crash.sidecar.Value())
-      .Add("engine_started_ms", merged->crash.engine_started_unix_ms)
-      .Add("age_ms", merged->age.count())
-      .Add("parts", quarantine::ToText(merged->parts));
-  send_to_all_(grants::crash_notice{std::move(*merged)});
+      .Add("sidecar", news->crash.sidecar.Value())
+      .Add("engine_started_ms", news->crash.engine_started_unix_ms)
+      .Add("age_ms", news->age.count())
+      .Add("parts", quarantine::ToText(news->parts));
+  send_to_all_(grants::crash_notice{std::move(*news)});
 }
 
 // Actions.
