--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -204,6 +204,7 @@
     log.Process("stopped")
         .Add("after_ms", passed.count())
         .Add("requests_cut", forwarder.ActiveCount());
+    forwarder.LogCutRequests();
     log.Flush();
     loop.Stop();
   }
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1566,6 +1566,7 @@
     line.Add("status", request->status)
         .Add("route", request->route->name)
         .Add("endpoint", request->endpoint.Value())
+        .Add("state", PhaseName(request->state))
         .Add("took_ms", took.count())
         .Add("attempts", request->attempts)
         .Add("events", request->events_sent);
@@ -1740,6 +1741,21 @@
     Finish(request, line_class::routine, "caller_gone", "");
   }
 
+  /** Logs the requests that end with the process. */
+  void LogCutRequests() const {
+    for (const auto& [number, request] : requests) {
+      log.Request(line_class::failure, "cut", request->metadata.id.Value())
+          .Add("cause", "stopping")
+          .Add("route", request->route->name)
+          .Add("state", PhaseName(request->state))
+          .Add("endpoint", request->endpoint.Value())
+          .Add("attempts", request->attempts)
+          .Add("events", request->events_sent)
+          .Add("took_ms",
+               core::ToMilliseconds(loop.Now() - request->arrived).count());
+    }
+  }
+
   // Views of the endpoints.
 
   void OnEndpoint(const catalog::endpoint_change& change) {
@@ -2061,6 +2077,8 @@
 
 void request_forwarder::RefuseNew() { impl_->refuses_new = true; }
 
+void request_forwarder::LogCutRequests() const { impl_->LogCutRequests(); }
+
 std::size_t request_forwarder::ActiveCount() const {
   return impl_->requests.size() + impl_->held_requests.size();
 }
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -63,6 +63,8 @@
    * Refuses new requests with 503, so that callers retry at another gateway.
    */
   void RefuseNew();
+  /** Logs one line for each request that ends unanswered with the process. */
+  void LogCutRequests() const;
 
   // State.
 
