--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -810,6 +810,78 @@
   EXPECT_FALSE(caller->aborted);
 }
 
+/** Streams of two engines whose sidecars are linked. */
+class granted_stream_test : public request_forwarder_test {
+ protected:
+  void SetUp() override {
+    Route("/tokens/", "engine",
+          {.streams = true, .resumable = true, .maximum_endpoints = 2});
+    configuration_.services.push_back(
+        {.id = core::service_id("engine"),
+         .engine = catalog::engine_profile{.batch_slots = 8,
+                                           .adapter_slots = 4,
+                                           .cache_tokens = 1000}});
+    request_forwarder_test::SetUp();
+    for (const char* name : {"e1", "e2"}) {
+      source_.first.changes.emplace_back().content = catalog::endpoint_record{
+          .instance = catalog::instance_id(name),
+          .service = core::service_id("engine"),
+          .address = {std::string("10.1.0.") + name[1], 80},
+          .slots = 8};
+    }
+    follower_.OnPaused(milliseconds(0));
+    for (const char* ip : {"10.1.0.1", "10.1.0.2"}) {
+      grants::status_report report;
+      report.status.serving = true;
+      report.status.free_adapter_slots = 4;
+      forwarder_.OnSidecarMessage(ip, report);
+    }
+  }
+
+  std::shared_ptr<fake_exchange> SendTokens() {
+    auto exchange = std::make_shared<fake_exchange>();
+    exchange->request.method = "POST";
+    exchange->request.target = "/tokens/a";
+    exchange->request.headers = {
+        {"id", "r1"}, {"host", "h"}, {"limit", "5000"}, {"model", "m"}};
+    forwarder_.OnRequest(exchange);
+    return exchange;
+  }
+  /** Answers the grant request with this number. */
+  void Grant(std::uint64_t number) {
+    forwarder_.OnSidecarMessage("", grants::grant_issued{.number = number});
+  }
+  void Refuse(std::uint64_t number) {
+    forwarder_.OnSidecarMessage(
+        "",
+        grants::grant_refused{.number = number,
+                              .reason = grants::refusal_reason::wait_too_long,
+                              .retry_after = milliseconds(500)});
+  }
+  /** Starts a stream that falls silent after its first event. */
+  std::shared_ptr<fake_exchange> StartSilentStream() {
+    const auto caller = SendTokens();
+    Grant(1);
+    EXPECT_EQ(http_.calls.size(), 1U);
+    http_.Headers(200, Own());
+    http_.Data("id: 1\n\n");
+    // Longer than the stall timeout of the route.
+    loop_.RunUntil([] { return false; }, milliseconds(1200));
+    return caller;
+  }
+};
+
+TEST_F(granted_stream_test, ASilentStreamThatNoOtherEngineTakesGoesOn) {
+  const auto caller = StartSilentStream();
+  Refuse(2);
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_EQ(caller->written, "id: 1\n\nid: 2\n\n");
+  EXPECT_TRUE(caller->ended);
+  EXPECT_FALSE(caller->aborted);
+}
+
 // After a pause of the gateway itself the endpoint must not count as silent.
 TEST_F(request_forwarder_test, APauseOfTheGatewayIsNoStallOfTheEndpoint) {
   Send("/again/a");
