Give up a silent attempt only for an engine that takes its request

What callers saw: a stream whose engine paused for longer than half of the caller's patience (1 s or more) was cut off, although its engine would have gone on a moment later: neither a whole answer nor a refusal. A call that may be repeated was cancelled even if no other endpoint was left. Cause: OnStall cancelled the attempt first and looked for another engine then. Where that engine's sidecar refused the grant, or no engine was left, nothing could be done for a stream that had begun but to end its connection. Silence was taken for failure; the class is: what one has is given up before what replaces it is certain. Evidence: granted_stream_test.ASilentStreamThatNoOtherEngineTakesGoesOn failed on (call cancelled, second event lost, connection aborted). Change: a silent attempt stays open while a standby grant is requested at another engine. Once it is granted, and the endpoint, the retry budget and the prompt still allow it, the attempt is cancelled and the request is sent there. If it is refused, another one is requested 200 ms later; if the silent engine goes on, the standby is withdrawn. A call without grants is only moved if an endpoint is left for it. A prompt that is suspected of ending engines is not moved for silence.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -101,6 +101,8 @@
 /** An answer with this many events has gone on. */
 constexpr std::size_t kEventsToGoOn = 2;
 constexpr core::milliseconds kQuarantinePeriod{1000};
+/** Time between two attempts to find an engine for a silent request. */
+constexpr core::milliseconds kStandbyRetryDelay{200};
 constexpr const char* kNotRunMessage = "The request has not run.";
 /** Interval between removals of expired drain and backoff notices. */
 constexpr core::milliseconds kNoticeCleanupPeriod{5000};
@@ -137,6 +139,16 @@
     bool is_stopping = false;
   };
 
+  /** A grant request that is open at a sidecar, or its grant. */
+  struct open_grant {
+    catalog::instance_id endpoint;
+    std::string sidecar_ip;
+    std::uint64_t number = 0;
+    core::time_point requested_at;
+    /** The sidecar has confirmed that the grant request is in its queue. */
+    bool queued = false;
+  };
+
   /** One request of a caller. */
   struct active_request {
     std::uint64_t number = 0;
@@ -195,6 +207,15 @@
     std::uint64_t lost_number = 0;
     core::time_point verdict_due;
 
+    /**
+     * Requested because the current attempt is silent. The attempt is given up
+     * once this grant is issued, so that it goes on if no other engine takes
+     * the request.
+     */
+    std::optional<open_grant> standby;
+    /** No standby is requested before. */
+    core::time_point standby_due;
+
     net::http_call_id call = 0;
     core::time_point sent_at;
     core::time_point last_progress;
@@ -386,8 +407,7 @@
     endpoint_views result;
     follower.Endpoints().ForEachUsable(
         [&](const catalog::endpoint_record& record) {
-          if (record.service != service || notices.IsDraining(record)) return;
-          if (notices.BackoffLeft(record, loop.Now()).count() > 0) return;
+          if (record.service != service || !IsAvailable(record)) return;
           const auto found = views.find(record.instance);
           if (found != views.end()) result.push_back(&found->second);
         });
@@ -649,35 +669,123 @@
     request->grant_is_isolated = request->isolation.has_value();
     request->blamed_parts =
         quarantine.BlamedParts(request->metadata.shared_parts, now);
+    views.at(request->endpoint).grants_requested_since_status += 1;
+    auto message = MakeGrantRequest(*request, request->grant_number);
+    if (request->grant_requests < kMaximumGrantRequests) {
+      message.load_bound = choice.load_bound;
+    }
+    links->Send(request->sidecar_ip, std::move(message));
+  }
+
+  /** @returns the request without a load bound. */
+  grants::grant_request MakeGrantRequest(const active_request& request,
+                                         std::uint64_t number) const {
+    const auto now = loop.Now();
     const auto first_output_due_in =
-        request->route->first_output_target -
-        core::ToMilliseconds(now - request->arrived);
+        request.route->first_output_target -
+        core::ToMilliseconds(now - request.arrived);
     const auto deadline_in =
-        std::max(request->timeouts.maximum_grant_wait -
-                     core::ToMilliseconds(now - request->last_output),
+        std::max(request.timeouts.maximum_grant_wait -
+                     core::ToMilliseconds(now - request.last_output),
                  core::milliseconds(0));
-    views.at(request->endpoint).grants_requested_since_status += 1;
-    links->Send(
-        request->sidecar_ip,
-        grants::grant_request{
-            .number = request->grant_number,
-            .request_id = request->metadata.id.Value(),
-            .adapter = request->metadata.adapter,
-            .minimum_version = follower.VersionOf(request->metadata.adapter),
-            .priority = request->route->priority,
-            .prompt_tokens = request->metadata.prompt_tokens,
-            .output_tokens = request->metadata.expected_output_tokens,
-            .event_gap_target = request->route->event_gap_target,
-            .first_output_due_in = first_output_due_in,
-            .deadline_in = deadline_in,
-            .maximum_retry_after =
-                core::ToMilliseconds(request->deadline - now) /
-                kRetryTimeDivisor,
-            .load_bound = request->grant_requests < kMaximumGrantRequests
-                              ? choice.load_bound
-                              : 0.0,
-            .isolated = request->grant_is_isolated,
-            .blamed_parts = request->blamed_parts});
+    return {
+        .number = number,
+        .request_id = request.metadata.id.Value(),
+        .adapter = request.metadata.adapter,
+        .minimum_version = follower.VersionOf(request.metadata.adapter),
+        .priority = request.route->priority,
+        .prompt_tokens = request.metadata.prompt_tokens,
+        .output_tokens = request.metadata.expected_output_tokens,
+        .event_gap_target = request.route->event_gap_target,
+        .first_output_due_in = first_output_due_in,
+        .deadline_in = deadline_in,
+        .maximum_retry_after =
+            core::ToMilliseconds(request.deadline - now) / kRetryTimeDivisor,
+        .isolated = request.grant_is_isolated,
+        .blamed_parts = request.blamed_parts};
+  }
+
+  // Standby grants: an endpoint may fall silent for a moment and go on, so a
+  // silent attempt is only given up for an engine that will take the request.
+
+  void RequestStandby(const request_pointer& request,
+                      const engine_choice& choice) {
+    const auto now = loop.Now();
+    const endpoint_view& chosen = *choice.view;
+    request->standby = open_grant{.endpoint = chosen.record.instance,
+                                  .sidecar_ip = chosen.record.address.ip,
+                                  .number = ++last_grant_number,
+                                  .requested_at = now};
+    request->blamed_parts =
+        quarantine.BlamedParts(request->metadata.shared_parts, now);
+    open_grants[request->standby->number] = request;
+    views.at(chosen.record.instance).grants_requested_since_status += 1;
+    metrics.Count("gateway_standby_grants_total");
+    auto message = MakeGrantRequest(*request, request->standby->number);
+    message.load_bound = choice.load_bound;
+    links->Send(request->standby->sidecar_ip, std::move(message));
+  }
+
+  void WithdrawStandby(active_request& request) {
+    if (!request.standby) return;
+    links->Send(request.standby->sidecar_ip,
+                grants::grant_withdrawn{request.standby->number});
+    DropStandby(request);
+  }
+
+  void DropStandby(active_request& request) {
+    open_grants.erase(request.standby->number);
+    request.standby.reset();
+    request.standby_due = loop.Now() + kStandbyRetryDelay;
+  }
+
+  bool IsStandby(const active_request& request, std::uint64_t number) const {
+    return request.standby && request.standby->number == number;
+  }
+
+  void OnStandbyGranted(const request_pointer& request) {
+    const catalog::endpoint_record* record =
+        follower.Endpoints().FindUsable(request->standby->endpoint);
+    if (record == nullptr || !IsAvailable(*record) || !MayTakeOver(*request)) {
+      links->Send(request->standby->sidecar_ip,
+                  grants::run_ended{request->standby->number, false});
+      DropStandby(*request);
+      return;
+    }
+    http.Cancel(std::exchange(request->call, 0));
+    OnAttemptFailed(request, attempt_failure::stalled,
+                    "no progress within the stall timeout");
+  }
+
+  /** The standby grant becomes the current one. */
+  void SendOnStandby(const request_pointer& request) {
+    const open_grant granted = *std::exchange(request->standby, std::nullopt);
+    request->endpoint = granted.endpoint;
+    request->sidecar_ip = granted.sidecar_ip;
+    request->grant_number = granted.number;
+    request->grant_requested_at = granted.requested_at;
+    request->state = phase::waiting;
+    Send(request);
+  }
+
+  /** Whether another endpoint may be sent the request of a silent attempt. */
+  bool MayTakeOver(const active_request& request) {
+    const retry_context context{
+        .failure = attempt_failure::stalled,
+        .response_started = request.response_started,
+        .endpoints_used = static_cast<int>(request.used.size()),
+        .attempts = request.attempts,
+        .time_left = core::ToMilliseconds(request.deadline - loop.Now())};
+    // A prompt that may have silenced its engine is not sent to others.
+    const bool is_suspected =
+        NeedsEngine(request) &&
+        (request.isolation ||
+         quarantine.Judge(request.metadata.shared_parts, loop.Now())
+                 .admission != prompt_admission::any);
+    return !is_suspected &&
+           DecideRetry(*request.route, context) == retry_decision::anywhere &&
+           BudgetOf(request.service).Available(GatewayCount(), loop.Now()) >=
+               1.0;
   }
 
   void OnGranted(const std::string& ip, const grants::grant_issued& granted) {
@@ -688,6 +796,10 @@
       return;
     }
     const request_pointer request = found->second;
+    if (IsStandby(*request, granted.number)) {
+      OnStandbyGranted(request);
+      return;
+    }
     if (request->state != phase::waiting) return;
     const auto waited =
         core::ToMilliseconds(loop.Now() - request->grant_requested_at);
@@ -710,13 +822,28 @@
 
   void OnQueued(const grants::grant_queued& queued) {
     const auto found = open_grants.find(queued.number);
-    if (found != open_grants.end()) found->second->queued = true;
+    if (found == open_grants.end()) return;
+    active_request& request = *found->second;
+    if (IsStandby(request, queued.number)) {
+      request.standby->queued = true;
+    } else {
+      request.queued = true;
+    }
   }
 
   void OnRefused(const grants::grant_refused& refused) {
     const auto found = open_grants.find(refused.number);
     if (found == open_grants.end()) return;
     const request_pointer request = found->second;
+    if (IsStandby(*request, refused.number)) {
+      log.Request(line_class::failure, "standby_refused",
+                  request->metadata.id.Value())
+          .Add("silent_endpoint", request->endpoint.Value())
+          .Add("endpoint", request->standby->endpoint.Value())
+          .Add("reason", grants::ToString(refused.reason));
+      DropStandby(*request);
+      return;
+    }
     if (request->state != phase::waiting) return;
     open_grants.erase(found);
     request->grant_number = 0;
@@ -961,8 +1088,7 @@
     const auto now = loop.Now();
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->endpoint);
-    if (record == nullptr || notices.IsDraining(*record) ||
-        notices.BackoffLeft(*record, now).count() > 0) {
+    if (record == nullptr || !IsAvailable(*record)) {
       // The endpoint was removed, or started to drain or back off, while the
       // grant was in transit.
       ReleaseGrant(*request, false);
@@ -1069,6 +1195,12 @@
              }});
   }
 
+  /** Nothing that the endpoint said to this gateway forbids new requests. */
+  bool IsAvailable(const catalog::endpoint_record& record) const {
+    return !notices.IsDraining(record) &&
+           notices.BackoffLeft(record, loop.Now()).count() == 0;
+  }
+
   request_pointer Find(std::uint64_t number, int attempt) const {
     const auto found = requests.find(number);
     if (found == requests.end() || found->second->attempts != attempt ||
@@ -1087,7 +1219,7 @@
                  const net::header_map& headers) {
     active_request& request = *target;
     const auto now = loop.Now();
-    request.last_progress = now;
+    OnProgress(request);
     request.status = status;
     request.headers = headers;
     request.response =
@@ -1224,7 +1356,7 @@
 
   void OnData(const request_pointer& request, std::string_view data) {
     if (!request->forwards_events) {
-      request->last_progress = loop.Now();
+      OnProgress(*request);
       if (request->body.size() + data.size() > kMaximumResponseBytes ||
           buffered_bytes + data.size() > kMaximumBufferedBytes) {
         FailAttempt(request, "the response exceeds the buffer limit");
@@ -1247,9 +1379,7 @@
       return;
     }
     // Only complete events count as progress.
-    if (request->events.Count() > events_before) {
-      request->last_progress = loop.Now();
-    }
+    if (request->events.Count() > events_before) OnProgress(*request);
     if (request->events.Rest().size() > kMaximumEventBytes) {
       FailAttempt(request, "an event of the response exceeds the size limit");
       return;
@@ -1257,6 +1387,11 @@
     ForwardEvents(request, std::move(complete_events));
   }
 
+  void OnProgress(active_request& request) {
+    request.last_progress = loop.Now();
+    WithdrawStandby(request);
+  }
+
   void DiscardBody(active_request& request) {
     buffered_bytes -= request.body.size();
     std::string().swap(request.body);
@@ -1428,6 +1563,7 @@
       GiveUp(request, ToString(failure));
       return;
     }
+    if (failure != attempt_failure::stalled) WithdrawStandby(*request);
     request->events.DropRest();
     if (decision == retry_decision::same_endpoint) {
       RestrictToUsed(*request);
@@ -1436,9 +1572,11 @@
     }
     if (lost_number != 0) {
       AwaitVerdict(request, lost_number);
-      return;
+    } else if (request->standby) {
+      SendOnStandby(request);
+    } else {
+      Dispatch(request);
     }
-    Dispatch(request);
   }
 
   static std::string PartsText(const active_request& request) {
@@ -1579,6 +1717,7 @@
     if (!cause.empty()) line.Add("cause", cause);
     if (retry_after) line.Add("retry_after_ms", retry_after->count());
     ReleaseGrant(*request, false);
+    WithdrawStandby(*request);
     lost_runs.erase(request->lost_number);
     DiscardBody(*request);
     requests.erase(request->number);
@@ -1636,8 +1775,13 @@
   void CloseUnansweredLinks(core::time_point now) {
     std::set<std::string> unanswered;
     for (const auto& [number, request] : open_grants) {
-      if (request->state == phase::waiting && !request->queued &&
-          now - request->grant_requested_at > kGrantAckTimeout) {
+      if (IsStandby(*request, number)) {
+        if (!request->standby->queued &&
+            now - request->standby->requested_at > kGrantAckTimeout) {
+          unanswered.insert(request->standby->sidecar_ip);
+        }
+      } else if (request->state == phase::waiting && !request->queued &&
+                 now - request->grant_requested_at > kGrantAckTimeout) {
         unanswered.insert(request->sidecar_ip);
       }
     }
@@ -1649,6 +1793,7 @@
       request->grant_requested_at = loop.Now();
       request->last_progress = loop.Now();
       request->verdict_due = loop.Now() + kVerdictTimeout;
+      WithdrawStandby(*request);
     }
     RenewGrantsUnderLimits();
   }
@@ -1717,15 +1862,22 @@
   void OnStall(const request_pointer& request) {
     // Cancelling the attempt only helps if the request can be retried at
     // another endpoint.
-    const retry_context context{
-        .failure = attempt_failure::stalled,
-        .response_started = request->response_started,
-        .endpoints_used = static_cast<int>(request->used.size()),
-        .attempts = request->attempts,
-        .time_left = core::ToMilliseconds(request->deadline - loop.Now())};
-    if (DecideRetry(*request->route, context) != retry_decision::anywhere ||
-        BudgetOf(request->service).Available(GatewayCount(), loop.Now()) <
-            1.0) {
+    if (request->standby || loop.Now() < request->standby_due ||
+        !MayTakeOver(*request)) {
+      return;
+    }
+    const bool was_excluded =
+        !request->excluded.insert(request->endpoint).second;
+    const engine_choice choice = ChooseEndpoint(*request);
+    if (!was_excluded) request->excluded.erase(request->endpoint);
+    if (choice.view != nullptr && NeedsEngine(*request) &&
+        choice.view->has_sidecar) {
+      RequestStandby(request, choice);
+      return;
+    }
+    // Whether an endpoint that limits its rate takes the request is not known.
+    if (choice.view == nullptr || notices.LimitOf(choice.view->record)) {
+      request->standby_due = loop.Now() + kStandbyRetryDelay;
       return;
     }
     http.Cancel(std::exchange(request->call, 0));
@@ -1794,6 +1946,11 @@
         waiting.push_back(request);
       }
     }
+    for (const auto& [number, request] : requests) {
+      if (request->standby && request->standby->endpoint == instance) {
+        WithdrawStandby(*request);
+      }
+    }
     for (const request_pointer& request : waiting) {
       ReleaseGrant(*request, false);
       request->excluded.insert(instance);
@@ -1856,6 +2013,9 @@
       view.status.limit.reset();
     }
     for (const auto& [number, request] : requests) {
+      if (request->standby && request->standby->sidecar_ip == ip) {
+        DropStandby(*request);
+      }
       if (request->grant_number == 0 || request->sidecar_ip != ip) continue;
       if (request->state == phase::waiting) {
         waiting.push_back(request);
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -818,9 +818,8 @@
           {.streams = true, .resumable = true, .maximum_endpoints = 2});
     configuration_.services.push_back(
         {.id = core::service_id("engine"),
-         .engine = catalog::engine_profile{.batch_slots = 8,
-                                           .adapter_slots = 4,
-                                           .cache_tokens = 1000}});
+         .engine = catalog::engine_profile{
+             .batch_slots = 8, .adapter_slots = 4, .cache_tokens = 1000}});
     request_forwarder_test::SetUp();
     for (const char* name : {"e1", "e2"}) {
       source_.first.changes.emplace_back().content = catalog::endpoint_record{
@@ -882,6 +881,75 @@
   EXPECT_FALSE(caller->aborted);
 }
 
+TEST_F(granted_stream_test, ASilentStreamIsResumedAtAnEngineThatTakesIt) {
+  const auto caller = StartSilentStream();
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  Grant(2);
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  ASSERT_EQ(http_.calls.size(), 2U);
+  EXPECT_NE(InstanceOf(0), InstanceOf(1));
+  EXPECT_EQ(http_.calls[1].call.headers.at("after"), "1");
+  http_.Headers(200, Own());
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_EQ(caller->written, "id: 1\n\nid: 2\n\n");
+  EXPECT_TRUE(caller->ended);
+}
+
+// The grant may be in transit when the engine goes on.
+TEST_F(granted_stream_test, AStreamThatHasGoneOnIsNotTakenOver) {
+  const auto caller = StartSilentStream();
+  http_.Data("id: 2\n\n");
+  Grant(2);
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  EXPECT_EQ(http_.calls.size(), 1U);
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
+TEST_F(granted_stream_test, ASilentStreamThatEndsIsResumedElsewhere) {
+  StartSilentStream();
+  http_.Done(net::http_failure::broken);
+  // The sidecar's verdict on the lost run, then the next grant request.
+  forwarder_.OnSidecarMessage(
+      "", grants::run_checked{.number = 1, .engine_ended = false});
+  Grant(3);
+  ASSERT_EQ(http_.calls.size(), 2U);
+  EXPECT_EQ(forwarder_.ActiveCount(), 1U);
+}
+
+TEST_F(granted_stream_test, ASilentStreamGoesOnWhenItsStandbyIsLost) {
+  const auto caller = StartSilentStream();
+  forwarder_.OnSidecarLost("10.1.0.1");
+  forwarder_.OnSidecarLost("10.1.0.2");
+  Grant(2);
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
+TEST_F(granted_stream_test, ACallerThatLeavesLeavesNoStandbyBehind) {
+  const auto caller = StartSilentStream();
+  caller->gone();
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+  Grant(2);
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+// A silent endpoint of a plain service is no reason to refuse either.
+TEST_F(request_forwarder_test, ASilentCallWithoutAnAlternativeGoesOn) {
+  for (const char* name : {"p2", "p3"}) {
+    forwarder_.OnEndpoint({.what = catalog::endpoint_change::kind::gone,
+                           .record = {.instance = catalog::instance_id(name)}});
+  }
+  const auto caller = Send("/again/a");
+  loop_.RunUntil([] { return false; }, milliseconds(500));
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  http_.Respond(200, Own(), "x");
+  EXPECT_EQ(caller->response.status, 200);
+}
+
 // After a pause of the gateway itself the endpoint must not count as silent.
 TEST_F(request_forwarder_test, APauseOfTheGatewayIsNoStallOfTheEndpoint) {
   Send("/again/a");
