Close gaps in the takeover of silent attempts

Cause and change: - an engine whose sidecar link is lost was taken for one that takes the request: the attempt was cancelled and sent there without a grant. An engine without its sidecar is no standby any more. - an engine that had refused before the attempt stayed excluded, so that an attempt on a connection that is silent for good was never moved. Only the silent endpoint and those that refused during this silence are left out. - if the silent attempt ended by itself, the queued standby request was withdrawn and a new one put at the end of the queue, with no time left. It becomes the current one now. Besides, no standby is requested when its grant would come too late, none reserves capacity for a retry that never comes, and an unused grant is given back with its rate token.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -215,6 +215,8 @@
     std::optional<open_grant> standby;
     /** No standby is requested before. */
     core::time_point standby_due;
+    /** Endpoints that refused to take over during the current silence. */
+    std::set<catalog::instance_id> refused_standby;
 
     net::http_call_id call = 0;
     core::time_point sent_at;
@@ -603,10 +605,15 @@
   }
 
   engine_choice ChooseEndpoint(const active_request& request) {
+    return ChooseEndpoint(request, request.excluded);
+  }
+
+  engine_choice ChooseEndpoint(const active_request& request,
+                               const std::set<catalog::instance_id>& excluded) {
     const auto now = loop.Now();
     const choice_request wanted{.adapter = request.metadata.adapter,
                                 .data_centre = settings.data_centre,
-                                .excluded = &request.excluded,
+                                .excluded = &excluded,
                                 .gateways = GatewayCount()};
     const auto candidates = ViewsOf(request.service);
     if (request.isolation) {
@@ -711,6 +718,10 @@
   void RequestStandby(const request_pointer& request,
                       const engine_choice& choice) {
     const auto now = loop.Now();
+    // The caller leaves before the grant could be of use.
+    if (now - request->last_output >= request->timeouts.maximum_grant_wait) {
+      return;
+    }
     const endpoint_view& chosen = *choice.view;
     request->standby = open_grant{.endpoint = chosen.record.instance,
                                   .sidecar_ip = chosen.record.address.ip,
@@ -723,6 +734,8 @@
     metrics.Count("gateway_standby_grants_total");
     auto message = MakeGrantRequest(*request, request->standby->number);
     message.load_bound = choice.load_bound;
+    // The caller does not come back for it.
+    message.maximum_retry_after = core::milliseconds(0);
     links->Send(request->standby->sidecar_ip, std::move(message));
   }
 
@@ -747,25 +760,23 @@
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->standby->endpoint);
     if (record == nullptr || !IsAvailable(*record) || !MayTakeOver(*request)) {
-      links->Send(request->standby->sidecar_ip,
-                  grants::run_ended{request->standby->number, false});
-      DropStandby(*request);
+      WithdrawStandby(*request);
       return;
     }
-    http.Cancel(std::exchange(request->call, 0));
-    OnAttemptFailed(request, attempt_failure::stalled,
-                    "no progress within the stall timeout");
+    FailAttempt(request, "no progress within the stall timeout",
+                attempt_failure::stalled);
   }
 
-  /** The standby grant becomes the current one. */
-  void SendOnStandby(const request_pointer& request) {
-    const open_grant granted = *std::exchange(request->standby, std::nullopt);
-    request->endpoint = granted.endpoint;
-    request->sidecar_ip = granted.sidecar_ip;
-    request->grant_number = granted.number;
-    request->grant_requested_at = granted.requested_at;
-    request->state = phase::waiting;
-    Send(request);
+  /** The standby grant request becomes the current one. */
+  void WaitOnStandby(active_request& request) {
+    const open_grant asked = *std::exchange(request.standby, std::nullopt);
+    request.endpoint = asked.endpoint;
+    request.sidecar_ip = asked.sidecar_ip;
+    request.grant_number = asked.number;
+    request.grant_requested_at = asked.requested_at;
+    request.queued = asked.queued;
+    request.grant_requests = 1;
+    request.state = phase::waiting;
   }
 
   /** Whether another endpoint may be sent the request of a silent attempt. */
@@ -836,6 +847,7 @@
     if (found == open_grants.end()) return;
     const request_pointer request = found->second;
     if (IsStandby(*request, refused.number)) {
+      request->refused_standby.insert(request->standby->endpoint);
       log.Request(line_class::failure, "standby_refused",
                   request->metadata.id.Value())
           .Add("silent_endpoint", request->endpoint.Value())
@@ -1346,10 +1358,11 @@
     return sent;
   }
 
-  /** Cancels an attempt whose response is unusable. */
-  void FailAttempt(const request_pointer& request, const std::string& reason) {
+  /** Cancels an attempt whose response is unusable or does not come. */
+  void FailAttempt(const request_pointer& request, const std::string& reason,
+                   attempt_failure failure = attempt_failure::unknown) {
     http.Cancel(std::exchange(request->call, 0));
-    OnAttemptFailed(request, attempt_failure::unknown, reason);
+    OnAttemptFailed(request, failure, reason);
   }
 
   static bool IsSuccess(int status) { return status >= 200 && status < 300; }
@@ -1389,6 +1402,7 @@
 
   void OnProgress(active_request& request) {
     request.last_progress = loop.Now();
+    request.refused_standby.clear();
     WithdrawStandby(request);
   }
 
@@ -1563,7 +1577,9 @@
       GiveUp(request, ToString(failure));
       return;
     }
-    if (failure != attempt_failure::stalled) WithdrawStandby(*request);
+    const bool uses_standby = request->standby && lost_number == 0 &&
+                              decision == retry_decision::anywhere;
+    if (!uses_standby) WithdrawStandby(*request);
     request->events.DropRest();
     if (decision == retry_decision::same_endpoint) {
       RestrictToUsed(*request);
@@ -1572,8 +1588,9 @@
     }
     if (lost_number != 0) {
       AwaitVerdict(request, lost_number);
-    } else if (request->standby) {
-      SendOnStandby(request);
+    } else if (uses_standby) {
+      WaitOnStandby(*request);
+      if (failure == attempt_failure::stalled) Send(request);
     } else {
       Dispatch(request);
     }
@@ -1866,23 +1883,23 @@
         !MayTakeOver(*request)) {
       return;
     }
-    const bool was_excluded =
-        !request->excluded.insert(request->endpoint).second;
-    const engine_choice choice = ChooseEndpoint(*request);
-    if (!was_excluded) request->excluded.erase(request->endpoint);
-    if (choice.view != nullptr && NeedsEngine(*request) &&
-        choice.view->has_sidecar) {
-      RequestStandby(request, choice);
+    auto unwanted = request->refused_standby;
+    unwanted.insert(request->endpoint);
+    const engine_choice choice = ChooseEndpoint(*request, unwanted);
+    request->standby_due = loop.Now() + kStandbyRetryDelay;
+    if (choice.view == nullptr) {
+      request->refused_standby.clear();
       return;
     }
-    // Whether an endpoint that limits its rate takes the request is not known.
-    if (choice.view == nullptr || notices.LimitOf(choice.view->record)) {
-      request->standby_due = loop.Now() + kStandbyRetryDelay;
+    if (NeedsEngine(*request)) {
+      // Without its sidecar, nothing says that the engine takes the request.
+      if (choice.view->has_sidecar) RequestStandby(request, choice);
       return;
     }
-    http.Cancel(std::exchange(request->call, 0));
-    OnAttemptFailed(request, attempt_failure::stalled,
-                    "no progress within the stall timeout");
+    // Whether an endpoint that limits its rate takes the request is not known.
+    if (notices.LimitOf(choice.view->record)) return;
+    FailAttempt(request, "no progress within the stall timeout",
+                attempt_failure::stalled);
   }
 
   void OnCallerGone(std::uint64_t number) {
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -923,12 +923,42 @@
   forwarder_.OnSidecarLost("10.1.0.1");
   forwarder_.OnSidecarLost("10.1.0.2");
   Grant(2);
+  loop_.RunUntil([] { return false; }, milliseconds(400));
   EXPECT_FALSE(http_.calls[0].cancelled);
   http_.Data("id: 2\n\n");
   http_.Done();
   EXPECT_TRUE(caller->ended);
 }
 
+TEST_F(granted_stream_test, AnEngineThatRefusedBeforeMayTakeASilentStream) {
+  const auto caller = SendTokens();
+  forwarder_.OnSidecarMessage(
+      "",
+      grants::grant_refused{
+          .number = 1, .reason = grants::refusal_reason::fuller_than_known});
+  Grant(2);
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  loop_.RunUntil([] { return false; }, milliseconds(1200));
+  Grant(3);
+  ASSERT_EQ(http_.calls.size(), 2U);
+  EXPECT_NE(InstanceOf(0), InstanceOf(1));
+}
+
+// The new grant request would be the last in the queue.
+TEST_F(granted_stream_test, ASilentStreamThatBreaksKeepsItsPlaceInTheQueue) {
+  const auto caller = SendTokens();
+  Grant(1);
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\nid: 2\n\n");
+  loop_.RunUntil([] { return false; }, milliseconds(1200));
+  http_.Done(net::http_failure::broken);
+  EXPECT_EQ(http_.calls.size(), 1U);
+  Grant(2);
+  ASSERT_EQ(http_.calls.size(), 2U);
+  EXPECT_EQ(http_.calls[1].call.headers.at("after"), "2");
+}
+
 TEST_F(granted_stream_test, ACallerThatLeavesLeavesNoStandbyBehind) {
   const auto caller = StartSilentStream();
   caller->gone();
