Give every request its final response before a stopping gateway ends

What callers saw: in a planned stop, requests that were still at an endpoint 400 ms before the end of the grace period were closed without an answer, those that may not be repeated among them; so were requests that waited for a grant, and ones that the gateway had only held. Cause: the gateway took requests for 2.5 s after SIGTERM and gave them their whole time limit, although the process ended earlier; when it ended, the server's destructor aborted what was left. Class: a deadline is given out that the one who keeps it does not live to see. Change: the forwarder is told two times when the stop begins. Until `answers_due`, 500 ms before the end of the grace period, each request has its final response: deadlines are cut to it, also the ones that endpoints are sent. From `last_start` on, half of the grace period, a request that has not run is refused at once with 503 rather than sent, and a silent attempt is not moved to another engine; the wait that sidecars are asked for ends there too. Then the process waits until the responses are written, 200 ms before the end at most, closes its listening socket, and refuses requests on open connections for another 100 ms.

--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -1,5 +1,6 @@
 #include "gateway/gateway_program.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -32,7 +33,19 @@
  */
 constexpr core::milliseconds kMinimumDrain{2500};
 /** Part of the grace period that is reserved for ending the process. */
-constexpr core::milliseconds kStopReserve{400};
+constexpr core::milliseconds kExitReserve{200};
+/** Part before it that is reserved for writing the last responses. */
+constexpr core::milliseconds kLastResponseReserve{300};
+/**
+ * Part (1/n) of the grace period in which requests are still sent to endpoints.
+ * An ordinary run that begins then ends before the process does.
+ */
+constexpr int kStartTimeDivisor = 2;
+/**
+ * Time without a listening socket before the process ends, in which requests on
+ * connections that were just opened are still refused.
+ */
+constexpr core::milliseconds kListenerLinger{100};
 /** Longer than callers keep an idle connection. */
 constexpr core::seconds kCallerIdleTimeout{30};
 constexpr unsigned kMaximumConnections = 3000;
@@ -188,7 +201,10 @@
     stopping = true;
     stop_requested_at = loop.Now();
     log.Process("stopping").Add("requests", forwarder.ActiveCount());
-    forwarder.BeginDrain();
+    forwarder.BeginDrain(
+        stop_requested_at + settings.stop_grace / kStartTimeDivisor,
+        stop_requested_at + settings.stop_grace - kExitReserve -
+            kLastResponseReserve);
     drain_timer =
         loop.SchedulePeriodic(kDrainCheckPeriod, [this] { CheckDrained(); });
   }
@@ -196,14 +212,29 @@
   void CheckDrained() {
     const auto passed = core::ToMilliseconds(loop.Now() - stop_requested_at);
     if (passed >= kMinimumDrain) forwarder.RefuseNew();
+    if (passed >= settings.stop_grace - kExitReserve) {
+      End();
+      return;
+    }
     // Responses that the forwarder has finished may still have to be written.
     const bool idle = passed >= kMinimumDrain && forwarder.ActiveCount() == 0 &&
                       caller_server.UnfinishedCount() == 0;
-    if (!idle && passed < settings.stop_grace - kStopReserve) return;
+    if (!idle) return;
+    if (!listener_closed_at) {
+      listener_closed_at = loop.Now();
+      caller_server.StopAccepting();
+    } else if (loop.Now() - *listener_closed_at >= kListenerLinger) {
+      End();
+    }
+  }
+
+  void End() {
     loop.Cancel(std::exchange(drain_timer, 0));
     log.Process("stopped")
-        .Add("after_ms", passed.count())
-        .Add("requests_cut", forwarder.ActiveCount());
+        .Add("after_ms",
+             core::ToMilliseconds(loop.Now() - stop_requested_at).count())
+        .Add("requests_cut", forwarder.ActiveCount())
+        .Add("responses_cut", caller_server.UnfinishedCount());
     forwarder.LogCutRequests();
     log.Flush();
     loop.Stop();
@@ -217,6 +248,7 @@
   bool was_ready = false;
   bool stopping = false;
   core::time_point stop_requested_at;
+  std::optional<core::time_point> listener_closed_at;
   catalog::catalog_follower follower;
   request_forwarder forwarder;
   sidecar_links links;
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -104,6 +104,7 @@
 /** Time between two attempts to find an engine for a silent request. */
 constexpr core::milliseconds kStandbyRetryDelay{200};
 constexpr const char* kNotRunMessage = "The request has not run.";
+constexpr const char* kStoppingCause = "stopping";
 /** Interval between removals of expired drain and backoff notices. */
 constexpr core::milliseconds kNoticeCleanupPeriod{5000};
 /** Number of gateways until a sidecar reports how many are connected to it. */
@@ -139,6 +140,11 @@
     bool is_stopping = false;
   };
 
+  struct drain_times {
+    core::time_point last_start;
+    core::time_point answers_due;
+  };
+
   /** A grant request that is open at a sidecar, or its grant. */
   struct open_grant {
     catalog::instance_id endpoint;
@@ -293,12 +299,8 @@
     request->arrived = loop.Now();
     request->last_output = request->arrived;
     request->metadata = protocol.ReadRequest(request->exchange->Request());
-    if (refuses_new) {
-      ReplyUnrouted(*request, {.status = 503,
-                               .type = "stopping",
-                               .message = "The gateway is stopping; the "
-                                          "request has not run.",
-                               .retry_after = kRetryAfterDrain});
+    if (refuses_new || StartsNoMore()) {
+      ReplyUnrouted(*request, StoppingReply());
       return;
     }
     if (!follower.Routes() && awaiting_first_read) {
@@ -324,6 +326,13 @@
         });
   }
 
+  static local_reply StoppingReply() {
+    return {.status = 503,
+            .type = kStoppingCause,
+            .message = "The gateway is stopping; the request has not run.",
+            .retry_after = kRetryAfterDrain};
+  }
+
   void DispatchHeldRequests() {
     for (const request_pointer& request : std::exchange(held_requests, {})) {
       Route(request);
@@ -378,6 +387,7 @@
       time_limit = std::min(time_limit, route.timeout);
     }
     request->deadline = request->arrived + time_limit - kResponseReserve;
+    if (drain) CutDeadline(*request);
     request->timeouts = TimeoutsFor(route, time_limit);
     const auto* service = catalog::route_table::ChooseDestination(
         route, core::Hash64(request->metadata.id.Value()));
@@ -627,6 +637,10 @@
       OnDeadline(request);
       return;
     }
+    if (StartsNoMore() && !HasStarted(*request)) {
+      RefuseStopping(request);
+      return;
+    }
     if (!Admit(request)) return;
     engine_choice choice = ChooseEndpoint(*request);
     if (choice.view == nullptr && !request->restricted &&
@@ -684,10 +698,13 @@
     const auto first_output_due_in =
         request.route->first_output_target -
         core::ToMilliseconds(now - request.arrived);
-    const auto deadline_in =
-        std::max(request.timeouts.maximum_grant_wait -
-                     core::ToMilliseconds(now - request.last_output),
-                 core::milliseconds(0));
+    auto longest_wait = request.timeouts.maximum_grant_wait -
+                        core::ToMilliseconds(now - request.last_output);
+    if (drain && !HasStarted(request)) {
+      longest_wait =
+          std::min(longest_wait, core::ToMilliseconds(drain->last_start - now));
+    }
+    const auto deadline_in = std::max(longest_wait, core::milliseconds(0));
     return {
         .number = number,
         .request_id = request.metadata.id.Value(),
@@ -776,6 +793,7 @@
         .endpoints_used = static_cast<int>(request.used.size()),
         .attempts = request.attempts,
         .time_left = core::ToMilliseconds(request.deadline - loop.Now())};
+    if (StartsNoMore()) return false;
     // A prompt that may have silenced its engine is not sent to others.
     const bool is_suspected =
         NeedsEngine(request) &&
@@ -1086,6 +1104,10 @@
 
   void Send(const request_pointer& request) {
     const auto now = loop.Now();
+    if (StartsNoMore() && !HasStarted(*request)) {
+      RefuseStopping(request);
+      return;
+    }
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->endpoint);
     if (record == nullptr || !IsAvailable(*record)) {
@@ -1420,7 +1442,7 @@
                       static_cast<double>(request->first_event.count()));
       request->content_type = ContentType(request->headers);
       auto headers = protocol.ResponseHeaders(request->headers);
-      if (draining) headers["connection"] = "close";
+      if (drain) headers["connection"] = "close";
       request->exchange->BeginStream(request->status, std::move(headers));
     }
     if (request->events_sent > 0) {
@@ -1683,7 +1705,7 @@
   }
 
   net::http_response WithCloseIfDraining(net::http_response response) const {
-    if (draining) response.headers["connection"] = "close";
+    if (drain) response.headers["connection"] = "close";
     return response;
   }
 
@@ -1737,6 +1759,7 @@
     ReportStalledStreams(now);
     CloseUnansweredLinks(now);
     CheckVerdictTimeouts(now);
+    if (StartsNoMore()) RefuseWaiting();
     if (now - quarantine_checked_at >= kQuarantinePeriod) {
       quarantine_checked_at = now;
       quarantine.OnTick(now);
@@ -1841,20 +1864,23 @@
 
   void OnDeadline(const request_pointer& request) {
     const bool sent = request->attempts > 0;
+    const std::string cause = drain && request->deadline == drain->answers_due
+                                  ? kStoppingCause
+                                  : "time_limit";
     CancelAttempt(*request);
     if (request->response_started) {
-      AbortStream(request, "time_limit");
+      AbortStream(request, cause);
       return;
     }
     if (sent && (request->state == phase::sent || request->may_have_run)) {
       Respond(request, {.status = 504,
-                        .type = "time_limit",
+                        .type = cause,
                         .message = "The endpoint did not respond in time."});
       return;
     }
     Respond(request,
             {.status = 503,
-             .type = "time_limit",
+             .type = cause,
              .message = kNotRunMessage,
              .retry_after = request->retry_after.value_or(kRetryAfterUnready)});
   }
@@ -1893,11 +1919,51 @@
     Finish(request, line_class::routine, "caller_gone", "");
   }
 
+  // Shutdown.
+
+  void BeginDrain(core::time_point last_start, core::time_point answers_due) {
+    drain = drain_times{last_start, answers_due};
+    for (const auto& [number, request] : requests) CutDeadline(*request);
+  }
+
+  void CutDeadline(active_request& request) const {
+    request.deadline = std::min(request.deadline, drain->answers_due);
+  }
+
+  /** A request that has not run has a better chance at another gateway. */
+  bool StartsNoMore() const {
+    return drain.has_value() && loop.Now() >= drain->last_start;
+  }
+
+  /** Whether an endpoint may have run the request. */
+  static bool HasStarted(const active_request& request) {
+    return request.may_have_run || request.response_started;
+  }
+
+  void RefuseStopping(const request_pointer& request) {
+    ReleaseGrant(*request, false);
+    ReturnPermit(*request);
+    Respond(request, StoppingReply());
+  }
+
+  void RefuseWaiting() {
+    for (const request_pointer& held : std::exchange(held_requests, {})) {
+      ReplyUnrouted(*held, StoppingReply());
+    }
+    std::vector<request_pointer> waiting;
+    for (const auto& [number, request] : requests) {
+      if (request->state == phase::waiting && !HasStarted(*request)) {
+        waiting.push_back(request);
+      }
+    }
+    for (const request_pointer& request : waiting) RefuseStopping(request);
+  }
+
   /** Logs the requests that end with the process. */
   void LogCutRequests() const {
     for (const auto& [number, request] : requests) {
       log.Request(line_class::failure, "cut", request->metadata.id.Value())
-          .Add("cause", "stopping")
+          .Add("cause", kStoppingCause)
           .Add("route", request->route->name)
           .Add("state", PhaseName(request->state))
           .Add("endpoint", request->endpoint.Value())
@@ -2180,7 +2246,8 @@
   std::uint64_t last_number = 0;
   std::uint64_t last_grant_number = 0;
   core::seconds idle_limit = kDefaultIdleTimeout;
-  bool draining = false;
+  /** Set while the gateway is stopping. */
+  std::optional<drain_times> drain;
   bool refuses_new = false;
   /** The first read of the configuration may still complete in time. */
   bool awaiting_first_read = true;
@@ -2233,7 +2300,10 @@
   impl_->OnSidecarMessage(ip, value);
 }
 
-void request_forwarder::BeginDrain() { impl_->draining = true; }
+void request_forwarder::BeginDrain(core::time_point last_start,
+                                   core::time_point answers_due) {
+  impl_->BeginDrain(last_start, answers_due);
+}
 
 void request_forwarder::RefuseNew() { impl_->refuses_new = true; }
 
@@ -2327,7 +2397,7 @@
   const nlohmann::json dump = {
       {"configuration_version", table ? table->Version() : 0},
       {"catalog_age_ms", impl_->follower.Age().count()},
-      {"draining", impl_->draining},
+      {"draining", impl_->drain.has_value()},
       {"gateways", impl_->GatewayCount()},
       {"prompt_parts", std::move(parts)},
       {"prompt_quarantines", std::move(quarantines)},
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -57,8 +57,12 @@
   void OnSidecarLost(const std::string& ip);
   void OnSidecarMessage(const std::string& ip, const grants::message& value);
 
-  /** Sends "connection: close" with all further responses. */
-  void BeginDrain();
+  /**
+   * Sends "connection: close" with all further responses. Every request gets
+   * its final response by `answers_due`. From `last_start` on, a request that
+   * has not run is refused rather than sent to an endpoint.
+   */
+  void BeginDrain(core::time_point last_start, core::time_point answers_due);
   /**
    * Refuses new requests with 503, so that callers retry at another gateway.
    */
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -228,6 +228,13 @@
     forwarder_.OnRequest(exchange);
     return exchange;
   }
+  /** Stops the gateway; the times count from now. */
+  void BeginDrain(milliseconds last_start, milliseconds answers_due) {
+    forwarder_.BeginDrain(loop_.Now() + last_start, loop_.Now() + answers_due);
+  }
+  void Wait(milliseconds length) {
+    loop_.RunUntil([] { return false; }, length);
+  }
   net::header_map Own() const { return {{"id", "r1"}}; }
   std::string InstanceOf(std::size_t call) const {
     return http_.calls[call].call.headers.at("instance");
@@ -991,7 +998,7 @@
 }
 
 TEST_F(request_forwarder_test, AStoppingGatewayRefusesNewRequests) {
-  forwarder_.BeginDrain();
+  BeginDrain(milliseconds(4000), milliseconds(7500));
   const auto served = Send("/once/a");
   http_.Respond(200, Own(), "x");
   EXPECT_EQ(served->response.headers.at("connection"), "close");
@@ -1001,6 +1008,118 @@
   EXPECT_EQ(late->response.headers.count("retry"), 1U);
 }
 
+// No request may end with the process before it has its final response.
+TEST_F(request_forwarder_test, AStoppingGatewayAnswersACallThatOutlastsIt) {
+  const auto caller = Send("/once/a");
+  BeginDrain(milliseconds(50), milliseconds(200));
+  Wait(milliseconds(150));
+  EXPECT_EQ(caller->responses, 0);
+  Wait(milliseconds(100));
+  EXPECT_EQ(caller->response.status, 504);
+  EXPECT_EQ(caller->response.body, "stopping");
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+TEST_F(request_forwarder_test, AStoppingGatewayForwardsAStreamUntilTheLast) {
+  const auto caller = Send("/stream/a");
+  http_.Headers(200, Own());
+  BeginDrain(milliseconds(50), milliseconds(200));
+  http_.Data("id: 1\n\n");
+  Wait(milliseconds(150));
+  http_.Data("id: 2\n\n");
+  EXPECT_FALSE(caller->aborted);
+  Wait(milliseconds(100));
+  EXPECT_EQ(caller->written, "id: 1\n\nid: 2\n\n");
+  EXPECT_TRUE(caller->aborted);
+  EXPECT_FALSE(caller->ended);
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+TEST_F(request_forwarder_test, AStoppingGatewayForwardsTheTimeThatItHasLeft) {
+  BeginDrain(milliseconds(400), milliseconds(1000));
+  Send("/once/a");
+  const int left = std::stoi(http_.calls[0].call.headers.at("left"));
+  EXPECT_LE(left, 1000);
+  EXPECT_GT(left, 900);
+}
+
+// A run that begins too late would be cut off by the end of the process.
+TEST_F(request_forwarder_test, AStoppingGatewayStartsNoRequestThatItMustCut) {
+  BeginDrain(milliseconds(0), milliseconds(1000));
+  for (const char* route : {"/once/a", "/again/a", "/stream/a", "/resume/a"}) {
+    const auto caller = Send(route);
+    EXPECT_EQ(caller->response.status, 503) << route;
+    EXPECT_EQ(caller->response.headers.at("retry"), "20") << route;
+  }
+  EXPECT_TRUE(http_.calls.empty());
+}
+
+TEST_F(request_forwarder_test, AStoppingGatewayRefusesWhatDidNotRunAtOnce) {
+  const auto caller = Send("/again/a");
+  BeginDrain(milliseconds(0), milliseconds(1000));
+  http_.Respond(503, {{"not-run", "1"}});
+  EXPECT_EQ(http_.calls.size(), 1U);
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.headers.at("retry"), "20");
+}
+
+// The caller has a part of the response; only this gateway can complete it.
+TEST_F(request_forwarder_test, AStoppingGatewayResumesAStreamThatBreaksLate) {
+  const auto caller = Send("/resume/a");
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  BeginDrain(milliseconds(0), milliseconds(1000));
+  http_.Done(net::http_failure::broken);
+  ASSERT_EQ(http_.calls.size(), 2U);
+  http_.Headers(200, Own());
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
+TEST_F(granted_stream_test, AStoppingGatewayRefusesRequestsThatWaitTooLong) {
+  const auto caller = SendTokens();
+  BeginDrain(milliseconds(100), milliseconds(2000));
+  Wait(milliseconds(50));
+  EXPECT_EQ(caller->responses, 0);
+  Wait(milliseconds(100));
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.headers.at("retry"), "20");
+  Grant(1);
+  EXPECT_TRUE(http_.calls.empty());
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+// A grant may arrive between two ticks of the timer.
+TEST_F(granted_stream_test, AStoppingGatewayDoesNotUseAGrantThatComesTooLate) {
+  const auto caller = SendTokens();
+  BeginDrain(milliseconds(0), milliseconds(2000));
+  Grant(1);
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_TRUE(http_.calls.empty());
+}
+
+TEST_F(granted_stream_test, AStoppingGatewayLeavesASilentStreamAtItsEngine) {
+  const auto caller = StartSilentStream();
+  BeginDrain(milliseconds(0), milliseconds(2000));
+  Grant(2);
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  EXPECT_EQ(http_.calls.size(), 1U);
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
+TEST_F(starting_gateway_test, RefusesHeldRequestsWhenItStops) {
+  const auto caller = Send("/once/a");
+  BeginDrain(milliseconds(50), milliseconds(2000));
+  Wait(milliseconds(150));
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.body, "stopping");
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
 // However a request ends, the log must state its cause.
 TEST_F(request_forwarder_test, EveryOutcomeLogsItsCause) {
   struct ending {
--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -184,6 +184,7 @@
                 if (retry != done.headers.end()) {
                   result.retry_after_s = std::stod(retry->second);
                 }
+                result.was_sent = done.failure != net::http_failure::not_sent;
                 outcomes_.push_back(result);
               }});
   return id;
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -37,6 +37,8 @@
   core::time_point answered_at;
   /** 0 if the answer names no time. */
   double retry_after_s = 0.0;
+  /** False if the gateway cannot have received any part of the request. */
+  bool was_sent = true;
 };
 
 /**
