Answer held requests at their own deadline

What callers saw: a request that arrived at a starting gateway before its first configuration and had less time than the gateway waits for one (500 ms) got no answer within its time limit. Cause: held requests stood in a list without deadlines; only the end of the wait, a configuration or the caller's disconnection took them out. Class: a state in which a request waits without a timer of its own. Evidence, on the commit before: starting_gateway_test .AnswersAHeldRequestAtItsDeadline (no response after 180 ms of a limit of 150 ms) and .AnswersARequestThatHasNoTimeToBeHeld failed. Change: a held request has a deadline from its own time limit, checked with those of the other requests; it gets 503, as it has not run. Checked besides, and sound before: the time spent held counts in the time that endpoints are sent; a configuration without the route, or without endpoints of its service, is answered at once; so are held requests when the wait ends during a stop, and they are served if the configuration comes in time.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -316,6 +316,10 @@
   // be served.
 
   void HoldRequest(const request_pointer& request) {
+    request->deadline =
+        request->arrived +
+        request->metadata.time_limit.value_or(kDefaultTimeLimit) -
+        kResponseReserve;
     held_requests.push_back(request);
     request->exchange->OnClientGone(
         [this, number = request->number, still_alive = alive] {
@@ -326,6 +330,21 @@
         });
   }
 
+  void CheckHeldDeadlines(core::time_point now) {
+    std::vector<request_pointer> due;
+    std::erase_if(held_requests, [&](const request_pointer& held) {
+      const bool is_due = now >= held->deadline;
+      if (is_due) due.push_back(held);
+      return is_due;
+    });
+    for (const request_pointer& request : due) {
+      ReplyUnrouted(*request, {.status = 503,
+                               .type = "time_limit",
+                               .message = kNotRunMessage,
+                               .retry_after = WithJitter(kRetryAfterUnready)});
+    }
+  }
+
   static local_reply StoppingReply() {
     return {.status = 503,
             .type = kStoppingCause,
@@ -1759,6 +1778,7 @@
     ReportStalledStreams(now);
     CloseUnansweredLinks(now);
     CheckVerdictTimeouts(now);
+    CheckHeldDeadlines(now);
     if (StartsNoMore()) RefuseWaiting();
     if (now - quarantine_checked_at >= kQuarantinePeriod) {
       quarantine_checked_at = now;
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -305,6 +305,76 @@
   EXPECT_EQ(later->response.status, 503);
 }
 
+// The caller's time may end before the wait for the configuration does.
+TEST_F(starting_gateway_test, AnswersAHeldRequestAtItsDeadline) {
+  const auto caller = Send("/once/a", "150");
+  const auto patient = Send("/once/a");
+  Wait(milliseconds(180));
+  EXPECT_EQ(caller->responses, 1);
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.headers.count("retry"), 1U);
+  EXPECT_EQ(patient->responses, 0);
+  EXPECT_EQ(forwarder_.ActiveCount(), 1U);
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  EXPECT_EQ(http_.calls.size(), 1U);
+  EXPECT_EQ(caller->responses, 1);
+}
+
+TEST_F(starting_gateway_test, AnswersARequestThatHasNoTimeToBeHeld) {
+  const auto caller = Send("/once/a", "10");
+  Wait(milliseconds(50));
+  EXPECT_EQ(caller->response.status, 503);
+}
+
+// The time for which a request was held is part of its time limit.
+TEST_F(starting_gateway_test, ForwardsTheTimeThatAHeldRequestHasLeft) {
+  Send("/once/a", "400");
+  Wait(milliseconds(200));
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  ASSERT_EQ(http_.calls.size(), 1U);
+  EXPECT_LE(std::stoi(http_.calls[0].call.headers.at("left")), 200);
+}
+
+TEST_F(starting_gateway_test, RefusesHeldRequestsOfAServiceWithoutEndpoints) {
+  std::erase_if(source_.first.changes, [](const auto& change) {
+    return std::holds_alternative<catalog::endpoint_record>(change.content);
+  });
+  const auto caller = Send("/once/a");
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.body, "no_endpoint");
+}
+
+TEST_F(starting_gateway_test, AnswersHeldRequestsWithoutARoute) {
+  const auto caller = Send("/none/");
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  EXPECT_EQ(caller->response.status, 404);
+}
+
+TEST_F(starting_gateway_test, ServesHeldRequestsWhileTheStopLeavesTime) {
+  const auto caller = Send("/once/a");
+  BeginDrain(milliseconds(1000), milliseconds(2000));
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  ASSERT_EQ(http_.calls.size(), 1U);
+  EXPECT_LE(std::stoi(http_.calls[0].call.headers.at("left")), 2000);
+  http_.Respond(200, Own(), "x");
+  EXPECT_EQ(caller->response.status, 200);
+}
+
+// A stop does not end the wait for a configuration that does not come.
+TEST_F(starting_gateway_test, RefusesHeldRequestsInTimeWhileItStops) {
+  const auto caller = Send("/once/a");
+  BeginDrain(milliseconds(2000), milliseconds(4000));
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return caller->responses > 0; }, milliseconds(800)));
+  EXPECT_EQ(caller->response.status, 503);
+}
+
 TEST_F(starting_gateway_test, DropsHeldRequestsOfDisconnectedCallers) {
   const auto caller = Send("/once/a");
   caller->gone();
