Place requests that wait at a sidecar which a configuration takes away

What callers saw: a request that waited for a grant when a new configuration no longer named its service, or named it as a plain one, got no answer until its deadline, then 503; so did one that was sent back by its engine later, and any other that was placed by the earlier table. Cause: UpdateLinks removed the link without what a lost link brings about. The grant requests stayed open at a sidecar that nobody would hear from any more, and the endpoint still counted as one whose sidecar can be asked. Class: two ways in which the same thing ends, of which only one cleans up. Change: a link that is removed is treated like one that is lost, after all views have been updated, so that no request moves on to another sidecar that goes too. Waiting requests are placed at once; running ones go on without their grant. It gets 502 at once, since its engine may have ended and only a sidecar can isolate it; the test says so now.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -2059,16 +2059,20 @@
       }
       wanted[view.record.address.ip] = std::move(config);
     }
+    std::vector<std::string> removed;
     for (const std::string& ip : linked_ips) {
       if (wanted.count(ip) > 0) continue;
       links->Remove(ip);
-      link_states.erase(ip);
+      removed.push_back(ip);
     }
     linked_ips.clear();
     for (const auto& [ip, config] : wanted) {
       links->AddOrUpdate(ip, config);
       linked_ips.insert(ip);
     }
+    // Of all before any request is placed again.
+    for (const std::string& ip : removed) ForgetSidecar(ip);
+    for (const std::string& ip : removed) OnSidecarLost(ip);
     RenewMovedPermits();
   }
 
@@ -2090,14 +2094,19 @@
     }
   }
 
-  void OnSidecarLost(const std::string& ip) {
-    std::vector<request_pointer> waiting;
+  /** Requests are no longer granted by this sidecar. */
+  void ForgetSidecar(const std::string& ip) {
     link_states.erase(ip);
     for (auto& [instance, view] : views) {
       if (view.record.address.ip != ip) continue;
       view.has_sidecar = false;
       view.status.limit.reset();
     }
+  }
+
+  void OnSidecarLost(const std::string& ip) {
+    std::vector<request_pointer> waiting;
+    ForgetSidecar(ip);
     for (const auto& [number, request] : requests) {
       if (request->standby && request->standby->sidecar_ip == ip) {
         DropStandby(*request);
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -906,6 +906,11 @@
           .slots = 8};
     }
     follower_.OnPaused(milliseconds(0));
+    ReportStatus();
+  }
+
+  /** Both sidecars report for the first time on their links. */
+  void ReportStatus() {
     for (const char* ip : {"10.1.0.1", "10.1.0.2"}) {
       grants::status_report report;
       report.status.serving = true;
@@ -913,6 +918,33 @@
       forwarder_.OnSidecarMessage(ip, report);
     }
   }
+  /** Publishes the configuration after a change of its services. */
+  void Configure(const std::function<void(catalog::service&)>& change) {
+    configuration_.version += 1;
+    catalog::catalog_read read;
+    read.outcome = catalog::read_outcome::done;
+    catalog::configuration changed = configuration_;
+    for (catalog::service& service : changed.services) change(service);
+    std::erase_if(changed.services, [](const catalog::service& service) {
+      return service.id.Value().empty();
+    });
+    read.changes.emplace_back().content = std::move(changed);
+    // The follower reads again after a pause.
+    ASSERT_TRUE(loop_.RunUntil([this] { return source_.pending != nullptr; },
+                               milliseconds(1000)));
+    std::exchange(source_.pending, nullptr)(std::move(read));
+  }
+  void DropTheEngineService() {
+    Configure([](catalog::service& service) {
+      if (service.engine) service.id = core::service_id("");
+    });
+  }
+  void MakeTheEngineServicePlain() {
+    Configure([](catalog::service& service) { service.engine.reset(); });
+  }
+  void RestoreTheServices() {
+    Configure([](catalog::service&) {});
+  }
 
   std::shared_ptr<fake_exchange> SendTokens() {
     auto exchange = std::make_shared<fake_exchange>();
@@ -1014,6 +1046,84 @@
   EXPECT_EQ(http_.calls.size(), 1U);
 }
 
+// The configuration takes away the sidecar in whose queue the request is.
+TEST_F(granted_stream_test, AWaitingRequestIsPlacedWhenItsServiceIsDropped) {
+  const auto caller = SendTokens();
+  EXPECT_TRUE(http_.calls.empty());
+  DropTheEngineService();
+  ASSERT_EQ(http_.calls.size(), 1U);
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+TEST_F(granted_stream_test, AWaitingRequestIsPlacedWhenItsServiceBecomesPlain) {
+  SendTokens();
+  MakeTheEngineServicePlain();
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+TEST_F(granted_stream_test, ARunningStreamGoesOnWhenItsServiceIsDropped) {
+  const auto caller = SendTokens();
+  Grant(1);
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  DropTheEngineService();
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_EQ(caller->written, "id: 1\n\nid: 2\n\n");
+  EXPECT_TRUE(caller->ended);
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+// The sidecar must not be asked any more either.
+TEST_F(granted_stream_test, ARetryAfterItsServiceWasDroppedIsNotLeftWaiting) {
+  const auto caller = SendTokens();
+  Grant(1);
+  DropTheEngineService();
+  http_.Respond(503, {{"not-run", "1"}});
+  EXPECT_EQ(http_.calls.size(), 2U);
+  EXPECT_EQ(caller->responses, 0);
+}
+
+// Without its sidecar nothing tells whether the engine has ended.
+TEST_F(granted_stream_test, ALostRunIsAnsweredWhenItsServiceIsDropped) {
+  const auto caller = SendTokens();
+  Grant(1);
+  http_.Done(net::http_failure::broken);
+  EXPECT_EQ(caller->responses, 0);
+  DropTheEngineService();
+  EXPECT_EQ(caller->response.status, 502);
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+TEST_F(granted_stream_test, AStandbyIsNotUsedOnceItsServiceIsDropped) {
+  const auto caller = StartSilentStream();
+  DropTheEngineService();
+  Grant(2);
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
+TEST_F(granted_stream_test, AServiceThatIsNamedAgainGrantsItsRequests) {
+  SendTokens();
+  DropTheEngineService();
+  RestoreTheServices();
+  SendTokens();
+  // Its sidecars have not reported on their new links.
+  EXPECT_EQ(http_.calls.size(), 2U);
+  ReportStatus();
+  SendTokens();
+  EXPECT_EQ(http_.calls.size(), 2U);
+  Grant(2);
+  EXPECT_EQ(http_.calls.size(), 3U);
+}
+
 // A silent endpoint of a plain service is no reason to refuse either.
 TEST_F(request_forwarder_test, ASilentCallWithoutAnAlternativeGoesOn) {
   for (const char* name : {"p2", "p3"}) {
