Test a dropped and restored service with real processes

One gateway, two engines that never answer, 80 streams; the configuration that follows leaves their service out.

--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -19,7 +19,7 @@
   directory_ = std::filesystem::temp_directory_path() /
                (options_.name + '_' + std::to_string(::getpid()));
   std::filesystem::create_directories(directory_);
-  PutConfiguration();
+  PutConfiguration(1);
   for (int i = 0; i < options_.engines + options_.plain; ++i) AddEndpoint(i);
   gateways_.resize(static_cast<std::size_t>(options_.gateways));
   for (int i = 0; i < options_.gateways; ++i) StartGateway(i);
@@ -33,7 +33,7 @@
   if (!HasFailure()) std::filesystem::remove_all(directory_);
 }
 
-void small_fleet_test::PutConfiguration() {
+void small_fleet_test::PutConfiguration(int version, bool has_engine_service) {
   const auto route = [](const std::string& name, const std::string& kind,
                         const std::string& service) {
     return json{
@@ -41,24 +41,25 @@
         {"Kind", kind},  {"TimeoutMs", 3000},   {"GoalMs", 600},
         {"Priority", 0}, {"Service", service},  {"Attempts", 2}};
   };
-  json stream = route("stream", "stream", "model");
-  stream["GapTargetMs"] = 300;
-  stream["Resumable"] = true;
-  store_.Put(
-      "op/config",
-      {{"Version", 1},
-       {"Routes",
-        json::array({stream, route("order", "non_idempotent", "plain")})},
-       {"Services",
-        json::array({{{"Name", "model"},
-                      {"MaxConns", 200},
-                      {"Engine",
-                       {{"Slots", 8},
-                        {"AdapterSlots", 2},
-                        {"KvCapacity", 100000},
-                        {"Stride", 5},
-                        {"Models", json::array({{{"Name", "m"}}})}}}},
-                     {{"Name", "plain"}, {"MaxConns", 200}}})}});
+  json routes = json::array({route("order", "non_idempotent", "plain")});
+  json services = json::array({{{"Name", "plain"}, {"MaxConns", 200}}});
+  if (has_engine_service) {
+    json stream = route("stream", "stream", "model");
+    stream["GapTargetMs"] = 300;
+    stream["Resumable"] = true;
+    routes.push_back(std::move(stream));
+    services.push_back({{"Name", "model"},
+                        {"MaxConns", 200},
+                        {"Engine",
+                         {{"Slots", 8},
+                          {"AdapterSlots", 2},
+                          {"KvCapacity", 100000},
+                          {"Stride", 5},
+                          {"Models", json::array({{{"Name", "m"}}})}}}});
+  }
+  store_.Put("op/config", {{"Version", version},
+                           {"Routes", std::move(routes)},
+                           {"Services", std::move(services)}});
 }
 
 void small_fleet_test::AddEndpoint(int index) {
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -54,6 +54,8 @@
   /** Called for each endpoint before its first start. */
   virtual void Prepare(engine_stand_in& /*engine*/) {}
 
+  /** Without the engines' service, its route is left out too. */
+  void PutConfiguration(int version, bool has_engine_service = true);
   engine_stand_in& Engine(int index) { return *Slot(index).engine; }
   /** Writes the endpoint's entry, under its current instance. */
   void Register(int index);
@@ -97,7 +99,6 @@
   endpoint& Slot(int index) {
     return endpoints_[static_cast<std::size_t>(index)];
   }
-  void PutConfiguration();
   void AddEndpoint(int index);
   std::unique_ptr<settings_program> Start(const std::string& program, int index,
                                           const std::string& ip) const;
