--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -228,6 +228,13 @@
     forwarder_.OnRequest(exchange);
     return exchange;
   }
+  /** Stops the gateway; the times count from now. */
+  void BeginDrain(milliseconds last_start, milliseconds answers_due) {
+    forwarder_.BeginDrain(loop_.Now() + last_start, loop_.Now() + answers_due);
+  }
+  void Wait(milliseconds length) {
+    loop_.RunUntil([] { return false; }, length);
+  }
   net::header_map Own() const { return {{"id", "r1"}}; }
   std::string InstanceOf(std::size_t call) const {
     return http_.calls[call].call.headers.at("instance");
@@ -298,6 +305,76 @@
   EXPECT_EQ(later->response.status, 503);
 }
 
+// The caller's time may end before the wait for the configuration does.
+TEST_F(starting_gateway_test, AnswersAHeldRequestAtItsDeadline) {
+  const auto caller = Send("/once/a", "150");
+  const auto patient = Send("/once/a");
+  Wait(milliseconds(180));
+  EXPECT_EQ(caller->responses, 1);
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.headers.count("retry"), 1U);
+  EXPECT_EQ(patient->responses, 0);
+  EXPECT_EQ(forwarder_.ActiveCount(), 1U);
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  EXPECT_EQ(http_.calls.size(), 1U);
+  EXPECT_EQ(caller->responses, 1);
+}
+
+TEST_F(starting_gateway_test, AnswersARequestThatHasNoTimeToBeHeld) {
+  const auto caller = Send("/once/a", "10");
+  Wait(milliseconds(50));
+  EXPECT_EQ(caller->response.status, 503);
+}
+
+// The time for which a request was held is part of its time limit.
+TEST_F(starting_gateway_test, ForwardsTheTimeThatAHeldRequestHasLeft) {
+  Send("/once/a", "400");
+  Wait(milliseconds(200));
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  ASSERT_EQ(http_.calls.size(), 1U);
+  EXPECT_LE(std::stoi(http_.calls[0].call.headers.at("left")), 200);
+}
+
+TEST_F(starting_gateway_test, RefusesHeldRequestsOfAServiceWithoutEndpoints) {
+  std::erase_if(source_.first.changes, [](const auto& change) {
+    return std::holds_alternative<catalog::endpoint_record>(change.content);
+  });
+  const auto caller = Send("/once/a");
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.body, "no_endpoint");
+}
+
+TEST_F(starting_gateway_test, AnswersHeldRequestsWithoutARoute) {
+  const auto caller = Send("/none/");
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  EXPECT_EQ(caller->response.status, 404);
+}
+
+TEST_F(starting_gateway_test, ServesHeldRequestsWhileTheStopLeavesTime) {
+  const auto caller = Send("/once/a");
+  BeginDrain(milliseconds(1000), milliseconds(2000));
+  source_.CompleteRead();
+  Wait(milliseconds(50));
+  ASSERT_EQ(http_.calls.size(), 1U);
+  EXPECT_LE(std::stoi(http_.calls[0].call.headers.at("left")), 2000);
+  http_.Respond(200, Own(), "x");
+  EXPECT_EQ(caller->response.status, 200);
+}
+
+// A stop does not end the wait for a configuration that does not come.
+TEST_F(starting_gateway_test, RefusesHeldRequestsInTimeWhileItStops) {
+  const auto caller = Send("/once/a");
+  BeginDrain(milliseconds(2000), milliseconds(4000));
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return caller->responses > 0; }, milliseconds(800)));
+  EXPECT_EQ(caller->response.status, 503);
+}
+
 TEST_F(starting_gateway_test, DropsHeldRequestsOfDisconnectedCallers) {
   const auto caller = Send("/once/a");
   caller->gone();
@@ -829,6 +906,11 @@
           .slots = 8};
     }
     follower_.OnPaused(milliseconds(0));
+    ReportStatus();
+  }
+
+  /** Both sidecars report for the first time on their links. */
+  void ReportStatus() {
     for (const char* ip : {"10.1.0.1", "10.1.0.2"}) {
       grants::status_report report;
       report.status.serving = true;
@@ -836,6 +918,33 @@
       forwarder_.OnSidecarMessage(ip, report);
     }
   }
+  /** Publishes the configuration after a change of its services. */
+  void Configure(const std::function<void(catalog::service&)>& change) {
+    configuration_.version += 1;
+    catalog::catalog_read read;
+    read.outcome = catalog::read_outcome::done;
+    catalog::configuration changed = configuration_;
+    for (catalog::service& service : changed.services) change(service);
+    std::erase_if(changed.services, [](const catalog::service& service) {
+      return service.id.Value().empty();
+    });
+    read.changes.emplace_back().content = std::move(changed);
+    // The follower reads again after a pause.
+    ASSERT_TRUE(loop_.RunUntil([this] { return source_.pending != nullptr; },
+                               milliseconds(1000)));
+    std::exchange(source_.pending, nullptr)(std::move(read));
+  }
+  void DropTheEngineService() {
+    Configure([](catalog::service& service) {
+      if (service.engine) service.id = core::service_id("");
+    });
+  }
+  void MakeTheEngineServicePlain() {
+    Configure([](catalog::service& service) { service.engine.reset(); });
+  }
+  void RestoreTheServices() {
+    Configure([](catalog::service&) {});
+  }
 
   std::shared_ptr<fake_exchange> SendTokens() {
     auto exchange = std::make_shared<fake_exchange>();
@@ -967,6 +1076,84 @@
   EXPECT_EQ(http_.calls.size(), 1U);
 }
 
+// The configuration takes away the sidecar in whose queue the request is.
+TEST_F(granted_stream_test, AWaitingRequestIsPlacedWhenItsServiceIsDropped) {
+  const auto caller = SendTokens();
+  EXPECT_TRUE(http_.calls.empty());
+  DropTheEngineService();
+  ASSERT_EQ(http_.calls.size(), 1U);
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+TEST_F(granted_stream_test, AWaitingRequestIsPlacedWhenItsServiceBecomesPlain) {
+  SendTokens();
+  MakeTheEngineServicePlain();
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+TEST_F(granted_stream_test, ARunningStreamGoesOnWhenItsServiceIsDropped) {
+  const auto caller = SendTokens();
+  Grant(1);
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  DropTheEngineService();
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_EQ(caller->written, "id: 1\n\nid: 2\n\n");
+  EXPECT_TRUE(caller->ended);
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+// The sidecar must not be asked any more either.
+TEST_F(granted_stream_test, ARetryAfterItsServiceWasDroppedIsNotLeftWaiting) {
+  const auto caller = SendTokens();
+  Grant(1);
+  DropTheEngineService();
+  http_.Respond(503, {{"not-run", "1"}});
+  EXPECT_EQ(http_.calls.size(), 2U);
+  EXPECT_EQ(caller->responses, 0);
+}
+
+// Without its sidecar nothing tells whether the engine has ended.
+TEST_F(granted_stream_test, ALostRunIsAnsweredWhenItsServiceIsDropped) {
+  const auto caller = SendTokens();
+  Grant(1);
+  http_.Done(net::http_failure::broken);
+  EXPECT_EQ(caller->responses, 0);
+  DropTheEngineService();
+  EXPECT_EQ(caller->response.status, 502);
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+TEST_F(granted_stream_test, AStandbyIsNotUsedOnceItsServiceIsDropped) {
+  const auto caller = StartSilentStream();
+  DropTheEngineService();
+  Grant(2);
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
+TEST_F(granted_stream_test, AServiceThatIsNamedAgainGrantsItsRequests) {
+  SendTokens();
+  DropTheEngineService();
+  RestoreTheServices();
+  SendTokens();
+  // Its sidecars have not reported on their new links.
+  EXPECT_EQ(http_.calls.size(), 2U);
+  ReportStatus();
+  SendTokens();
+  EXPECT_EQ(http_.calls.size(), 2U);
+  Grant(2);
+  EXPECT_EQ(http_.calls.size(), 3U);
+}
+
 // A silent endpoint of a plain service is no reason to refuse either.
 TEST_F(request_forwarder_test, ASilentCallWithoutAnAlternativeGoesOn) {
   for (const char* name : {"p2", "p3"}) {
@@ -1021,7 +1208,7 @@
 }
 
 TEST_F(request_forwarder_test, AStoppingGatewayRefusesNewRequests) {
-  forwarder_.BeginDrain();
+  BeginDrain(milliseconds(4000), milliseconds(7500));
   const auto served = Send("/once/a");
   http_.Respond(200, Own(), "x");
   EXPECT_EQ(served->response.headers.at("connection"), "close");
@@ -1031,6 +1218,118 @@
   EXPECT_EQ(late->response.headers.count("retry"), 1U);
 }
 
+// No request may end with the process before it has its final response.
+TEST_F(request_forwarder_test, AStoppingGatewayAnswersACallThatOutlastsIt) {
+  const auto caller = Send("/once/a");
+  BeginDrain(milliseconds(50), milliseconds(200));
+  Wait(milliseconds(150));
+  EXPECT_EQ(caller->responses, 0);
+  Wait(milliseconds(100));
+  EXPECT_EQ(caller->response.status, 504);
+  EXPECT_EQ(caller->response.body, "stopping");
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+TEST_F(request_forwarder_test, AStoppingGatewayForwardsAStreamUntilTheLast) {
+  const auto caller = Send("/stream/a");
+  http_.Headers(200, Own());
+  BeginDrain(milliseconds(50), milliseconds(200));
+  http_.Data("id: 1\n\n");
+  Wait(milliseconds(150));
+  http_.Data("id: 2\n\n");
+  EXPECT_FALSE(caller->aborted);
+  Wait(milliseconds(100));
+  EXPECT_EQ(caller->written, "id: 1\n\nid: 2\n\n");
+  EXPECT_TRUE(caller->aborted);
+  EXPECT_FALSE(caller->ended);
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+TEST_F(request_forwarder_test, AStoppingGatewayForwardsTheTimeThatItHasLeft) {
+  BeginDrain(milliseconds(400), milliseconds(1000));
+  Send("/once/a");
+  const int left = std::stoi(http_.calls[0].call.headers.at("left"));
+  EXPECT_LE(left, 1000);
+  EXPECT_GT(left, 900);
+}
+
+// A run that begins too late would be cut off by the end of the process.
+TEST_F(request_forwarder_test, AStoppingGatewayStartsNoRequestThatItMustCut) {
+  BeginDrain(milliseconds(0), milliseconds(1000));
+  for (const char* route : {"/once/a", "/again/a", "/stream/a", "/resume/a"}) {
+    const auto caller = Send(route);
+    EXPECT_EQ(caller->response.status, 503) << route;
+    EXPECT_EQ(caller->response.headers.at("retry"), "20") << route;
+  }
+  EXPECT_TRUE(http_.calls.empty());
+}
+
+TEST_F(request_forwarder_test, AStoppingGatewayRefusesWhatDidNotRunAtOnce) {
+  const auto caller = Send("/again/a");
+  BeginDrain(milliseconds(0), milliseconds(1000));
+  http_.Respond(503, {{"not-run", "1"}});
+  EXPECT_EQ(http_.calls.size(), 1U);
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.headers.at("retry"), "20");
+}
+
+// The caller has a part of the response; only this gateway can complete it.
+TEST_F(request_forwarder_test, AStoppingGatewayResumesAStreamThatBreaksLate) {
+  const auto caller = Send("/resume/a");
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  BeginDrain(milliseconds(0), milliseconds(1000));
+  http_.Done(net::http_failure::broken);
+  ASSERT_EQ(http_.calls.size(), 2U);
+  http_.Headers(200, Own());
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
+TEST_F(granted_stream_test, AStoppingGatewayRefusesRequestsThatWaitTooLong) {
+  const auto caller = SendTokens();
+  BeginDrain(milliseconds(100), milliseconds(2000));
+  Wait(milliseconds(50));
+  EXPECT_EQ(caller->responses, 0);
+  Wait(milliseconds(100));
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.headers.at("retry"), "20");
+  Grant(1);
+  EXPECT_TRUE(http_.calls.empty());
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
+// A grant may arrive between two ticks of the timer.
+TEST_F(granted_stream_test, AStoppingGatewayDoesNotUseAGrantThatComesTooLate) {
+  const auto caller = SendTokens();
+  BeginDrain(milliseconds(0), milliseconds(2000));
+  Grant(1);
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_TRUE(http_.calls.empty());
+}
+
+TEST_F(granted_stream_test, AStoppingGatewayLeavesASilentStreamAtItsEngine) {
+  const auto caller = StartSilentStream();
+  BeginDrain(milliseconds(0), milliseconds(2000));
+  Grant(2);
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  EXPECT_EQ(http_.calls.size(), 1U);
+  http_.Data("id: 2\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
+TEST_F(starting_gateway_test, RefusesHeldRequestsWhenItStops) {
+  const auto caller = Send("/once/a");
+  BeginDrain(milliseconds(50), milliseconds(2000));
+  Wait(milliseconds(150));
+  EXPECT_EQ(caller->response.status, 503);
+  EXPECT_EQ(caller->response.body, "stopping");
+  EXPECT_EQ(forwarder_.ActiveCount(), 0U);
+}
+
 // However a request ends, the log must state its cause.
 TEST_F(request_forwarder_test, EveryOutcomeLogsItsCause) {
   struct ending {
