Reject response headers with a bare carriage return

A sender that garbles its headers and closes gave a successful response: a line that begins with a carriage return, but is not empty, was taken for the end of the headers by the library, and the client stripped all carriage returns and did the same. What was meant as further headers, a length among them, became a body that ends with its connection, so a cut one passed for whole.

Evidence: the new test cuts fourteen heads at each byte, on new and on reused connections, with GET and POST: interim responses before the cut, repeated and folded headers, HTTP/1.0, a length of 0 or chunked coding already read, bare line feeds, 204, 304 and 101.

Change: a header line may have one carriage return, ahead of its line feed; any other fails the call. RFC 9112 (2.2) calls such a message invalid.

The client now agrees with the sender about where headers end, or fails the call.

--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -124,7 +124,9 @@
   for (const std::string whole :
        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        "3\r\nhel\r\n2\r\nlo\r\n0\r\nX-Sum: 1\r\n\r\n"}) {
+        "3\r\nhel\r\n2\r\nlo\r\n0\r\nX-Sum: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "00a;x=\"1\"\r\n0\r\n\r\nhello\r\n000;y\r\nA: b\r\nC: d\r\n\r\n"}) {
     ASSERT_EQ(Receive(whole).failure, http_failure::none) << whole;
     const std::size_t head = whole.find("\r\n\r\n") + 4;
     // The carriage return of the last empty line already ends the trailers.
@@ -145,6 +147,69 @@
   }
 }
 
+// Whatever the headers ahead of the cut promise, and also on a connection that
+// has carried a whole response.
+class cut_head_test : public http_client_test,
+                      public ::testing::WithParamInterface<const char*> {
+ protected:
+  void ExpectBroken(const std::string& text, const std::string& method,
+                    bool reused) {
+    // The library may open another connection when a reused one breaks.
+    test_listener listener(loop_);
+    const http_call call{
+        .method = method,
+        .url = "http://127.0.0.1:" + std::to_string(listener.Port()) + "/",
+        .may_resend = false};
+    Start(call);
+    const auto peer = listener.Accept();
+    ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+    if (reused) {
+      peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      ASSERT_TRUE(WaitForResult());
+      Start(call);
+      const auto is_second = [&] {
+        return peer->Received().rfind(method + " /") > 0;
+      };
+      ASSERT_TRUE(loop_.RunUntil(is_second, kLimit));
+    }
+    peer->Send(text);
+    peer->Close();
+    ASSERT_TRUE(WaitForResult());
+    EXPECT_EQ(result_->failure, http_failure::broken)
+        << method << (reused ? " reused: " : ": ") << text;
+  }
+};
+
+TEST_P(cut_head_test, IsBroken) {
+  const std::string head = GetParam();
+  for (std::size_t cut = 0; cut < head.size(); ++cut) {
+    for (const char* method : {"GET", "POST"}) {
+      for (const bool reused : {false, true}) {
+        ExpectBroken(head.substr(0, cut), method, reused);
+      }
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    http_client_test, cut_head_test,
+    ::testing::Values(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\nA: b\r\nA: c\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\td: e\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nA: b\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n",
+        "HTTP/1.1 200 OK\nContent-Length: 0\nA: b\n\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\n\r\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nA: b\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nA: b\r\n\r\n",
+        "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"));
+
 TEST_F(response_end_test, ContradictoryLengthsBreakTheResponse) {
   EXPECT_EQ(Receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
                     "Content-Length: 2\r\n\r\nbody")
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -207,8 +207,11 @@
 }
 
 void http_transfer::ReadHeaderLine(std::string line) {
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-    line.pop_back();
+  if (!line.empty() && line.back() == '\n') line.pop_back();
+  if (!line.empty() && line.back() == '\r') line.pop_back();
+  // The library takes any line that begins with one for the end of the headers.
+  if (line.find('\r') != std::string::npos) {
+    throw net_error("a header line of the response has a bare carriage return");
   }
   if (line.rfind("HTTP/", 0) == 0) {
     // Replaces the headers of an interim response.
