Test what callers are told of a response that stops in its headers

Another operator's report: an engine stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. It was tried here through the real processes: an engine stand-in answers a run with ten heads that are cut (a length of 0 or chunked coding already read, interim responses before the cut, HTTP/1.0, a cut status line, event text in the head) and closes in order.

A request that may not be repeated gets a 502 and ran once; a resumable one is answered by the second run, whole.

--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -200,6 +200,12 @@
   running_.insert(current);
   exchange->OnClientGone([this, current] { End(current, false); });
   if (unresponsive) return;
+  if (cut_head) {
+    exchange->SendRaw(*std::exchange(cut_head, std::nullopt));
+    exchange->CloseInOrder();
+    End(current, false);
+    return;
+  }
   if (!options_.generates) {
     RunPlain(current);
     return;
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -106,6 +106,11 @@
    * without its last chunk.
    */
   std::optional<std::size_t> break_inside_event;
+  /**
+   * The next run answers with just these bytes and ends its connection in
+   * order.
+   */
+  std::optional<std::string> cut_head;
   /**
    * Parts of prompts on which the engine ends: a request with one gets the
    * headers of its answer, and no event.
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -251,6 +251,42 @@
   }
 }
 
+// Guards against a response that stops within its headers and reaches its
+// caller as a whole one with an empty or short body.
+TEST_F(users_platform_test, AHeadThatBreaksOffIsNoSuccess) {
+  engine_stand_in plain(loop_, {.generates = false});
+  plain.Start("i-plain");
+  store_.Put("servers/i-plain", {{"Service", "plain"},
+                                 {"Addr", Address(plain.Port())},
+                                 {"Zone", "z"},
+                                 {"Slots", 500},
+                                 {"State", "ready"},
+                                 {"born", plain.StartedAt()}});
+  WaitUntilReady();
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nrequest-id: r1\r\nserver-stamp: stamp\r\n";
+  for (const std::string& cut :
+       {head, head + "content-length: 0\r\n", head + "content-length: 9\r\n\r",
+        head + "transfer-encoding: chunked\r\n", head + "id: 1\nda",
+        "HTTP/1.1 100 Continue\r\n\r\n" + head,
+        "HTTP/1.1 103 Early\r\ncontent-length: 0\r\n\r\n" + head,
+        "HTTP/1.0" + head.substr(8), head.substr(0, 12), head.substr(0, 17)}) {
+    for (const std::string target : {"/q/x", "/o/x", "/p/x"}) {
+      engine_stand_in& engine = target == "/q/x" ? plain : engine_;
+      engine.runs.clear();
+      engine.cut_head = cut;
+      const auto answer = SendStream("r1", "a1", target);
+      EXPECT_EQ(answer.failure, net::http_failure::none) << target << cut;
+      EXPECT_FALSE(engine.cut_head) << target << cut;
+      const bool repeats = target == "/p/x";
+      EXPECT_EQ(answer.status, repeats ? 200 : 502) << target << cut;
+      EXPECT_EQ(engine.runs["r1"], repeats ? 2 : 1) << target << cut;
+      EXPECT_EQ(repeats, answer.body == Events(5)) << target << cut;
+      engine.cut_head.reset();
+    }
+  }
+}
+
 TEST_F(users_platform_test, AStreamThatEndsInsideAnEventIsResumed) {
   WaitUntilReady();
   engine_.unframed = true;
