Report no status of a response whose headers are incomplete

The HTTP client gave a call that broke within the response's headers the status and the headers that had been read by then, beside the failure. Readers that look at the status first took them for the peer's word: the agent's engine_stream told that a run had been refused, or never begun, on a 409 or 503 of which only the first line had come, and ended a cancel on such a 404.

Change: a result has a status and headers only if the headers arrived completely, which is also when on_headers is called. The gateway's forwarder and the readers of the sidecar and of the platform look at the failure first, and didn't depend on it.

The server side was tried as well, without a fault: ARequestCutAtAnyByteIsNotHandled cuts a request with a length and a chunked one at each byte and closes; none is handled.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -72,7 +72,7 @@
   bool connection_refused = false;
   /** Meaningful if `failure` is `none`. */
   body_end end = body_end::framed;
-  /** 0 if no status line arrived. */
+  /** 0 unless the headers arrived completely. */
   int status = 0;
   header_map headers;
   /** Whole body; empty if `on_data` was set. */
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -177,6 +177,8 @@
     ASSERT_TRUE(WaitForResult());
     EXPECT_EQ(result_->failure, http_failure::broken)
         << method << (reused ? " reused: " : ": ") << text;
+    EXPECT_EQ(result_->status, 0) << text;
+    EXPECT_TRUE(result_->headers.empty()) << text;
   }
 };
 
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -382,6 +382,30 @@
   ExpectAlive();
 }
 
+// Guards against handling a request that its client has not sent completely.
+TEST_F(http_server_test, ARequestCutAtAnyByteIsNotHandled) {
+  int handled = 0;
+  StartServer({}, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    Echo(exchange);
+  });
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  for (const std::string& whole :
+       {start + "Content-Length: 5\r\n\r\nhello",
+        start + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n"}) {
+    std::vector<std::unique_ptr<test_peer>> peers;
+    for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+      peers.push_back(std::make_unique<test_peer>(loop_, server_->Port()));
+      peers.back()->Send(whole.substr(0, cut));
+      peers.back()->Close();
+    }
+    ASSERT_TRUE(loop_.RunUntil([&] { return server_->ConnectionCount() == 0; },
+                               kLimit));
+    EXPECT_EQ(handled, 0) << whole;
+  }
+  ExpectAlive();
+}
+
 // Guards against a process that exits before a response is written completely.
 TEST_F(http_server_test, CountsAnswersThatAreNotWritten) {
   std::shared_ptr<http_exchange> taken;
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -332,6 +332,10 @@
   // The library accepts headers that end with their connection.
   const bool headers_cut = code == CURLE_OK && !headers_reported_;
   if (headers_cut) abort_reason_ = "the response headers are incomplete";
+  if (!headers_reported_) {
+    result_.status = 0;
+    result_.headers.clear();
+  }
   if (code != CURLE_OK || headers_cut) {
     result_.failure =
         times_sent_ == 0 ? http_failure::not_sent : http_failure::broken;
