Read on after a close until the client has received its response

What callers saw: a response was cut off with a reset when its client went on sending.

Cause: closing a socket that has unread bytes, or to which more arrive, resets the connection, and the system discards what it has not sent yet.

Evidence, before the change (real sockets, response of 3 MiB, client with a receive buffer of 256 KiB): - AClosingResponseIsReadBesidePipelinedRequests: 491520 of 3145728 bytes, reset - AClosingResponseIsReadByAClientThatGoesOnSending: the same - AResponseIsReadAfterTheEndOfTheServer: the same - ARefusalIsReadAfterTheWholeRequestWasSent: a client that sends 16 MiB (as an oversized body, as a header, behind a bad length) had its write fail.

Change: the server keeps a duplicate of a connection that the library closes, shuts it down for sending, and reads and discards until the client closes it, for at most 3 s, 32 MiB and 256 connections. At its end it waits up to 100 ms for the clients that have not received all that was written; others don't delay it.

The library closes its own descriptor as before, but the connection ends with an orderly close, so that nothing the client has yet to receive is discarded. A client that neither reads nor closes is still cut off (AClientThatStaysIsClosedAfterABoundedTime), and an aborted response without chunks is still reset (aborted_stream_test).

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -18,6 +18,7 @@
 
 #include "net/http_exchange_state.h"
 #include "net/io_watcher.h"
+#include "net/lingering_sockets.h"
 #include "net/socket_address.h"
 
 namespace comfreyspring::net {
@@ -30,6 +31,13 @@
 // Interval of the check for closed connections with an incomplete request.
 constexpr core::milliseconds kPartialRequestInterval{1000};
 
+constexpr lingering_sockets::limits kLingerLimits{
+    .maximum_time = core::milliseconds(3000),
+    .maximum_bytes = 32 * 1024 * 1024,
+    .maximum_sockets = 256};
+// Maximum time that the end of a server waits for its clients.
+constexpr core::milliseconds kMaximumFlushTime{100};
+
 bool IsClosedByPeer(int descriptor) {
   char byte = 0;
   return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
@@ -69,6 +77,7 @@
     for (const auto& [key, exchange] : exchanges) exchange->Abort();
     MHD_run(daemon);
     MHD_stop_daemon(daemon);
+    lingering.Flush(kMaximumFlushTime);
     for (const auto& [key, exchange] : exchanges) exchange->Detach();
   }
 
@@ -213,13 +222,16 @@
     });
   }
 
+  static int DescriptorOf(MHD_Connection* connection) {
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+  }
+
   static void DropIfGone(MHD_Connection* connection) {
-    const MHD_ConnectionInfo* info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const int descriptor = DescriptorOf(connection);
     // The daemon closes it on the event that this causes.
-    if (info != nullptr && IsClosedByPeer(info->connect_fd)) {
-      ::shutdown(info->connect_fd, SHUT_RDWR);
-    }
+    if (IsClosedByPeer(descriptor)) ::shutdown(descriptor, SHUT_RDWR);
   }
 
   void Dispatch(http_exchange_state& exchange) {
@@ -253,6 +265,7 @@
     server->connection_changed = true;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
       server->connection_closed = true;
+      server->lingering.Add(DescriptorOf(connection));
       server->new_connections.erase(connection);
       server->targets.erase(connection);
     } else if (!server->closing) {
@@ -279,6 +292,7 @@
   std::unordered_map<MHD_Connection*, std::string> targets;
   std::unordered_map<MHD_Connection*, std::shared_ptr<http_exchange_state>>
       exchanges;
+  lingering_sockets lingering{loop, kLingerLimits};
   /** Connections without the headers of a first request. */
   std::unordered_set<MHD_Connection*> new_connections;
   timer_id partial_request_timer = 0;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -473,6 +475,158 @@
   ExpectAlive();
 }
 
+/**
+ * A client that sends all that it has before it reads. Its buffer is small
+ * against a large response, most of which the server's system has yet to send.
+ */
+class late_reader {
+ public:
+  late_reader(event_loop& loop, std::uint16_t port)
+      : loop_(loop),
+        socket_(tcp_socket::Connect(socket_address("127.0.0.1", port))) {
+    const int bytes = 256 * 1024;
+    setsockopt(socket_.Descriptor(), SOL_SOCKET, SO_RCVBUF, &bytes,
+               sizeof(bytes));
+    loop_.RunUntil([this] { return socket_.ConnectError() == 0; }, kLimit);
+  }
+
+  /** @returns false if the connection ended first. */
+  bool Send(const std::string& data) {
+    std::size_t sent = 0;
+    bool ended = false;
+    Repeat([&] {
+      const auto result = socket_.Write(data.data() + sent, data.size() - sent);
+      sent += result.bytes;
+      ended = result.outcome == transfer_result::kind::ended;
+      return ended || sent == data.size();
+    });
+    return !ended && sent == data.size();
+  }
+  /** Reads until the connection ends. */
+  std::string ReadAll() {
+    std::string text;
+    Repeat([&] {
+      std::string buffer(65536, '\0');
+      const auto result = socket_.Read(buffer.data(), buffer.size());
+      text.append(buffer.data(), result.bytes);
+      reason_ = result.reason;
+      return result.outcome == transfer_result::kind::ended;
+    });
+    return text;
+  }
+  bool WasReset() const {
+    return reason_.find("reset by peer") != std::string::npos;
+  }
+  tcp_socket& Socket() { return socket_; }
+
+ private:
+  void Repeat(const std::function<bool()>& step) {
+    const timer_id waker = loop_.SchedulePeriodic(milliseconds(1), [] {});
+    loop_.RunUntil(step, kLimit);
+    loop_.Cancel(waker);
+  }
+
+  event_loop& loop_;
+  tcp_socket socket_;
+  std::string reason_;
+};
+
+/** A server that closes its connections after each response. */
+class early_close_test : public http_server_test {
+ protected:
+  static constexpr std::size_t kBodyBytes = 3 * 1024 * 1024;
+
+  void SetUp() override {
+    http_server_options options;
+    options.maximum_body_bytes = 50'000;
+    StartServer(options, [this](const std::shared_ptr<http_exchange>& e) {
+      ++answered_;
+      e->Respond(
+          {200, {{"connection", "close"}}, std::string(kBodyBytes, 'x')});
+    });
+  }
+  void Pause(int ms) {
+    loop_.RunUntil([] { return false; }, milliseconds(ms));
+  }
+  static std::string Request() {
+    return "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+  }
+  static std::string Requests(int count) {
+    std::string text;
+    for (int i = 0; i < count; ++i) text += Request();
+    return text;
+  }
+
+  int answered_ = 0;
+};
+
+// Closing a socket with unread bytes, or one whose peer goes on sending, resets
+// the connection and discards what is left of the response.
+TEST_F(early_close_test, AClosingResponseIsReadBesidePipelinedRequests) {
+  late_reader client(loop_, server_->Port());
+  ASSERT_TRUE(client.Send(Request() + Requests(4000)));
+  Pause(300);
+  const std::string text = client.ReadAll();
+  EXPECT_GT(text.size(), kBodyBytes);
+  EXPECT_FALSE(client.WasReset());
+  EXPECT_EQ(answered_, 1);
+  ExpectAlive();
+}
+
+TEST_F(early_close_test, AClosingResponseIsReadByAClientThatGoesOnSending) {
+  late_reader client(loop_, server_->Port());
+  ASSERT_TRUE(client.Send(Request()));
+  Pause(200);
+  EXPECT_TRUE(client.Send(Requests(4000)));
+  const std::string text = client.ReadAll();
+  EXPECT_GT(text.size(), kBodyBytes);
+  EXPECT_FALSE(client.WasReset());
+}
+
+// Clients may report a failed write without reading the response.
+TEST_F(early_close_test, ARefusalIsReadAfterTheWholeRequestWasSent) {
+  const std::string large(16 * 1024 * 1024, 'x');
+  for (const std::string& request :
+       {"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+            std::to_string(large.size()) + "\r\n\r\n" + large,
+        "PUT / HTTP/1.1\r\nHost: h\r\nX-Large: " + large + "\r\n\r\n",
+        "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n" + large}) {
+    const std::string start = request.substr(0, 60);
+    late_reader client(loop_, server_->Port());
+    EXPECT_TRUE(client.Send(request)) << start;
+    EXPECT_EQ(client.ReadAll().rfind("HTTP/1.1 4", 0), 0U) << start;
+    EXPECT_FALSE(client.WasReset()) << start;
+  }
+  EXPECT_EQ(answered_, 0);
+}
+
+// As above, for a response that is complete when the server ends.
+TEST_F(early_close_test, AResponseIsReadAfterTheEndOfTheServer) {
+  late_reader client(loop_, server_->Port());
+  ASSERT_TRUE(client.Send(Requests(4000)));
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return answered_ == 1 && server_->UnfinishedCount() == 0; },
+      kLimit));
+  server_.reset();
+  const std::string text = client.ReadAll();
+  EXPECT_GT(text.size(), kBodyBytes);
+  EXPECT_FALSE(client.WasReset());
+}
+
+// A client that neither reads nor closes must not hold its connection.
+TEST_F(early_close_test, AClientThatStaysIsClosedAfterABoundedTime) {
+  late_reader client(loop_, server_->Port());
+  ASSERT_TRUE(client.Send(Request()));
+  bool has_ended = false;
+  const timer_id writer = loop_.SchedulePeriodic(milliseconds(100), [&] {
+    has_ended =
+        client.Socket().Write("x", 1).outcome == transfer_result::kind::ended;
+  });
+  EXPECT_TRUE(loop_.RunUntil([&] { return has_ended; }, milliseconds(10'000)));
+  loop_.Cancel(writer);
+  ExpectAlive();
+}
+
 TEST_F(http_server_test, RefusesOversizedHeaders) {
   StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
   test_peer peer(loop_, server_->Port());
