Let the limits of a server change while it runs

The server's limits on clients were fixed when it started, and its library has one idle timeout for everything: connections between requests, half headers, stalled bodies, and clients that don't read.

Change: SetLimits sets the bytes of header fields and body, the header timeout and the idle timeout. The timeouts hold for open connections; a request that has begun keeps the body limit that it began with. The server itself now looks every 250 ms at the bytes that each connection has received and had acknowledged, since the library's custom timeouts are searched one by one at each event. The idle timeout is for connections between requests; a request or a response without progress ends after the time of the options, as before; one that waits for its handler never does. A header sent in single bytes ends at the header timeout, also on a reused connection, which no timeout covered before. Fields over the limit get a 431 with the outcome not_run. A connection with unread bytes isn't closed as idle.

What the library doesn't allow after the start is more memory for a header than the options gave it: a larger one gets the library's own 431 as before.

--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -53,8 +53,11 @@
 }  // namespace
 
 http_exchange_state::http_exchange_state(http_daemon& daemon,
-                                         MHD_Connection* connection)
-    : daemon_(&daemon), connection_(connection) {}
+                                         MHD_Connection* connection,
+                                         std::size_t maximum_body_bytes)
+    : daemon_(&daemon),
+      connection_(connection),
+      maximum_body_bytes_(maximum_body_bytes) {}
 
 // The request.
 
@@ -69,6 +72,14 @@
                             &request_.headers);
   MHD_get_connection_values(connection_, MHD_GET_ARGUMENT_KIND, &AddArgument,
                             &request_.query);
+  const std::size_t request_line = request_.method.size() +
+                                   request_.target.size() + version.size() +
+                                   std::string_view("  \r\n").size();
+  const std::size_t head =
+      MHD_get_connection_info(connection_,
+                              MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+          ->header_size;
+  header_bytes_ = head - std::min(head, request_line);
 }
 
 std::size_t http_exchange_state::AnnouncedBodyBytes() const {
@@ -80,40 +91,48 @@
   return bytes;
 }
 
-bool http_exchange_state::MustRefuseUnread(std::size_t maximum_bytes) const {
+bool http_exchange_state::MustRefuseUnread() const {
   const std::size_t bytes = AnnouncedBodyBytes();
-  if (bytes <= maximum_bytes) return false;
+  if (bytes <= maximum_body_bytes_) return false;
   // Responding before the end of the body closes the connection with unread
   // data. The resulting TCP reset can discard the response at a client that is
   // still sending. A body within the bound is therefore read and discarded
   // first, unless the client waits for 100 Continue.
-  return bytes > maximum_bytes * kDiscardFactor ||
+  return bytes > maximum_body_bytes_ * kDiscardFactor ||
          request_.headers.count("expect") > 0;
 }
 
-bool http_exchange_state::AppendBody(std::string_view data,
-                                     std::size_t maximum_bytes) {
+bool http_exchange_state::AppendBody(std::string_view data) {
   if (queued_) return true;
   body_bytes_ += data.size();
-  if (body_bytes_ <= maximum_bytes) {
+  if (body_bytes_ <= maximum_body_bytes_) {
     request_.body.append(data);
     return true;
   }
   // The daemon accepts a response only at the end of the body.
   RefuseBody();
-  return body_bytes_ <= maximum_bytes * kDiscardFactor;
+  return body_bytes_ <= maximum_body_bytes_ * kDiscardFactor;
 }
 
 void http_exchange_state::RefuseBody() {
   if (body_refused_) return;
   body_refused_ = true;
+  Refuse(413, "body_too_large", "The body is too large.");
+}
+
+void http_exchange_state::RefuseHeaders() {
+  Refuse(431, "headers_too_large", "The headers are too large.");
+}
+
+void http_exchange_state::Refuse(int status, const char* type,
+                                 const char* message) {
   dispatched_ = true;
   std::string().swap(request_.body);
   response_ = http_response{
-      413,
+      status,
       {{"content-type", "application/json"}, {"connection", "close"}},
-      R"({"error":{"type":"body_too_large","message":"The body is too large.",)"
-      R"("outcome":"not_run"}})"};
+      std::string(R"({"error":{"type":")") + type + R"(","message":")" +
+          message + R"(","outcome":"not_run"}})"};
 }
 
 // The response.
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -31,7 +31,8 @@
 class http_exchange_state
     : public std::enable_shared_from_this<http_exchange_state> {
  public:
-  http_exchange_state(http_daemon& daemon, MHD_Connection* connection);
+  http_exchange_state(http_daemon& daemon, MHD_Connection* connection,
+                      std::size_t maximum_body_bytes);
 
   // Called by the server.
 
@@ -40,11 +41,17 @@
                 std::string_view version);
   /** Returns true if the body is too large and gets a 413 without being read.
    */
-  bool MustRefuseUnread(std::size_t maximum_bytes) const;
+  bool MustRefuseUnread() const;
   /** Adds body data. @returns false if the connection must be closed. */
-  bool AppendBody(std::string_view data, std::size_t maximum_bytes);
+  bool AppendBody(std::string_view data);
   /** Sets a 413 response and discards the body received so far. */
   void RefuseBody();
+  /** Sets a 431 response; the body is not read. */
+  void RefuseHeaders();
+  /** Bytes of the header fields, without the request line. */
+  std::size_t HeaderBytes() const { return header_bytes_; }
+  /** The connection waits for the response, or for more of it. */
+  bool IsSuspended() const { return suspended_; }
   void MarkDispatched() { dispatched_ = true; }
   bool IsDispatched() const { return dispatched_; }
   bool IsAnswered() const { return response_ || streaming_ || aborted_; }
@@ -80,6 +87,8 @@
   /** Resets the connection if nothing else marks a stream as incomplete. */
   void MarkIncomplete() const;
   int Descriptor() const;
+  /** Sets a response that closes the connection. */
+  void Refuse(int status, const char* type, const char* message);
   bool QueueWhole();
   bool QueueStream();
   void Suspend();
@@ -92,6 +101,8 @@
   http_request request_;
   /** Streams to the client end with the connection, without a last chunk. */
   bool lacks_chunks_ = false;
+  std::size_t header_bytes_ = 0;
+  std::size_t maximum_body_bytes_;
   std::size_t body_bytes_ = 0;
   bool body_refused_ = false;
   bool dispatched_ = false;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -20,6 +20,7 @@
 #include "net/io_watcher.h"
 #include "net/lingering_sockets.h"
 #include "net/socket_address.h"
+#include "net/transfer_count.h"
 
 namespace comfreyspring::net {
 namespace {
@@ -31,6 +32,8 @@
 // Interval of the check for closed connections with an incomplete request.
 constexpr core::milliseconds kPartialRequestInterval{1000};
 
+// Interval of the check for connections without progress.
+constexpr core::milliseconds kActivityInterval{250};
 constexpr lingering_sockets::limits kLingerLimits{
     .maximum_time = core::milliseconds(3000),
     .maximum_bytes = 32 * 1024 * 1024,
@@ -43,6 +46,21 @@
   return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+bool HasInput(int descriptor) {
+  char byte = 0;
+  return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+struct connection_activity {
+  transfer_count count;
+  /** Bytes received when the latest request ended. */
+  std::uint64_t received_before = 0;
+  /** When `count` was last found changed. */
+  core::time_point progress_at;
+  /** When bytes of a next request were first found. */
+  std::optional<core::time_point> head_began_at;
+};
+
 }  // namespace
 
 /**
@@ -54,7 +72,11 @@
        handler request_handler)
       : loop(owning_loop),
         options(std::move(settings)),
-        on_request(std::move(request_handler)) {
+        on_request(std::move(request_handler)),
+        limits{.maximum_header_bytes = options.maximum_header_bytes,
+               .maximum_body_bytes = options.maximum_body_bytes,
+               .header_timeout = options.idle_timeout,
+               .idle_timeout = options.idle_timeout} {
     StartDaemon();
     const MHD_DaemonInfo* info =
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -70,6 +92,7 @@
     loop.Cancel(timeout_timer);
     loop.Cancel(accept_timer);
     loop.Cancel(partial_request_timer);
+    loop.Cancel(activity_timer);
     watcher.reset();
     // The daemon cannot stop while connections are suspended, so requests that
     // arrive in this last run are rejected.
@@ -92,11 +115,9 @@
         flags, options.port, nullptr, nullptr, &impl::OnAccess, this,
         MHD_OPTION_SOCK_ADDR, address.Get(), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         options.maximum_header_bytes, MHD_OPTION_CONNECTION_LIMIT,
-        options.maximum_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-        static_cast<unsigned>(options.idle_timeout.count()),
-        MHD_OPTION_URI_LOG_CALLBACK, &impl::OnTarget, this,
-        MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, this,
-        MHD_OPTION_NOTIFY_CONNECTION, &impl::OnConnection, this,
+        options.maximum_connections, MHD_OPTION_URI_LOG_CALLBACK,
+        &impl::OnTarget, this, MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted,
+        this, MHD_OPTION_NOTIFY_CONNECTION, &impl::OnConnection, this,
         MHD_OPTION_END);
     if (daemon == nullptr) {
       throw net_error("cannot listen on " + options.address + " port " +
@@ -177,8 +198,7 @@
     }
     auto& exchange = *static_cast<http_exchange_state*>(*context);
     if (*size > 0) {
-      const bool accepted = exchange.AppendBody(
-          {data, *size}, server->options.maximum_body_bytes);
+      const bool accepted = exchange.AppendBody({data, *size});
       *size = 0;
       return accepted ? MHD_YES : MHD_NO;
     }
@@ -189,7 +209,8 @@
   MHD_Result BeginRequest(MHD_Connection* connection, const char* url,
                           const char* method, const char* version,
                           void** context) {
-    auto exchange = std::make_shared<http_exchange_state>(*this, connection);
+    auto exchange = std::make_shared<http_exchange_state>(
+        *this, connection, limits.maximum_body_bytes);
     const auto target = targets.extract(connection);
     exchange->ReadHead(target.empty() ? std::string(url) : target.mapped(), url,
                        method, version);
@@ -198,8 +219,13 @@
     SchedulePartialRequestCheck();
     http_exchange_state& reference = *exchange;
     exchanges[connection] = std::move(exchange);
-    if (!reference.MustRefuseUnread(options.maximum_body_bytes)) return MHD_YES;
-    reference.RefuseBody();
+    if (reference.HeaderBytes() > limits.maximum_header_bytes) {
+      reference.RefuseHeaders();
+    } else if (reference.MustRefuseUnread()) {
+      reference.RefuseBody();
+    } else {
+      return MHD_YES;
+    }
     return reference.Answer() ? MHD_YES : MHD_NO;
   }
 
@@ -234,6 +260,57 @@
     if (IsClosedByPeer(descriptor)) ::shutdown(descriptor, SHUT_RDWR);
   }
 
+  // The daemon's own timeout is fixed, and the same for all connections.
+
+  void ScheduleActivityCheck() {
+    if (activity_timer != 0) return;
+    activity_timer = loop.Schedule(kActivityInterval, [this] {
+      activity_timer = 0;
+      for (auto& [connection, activity] : connections) {
+        if (HasTimedOut(connection, activity)) Close(connection);
+      }
+      if (!connections.empty()) ScheduleActivityCheck();
+    });
+  }
+
+  bool HasTimedOut(MHD_Connection* connection, connection_activity& activity) {
+    const auto now = loop.Now();
+    const auto found = exchanges.find(connection);
+    const bool is_between = found == exchanges.end();
+    const auto count = TransferCountOf(DescriptorOf(connection));
+    const bool waits = !is_between && found->second->IsSuspended();
+    if (waits || count != activity.count) activity.progress_at = now;
+    activity.count = count;
+    if (!is_between) activity.head_began_at.reset();
+    const auto quiet = now - activity.progress_at;
+    const bool has_begun =
+        is_between && count.received != activity.received_before;
+    if (!has_begun) {
+      return quiet >= (is_between ? limits.idle_timeout : options.idle_timeout);
+    }
+    if (!activity.head_began_at) activity.head_began_at = now;
+    return quiet >= options.idle_timeout ||
+           now - *activity.head_began_at >= limits.header_timeout;
+  }
+
+  void Close(MHD_Connection* connection) {
+    const int descriptor = DescriptorOf(connection);
+    // A next request may have arrived, which the daemon is about to read.
+    const bool is_between = exchanges.count(connection) == 0;
+    if (is_between && HasInput(descriptor)) return;
+    // The daemon closes it on the event that this causes.
+    ::shutdown(descriptor, SHUT_RDWR);
+  }
+
+  void MarkIdle(MHD_Connection* connection) {
+    const auto found = connections.find(connection);
+    if (found == connections.end()) return;
+    connection_activity& activity = found->second;
+    activity.count = TransferCountOf(DescriptorOf(connection));
+    activity.received_before = activity.count.received;
+    activity.progress_at = loop.Now();
+  }
+
   void Dispatch(http_exchange_state& exchange) {
     exchange.MarkDispatched();
     if (exchange.IsAnswered()) return;
@@ -255,6 +332,7 @@
     const auto exchange = found->second;
     server->exchanges.erase(found);
     exchange->Detach();
+    server->MarkIdle(connection);
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) exchange->ReportGone();
   }
 
@@ -267,16 +345,20 @@
       server->connection_closed = true;
       server->lingering.Add(DescriptorOf(connection));
       server->new_connections.erase(connection);
+      server->connections.erase(connection);
       server->targets.erase(connection);
     } else if (!server->closing) {
       server->new_connections.insert(connection);
+      server->connections[connection].progress_at = server->loop.Now();
       server->SchedulePartialRequestCheck();
+      server->ScheduleActivityCheck();
     }
   }
 
   event_loop& loop;
   http_server_options options;
   handler on_request;
+  http_server_limits limits;
   MHD_Daemon* daemon = nullptr;
   std::optional<io_watcher> watcher;
   std::uint16_t port = 0;
@@ -296,6 +378,8 @@
   /** Connections without the headers of a first request. */
   std::unordered_set<MHD_Connection*> new_connections;
   timer_id partial_request_timer = 0;
+  std::unordered_map<MHD_Connection*, connection_activity> connections;
+  timer_id activity_timer = 0;
 };
 
 http_server::http_server(event_loop& loop, http_server_options options,
@@ -320,6 +404,10 @@
 
 std::uint16_t http_server::Port() const { return impl_->port; }
 
+void http_server::SetLimits(const http_server_limits& limits) {
+  impl_->limits = limits;
+}
+
 void http_server::StopAccepting() {
   const MHD_socket listener = MHD_quiesce_daemon(impl_->daemon);
   if (listener != MHD_INVALID_SOCKET) ::close(listener);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -69,10 +69,28 @@
   /** Memory limit for the request line and headers of one connection. */
   std::size_t maximum_header_bytes = 32 * 1024;
   unsigned maximum_connections = 4096;
-  /** An idle connection or an incomplete request is closed after this. */
+  /**
+   * A request or a response without progress is closed after this. Also the
+   * first value of the timeouts that may change.
+   */
   core::seconds idle_timeout{60};
 };
 
+/** Limits on clients that may change while a server runs. */
+struct http_server_limits {
+  /**
+   * Larger header fields get a 431. The memory limit of the options, which is
+   * fixed, applies as well.
+   */
+  std::size_t maximum_header_bytes = 32 * 1024;
+  /** A larger body gets a 413; the handler is not called. */
+  std::size_t maximum_body_bytes = 1024 * 1024;
+  /** A connection is closed if its headers take longer. */
+  core::milliseconds header_timeout{60000};
+  /** A connection is closed if it has been idle between requests for this. */
+  core::milliseconds idle_timeout{60000};
+};
+
 /** HTTP/1.1 server on an event loop. */
 class http_server {
  public:
@@ -91,6 +109,8 @@
   http_server& operator=(const http_server&) = delete;
 
   std::uint16_t Port() const;
+  /** Applies to open connections too, but not to requests that have begun. */
+  void SetLimits(const http_server_limits& limits);
   /** Stops accepting connections; open ones remain. */
   void StopAccepting();
   std::size_t ConnectionCount() const;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -719,6 +719,105 @@
   EXPECT_EQ(Get("/").body, "patient");
 }
 
+// A raised idle timeout must keep connections open that were there before it;
+// a lowered one closes them.
+TEST_F(http_server_test, AChangedIdleTimeoutAppliesToOpenConnections) {
+  http_server_options options;
+  options.idle_timeout = core::seconds(1);
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  const std::string request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+  test_peer used(loop_, server_->Port());
+  used.Send(request);
+  const test_peer silent(loop_, server_->Port());
+  server_->SetLimits({.idle_timeout = milliseconds(60'000)});
+  loop_.RunUntil([] { return false; }, milliseconds(2500));
+  EXPECT_FALSE(used.IsClosedByPeer());
+  EXPECT_FALSE(silent.IsClosedByPeer());
+  const std::size_t before = used.Received().size();
+  used.Send(request);
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return used.Received().size() == 2 * before; }, kLimit));
+  server_->SetLimits({.idle_timeout = milliseconds(2000)});
+  const auto lowered_at = loop_.Now();
+  EXPECT_TRUE(loop_.RunUntil([&] { return silent.IsClosedByPeer(); }, kLimit));
+  EXPECT_LT(loop_.Now() - lowered_at, milliseconds(1000));
+  EXPECT_FALSE(used.IsClosedByPeer());
+  EXPECT_TRUE(loop_.RunUntil([&] { return used.IsClosedByPeer(); }, kLimit));
+  EXPECT_GE(loop_.Now() - lowered_at, milliseconds(1900));
+}
+
+// The idle timeout is for connections between requests only.
+TEST_F(http_server_test, AShortIdleTimeoutEndsNoRequest) {
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    loop_.Schedule(milliseconds(1500), [exchange] {
+      exchange->Respond({200, {}, "patient"});
+    });
+  });
+  server_->SetLimits({.idle_timeout = milliseconds(500)});
+  test_peer peer(loop_, server_->Port());
+  peer.Send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nab");
+  loop_.RunUntil([] { return false; }, milliseconds(1500));
+  peer.Send("cd");
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return peer.Received().find("patient") != std::string::npos; },
+      kLimit));
+}
+
+// A client that sends its headers in single bytes is never without progress.
+TEST_F(http_server_test, ASlowHeadEndsAtTheHeaderTimeout) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  server_->SetLimits({.header_timeout = milliseconds(1000)});
+  const std::string request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+  test_peer fresh(loop_, server_->Port());
+  test_peer used(loop_, server_->Port());
+  used.Send(request);
+  ASSERT_TRUE(loop_.RunUntil([&] { return !used.Received().empty(); }, kLimit));
+  std::size_t sent = 0;
+  const timer_id drip = loop_.SchedulePeriodic(milliseconds(100), [&] {
+    const std::string byte(1, sent < request.size() ? request[sent] : 'x');
+    if (++sent >= request.size() - 2) return;
+    if (!fresh.IsClosedByPeer()) fresh.Send(byte);
+    if (!used.IsClosedByPeer()) used.Send(byte);
+  });
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return fresh.IsClosedByPeer() && used.IsClosedByPeer(); },
+      milliseconds(2500)));
+  loop_.Cancel(drip);
+  ExpectAlive();
+}
+
+// Requests that have begun keep the limit that they began with.
+TEST_F(http_server_test, AChangedBodyLimitAppliesToNewRequests) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  http_call call{.method = "POST", .url = Url("/")};
+  call.body = std::string(2'000'000, 'x');
+  EXPECT_EQ(Call(call).status, 413);
+  server_->SetLimits({.maximum_body_bytes = 3'000'000});
+  EXPECT_EQ(Call(call).status, 200);
+  test_peer begun(loop_, server_->Port());
+  begun.Send("PUT / HTTP/1.1\r\nHost: test\r\nContent-Length: 2000\r\n\r\n" +
+             std::string(1000, 'x'));
+  loop_.RunUntil([] { return false; }, milliseconds(100));
+  server_->SetLimits({.maximum_body_bytes = 1000});
+  begun.Send(std::string(1000, 'x'));
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return begun.Received().rfind("HTTP/1.1 200", 0) == 0; }, kLimit));
+  EXPECT_EQ(Call(call).status, 413);
+}
+
+TEST_F(http_server_test, AChangedHeaderLimitAppliesToNewRequests) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  http_call call{.url = Url("/"), .target = '/' + std::string(3000, 'p')};
+  call.headers["x-large"] = std::string(2000, 'x');
+  EXPECT_EQ(Call(call).status, 200);
+  server_->SetLimits({.maximum_header_bytes = 2000});
+  EXPECT_EQ(Call(call).status, 431);
+  // The request line doesn't count.
+  call.headers["x-large"] = std::string(1700, 'x');
+  EXPECT_EQ(Call(call).status, 200);
+}
+
 // Guards against a spinning watcher or a lost response when a client pipelines
 // requests.
 TEST_F(http_server_test, AnswersPipelinedRequestsInOrder) {
--- /dev/null
+++ b/src/net/transfer_count.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace comfreyspring::net {
+
+/** Bytes of a TCP connection that its peer has sent and acknowledged. */
+struct transfer_count {
+  std::uint64_t received = 0;
+  std::uint64_t acknowledged = 0;
+
+  bool operator==(const transfer_count&) const = default;
+};
+
+/** @returns zeros for a descriptor that is no TCP connection. */
+transfer_count TransferCountOf(int descriptor);
+
+}  // namespace comfreyspring::net
