Apply the operator's limits on callers

What callers saw: the limits of the configuration (HeaderBytes, BodyBytes, HeaderTimeoutMs, IdleTimeoutMs) had no effect.

Cause: the limits were decoded and used nowhere.

Evidence, with the processes before the change: of client_limits_test, TheIdleTimeoutOfTheConfigurationIsInForce failed (a connection was still open after twice the timeout of 2 s), TheSizesOfTheConfigurationAreInForce failed (all four sizes), OddLimitsDoNotKeepAConfigurationOut failed (five of seven).

Change: the gateway sets the limits on its server when it adopts a configuration. caller_limits decides what is in force, without I/O: a wider limit at once, a narrower size or header timeout after half of the time for changes, a shorter idle timeout after that and the earlier timeout, since callers may use connections again by what they were told before. Values out of bounds are bounded (header fields at 32 KiB, which is what the server has memory for; bodies at 32 MiB; timeouts from 1 s to 1 h), values that aren't positive get the defaults, and either is logged as limit_out_of_bounds. Each adopted configuration logs the limits in force.

All three pass now, as do the 95 tests of gateway_test.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
  * engines. Depends on catalog, grants, net, stream, settings and telemetry.
  */
 
+#include "gateway/caller_limits.h"
 #include "gateway/endpoint_choice.h"
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -1,10 +1,12 @@
 #include "gateway/gateway_program.h"
 
+#include <chrono>
 #include <string>
 #include <utility>
 
 #include "catalog/catalog_follower.h"
 #include "core/error.h"
+#include "gateway/caller_limits.h"
 #include "gateway/request_forwarder.h"
 #include "gateway/sidecar_links.h"
 #include "net/http_server.h"
@@ -33,11 +35,16 @@
 constexpr core::milliseconds kMinimumDrain{2500};
 /** Part of the grace period that is reserved for ending the process. */
 constexpr core::milliseconds kStopReserve{400};
-/** Longer than callers keep an idle connection. */
-constexpr core::seconds kCallerIdleTimeout{30};
+/** A request or a response without progress is ended after this. */
+constexpr core::seconds kProgressTimeout{30};
 constexpr unsigned kMaximumConnections = 3000;
+/** In force until there is a configuration. */
 constexpr std::size_t kMaximumBodyBytes = 8 * 1024 * 1024;
-constexpr std::size_t kMaximumHeaderBytes = 40 * 1024;
+/** Memory for the request line, the header fields and their index. */
+constexpr std::size_t kHeaderMemoryBytes = 40 * 1024;
+/** Configured limits are in force up to these. */
+constexpr std::size_t kHighestHeaderBytes = 32 * 1024;
+constexpr std::size_t kHighestBodyBytes = 32 * 1024 * 1024;
 
 net::http_server_options ServerOptions(
     const std::optional<core::network_address>& address, const char* name) {
@@ -48,9 +55,9 @@
   return {.address = address->ip,
           .port = address->port,
           .maximum_body_bytes = kMaximumBodyBytes,
-          .maximum_header_bytes = kMaximumHeaderBytes,
+          .maximum_header_bytes = kHeaderMemoryBytes,
           .maximum_connections = kMaximumConnections,
-          .idle_timeout = kCallerIdleTimeout};
+          .idle_timeout = kProgressTimeout};
 }
 
 }  // namespace
@@ -104,6 +111,7 @@
   ~impl() override {
     loop.Cancel(flush_timer);
     loop.Cancel(drain_timer);
+    loop.Cancel(limits_timer);
   }
 
   impl(const impl&) = delete;
@@ -135,6 +143,7 @@
 
   void OnConfiguration(
       const std::shared_ptr<const catalog::route_table>& table) override {
+    AdoptLimits(*table);
     forwarder.OnConfiguration(table);
   }
   void OnEndpoint(const catalog::endpoint_change& change) override {
@@ -145,6 +154,39 @@
     links.SendToRelays(batch);
   }
 
+  // Limits on callers.
+
+  void AdoptLimits(const catalog::route_table& table) {
+    const catalog::client_limits& wanted = table.Content().limits;
+    for (const std::string& name : limits_in_force.Adopt(wanted, loop.Now())) {
+      log.SystemEvent("limit_out_of_bounds")
+          .Add("configuration", table.Version())
+          .Add("limit", name);
+    }
+    ApplyLimits();
+    const auto in_force = limits_in_force.At(loop.Now());
+    log.SystemEvent("caller_limits")
+        .Add("configuration", table.Version())
+        .Add("header_bytes", in_force.maximum_header_bytes)
+        .Add("body_bytes", in_force.maximum_body_bytes)
+        .Add("header_timeout_ms", in_force.header_timeout.count())
+        .Add("idle_timeout_ms", in_force.idle_timeout.count())
+        .Add("wanted_idle_timeout_ms", wanted.idle_timeout.count());
+  }
+
+  void ApplyLimits() {
+    const auto now = loop.Now();
+    caller_server.SetLimits(limits_in_force.At(now));
+    loop.Cancel(std::exchange(limits_timer, 0));
+    const auto next = limits_in_force.NextChange(now);
+    if (!next) return;
+    limits_timer = loop.Schedule(
+        std::chrono::ceil<core::milliseconds>(*next - now), [this] {
+          limits_timer = 0;
+          ApplyLimits();
+        });
+  }
+
   // sidecar_listener.
 
   void OnSidecarLost(const std::string& ip) override {
@@ -219,11 +261,19 @@
   catalog::catalog_follower follower;
   request_forwarder forwarder;
   sidecar_links links;
+  caller_limits limits_in_force{{.maximum_header_bytes = kHeaderMemoryBytes,
+                                 .maximum_body_bytes = kMaximumBodyBytes,
+                                 .header_timeout = kProgressTimeout,
+                                 .idle_timeout = kProgressTimeout},
+                                {.maximum_header_bytes = kHighestHeaderBytes,
+                                 .maximum_body_bytes = kHighestBodyBytes},
+                                settings.change_bound / 2};
   net::http_server caller_server;
   net::http_server readiness_server;
   std::optional<net::http_server> admin_server;
   net::timer_id flush_timer = 0;
   net::timer_id drain_timer = 0;
+  net::timer_id limits_timer = 0;
 };
 
 gateway_program::gateway_program(net::event_loop& loop,
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,9 +64,10 @@
     if (!HasFailure()) std::filesystem::remove_all(directory_);
   }
 
-  void PutConfiguration(int version) {
+  void PutConfiguration(int version, const json& limits = json::object()) {
     store_.Put("op/config",
                {{"Version", version},
+                {"Limits", limits},
                 {"Routes", json::array({{{"Name", "r"},
                                          {"Host", "h.example"},
                                          {"Prefix", "/p/"},
@@ -730,6 +732,120 @@
   EXPECT_GT(outcomes[200], 100);
 }
 
+/** Callers' connections and bodies against the limits of the operator. */
+class client_limits_test : public users_platform_test {
+ protected:
+  struct idle_connection {
+    net::tcp_socket socket;
+    core::time_point opened_at;
+  };
+
+  idle_connection Open() {
+    auto socket =
+        net::tcp_socket::Connect(net::socket_address(kHost, caller_port_));
+    loop_.RunUntil([&] { return socket.ConnectError() == 0; }, kTimeout);
+    return {std::move(socket), loop_.Now()};
+  }
+  static bool IsClosed(idle_connection& connection) {
+    char byte = 0;
+    return connection.socket.Read(&byte, 1).outcome ==
+           net::transfer_result::kind::ended;
+  }
+  /** @returns how long the connection was open; nothing after `limit`. */
+  std::optional<milliseconds> TimeOpen(idle_connection& connection,
+                                       milliseconds limit) {
+    const auto waker = loop_.SchedulePeriodic(milliseconds(20), [] {});
+    const bool closed =
+        loop_.RunUntil([&] { return IsClosed(connection); }, limit);
+    loop_.Cancel(waker);
+    if (!closed) return std::nullopt;
+    return core::ToMilliseconds(loop_.Now() - connection.opened_at);
+  }
+  int StatusOf(std::size_t header_bytes, std::size_t body_bytes) {
+    return Call({.method = "POST",
+                 .url = "http://" + Address(caller_port_) + "/",
+                 .target = "/q/x",
+                 .headers = {{"host", "h.example"},
+                             {"request-id", "r1"},
+                             {"deadline-ms", "3000"},
+                             {"x-large", std::string(header_bytes, 'x')}},
+                 .body = std::string(body_bytes, 'x')})
+        .status;
+  }
+  void Wait(int ms) {
+    loop_.RunUntil([] { return false; }, milliseconds(ms));
+  }
+
+  /** Time for a change of the configuration to be in force. */
+  static constexpr int kChangeMs = 2000;
+};
+
+// Guards against an idle timeout that is not the operator's: callers would use
+// connections again that were just closed.
+TEST_F(client_limits_test, TheIdleTimeoutOfTheConfigurationIsInForce) {
+  PutConfiguration(8, {{"IdleTimeoutMs", 2000}});
+  gateway_ = Start("gateway");
+  WaitUntilReady();
+  auto first = Open();
+  const auto open = TimeOpen(first, milliseconds(4000));
+  ASSERT_TRUE(open.has_value());
+  EXPECT_GE(*open, milliseconds(1900));
+
+  auto waiting = Open();
+  PutConfiguration(9, {{"IdleTimeoutMs", 5000}});
+  Wait(4000);
+  EXPECT_FALSE(IsClosed(waiting));
+
+  // Callers may rely on the earlier timeout until their connections have ended.
+  auto earlier = Open();
+  PutConfiguration(10, {{"IdleTimeoutMs", 1000}});
+  Wait(4500);
+  EXPECT_FALSE(IsClosed(earlier));
+  Wait(kChangeMs);
+  auto later = Open();
+  const auto lowered = TimeOpen(later, milliseconds(3000));
+  ASSERT_TRUE(lowered.has_value());
+  EXPECT_LT(*lowered, milliseconds(2000));
+}
+
+TEST_F(client_limits_test, TheSizesOfTheConfigurationAreInForce) {
+  WaitUntilReady();
+  EXPECT_EQ(StatusOf(100, 5'000'000), 413);
+  PutConfiguration(8, {{"HeaderBytes", 32'768}, {"BodyBytes", 12'000'000}});
+  Wait(kChangeMs);
+  const int within = StatusOf(100, 1000);
+  EXPECT_EQ(StatusOf(31'000, 10'000'000), within);
+  PutConfiguration(9, {{"HeaderBytes", 3000}, {"BodyBytes", 1'000'000}});
+  Wait(kChangeMs);
+  EXPECT_EQ(StatusOf(100, 2'000'000), 413);
+  EXPECT_EQ(StatusOf(5000, 1000), 431);
+  EXPECT_EQ(StatusOf(2000, 900'000), within);
+}
+
+// A configuration with odd limits is a configuration all the same.
+TEST_F(client_limits_test, OddLimitsDoNotKeepAConfigurationOut) {
+  WaitUntilReady();
+  int version = 8;
+  for (const json& odd :
+       {json(0), json(-5), json(1e300), json(18446744073709551615ULL),
+        json("4 MB"), json(), json::array()}) {
+    PutConfiguration(version, {{"HeaderBytes", odd},
+                               {"BodyBytes", odd},
+                               {"HeaderTimeoutMs", odd},
+                               {"IdleTimeoutMs", odd}});
+    Wait(500);
+    const auto state =
+        Call({.url = "http://" + Address(admin_port_) + "/debug/state"}).body;
+    EXPECT_NE(state.find("\"configuration_version\": " +
+                         std::to_string(version) + ','),
+              std::string::npos)
+        << odd << state;
+    EXPECT_EQ(SendStream("r" + std::to_string(version), "a1").status, 200)
+        << odd;
+    ++version;
+  }
+}
+
 TEST_F(users_platform_test, ExplainsAWrongSettingsFile) {
   std::ofstream(Path("wrong")) << "{\"Node\":7}";
   settings_program failing(
