--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -382,6 +384,30 @@
   ExpectAlive();
 }
 
+// Guards against handling a request that its client has not sent completely.
+TEST_F(http_server_test, ARequestCutAtAnyByteIsNotHandled) {
+  int handled = 0;
+  StartServer({}, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    Echo(exchange);
+  });
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  for (const std::string& whole :
+       {start + "Content-Length: 5\r\n\r\nhello",
+        start + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n"}) {
+    std::vector<std::unique_ptr<test_peer>> peers;
+    for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+      peers.push_back(std::make_unique<test_peer>(loop_, server_->Port()));
+      peers.back()->Send(whole.substr(0, cut));
+      peers.back()->Close();
+    }
+    ASSERT_TRUE(loop_.RunUntil([&] { return server_->ConnectionCount() == 0; },
+                               kLimit));
+    EXPECT_EQ(handled, 0) << whole;
+  }
+  ExpectAlive();
+}
+
 // Guards against a process that exits before a response is written completely.
 TEST_F(http_server_test, CountsAnswersThatAreNotWritten) {
   std::shared_ptr<http_exchange> taken;
@@ -449,6 +475,158 @@
   ExpectAlive();
 }
 
+/**
+ * A client that sends all that it has before it reads. Its buffer is small
+ * against a large response, most of which the server's system has yet to send.
+ */
+class late_reader {
+ public:
+  late_reader(event_loop& loop, std::uint16_t port)
+      : loop_(loop),
+        socket_(tcp_socket::Connect(socket_address("127.0.0.1", port))) {
+    const int bytes = 256 * 1024;
+    setsockopt(socket_.Descriptor(), SOL_SOCKET, SO_RCVBUF, &bytes,
+               sizeof(bytes));
+    loop_.RunUntil([this] { return socket_.ConnectError() == 0; }, kLimit);
+  }
+
+  /** @returns false if the connection ended first. */
+  bool Send(const std::string& data) {
+    std::size_t sent = 0;
+    bool ended = false;
+    Repeat([&] {
+      const auto result = socket_.Write(data.data() + sent, data.size() - sent);
+      sent += result.bytes;
+      ended = result.outcome == transfer_result::kind::ended;
+      return ended || sent == data.size();
+    });
+    return !ended && sent == data.size();
+  }
+  /** Reads until the connection ends. */
+  std::string ReadAll() {
+    std::string text;
+    Repeat([&] {
+      std::string buffer(65536, '\0');
+      const auto result = socket_.Read(buffer.data(), buffer.size());
+      text.append(buffer.data(), result.bytes);
+      reason_ = result.reason;
+      return result.outcome == transfer_result::kind::ended;
+    });
+    return text;
+  }
+  bool WasReset() const {
+    return reason_.find("reset by peer") != std::string::npos;
+  }
+  tcp_socket& Socket() { return socket_; }
+
+ private:
+  void Repeat(const std::function<bool()>& step) {
+    const timer_id waker = loop_.SchedulePeriodic(milliseconds(1), [] {});
+    loop_.RunUntil(step, kLimit);
+    loop_.Cancel(waker);
+  }
+
+  event_loop& loop_;
+  tcp_socket socket_;
+  std::string reason_;
+};
+
+/** A server that closes its connections after each response. */
+class early_close_test : public http_server_test {
+ protected:
+  static constexpr std::size_t kBodyBytes = 3 * 1024 * 1024;
+
+  void SetUp() override {
+    http_server_options options;
+    options.maximum_body_bytes = 50'000;
+    StartServer(options, [this](const std::shared_ptr<http_exchange>& e) {
+      ++answered_;
+      e->Respond(
+          {200, {{"connection", "close"}}, std::string(kBodyBytes, 'x')});
+    });
+  }
+  void Pause(int ms) {
+    loop_.RunUntil([] { return false; }, milliseconds(ms));
+  }
+  static std::string Request() {
+    return "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+  }
+  static std::string Requests(int count) {
+    std::string text;
+    for (int i = 0; i < count; ++i) text += Request();
+    return text;
+  }
+
+  int answered_ = 0;
+};
+
+// Closing a socket with unread bytes, or one whose peer goes on sending, resets
+// the connection and discards what is left of the response.
+TEST_F(early_close_test, AClosingResponseIsReadBesidePipelinedRequests) {
+  late_reader client(loop_, server_->Port());
+  ASSERT_TRUE(client.Send(Request() + Requests(4000)));
+  Pause(300);
+  const std::string text = client.ReadAll();
+  EXPECT_GT(text.size(), kBodyBytes);
+  EXPECT_FALSE(client.WasReset());
+  EXPECT_EQ(answered_, 1);
+  ExpectAlive();
+}
+
+TEST_F(early_close_test, AClosingResponseIsReadByAClientThatGoesOnSending) {
+  late_reader client(loop_, server_->Port());
+  ASSERT_TRUE(client.Send(Request()));
+  Pause(200);
+  EXPECT_TRUE(client.Send(Requests(4000)));
+  const std::string text = client.ReadAll();
+  EXPECT_GT(text.size(), kBodyBytes);
+  EXPECT_FALSE(client.WasReset());
+}
+
+// Clients may report a failed write without reading the response.
+TEST_F(early_close_test, ARefusalIsReadAfterTheWholeRequestWasSent) {
+  const std::string large(16 * 1024 * 1024, 'x');
+  for (const std::string& request :
+       {"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+            std::to_string(large.size()) + "\r\n\r\n" + large,
+        "PUT / HTTP/1.1\r\nHost: h\r\nX-Large: " + large + "\r\n\r\n",
+        "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n" + large}) {
+    const std::string start = request.substr(0, 60);
+    late_reader client(loop_, server_->Port());
+    EXPECT_TRUE(client.Send(request)) << start;
+    EXPECT_EQ(client.ReadAll().rfind("HTTP/1.1 4", 0), 0U) << start;
+    EXPECT_FALSE(client.WasReset()) << start;
+  }
+  EXPECT_EQ(answered_, 0);
+}
+
+// As above, for a response that is complete when the server ends.
+TEST_F(early_close_test, AResponseIsReadAfterTheEndOfTheServer) {
+  late_reader client(loop_, server_->Port());
+  ASSERT_TRUE(client.Send(Requests(4000)));
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return answered_ == 1 && server_->UnfinishedCount() == 0; },
+      kLimit));
+  server_.reset();
+  const std::string text = client.ReadAll();
+  EXPECT_GT(text.size(), kBodyBytes);
+  EXPECT_FALSE(client.WasReset());
+}
+
+// A client that neither reads nor closes must not hold its connection.
+TEST_F(early_close_test, AClientThatStaysIsClosedAfterABoundedTime) {
+  late_reader client(loop_, server_->Port());
+  ASSERT_TRUE(client.Send(Request()));
+  bool has_ended = false;
+  const timer_id writer = loop_.SchedulePeriodic(milliseconds(100), [&] {
+    has_ended =
+        client.Socket().Write("x", 1).outcome == transfer_result::kind::ended;
+  });
+  EXPECT_TRUE(loop_.RunUntil([&] { return has_ended; }, milliseconds(10'000)));
+  loop_.Cancel(writer);
+  ExpectAlive();
+}
+
 TEST_F(http_server_test, RefusesOversizedHeaders) {
   StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
   test_peer peer(loop_, server_->Port());
@@ -541,6 +719,105 @@
   EXPECT_EQ(Get("/").body, "patient");
 }
 
+// A raised idle timeout must keep connections open that were there before it;
+// a lowered one closes them.
+TEST_F(http_server_test, AChangedIdleTimeoutAppliesToOpenConnections) {
+  http_server_options options;
+  options.idle_timeout = core::seconds(1);
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  const std::string request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+  test_peer used(loop_, server_->Port());
+  used.Send(request);
+  const test_peer silent(loop_, server_->Port());
+  server_->SetLimits({.idle_timeout = milliseconds(60'000)});
+  loop_.RunUntil([] { return false; }, milliseconds(2500));
+  EXPECT_FALSE(used.IsClosedByPeer());
+  EXPECT_FALSE(silent.IsClosedByPeer());
+  const std::size_t before = used.Received().size();
+  used.Send(request);
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return used.Received().size() == 2 * before; }, kLimit));
+  server_->SetLimits({.idle_timeout = milliseconds(2000)});
+  const auto lowered_at = loop_.Now();
+  EXPECT_TRUE(loop_.RunUntil([&] { return silent.IsClosedByPeer(); }, kLimit));
+  EXPECT_LT(loop_.Now() - lowered_at, milliseconds(1000));
+  EXPECT_FALSE(used.IsClosedByPeer());
+  EXPECT_TRUE(loop_.RunUntil([&] { return used.IsClosedByPeer(); }, kLimit));
+  EXPECT_GE(loop_.Now() - lowered_at, milliseconds(1900));
+}
+
+// The idle timeout is for connections between requests only.
+TEST_F(http_server_test, AShortIdleTimeoutEndsNoRequest) {
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    loop_.Schedule(milliseconds(1500), [exchange] {
+      exchange->Respond({200, {}, "patient"});
+    });
+  });
+  server_->SetLimits({.idle_timeout = milliseconds(500)});
+  test_peer peer(loop_, server_->Port());
+  peer.Send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nab");
+  loop_.RunUntil([] { return false; }, milliseconds(1500));
+  peer.Send("cd");
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return peer.Received().find("patient") != std::string::npos; },
+      kLimit));
+}
+
+// A client that sends its headers in single bytes is never without progress.
+TEST_F(http_server_test, ASlowHeadEndsAtTheHeaderTimeout) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  server_->SetLimits({.header_timeout = milliseconds(1000)});
+  const std::string request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+  test_peer fresh(loop_, server_->Port());
+  test_peer used(loop_, server_->Port());
+  used.Send(request);
+  ASSERT_TRUE(loop_.RunUntil([&] { return !used.Received().empty(); }, kLimit));
+  std::size_t sent = 0;
+  const timer_id drip = loop_.SchedulePeriodic(milliseconds(100), [&] {
+    const std::string byte(1, sent < request.size() ? request[sent] : 'x');
+    if (++sent >= request.size() - 2) return;
+    if (!fresh.IsClosedByPeer()) fresh.Send(byte);
+    if (!used.IsClosedByPeer()) used.Send(byte);
+  });
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return fresh.IsClosedByPeer() && used.IsClosedByPeer(); },
+      milliseconds(2500)));
+  loop_.Cancel(drip);
+  ExpectAlive();
+}
+
+// Requests that have begun keep the limit that they began with.
+TEST_F(http_server_test, AChangedBodyLimitAppliesToNewRequests) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  http_call call{.method = "POST", .url = Url("/")};
+  call.body = std::string(2'000'000, 'x');
+  EXPECT_EQ(Call(call).status, 413);
+  server_->SetLimits({.maximum_body_bytes = 3'000'000});
+  EXPECT_EQ(Call(call).status, 200);
+  test_peer begun(loop_, server_->Port());
+  begun.Send("PUT / HTTP/1.1\r\nHost: test\r\nContent-Length: 2000\r\n\r\n" +
+             std::string(1000, 'x'));
+  loop_.RunUntil([] { return false; }, milliseconds(100));
+  server_->SetLimits({.maximum_body_bytes = 1000});
+  begun.Send(std::string(1000, 'x'));
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return begun.Received().rfind("HTTP/1.1 200", 0) == 0; }, kLimit));
+  EXPECT_EQ(Call(call).status, 413);
+}
+
+TEST_F(http_server_test, AChangedHeaderLimitAppliesToNewRequests) {
+  StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  http_call call{.url = Url("/"), .target = '/' + std::string(3000, 'p')};
+  call.headers["x-large"] = std::string(2000, 'x');
+  EXPECT_EQ(Call(call).status, 200);
+  server_->SetLimits({.maximum_header_bytes = 2000});
+  EXPECT_EQ(Call(call).status, 431);
+  // The request line doesn't count.
+  call.headers["x-large"] = std::string(1700, 'x');
+  EXPECT_EQ(Call(call).status, 200);
+}
+
 // Guards against a spinning watcher or a lost response when a client pipelines
 // requests.
 TEST_F(http_server_test, AnswersPipelinedRequestsInOrder) {
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -207,8 +207,11 @@
 }
 
 void http_transfer::ReadHeaderLine(std::string line) {
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-    line.pop_back();
+  if (!line.empty() && line.back() == '\n') line.pop_back();
+  if (!line.empty() && line.back() == '\r') line.pop_back();
+  // The library takes any line that begins with one for the end of the headers.
+  if (line.find('\r') != std::string::npos) {
+    throw net_error("a header line of the response has a bare carriage return");
   }
   if (line.rfind("HTTP/", 0) == 0) {
     // Replaces the headers of an interim response.
@@ -329,6 +332,10 @@
   // The library accepts headers that end with their connection.
   const bool headers_cut = code == CURLE_OK && !headers_reported_;
   if (headers_cut) abort_reason_ = "the response headers are incomplete";
+  if (!headers_reported_) {
+    result_.status = 0;
+    result_.headers.clear();
+  }
   if (code != CURLE_OK || headers_cut) {
     result_.failure =
         times_sent_ == 0 ? http_failure::not_sent : http_failure::broken;
