--- a/tests/process/planned_stop_test.cc
+++ b/tests/process/planned_stop_test.cc
@@ -20,6 +20,8 @@
 constexpr int kEngines = 3;
 constexpr int kPlain = 2;
 constexpr milliseconds kSendPeriod{20};
+/** So many that clients have open connections until the gateway has ended. */
+constexpr int kOpenConnections = 400;
 /** The fleet's `GraceS`. */
 constexpr milliseconds kGrace{5000};
 /** A request without an answer counts as lost after this time (LossSlackMs). */
@@ -47,6 +49,8 @@
 
   /** Sends on every route until the gateway has ended. */
   void StartLoad() {
+    for (int i = 0; i < kOpenConnections; ++i) Send("order", 0);
+    WaitForAnswers();
     timer_ = loop_.SchedulePeriodic(kSendPeriod, [this] {
       if (Gateway(0).HasEnded()) {
         loop_.Cancel(std::exchange(timer_, 0));
