Order the platform's history by era and revision

A platform that is restored from a copy gives out revisions again, so that a revision of one history can't be compared with one of another. The type catalog_position {era, revision} orders lexicographically; era 0 stands for platforms and processes that tell none.

A read and a batch each belong to one era (fields at the end; the era is the last field of the batch on the wire, which earlier versions ignore, and a batch without it has era 0). Follower, outage record and endpoint table keep positions in place of revisions. Nothing sets an era yet, so nothing behaves differently; the comparisons follow one by one.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -12,6 +12,7 @@
 
 #include "catalog/backlog_age.h"
 #include "catalog/catalog_follower.h"
+#include "catalog/catalog_position.h"
 #include "catalog/catalog_source.h"
 #include "catalog/endpoint_record.h"
 #include "catalog/endpoint_table.h"
--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -92,7 +92,7 @@
 
 void catalog_follower::OnPeerRead(const change_batch& batch) {
   // The changes in a gap before the batch have to be read by this process.
-  if (!complete_ || batch.after > revision_ || batch.revision < revision_) {
+  if (!complete_ || batch.After() > position_ || batch.Position() < position_) {
     return;
   }
   const auto waited = backlog_.At(loop_.Now());
@@ -105,15 +105,15 @@
   }
   std::vector<published_change> changes;
   for (const change_document& document : batch.documents) {
-    if (document.revision > revision_) {
+    if (document.revision > position_.revision) {
       changes.push_back(source_.Decode(document));
     }
   }
-  DetectMassRemoval(changes, revision_);
+  DetectMassRemoval(changes, position_);
   std::vector<change_document> ignored;
-  Apply(std::move(changes), {"gateway", batch.revision, last_contact_},
+  Apply(std::move(changes), {"gateway", batch.Position(), last_contact_},
         ignored);
-  revision_ = batch.revision;
+  position_ = batch.Position();
   const auto read_at = loop_.Now() - batch.age - waited;
   schedule_.OnConfirmed(read_at);
   last_contact_ = std::max(last_contact_, read_at);
@@ -137,11 +137,12 @@
   return core::ToMilliseconds(loop_.Now() - last_contact_);
 }
 
-removal_grace catalog_follower::GraceFor(std::int64_t removed_at,
+removal_grace catalog_follower::GraceFor(const catalog_position& removed_at,
                                          const read_context& read) const {
   const auto& last = outages_.Last();
   return {UsableUntil(last, removed_at, read.known_until, GraceLimits()),
-          last ? last->revision : 0, removed_at, read.known_until};
+          last ? last->position : catalog_position(), removed_at,
+          read.known_until};
 }
 
 /**
@@ -153,7 +154,7 @@
     const auto& last = outages_.Last();
     // An entry that was removed after the outage was listed at its end.
     const auto listed_at = std::max(grace.listed_at, last->ended);
-    return UsableUntil(last, grace.removal_revision, listed_at, GraceLimits());
+    return UsableUntil(last, grace.removal_position, listed_at, GraceLimits());
   });
 }
 
@@ -189,7 +190,7 @@
   const std::uint64_t generation = ++generation_;
   // After an outage the first response must not be delayed by waiting.
   const auto wait = connected_ ? MaximumWait() : core::milliseconds(0);
-  source_.ReadChanges(revision_, wait, wait + ReadTimeout(),
+  source_.ReadChanges(position_.revision, wait, wait + ReadTimeout(),
                       [this, generation, alive = alive_](catalog_read read) {
                         if (!*alive || generation != generation_) return;
                         OnChanges(std::move(read));
@@ -201,23 +202,23 @@
     OnFailure("read_all", read);
     return;
   }
-  const read_context context{"platform", read.revision, last_contact_};
-  OnContact(read.revision);
-  if (complete_ && read.revision < revision_) {
+  const read_context context{"platform", read.Position(), last_contact_};
+  OnContact(read.Position());
+  if (complete_ && read.Position() < position_) {
     // The snapshot is older than changes received from another process and
     // would revert them.
     log_.SystemEvent("snapshot_outdated")
         .Add("revision", read.revision)
-        .Add("known", revision_);
+        .Add("known", position_.revision);
     ReadChanges();
     return;
   }
-  revision_ = read.revision;
+  position_ = read.Position();
   std::vector<endpoint_table::listed_entry> entries;
   std::vector<published_change> others;
   for (published_change& change : read.changes) {
     if (auto* record = std::get_if<endpoint_record>(&change.content)) {
-      entries.push_back({std::move(*record), change.revision});
+      entries.push_back({std::move(*record), {read.era, change.revision}});
     } else {
       others.push_back(std::move(change));
     }
@@ -225,7 +226,7 @@
   complete_ = true;
   std::vector<change_document> ignored;
   Apply(std::move(others), context, ignored);
-  Publish(endpoints_.OnSnapshot(entries, GraceFor(read.revision, context),
+  Publish(endpoints_.OnSnapshot(entries, GraceFor(read.Position(), context),
                                 loop_.Now()));
   ReadChanges();
 }
@@ -233,7 +234,8 @@
 void catalog_follower::OnChanges(catalog_read read) {
   if (read.outcome == read_outcome::history_lost) {
     // This response does not list entries, so it must not count as contact.
-    log_.SystemEvent("platform_history_lost").Add("revision", revision_);
+    log_.SystemEvent("platform_history_lost")
+        .Add("revision", position_.revision);
     ReadAll();
     return;
   }
@@ -241,17 +243,19 @@
     OnFailure("read_changes", read);
     return;
   }
-  const read_context context{"platform", read.revision, last_contact_};
-  OnContact(read.revision);
+  const read_context context{"platform", read.Position(), last_contact_};
+  OnContact(read.Position());
   // Changes already received from another process are not applied again.
   std::erase_if(read.changes, [&](const published_change& change) {
-    return change.revision > 0 && change.revision <= revision_;
+    return change.revision > 0 && change.revision <= position_.revision;
   });
   change_batch batch;
-  batch.after = revision_;
-  revision_ = std::max(revision_, read.revision);
-  batch.revision = revision_;
-  DetectMassRemoval(read.changes, batch.after);
+  const catalog_position known_before = position_;
+  position_ = std::max(position_, read.Position());
+  batch.after = known_before.revision;
+  batch.revision = position_.revision;
+  batch.era = position_.era;
+  DetectMassRemoval(read.changes, known_before);
   Apply(std::move(read.changes), context, batch.documents);
   batch.last_outage = outages_.ToReport(kOutageReportPeriod, loop_.Now());
   listener_.OnLocalRead(batch);
@@ -273,14 +277,14 @@
                                [this] { ReadWhenDue(); });
 }
 
-void catalog_follower::OnContact(std::int64_t revision) {
+void catalog_follower::OnContact(const catalog_position& position) {
   const auto now = loop_.Now();
   if (!connected_) {
     const auto away = core::ToMilliseconds(now - last_contact_);
     log_.Dependency("platform", "regained").Add("away_ms", away.count());
     // Other processes may have read in the meantime.
     const auto failing_since = std::max(failing_since_, last_contact_);
-    if (outages_.OnReconnected(failing_since, revision, now)) {
+    if (outages_.OnReconnected(failing_since, position, now)) {
       LogOutage("platform");
     }
     connected_ = true;
@@ -297,7 +301,7 @@
     log_.Dependency("platform", "lost")
         .Add("call", call)
         .Add("reason", read.error)
-        .Add("revision", revision_);
+        .Add("revision", position_.revision);
   }
   RetryLater();
 }
@@ -323,7 +327,8 @@
 }
 
 void catalog_follower::DetectMassRemoval(
-    const std::vector<published_change>& changes, std::int64_t known_before) {
+    const std::vector<published_change>& changes,
+    const catalog_position& known_before) {
   const auto removed =
       std::count_if(changes.begin(), changes.end(), [](const auto& change) {
         return std::holds_alternative<endpoint_removed>(change.content);
@@ -345,7 +350,8 @@
   const outage_record::outage& last = *outages_.Last();
   log_.SystemEvent("platform_outage_ended")
       .Add("origin", origin)
-      .Add("revision", last.revision)
+      .Add("era", last.position.era)
+      .Add("revision", last.position.revision)
       .Add("lasted_ms", core::ToMilliseconds(last.ended - last.began).count())
       .Add("ended_ms", core::ToMilliseconds(loop_.Now() - last.ended).count());
 }
@@ -370,11 +376,14 @@
             return ApplyConfiguration(std::move(content), read.origin);
           },
           [&](const endpoint_record& record) {
-            return Publish(endpoints_.OnRecord({record, change.revision}));
+            return Publish(endpoints_.OnRecord(
+                {record, {read.position.era, change.revision}}));
           },
           [&](const endpoint_removed& removed) {
-            const std::int64_t removed_at =
-                change.revision > 0 ? change.revision : read.revision;
+            const catalog_position removed_at =
+                change.revision > 0
+                    ? catalog_position{read.position.era, change.revision}
+                    : read.position;
             return Publish(endpoints_.OnRemoved(
                 removed.instance, GraceFor(removed_at, read), loop_.Now()));
           },
@@ -429,7 +438,7 @@
           .Add("instance", change.record.instance.Value())
           .Add("service", change.record.service.Value())
           .Add("address", change.record.address.ToString())
-          .Add("revision", revision_)
+          .Add("revision", position_.revision)
           .Add("catalog_age_ms", Age().count());
       if (const auto& last = outages_.Last()) {
         line.Add("outage_ended_ms",
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -102,15 +102,14 @@
   void OnAll(catalog_read read);
   void OnChanges(catalog_read read);
   void OnFailure(const char* call, const catalog_read& read);
-  /** @param revision position of the response in the platform's history. */
-  void OnContact(std::int64_t revision);
+  void OnContact(const catalog_position& position);
   void RetryLater();
   void ReadWhenDue();
   /** Where and when the changes of a read come from. */
   struct read_context {
     const char* origin;
     /** Position of the response in the platform's history. */
-    std::int64_t revision = 0;
+    catalog_position position;
     /** Everything up to this time was known before the read. */
     core::time_point known_until;
   };
@@ -121,9 +120,9 @@
   bool ApplyConfiguration(configuration content, const char* origin);
   bool Publish(const endpoint_table::changes& changes);
   void DetectMassRemoval(const std::vector<published_change>& changes,
-                         std::int64_t known_before);
+                         const catalog_position& known_before);
   /** @param removed_at see UsableUntil. */
-  removal_grace GraceFor(std::int64_t removed_at,
+  removal_grace GraceFor(const catalog_position& removed_at,
                          const read_context& read) const;
   void ShortenGracePeriods();
   removal_grace_limits GraceLimits() const;
@@ -141,7 +140,8 @@
   endpoint_table endpoints_;
   adapter_versions versions_;
   bool complete_ = false;
-  std::int64_t revision_ = 0;
+  /** Everything up to this position is known. */
+  catalog_position position_;
   /** Responses to reads of an earlier generation are ignored. */
   std::uint64_t generation_ = 0;
   core::milliseconds retry_delay_;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -217,9 +217,10 @@
   read.changes.push_back({60, endpoint_removed{instance_id("left")}, ""});
   source_.Answer(std::move(read));
   EXPECT_EQ(listener_.changes.back(), "left lapsed");
-  follower_.OnPeerRead({.after = 60,
-                        .revision = 60,
-                        .last_outage = reported_outage{45, milliseconds(80)}});
+  follower_.OnPeerRead(
+      {.after = 60,
+       .revision = 60,
+       .last_outage = reported_outage{{0, 45}, milliseconds(80)}});
   const auto has_changed = [&](const char* change) {
     return std::ranges::count(listener_.changes, change) > 0;
   };
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "catalog/catalog_position.h"
 #include "catalog/endpoint_record.h"
 #include "catalog/outage_record.h"
 #include "catalog/route.h"
@@ -33,11 +34,11 @@
 
 /** A change in the encoding of its source, which other processes can decode. */
 struct change_document {
-  /** Position in the platform's history. */
+  /** Revision in the era of the batch. */
   std::int64_t revision = 0;
   std::string text;
 };
-/** A change and its position in the platform's history. */
+/** A change and its revision in the era of the read. */
 struct published_change {
   /** 0 if unknown; such a change is always applied. */
   std::int64_t revision = 0;
@@ -60,6 +61,11 @@
   std::optional<reported_outage> last_outage;
   /** All changes except heartbeats, oldest first. */
   std::vector<change_document> documents;
+  /** Era of all revisions of the batch; 0 if unknown. */
+  std::int64_t era = 0;
+
+  catalog_position After() const { return {era, after}; }
+  catalog_position Position() const { return {era, revision}; }
 };
 
 /** Result of a read. */
@@ -76,10 +82,14 @@
 struct catalog_read {
   read_outcome outcome = read_outcome::unavailable;
   std::vector<published_change> changes;
-  /** Position in the platform's history from which to continue. */
+  /** Revision from which to continue. */
   std::int64_t revision = 0;
-  /** Reason of a failure, for the log. */
+  /** Reason of a failure, or a defect of a usable response, for the log. */
   std::string error;
+  /** Era of the response, also of a failure; 0 if unknown. */
+  std::int64_t era = 0;
+
+  catalog_position Position() const { return {era, revision}; }
 };
 
 /** Reads the catalog from the platform. Only one call may be in flight. */
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -64,7 +64,7 @@
 endpoint_table::changes endpoint_table::OnRecord(const listed_entry& listed) {
   using kind = endpoint_change::kind;
   const endpoint_record& record = listed.record;
-  const entry fresh{.record = record, .revision = listed.revision};
+  const entry fresh{.record = record, .position = listed.position};
   const auto found = entries_.find(record.instance);
   if (found == entries_.end()) {
     entries_[record.instance] = fresh;
@@ -96,7 +96,7 @@
   if (removed.grace) return;
   // An endpoint that has announced its shutdown does not come back.
   const bool may_live = grace.usable_until > now && !removed.record.leaving &&
-                        removed.revision <= grace.outage_revision;
+                        removed.position <= grace.outage_position;
   if (may_live) {
     removed.grace = grace;
     removed.removed_at = now;
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "catalog/catalog_position.h"
 #include "catalog/endpoint_record.h"
 #include "core/time.h"
 
@@ -32,9 +32,9 @@
    * to an endpoint that has registered again since the outage, so its removal
    * means that the endpoint has left.
    */
-  std::int64_t outage_revision = 0;
+  catalog_position outage_position;
   /** Position in the history at or before which the entry was removed. */
-  std::int64_t removal_revision = 0;
+  catalog_position removal_position;
   /** When the entry was last known to be listed. */
   core::time_point listed_at;
 };
@@ -51,10 +51,10 @@
  public:
   using changes = std::vector<endpoint_change>;
 
-  /** An entry and the revision of its last change. */
+  /** An entry and the position of its last change. */
   struct listed_entry {
     endpoint_record record;
-    std::int64_t revision = 0;
+    catalog_position position;
   };
 
   /** Replaces all entries. */
@@ -88,7 +88,7 @@
  private:
   struct entry {
     endpoint_record record;
-    std::int64_t revision = 0;
+    catalog_position position;
     /** Set while the entry is missing. */
     std::optional<removal_grace> grace;
     core::time_point removed_at;
--- a/src/catalog/endpoint_table_test.cc
+++ b/src/catalog/endpoint_table_test.cc
@@ -22,13 +22,13 @@
 
   static endpoint_table::listed_entry Listed(const endpoint_record& record,
                                              std::int64_t revision = 5) {
-    return {record, revision};
+    return {record, {1, revision}};
   }
   /** Grace for a removal that may have been caused by an outage. */
   removal_grace MayHaveLapsed() const {
-    return {now_ + milliseconds(2500), 10};
+    return {now_ + milliseconds(2500), {1, 10}};
   }
-  static removal_grace HasLeft() { return {core::time_point::min(), 0}; }
+  static removal_grace HasLeft() { return {core::time_point::min(), {}}; }
 
   core::time_point now_{std::chrono::seconds(100)};
   endpoint_table table_;
--- a/src/catalog/outage_record.cc
+++ b/src/catalog/outage_record.cc
@@ -14,11 +14,12 @@
     : minimum_duration_(minimum_duration) {}
 
 bool outage_record::OnReconnected(core::time_point failing_since,
-                                  std::int64_t revision, core::time_point now) {
+                                  const catalog_position& position,
+                                  core::time_point now) {
   if (now - failing_since < minimum_duration_) return false;
   // Another process may have read earlier and reported the outage.
   if (last_ && last_->ended >= failing_since) return false;
-  last_ = {failing_since, now, revision};
+  last_ = {failing_since, now, position};
   return true;
 }
 
@@ -29,18 +30,18 @@
   const auto ended = now - reported.ended_ago;
   if (last_ && ended >= last_->began && ended < last_->ended) {
     last_->ended = ended;
-    last_->revision = std::min(last_->revision, reported.revision);
+    last_->position = std::min(last_->position, reported.position);
     return true;
   }
   // This process had contact with the platform in the meantime, so only the
   // other process was cut off.
   if (ended - last_contact < minimum_duration_ + maximum_contact_gap)
     return false;
-  last_ = {last_contact, ended, reported.revision};
+  last_ = {last_contact, ended, reported.position};
   return true;
 }
 
-bool outage_record::OnMassRemoval(std::int64_t known_before,
+bool outage_record::OnMassRemoval(const catalog_position& known_before,
                                   core::milliseconds reregistration_time,
                                   core::time_point now) {
   if (last_ && now - last_->ended < reregistration_time) return false;
@@ -53,16 +54,16 @@
   if (!last_) return std::nullopt;
   const auto age = core::ToMilliseconds(now - last_->ended);
   if (age > age_limit) return std::nullopt;
-  return reported_outage{last_->revision, age};
+  return reported_outage{last_->position, age};
 }
 
 core::time_point UsableUntil(const std::optional<outage_record::outage>& last,
-                             std::int64_t removed_at,
+                             const catalog_position& removed_at,
                              core::time_point listed_at,
                              const removal_grace_limits& limits) {
   if (!last) return core::time_point::min();
   const auto reregistered_by = last->ended + limits.reregistration_time;
-  if (removed_at <= last->revision) return reregistered_by;
+  if (removed_at <= last->position) return reregistered_by;
   const core::milliseconds usable_time(static_cast<std::int64_t>(
       kUsableShareOfBound * static_cast<double>(limits.removal_bound.count())));
   return std::min(reregistered_by, listed_at + usable_time);
--- a/src/catalog/outage_record.h
+++ b/src/catalog/outage_record.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 
+#include "catalog/catalog_position.h"
 #include "core/time.h"
 
 namespace comfreyspring::catalog {
@@ -10,7 +10,7 @@
 /** The end of an outage of the platform, as reported between processes. */
 struct reported_outage {
   /** Position in the platform's history of the first read after the outage. */
-  std::int64_t revision = 0;
+  catalog_position position;
   /** Time since that read. */
   core::milliseconds ended_ago{0};
 };
@@ -33,7 +33,7 @@
     core::time_point began;
     core::time_point ended;
     /** See reported_outage. */
-    std::int64_t revision = 0;
+    catalog_position position;
   };
 
   /**
@@ -48,8 +48,8 @@
    *     outage: new reads succeed if the platform is available.
    * @returns true if the failures count as an outage.
    */
-  bool OnReconnected(core::time_point failing_since, std::int64_t revision,
-                     core::time_point now);
+  bool OnReconnected(core::time_point failing_since,
+                     const catalog_position& position, core::time_point now);
   /**
    * Another process has reported an outage.
    * @param last_contact when this process last knew the state of the platform.
@@ -65,7 +65,7 @@
    * @returns false if a recorded outage that ended within `reregistration_time`
    *     explains the removals.
    */
-  bool OnMassRemoval(std::int64_t known_before,
+  bool OnMassRemoval(const catalog_position& known_before,
                      core::milliseconds reregistration_time,
                      core::time_point now);
 
@@ -105,7 +105,7 @@
  * @returns a time in the past if the endpoint must not be used any more.
  */
 core::time_point UsableUntil(const std::optional<outage_record::outage>& last,
-                             std::int64_t removed_at,
+                             const catalog_position& removed_at,
                              core::time_point listed_at,
                              const removal_grace_limits& limits);
 
--- a/src/catalog/outage_record_test.cc
+++ b/src/catalog/outage_record_test.cc
@@ -20,7 +20,7 @@
     return core::time_point{milliseconds(time)};
   }
   bool Reported(std::int64_t revision, int ended, int last_contact, int now) {
-    return record_.OnReported({revision, milliseconds(now - ended)},
+    return record_.OnReported({{1, revision}, milliseconds(now - ended)},
                               At(last_contact), kMaximumContactGap, At(now));
   }
   core::time_point End() const { return record_.Last()->ended; }
@@ -29,17 +29,17 @@
 };
 
 TEST_F(outage_record_test, AShortInterruptionIsNoOutage) {
-  EXPECT_FALSE(record_.OnReconnected(At(5000), 40, At(5900)));
+  EXPECT_FALSE(record_.OnReconnected(At(5000), {1, 40}, At(5900)));
   EXPECT_FALSE(record_.Last());
-  EXPECT_TRUE(record_.OnReconnected(At(6000), 41, At(7000)));
+  EXPECT_TRUE(record_.OnReconnected(At(6000), {1, 41}, At(7000)));
   EXPECT_EQ(End(), At(7000));
 }
 
 TEST_F(outage_record_test, TheFirstReadAfterAnOutageDefinesItsEnd) {
-  record_.OnReconnected(At(5000), 44, At(13000));
+  record_.OnReconnected(At(5000), {1, 44}, At(13000));
   EXPECT_TRUE(Reported(41, 9100, 5000, 13050));
   EXPECT_EQ(End(), At(9100));
-  EXPECT_EQ(record_.Last()->revision, 41);
+  EXPECT_EQ(record_.Last()->position, (catalog_position{1, 41}));
   // A third process noticed the end later.
   EXPECT_FALSE(Reported(46, 13400, 13050, 13450));
   EXPECT_EQ(End(), At(9100));
@@ -47,7 +47,7 @@
 
 TEST_F(outage_record_test, AnOwnReadDoesNotMoveAReportedEnd) {
   EXPECT_TRUE(Reported(41, 9100, 5000, 9200));
-  EXPECT_FALSE(record_.OnReconnected(At(5500), 44, At(13000)));
+  EXPECT_FALSE(record_.OnReconnected(At(5500), {1, 44}, At(13000)));
   EXPECT_EQ(End(), At(9100));
 }
 
@@ -57,36 +57,36 @@
 }
 
 TEST_F(outage_record_test, ALaterOutageReplacesTheRecord) {
-  record_.OnReconnected(At(5000), 41, At(9000));
+  record_.OnReconnected(At(5000), {1, 41}, At(9000));
   EXPECT_TRUE(Reported(60, 29000, 25000, 29100));
   EXPECT_EQ(End(), At(29000));
-  EXPECT_TRUE(record_.OnReconnected(At(40000), 70, At(45000)));
+  EXPECT_TRUE(record_.OnReconnected(At(40000), {1, 70}, At(45000)));
   EXPECT_EQ(End(), At(45000));
 }
 
 TEST_F(outage_record_test, ReportsAnOutageUntilTheAgeLimit) {
-  record_.OnReconnected(At(5000), 41, At(9000));
+  record_.OnReconnected(At(5000), {1, 41}, At(9000));
   const auto reported = record_.ToReport(milliseconds(5000), At(9300));
   ASSERT_TRUE(reported);
   EXPECT_EQ(reported->ended_ago, milliseconds(300));
-  EXPECT_EQ(reported->revision, 41);
+  EXPECT_EQ(reported->position, (catalog_position{1, 41}));
   EXPECT_FALSE(record_.ToReport(milliseconds(5000), At(14100)));
 }
 
 TEST_F(outage_record_test,
        AnOutageExplainsRemovalsWithinTheReregistrationTime) {
-  record_.OnReconnected(At(5000), 41, At(9000));
-  EXPECT_FALSE(record_.OnMassRemoval(43, milliseconds(2500), At(9100)));
-  EXPECT_EQ(record_.Last()->revision, 41);
-  EXPECT_TRUE(record_.OnMassRemoval(60, milliseconds(2500), At(20000)));
-  EXPECT_EQ(record_.Last()->revision, 60);
+  record_.OnReconnected(At(5000), {1, 41}, At(9000));
+  EXPECT_FALSE(record_.OnMassRemoval({1, 43}, milliseconds(2500), At(9100)));
+  EXPECT_EQ(record_.Last()->position, (catalog_position{1, 41}));
+  EXPECT_TRUE(record_.OnMassRemoval({1, 60}, milliseconds(2500), At(20000)));
+  EXPECT_EQ(record_.Last()->position, (catalog_position{1, 60}));
 }
 
 class usable_until_test : public outage_record_test {
  protected:
   /** @param listed when the entry was last known to be listed. */
   core::time_point Until(std::int64_t removed_at, int listed) const {
-    return UsableUntil(record_.Last(), removed_at, At(listed),
+    return UsableUntil(record_.Last(), {1, removed_at}, At(listed),
                        {milliseconds(2500), milliseconds(2000)});
   }
 };
@@ -96,21 +96,21 @@
 }
 
 TEST_F(usable_until_test, AnEntryThatLapsedInTheOutageHasTimeToReregister) {
-  record_.OnReconnected(At(5000), 50, At(9000));
+  record_.OnReconnected(At(5000), {1, 50}, At(9000));
   EXPECT_EQ(Until(50, 5000), At(11500));
 }
 
 // A grace period beyond the bound would send requests to endpoints that have
 // left.
 TEST_F(usable_until_test, ARemovalAfterTheRecoveryMeetsTheBound) {
-  record_.OnReconnected(At(5000), 50, At(9000));
+  record_.OnReconnected(At(5000), {1, 50}, At(9000));
   EXPECT_EQ(Until(51, 9100), At(10600));
   EXPECT_EQ(Until(60, 10500), At(11500));
 }
 
 // What looks like a second, unnoticed outage may be many endpoints that leave.
 TEST_F(usable_until_test, ManySimultaneousRemovalsMeetTheBound) {
-  record_.OnMassRemoval(59, milliseconds(2500), At(20000));
+  record_.OnMassRemoval({1, 59}, milliseconds(2500), At(20000));
   EXPECT_EQ(Until(60, 19600), At(21100));
 }
 
@@ -135,7 +135,7 @@
     for (process& reader : processes) {
       if (reader.reconnects_at > now) continue;
       if (reader.last_contact < reader.reconnects_at) {
-        reader.record.OnReconnected(reader.last_contact, 50,
+        reader.record.OnReconnected(reader.last_contact, {1, 50},
                                     reader.reconnects_at);
       }
       reader.last_contact = now;
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -158,8 +158,10 @@
     out.Add(document.revision).Add(document.text);
   }
   if (batch.last_outage) {
-    out.Add(batch.last_outage->revision).Add(batch.last_outage->ended_ago);
+    out.Add(batch.last_outage->position.revision)
+        .Add(batch.last_outage->ended_ago);
   }
+  out.Add(batch.era);
   return out.Finish();
 }
 
@@ -421,8 +423,12 @@
   // Senders of the previous version set the flag without further fields.
   if (has_outage && !in.AtEnd()) {
     const std::int64_t revision = in.Integer();
-    batch.last_outage = {revision, in.Time()};
+    batch.last_outage = {{0, revision}, in.Time()};
   }
+  // Senders of earlier versions know no eras.
+  if (!in.AtEnd()) batch.era = in.Integer();
+  if (batch.era < 0) throw core::invalid_value_error("negative era");
+  if (batch.last_outage) batch.last_outage->position.era = batch.era;
   return batch;
 }
 
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -174,13 +174,15 @@
 
 TEST(messages_test, RoundTripOfAChangeBatch) {
   change_batch batch{.after = 40, .revision = 44, .age = milliseconds(3)};
-  batch.last_outage = {41, milliseconds(70)};
+  batch.last_outage = {{6, 41}, milliseconds(70)};
+  batch.era = 6;
   batch.documents = {{42, "{}"}, {44, std::string("\xff\0", 2)}};
   const change_batch decoded = RoundTrip(batch);
   EXPECT_EQ(decoded.after, 40);
   EXPECT_EQ(decoded.revision, 44);
   ASSERT_TRUE(decoded.last_outage);
-  EXPECT_EQ(decoded.last_outage->revision, 41);
+  EXPECT_EQ(decoded.last_outage->position, (catalog::catalog_position{6, 41}));
+  EXPECT_EQ(decoded.era, 6);
   EXPECT_EQ(decoded.last_outage->ended_ago, milliseconds(70));
   ASSERT_EQ(decoded.documents.size(), 2U);
   EXPECT_EQ(decoded.documents[0].revision, 42);
@@ -195,6 +197,27 @@
   EXPECT_FALSE(std::get<change_batch>(decoded).last_outage);
 }
 
+TEST(messages_test, ABatchOfAnEarlierVersionHasNoEra) {
+  for (const json& form : {json::array({11, 40, 44, 3, false, 0}),
+                           json::array({11, 40, 44, 3, true, 0, 41, 70}),
+                           json::array({11, 40, 44, 3, false, 1, 42, "{}"})}) {
+    const auto frame = json::to_cbor(form);
+    const auto decoded =
+        Decode({reinterpret_cast<const char*>(frame.data()), frame.size()});
+    EXPECT_EQ(std::get<change_batch>(decoded).era, 0) << form;
+  }
+}
+
+// Earlier versions read a batch up to the fields that they know.
+TEST(messages_test, TheEraOfABatchIsItsLastField) {
+  change_batch batch{.after = 40, .revision = 44, .era = 6};
+  EXPECT_EQ(json::from_cbor(Encode(batch)),
+            json::array({11, 40, 44, 0, false, 0, 6}));
+  batch.last_outage = {{6, 41}, milliseconds(70)};
+  EXPECT_EQ(json::from_cbor(Encode(batch)),
+            json::array({11, 40, 44, 0, true, 0, 41, 70, 6}));
+}
+
 // Newer peers may append fields that this version does not know.
 TEST(messages_test, IgnoresAppendedFields) {
   const auto frame = json::to_cbor(json::array({2 + 1, 9, "new field"}));
@@ -209,6 +232,7 @@
         json::array({3, json::array({1})}), json::array({3, 1.5}),
         json::array({3, nullptr}), json::array({99, 1}), json::array({3}),
         json::array({3, "number"}), json::array({3, -1}),
+        json::array({11, 40, 44, 3, false, 0, -1}),
         // The length exceeds the remaining fields.
         json::array({11, 1, 2, 0, false, 1'000'000'000})}) {
     const auto frame = json::to_cbor(form);
--- a/src/sidecar/catalog_relay_test.cc
+++ b/src/sidecar/catalog_relay_test.cc
@@ -49,15 +49,15 @@
 TEST_F(catalog_relay_test, ReportsWhenTheLastOutageEnded) {
   relay_.OnBatch(Batch(10, 14, {12}), now_);
   change_batch batch = Batch(14, 16);
-  batch.last_outage = {13, milliseconds(900)};
+  batch.last_outage = {{0, 13}, milliseconds(900)};
   relay_.OnBatch(batch, now_);
-  batch.last_outage = {15, milliseconds(300)};
+  batch.last_outage = {{0, 15}, milliseconds(300)};
   relay_.OnBatch(batch, now_);
   now_ += milliseconds(200);
   const auto out = relay_.OnTick(now_);
   ASSERT_EQ(out.size(), 1U);
   ASSERT_TRUE(out[0].last_outage);
-  EXPECT_EQ(out[0].last_outage->revision, 15);
+  EXPECT_EQ(out[0].last_outage->position.revision, 15);
   EXPECT_EQ(out[0].last_outage->ended_ago, milliseconds(500));
 }
 
@@ -66,7 +66,7 @@
 TEST_F(catalog_relay_test, AddsASuspensionToTheAgeOfDelayedBatches) {
   relay_.OnPaused(milliseconds(3000), now_);
   change_batch batch = Batch(10, 14, {12});
-  batch.last_outage = {9, milliseconds(400)};
+  batch.last_outage = {{0, 9}, milliseconds(400)};
   const auto out = relay_.OnBatch(batch, now_ + milliseconds(2));
   ASSERT_EQ(out.size(), 1U);
   EXPECT_EQ(out[0].age, milliseconds(3000));
