Relay batches by era, so that a restored platform is not held up

Cause: the relay compared revisions of two histories.

Change: it keeps a position. A batch of a later era flushes what is pending, starts anew and is relayed at once, even without changes; a batch of an earlier era, or of none once one is known, is dropped.

Evidence: the three new tests of catalog_relay_test fail on the code before (the batch is dropped; changes with revisions that were used again are left out; a batch of the earlier era is relayed and holds up the later one) and pass now. Unit tests only.

--- a/src/sidecar/catalog_relay.cc
+++ b/src/sidecar/catalog_relay.cc
@@ -12,21 +12,23 @@
     const catalog::change_batch& batch, core::time_point now) {
   batches out;
   // An older read confirms nothing.
-  if (batch.revision < known_revision_) return out;
+  if (batch.Position() < known_) return out;
+  const bool is_later_era = batch.era > known_.era;
   const auto waited = backlog_.At(now);
   const auto read_at = now - batch.age - waited;
-  const bool contiguous = batch.after <= known_revision_;
+  const bool contiguous = batch.After() <= known_;
   // Flush first: gateways must not mistake the gap for a period without
   // changes.
   if (!contiguous) Flush(now, out);
   if (!pending_) {
     pending_.emplace();
-    pending_->content.after = contiguous ? known_revision_ : batch.after;
+    pending_->content.after = contiguous ? known_.revision : batch.after;
+    pending_->content.era = batch.era;
     pending_->read_at = read_at;
   }
   catalog::change_batch& content = pending_->content;
   for (const catalog::change_document& document : batch.documents) {
-    if (!contiguous || document.revision > known_revision_) {
+    if (!contiguous || document.revision > known_.revision) {
       content.documents.push_back(document);
     }
   }
@@ -40,8 +42,8 @@
     }
   }
   pending_->read_at = std::max(pending_->read_at, read_at);
-  known_revision_ = batch.revision;
-  if (!content.documents.empty()) Flush(now, out);
+  known_ = batch.Position();
+  if (is_later_era || !content.documents.empty()) Flush(now, out);
   return out;
 }
 
--- a/src/sidecar/catalog_relay.h
+++ b/src/sidecar/catalog_relay.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -26,7 +25,9 @@
   using batches = std::vector<catalog::change_batch>;
 
   /**
-   * Handles a batch read by a gateway.
+   * Handles a batch read by a gateway. The first batch of a later era is
+   * relayed at once, so that all gateways learn of the era; batches of earlier
+   * eras are dropped.
    * @returns the batches to send to all gateways.
    */
   batches OnBatch(const catalog::change_batch& batch, core::time_point now);
@@ -52,8 +53,8 @@
   void Flush(core::time_point now, batches& out);
 
   core::milliseconds period_;
-  /** Everything up to this revision has been relayed or is pending. */
-  std::int64_t known_revision_ = 0;
+  /** Everything up to this position has been relayed or is pending. */
+  catalog::catalog_position known_;
   std::optional<pending_batch> pending_;
   core::time_point flushed_at_;
   catalog::backlog_age backlog_;
--- a/src/sidecar/catalog_relay_test.cc
+++ b/src/sidecar/catalog_relay_test.cc
@@ -10,15 +10,17 @@
 
 class catalog_relay_test : public ::testing::Test {
  protected:
-  static change_batch Batch(std::int64_t after, std::int64_t revision,
-                            std::vector<std::int64_t> changes = {}) {
+  change_batch Batch(std::int64_t after, std::int64_t revision,
+                     std::vector<std::int64_t> changes = {}) const {
     change_batch batch{.after = after, .revision = revision};
+    batch.era = era_;
     for (const std::int64_t change : changes) {
       batch.documents.push_back({change, "c" + std::to_string(change)});
     }
     return batch;
   }
 
+  std::int64_t era_ = 0;
   core::time_point now_{std::chrono::seconds(100)};
   catalog_relay relay_{milliseconds(200)};
 };
@@ -105,5 +107,50 @@
   EXPECT_EQ(out[1].documents.size(), 1U);
 }
 
+// A restored platform uses revisions again.
+TEST_F(catalog_relay_test, ABatchOfALaterEraIsNotOutdatedByItsRevision) {
+  era_ = 1;
+  relay_.OnBatch(Batch(140, 147, {145}), now_);
+  relay_.OnBatch(Batch(147, 150), now_);
+  era_ = 2;
+  const auto restored = relay_.OnBatch(Batch(90, 90), now_);
+  ASSERT_EQ(restored.size(), 2U);
+  EXPECT_EQ(restored[0].Position(), (catalog::catalog_position{1, 150}));
+  EXPECT_EQ(restored[1].After(), (catalog::catalog_position{2, 90}));
+  EXPECT_EQ(restored[1].Position(), (catalog::catalog_position{2, 90}));
+  const auto changed = relay_.OnBatch(Batch(90, 93, {92}), now_);
+  ASSERT_EQ(changed.size(), 1U);
+  EXPECT_EQ(changed[0].Position(), (catalog::catalog_position{2, 93}));
+  EXPECT_EQ(changed[0].documents.size(), 1U);
+}
+
+// Revisions that were used again are other changes.
+TEST_F(catalog_relay_test, AChangeOfALaterEraIsNotTakenForAKnownOne) {
+  era_ = 1;
+  relay_.OnBatch(Batch(140, 147, {145}), now_);
+  era_ = 2;
+  const auto out = relay_.OnBatch(Batch(90, 150, {92, 145, 149}), now_);
+  ASSERT_EQ(out.size(), 1U);
+  EXPECT_EQ(out[0].after, 90);
+  EXPECT_EQ(out[0].documents.size(), 3U);
+}
+
+// A gateway that is cut off from the restored platform must neither overwrite
+// nor delay what the others have read.
+TEST_F(catalog_relay_test, ABatchOfAnEarlierEraIsDropped) {
+  era_ = 2;
+  relay_.OnBatch(Batch(90, 93, {92}), now_);
+  relay_.OnBatch(Batch(93, 95), now_);
+  for (const std::int64_t earlier : {1, 0}) {
+    era_ = earlier;
+    EXPECT_TRUE(relay_.OnBatch(Batch(93, 160, {150}), now_).empty());
+  }
+  era_ = 2;
+  const auto out = relay_.OnBatch(Batch(95, 97, {96}), now_);
+  ASSERT_EQ(out.size(), 1U);
+  EXPECT_EQ(out[0].Position(), (catalog::catalog_position{2, 97}));
+  EXPECT_EQ(out[0].after, 93);
+}
+
 }  // namespace
 }  // namespace comfreyspring::sidecar
