Count a restoration of the platform as the end of an outage

What callers saw: engines that had registered in the seconds that the copy lacks were taken out of use as if they had left.

Cause: an outage shorter than the threshold leaves no record, and a position of the old history (147) counted as after the end of an outage in the new one (90).

Change: outage_record::OnRestored records a restoration of any length, once per era; a peer that read earlier moves its end. Positions order by era first.

Evidence: the three new tests need OnRestored, which is new; nothing calls it yet. Unit tests only.

--- a/src/catalog/outage_record.cc
+++ b/src/catalog/outage_record.cc
@@ -41,6 +41,14 @@
   return true;
 }
 
+bool outage_record::OnRestored(const catalog_position& position,
+                               core::time_point last_contact,
+                               core::time_point ended) {
+  if (last_ && last_->position.era >= position.era) return false;
+  last_ = {std::min(last_contact, ended), ended, position};
+  return true;
+}
+
 bool outage_record::OnMassRemoval(const catalog_position& known_before,
                                   core::milliseconds reregistration_time,
                                   core::time_point now) {
--- a/src/catalog/outage_record.h
+++ b/src/catalog/outage_record.h
@@ -59,6 +59,15 @@
   bool OnReported(const reported_outage& reported,
                   core::time_point last_contact,
                   core::milliseconds maximum_contact_gap, core::time_point now);
+  /**
+   * The platform was restored from a copy, so that entries may be missing
+   * however short the outage was.
+   * @param position position in the new era.
+   * @param last_contact when this process last knew the state of the platform.
+   * @returns false if the outage of this restoration is already recorded.
+   */
+  bool OnRestored(const catalog_position& position,
+                  core::time_point last_contact, core::time_point ended);
   /**
    * So many entries were removed at once that an unnoticed outage is assumed.
    * @param known_before position in the history before the removals.
--- a/src/catalog/outage_record_test.cc
+++ b/src/catalog/outage_record_test.cc
@@ -82,6 +82,26 @@
   EXPECT_EQ(record_.Last()->position, (catalog_position{1, 60}));
 }
 
+// Entries are missing after a restoration, however short it was.
+TEST_F(outage_record_test, ARestorationIsAnOutageOfAnyLength) {
+  EXPECT_TRUE(record_.OnRestored({2, 90}, At(9000), At(9100)));
+  EXPECT_EQ(End(), At(9100));
+  EXPECT_FALSE(record_.OnMassRemoval({2, 93}, milliseconds(2500), At(9300)));
+  // It is one outage, also if this process reads again later.
+  EXPECT_FALSE(record_.OnRestored({2, 95}, At(9000), At(9500)));
+  EXPECT_EQ(record_.Last()->position, (catalog_position{2, 90}));
+  EXPECT_TRUE(record_.OnRestored({3, 60}, At(9500), At(9700)));
+  EXPECT_EQ(End(), At(9700));
+}
+
+TEST_F(outage_record_test, APeerThatReadEarlierMovesTheEndOfARestoration) {
+  record_.OnRestored({2, 95}, At(8000), At(9500));
+  EXPECT_TRUE(record_.OnReported({{2, 90}, milliseconds(500)}, At(9500),
+                                 kMaximumContactGap, At(9600)));
+  EXPECT_EQ(End(), At(9100));
+  EXPECT_EQ(record_.Last()->position, (catalog_position{2, 90}));
+}
+
 class usable_until_test : public outage_record_test {
  protected:
   /** @param listed when the entry was last known to be listed. */
@@ -114,6 +134,17 @@
   EXPECT_EQ(Until(60, 19600), At(21100));
 }
 
+// Revisions of the era before are higher.
+TEST_F(usable_until_test, AnEntryOfTheEraBeforeHasTimeToReregister) {
+  record_.OnRestored({2, 90}, At(7000), At(9000));
+  const auto until = [&](const catalog_position& removed_at) {
+    return UsableUntil(record_.Last(), removed_at, At(7000),
+                       {milliseconds(2500), milliseconds(2000)});
+  };
+  EXPECT_EQ(until({1, 147}), At(11500));
+  EXPECT_EQ(until({2, 91}), At(8500));
+}
+
 // Three processes reconnect to the platform one after the other and report the
 // outage to each other in any order: the recorded end never moves to a later
 // time.
