Use no endpoint on the word of a restored copy alone

What callers saw: after the store came back from an older copy, requests were sent to engines that had left, and engines missing in the copy fell out.

Cause: the table took each entry that it was shown as newer than what it knew.

Change, in endpoint_table: - Entries and removals older than what is known change nothing. - Leaving is for good within an incarnation, an earlier incarnation never replaces a later one. - Departed incarnations are remembered (5 min, 4096 at most). An entry that may come from the copy doesn't bring them back, nor ends the grace of a lapsed one; one written since does, unless the incarnation had said that it leaves. - Entries of the era before that the copy lacks lapse, and a second restoration begins their grace again. - An address held by two services belongs to the endpoint started last.

Entries of unknown revision now count as of their read, as removals did.

Unit tests only; the follower doesn't report a restoration to the table yet.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -53,6 +53,13 @@
           .random_seed = options.random_seed};
 }
 
+/** A change of unknown revision is at or before the read. */
+catalog_position PositionOf(const published_change& change,
+                            const catalog_position& read) {
+  return change.revision > 0 ? catalog_position{read.era, change.revision}
+                             : read;
+}
+
 }  // namespace
 
 catalog_follower::catalog_follower(net::event_loop& loop,
@@ -218,7 +225,8 @@
   std::vector<published_change> others;
   for (published_change& change : read.changes) {
     if (auto* record = std::get_if<endpoint_record>(&change.content)) {
-      entries.push_back({std::move(*record), {read.era, change.revision}});
+      const auto position = PositionOf(change, read.Position());
+      entries.push_back({std::move(*record), position});
     } else {
       others.push_back(std::move(change));
     }
@@ -370,22 +378,19 @@
 
 bool catalog_follower::ApplyOne(published_change& change,
                                 const read_context& read) {
+  const auto position = PositionOf(change, read.position);
   return std::visit(
       core::overloaded{
           [&](configuration& content) {
             return ApplyConfiguration(std::move(content), read.origin);
           },
           [&](const endpoint_record& record) {
-            return Publish(endpoints_.OnRecord(
-                {record, {read.position.era, change.revision}}));
+            return Publish(
+                endpoints_.OnRecord({record, position}, loop_.Now()));
           },
           [&](const endpoint_removed& removed) {
-            const catalog_position removed_at =
-                change.revision > 0
-                    ? catalog_position{read.position.era, change.revision}
-                    : read.position;
             return Publish(endpoints_.OnRemoved(
-                removed.instance, GraceFor(removed_at, read), loop_.Now()));
+                removed.instance, GraceFor(position, read), loop_.Now()));
           },
           [&](const adapter_version_announced& announced) {
             std::int64_t& known = versions_[announced.adapter];
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -20,6 +20,23 @@
   return used(left) != used(right);
 }
 
+/** Departed endpoints are remembered for this long. */
+constexpr core::milliseconds kDepartedMemory{300'000};
+constexpr std::size_t kMaximumDeparted = 4096;
+
+/** Whether both describe runs of known start times that differ. */
+bool AreDifferentRuns(const endpoint_record& left,
+                      const endpoint_record& right) {
+  return left.started_unix_ms > 0 && right.started_unix_ms > 0 &&
+         left.started_unix_ms != right.started_unix_ms;
+}
+
+bool IsEarlierRun(const endpoint_record& record,
+                  const endpoint_record& of_other) {
+  return AreDifferentRuns(record, of_other) &&
+         record.started_unix_ms < of_other.started_unix_ms;
+}
+
 }  // namespace
 
 std::string_view ToString(endpoint_change::kind kind) {
@@ -46,10 +63,14 @@
   changes out;
   std::set<instance_id> listed;
   for (const listed_entry& each : entries) {
-    listed.insert(each.record.instance);
-    for (endpoint_change& change : OnRecord(each)) {
+    for (endpoint_change& change : OnRecord(each, now)) {
       out.push_back(std::move(change));
     }
+    const auto known = entries_.find(each.record.instance);
+    if (known != entries_.end() && !known->second.grace &&
+        !IsEarlierRun(each.record, known->second.record)) {
+      listed.insert(each.record.instance);
+    }
   }
   for (auto position = entries_.begin(); position != entries_.end();) {
     const auto next = std::next(position);
@@ -61,23 +82,43 @@
   return out;
 }
 
-endpoint_table::changes endpoint_table::OnRecord(const listed_entry& listed) {
+endpoint_table::changes endpoint_table::OnRecord(const listed_entry& listed,
+                                                 core::time_point now) {
   using kind = endpoint_change::kind;
-  const endpoint_record& record = listed.record;
-  const entry fresh{.record = record, .position = listed.position};
+  changes out;
+  if (HasDeparted(listed)) return out;
+  entry fresh{.record = listed.record, .position = listed.position};
+  const endpoint_record& record = fresh.record;
   const auto found = entries_.find(record.instance);
   if (found == entries_.end()) {
-    entries_[record.instance] = fresh;
-    return {{record.leaving ? kind::leaving : kind::added, record}};
+    if (!TakeAddress(listed, now, out)) return out;
+    departed_.erase(record.instance);
+    out.push_back({record.leaving ? kind::leaving : kind::added, record});
+    entries_.emplace(record.instance, std::move(fresh));
+    return out;
   }
-  const bool was_leaving = found->second.record.leaving;
-  const bool had_lapsed = found->second.grace.has_value();
-  const bool differs = DiffersInUse(found->second.record, record);
-  found->second = fresh;
-  if (record.leaving && !was_leaving) return {{kind::leaving, record}};
-  if (had_lapsed) return {{kind::returned, record}};
-  if (!differs) return {};
-  return {{kind::updated, record}};
+  entry& known = found->second;
+  const bool had_lapsed = known.grace.has_value();
+  if (listed.position < known.position || IsEarlierRun(record, known.record) ||
+      (had_lapsed && MayBeRestored(listed.position))) {
+    return out;
+  }
+  // An endpoint that has announced its shutdown does not come back.
+  const bool was_leaving = known.record.leaving;
+  if (was_leaving && !AreDifferentRuns(record, known.record)) {
+    fresh.record.leaving = true;
+  }
+  const bool differs = DiffersInUse(known.record, record);
+  if (differs && !TakeAddress(listed, now, out)) return out;
+  if (record.leaving && !was_leaving) {
+    out.push_back({kind::leaving, record});
+  } else if (had_lapsed) {
+    out.push_back({kind::returned, record});
+  } else if (differs) {
+    out.push_back({kind::updated, record});
+  }
+  known = std::move(fresh);
+  return out;
 }
 
 endpoint_table::changes endpoint_table::OnRemoved(const instance_id& instance,
@@ -89,23 +130,96 @@
   return out;
 }
 
-void endpoint_table::Remove(std::map<instance_id, entry>::iterator position,
+void endpoint_table::OnRestored(const catalog_position& read) {
+  if (read.era == restored_by_.era) {
+    restored_by_ = std::min(restored_by_, read);
+  } else if (read.era > restored_by_.era) {
+    restored_by_ = read;
+  }
+}
+
+bool endpoint_table::MayBeRestored(const catalog_position& position) const {
+  return position.era == restored_by_.era && position <= restored_by_;
+}
+
+bool endpoint_table::HasDeparted(const listed_entry& listed) const {
+  const auto found = departed_.find(listed.record.instance);
+  if (found == departed_.end()) return false;
+  const departed_endpoint& departed = found->second;
+  if (AreDifferentRuns(listed.record, departed.record)) {
+    return IsEarlierRun(listed.record, departed.record);
+  }
+  return departed.record.leaving || listed.position <= departed.position ||
+         MayBeRestored(listed.position);
+}
+
+bool endpoint_table::TakeAddress(const listed_entry& listed,
+                                 core::time_point now, changes& out) {
+  const endpoint_record& record = listed.record;
+  for (auto other = entries_.begin(); other != entries_.end();) {
+    const endpoint_record& holder = other->second.record;
+    if (holder.instance == record.instance ||
+        holder.service == record.service || holder.address != record.address) {
+      ++other;
+      continue;
+    }
+    if (AreDifferentRuns(record, holder)) {
+      if (IsEarlierRun(record, holder)) return false;
+      other = Depart(other, listed.position, now, out);
+      continue;
+    }
+    if (MayBeRestored(listed.position) &&
+        !MayBeRestored(other->second.position)) {
+      return false;
+    }
+    ++other;
+  }
+  return true;
+}
+
+endpoint_table::entry_map::iterator endpoint_table::Depart(
+    entry_map::iterator gone, const catalog_position& position,
+    core::time_point now, changes& out) {
+  const endpoint_record& record = gone->second.record;
+  out.push_back({endpoint_change::kind::gone, record});
+  departed_[record.instance] = {record, position, now};
+  if (departed_.size() > kMaximumDeparted) {
+    departed_.erase(std::min_element(departed_.begin(), departed_.end(),
+                                     [](const auto& left, const auto& right) {
+                                       return left.second.at < right.second.at;
+                                     }));
+  }
+  return entries_.erase(gone);
+}
+
+void endpoint_table::Remove(entry_map::iterator removed,
                             const removal_grace& grace, core::time_point now,
                             changes& out) {
-  entry& removed = position->second;
-  if (removed.grace) return;
+  entry& known = removed->second;
+  // It was registered after the removal.
+  if (grace.removal_position < known.position) return;
+  // A second restoration may have undone that an endpoint registered again.
+  if (known.grace &&
+      known.grace->outage_position.era >= grace.outage_position.era) {
+    return;
+  }
   // An endpoint that has announced its shutdown does not come back.
-  const bool may_live = grace.usable_until > now && !removed.record.leaving &&
-                        removed.position <= grace.outage_position;
-  if (may_live) {
-    removed.grace = grace;
-    removed.removed_at = now;
-    out.push_back({endpoint_change::kind::lapsed, removed.record,
-                   core::ToMilliseconds(grace.usable_until - now)});
+  const bool may_live = grace.usable_until > now && !known.record.leaving &&
+                        known.position <= grace.outage_position;
+  if (!may_live) {
+    Depart(removed, grace.removal_position, now, out);
     return;
   }
-  out.push_back({endpoint_change::kind::gone, removed.record});
-  entries_.erase(position);
+  const bool had_lapsed = known.grace.has_value();
+  known.grace = grace;
+  if (known.position.era < grace.outage_position.era) {
+    // Its registration was lost, so that the copy never listed it.
+    known.grace->removal_position = {grace.outage_position.era, 0};
+  }
+  if (had_lapsed) return;
+  known.removed_at = now;
+  out.push_back({endpoint_change::kind::lapsed, known.record,
+                 core::ToMilliseconds(grace.usable_until - now)});
 }
 
 void endpoint_table::ShortenGrace(
@@ -120,14 +234,14 @@
 endpoint_table::changes endpoint_table::OnTick(core::time_point now) {
   changes out;
   for (auto position = entries_.begin(); position != entries_.end();) {
-    const auto next = std::next(position);
     const auto& grace = position->second.grace;
-    if (grace && grace->usable_until <= now) {
-      out.push_back({endpoint_change::kind::gone, position->second.record});
-      entries_.erase(position);
-    }
-    position = next;
+    position = grace && grace->usable_until <= now
+                   ? Depart(position, grace->removal_position, now, out)
+                   : std::next(position);
   }
+  std::erase_if(departed_, [now](const auto& each) {
+    return now - each.second.at > kDepartedMemory;
+  });
   return out;
 }
 
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -57,13 +57,21 @@
     catalog_position position;
   };
 
-  /** Replaces all entries. */
+  /**
+   * Replaces all entries. Entries of an earlier era that are missing were lost
+   * with their history, unless they are registered again.
+   */
   changes OnSnapshot(const std::vector<listed_entry>& entries,
                      const removal_grace& grace, core::time_point now);
   /** A heartbeat that changes nothing but the loaded models is not reported. */
-  changes OnRecord(const listed_entry& listed);
+  changes OnRecord(const listed_entry& listed, core::time_point now);
   changes OnRemoved(const instance_id& instance, const removal_grace& grace,
                     core::time_point now);
+  /**
+   * The platform was restored from a copy before `read`, a position in the new
+   * era. Entries up to it may be older than what is known here.
+   */
+  void OnRestored(const catalog_position& read);
   /**
    * More is known of the outage: shortens grace periods that it shortens.
    * @param usable_until end of the grace period of a removal.
@@ -84,6 +92,10 @@
   std::optional<core::milliseconds> LapsedFor(const instance_id& instance,
                                               core::time_point now) const;
   std::size_t Size() const { return entries_.size(); }
+  /** It is listed or lapsed. */
+  bool IsKnown(const instance_id& instance) const {
+    return entries_.count(instance) > 0;
+  }
 
  private:
   struct entry {
@@ -94,10 +106,36 @@
     core::time_point removed_at;
   };
 
-  void Remove(std::map<instance_id, entry>::iterator position,
-              const removal_grace& grace, core::time_point now, changes& out);
+  using entry_map = std::map<instance_id, entry>;
+  /** The last known run of an endpoint that is not in use any more. */
+  struct departed_endpoint {
+    endpoint_record record;
+    /** Entries at or before this position do not show that it lives. */
+    catalog_position position;
+    core::time_point at;
+  };
+
+  void Remove(entry_map::iterator removed, const removal_grace& grace,
+              core::time_point now, changes& out);
+  /** Ends the use of an endpoint. @returns the next entry. */
+  entry_map::iterator Depart(entry_map::iterator gone,
+                             const catalog_position& position,
+                             core::time_point now, changes& out);
+  /** The entry may have been written before the platform was restored. */
+  bool MayBeRestored(const catalog_position& position) const;
+  /** The endpoint has departed and the entry does not show that it is back. */
+  bool HasDeparted(const listed_entry& listed) const;
+  /**
+   * An address belongs to the endpoint that was started last.
+   * @returns false if it belongs to an endpoint of another service.
+   */
+  bool TakeAddress(const listed_entry& listed, core::time_point now,
+                   changes& out);
 
-  std::map<instance_id, entry> entries_;
+  entry_map entries_;
+  std::map<instance_id, departed_endpoint> departed_;
+  /** Lowest known position in the current era. */
+  catalog_position restored_by_;
 };
 
 }  // namespace comfreyspring::catalog
