Pause between reads of the platform that are of no use

After a 410 everything is read at once only if changes could be read since the last full read, else after the backoff; the delay is reset by a successful read of changes alone. A full read that fails is itself retried, where a watch that was sure to get 410 came first.

Evidence: ReadsAreBoundedWhateverTheyYield (rapidcheck) gives a follower any sequence of outcomes. It passes now. Unit tests only.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -121,6 +121,7 @@
   Apply(std::move(changes), {"gateway", batch.Position(), last_contact_},
         ignored);
   position_ = batch.Position();
+  needs_all_ = false;
   const auto read_at = loop_.Now() - batch.age - waited;
   schedule_.OnConfirmed(read_at);
   last_contact_ = std::max(last_contact_, read_at);
@@ -132,7 +133,7 @@
   if (was_reader == schedule_.IsReader()) return;
   log_.SystemEvent("catalog_reader").Add("reads", schedule_.IsReader());
   // The next read may be due earlier after the change.
-  if (read_timer_ != 0 && connected_) ReadWhenDue();
+  if (read_timer_ != 0 && connected_ && !is_retry_) ReadWhenDue();
 }
 
 std::int64_t catalog_follower::VersionOf(const adapter_name& adapter) const {
@@ -210,16 +211,17 @@
     return;
   }
   const read_context context{"platform", read.Position(), last_contact_};
-  OnContact(read.Position());
   if (complete_ && read.Position() < position_) {
     // The snapshot is older than changes received from another process and
     // would revert them.
     log_.SystemEvent("snapshot_outdated")
         .Add("revision", read.revision)
         .Add("known", position_.revision);
-    ReadChanges();
+    needs_all_ = false;
+    RetryLater();
     return;
   }
+  OnContact(read.Position());
   position_ = read.Position();
   std::vector<endpoint_table::listed_entry> entries;
   std::vector<published_change> others;
@@ -232,6 +234,7 @@
     }
   }
   complete_ = true;
+  needs_all_ = false;
   std::vector<change_document> ignored;
   Apply(std::move(others), context, ignored);
   Publish(endpoints_.OnSnapshot(entries, GraceFor(read.Position(), context),
@@ -244,7 +247,7 @@
     // This response does not list entries, so it must not count as contact.
     log_.SystemEvent("platform_history_lost")
         .Add("revision", position_.revision);
-    ReadAll();
+    ReadAllAgain();
     return;
   }
   if (read.outcome != read_outcome::done) {
@@ -253,6 +256,8 @@
   }
   const read_context context{"platform", read.Position(), last_contact_};
   OnContact(read.Position());
+  retry_delay_ = options_.initial_retry_delay;
+  may_read_all_at_once_ = true;
   // Changes already received from another process are not applied again.
   std::erase_if(read.changes, [&](const published_change& change) {
     return change.revision > 0 && change.revision <= position_.revision;
@@ -278,7 +283,11 @@
   loop_.Cancel(std::exchange(read_timer_, 0));
   const auto left = schedule_.NextRead() - loop_.Now();
   if (left.count() <= 0) {
-    ReadChanges();
+    if (needs_all_) {
+      ReadAll();
+    } else {
+      ReadChanges();
+    }
     return;
   }
   read_timer_ = loop_.Schedule(std::chrono::ceil<core::milliseconds>(left),
@@ -299,7 +308,6 @@
   }
   last_contact_ = now;
   schedule_.OnRead(now);
-  retry_delay_ = options_.initial_retry_delay;
 }
 
 void catalog_follower::OnFailure(const char* call, const catalog_read& read) {
@@ -314,6 +322,15 @@
   RetryLater();
 }
 
+void catalog_follower::ReadAllAgain() {
+  needs_all_ = true;
+  if (std::exchange(may_read_all_at_once_, false)) {
+    ReadAll();
+  } else {
+    RetryLater();
+  }
+}
+
 void catalog_follower::RetryLater() {
   // Jitter spreads the retries of all processes.
   const double spread = 0.5 + random_.NextUnit();
@@ -324,9 +341,12 @@
                            ? schedule_.ConfirmationLimit()
                            : options_.maximum_retry_delay;
   retry_delay_ = std::min(retry_delay_ * 2, longest);
+  loop_.Cancel(read_timer_);
+  is_retry_ = true;
   read_timer_ = loop_.Schedule(delay, [this] {
     read_timer_ = 0;
-    if (complete_) {
+    is_retry_ = false;
+    if (complete_ && !needs_all_) {
       ReadWhenDue();
     } else {
       ReadAll();
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -103,6 +103,8 @@
   void OnChanges(catalog_read read);
   void OnFailure(const char* call, const catalog_read& read);
   void OnContact(const catalog_position& position);
+  /** Reads everything, after a pause if the last such read was of no use. */
+  void ReadAllAgain();
   void RetryLater();
   void ReadWhenDue();
   /** Where and when the changes of a read come from. */
@@ -142,6 +144,10 @@
   bool complete_ = false;
   /** Everything up to this position is known. */
   catalog_position position_;
+  /** Only a read of everything brings the view up to date. */
+  bool needs_all_ = false;
+  /** Set once changes could be read since everything was read. */
+  bool may_read_all_at_once_ = true;
   /** Responses to reads of an earlier generation are ignored. */
   std::uint64_t generation_ = 0;
   core::milliseconds retry_delay_;
@@ -153,6 +159,8 @@
   backlog_age backlog_;
   /** Timer of the next read; 0 while a read is in flight. */
   net::timer_id read_timer_ = 0;
+  /** The read timer waits after a failure. */
+  bool is_retry_ = false;
   net::timer_id tick_timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -1,10 +1,13 @@
 #include "catalog/catalog_follower.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <string>
+#include <vector>
 
 namespace comfreyspring::catalog {
 namespace {
@@ -25,8 +28,16 @@
     last_timeout = timeout;
     pending = std::move(on_done);
   }
-  /** "-i1" is the removal of i1; any other text is an entry with that name. */
+  /**
+   * "-i1" is the removal of i1, "=5" version 5 of the configuration; any other
+   * text is an entry with that name.
+   */
   published_change Decode(const change_document& document) const override {
+    if (document.text.starts_with('=')) {
+      configuration content;
+      content.version = std::stoll(document.text.substr(1));
+      return {document.revision, std::move(content), document.text};
+    }
     if (document.text.starts_with('-')) {
       return {document.revision,
               endpoint_removed{instance_id(document.text.substr(1))},
@@ -446,5 +457,79 @@
   EXPECT_EQ(listener_.batches[0].documents[0].text, "i2");
 }
 
+// The platform is restored from a copy: a later era, earlier revisions.
+
+class restored_follower_test : public catalog_follower_test {
+ protected:
+  /** A successful read with the changes that `Decode` understands. */
+  catalog_read Read(std::int64_t era, std::int64_t revision,
+                    const std::vector<change_document>& documents = {}) const {
+    catalog_read read{read_outcome::done, {}, revision, ""};
+    read.era = era;
+    for (const auto& document : documents) {
+      read.changes.push_back(source_.Decode(document));
+    }
+    return read;
+  }
+  static catalog_read Failed(read_outcome outcome, std::int64_t era) {
+    catalog_read read{outcome, {}, 0, "failed"};
+    read.era = era;
+    return read;
+  }
+  bool IsUsable(const char* name) const {
+    return follower_.Endpoints().FindUsable(instance_id(name)) != nullptr;
+  }
+  bool IsReadPending() const { return source_.pending != nullptr; }
+};
+
+// Calls are priced and limited; a store that refuses was asked without a pause.
+RC_GTEST_FIXTURE_PROP(restored_follower_test, ReadsAreBoundedWhateverTheyYield,
+                      (const std::vector<std::uint8_t>& outcomes)) {
+  // A pause is at least half of the first retry delay; it is followed by a
+  // full read and a read of changes at most, and some follow a first failure.
+  constexpr milliseconds kTime{60};
+  constexpr int kReadsPerPause = 2;
+  constexpr int kReadsAtOnce = 4;
+  const auto started = loop_.Now();
+  std::size_t next = 0;
+  std::int64_t era = 1;
+  std::int64_t revision = 100;
+  while (loop_.Now() - started < kTime) {
+    loop_.RunUntil([&] { return IsReadPending(); }, milliseconds(5));
+    if (!IsReadPending()) continue;
+    const int outcome =
+        outcomes.empty() ? 0 : outcomes[next++ % outcomes.size()] % 8;
+    revision += outcome % 2;
+    switch (outcome) {
+      case 0:
+      case 1:
+        source_.Answer(Read(era, revision, {{revision, "i1"}}));
+        break;
+      case 2:
+        source_.Answer(Failed(read_outcome::history_lost, era));
+        break;
+      case 3:
+        source_.Answer(Failed(read_outcome::throttled, era));
+        break;
+      case 4:
+        source_.Answer(Read(era, revision - 50));
+        break;
+      case 5:
+        source_.Answer(Read(era - 1, revision + 50));
+        break;
+      case 6:
+        source_.Answer(Read(++era, revision -= 20));
+        break;
+      default:
+        source_.Answer(Failed(read_outcome::history_lost, 0));
+        break;
+    }
+  }
+  const auto pauses =
+      core::ToMilliseconds(loop_.Now() - started) / milliseconds(2);
+  RC_ASSERT(source_.all_reads + source_.change_reads <=
+            kReadsAtOnce + kReadsPerPause * static_cast<int>(pauses));
+}
+
 }  // namespace
 }  // namespace comfreyspring::catalog
