Follow the platform into the history of a restored copy

What callers saw: a route that was added, or a change that was confirmed, after the store had come back from an older copy was not in force in time, or not until the new history had passed the revision of the old one (CONFIG).

Cause: the follower compared revisions of two histories.

Change: - The latest known era is kept beside the position. Responses and batches of an earlier era, and batches without one, are ignored; such a response is retried after the usual backoff. A response without an era belongs to the known one. - Changes of a later era follow another history than the view, whatever their revision: everything is read. Until then, or while it can't reach the store, it applies what only rises, and its position stays. - Log lines platform_restored, platform_restored_elsewhere, stale_answer and answer_defect, the last two once per second at most. ctl explain lists the first among the causes. snapshot_outdated is now stale_answer.

Unit tests only.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -45,6 +45,14 @@
  */
 constexpr double kConfirmationShareOfBound = 0.4;
 
+/**
+ * The bound divided by the period within which processes that hear of a later
+ * era read everything, each at a random time.
+ */
+constexpr int kEraReadPeriodsPerBound = 5;
+/** Responses that recur with each retry are logged once in this time. */
+constexpr core::milliseconds kAnswerLogPeriod{1000};
+
 read_schedule_options ScheduleFor(const follower_options& options) {
   const auto bound = options.change_bound;
   return {.pause = bound / kPausesPerBound,
@@ -76,11 +84,14 @@
       schedule_(ScheduleFor(options)),
       retry_delay_(options.initial_retry_delay),
       last_contact_(loop.Now()),
-      outages_(options.outage_threshold) {}
+      outages_(options.outage_threshold),
+      stale_logged_at_(loop.Now() - kAnswerLogPeriod),
+      defect_logged_at_(stale_logged_at_) {}
 
 catalog_follower::~catalog_follower() {
   *alive_ = false;
   loop_.Cancel(read_timer_);
+  loop_.Cancel(era_timer_);
   loop_.Cancel(tick_timer_);
 }
 
@@ -92,12 +103,17 @@
 
 void catalog_follower::OnPaused(core::milliseconds length) {
   backlog_.OnPaused(length, loop_.Now());
-  loop_.Cancel(std::exchange(read_timer_, 0));
   retry_delay_ = options_.initial_retry_delay;
   ReadAll();
 }
 
 void catalog_follower::OnPeerRead(const change_batch& batch) {
+  if (complete_ && batch.era >= latest_era_ && batch.era > position_.era) {
+    OnLaterEra(batch);
+    return;
+  }
+  // Nothing is known of how an earlier era relates to the latest one.
+  if (batch.era < latest_era_) return;
   // The changes in a gap before the batch have to be read by this process.
   if (!complete_ || batch.After() > position_ || batch.Position() < position_) {
     return;
@@ -127,6 +143,45 @@
   last_contact_ = std::max(last_contact_, read_at);
 }
 
+void catalog_follower::OnLaterEra(const change_batch& batch) {
+  if (OnEra(batch.era)) {
+    log_.SystemEvent("platform_restored_elsewhere")
+        .Add("era", batch.era)
+        .Add("era_before", position_.era)
+        .Add("revision", batch.revision)
+        .Add("revision_before", position_.revision);
+    const auto period = options_.change_bound / kEraReadPeriodsPerBound;
+    const core::milliseconds delay(static_cast<std::int64_t>(
+        random_.NextUnit() * static_cast<double>(period.count())));
+    loop_.Cancel(era_timer_);
+    era_timer_ = loop_.Schedule(delay, [this] {
+      era_timer_ = 0;
+      if (!reading_all_) ReadAll();
+    });
+  }
+  // Everything after this position was written in the new era.
+  endpoints_.OnRestored(batch.After());
+  auto known_until = last_contact_;
+  if (batch.last_outage && batch.last_outage->position.era == batch.era &&
+      backlog_.At(loop_.Now()).count() == 0) {
+    const auto ended = loop_.Now() - batch.last_outage->ended_ago;
+    if (outages_.OnRestored(batch.last_outage->position, last_contact_,
+                            ended)) {
+      LogOutage("gateway");
+    }
+    // An entry that was removed after the outage was listed at its end.
+    known_until = std::max(known_until, ended);
+  }
+  // The changes before the batch are not known, so the position stays.
+  std::vector<published_change> changes;
+  for (const change_document& document : batch.documents) {
+    changes.push_back(source_.Decode(document));
+  }
+  std::vector<change_document> ignored;
+  Apply(std::move(changes), {"gateway", batch.Position(), known_until},
+        ignored);
+}
+
 void catalog_follower::SetReaderRank(std::optional<std::size_t> rank) {
   const bool was_reader = schedule_.IsReader();
   schedule_.OnRank(rank);
@@ -186,15 +241,22 @@
 }
 
 void catalog_follower::ReadAll() {
+  loop_.Cancel(std::exchange(read_timer_, 0));
+  is_retry_ = false;
+  reading_all_ = true;
   const std::uint64_t generation = ++generation_;
   source_.ReadAll(ReadTimeout(),
                   [this, generation, alive = alive_](catalog_read read) {
                     if (!*alive || generation != generation_) return;
+                    reading_all_ = false;
                     OnAll(std::move(read));
                   });
 }
 
 void catalog_follower::ReadChanges() {
+  loop_.Cancel(std::exchange(read_timer_, 0));
+  is_retry_ = false;
+  reading_all_ = false;
   const std::uint64_t generation = ++generation_;
   // After an outage the first response must not be delayed by waiting.
   const auto wait = connected_ ? MaximumWait() : core::milliseconds(0);
@@ -210,19 +272,19 @@
     OnFailure("read_all", read);
     return;
   }
-  const read_context context{"platform", read.Position(), last_contact_};
-  if (complete_ && read.Position() < position_) {
-    // The snapshot is older than changes received from another process and
-    // would revert them.
-    log_.SystemEvent("snapshot_outdated")
-        .Add("revision", read.revision)
-        .Add("known", position_.revision);
-    needs_all_ = false;
-    RetryLater();
+  LogDefect("read_all", read);
+  if (read.era == 0) read.era = latest_era_;
+  if (read.era < latest_era_ || (complete_ && read.Position() < position_)) {
+    OnStaleAnswer("read_all", read);
     return;
   }
+  const read_context context{"platform", read.Position(), last_contact_};
+  OnEra(read.era);
   OnContact(read.Position());
-  position_ = read.Position();
+  const catalog_position before = std::exchange(position_, read.Position());
+  const bool was_restored = complete_ && before.era < position_.era;
+  complete_ = true;
+  needs_all_ = false;
   std::vector<endpoint_table::listed_entry> entries;
   std::vector<published_change> others;
   for (published_change& change : read.changes) {
@@ -233,27 +295,79 @@
       others.push_back(std::move(change));
     }
   }
-  complete_ = true;
-  needs_all_ = false;
   std::vector<change_document> ignored;
   Apply(std::move(others), context, ignored);
-  Publish(endpoints_.OnSnapshot(entries, GraceFor(read.Position(), context),
-                                loop_.Now()));
+  if (was_restored) {
+    OnRestored(before, entries, context);
+  } else {
+    Publish(endpoints_.OnSnapshot(entries, GraceFor(position_, context),
+                                  loop_.Now()));
+  }
   ReadChanges();
 }
 
+void catalog_follower::OnRestored(
+    const catalog_position& before,
+    const std::vector<endpoint_table::listed_entry>& entries,
+    const read_context& read) {
+  loop_.Cancel(std::exchange(era_timer_, 0));
+  if (outages_.OnRestored(position_, read.known_until, loop_.Now())) {
+    LogOutage("restored");
+  }
+  endpoints_.OnRestored(position_);
+  removal_grace grace = GraceFor(position_, read);
+  // What the copy lacks was lost at the latest when the new era began.
+  grace.usable_until = UsableUntil(outages_.Last(), {position_.era, 0},
+                                   read.known_until, GraceLimits());
+  const auto changes = endpoints_.OnSnapshot(entries, grace, loop_.Now());
+  const auto lost =
+      std::count_if(changes.begin(), changes.end(), [](const auto& change) {
+        return change.what == endpoint_change::kind::lapsed ||
+               change.what == endpoint_change::kind::gone;
+      });
+  const auto departed =
+      std::count_if(entries.begin(), entries.end(), [this](const auto& each) {
+        return !endpoints_.IsKnown(each.record.instance);
+      });
+  log_.SystemEvent("platform_restored")
+      .Add("era_before", before.era)
+      .Add("era", position_.era)
+      .Add("revision_before", before.revision)
+      .Add("revision", position_.revision)
+      .Add("entries", static_cast<std::int64_t>(entries.size()))
+      .Add("entries_lost", static_cast<std::int64_t>(lost))
+      .Add("entries_departed", static_cast<std::int64_t>(departed));
+  Publish(changes);
+  change_batch batch{.after = position_.revision,
+                     .revision = position_.revision,
+                     .era = position_.era};
+  batch.last_outage = OutageToReport();
+  listener_.OnLocalRead(batch);
+}
+
 void catalog_follower::OnChanges(catalog_read read) {
-  if (read.outcome == read_outcome::history_lost) {
+  if (read.outcome != read_outcome::done &&
+      read.outcome != read_outcome::history_lost) {
+    OnFailure("read_changes", read);
+    return;
+  }
+  if (read.outcome == read_outcome::done) LogDefect("read_changes", read);
+  if (read.era == 0) read.era = position_.era;
+  if (read.era < latest_era_) {
+    OnStaleAnswer("read_changes", read);
+    return;
+  }
+  // Changes of a later era follow another history than the view.
+  if (read.outcome == read_outcome::history_lost || read.era > position_.era) {
     // This response does not list entries, so it must not count as contact.
     log_.SystemEvent("platform_history_lost")
+        .Add("era", position_.era)
+        .Add("era_now", read.era)
         .Add("revision", position_.revision);
+    OnEra(read.era);
     ReadAllAgain();
     return;
   }
-  if (read.outcome != read_outcome::done) {
-    OnFailure("read_changes", read);
-    return;
-  }
   const read_context context{"platform", read.Position(), last_contact_};
   OnContact(read.Position());
   retry_delay_ = options_.initial_retry_delay;
@@ -270,11 +384,58 @@
   batch.era = position_.era;
   DetectMassRemoval(read.changes, known_before);
   Apply(std::move(read.changes), context, batch.documents);
-  batch.last_outage = outages_.ToReport(kOutageReportPeriod, loop_.Now());
+  batch.last_outage = OutageToReport();
   listener_.OnLocalRead(batch);
   ReadWhenDue();
 }
 
+bool catalog_follower::OnEra(std::int64_t era) {
+  if (era <= latest_era_) return false;
+  latest_era_ = era;
+  if (complete_) needs_all_ = true;
+  return true;
+}
+
+void catalog_follower::ReadAllAgain() {
+  needs_all_ = true;
+  if (std::exchange(may_read_all_at_once_, false)) {
+    ReadAll();
+  } else {
+    RetryLater();
+  }
+}
+
+void catalog_follower::OnStaleAnswer(const char* call,
+                                     const catalog_read& read) {
+  const auto now = loop_.Now();
+  if (now - stale_logged_at_ >= kAnswerLogPeriod) {
+    stale_logged_at_ = now;
+    log_.SystemEvent("stale_answer")
+        .Add("call", call)
+        .Add("era", read.era)
+        .Add("latest_era", latest_era_)
+        .Add("revision", read.revision)
+        .Add("known", position_.revision);
+  }
+  // Changes received from another process have overtaken the read.
+  if (read.era == latest_era_) needs_all_ = false;
+  RetryLater();
+}
+
+void catalog_follower::LogDefect(const char* call, const catalog_read& read) {
+  const auto now = loop_.Now();
+  if (read.error.empty() || now - defect_logged_at_ < kAnswerLogPeriod) return;
+  defect_logged_at_ = now;
+  log_.SystemEvent("answer_defect").Add("call", call).Add("reason", read.error);
+}
+
+std::optional<reported_outage> catalog_follower::OutageToReport() const {
+  const auto& last = outages_.Last();
+  // The era of a report is that of its batch.
+  if (!last || last->position.era != position_.era) return std::nullopt;
+  return outages_.ToReport(kOutageReportPeriod, loop_.Now());
+}
+
 /**
  * Reads if a read is due, else schedules it. Confirmations that arrive until
  * then postpone the read.
@@ -311,6 +472,7 @@
 }
 
 void catalog_follower::OnFailure(const char* call, const catalog_read& read) {
+  OnEra(read.era);
   if (connected_) {
     connected_ = false;
     failing_since_ = loop_.Now();
@@ -322,15 +484,6 @@
   RetryLater();
 }
 
-void catalog_follower::ReadAllAgain() {
-  needs_all_ = true;
-  if (std::exchange(may_read_all_at_once_, false)) {
-    ReadAll();
-  } else {
-    RetryLater();
-  }
-}
-
 void catalog_follower::RetryLater() {
   // Jitter spreads the retries of all processes.
   const double spread = 0.5 + random_.NextUnit();
@@ -463,6 +616,7 @@
           .Add("instance", change.record.instance.Value())
           .Add("service", change.record.service.Value())
           .Add("address", change.record.address.ToString())
+          .Add("era", position_.era)
           .Add("revision", position_.revision)
           .Add("catalog_age_ms", Age().count());
       if (const auto& last = outages_.Last()) {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -48,7 +48,7 @@
   virtual void OnEndpoint(const endpoint_change& change) = 0;
   /**
    * A read of this process has succeeded, so that other processes need not
-   * read.
+   * read. An empty batch of a later era tells them to read everything.
    */
   virtual void OnLocalRead(const change_batch& batch) = 0;
 };
@@ -57,10 +57,12 @@
  * Keeps the process's view of the catalog up to date.
  *
  * It reads the whole catalog first, then waits for changes or receives them
- * from other processes that read. If the platform's history is lost, it reads
- * everything again. The view remains in force while the platform is
- * unavailable, and a version of the configuration is never replaced by a lower
- * one.
+ * from other processes that read. If the platform's history is lost or the
+ * platform was restored from a copy, it reads everything again. What it knows
+ * is ordered by era and revision; responses and batches of an earlier era than
+ * the latest known one are ignored. The view remains in force while the
+ * platform is unavailable, and a version of the configuration is never replaced
+ * by a lower one.
  */
 class catalog_follower {
  public:
@@ -93,6 +95,15 @@
   core::milliseconds Age() const;
 
  private:
+  /** Where and when the changes of a read come from. */
+  struct read_context {
+    const char* origin;
+    /** Position of the response in the platform's history. */
+    catalog_position position;
+    /** Everything up to this time was known before the read. */
+    core::time_point known_until;
+  };
+
   /** Maximum time for which one read waits for changes. */
   core::milliseconds MaximumWait() const;
   /** Timeout of a read in addition to its wait. */
@@ -102,19 +113,23 @@
   void OnAll(catalog_read read);
   void OnChanges(catalog_read read);
   void OnFailure(const char* call, const catalog_read& read);
-  void OnContact(const catalog_position& position);
+  /** A response that is older than what is known. */
+  void OnStaleAnswer(const char* call, const catalog_read& read);
+  /** @returns true if the era is later than all known ones. */
+  bool OnEra(std::int64_t era);
+  /** A batch of a later era than that of the view. */
+  void OnLaterEra(const change_batch& batch);
+  /** The first read after the platform was restored from a copy. */
+  void OnRestored(const catalog_position& before,
+                  const std::vector<endpoint_table::listed_entry>& entries,
+                  const read_context& read);
   /** Reads everything, after a pause if the last such read was of no use. */
   void ReadAllAgain();
+  void LogDefect(const char* call, const catalog_read& read);
+  std::optional<reported_outage> OutageToReport() const;
+  void OnContact(const catalog_position& position);
   void RetryLater();
   void ReadWhenDue();
-  /** Where and when the changes of a read come from. */
-  struct read_context {
-    const char* origin;
-    /** Position of the response in the platform's history. */
-    catalog_position position;
-    /** Everything up to this time was known before the read. */
-    core::time_point known_until;
-  };
   void Apply(std::vector<published_change> changes, const read_context& read,
              std::vector<change_document>& applied);
   /** @returns true if the change has altered the view. */
@@ -144,8 +159,11 @@
   bool complete_ = false;
   /** Everything up to this position is known. */
   catalog_position position_;
+  /** Latest known era; that of the view may be earlier. */
+  std::int64_t latest_era_ = 0;
   /** Only a read of everything brings the view up to date. */
   bool needs_all_ = false;
+  bool reading_all_ = false;
   /** Set once changes could be read since everything was read. */
   bool may_read_all_at_once_ = true;
   /** Responses to reads of an earlier generation are ignored. */
@@ -161,6 +179,11 @@
   net::timer_id read_timer_ = 0;
   /** The read timer waits after a failure. */
   bool is_retry_ = false;
+  /** Timer of the read of everything in an era that another process read. */
+  net::timer_id era_timer_ = 0;
+  /** When responses of the kind were last logged. */
+  core::time_point stale_logged_at_;
+  core::time_point defect_logged_at_;
   net::timer_id tick_timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -482,6 +482,202 @@
   bool IsReadPending() const { return source_.pending != nullptr; }
 };
 
+// A confirmed change stayed out of force until the restored history had passed
+// the revision of the one before.
+TEST_F(restored_follower_test, ASnapshotOfALaterEraIsNotOutdated) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(2, 90, {{80, "=7"}, {81, "i1"}, {89, "i2"}}));
+  EXPECT_EQ(source_.last_revision, 90);
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+  EXPECT_TRUE(IsUsable("i2"));
+  source_.Answer(Read(2, 93, {{92, "=11"}, {93, "i3"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_TRUE(IsUsable("i3"));
+  WaitForRead();
+  EXPECT_EQ(source_.last_revision, 93);
+}
+
+// The revision of the new era may have passed that of the one before.
+TEST_F(restored_follower_test, ChangesOfALaterEraAreNotTakenForMissedOnes) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Read(2, 160, {{155, "-i1"}}));
+  EXPECT_TRUE(IsUsable("i1"));
+  EXPECT_TRUE(listener_.batches.empty());
+  EXPECT_EQ(source_.all_reads, 2);
+  source_.Answer(Read(2, 161, {{150, "=11"}, {81, "i1"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+}
+
+TEST_F(restored_follower_test, LateResponsesOfAnEarlierEraAreIgnored) {
+  source_.Answer(Read(2, 90, {{80, "=7"}, {81, "i1"}}));
+  source_.Answer(Read(1, 150, {{149, "-i1"}}));
+  EXPECT_TRUE(IsUsable("i1"));
+  EXPECT_FALSE(IsReadPending());
+  WaitForRead();
+  EXPECT_EQ(source_.last_revision, 90);
+  source_.Answer(Failed(read_outcome::history_lost, 1));
+  EXPECT_FALSE(IsReadPending());
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 1);
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(1, 150, {{149, "i2"}}));
+  EXPECT_FALSE(IsUsable("i2"));
+  EXPECT_FALSE(IsReadPending());
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 3);
+  source_.Answer(Read(2, 95, {{94, "i1"}}));
+  EXPECT_EQ(source_.last_revision, 95);
+}
+
+TEST_F(restored_follower_test, AResponseWithoutAnEraBelongsToTheKnownOne) {
+  source_.Answer(Read(2, 90, {{80, "=7"}}));
+  source_.Answer(Read(0, 93, {{92, "=9"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+  ASSERT_EQ(listener_.batches.size(), 1U);
+  EXPECT_EQ(listener_.batches[0].Position(), (catalog_position{2, 93}));
+  WaitForRead();
+  source_.Answer(Failed(read_outcome::history_lost, 0));
+  source_.Answer(Read(0, 95, {{94, "=11"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_EQ(source_.last_revision, 95);
+}
+
+// Also refusals tell the era; a watch would cost a call and be refused.
+TEST_F(restored_follower_test, AFailureOfALaterEraIsFollowedByAFullRead) {
+  source_.Answer(Read(1, 147, {{140, "=9"}}));
+  source_.Answer(Failed(read_outcome::throttled, 2));
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 2);
+  EXPECT_EQ(source_.change_reads, 1);
+}
+
+TEST_F(restored_follower_test, OtherProcessesAreToldOfALaterEraAtOnce) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(2, 90, {{80, "=7"}, {81, "i1"}}));
+  ASSERT_EQ(listener_.batches.size(), 1U);
+  EXPECT_EQ(listener_.batches[0].After(), (catalog_position{2, 90}));
+  EXPECT_EQ(listener_.batches[0].Position(), (catalog_position{2, 90}));
+  EXPECT_TRUE(listener_.batches[0].documents.empty());
+  ASSERT_TRUE(listener_.batches[0].last_outage);
+  EXPECT_EQ(listener_.batches[0].last_outage->position,
+            (catalog_position{2, 90}));
+}
+
+TEST_F(restored_follower_test, EndpointsThatTheCopyLacksHaveTimeToReregister) {
+  source_.Answer(Read(1, 147, {{141, "i1"}, {142, "i2"}, {143, "i3"}}));
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(2, 90, {{81, "i1"}}));
+  EXPECT_TRUE(IsUsable("i2"));
+  EXPECT_TRUE(IsUsable("i3"));
+  source_.Answer(Read(2, 95, {{94, "i2"}}));
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return !IsUsable("i3"); }, milliseconds(2000)));
+  EXPECT_TRUE(IsUsable("i2"));
+}
+
+TEST_F(restored_follower_test, AnEndpointThatLeftDoesNotComeBackWithTheCopy) {
+  source_.Answer(Read(1, 140, {{80, "i1"}, {81, "i2"}}));
+  source_.Answer(Read(1, 147, {{145, "-i1"}}));
+  WaitForRead();
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(2, 90, {{80, "i1"}, {81, "i2"}}));
+  EXPECT_FALSE(IsUsable("i1"));
+  EXPECT_TRUE(IsUsable("i2"));
+  source_.Answer(Read(2, 95, {{94, "i1"}}));
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
+TEST_F(restored_follower_test, TwoRestorationsInARowAreFollowed) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(3, 60, {{50, "=5"}}));
+  EXPECT_TRUE(IsUsable("i1"));
+  source_.Answer(Read(4, 55, {}));
+  WaitForRead();
+  source_.Answer(Read(4, 57, {{56, "=11"}, {57, "i1"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_EQ(source_.last_revision, 57);
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
+TEST_F(restored_follower_test, ABatchOfALaterEraIsFollowedByAFullRead) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}, {142, "i2"}}));
+  source_.pending = nullptr;
+  follower_.OnPeerRead({.after = 90, .revision = 90, .era = 2});
+  // Only the first batch of an era causes a read.
+  const int reads = source_.all_reads;
+  const change_batch next{.after = 90,
+                          .revision = 95,
+                          .documents = {{92, "=11"}, {93, "-i1"}, {94, "i3"}},
+                          .era = 2};
+  follower_.OnPeerRead(next);
+  follower_.OnPeerRead(next);
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_FALSE(IsUsable("i1"));
+  EXPECT_TRUE(IsUsable("i3"));
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, reads + 1);
+  // The snapshot is older than the batch.
+  source_.Answer(Read(2, 91, {{80, "=7"}, {70, "i1"}, {71, "i2"}}));
+  EXPECT_EQ(source_.last_revision, 91);
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_FALSE(IsUsable("i1"));
+  EXPECT_TRUE(IsUsable("i2"));
+  EXPECT_TRUE(IsUsable("i3"));
+}
+
+// A process that cannot reach the platform still gets what only rises.
+TEST_F(restored_follower_test, AProcessThatIsCutOffAppliesWhatOnlyRises) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Failed(read_outcome::unavailable, 0));
+  std::int64_t revision = 90;
+  for (std::int64_t version = 10; version < 20; ++version) {
+    WaitForRead();
+    source_.Answer(Failed(read_outcome::unavailable, 0));
+    follower_.OnPeerRead(
+        {.after = revision,
+         .revision = revision + 2,
+         .documents = {{revision + 1, '=' + std::to_string(version)}},
+         .era = 2});
+    revision += 2;
+    EXPECT_EQ(follower_.Routes()->Version(), version);
+  }
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
+TEST_F(restored_follower_test, BatchesOfAnEarlierOrUnknownEraAreIgnored) {
+  source_.Answer(Read(2, 90, {{80, "=7"}, {81, "i1"}}));
+  for (const std::int64_t era : {1, 0}) {
+    follower_.OnPeerRead({.after = 90,
+                          .revision = 150,
+                          .documents = {{149, "-i1"}, {150, "=8"}},
+                          .era = era});
+    EXPECT_TRUE(IsUsable("i1"));
+    EXPECT_EQ(follower_.Routes()->Version(), 7);
+  }
+  follower_.OnPeerRead(
+      {.after = 90, .revision = 93, .documents = {{92, "=9"}}, .era = 2});
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+}
+
+// Once a later era is heard of, those of the view confirm nothing.
+TEST_F(restored_follower_test, ABatchOfTheFormerEraDoesNotDelayTheFullRead) {
+  source_.Answer(Read(1, 147, {{140, "=9"}}));
+  follower_.OnPeerRead({.after = 90, .revision = 90, .era = 3});
+  follower_.OnPeerRead(
+      {.after = 147, .revision = 150, .documents = {{149, "=10"}}, .era = 1});
+  follower_.OnPeerRead(
+      {.after = 70, .revision = 75, .documents = {{72, "=10"}}, .era = 2});
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+  // The read in flight was answered before the restoration.
+  source_.Answer(Read(1, 151, {{151, "=10"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 2);
+}
+
 // Calls are priced and limited; a store that refuses was asked without a pause.
 RC_GTEST_FIXTURE_PROP(restored_follower_test, ReadsAreBoundedWhateverTheyYield,
                       (const std::vector<std::uint8_t>& outcomes)) {
--- a/src/ctl/request_explanation.cc
+++ b/src/ctl/request_explanation.cc
@@ -22,12 +22,13 @@
 constexpr std::int64_t kContextAfterMs = 2000;
 
 /** Events about the state of endpoints, engines and other dependencies. */
-constexpr std::array<std::string_view, 15> kContextEvents = {
+constexpr std::array<std::string_view, 16> kContextEvents = {
     "crash_record",          "endpoint",      "endpoint_limit",
     "engine_limit",          "engine_status", "engine_state",
     "engine_instance",       "dependency",    "pause_noticed",
     "prompt_part",           "starting",      "stopping",
-    "configuration_adopted", "mass_removal",  "platform_history_lost"};
+    "configuration_adopted", "mass_removal",  "platform_history_lost",
+    "platform_restored"};
 
 constexpr std::array<std::string_view, 6> kFinalEvents = {
     "answered", "refused", "failed", "broken_off", "caller_gone", "unrouted"};
