--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -1,10 +1,13 @@
 #include "catalog/catalog_follower.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <string>
+#include <vector>
 
 namespace comfreyspring::catalog {
 namespace {
@@ -25,8 +28,16 @@
     last_timeout = timeout;
     pending = std::move(on_done);
   }
-  /** "-i1" is the removal of i1; any other text is an entry with that name. */
+  /**
+   * "-i1" is the removal of i1, "=5" version 5 of the configuration; any other
+   * text is an entry with that name.
+   */
   published_change Decode(const change_document& document) const override {
+    if (document.text.starts_with('=')) {
+      configuration content;
+      content.version = std::stoll(document.text.substr(1));
+      return {document.revision, std::move(content), document.text};
+    }
     if (document.text.starts_with('-')) {
       return {document.revision,
               endpoint_removed{instance_id(document.text.substr(1))},
@@ -217,9 +228,10 @@
   read.changes.push_back({60, endpoint_removed{instance_id("left")}, ""});
   source_.Answer(std::move(read));
   EXPECT_EQ(listener_.changes.back(), "left lapsed");
-  follower_.OnPeerRead({.after = 60,
-                        .revision = 60,
-                        .last_outage = reported_outage{45, milliseconds(80)}});
+  follower_.OnPeerRead(
+      {.after = 60,
+       .revision = 60,
+       .last_outage = reported_outage{{0, 45}, milliseconds(80)}});
   const auto has_changed = [&](const char* change) {
     return std::ranges::count(listener_.changes, change) > 0;
   };
@@ -445,5 +457,275 @@
   EXPECT_EQ(listener_.batches[0].documents[0].text, "i2");
 }
 
+// The platform is restored from a copy: a later era, earlier revisions.
+
+class restored_follower_test : public catalog_follower_test {
+ protected:
+  /** A successful read with the changes that `Decode` understands. */
+  catalog_read Read(std::int64_t era, std::int64_t revision,
+                    const std::vector<change_document>& documents = {}) const {
+    catalog_read read{read_outcome::done, {}, revision, ""};
+    read.era = era;
+    for (const auto& document : documents) {
+      read.changes.push_back(source_.Decode(document));
+    }
+    return read;
+  }
+  static catalog_read Failed(read_outcome outcome, std::int64_t era) {
+    catalog_read read{outcome, {}, 0, "failed"};
+    read.era = era;
+    return read;
+  }
+  bool IsUsable(const char* name) const {
+    return follower_.Endpoints().FindUsable(instance_id(name)) != nullptr;
+  }
+  bool IsReadPending() const { return source_.pending != nullptr; }
+};
+
+// A confirmed change stayed out of force until the restored history had passed
+// the revision of the one before.
+TEST_F(restored_follower_test, ASnapshotOfALaterEraIsNotOutdated) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(2, 90, {{80, "=7"}, {81, "i1"}, {89, "i2"}}));
+  EXPECT_EQ(source_.last_revision, 90);
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+  EXPECT_TRUE(IsUsable("i2"));
+  source_.Answer(Read(2, 93, {{92, "=11"}, {93, "i3"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_TRUE(IsUsable("i3"));
+  WaitForRead();
+  EXPECT_EQ(source_.last_revision, 93);
+}
+
+// The revision of the new era may have passed that of the one before.
+TEST_F(restored_follower_test, ChangesOfALaterEraAreNotTakenForMissedOnes) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Read(2, 160, {{155, "-i1"}}));
+  EXPECT_TRUE(IsUsable("i1"));
+  EXPECT_TRUE(listener_.batches.empty());
+  EXPECT_EQ(source_.all_reads, 2);
+  source_.Answer(Read(2, 161, {{150, "=11"}, {81, "i1"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+}
+
+TEST_F(restored_follower_test, LateResponsesOfAnEarlierEraAreIgnored) {
+  source_.Answer(Read(2, 90, {{80, "=7"}, {81, "i1"}}));
+  source_.Answer(Read(1, 150, {{149, "-i1"}}));
+  EXPECT_TRUE(IsUsable("i1"));
+  EXPECT_FALSE(IsReadPending());
+  WaitForRead();
+  EXPECT_EQ(source_.last_revision, 90);
+  source_.Answer(Failed(read_outcome::history_lost, 1));
+  EXPECT_FALSE(IsReadPending());
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 1);
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(1, 150, {{149, "i2"}}));
+  EXPECT_FALSE(IsUsable("i2"));
+  EXPECT_FALSE(IsReadPending());
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 3);
+  source_.Answer(Read(2, 95, {{94, "i1"}}));
+  EXPECT_EQ(source_.last_revision, 95);
+}
+
+TEST_F(restored_follower_test, AResponseWithoutAnEraBelongsToTheKnownOne) {
+  source_.Answer(Read(2, 90, {{80, "=7"}}));
+  source_.Answer(Read(0, 93, {{92, "=9"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+  ASSERT_EQ(listener_.batches.size(), 1U);
+  EXPECT_EQ(listener_.batches[0].Position(), (catalog_position{2, 93}));
+  WaitForRead();
+  source_.Answer(Failed(read_outcome::history_lost, 0));
+  source_.Answer(Read(0, 95, {{94, "=11"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_EQ(source_.last_revision, 95);
+}
+
+// Also refusals tell the era; a watch would cost a call and be refused.
+TEST_F(restored_follower_test, AFailureOfALaterEraIsFollowedByAFullRead) {
+  source_.Answer(Read(1, 147, {{140, "=9"}}));
+  source_.Answer(Failed(read_outcome::throttled, 2));
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 2);
+  EXPECT_EQ(source_.change_reads, 1);
+}
+
+TEST_F(restored_follower_test, OtherProcessesAreToldOfALaterEraAtOnce) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(2, 90, {{80, "=7"}, {81, "i1"}}));
+  ASSERT_EQ(listener_.batches.size(), 1U);
+  EXPECT_EQ(listener_.batches[0].After(), (catalog_position{2, 90}));
+  EXPECT_EQ(listener_.batches[0].Position(), (catalog_position{2, 90}));
+  EXPECT_TRUE(listener_.batches[0].documents.empty());
+  ASSERT_TRUE(listener_.batches[0].last_outage);
+  EXPECT_EQ(listener_.batches[0].last_outage->position,
+            (catalog_position{2, 90}));
+}
+
+TEST_F(restored_follower_test, EndpointsThatTheCopyLacksHaveTimeToReregister) {
+  source_.Answer(Read(1, 147, {{141, "i1"}, {142, "i2"}, {143, "i3"}}));
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(2, 90, {{81, "i1"}}));
+  EXPECT_TRUE(IsUsable("i2"));
+  EXPECT_TRUE(IsUsable("i3"));
+  source_.Answer(Read(2, 95, {{94, "i2"}}));
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return !IsUsable("i3"); }, milliseconds(2000)));
+  EXPECT_TRUE(IsUsable("i2"));
+}
+
+TEST_F(restored_follower_test, AnEndpointThatLeftDoesNotComeBackWithTheCopy) {
+  source_.Answer(Read(1, 140, {{80, "i1"}, {81, "i2"}}));
+  source_.Answer(Read(1, 147, {{145, "-i1"}}));
+  WaitForRead();
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(2, 90, {{80, "i1"}, {81, "i2"}}));
+  EXPECT_FALSE(IsUsable("i1"));
+  EXPECT_TRUE(IsUsable("i2"));
+  source_.Answer(Read(2, 95, {{94, "i1"}}));
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
+TEST_F(restored_follower_test, TwoRestorationsInARowAreFollowed) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Failed(read_outcome::history_lost, 2));
+  source_.Answer(Read(3, 60, {{50, "=5"}}));
+  EXPECT_TRUE(IsUsable("i1"));
+  source_.Answer(Read(4, 55, {}));
+  WaitForRead();
+  source_.Answer(Read(4, 57, {{56, "=11"}, {57, "i1"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_EQ(source_.last_revision, 57);
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
+TEST_F(restored_follower_test, ABatchOfALaterEraIsFollowedByAFullRead) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}, {142, "i2"}}));
+  source_.pending = nullptr;
+  follower_.OnPeerRead({.after = 90, .revision = 90, .era = 2});
+  // Only the first batch of an era causes a read.
+  const int reads = source_.all_reads;
+  const change_batch next{.after = 90,
+                          .revision = 95,
+                          .documents = {{92, "=11"}, {93, "-i1"}, {94, "i3"}},
+                          .era = 2};
+  follower_.OnPeerRead(next);
+  follower_.OnPeerRead(next);
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_FALSE(IsUsable("i1"));
+  EXPECT_TRUE(IsUsable("i3"));
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, reads + 1);
+  // The snapshot is older than the batch.
+  source_.Answer(Read(2, 91, {{80, "=7"}, {70, "i1"}, {71, "i2"}}));
+  EXPECT_EQ(source_.last_revision, 91);
+  EXPECT_EQ(follower_.Routes()->Version(), 11);
+  EXPECT_FALSE(IsUsable("i1"));
+  EXPECT_TRUE(IsUsable("i2"));
+  EXPECT_TRUE(IsUsable("i3"));
+}
+
+// A process that cannot reach the platform still gets what only rises.
+TEST_F(restored_follower_test, AProcessThatIsCutOffAppliesWhatOnlyRises) {
+  source_.Answer(Read(1, 147, {{140, "=9"}, {141, "i1"}}));
+  source_.Answer(Failed(read_outcome::unavailable, 0));
+  std::int64_t revision = 90;
+  for (std::int64_t version = 10; version < 20; ++version) {
+    WaitForRead();
+    source_.Answer(Failed(read_outcome::unavailable, 0));
+    follower_.OnPeerRead(
+        {.after = revision,
+         .revision = revision + 2,
+         .documents = {{revision + 1, '=' + std::to_string(version)}},
+         .era = 2});
+    revision += 2;
+    EXPECT_EQ(follower_.Routes()->Version(), version);
+  }
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
+TEST_F(restored_follower_test, BatchesOfAnEarlierOrUnknownEraAreIgnored) {
+  source_.Answer(Read(2, 90, {{80, "=7"}, {81, "i1"}}));
+  for (const std::int64_t era : {1, 0}) {
+    follower_.OnPeerRead({.after = 90,
+                          .revision = 150,
+                          .documents = {{149, "-i1"}, {150, "=8"}},
+                          .era = era});
+    EXPECT_TRUE(IsUsable("i1"));
+    EXPECT_EQ(follower_.Routes()->Version(), 7);
+  }
+  follower_.OnPeerRead(
+      {.after = 90, .revision = 93, .documents = {{92, "=9"}}, .era = 2});
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+}
+
+// Once a later era is heard of, those of the view confirm nothing.
+TEST_F(restored_follower_test, ABatchOfTheFormerEraDoesNotDelayTheFullRead) {
+  source_.Answer(Read(1, 147, {{140, "=9"}}));
+  follower_.OnPeerRead({.after = 90, .revision = 90, .era = 3});
+  follower_.OnPeerRead(
+      {.after = 147, .revision = 150, .documents = {{149, "=10"}}, .era = 1});
+  follower_.OnPeerRead(
+      {.after = 70, .revision = 75, .documents = {{72, "=10"}}, .era = 2});
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+  // The read in flight was answered before the restoration.
+  source_.Answer(Read(1, 151, {{151, "=10"}}));
+  EXPECT_EQ(follower_.Routes()->Version(), 9);
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 2);
+}
+
+// Calls are priced and limited; a store that refuses was asked without a pause.
+RC_GTEST_FIXTURE_PROP(restored_follower_test, ReadsAreBoundedWhateverTheyYield,
+                      (const std::vector<std::uint8_t>& outcomes)) {
+  // A pause is at least half of the first retry delay; it is followed by a
+  // full read and a read of changes at most, and some follow a first failure.
+  constexpr milliseconds kTime{60};
+  constexpr int kReadsPerPause = 2;
+  constexpr int kReadsAtOnce = 4;
+  const auto started = loop_.Now();
+  std::size_t next = 0;
+  std::int64_t era = 1;
+  std::int64_t revision = 100;
+  while (loop_.Now() - started < kTime) {
+    loop_.RunUntil([&] { return IsReadPending(); }, milliseconds(5));
+    if (!IsReadPending()) continue;
+    const int outcome =
+        outcomes.empty() ? 0 : outcomes[next++ % outcomes.size()] % 8;
+    revision += outcome % 2;
+    switch (outcome) {
+      case 0:
+      case 1:
+        source_.Answer(Read(era, revision, {{revision, "i1"}}));
+        break;
+      case 2:
+        source_.Answer(Failed(read_outcome::history_lost, era));
+        break;
+      case 3:
+        source_.Answer(Failed(read_outcome::throttled, era));
+        break;
+      case 4:
+        source_.Answer(Read(era, revision - 50));
+        break;
+      case 5:
+        source_.Answer(Read(era - 1, revision + 50));
+        break;
+      case 6:
+        source_.Answer(Read(++era, revision -= 20));
+        break;
+      default:
+        source_.Answer(Failed(read_outcome::history_lost, 0));
+        break;
+    }
+  }
+  const auto pauses =
+      core::ToMilliseconds(loop_.Now() - started) / milliseconds(2);
+  RC_ASSERT(source_.all_reads + source_.change_reads <=
+            kReadsAtOnce + kReadsPerPause * static_cast<int>(pauses));
+}
+
 }  // namespace
 }  // namespace comfreyspring::catalog
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "catalog/catalog_position.h"
 #include "catalog/endpoint_record.h"
 #include "core/time.h"
 
@@ -32,9 +32,9 @@
    * to an endpoint that has registered again since the outage, so its removal
    * means that the endpoint has left.
    */
-  std::int64_t outage_revision = 0;
+  catalog_position outage_position;
   /** Position in the history at or before which the entry was removed. */
-  std::int64_t removal_revision = 0;
+  catalog_position removal_position;
   /** When the entry was last known to be listed. */
   core::time_point listed_at;
 };
@@ -51,19 +51,27 @@
  public:
   using changes = std::vector<endpoint_change>;
 
-  /** An entry and the revision of its last change. */
+  /** An entry and the position of its last change. */
   struct listed_entry {
     endpoint_record record;
-    std::int64_t revision = 0;
+    catalog_position position;
   };
 
-  /** Replaces all entries. */
+  /**
+   * Replaces all entries. Entries of an earlier era that are missing were lost
+   * with their history, unless they are registered again.
+   */
   changes OnSnapshot(const std::vector<listed_entry>& entries,
                      const removal_grace& grace, core::time_point now);
   /** A heartbeat that changes nothing but the loaded models is not reported. */
-  changes OnRecord(const listed_entry& listed);
+  changes OnRecord(const listed_entry& listed, core::time_point now);
   changes OnRemoved(const instance_id& instance, const removal_grace& grace,
                     core::time_point now);
+  /**
+   * The platform was restored from a copy before `read`, a position in the new
+   * era. Entries up to it may be older than what is known here.
+   */
+  void OnRestored(const catalog_position& read);
   /**
    * More is known of the outage: shortens grace periods that it shortens.
    * @param usable_until end of the grace period of a removal.
@@ -84,20 +92,50 @@
   std::optional<core::milliseconds> LapsedFor(const instance_id& instance,
                                               core::time_point now) const;
   std::size_t Size() const { return entries_.size(); }
+  /** It is listed or lapsed. */
+  bool IsKnown(const instance_id& instance) const {
+    return entries_.count(instance) > 0;
+  }
 
  private:
   struct entry {
     endpoint_record record;
-    std::int64_t revision = 0;
+    catalog_position position;
     /** Set while the entry is missing. */
     std::optional<removal_grace> grace;
     core::time_point removed_at;
   };
 
-  void Remove(std::map<instance_id, entry>::iterator position,
-              const removal_grace& grace, core::time_point now, changes& out);
+  using entry_map = std::map<instance_id, entry>;
+  /** The last known run of an endpoint that is not in use any more. */
+  struct departed_endpoint {
+    endpoint_record record;
+    /** Entries at or before this position do not show that it lives. */
+    catalog_position position;
+    core::time_point at;
+  };
+
+  void Remove(entry_map::iterator removed, const removal_grace& grace,
+              core::time_point now, changes& out);
+  /** Ends the use of an endpoint. @returns the next entry. */
+  entry_map::iterator Depart(entry_map::iterator gone,
+                             const catalog_position& position,
+                             core::time_point now, changes& out);
+  /** The entry may have been written before the platform was restored. */
+  bool MayBeRestored(const catalog_position& position) const;
+  /** The endpoint has departed and the entry does not show that it is back. */
+  bool HasDeparted(const listed_entry& listed) const;
+  /**
+   * An address belongs to the endpoint that was started last.
+   * @returns false if it belongs to an endpoint of another service.
+   */
+  bool TakeAddress(const listed_entry& listed, core::time_point now,
+                   changes& out);
 
-  std::map<instance_id, entry> entries_;
+  entry_map entries_;
+  std::map<instance_id, departed_endpoint> departed_;
+  /** Lowest known position in the current era. */
+  catalog_position restored_by_;
 };
 
 }  // namespace comfreyspring::catalog
