Let the store stand-in come back from an older copy

Restore(age) returns to the state of that long ago: later items and history are lost, revisions are given out again, a watch from a lost revision gets 410, and Store-Era, which every answer names, rises by one. HideEra stands for older stores. Calls are counted, so that tests can bound the reads per restore.

--- a/tests/process/store_stand_in.cc
+++ b/tests/process/store_stand_in.cc
@@ -1,5 +1,7 @@
 #include "store_stand_in.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace comfreyspring::process_test {
@@ -10,6 +12,8 @@
 
 /** Delay of each answer in mode `slow`. */
 constexpr milliseconds kSlowAnswer{900};
+/** Older states cannot be restored. */
+constexpr core::seconds kOldestCopy{60};
 
 std::string Base64(const std::string& text) {
   static const std::string kDigits =
@@ -35,7 +39,9 @@
                                std::uint16_t port)
     : loop_(loop),
       server_(loop, {.address = ip, .port = port},
-              [this](auto exchange) { Answer(std::move(exchange)); }) {}
+              [this](auto exchange) { Answer(std::move(exchange)); }) {
+  KeepCopy();
+}
 
 void store_stand_in::Put(const std::string& key, const json& value) {
   PutBytes(key, value.dump());
@@ -59,8 +65,38 @@
 void store_stand_in::ForgetHistory() {
   history_.clear();
   oldest_revision_ = ++revision_;
-  for (const auto& exchange : std::exchange(pending_watches_, {}))
+  KeepCopy();
+  AbortWatches();
+}
+
+void store_stand_in::Restore(milliseconds age) {
+  const auto until = loop_.Now() - age;
+  // The first copy stands for all earlier states.
+  const auto later =
+      std::find_if(std::next(copies_.begin()), copies_.end(),
+                   [&](const copy& each) { return each.since > until; });
+  const copy& restored = *std::prev(later);
+  items_ = restored.items;
+  history_ = restored.history;
+  revision_ = restored.revision;
+  oldest_revision_ = restored.oldest_revision;
+  ++era_;
+  KeepCopy();
+  AbortWatches();
+}
+
+void store_stand_in::KeepCopy() {
+  copies_.push_back(
+      {loop_.Now(), items_, history_, revision_, oldest_revision_});
+  while (copies_.size() > 1 && copies_[1].since < loop_.Now() - kOldestCopy) {
+    copies_.pop_front();
+  }
+}
+
+void store_stand_in::AbortWatches() {
+  for (const auto& exchange : std::exchange(pending_watches_, {})) {
     exchange->Abort();
+  }
 }
 
 void store_stand_in::SetMode(store_mode mode) {
@@ -78,18 +114,28 @@
 void store_stand_in::Record(json event) {
   ++revision_;
   history_.push_back(std::move(event));
+  KeepCopy();
   for (const auto& exchange : std::exchange(pending_watches_, {})) {
     SendEvents(*exchange);
   }
 }
 
+void store_stand_in::Respond(net::http_exchange& exchange, int status,
+                             std::string body) const {
+  net::header_map headers;
+  if (names_era_) headers["store-era"] = std::to_string(era_);
+  exchange.Respond({status, std::move(headers), std::move(body)});
+}
+
 void store_stand_in::Answer(exchange_pointer exchange) {
+  ++calls_;
+  if (exchange->Request().path == "/v1/kv-range") ++range_calls_;
   switch (mode_) {
     case store_mode::unavailable:
-      exchange->Respond({503, {}, ""});
+      Respond(*exchange, 503);
       return;
     case store_mode::throttled:
-      exchange->Respond({429, {}, ""});
+      Respond(*exchange, 429);
       return;
     case store_mode::silent:
       unanswered_.push_back(std::move(exchange));
@@ -113,18 +159,16 @@
 void store_stand_in::AnswerRange(net::http_exchange& exchange) const {
   json items = json::array();
   for (const auto& [key, item] : items_) items.push_back(item);
-  exchange.Respond(
-      {200,
-       {},
-       json{{"items", items}, {"Truncated", false}, {"AsOf", revision_}}
-           .dump()});
+  Respond(
+      exchange, 200,
+      json{{"items", items}, {"Truncated", false}, {"AsOf", revision_}}.dump());
 }
 
 void store_stand_in::AnswerWatch(exchange_pointer exchange) {
   const auto& query = exchange->Request().query;
   const std::int64_t after = std::stoll(query.at("after"));
-  if (after < oldest_revision_) {
-    exchange->Respond({410, {}, ""});
+  if (after < oldest_revision_ || after > revision_) {
+    Respond(*exchange, 410);
     return;
   }
   if (after < revision_) {
@@ -145,8 +189,7 @@
   for (const auto& event : history_) {
     if (event.at("Rev").get<std::int64_t>() > after) events.push_back(event);
   }
-  exchange.Respond(
-      {200, {}, json{{"events", events}, {"AsOf", revision_}}.dump()});
+  Respond(exchange, 200, json{{"events", events}, {"AsOf", revision_}}.dump());
 }
 
 }  // namespace comfreyspring::process_test
--- a/tests/process/store_stand_in.h
+++ b/tests/process/store_stand_in.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "core/time.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 
@@ -36,23 +38,56 @@
    * `unavailable` and `throttled` abort them.
    */
   void SetMode(store_mode mode);
+  /**
+   * Returns to the state of this long ago, as if restored from a copy: later
+   * items and history are lost, their revisions are given out again, and the
+   * era rises by one. Pending watches are aborted.
+   */
+  void Restore(core::milliseconds age);
+  /** Older stores name no era. */
+  void HideEra() { names_era_ = false; }
   std::uint16_t Port() const { return server_.Port(); }
+  std::int64_t Revision() const { return revision_; }
+  std::int64_t Era() const { return era_; }
+  /** Calls for the whole content so far, including refused ones. */
+  int RangeCalls() const { return range_calls_; }
+  /** All calls so far, including refused ones. */
+  int Calls() const { return calls_; }
 
  private:
   using exchange_pointer = std::shared_ptr<net::http_exchange>;
 
+  /** What the store held from some time on. */
+  struct copy {
+    core::time_point since;
+    std::map<std::string, nlohmann::json> items;
+    std::vector<nlohmann::json> history;
+    std::int64_t revision = 0;
+    std::int64_t oldest_revision = 0;
+  };
+
   void Answer(exchange_pointer exchange);
   void AnswerNow(exchange_pointer exchange);
   void AnswerRange(net::http_exchange& exchange) const;
   void AnswerWatch(exchange_pointer exchange);
   void SendEvents(net::http_exchange& exchange) const;
   void Record(nlohmann::json event);
+  void KeepCopy();
+  void AbortWatches();
+  void Respond(net::http_exchange& exchange, int status,
+               std::string body = "") const;
 
   net::event_loop& loop_;
   std::map<std::string, nlohmann::json> items_;
   std::vector<nlohmann::json> history_;
   std::int64_t revision_ = 100;
   std::int64_t oldest_revision_ = 100;
+  std::int64_t era_ = 1;
+  bool names_era_ = true;
+  /** Oldest first; the last one is the current state. */
+  std::deque<copy> copies_;
+  int calls_ = 0;
+  int range_calls_ = 0;
   store_mode mode_ = store_mode::up;
   std::vector<exchange_pointer> pending_watches_;
   std::vector<exchange_pointer> unanswered_;
