--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -19,7 +19,7 @@
   directory_ = std::filesystem::temp_directory_path() /
                (options_.name + '_' + std::to_string(::getpid()));
   std::filesystem::create_directories(directory_);
-  PutConfiguration();
+  PutConfiguration(1);
   for (int i = 0; i < options_.engines + options_.plain; ++i) AddEndpoint(i);
   gateways_.resize(static_cast<std::size_t>(options_.gateways));
   for (int i = 0; i < options_.gateways; ++i) StartGateway(i);
@@ -33,7 +33,8 @@
   if (!HasFailure()) std::filesystem::remove_all(directory_);
 }
 
-void small_fleet_test::PutConfiguration() {
+void small_fleet_test::PutConfiguration(std::int64_t version,
+                                        const std::vector<std::string>& added) {
   const auto route = [](const std::string& name, const std::string& kind,
                         const std::string& service) {
     return json{
@@ -44,21 +45,24 @@
   json stream = route("stream", "stream", "model");
   stream["GapTargetMs"] = 300;
   stream["Resumable"] = true;
-  store_.Put(
-      "op/config",
-      {{"Version", 1},
-       {"Routes",
-        json::array({stream, route("order", "non_idempotent", "plain")})},
-       {"Services",
-        json::array({{{"Name", "model"},
-                      {"MaxConns", 200},
-                      {"Engine",
-                       {{"Slots", 8},
-                        {"AdapterSlots", 2},
-                        {"KvCapacity", 100000},
-                        {"Stride", 5},
-                        {"Models", json::array({{{"Name", "m"}}})}}}},
-                     {{"Name", "plain"}, {"MaxConns", 200}}})}});
+  json routes =
+      json::array({stream, route("order", "non_idempotent", "plain")});
+  for (const std::string& name : added) {
+    routes.push_back(route(name, "non_idempotent", "plain"));
+  }
+  store_.Put("op/config",
+             {{"Version", version},
+              {"Routes", routes},
+              {"Services",
+               json::array({{{"Name", "model"},
+                             {"MaxConns", 200},
+                             {"Engine",
+                              {{"Slots", 8},
+                               {"AdapterSlots", 2},
+                               {"KvCapacity", 100000},
+                               {"Stride", 5},
+                               {"Models", json::array({{{"Name", "m"}}})}}}},
+                            {{"Name", "plain"}, {"MaxConns", 200}}})}});
 }
 
 void small_fleet_test::AddEndpoint(int index) {
@@ -77,7 +81,7 @@
   if (generates) StartSidecar(index);
 }
 
-void small_fleet_test::Register(int index) {
+void small_fleet_test::Register(int index, const std::string& state) {
   const engine_stand_in& engine = Engine(index);
   store_.Put("servers/" + engine.Instance(),
              {{"Service", index < options_.engines ? "model" : "plain"},
@@ -85,7 +89,7 @@
                                         fleet_layout::kEndpointPort)},
               {"Zone", "z"},
               {"Slots", 8},
-              {"State", "ready"},
+              {"State", state},
               {"born", engine.StartedAt()}});
 }
 
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -54,7 +55,10 @@
 
   engine_stand_in& Engine(int index) { return *Slot(index).engine; }
   /** Writes the endpoint's entry, under its current instance. */
-  void Register(int index);
+  void Register(int index, const std::string& state = "ready");
+  /** @param added further routes, to the plain service. */
+  void PutConfiguration(std::int64_t version,
+                        const std::vector<std::string>& added = {});
   /** Kills the sidecar if it runs, and starts it. */
   void StartSidecar(int index);
   settings_program& Sidecar(int index) { return *Slot(index).sidecar; }
@@ -95,7 +99,6 @@
   endpoint& Slot(int index) {
     return endpoints_[static_cast<std::size_t>(index)];
   }
-  void PutConfiguration();
   void AddEndpoint(int index);
   std::unique_ptr<settings_program> Start(const std::string& program, int index,
                                           const std::string& ip) const;
