Keep the loop of the restore replays, and let no engine write to a store that is away

The replays outlived their event loop; their destruction then crashed the test program once after all results were printed (signal 11; the runs before did not show it). Engines and the operator wrote to the model store during its second outage; they now write again after it.

--- a/src/sidecar/catalog_restore_replay_test.cc
+++ b/src/sidecar/catalog_restore_replay_test.cc
@@ -465,12 +465,12 @@
     } else {
       const int restore = restores_;
       After(milliseconds(Draw(100, 1200)), [this, restore] {
-        if (restore == restores_) WriteConfigurationAgain();
+        if (restore == restores_ && store_accepts_) WriteConfigurationAgain();
       });
       for (const auto& [name, each] : engines_) {
         After(milliseconds(Draw(50, kLatestReregistrationMs)),
               [this, restore, name = name] {
-                if (restore == restores_) ListAgain(name);
+                if (restore == restores_ && store_accepts_) ListAgain(name);
               });
       }
     }
@@ -676,18 +676,23 @@
 class catalog_restore_replay_test : public ::testing::Test {
  protected:
   static void SetUpTestSuite() {
-    net::event_loop loop;
+    loop_ = std::make_unique<net::event_loop>();
     for (const restore_case& each : Cases()) {
-      replays_.push_back(std::make_unique<replay>(loop, each));
+      replays_.push_back(std::make_unique<replay>(*loop_, each));
     }
-    loop.RunUntil([] { return false; }, kLength);
+    loop_->RunUntil([] { return false; }, kLength);
     for (const auto& each : replays_) each->Print();
   }
-  static void TearDownTestSuite() { replays_.clear(); }
+  static void TearDownTestSuite() {
+    replays_.clear();
+    loop_.reset();
+  }
 
+  static std::unique_ptr<net::event_loop> loop_;
   static std::vector<std::unique_ptr<replay>> replays_;
 };
 
+std::unique_ptr<net::event_loop> catalog_restore_replay_test::loop_;
 std::vector<std::unique_ptr<replay>> catalog_restore_replay_test::replays_;
 
 TEST_F(catalog_restore_replay_test, ChangesAreInForceInTime) {
