Add a soak of stores that come back from an older copy

The family restores draws the faults of all besides its own, more rarely, since time bounds apply only without other disruptions. Each version of the configuration adds a route, which is called at every gateway twice a second once the version has to be in force; 404 then breaks a promise. What a restore loses is not owed until it is written again. For each request the soak prints answers, refusals and neither by what crossed it (kill, cut, engine failure, stop, hangup, change, nothing).

--- a/tests/process/store_stand_in.cc
+++ b/tests/process/store_stand_in.cc
@@ -85,6 +85,14 @@
   AbortWatches();
 }
 
+std::vector<std::string> store_stand_in::Keys(const std::string& prefix) const {
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : items_) {
+    if (key.starts_with(prefix)) keys.push_back(key);
+  }
+  return keys;
+}
+
 void store_stand_in::KeepCopy() {
   copies_.push_back(
       {loop_.Now(), items_, history_, revision_, oldest_revision_});
--- a/tests/process/store_stand_in.h
+++ b/tests/process/store_stand_in.h
@@ -47,6 +47,8 @@
   /** Older stores name no era. */
   void HideEra() { names_era_ = false; }
   std::uint16_t Port() const { return server_.Port(); }
+  /** Keys of all items that begin with the prefix. */
+  std::vector<std::string> Keys(const std::string& prefix) const;
   std::int64_t Revision() const { return revision_; }
   std::int64_t Era() const { return era_; }
   /** Calls for the whole content so far, including refused ones. */
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -12,6 +12,7 @@
 
 constexpr double kCancelProbability = 0.05;
 constexpr milliseconds kReadinessPeriod{1000};
+constexpr milliseconds kProbePeriod{500};
 /** Consecutive failed checks that take a gateway out of rotation. */
 constexpr int kReadinessFailureLimit = 2;
 constexpr milliseconds kStreamDeadline{6000};
@@ -41,7 +42,10 @@
       rate_(requests_per_second),
       cancel_probability_(kCancelProbability) {}
 
-callers::~callers() { loop_.Cancel(readiness_timer_); }
+callers::~callers() {
+  loop_.Cancel(readiness_timer_);
+  loop_.Cancel(probe_timer_);
+}
 
 void callers::Start() {
   CheckReadiness();
@@ -50,6 +54,16 @@
   ScheduleNext();
 }
 
+void callers::StartProbes() {
+  probe_timer_ = loop_.SchedulePeriodic(kProbePeriod, [this] {
+    const request_kind* kind =
+        fleet_.AddedKind(promises_.VersionInForce(loop_.Now()));
+    if (stopped_ || kind == nullptr) return;
+    const int count = static_cast<int>(fleet_.CallerRelays().size());
+    for (int i = 0; i < count; ++i) Send(*kind, false, i);
+  });
+}
+
 void callers::Stop() { stopped_ = true; }
 
 void callers::CheckReadiness() {
@@ -92,11 +106,12 @@
   });
 }
 
-void callers::Send(const request_kind& kind, bool is_retry) {
+void callers::Send(const request_kind& kind, bool is_retry,
+                   std::optional<int> gateway) {
   const std::string id = "r" + std::to_string(++last_id_);
   request_record request;
   request.kind = &kind;
-  request.gateway = PickGateway();
+  request.gateway = gateway ? *gateway : PickGateway();
   request.target = kind.path + "x%20y?q=" + id;
   request.body = "body of " + id;
   request.sent_at = loop_.Now();
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -31,12 +32,18 @@
   void DisableCancellation() { cancel_probability_ = 0; }
   /** Share of the streams whose prompts end engines. */
   void SetDeadlyShare(double share) { deadly_share_ = share; }
+  /**
+   * Calls a route of the newest configuration that must be in force, at each
+   * gateway.
+   */
+  void StartProbes();
   void SetRate(double requests_per_second) { rate_ = requests_per_second; }
   std::size_t Open() const { return open_; }
 
  private:
   void ScheduleNext();
-  void Send(const request_kind& kind, bool is_retry);
+  void Send(const request_kind& kind, bool is_retry,
+            std::optional<int> gateway = std::nullopt);
   void CancelRequest(const std::string& id, net::http_call_id call);
   void OnAnswer(const std::string& id, const request_kind& kind, bool is_retry,
                 const net::http_result& result);
@@ -57,6 +64,7 @@
   bool stopped_ = false;
   std::map<int, int> failed_checks_;
   net::timer_id readiness_timer_ = 0;
+  net::timer_id probe_timer_ = 0;
 };
 
 }  // namespace comfreyspring::soak
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -38,11 +38,24 @@
 constexpr std::size_t kShortestEventBytes = 18;
 /** Minimum time between two outages. */
 constexpr milliseconds kMinTimeBetweenOutages{9000};
+/** Greatest age of a restored copy when the store goes away. */
+constexpr int kOldestCopyMs = 9000;
+/** Time within which a configuration is in force (ConfigApplyMs). */
+constexpr milliseconds kConfigurationBound{2000};
+
+/**
+ * Time bounds apply after a time without disruptions only, so that the faults
+ * of other families are rarer beside restores.
+ */
+constexpr std::size_t kOwnWeight = 12;
 
 bool IsDrawn(fault_family drawn_from, fault_family family) {
   if (drawn_from == fault_family::all) {
     return family < fault_family::leaving;
   }
+  if (drawn_from == fault_family::restores) {
+    return family < fault_family::leaving || family == drawn_from;
+  }
   if (family == fault_family::processes || family == fault_family::links) {
     return drawn_from >= fault_family::limits || family == drawn_from;
   }
@@ -98,6 +111,10 @@
       {"unframed_again", fault_family::streams, &f::UnframeAnswers},
       {"inside_event", fault_family::streams, &f::BreakInsideEvents},
       {"inside_event_again", fault_family::streams, &f::BreakInsideEvents},
+      {"store_restored", fault_family::restores, &f::StoreRestored},
+      {"restore_reconfigure", fault_family::restores, &f::Reconfigure},
+      {"restore_reconfigure_again", fault_family::restores, &f::Reconfigure},
+      {"restore_drain", fault_family::restores, &f::DrainEndpoint},
   };
   return kFaults;
 }
@@ -111,7 +128,10 @@
       random_(seed),
       started_(loop.Now()) {
   for (const auto& known : Faults()) {
-    if (IsDrawn(drawn_from, known.family)) choices_.push_back(&known);
+    if (!IsDrawn(drawn_from, known.family)) continue;
+    const bool is_own =
+        drawn_from == fault_family::restores && known.family == drawn_from;
+    choices_.insert(choices_.end(), is_own ? kOwnWeight : 1, &known);
   }
 }
 
@@ -200,6 +220,7 @@
 void fault_schedule::RecordLinkFault(const process_test::tcp_relay& relay,
                                      milliseconds length) {
   RecordDisturbanceOfAll(length);
+  RecordCrossing(crossing::cut, std::nullopt, length);
   for (const auto& slot : fleet_.Programs()) {
     if (!slot.is_gateway) continue;
     const auto gateway = static_cast<std::size_t>(slot.index);
@@ -216,9 +237,22 @@
   promises_.EndpointsDisturbed(loop_.Now() + length);
 }
 
+void fault_schedule::RecordCrossing(crossing what, std::optional<int> gateway,
+                                    milliseconds length) {
+  promises_.Crossed({what, gateway, loop_.Now(), loop_.Now() + length});
+}
+
+void fault_schedule::RecordCrossing(crossing what, const program_slot& slot,
+                                    milliseconds length) {
+  // The requests of all gateways may be at the engine of a sidecar.
+  RecordCrossing(
+      what, slot.is_gateway ? std::optional(slot.index) : std::nullopt, length);
+}
+
 // Processes.
 
 void fault_schedule::Kill(program_slot& slot, milliseconds downtime) {
+  RecordCrossing(crossing::killed, slot, downtime);
   RecordDisturbance(slot, downtime);
   RecordInterruption(slot, downtime);
   slot.is_stopping = true;
@@ -260,6 +294,7 @@
   slot.process->Signal(SIGTERM);
   constexpr milliseconds kGrace{10500};
   RecordDisturbance(slot, kGrace);
+  RecordCrossing(crossing::stopped, slot, kGrace);
   HealAfter(kGrace, [this, &slot] { StartAgain(slot); });
 }
 
@@ -268,6 +303,7 @@
   if (slot.is_paused) return;
   slot.is_paused = true;
   slot.stop_was_disturbed = true;
+  RecordCrossing(crossing::killed, slot, length);
   RecordDisturbance(slot, length);
   RecordInterruption(slot, length);
   slot.process->Signal(SIGSTOP);
@@ -280,6 +316,7 @@
 void fault_schedule::Hangup(milliseconds /*length*/) {
   program_slot& slot = PickProgram();
   if (slot.is_stopping) return;
+  RecordCrossing(crossing::hung_up, slot, kConfigurationBound);
   fleet_.RewriteSettings(slot);
   slot.process->Signal(SIGHUP);
 }
@@ -351,7 +388,23 @@
   promises_.StoreDisturbed(loop_.Now());
   fleet_.Store().ForgetHistory();
 }
+void fault_schedule::StoreRestored(milliseconds length) {
+  if (std::exchange(is_restoring_, true)) return;
+  const milliseconds age(Pick(kOldestCopyMs));
+  const auto began = loop_.Now();
+  promises_.StoreDisturbed(began + length);
+  fleet_.Store().SetMode(Pick(2) == 0 ? store_mode::silent
+                                      : store_mode::unavailable);
+  HealAfter(length, [this, age, began] {
+    fleet_.RestoreStore(core::ToMilliseconds(loop_.Now() - began) + age);
+    fleet_.Store().SetMode(store_mode::up);
+    promises_.StoreDisturbed(loop_.Now());
+    is_restoring_ = false;
+  });
+}
 void fault_schedule::Reconfigure(milliseconds /*length*/) {
+  RecordCrossing(crossing::configuration_changed, std::nullopt,
+                 kConfigurationBound);
   fleet_.PublishConfiguration();
 }
 
@@ -361,6 +414,7 @@
   const std::size_t index = PickEndpoint();
   if (!fleet_.Endpoints()[index].engine->IsUp()) return;
   promises_.EndpointsDisturbed(loop_.Now() + length);
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
   fleet_.Endpoints()[index].engine->Crash();
   // Its entry either expires while it is down or stays until its restart.
   if (Pick(2) == 0) fleet_.Unregister(index);
@@ -379,6 +433,7 @@
   const std::size_t index = PickEndpoint();
   if (!fleet_.Endpoints()[index].engine->IsUp()) return;
   promises_.EndpointsDisturbed(loop_.Now());
+  RecordCrossing(crossing::engine_failed, std::nullopt, milliseconds(0));
   fleet_.Restart(index);
 }
 
@@ -411,6 +466,7 @@
       return;
     }
     promises_.EndpointsDisturbed(loop_.Now());
+    RecordCrossing(crossing::engine_failed, std::nullopt, milliseconds(0));
     fleet_.Restart(endpoint);
   });
 }
@@ -467,12 +523,14 @@
 void fault_schedule::MuteEndpoint(milliseconds length) {
   auto& engine = *fleet_.Endpoints()[PickEndpoint()].engine;
   promises_.EndpointsDisturbed(loop_.Now() + length);
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
   engine.unresponsive = true;
   HealAfter(length, [&engine] { engine.unresponsive = false; });
 }
 
 void fault_schedule::BreakAnswers(milliseconds length) {
   auto& engine = *fleet_.Endpoints()[PickEndpoint()].engine;
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
   engine.break_probability = kFailureProbability;
   HealAfter(length, [&engine] { engine.break_probability = 0; });
 }
@@ -493,6 +551,7 @@
 
 void fault_schedule::BreakInsideEvents(milliseconds length) {
   auto& engine = *fleet_.Endpoints()[PickEndpoint()].engine;
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
   engine.break_inside_event = 1 + Pick(kShortestEventBytes - 1);
   engine.break_probability = kFailureProbability;
   HealAfter(length, [&engine] {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,7 +18,7 @@
  * families after it, so that the schedules of older seeds stay as they were.
  * `limits` also draws faults of processes and links, `streams` those of
  * endpoints besides, and `deadly` those of `streams`, beside prompts that end
- * engines.
+ * engines. `restores` also draws those of `all`.
  */
 enum class fault_family {
   all,
@@ -30,6 +31,7 @@
   limits,
   streams,
   deadly,
+  restores,
 };
 
 /**
@@ -88,6 +90,8 @@
   void StoreSlow(core::milliseconds length);
   void StoreForgets(core::milliseconds length);
   void Reconfigure(core::milliseconds length);
+  /** The store is away, and comes back from an older copy. */
+  void StoreRestored(core::milliseconds length);
   void SetStoreMode(process_test::store_mode mode, core::milliseconds length);
 
   // Endpoints.
@@ -143,6 +147,11 @@
   void RecordInterruption(const program_slot& slot, core::milliseconds length);
   void RecordLinkFault(const process_test::tcp_relay& relay,
                        core::milliseconds length);
+  void RecordCrossing(crossing what, std::optional<int> gateway,
+                      core::milliseconds length);
+  /** A process is stopped or its settings are changed. */
+  void RecordCrossing(crossing what, const program_slot& slot,
+                      core::milliseconds length);
   void SetTarget(const std::string& target) { target_ = target; }
 
   net::event_loop& loop_;
@@ -152,6 +161,7 @@
   std::vector<const fault*> choices_;
   core::time_point started_;
   core::time_point outage_ends_at_;
+  bool is_restoring_ = false;
   /** Endpoints that name a limit, with their instances. */
   std::map<std::size_t, std::string> limited_;
   bool stopped_ = false;
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -26,7 +26,7 @@
 DEFINE_string(
     faults, "all",
     "all, processes, links, store, endpoints, clocks, leaving, limits, "
-    "streams or deadly");
+    "streams, deadly or restores");
 DEFINE_string(directory, "",
               "directory for logs; they are kept if the run fails");
 
@@ -55,7 +55,8 @@
     {"leaving", fault_family::leaving},
     {"limits", fault_family::limits},
     {"streams", fault_family::streams},
-    {"deadly", fault_family::deadly}};
+    {"deadly", fault_family::deadly},
+    {"restores", fault_family::restores}};
 
 /** Share of streams with a deadly prompt, in the family `deadly`. */
 constexpr double kDeadlyShare = 0.08;
@@ -65,6 +66,8 @@
 }
 
 int Run(const std::filesystem::path& directory) {
+  const bool probes_configuration =
+      kFamilies.at(FLAGS_faults) >= fault_family::restores;
   net::event_loop loop;
   promise_record promises(fleet_under_test::kEvents);
   fleet_under_test fleet(loop, promises,
@@ -73,7 +76,8 @@
                           .log_directory = directory,
                           .gateways = FLAGS_gateways,
                           .engines = FLAGS_engines,
-                          .plain_endpoints = FLAGS_plain});
+                          .plain_endpoints = FLAGS_plain,
+                          .adds_routes = probes_configuration});
   callers load(loop, fleet, promises, FLAGS_seed, FLAGS_rate);
   fault_schedule faults(loop, fleet, promises, FLAGS_seed,
                         kFamilies.at(FLAGS_faults));
@@ -82,6 +86,7 @@
   if (FLAGS_faults == "deadly") load.SetDeadlyShare(kDeadlyShare);
   Wait(loop, kWarmUp);
   load.Start();
+  if (probes_configuration) load.StartProbes();
   faults.Start();
   Wait(loop, core::seconds(FLAGS_seconds));
   faults.StopAndHeal();
@@ -111,6 +116,7 @@
     std::cout << "seed " << FLAGS_seed << " broken: " << line.substr(0, 300)
               << '\n';
   }
+  std::cout << promises.CrossingCounts();
   std::cout << "seed " << FLAGS_seed << ": " << faults.History().size()
             << " faults," << promises.Summary() << ", "
             << promises.Violations().size() << " promises broken";
--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <set>
 #include <utility>
 
 namespace comfreyspring::soak {
@@ -18,6 +19,14 @@
 constexpr core::seconds kStopSlack{2};
 /** Time until an engine that a request has ended is back. */
 constexpr milliseconds kCrashedTime{1500};
+/** Routes of older versions are removed. */
+constexpr std::int64_t kVersionsWithRoutes = 6;
+/** One less, since a route may be removed while a request to it is sent. */
+constexpr std::int64_t kProbedVersions = kVersionsWithRoutes - 1;
+/** Time after a restore until the operator has written again. */
+constexpr milliseconds kOperatorWritesAgain{800};
+/** Time after a restore until all endpoints have written again. */
+constexpr int kEndpointsWriteAgainMs = 1900;
 constexpr const char* kEngines = "engines";
 constexpr const char* kDesk = "desk";
 
@@ -123,6 +132,22 @@
 
 void fleet_under_test::PublishConfiguration() {
   ++version_;
+  if (options_.adds_routes) {
+    const std::string name = "v" + std::to_string(version_);
+    added_kinds_[version_] = {name, '/' + name + '/', kDesk, false,
+                              true, version_};
+  }
+  PutConfiguration();
+}
+
+const request_kind* fleet_under_test::AddedKind(std::int64_t version) const {
+  const auto found = added_kinds_.find(version);
+  return found == added_kinds_.end() || version <= version_ - kProbedVersions
+             ? nullptr
+             : &found->second;
+}
+
+void fleet_under_test::PutConfiguration() {
   json routes = json::array();
   const auto add = [&routes](const request_kind& kind,
                              const std::string& prefix) {
@@ -143,6 +168,9 @@
   };
   for (const auto& kind : kinds_) add(kind, kind.path);
   if (version_ % 2 == 1) add(kinds_.back(), "/more/");
+  for (const auto& [version, kind] : added_kinds_) {
+    if (version > version_ - kVersionsWithRoutes) add(kind, kind.path);
+  }
   store_->Put("op/config",
               {{"Version", version_},
                {"Routes", routes},
@@ -156,10 +184,42 @@
                                 {"Stride", 5},
                                 {"Models", json::array({{{"Name", "m"}}})}}}},
                              {{"Name", kDesk}, {"MaxConns", 200}}})}});
+  promises_.ConfigurationAcknowledged(version_, loop_.Now());
+}
+
+void fleet_under_test::RestoreStore(milliseconds age) {
+  store_->Restore(age);
+  promises_.StoreRestored(loop_.Now() - age);
+  loop_.Schedule(kOperatorWritesAgain, [this] { PutConfiguration(); });
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    const milliseconds delay(kEndpointsWriteAgainMs * static_cast<int>(i + 1) /
+                             static_cast<int>(endpoints_.size()));
+    loop_.Schedule(delay, [this, i] {
+      const endpoint_slot& slot = endpoints_[i];
+      if (!slot.registered || !slot.engine->IsUp()) return;
+      Register(i);
+      if (slot.leaving) promises_.Leaving(slot.engine->Instance(), loop_.Now());
+    });
+  }
+  loop_.Schedule(milliseconds(kEndpointsWriteAgainMs),
+                 [this] { ExpireEntries(); });
+}
+
+void fleet_under_test::ExpireEntries() {
+  std::set<std::string> registered;
+  for (const endpoint_slot& slot : endpoints_) {
+    if (slot.registered) {
+      registered.insert("servers/" + slot.engine->Instance());
+    }
+  }
+  for (const std::string& key : store_->Keys("servers/")) {
+    if (registered.count(key) == 0) store_->Remove(key);
+  }
 }
 
 void fleet_under_test::Register(std::size_t endpoint) {
-  const endpoint_slot& slot = endpoints_.at(endpoint);
+  endpoint_slot& slot = endpoints_.at(endpoint);
+  slot.registered = true;
   store_->Put("servers/" + slot.engine->Instance(),
               {{"Service", slot.service},
                {"Addr", fleet_layout::At(
@@ -180,6 +240,7 @@
 }
 
 void fleet_under_test::Unregister(std::size_t endpoint) {
+  endpoints_.at(endpoint).registered = false;
   store_->Remove("servers/" + endpoints_.at(endpoint).engine->Instance());
 }
 
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -28,6 +28,8 @@
   int gateways = 3;
   int engines = 4;
   int plain_endpoints = 2;
+  /** Each version of the configuration has a route of its own. */
+  bool adds_routes = false;
 };
 
 /** A program under test, its process and the faults that affect it. */
@@ -49,6 +51,8 @@
 struct endpoint_slot {
   std::string service;
   bool leaving = false;
+  /** Has an entry, unless the store has lost it. */
+  bool registered = false;
   std::unique_ptr<process_test::engine_stand_in> engine;
   std::unique_ptr<process_test::tcp_relay> engine_relay;
   /** None for plain services. */
@@ -98,6 +102,14 @@
   void RewriteSettings(const program_slot& slot);
   /** Publishes a new configuration; odd versions have an extra route. */
   void PublishConfiguration();
+  /** Kind of the requests to the route of a version; null if it has none. */
+  const request_kind* AddedKind(std::int64_t version) const;
+  /**
+   * The store comes back from a copy of this age. The operator and the
+   * endpoints write again what was lost, and entries of endpoints that have
+   * ended expire.
+   */
+  void RestoreStore(core::milliseconds age);
   /** Writes the endpoint's current state to its entry in the store. */
   void Register(std::size_t endpoint);
   /** The endpoint names this request rate limit; nothing: it names none. */
@@ -116,6 +128,8 @@
   void AddEndpoint(int index, const std::string& service, bool generates);
   /** A request has ended the engine; it comes back after some time. */
   void OnCrash(std::size_t endpoint);
+  void PutConfiguration();
+  void ExpireEntries();
   nlohmann::json Settings(const program_slot& slot) const;
   std::filesystem::path File(const program_slot& slot,
                              const std::string& extension) const;
@@ -132,6 +146,8 @@
   std::vector<program_slot> programs_;
   int last_instance_ = 0;
   int version_ = 0;
+  /** Kinds of the routes that versions have added. */
+  std::map<std::int64_t, request_kind> added_kinds_;
 };
 
 }  // namespace comfreyspring::soak
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kSlack{500};
 /** Counted from the store's acknowledgement of the removal (DrainMs). */
 constexpr milliseconds kDrainTime{2000};
+/** Time within which a configuration is in force (ConfigApplyMs). */
+constexpr milliseconds kConfigurationBound{2000};
 /** Cancelled requests that may still reach an endpoint late. */
 constexpr int kMaxRunsAfterCancellation = 3;
 /** Crashes after which deadly prompts must be known. */
@@ -26,6 +28,24 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+const char* ToString(crossing what) {
+  switch (what) {
+    case crossing::killed:
+      return "kill";
+    case crossing::cut:
+      return "cut";
+    case crossing::engine_failed:
+      return "engine failure";
+    case crossing::stopped:
+      return "stop";
+    case crossing::hung_up:
+      return "hangup";
+    case crossing::configuration_changed:
+      return "change";
+  }
+  return "unknown";
+}
+
 std::string ExpectedBody(const std::string& id, const request_kind& kind,
                          int events) {
   if (!kind.streams) return process_test::PlainText(id);
@@ -53,6 +73,7 @@
   request_record& request = requests_.at(id);
   request.answered_at = now;
   request.status = result.status;
+  request.complete = result.failure == net::http_failure::none;
   CheckAnswer(id, request, result);
   if (now > request.sent_at + request.deadline + kSlack &&
       WasFaultFree(request.gateway, request.sent_at)) {
@@ -84,6 +105,12 @@
       Violation(id + " was answered " + std::to_string(status) +
                 " although it has run");
     }
+  } else if (status == 404 && request.kind->version > 0) {
+    if (MustBeInForce(request.kind->version, request)) {
+      Violation(id + ": version " + std::to_string(request.kind->version) +
+                " of the configuration is not in force at gateway " +
+                std::to_string(request.gateway));
+    }
   } else if (status < 500) {
     Violation(id + " was rejected with " + std::to_string(status) + ": " +
               result.body);
@@ -158,6 +185,76 @@
   leaving_.emplace(instance, now);
 }
 
+void promise_record::ConfigurationAcknowledged(std::int64_t version,
+                                               core::time_point now) {
+  configured_.emplace(version, now);
+}
+
+void promise_record::StoreRestored(core::time_point copied_at) {
+  const auto is_lost = [copied_at](const auto& acknowledged) {
+    return acknowledged.second > copied_at;
+  };
+  std::erase_if(leaving_, is_lost);
+  std::erase_if(configured_, is_lost);
+}
+
+std::int64_t promise_record::VersionInForce(core::time_point now) const {
+  std::int64_t newest = 0;
+  for (const auto& [version, acknowledged_at] : configured_) {
+    if (now - acknowledged_at > kConfigurationBound) newest = version;
+  }
+  return newest;
+}
+
+bool promise_record::MustBeInForce(std::int64_t version,
+                                   const request_record& request) const {
+  const auto found = configured_.find(version);
+  return found != configured_.end() &&
+         found->second + kConfigurationBound < request.sent_at &&
+         store_disturbed_ + kFaultFreeTime < request.sent_at &&
+         WasFaultFree(request.gateway, request.sent_at);
+}
+
+std::optional<crossing> promise_record::CrossingOf(
+    const request_record& request) const {
+  std::optional<crossing> gravest;
+  for (const crossing_span& span : crossings_) {
+    const bool is_disruption = span.what <= crossing::engine_failed;
+    const auto since =
+        request.sent_at - (is_disruption ? kFaultFreeTime : milliseconds(0));
+    const auto until =
+        request.answered_at.value_or(request.sent_at + request.deadline);
+    if ((!span.gateway || *span.gateway == request.gateway) &&
+        span.end >= since && span.begin <= until) {
+      gravest = std::min(gravest.value_or(span.what), span.what);
+    }
+  }
+  return gravest;
+}
+
+std::string promise_record::CrossingCounts() const {
+  struct counts {
+    int answers = 0;
+    int refusals = 0;
+    int neither = 0;
+  };
+  std::map<std::string, counts> by_crossing;
+  for (const auto& [id, request] : requests_) {
+    if (request.cancelled_at) continue;
+    const auto what = CrossingOf(request);
+    counts& found = by_crossing[what ? ToString(*what) : "nothing"];
+    ++(!request.complete                  ? found.neither
+       : GuaranteesNotRun(request.status) ? found.refusals
+                                          : found.answers);
+  }
+  std::ostringstream text;
+  for (const auto& [name, found] : by_crossing) {
+    text << "crossed by " << name << ": " << found.answers << " answers, "
+         << found.refusals << " refusals, " << found.neither << " neither\n";
+  }
+  return text.str();
+}
+
 void promise_record::GatewayDisturbed(int gateway, core::time_point until) {
   auto& latest = gateway_disturbed_[gateway];
   latest = std::max(latest, until);
@@ -200,6 +297,7 @@
                              core::time_point now) {
   const auto found = requests_.find(id);
   if (found != requests_.end()) {
+    found->second.arrived = true;
     arrivals_.Arrived(instance, found->second.gateway, now);
   }
 }
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -26,6 +26,29 @@
 /** Requests with a deadly prompt that may reach engines after the bound. */
 constexpr int kDeadlyRequestsAllowed = 3;
 
+/** What may have kept a request from being answered, gravest first. */
+enum class crossing {
+  /** Its gateway was killed or suspended. */
+  killed,
+  /** A link was cut, reset, delayed or silenced. */
+  cut,
+  /** An endpoint ended or broke off answers. */
+  engine_failed,
+  /** A process was stopped. */
+  stopped,
+  /** The settings of a process were changed. */
+  hung_up,
+  configuration_changed,
+};
+/** A fault's or change's name and extent. */
+struct crossing_span {
+  crossing what = crossing::killed;
+  /** Unset if it affects the requests of all gateways. */
+  std::optional<int> gateway;
+  core::time_point begin;
+  core::time_point end;
+};
+
 /** A kind of request that the callers of the soak make. */
 struct request_kind {
   std::string route;
@@ -33,6 +56,8 @@
   std::string service;
   bool streams = false;
   bool may_retry = false;
+  /** For a probe: the version of the configuration that has added the route. */
+  std::int64_t version = 0;
 };
 
 /** A caller's request and its result. */
@@ -49,6 +74,10 @@
   std::optional<core::time_point> cancelled_at;
   std::optional<core::time_point> answered_at;
   int status = 0;
+  /** The whole answer has arrived. */
+  bool complete = false;
+  /** It has reached an endpoint. */
+  bool arrived = false;
   int runs = 0;
   std::vector<std::string> instances;
 };
@@ -84,6 +113,14 @@
   void StoreDisturbed(core::time_point until);
   void EndpointsDisturbed(core::time_point until);
   void Violation(const std::string& what);
+  /** For the counts by what crossed a request; excuses nothing by itself. */
+  void Crossed(const crossing_span& span) { crossings_.push_back(span); }
+  /** The store has acknowledged this version of the configuration. */
+  void ConfigurationAcknowledged(std::int64_t version, core::time_point now);
+  /** What was acknowledged after that time is not owed until it is again. */
+  void StoreRestored(core::time_point copied_at);
+  /** Newest version that has to be in force; 0 if there is none. */
+  std::int64_t VersionInForce(core::time_point now) const;
   /** The endpoint names this request rate limit; nothing: it names none. */
   void LimitSet(const std::string& instance, std::optional<double> per_second,
                 core::time_point now);
@@ -106,6 +143,8 @@
   void CheckWholeRun(core::time_point now,
                      const std::function<bool(const std::string& id,
                                               int gateway)>& never_sent);
+  /** Answers, refusals and neither, by what crossed the request. */
+  std::string CrossingCounts() const;
   const std::vector<std::string>& Violations() const { return violations_; }
   /** Span with the most requests relative to the limit of its endpoint. */
   std::optional<process_test::arrival_record::span> WorstSpan() const {
@@ -127,10 +166,16 @@
   void CheckRetryBudget();
   void CheckRequestLimits(core::time_point now);
   void CheckDeadlyRequests();
+  bool MustBeInForce(std::int64_t version, const request_record& request) const;
+  /** The gravest thing that crossed the request; nullopt for none. */
+  std::optional<crossing> CrossingOf(const request_record& request) const;
 
   int events_;
   std::map<std::string, request_record> requests_;
   std::map<std::string, core::time_point> leaving_;
+  std::vector<crossing_span> crossings_;
+  /** When each version of the configuration was acknowledged last. */
+  std::map<std::int64_t, core::time_point> configured_;
   std::map<int, core::time_point> gateway_disturbed_;
   core::time_point store_disturbed_;
   core::time_point endpoints_disturbed_;
