Add a soak of silent engines beside planned work, which counts lost requests

The family silences lets engines fall silent for 0.8 to 1.6 s and go on, beside changes of routes, timeouts, idle limits and goals, SIGTERM of one gateway and one sidecar at a time, and SIGHUP. A whole request that ends with neither an answer nor a refusal breaks a promise, unless a kill, a cut or a failing engine crossed it. As in the users' rule, a request counts as read once it has reached an endpoint or when it was lost later than 200 ms after it was sent, and not once its deadline or the route's timeout has passed. The engine stand-in holds back all output while it is silent.

--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -86,9 +86,9 @@
 void engine_stand_in::Answer(const exchange_pointer& exchange) {
   const auto& request = exchange->Request();
   if (request.path == "/v1/report") {
-    Report(*exchange);
+    WhenAudible([this, exchange] { Report(*exchange); });
   } else if (request.path == "/v1/order") {
-    HandleOrder(*exchange);
+    WhenAudible([this, exchange] { HandleOrder(*exchange); });
   } else {
     Run(exchange);
   }
@@ -179,14 +179,14 @@
     net::header_map answer = ResponseHeaders(id);
     answer["instance"] = instance_;
     answer["not-run"] = "1";
-    exchange->Respond({421, std::move(answer), ""});
+    WhenAudible([exchange, answer] { exchange->Respond({421, answer, ""}); });
     return;
   }
   RepeatRefusal(exchange);
   if (running_.size() >= options_.slots || refuse_next > 0 ||
       DrawWithProbability(refuse_probability)) {
     refuse_next = std::max(refuse_next - 1, 0);
-    Refuse(exchange, id);
+    WhenAudible([this, exchange, id] { Refuse(exchange, id); });
     return;
   }
   ++runs[id];
@@ -200,10 +200,35 @@
   running_.insert(current);
   exchange->OnClientGone([this, current] { End(current, false); });
   if (unresponsive) return;
+  WhenAudible([this, current] {
+    if (!current->ended) AnswerRun(current);
+  });
+}
+
+void engine_stand_in::Silence(core::milliseconds length) {
+  silent_until_ = std::max(silent_until_, loop_.Now() + length);
+}
+
+void engine_stand_in::WhenAudible(std::function<void()> step) {
+  const auto left = silent_until_ - loop_.Now();
+  if (left.count() <= 0) {
+    step();
+    return;
+  }
+  loop_.Schedule(std::chrono::ceil<core::milliseconds>(left),
+                 [this, incarnation = incarnation_, step = std::move(step)] {
+                   if (incarnation == incarnation_) WhenAudible(step);
+                 });
+}
+
+void engine_stand_in::AnswerRun(const std::shared_ptr<run>& current) {
   if (!options_.generates) {
     RunPlain(current);
     return;
   }
+  const exchange_pointer& exchange = current->exchange;
+  const auto& headers = exchange->Request().headers;
+  const std::string& id = current->id;
   const auto resumed = headers.find("last-event-id");
   const int first =
       resumed == headers.end() ? 1 : std::stoi(resumed->second) + 1;
@@ -255,17 +280,19 @@
 }
 
 void engine_stand_in::RunPlain(const std::shared_ptr<run>& current) {
-  loop_.Schedule(options_.plain_time * slowdown_factor, [this, current] {
+  const auto answer = [this, current] {
     if (current->ended) return;
     if (current->breaks) {
       current->exchange->Abort();
     } else {
-      net::header_map answer = ResponseHeaders(current->id);
-      answer["server-stamp"] = "stamp";
-      AnswerPlain(*current, std::move(answer));
+      net::header_map headers = ResponseHeaders(current->id);
+      headers["server-stamp"] = "stamp";
+      AnswerPlain(*current, std::move(headers));
     }
     End(current, !current->breaks);
-  });
+  };
+  loop_.Schedule(options_.plain_time * slowdown_factor,
+                 [this, answer] { WhenAudible(answer); });
 }
 
 void engine_stand_in::AnswerPlain(run& current, net::header_map headers) const {
@@ -303,8 +330,10 @@
     End(current, true);
     return;
   }
-  loop_.Schedule(options_.event_period * slowdown_factor,
-                 [this, current, event] { SendEvent(current, event + 1); });
+  loop_.Schedule(
+      options_.event_period * slowdown_factor, [this, current, event] {
+        WhenAudible([this, current, event] { SendEvent(current, event + 1); });
+      });
 }
 
 void engine_stand_in::BreakOff(run& current, int event) const {
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -58,6 +58,11 @@
   void Crash();
   /** Starts as a new instance at the same address. */
   void Start(const std::string& instance);
+  /**
+   * Falls silent: requests are taken and run, but all output waits until the
+   * end of this time.
+   */
+  void Silence(core::milliseconds length);
 
   /** Called for each request that arrives, also if it is rejected. */
   std::function<void(const std::string& id)> on_arrival;
@@ -137,7 +142,10 @@
   void HandleOrder(net::http_exchange& exchange);
   void Load(const std::string& adapter);
   void Run(const exchange_pointer& exchange);
+  void AnswerRun(const std::shared_ptr<run>& current);
   void RunPlain(const std::shared_ptr<run>& current);
+  /** Calls `step` when the engine is not silent, unless it ends first. */
+  void WhenAudible(std::function<void()> step);
   void AnswerPlain(run& current, net::header_map headers) const;
   void SendEvent(const std::shared_ptr<run>& current, int event);
   /** Ends a stream within its next event. */
@@ -159,6 +167,7 @@
   /** Ids of the latest refusals, by connection. */
   std::map<std::uint64_t, std::string> refused_;
   std::mt19937 random_{1};
+  core::time_point silent_until_;
   /** Timers of an earlier incarnation see a different number and do nothing. */
   std::uint64_t incarnation_ = 0;
   std::uint16_t port_ = 0;
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -38,6 +38,9 @@
 constexpr std::size_t kShortestEventBytes = 18;
 /** Minimum time between two outages. */
 constexpr milliseconds kMinTimeBetweenOutages{9000};
+/** A sound engine may fall silent for this long. */
+constexpr int kShortestSilenceMs = 800;
+constexpr int kLongestSilenceMs = 1600;
 /** Greatest age of a restored copy when the store goes away. */
 constexpr int kOldestCopyMs = 9000;
 /** Time within which a configuration is in force (ConfigApplyMs). */
@@ -56,6 +59,7 @@
   if (drawn_from == fault_family::restores) {
     return family < fault_family::leaving || family == drawn_from;
   }
+  if (drawn_from == fault_family::silences) return family == drawn_from;
   if (family == fault_family::processes || family == fault_family::links) {
     return drawn_from >= fault_family::limits || family == drawn_from;
   }
@@ -114,6 +118,15 @@
       {"store_restored", fault_family::restores, &f::StoreRestored},
       {"restore_reconfigure", fault_family::restores, &f::Reconfigure},
       {"restore_reconfigure_again", fault_family::restores, &f::Reconfigure},
+      {"silent", fault_family::silences, &f::SilenceEngine},
+      {"silent_again", fault_family::silences, &f::SilenceEngine},
+      {"silent_many", fault_family::silences, &f::SilenceEngines},
+      {"silent_terminate", fault_family::silences, &f::TerminateOne},
+      {"silent_hangup", fault_family::silences, &f::Hangup},
+      {"silent_reconfigure", fault_family::silences, &f::Reconfigure},
+      {"silent_timeouts", fault_family::silences, &f::ChangeTimeouts},
+      {"silent_idle_limit", fault_family::silences, &f::ChangeIdleLimit},
+      {"silent_goals", fault_family::silences, &f::ChangeGoals},
       {"restore_drain", fault_family::restores, &f::DrainEndpoint},
   };
   return kFaults;
@@ -265,7 +278,10 @@
   // Reports a process that exceeded its grace period before it is killed.
   fleet_.CheckProcesses();
   if (!slot.is_stopping) return;
-  if (!slot.process->HasEnded()) slot.process->Signal(SIGKILL);
+  if (!slot.process->HasEnded()) {
+    RecordCrossing(crossing::killed, slot, milliseconds(0));
+    slot.process->Signal(SIGKILL);
+  }
   fleet_.Start(slot);
   RecordDisturbance(slot, milliseconds(0));
   RecordInterruption(slot, milliseconds(0));
@@ -286,7 +302,10 @@
 }
 
 void fault_schedule::Terminate(milliseconds /*length*/) {
-  program_slot& slot = PickProgram();
+  TerminateProgram(PickProgram());
+}
+
+void fault_schedule::TerminateProgram(program_slot& slot) {
   if (slot.is_stopping || slot.is_paused) return;
   slot.is_stopping = true;
   slot.stop_was_disturbed = false;
@@ -403,9 +422,12 @@
   });
 }
 void fault_schedule::Reconfigure(milliseconds /*length*/) {
+  Publish(configuration_change::none);
+}
+void fault_schedule::Publish(configuration_change change) {
   RecordCrossing(crossing::configuration_changed, std::nullopt,
                  kConfigurationBound);
-  fleet_.PublishConfiguration();
+  fleet_.PublishConfiguration(change);
 }
 
 // Endpoints.
@@ -560,6 +582,44 @@
   });
 }
 
+// Silences, and planned work beside them.
+
+void fault_schedule::Silence(std::size_t endpoint) {
+  const milliseconds length(std::uniform_int_distribution<int>(
+      kShortestSilenceMs, kLongestSilenceMs)(random_));
+  RecordCrossing(crossing::engine_silent, std::nullopt, length);
+  fleet_.Endpoints()[endpoint].engine->Silence(length);
+}
+
+void fault_schedule::SilenceEngine(milliseconds /*length*/) {
+  Silence(PickEndpoint());
+}
+
+void fault_schedule::SilenceEngines(milliseconds /*length*/) {
+  for (std::size_t i = 0; i < fleet_.Endpoints().size(); ++i) {
+    if (Pick(2) == 0) Silence(i);
+  }
+  SetTarget("half of the endpoints");
+}
+
+void fault_schedule::TerminateOne(milliseconds /*length*/) {
+  program_slot& slot = PickProgram();
+  for (const program_slot& other : fleet_.Programs()) {
+    if (other.is_gateway == slot.is_gateway && other.is_stopping) return;
+  }
+  TerminateProgram(slot);
+}
+
+void fault_schedule::ChangeTimeouts(milliseconds /*length*/) {
+  Publish(configuration_change::timeout);
+}
+void fault_schedule::ChangeIdleLimit(milliseconds /*length*/) {
+  Publish(configuration_change::idle_limit);
+}
+void fault_schedule::ChangeGoals(milliseconds /*length*/) {
+  Publish(configuration_change::goal);
+}
+
 // Limits.
 
 double fault_schedule::DrawRate() {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -18,7 +18,8 @@
  * families after it, so that the schedules of older seeds stay as they were.
  * `limits` also draws faults of processes and links, `streams` those of
  * endpoints besides, and `deadly` those of `streams`, beside prompts that end
- * engines. `restores` also draws those of `all`.
+ * engines. `restores` also draws those of `all`; `silences` draws nothing that
+ * explains a request without an answer.
  */
 enum class fault_family {
   all,
@@ -32,6 +33,7 @@
   streams,
   deadly,
   restores,
+  silences,
 };
 
 /**
@@ -70,6 +72,7 @@
   void KillOne(core::milliseconds length);
   void KillMany(core::milliseconds length);
   void Terminate(core::milliseconds length);
+  void TerminateProgram(program_slot& slot);
   void Pause(core::milliseconds length);
   void Hangup(core::milliseconds length);
   void Kill(program_slot& slot, core::milliseconds downtime);
@@ -114,6 +117,18 @@
   void BreakAnswers(core::milliseconds length);
   void RefuseRequests(core::milliseconds length);
 
+  // Silences, and planned work beside them.
+  void SilenceEngine(core::milliseconds length);
+  /** Half of the endpoints fall silent at the same time. */
+  void SilenceEngines(core::milliseconds length);
+  void Silence(std::size_t endpoint);
+  /** Stops one gateway or one sidecar at a time. */
+  void TerminateOne(core::milliseconds length);
+  void ChangeTimeouts(core::milliseconds length);
+  void ChangeIdleLimit(core::milliseconds length);
+  void ChangeGoals(core::milliseconds length);
+  void Publish(configuration_change change);
+
   // Limits.
   /** An endpoint names a request rate limit for a while. */
   void NameLimit(core::milliseconds length);
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -26,7 +26,7 @@
 DEFINE_string(
     faults, "all",
     "all, processes, links, store, endpoints, clocks, leaving, limits, "
-    "streams, deadly or restores");
+    "streams, deadly, restores or silences");
 DEFINE_string(directory, "",
               "directory for logs; they are kept if the run fails");
 
@@ -56,7 +56,8 @@
     {"limits", fault_family::limits},
     {"streams", fault_family::streams},
     {"deadly", fault_family::deadly},
-    {"restores", fault_family::restores}};
+    {"restores", fault_family::restores},
+    {"silences", fault_family::silences}};
 
 /** Share of streams with a deadly prompt, in the family `deadly`. */
 constexpr double kDeadlyShare = 0.08;
@@ -100,6 +101,7 @@
     return fleet.CallerRelays()[static_cast<std::size_t>(gateway)]
         ->HasSwallowed("request-id: " + id + "\r\n");
   });
+  if (FLAGS_faults == "silences") promises.CheckLostRequests();
   fleet.CheckProcesses();
   fleet.CheckLogs();
   loop.Cancel(checks);
--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -130,13 +130,25 @@
 
 // Configuration and registrations.
 
-void fleet_under_test::PublishConfiguration() {
+void fleet_under_test::PublishConfiguration(configuration_change change) {
   ++version_;
   if (options_.adds_routes) {
     const std::string name = "v" + std::to_string(version_);
     added_kinds_[version_] = {name, '/' + name + '/', kDesk, false,
                               true, version_};
   }
+  switch (change) {
+    case configuration_change::none:
+      break;
+    case configuration_change::timeout:
+      has_short_timeouts_ = !has_short_timeouts_;
+      break;
+    case configuration_change::idle_limit:
+      has_short_idle_limit_ = !has_short_idle_limit_;
+      break;
+    case configuration_change::goal:
+      has_long_goals_ = !has_long_goals_;
+  }
   PutConfiguration();
 }
 
@@ -149,19 +161,22 @@
 
 void fleet_under_test::PutConfiguration() {
   json routes = json::array();
-  const auto add = [&routes](const request_kind& kind,
-                             const std::string& prefix) {
-    json route = {{"Name", kind.route},
-                  {"Host", "soak.example"},
-                  {"Prefix", prefix},
-                  {"Kind", kind.streams     ? "stream"
-                           : kind.may_retry ? "idempotent"
-                                            : "non_idempotent"},
-                  {"TimeoutMs", kind.streams ? 6000 : 2000},
-                  {"GoalMs", kind.streams ? 600 : 150},
-                  {"Priority", 0},
-                  {"Service", kind.service},
-                  {"Attempts", 2}};
+  const auto add = [this, &routes](const request_kind& kind,
+                                   const std::string& prefix) {
+    json route = {
+        {"Name", kind.route},
+        {"Host", "soak.example"},
+        {"Prefix", prefix},
+        {"Kind", kind.streams     ? "stream"
+                 : kind.may_retry ? "idempotent"
+                                  : "non_idempotent"},
+        {"TimeoutMs",
+         (kind.streams ? 6000 : 2000) -
+             (has_short_timeouts_ ? kTimeoutReduction.count() : 0)},
+        {"GoalMs", (kind.streams ? 600 : 150) * (has_long_goals_ ? 2 : 1)},
+        {"Priority", 0},
+        {"Service", kind.service},
+        {"Attempts", 2}};
     if (kind.streams) route["GapTargetMs"] = 300;
     if (kind.streams && kind.may_retry) route["Resumable"] = true;
     routes.push_back(std::move(route));
@@ -174,6 +189,11 @@
   store_->Put("op/config",
               {{"Version", version_},
                {"Routes", routes},
+               {"Limits",
+                {{"HeaderBytes", 16384},
+                 {"BodyBytes", 4194304},
+                 {"HeaderTimeoutMs", 3000},
+                 {"IdleTimeoutMs", has_short_idle_limit_ ? 5000 : 15000}}},
                {"Services",
                 json::array({{{"Name", kEngines},
                               {"MaxConns", 200},
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -32,6 +32,9 @@
   bool adds_routes = false;
 };
 
+/** What a new configuration changes, besides the routes that it adds. */
+enum class configuration_change { none, timeout, idle_limit, goal };
+
 /** A program under test, its process and the faults that affect it. */
 struct program_slot {
   std::string name;
@@ -101,7 +104,8 @@
   /** Rewrites the settings file with an additional, unknown field. */
   void RewriteSettings(const program_slot& slot);
   /** Publishes a new configuration; odd versions have an extra route. */
-  void PublishConfiguration();
+  void PublishConfiguration(
+      configuration_change change = configuration_change::none);
   /** Kind of the requests to the route of a version; null if it has none. */
   const request_kind* AddedKind(std::int64_t version) const;
   /**
@@ -148,6 +152,9 @@
   int version_ = 0;
   /** Kinds of the routes that versions have added. */
   std::map<std::int64_t, request_kind> added_kinds_;
+  bool has_short_timeouts_ = false;
+  bool has_short_idle_limit_ = false;
+  bool has_long_goals_ = false;
 };
 
 }  // namespace comfreyspring::soak
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds kDrainTime{2000};
 /** Time within which a configuration is in force (ConfigApplyMs). */
 constexpr milliseconds kConfigurationBound{2000};
+/** A request that was lost earlier may not have been read (LossSlackMs). */
+constexpr milliseconds kLossSlack{200};
 /** Cancelled requests that may still reach an endpoint late. */
 constexpr int kMaxRunsAfterCancellation = 3;
 /** Crashes after which deadly prompts must be known. */
@@ -42,6 +44,8 @@
       return "hangup";
     case crossing::configuration_changed:
       return "change";
+    case crossing::engine_silent:
+      return "silence";
   }
   return "unknown";
 }
@@ -232,6 +236,24 @@
   return gravest;
 }
 
+void promise_record::CheckLostRequests() {
+  for (const auto& [id, request] : requests_) {
+    if (request.complete || request.cancelled_at) continue;
+    const auto what = CrossingOf(request);
+    if (what && *what <= crossing::engine_failed) continue;
+    const auto ended =
+        request.answered_at.value_or(request.sent_at + request.deadline);
+    const auto lasted = core::ToMilliseconds(ended - request.sent_at);
+    const bool was_read = request.arrived || lasted > kLossSlack;
+    if (!was_read || lasted >= request.deadline - kTimeoutReduction) continue;
+    Violation(id + " on " + request.kind->route + " at gateway " +
+              std::to_string(request.gateway) + " ended after " +
+              std::to_string(lasted.count()) +
+              " ms with neither an answer nor a refusal, beside " +
+              (what ? ToString(*what) : "nothing"));
+  }
+}
+
 std::string promise_record::CrossingCounts() const {
   struct counts {
     int answers = 0;
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -23,6 +23,9 @@
 /** Length of the sliding window in which retries are counted. */
 constexpr core::seconds kRetryBudgetWindow{10};
 
+/** How much shorter than the callers' deadlines the routes' timeouts may be. */
+constexpr core::milliseconds kTimeoutReduction{200};
+
 /** Requests with a deadly prompt that may reach engines after the bound. */
 constexpr int kDeadlyRequestsAllowed = 3;
 
@@ -39,6 +42,8 @@
   /** The settings of a process were changed. */
   hung_up,
   configuration_changed,
+  /** An engine fell silent for a moment. */
+  engine_silent,
 };
 /** A fault's or change's name and extent. */
 struct crossing_span {
@@ -143,6 +148,11 @@
   void CheckWholeRun(core::time_point now,
                      const std::function<bool(const std::string& id,
                                               int gateway)>& never_sent);
+  /**
+   * Reports whole requests that ended with neither an answer nor a refusal,
+   * unless a gateway was killed, a link cut or an engine failed.
+   */
+  void CheckLostRequests();
   /** Answers, refusals and neither, by what crossed the request. */
   std::string CrossingCounts() const;
   const std::vector<std::string>& Violations() const { return violations_; }
