--- a/tests/process/dropped_service_test.cc
+++ b/tests/process/dropped_service_test.cc
@@ -49,7 +49,7 @@
   SendStreams(kRequests);
   Wait(milliseconds(200));
   const auto dropped_at = loop_.Now();
-  PutConfiguration(2, false);
+  PutConfiguration({.version = 2, .has_engine_service = false});
   WaitForAnswers();
   int waited = 0;
   for (const fleet_outcome& each : outcomes_) {
@@ -63,10 +63,10 @@
 
 TEST_F(dropped_service_test, IsServedOnceItIsNamedAgain) {
   SendStreams(kRequests / 8);
-  PutConfiguration(2, false);
+  PutConfiguration({.version = 2, .has_engine_service = false});
   Wait(kApplyTime);
   WaitForAnswers();
-  PutConfiguration(3);
+  PutConfiguration({.version = 3});
   Wait(kApplyTime);
   SendStreams(kRequests / 8);
   WaitForAnswers();
--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -19,7 +19,7 @@
   directory_ = std::filesystem::temp_directory_path() /
                (options_.name + '_' + std::to_string(::getpid()));
   std::filesystem::create_directories(directory_);
-  PutConfiguration(1);
+  PutConfiguration({});
   for (int i = 0; i < options_.engines + options_.plain; ++i) AddEndpoint(i);
   gateways_.resize(static_cast<std::size_t>(options_.gateways));
   for (int i = 0; i < options_.gateways; ++i) StartGateway(i);
@@ -33,7 +33,7 @@
   if (!HasFailure()) std::filesystem::remove_all(directory_);
 }
 
-void small_fleet_test::PutConfiguration(int version, bool has_engine_service) {
+void small_fleet_test::PutConfiguration(const fleet_configuration& wanted) {
   const auto route = [](const std::string& name, const std::string& kind,
                         const std::string& service) {
     return json{
@@ -43,7 +43,7 @@
   };
   json routes = json::array({route("order", "non_idempotent", "plain")});
   json services = json::array({{{"Name", "plain"}, {"MaxConns", 200}}});
-  if (has_engine_service) {
+  if (wanted.has_engine_service) {
     json stream = route("stream", "stream", "model");
     stream["GapTargetMs"] = 300;
     stream["Resumable"] = true;
@@ -57,7 +57,10 @@
                           {"Stride", 5},
                           {"Models", json::array({{{"Name", "m"}}})}}}});
   }
-  store_.Put("op/config", {{"Version", version},
+  for (const std::string& name : wanted.added) {
+    routes.push_back(route(name, "non_idempotent", "plain"));
+  }
+  store_.Put("op/config", {{"Version", wanted.version},
                            {"Routes", std::move(routes)},
                            {"Services", std::move(services)}});
 }
@@ -78,7 +81,7 @@
   if (generates) StartSidecar(index);
 }
 
-void small_fleet_test::Register(int index) {
+void small_fleet_test::Register(int index, const std::string& state) {
   const engine_stand_in& engine = Engine(index);
   store_.Put("servers/" + engine.Instance(),
              {{"Service", index < options_.engines ? "model" : "plain"},
@@ -86,7 +89,7 @@
                                         fleet_layout::kEndpointPort)},
               {"Zone", "z"},
               {"Slots", 8},
-              {"State", "ready"},
+              {"State", state},
               {"born", engine.StartedAt()}});
 }
 
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -27,6 +28,15 @@
   core::milliseconds plain_time{15};
 };
 
+/** What the operator of a fleet configures. */
+struct fleet_configuration {
+  std::int64_t version = 1;
+  /** Without the engines' service, its route is left out too. */
+  bool has_engine_service = true;
+  /** Names of further routes, to the plain service. */
+  std::vector<std::string> added;
+};
+
 /** Answer to one request of the test's load. */
 struct fleet_outcome {
   std::string id;
@@ -54,11 +64,10 @@
   /** Called for each endpoint before its first start. */
   virtual void Prepare(engine_stand_in& /*engine*/) {}
 
-  /** Without the engines' service, its route is left out too. */
-  void PutConfiguration(int version, bool has_engine_service = true);
   engine_stand_in& Engine(int index) { return *Slot(index).engine; }
   /** Writes the endpoint's entry, under its current instance. */
-  void Register(int index);
+  void Register(int index, const std::string& state = "ready");
+  void PutConfiguration(const fleet_configuration& wanted);
   /** Kills the sidecar if it runs, and starts it. */
   void StartSidecar(int index);
   settings_program& Sidecar(int index) { return *Slot(index).sidecar; }
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -38,11 +38,28 @@
 constexpr std::size_t kShortestEventBytes = 18;
 /** Minimum time between two outages. */
 constexpr milliseconds kMinTimeBetweenOutages{9000};
+/** A sound engine may fall silent for this long. */
+constexpr int kShortestSilenceMs = 800;
+constexpr int kLongestSilenceMs = 1600;
+/** Greatest age of a restored copy when the store goes away. */
+constexpr int kOldestCopyMs = 9000;
+/** Time within which a configuration is in force (ConfigApplyMs). */
+constexpr milliseconds kConfigurationBound{2000};
+
+/**
+ * Time bounds apply after a time without disruptions only, so that the faults
+ * of other families are rarer beside restores.
+ */
+constexpr std::size_t kOwnWeight = 12;
 
 bool IsDrawn(fault_family drawn_from, fault_family family) {
   if (drawn_from == fault_family::all) {
     return family < fault_family::leaving;
   }
+  if (drawn_from == fault_family::restores) {
+    return family < fault_family::leaving || family == drawn_from;
+  }
+  if (drawn_from == fault_family::silences) return family == drawn_from;
   if (family == fault_family::processes || family == fault_family::links) {
     return drawn_from >= fault_family::limits || family == drawn_from;
   }
@@ -98,6 +115,19 @@
       {"unframed_again", fault_family::streams, &f::UnframeAnswers},
       {"inside_event", fault_family::streams, &f::BreakInsideEvents},
       {"inside_event_again", fault_family::streams, &f::BreakInsideEvents},
+      {"store_restored", fault_family::restores, &f::StoreRestored},
+      {"restore_reconfigure", fault_family::restores, &f::Reconfigure},
+      {"restore_reconfigure_again", fault_family::restores, &f::Reconfigure},
+      {"silent", fault_family::silences, &f::SilenceEngine},
+      {"silent_again", fault_family::silences, &f::SilenceEngine},
+      {"silent_many", fault_family::silences, &f::SilenceEngines},
+      {"silent_terminate", fault_family::silences, &f::TerminateOne},
+      {"silent_hangup", fault_family::silences, &f::Hangup},
+      {"silent_reconfigure", fault_family::silences, &f::Reconfigure},
+      {"silent_timeouts", fault_family::silences, &f::ChangeTimeouts},
+      {"silent_idle_limit", fault_family::silences, &f::ChangeIdleLimit},
+      {"silent_goals", fault_family::silences, &f::ChangeGoals},
+      {"restore_drain", fault_family::restores, &f::DrainEndpoint},
   };
   return kFaults;
 }
@@ -111,7 +141,10 @@
       random_(seed),
       started_(loop.Now()) {
   for (const auto& known : Faults()) {
-    if (IsDrawn(drawn_from, known.family)) choices_.push_back(&known);
+    if (!IsDrawn(drawn_from, known.family)) continue;
+    const bool is_own =
+        drawn_from == fault_family::restores && known.family == drawn_from;
+    choices_.insert(choices_.end(), is_own ? kOwnWeight : 1, &known);
   }
 }
 
@@ -200,6 +233,7 @@
 void fault_schedule::RecordLinkFault(const process_test::tcp_relay& relay,
                                      milliseconds length) {
   RecordDisturbanceOfAll(length);
+  RecordCrossing(crossing::cut, std::nullopt, length);
   for (const auto& slot : fleet_.Programs()) {
     if (!slot.is_gateway) continue;
     const auto gateway = static_cast<std::size_t>(slot.index);
@@ -216,9 +250,22 @@
   promises_.EndpointsDisturbed(loop_.Now() + length);
 }
 
+void fault_schedule::RecordCrossing(crossing what, std::optional<int> gateway,
+                                    milliseconds length) {
+  promises_.Crossed({what, gateway, loop_.Now(), loop_.Now() + length});
+}
+
+void fault_schedule::RecordCrossing(crossing what, const program_slot& slot,
+                                    milliseconds length) {
+  // The requests of all gateways may be at the engine of a sidecar.
+  RecordCrossing(
+      what, slot.is_gateway ? std::optional(slot.index) : std::nullopt, length);
+}
+
 // Processes.
 
 void fault_schedule::Kill(program_slot& slot, milliseconds downtime) {
+  RecordCrossing(crossing::killed, slot, downtime);
   RecordDisturbance(slot, downtime);
   RecordInterruption(slot, downtime);
   slot.is_stopping = true;
@@ -231,7 +278,10 @@
   // Reports a process that exceeded its grace period before it is killed.
   fleet_.CheckProcesses();
   if (!slot.is_stopping) return;
-  if (!slot.process->HasEnded()) slot.process->Signal(SIGKILL);
+  if (!slot.process->HasEnded()) {
+    RecordCrossing(crossing::killed, slot, milliseconds(0));
+    slot.process->Signal(SIGKILL);
+  }
   fleet_.Start(slot);
   RecordDisturbance(slot, milliseconds(0));
   RecordInterruption(slot, milliseconds(0));
@@ -252,7 +302,10 @@
 }
 
 void fault_schedule::Terminate(milliseconds /*length*/) {
-  program_slot& slot = PickProgram();
+  TerminateProgram(PickProgram());
+}
+
+void fault_schedule::TerminateProgram(program_slot& slot) {
   if (slot.is_stopping || slot.is_paused) return;
   slot.is_stopping = true;
   slot.stop_was_disturbed = false;
@@ -260,6 +313,7 @@
   slot.process->Signal(SIGTERM);
   constexpr milliseconds kGrace{10500};
   RecordDisturbance(slot, kGrace);
+  RecordCrossing(crossing::stopped, slot, kGrace);
   HealAfter(kGrace, [this, &slot] { StartAgain(slot); });
 }
 
@@ -268,6 +322,7 @@
   if (slot.is_paused) return;
   slot.is_paused = true;
   slot.stop_was_disturbed = true;
+  RecordCrossing(crossing::killed, slot, length);
   RecordDisturbance(slot, length);
   RecordInterruption(slot, length);
   slot.process->Signal(SIGSTOP);
@@ -280,6 +335,7 @@
 void fault_schedule::Hangup(milliseconds /*length*/) {
   program_slot& slot = PickProgram();
   if (slot.is_stopping) return;
+  RecordCrossing(crossing::hung_up, slot, kConfigurationBound);
   fleet_.RewriteSettings(slot);
   slot.process->Signal(SIGHUP);
 }
@@ -351,8 +407,27 @@
   promises_.StoreDisturbed(loop_.Now());
   fleet_.Store().ForgetHistory();
 }
+void fault_schedule::StoreRestored(milliseconds length) {
+  if (std::exchange(is_restoring_, true)) return;
+  const milliseconds age(Pick(kOldestCopyMs));
+  const auto began = loop_.Now();
+  promises_.StoreDisturbed(began + length);
+  fleet_.Store().SetMode(Pick(2) == 0 ? store_mode::silent
+                                      : store_mode::unavailable);
+  HealAfter(length, [this, age, began] {
+    fleet_.RestoreStore(core::ToMilliseconds(loop_.Now() - began) + age);
+    fleet_.Store().SetMode(store_mode::up);
+    promises_.StoreDisturbed(loop_.Now());
+    is_restoring_ = false;
+  });
+}
 void fault_schedule::Reconfigure(milliseconds /*length*/) {
-  fleet_.PublishConfiguration();
+  Publish(configuration_change::none);
+}
+void fault_schedule::Publish(configuration_change change) {
+  RecordCrossing(crossing::configuration_changed, std::nullopt,
+                 kConfigurationBound);
+  fleet_.PublishConfiguration(change);
 }
 
 // Endpoints.
@@ -361,6 +436,7 @@
   const std::size_t index = PickEndpoint();
   if (!fleet_.Endpoints()[index].engine->IsUp()) return;
   promises_.EndpointsDisturbed(loop_.Now() + length);
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
   fleet_.Endpoints()[index].engine->Crash();
   // Its entry either expires while it is down or stays until its restart.
   if (Pick(2) == 0) fleet_.Unregister(index);
@@ -379,6 +455,7 @@
   const std::size_t index = PickEndpoint();
   if (!fleet_.Endpoints()[index].engine->IsUp()) return;
   promises_.EndpointsDisturbed(loop_.Now());
+  RecordCrossing(crossing::engine_failed, std::nullopt, milliseconds(0));
   fleet_.Restart(index);
 }
 
@@ -411,6 +488,7 @@
       return;
     }
     promises_.EndpointsDisturbed(loop_.Now());
+    RecordCrossing(crossing::engine_failed, std::nullopt, milliseconds(0));
     fleet_.Restart(endpoint);
   });
 }
@@ -467,12 +545,14 @@
 void fault_schedule::MuteEndpoint(milliseconds length) {
   auto& engine = *fleet_.Endpoints()[PickEndpoint()].engine;
   promises_.EndpointsDisturbed(loop_.Now() + length);
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
   engine.unresponsive = true;
   HealAfter(length, [&engine] { engine.unresponsive = false; });
 }
 
 void fault_schedule::BreakAnswers(milliseconds length) {
   auto& engine = *fleet_.Endpoints()[PickEndpoint()].engine;
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
   engine.break_probability = kFailureProbability;
   HealAfter(length, [&engine] { engine.break_probability = 0; });
 }
@@ -493,6 +573,7 @@
 
 void fault_schedule::BreakInsideEvents(milliseconds length) {
   auto& engine = *fleet_.Endpoints()[PickEndpoint()].engine;
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
   engine.break_inside_event = 1 + Pick(kShortestEventBytes - 1);
   engine.break_probability = kFailureProbability;
   HealAfter(length, [&engine] {
@@ -501,6 +582,44 @@
   });
 }
 
+// Silences, and planned work beside them.
+
+void fault_schedule::Silence(std::size_t endpoint) {
+  const milliseconds length(std::uniform_int_distribution<int>(
+      kShortestSilenceMs, kLongestSilenceMs)(random_));
+  RecordCrossing(crossing::engine_silent, std::nullopt, length);
+  fleet_.Endpoints()[endpoint].engine->Silence(length);
+}
+
+void fault_schedule::SilenceEngine(milliseconds /*length*/) {
+  Silence(PickEndpoint());
+}
+
+void fault_schedule::SilenceEngines(milliseconds /*length*/) {
+  for (std::size_t i = 0; i < fleet_.Endpoints().size(); ++i) {
+    if (Pick(2) == 0) Silence(i);
+  }
+  SetTarget("half of the endpoints");
+}
+
+void fault_schedule::TerminateOne(milliseconds /*length*/) {
+  program_slot& slot = PickProgram();
+  for (const program_slot& other : fleet_.Programs()) {
+    if (other.is_gateway == slot.is_gateway && other.is_stopping) return;
+  }
+  TerminateProgram(slot);
+}
+
+void fault_schedule::ChangeTimeouts(milliseconds /*length*/) {
+  Publish(configuration_change::timeout);
+}
+void fault_schedule::ChangeIdleLimit(milliseconds /*length*/) {
+  Publish(configuration_change::idle_limit);
+}
+void fault_schedule::ChangeGoals(milliseconds /*length*/) {
+  Publish(configuration_change::goal);
+}
+
 // Limits.
 
 double fault_schedule::DrawRate() {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,7 +18,8 @@
  * families after it, so that the schedules of older seeds stay as they were.
  * `limits` also draws faults of processes and links, `streams` those of
  * endpoints besides, and `deadly` those of `streams`, beside prompts that end
- * engines.
+ * engines. `restores` also draws those of `all`; `silences` draws nothing that
+ * explains a request without an answer.
  */
 enum class fault_family {
   all,
@@ -30,6 +32,8 @@
   limits,
   streams,
   deadly,
+  restores,
+  silences,
 };
 
 /**
@@ -68,6 +72,7 @@
   void KillOne(core::milliseconds length);
   void KillMany(core::milliseconds length);
   void Terminate(core::milliseconds length);
+  void TerminateProgram(program_slot& slot);
   void Pause(core::milliseconds length);
   void Hangup(core::milliseconds length);
   void Kill(program_slot& slot, core::milliseconds downtime);
@@ -88,6 +93,8 @@
   void StoreSlow(core::milliseconds length);
   void StoreForgets(core::milliseconds length);
   void Reconfigure(core::milliseconds length);
+  /** The store is away, and comes back from an older copy. */
+  void StoreRestored(core::milliseconds length);
   void SetStoreMode(process_test::store_mode mode, core::milliseconds length);
 
   // Endpoints.
@@ -110,6 +117,18 @@
   void BreakAnswers(core::milliseconds length);
   void RefuseRequests(core::milliseconds length);
 
+  // Silences, and planned work beside them.
+  void SilenceEngine(core::milliseconds length);
+  /** Half of the endpoints fall silent at the same time. */
+  void SilenceEngines(core::milliseconds length);
+  void Silence(std::size_t endpoint);
+  /** Stops one gateway or one sidecar at a time. */
+  void TerminateOne(core::milliseconds length);
+  void ChangeTimeouts(core::milliseconds length);
+  void ChangeIdleLimit(core::milliseconds length);
+  void ChangeGoals(core::milliseconds length);
+  void Publish(configuration_change change);
+
   // Limits.
   /** An endpoint names a request rate limit for a while. */
   void NameLimit(core::milliseconds length);
@@ -143,6 +162,11 @@
   void RecordInterruption(const program_slot& slot, core::milliseconds length);
   void RecordLinkFault(const process_test::tcp_relay& relay,
                        core::milliseconds length);
+  void RecordCrossing(crossing what, std::optional<int> gateway,
+                      core::milliseconds length);
+  /** A process is stopped or its settings are changed. */
+  void RecordCrossing(crossing what, const program_slot& slot,
+                      core::milliseconds length);
   void SetTarget(const std::string& target) { target_ = target; }
 
   net::event_loop& loop_;
@@ -152,6 +176,7 @@
   std::vector<const fault*> choices_;
   core::time_point started_;
   core::time_point outage_ends_at_;
+  bool is_restoring_ = false;
   /** Endpoints that name a limit, with their instances. */
   std::map<std::size_t, std::string> limited_;
   bool stopped_ = false;
