End the use of a run that is replaced or removed by any way

Found by the property test of restorations, which follows.

Fault: the later run of an endpoint wasn't used where its address belonged to another service, and the earlier run stayed in use in its place, though it had ended. Beside it, a removal of a departed endpoint that arrived early was forgotten, so that an entry from before it brought the endpoint back.

Change: the known run departs when a later one is refused; removals of departed endpoints move the position of the departure.

Evidence: a trial of the property test with an engine restarted at the address of another (reproduced twice) kept i3/1004 in use with i3/1007 listed; both cases are now tests of restored_table_test, which pass. The second was seen in the code, not in a run.

--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -109,7 +109,13 @@
     fresh.record.leaving = true;
   }
   const bool differs = DiffersInUse(known.record, record);
-  if (differs && !TakeAddress(listed, now, out)) return out;
+  if (differs && !TakeAddress(listed, now, out)) {
+    // The known run has ended all the same.
+    if (AreDifferentRuns(record, known.record)) {
+      Depart(found, listed.position, now, out);
+    }
+    return out;
+  }
   if (record.leaving && !was_leaving) {
     out.push_back({kind::leaving, record});
   } else if (had_lapsed) {
@@ -126,7 +132,15 @@
                                                   core::time_point now) {
   changes out;
   const auto found = entries_.find(instance);
-  if (found != entries_.end()) Remove(found, grace, now, out);
+  if (found != entries_.end()) {
+    Remove(found, grace, now, out);
+    return out;
+  }
+  const auto departed = departed_.find(instance);
+  if (departed != departed_.end()) {
+    catalog_position& position = departed->second.position;
+    position = std::max(position, grace.removal_position);
+  }
   return out;
 }
 
--- a/src/catalog/endpoint_table_test.cc
+++ b/src/catalog/endpoint_table_test.cc
@@ -269,6 +269,27 @@
   EXPECT_TRUE(IsUsable("current"));
 }
 
+// The later run is not used either, because its address has another holder.
+TEST_F(restored_table_test, ALaterRunEndsTheUseOfTheEarlierOneInAnyCase) {
+  Since(At(Run("i1", 1000), "s1", 81), 91);
+  Since(At(Run("i2", 3000), "s2", 80), 92);
+  Since(At(Run("i1", 2000), "s1", 80), 93);
+  EXPECT_FALSE(IsUsable("i1"));
+  EXPECT_TRUE(IsUsable("i2"));
+}
+
+// Removals that are known early count for entries that arrive late.
+TEST_F(restored_table_test, ALateEntryOfADepartedEndpointIsIgnored) {
+  Before(Run("i1", 1000), 80);
+  RemoveBefore("i1", 140);
+  table_.OnRemoved(instance_id("i1"),
+                   {core::time_point::min(), {2, 90}, {2, 97}}, now_);
+  Since(Run("i1", 1000), 93);
+  EXPECT_FALSE(IsUsable("i1"));
+  Since(Run("i1", 1000), 98);
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
 // An entry and its removal may arrive by several ways, in any order.
 TEST_F(restored_table_test, AnOlderEntryOrRemovalChangesNothing) {
   Since(Run("i1", 1000), 95);
