Relay what is written again after a restoration, though the reader knows it

What callers saw: a gateway that had started on the older copy of the store stayed on the older version of the configuration after the operator had written it again; an engine that it remembered as departed stayed out of use although it was there again. Cause: readers pass on only what alters their own view. What is written again alters nothing at a reader that kept it, but a gateway that knows only the copy needs it; the batch then confirms its position without the change, so that it never reads it. Change: configurations, adapter versions and removals are always passed on, and of each endpoint the first entry after a full read of a new era. What a full read of a restored store changes at its reader goes with the batch that announces the era. An era counts only with data: a failed call that names a later one leads to a full read and no more, so that one wrong header of an error does not make all later answers stale.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -295,10 +295,15 @@
       others.push_back(std::move(change));
     }
   }
-  std::vector<change_document> ignored;
-  Apply(std::move(others), context, ignored);
+  // Other processes may know a copy that is older than this read.
+  if (before.era < position_.era) {
+    unrelayed_.clear();
+    for (const auto& each : entries) unrelayed_.insert(each.record.instance);
+  }
+  std::vector<change_document> applied;
+  Apply(std::move(others), context, applied);
   if (was_restored) {
-    OnRestored(before, entries, context);
+    OnRestored(before, entries, std::move(applied), context);
   } else {
     Publish(endpoints_.OnSnapshot(entries, GraceFor(position_, context),
                                   loop_.Now()));
@@ -309,7 +314,7 @@
 void catalog_follower::OnRestored(
     const catalog_position& before,
     const std::vector<endpoint_table::listed_entry>& entries,
-    const read_context& read) {
+    std::vector<change_document> applied, const read_context& read) {
   loop_.Cancel(std::exchange(era_timer_, 0));
   if (outages_.OnRestored(position_, read.known_until, loop_.Now())) {
     LogOutage("restored");
@@ -342,6 +347,7 @@
                      .revision = position_.revision,
                      .era = position_.era};
   batch.last_outage = OutageToReport();
+  batch.documents = std::move(applied);
   listener_.OnLocalRead(batch);
 }
 
@@ -364,7 +370,7 @@
         .Add("era", position_.era)
         .Add("era_now", read.era)
         .Add("revision", position_.revision);
-    OnEra(read.era);
+    if (read.outcome == read_outcome::done) OnEra(read.era);
     ReadAllAgain();
     return;
   }
@@ -383,7 +389,13 @@
   batch.revision = position_.revision;
   batch.era = position_.era;
   DetectMassRemoval(read.changes, known_before);
-  Apply(std::move(read.changes), context, batch.documents);
+  for (published_change& change : read.changes) {
+    const bool is_news = IsNewsToOthers(change);
+    const bool is_altered = ApplyOne(change, context);
+    if ((is_news || is_altered) && !change.document.empty()) {
+      batch.documents.push_back({change.revision, std::move(change.document)});
+    }
+  }
   batch.last_outage = OutageToReport();
   listener_.OnLocalRead(batch);
   ReadWhenDue();
@@ -472,7 +484,8 @@
 }
 
 void catalog_follower::OnFailure(const char* call, const catalog_read& read) {
-  OnEra(read.era);
+  // Only data shows that an era has begun.
+  if (complete_ && read.era > latest_era_) needs_all_ = true;
   if (connected_) {
     connected_ = false;
     failing_since_ = loop_.Now();
@@ -549,6 +562,26 @@
   }
 }
 
+/**
+ * A process that has read an older copy of the platform may need a change that
+ * alters nothing here. Heartbeats are news only as the first sign of an
+ * endpoint in a new era.
+ */
+bool catalog_follower::IsNewsToOthers(const published_change& change) {
+  return std::visit(
+      core::overloaded{[](const configuration&) { return true; },
+                       [](const adapter_version_announced&) { return true; },
+                       [this](const endpoint_record& record) {
+                         return unrelayed_.erase(record.instance) > 0;
+                       },
+                       [this](const endpoint_removed& removed) {
+                         unrelayed_.erase(removed.instance);
+                         return true;
+                       },
+                       [](const unreadable_entry&) { return false; }},
+      change.content);
+}
+
 bool catalog_follower::ApplyOne(published_change& change,
                                 const read_context& read) {
   const auto position = PositionOf(change, read.position);
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "catalog/backlog_age.h"
 #include "catalog/catalog_source.h"
@@ -122,6 +123,7 @@
   /** The first read after the platform was restored from a copy. */
   void OnRestored(const catalog_position& before,
                   const std::vector<endpoint_table::listed_entry>& entries,
+                  std::vector<change_document> applied,
                   const read_context& read);
   /** Reads everything, after a pause if the last such read was of no use. */
   void ReadAllAgain();
@@ -132,6 +134,7 @@
   void ReadWhenDue();
   void Apply(std::vector<published_change> changes, const read_context& read,
              std::vector<change_document>& applied);
+  bool IsNewsToOthers(const published_change& change);
   /** @returns true if the change has altered the view. */
   bool ApplyOne(published_change& change, const read_context& read);
   bool ApplyConfiguration(configuration content, const char* origin);
@@ -159,6 +162,11 @@
   bool complete_ = false;
   /** Everything up to this position is known. */
   catalog_position position_;
+  /**
+   * Endpoints of the last full read of a new era whose next entry has not been
+   * passed on yet.
+   */
+  std::set<instance_id> unrelayed_;
   /** Latest known era; that of the view may be earlier. */
   std::int64_t latest_era_ = 0;
   /** Only a read of everything brings the view up to date. */
