Keep endpoints in use that cannot register again; let a shutdown stand

Entries that were removed after an outage keep their bound. - an announced shutdown was ignored if the entry that said so might come from the copy and the known one had lapsed. It only rises now. - an entry without a start time erased the known one, so that no later run of the same id was recognised.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -96,8 +96,11 @@
 }
 
 void catalog_follower::Start() {
-  tick_timer_ = loop_.SchedulePeriodic(
-      kTickPeriod, [this] { Publish(endpoints_.OnTick(loop_.Now())); });
+  tick_timer_ = loop_.SchedulePeriodic(kTickPeriod, [this] {
+    const bool is_away =
+        !connected_ && Age() > schedule_.MaximumConfirmationGap();
+    Publish(endpoints_.OnTick(loop_.Now(), !is_away));
+  });
   ReadAll();
 }
 
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -98,9 +98,19 @@
     return out;
   }
   entry& known = found->second;
+  // The entry of a later writer may lack the start time.
+  if (record.started_unix_ms == 0) {
+    fresh.record.started_unix_ms = known.record.started_unix_ms;
+  }
   const bool had_lapsed = known.grace.has_value();
   if (listed.position < known.position || IsEarlierRun(record, known.record) ||
       (had_lapsed && MayBeRestored(listed.position))) {
+    // Whatever else is outdated, a shutdown that was announced goes on.
+    if (record.leaving && !known.record.leaving &&
+        !AreDifferentRuns(record, known.record)) {
+      known.record.leaving = true;
+      out.push_back({kind::leaving, known.record});
+    }
     return out;
   }
   // An endpoint that has announced its shutdown does not come back.
@@ -245,11 +255,15 @@
   }
 }
 
-endpoint_table::changes endpoint_table::OnTick(core::time_point now) {
+endpoint_table::changes endpoint_table::OnTick(core::time_point now,
+                                               bool can_register) {
   changes out;
   for (auto position = entries_.begin(); position != entries_.end();) {
     const auto& grace = position->second.grace;
-    position = grace && grace->usable_until <= now
+    const bool may_register_later =
+        grace && !can_register &&
+        grace->removal_position <= grace->outage_position;
+    position = grace && grace->usable_until <= now && !may_register_later
                    ? Depart(position, grace->removal_position, now, out)
                    : std::next(position);
   }
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -78,8 +78,12 @@
    */
   void ShortenGrace(const std::function<core::time_point(const removal_grace&)>&
                         usable_until);
-  /** Ends grace periods. Call about every 100 ms. */
-  changes OnTick(core::time_point now);
+  /**
+   * Ends grace periods. Call about every 100 ms.
+   * @param can_register false while the platform is unavailable: endpoints
+   *     whose entries lapsed in an outage stay in use.
+   */
+  changes OnTick(core::time_point now, bool can_register = true);
 
   /** Calls `visit` for each endpoint that accepts new requests. */
   void ForEachUsable(
--- a/src/catalog/endpoint_table_test.cc
+++ b/src/catalog/endpoint_table_test.cc
@@ -269,6 +269,44 @@
   EXPECT_TRUE(IsUsable("current"));
 }
 
+// A second outage may begin within the grace period of the first one.
+TEST_F(restored_table_test, AnEndpointThatCannotRegisterStaysInUse) {
+  Before(Run("i1", 1000), 147);
+  Restore({});
+  now_ += milliseconds(3000);
+  table_.OnTick(now_, false);
+  EXPECT_TRUE(IsUsable("i1"));
+  table_.OnTick(now_, true);
+  EXPECT_FALSE(IsUsable("i1"));
+}
+
+// An endpoint that left after an outage is out of use within its bound.
+TEST_F(restored_table_test, ARemovedEndpointIsNotKeptForALaterOutage) {
+  Before(Run("i1", 1000), 80);
+  table_.OnRemoved(instance_id("i1"),
+                   {now_ + milliseconds(1500), {1, 90}, {1, 97}}, now_);
+  now_ += milliseconds(2000);
+  table_.OnTick(now_, false);
+  EXPECT_FALSE(IsUsable("i1"));
+}
+
+TEST_F(restored_table_test, AnAnnouncedShutdownCountsWhileTheEntryHasLapsed) {
+  Before(Run("i1", 1000), 147);
+  Restore({});
+  EXPECT_TRUE(IsUsable("i1"));
+  Restore(3, {{Run("i1", 1000, true), {3, 80}}});
+  EXPECT_FALSE(IsUsable("i1"));
+}
+
+// Only the start time shows that the id is used by another run.
+TEST_F(restored_table_test, AnEntryWithoutAStartTimeDoesNotHideALaterRun) {
+  Before(Run("i1", 1000), 10);
+  Before(Run("i1", 0, true), 11);
+  EXPECT_FALSE(IsUsable("i1"));
+  Before(Run("i1", 2000), 12);
+  EXPECT_TRUE(IsUsable("i1"));
+}
+
 // The later run is not used either, because its address has another holder.
 TEST_F(restored_table_test, ALaterRunEndsTheUseOfTheEarlierOneInAnyCase) {
   Since(At(Run("i1", 1000), "s1", 81), 91);
