--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -44,6 +44,7 @@
         self.connections = set()
         self.refuse = lambda kind, request: None
         self.before_answer = None
+        self.order_s = 0.0  # time until an order is accepted
         self._reset()
 
     def _reset(self):
@@ -102,6 +103,7 @@
             writer.write(self._report())
         elif request.target == "/v1/order":
             order = json.loads(request.body)
+            await asyncio.sleep(self.order_s)
             status = self.refuse("order", request) or self._order(order)
             self.orders.append((time.monotonic(), order, status))
             self.record(f"engine {self.instance} order {order.get('Op')} "
