--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,10 +13,10 @@
 from review.standins.engine import Engine  # noqa: E402
 
 REQUESTS_PER_S = 260
-LENGTH_S = 90
+LENGTH_S = 82
 # Garbling: 5 s at a time, at most 3 in 100 of the answers given meanwhile (the
 # site file's figures for "extra late").
-WINDOWS = tuple((3.0 + 8 * i, 8.0 + 8 * i) for i in range(11))
+WINDOWS = tuple((3.0 + 8 * i, 8.0 + 8 * i) for i in range(10))
 GARBLED_SHARE = 0.03
 LIMITED_S = 0.06
 # There and back between two zones, 1.4 ms each way.
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,8 +6,6 @@
 python3 - review/standins/*.py review/[0-9]/*.py <<'PY'
 import ast
 import sys
-if sys.version_info < (3, 11):
-    sys.exit("python 3.11 or later is needed (tomllib)")
 for name in sys.argv[1:]:
     with open(name, encoding="utf-8") as source:
         ast.parse(source.read(), name)
