--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -192,7 +192,7 @@
                 Path(keep, f"{name}.log").write_text(self.log_of(name))
         self.temporary.cleanup()
 
-    async def wait_ready(self, number, limit_s=10.0):
+    async def wait_ready(self, number, limit_s=10):
         """The platform's question, until the gateway is ready."""
         end = time.monotonic() + limit_s
         while time.monotonic() < end:
