Use a fresh connection after any attempt that may have arrived

Cause: an endpoint may write a response once more in front of the next one on the same connection. Both carry the id of the request, so only the connection tells them apart, and a second attempt at an endpoint takes a new one. Whether an attempt is a second one was read from `used`, the set that limits the number of endpoints; an attempt that was not sent erased its endpoint from that set, although an earlier attempt had been sent there. The third attempt took the kept connection and read the copy of the refusal as its own response.

A property test plays endpoints that refuse, run, cut, reset and write responses again, in any order, behind one to three endpoints, and judges by their record of what ran.

Change: `used` holds the endpoints that may have received the request, with the addresses it was sent to. An unsent attempt removes only what it has added itself. A fresh connection is taken by address, since that is what the HTTP library keeps connections by. The `sent` line names it (`fresh_connection`).

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -230,7 +230,13 @@
     /** The sidecar has been told that the granted run has produced output. */
     bool run_started_sent = false;
     int attempts = 0;
-    std::set<catalog::instance_id> used;
+    /**
+     * Endpoints that may have received the request, with the addresses that it
+     * was sent to.
+     */
+    std::map<catalog::instance_id, core::network_address> used;
+    /** The current attempt is the first at its endpoint. */
+    bool is_first_at_endpoint = false;
     std::set<catalog::instance_id> excluded;
     /** Only endpoints in `used` may be chosen. */
     bool restricted = false;
@@ -1183,7 +1189,11 @@
     request->events_before_attempt = request->events.Count();
     request->answer_went_on = false;
     ++request->attempts;
-    const bool is_again = !request->used.insert(request->endpoint).second;
+    const bool was_sent_there = std::any_of(
+        request->used.begin(), request->used.end(),
+        [&](const auto& each) { return each.second == record->address; });
+    request->is_first_at_endpoint =
+        request->used.try_emplace(request->endpoint, record->address).second;
     const auto left = core::ToMilliseconds(request->deadline - now);
     const std::int64_t announced =
         follower.VersionOf(request->metadata.adapter);
@@ -1199,9 +1209,9 @@
     call.total_timeout = left + kResponseReserve;
     call.maximum_connection_idle = idle_limit;
     call.may_resend = false;
-    // The endpoint may write its earlier answer to this request once more, on
+    // The endpoint may write its earlier response to this request once more, on
     // the connection that it had then.
-    call.fresh_connection = is_again;
+    call.fresh_connection = was_sent_there;
     views.at(request->endpoint).results.OnSent(now);
     auto line =
         log.Request(line_class::routine, "sent", request->metadata.id.Value());
@@ -1210,6 +1220,7 @@
         .Add("endpoint", request->endpoint.Value())
         .Add("granted", request->grant_number != 0)
         .Add("permitted", request->permit_number != 0)
+        .Add("fresh_connection", was_sent_there)
         .Add("adapter", request->metadata.adapter.adapter.Value())
         .Add("version", announced)
         .Add("attempt", request->attempts)
@@ -1584,7 +1595,7 @@
     const std::uint64_t lost_number = is_lost ? request->grant_number : 0;
     ReleaseGrant(*request, missing, is_lost);
     if (failure == attempt_failure::not_sent) {
-      request->used.erase(request->endpoint);
+      if (request->is_first_at_endpoint) request->used.erase(request->endpoint);
     } else if (failure != attempt_failure::not_run) {
       request->may_have_run = true;
     }
