Fail a call whose peer sends mostly framing

Cause: the HTTP library reads away the extensions of chunks without any callback, so neither the limits on headers and bodies nor the hold after many pieces of a body saw these bytes; only the time limit of the call ended them.

Change: after a read that has delivered nothing, and after every 64th one, the bytes that the connection has received are compared with those that the library has delivered. A call with more than 64 KiB of framing, beyond 32 bytes for each byte delivered, fails and its connection is closed.

AcceptsManySmallChunksWithShortExtensions shows that tiny chunks are not taken for such a response.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -146,6 +146,15 @@
     ReportFinished();
   }
 
+  /** Reads from the connection of a call. */
+  void Read(curl_socket_t socket, http_call_id id) {
+    ProcessSocketAction(socket, CURL_CSELECT_IN);
+    const auto found = transfers.find(id);
+    if (found != transfers.end() && !found->second->CheckFraming(socket)) {
+      Finish(id, CURLE_WRITE_ERROR);
+    }
+  }
+
   void ReportFinished() {
     std::vector<std::pair<http_call_id, CURLcode>> finished;
     int left = 0;
@@ -182,8 +191,8 @@
     return 0;
   }
 
-  static int OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
-                      void* self, void* /*socket_data*/) noexcept {
+  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* self,
+                      void* /*socket_data*/) noexcept {
     auto* client = static_cast<impl*>(self);
     if (what == CURL_POLL_REMOVE) {
       client->watchers.erase(socket);
@@ -191,35 +200,43 @@
     }
     if (what == CURL_POLL_NONE) return 0;
     try {
-      client->Watch(socket, what);
+      client->Watch(socket, what, http_transfer::IdOf(easy));
     } catch (const net_error&) {
       return -1;  // The library fails the transfer.
     }
     return 0;
   }
 
-  void Watch(curl_socket_t socket, int what) {
+  void Watch(curl_socket_t socket, int what, http_call_id id) {
     const io_interest interest = what == CURL_POLL_IN ? io_interest::read
                                  : what == CURL_POLL_OUT
                                      ? io_interest::write
                                      : io_interest::read_write;
     const auto found = watchers.find(socket);
     if (found != watchers.end()) {
-      found->second->SetInterest(interest);
+      found->second.call = id;
+      found->second.watcher->SetInterest(interest);
       return;
     }
-    watchers[socket] = std::make_unique<io_watcher>(
+    auto watcher = std::make_unique<io_watcher>(
         loop, socket, interest,
         io_watcher::callbacks{
-            [this, socket] { ProcessSocketAction(socket, CURL_CSELECT_IN); },
+            [this, socket] { Read(socket, watchers.at(socket).call); },
             [this, socket] { ProcessSocketAction(socket, CURL_CSELECT_OUT); }});
+    watchers[socket] = {std::move(watcher), id};
   }
 
+  struct connection_watch {
+    std::unique_ptr<io_watcher> watcher;
+    /** The call that uses the connection. */
+    http_call_id call = 0;
+  };
+
   event_loop& loop;
   connection_table connections;
   CURLM* multi;
   std::unordered_map<http_call_id, std::unique_ptr<http_transfer>> transfers;
-  std::map<curl_socket_t, std::unique_ptr<io_watcher>> watchers;
+  std::map<curl_socket_t, connection_watch> watchers;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   http_call_id last_id = 0;
   timer_id timer = 0;
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -238,12 +238,17 @@
   Start({.url = Url(), .maximum_body_bytes = 256 * 1024});
   const auto peer = listener_.Accept();
   ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
-  const std::string piece = GetParam();
+  std::string piece = GetParam();
   std::size_t sent = 0;
+  // Longer than one read, so that some reads bring no byte of the body.
+  if (piece == "1;") piece += std::string(40'000, 'e') + "\r\nx\r\n";
   if (piece.rfind("body", 0) == 0) peer->Send("HTTP/1.1 200 OK\r\n\r\n");
-  if (piece.rfind("1\r\n", 0) == 0) {
-    peer->Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  if (piece.rfind("1\r\n", 0) == 0 || piece.rfind("1;", 0) == 0) {
+    peer->Send(chunked);
   }
+  if (piece.rfind(" extension", 0) == 0) peer->Send(chunked + "5;name=");
   std::string many;
   while (many.size() < 8192) many += piece;
   ASSERT_TRUE(loop_.RunUntil(
@@ -265,8 +270,25 @@
                       "HTTP/1.1 200 OK\r\nX-Number: 1\r\nY: 2\r\n",
                       "HTTP/1.1 200 OK and no end of the line ",
                       "body without a length\n", "1\r\nx\r\n",
+                      " extension of a chunk that does not end", "1;",
                       "\x01\x02\x03garbage"));
 
+// Chunks of one byte have a multiple of their size in framing; the bound on
+// bytes that carry nothing must let them through, and short extensions too.
+TEST_F(http_client_test, AcceptsManySmallChunksWithShortExtensions) {
+  constexpr int kPieces = 10'000;
+  Start({.url = Url()});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  std::string chunks;
+  for (int i = 0; i < kPieces; ++i) chunks += "1;a=b\r\nx\r\n";
+  peer->Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks +
+             "0\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::none);
+  EXPECT_EQ(result_->body.size(), kPieces);
+}
+
 // A body in tiny pieces must not hold the loop: timers and other calls wait for
 // the end of a turn.
 TEST_F(http_client_test, ABodyInTinyPiecesIsReadInManyTurns) {
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "core/text.h"
+#include "net/transfer_count.h"
 
 namespace comfreyspring::net {
 namespace {
@@ -262,6 +263,7 @@
                                                           : 0;
   }
   --transfer.pieces_until_hold_;
+  transfer.body_bytes_ += bytes;
   transfer.last_activity_ = transfer.loop_.Now();
   if (!transfer.callbacks_.on_data && transfer.result_.body.size() + bytes >
                                           transfer.call_.maximum_body_bytes) {
@@ -278,6 +280,16 @@
   return taken && !transfer.cancelled_ ? bytes : 0;
 }
 
+bool http_transfer::CheckFraming(int descriptor) {
+  const std::uint64_t delivered = header_bytes_ + body_bytes_;
+  if (!framing_.IsCheckDue(delivered)) return true;
+  if (framing_.Accepts(TransferCountOf(descriptor).received, delivered)) {
+    return true;
+  }
+  abort_reason_ = "the response consists mostly of framing";
+  return false;
+}
+
 void http_transfer::OnHold(std::function<void()> callback) {
   on_hold_ = std::move(callback);
 }
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "net/connection_table.h"
+#include "net/framing_meter.h"
 #include "net/http_client.h"
 
 namespace comfreyspring::net {
@@ -37,6 +38,12 @@
   void OnHold(std::function<void()> callback);
   /** Continues to read the body; passes on what the library has kept. */
   CURLcode Resume();
+  /**
+   * Called after the library has read from the call's connection.
+   * @returns false if the peer has sent too many bytes that are neither headers
+   *     nor body, such as extensions of chunks, so that the call must fail.
+   */
+  bool CheckFraming(int descriptor);
   /** Suppresses all further callbacks; the library aborts the transfer. */
   void MarkCancelled();
   /**
@@ -89,6 +96,8 @@
   /** Why the client aborted the call. */
   std::string abort_reason_;
   std::size_t header_bytes_ = 0;
+  std::uint64_t body_bytes_ = 0;
+  framing_meter framing_;
   http_result result_;
   bool headers_reported_ = false;
   int times_sent_ = 0;
