--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -29,6 +29,8 @@
   core::milliseconds idle_timeout{0};
   /** Opens a new connection instead of reusing an idle one. */
   bool fresh_connection = false;
+  /** If false, the connection is closed after the call. */
+  bool keep_connection = true;
   /** An idle connection that is older than this is not reused. */
   core::seconds maximum_connection_idle{30};
   /**
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -121,6 +121,7 @@
   SetOption(easy, CURLOPT_TIMEOUT_MS,
             static_cast<long>(call_.total_timeout.count()));
   SetOption(easy, CURLOPT_FRESH_CONNECT, call_.fresh_connection ? 1L : 0L);
+  SetOption(easy, CURLOPT_FORBID_REUSE, call_.keep_connection ? 0L : 1L);
   SetOption(easy, CURLOPT_MAXAGE_CONN,
             static_cast<long>(call_.maximum_connection_idle.count()));
   SetOption(easy, CURLOPT_TCP_KEEPALIVE, 1L);
