Bound how fast all responses of a client are read

Cause: one piece of a connection's response is read a turn, but nothing bounds how many connections do so, or how often, so the loop's time went to whoever sent most.

Change: a call reads 32 KiB in 20 ms; calls that read more share 512 KiB in that time and wait for the next period when it is used up. A call that reads little is never held back.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -53,9 +53,10 @@
   http_call_id Start(http_call call, http_callbacks callbacks) {
     const http_call_id id = ++last_id;
     auto transfer = std::make_unique<http_transfer>(
-        loop, connections, id, std::move(call), std::move(callbacks));
+        loop, connections, pacer, id, std::move(call), std::move(callbacks));
     transfer->OnIdle([this, id] { Expire(id); });
-    transfer->OnHold([this, id] { Defer([this, id] { Resume(id); }); });
+    transfer->OnHold(
+        [this, id](core::milliseconds wait) { ResumeAfter(id, wait); });
     http_transfer& reference = *transfer;
     transfers[id] = std::move(transfer);
     if (inside_library) {
@@ -117,6 +118,17 @@
     return true;
   }
 
+  /** @param wait zero for the end of the turn. */
+  void ResumeAfter(http_call_id id, core::milliseconds wait) {
+    if (wait.count() == 0) {
+      Defer([this, id] { Resume(id); });
+      return;
+    }
+    loop.Schedule(wait, [this, id, still_alive = std::weak_ptr<bool>(alive)] {
+      if (still_alive.lock()) Resume(id);
+    });
+  }
+
   void Resume(http_call_id id) {
     const auto found = transfers.find(id);
     if (found == transfers.end()) return;
@@ -234,6 +246,7 @@
 
   event_loop& loop;
   connection_table connections;
+  read_pacer pacer;
   CURLM* multi;
   std::unordered_map<http_call_id, std::unique_ptr<http_transfer>> transfers;
   std::map<curl_socket_t, connection_watch> watchers;
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -326,6 +326,31 @@
   EXPECT_LE(most_in_turn, kMaximumPiecesPerTurn);
 }
 
+// Peers that send as fast as they are read must leave the loop time for other
+// calls; nothing of their responses is lost.
+TEST_F(http_client_test, BoundsHowFastAResponseIsRead) {
+  constexpr std::size_t kBodyBytes = 4 * 1024 * 1024;
+  Start({.url = Url()});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+             std::to_string(kBodyBytes) + "\r\n\r\n");
+  const std::string piece(64 * 1024, 'x');
+  std::size_t sent = 0;
+  const auto began = loop_.Now();
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] {
+        sent += peer->Write(piece.data(),
+                            std::min(piece.size(), kBodyBytes - sent));
+        return result_.has_value();
+      },
+      kLimit));
+  EXPECT_EQ(result_->failure, http_failure::none);
+  EXPECT_EQ(result_->body.size(), kBodyBytes);
+  // 25 MB/s, of which the first period takes none.
+  EXPECT_GE(loop_.Now() - began, milliseconds(120));
+}
+
 // A late duplicate of a response on an idle connection must not be taken for
 // the response to the next call.
 TEST_F(http_client_test, DuplicateResponseIsNotUsedForTheNextCall) {
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -35,10 +35,11 @@
 }  // namespace
 
 http_transfer::http_transfer(event_loop& loop, connection_table& connections,
-                             http_call_id id, http_call call,
+                             read_pacer& pacer, http_call_id id, http_call call,
                              http_callbacks callbacks)
     : loop_(loop),
       connections_(connections),
+      pacer_(pacer),
       id_(id),
       call_(std::move(call)),
       callbacks_(std::move(callbacks)),
@@ -258,12 +259,11 @@
   auto& transfer = *static_cast<http_transfer*>(self);
   const std::size_t bytes = size * count;
   if (transfer.cancelled_) return 0;
-  if (transfer.pieces_until_hold_ == 0) {
-    transfer.pieces_until_hold_ = kPiecesBetweenHolds;
-    return transfer.Guarded([&] { transfer.on_hold_(); }) ? CURL_WRITEFUNC_PAUSE
-                                                          : 0;
+  if (const auto wait = transfer.HoldFor(bytes)) {
+    return transfer.Guarded([&] { transfer.on_hold_(*wait); })
+               ? CURL_WRITEFUNC_PAUSE
+               : 0;
   }
-  --transfer.pieces_until_hold_;
   transfer.body_bytes_ += bytes;
   transfer.last_activity_ = transfer.loop_.Now();
   if (!transfer.callbacks_.on_data && transfer.result_.body.size() + bytes >
@@ -281,6 +281,17 @@
   return taken && !transfer.cancelled_ ? bytes : 0;
 }
 
+std::optional<core::milliseconds> http_transfer::HoldFor(std::size_t bytes) {
+  if (pieces_until_hold_ == 0) {
+    pieces_until_hold_ = kPiecesBetweenHolds;
+    return core::milliseconds(0);
+  }
+  const auto wait = pacer_.Take(pace_, bytes, loop_.Now());
+  if (wait.count() > 0) return wait;
+  --pieces_until_hold_;
+  return std::nullopt;
+}
+
 bool http_transfer::CheckFraming(int descriptor) {
   const std::uint64_t delivered = header_bytes_ + body_bytes_;
   if (!framing_.IsCheckDue(delivered)) return true;
@@ -291,7 +302,8 @@
   return false;
 }
 
-void http_transfer::OnHold(std::function<void()> callback) {
+void http_transfer::OnHold(
+    std::function<void(core::milliseconds wait)> callback) {
   on_hold_ = std::move(callback);
 }
 
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -5,11 +5,13 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net/connection_table.h"
 #include "net/framing_meter.h"
 #include "net/http_client.h"
+#include "net/read_pacer.h"
 
 namespace comfreyspring::net {
 
@@ -18,7 +20,8 @@
  public:
   /** The referenced objects must outlive the transfer's connection. */
   http_transfer(event_loop& loop, connection_table& connections,
-                http_call_id id, http_call call, http_callbacks callbacks);
+                read_pacer& pacer, http_call_id id, http_call call,
+                http_callbacks callbacks);
   ~http_transfer();
   http_transfer(const http_transfer&) = delete;
   http_transfer& operator=(const http_transfer&) = delete;
@@ -32,10 +35,10 @@
   /** Sets the callback for the call's idle timeout. */
   void OnIdle(std::function<void()> callback);
   /**
-   * Sets the callback for a body of which the loop has read enough for one
-   * turn. No more is read until Resume.
+   * Sets the callback for a body of which the loop has read enough for now: for
+   * one turn, or until the given time has passed. No more is read until Resume.
    */
-  void OnHold(std::function<void()> callback);
+  void OnHold(std::function<void(core::milliseconds wait)> callback);
   /** Continues to read the body; passes on what the library has kept. */
   CURLcode Resume();
   /**
@@ -80,6 +83,9 @@
   void SetLimits();
   bool IsSafeToRepeat() const;
   void ReadHeaderLine(std::string line);
+  /** @returns for how long a piece of the body has to wait; nothing if it may
+   * be read now. */
+  std::optional<core::milliseconds> HoldFor(std::size_t bytes);
   body_end BodyEnd() const;
   /** Runs `step`. @returns false if it threw, so that the call must fail. */
   bool Guarded(const std::function<void()>& step) noexcept;
@@ -87,6 +93,8 @@
 
   event_loop& loop_;
   connection_table& connections_;
+  read_pacer& pacer_;
+  read_pacer::usage pace_;
   http_call_id id_;
   http_call call_;
   http_callbacks callbacks_;
@@ -104,7 +112,7 @@
   bool needs_fresh_connection_ = false;
   bool cancelled_ = false;
   std::function<void()> on_idle_;
-  std::function<void()> on_hold_;
+  std::function<void(core::milliseconds wait)> on_hold_;
   int pieces_until_hold_;
   core::time_point last_activity_;
   timer_id idle_timer_ = 0;
--- a/src/net/test_peer.h
+++ b/src/net/test_peer.h
@@ -28,6 +28,10 @@
   void Send(const std::string& data) {
     socket_.Write(data.data(), data.size());
   }
+  /** @returns the bytes that were taken. */
+  std::size_t Write(const char* data, std::size_t size) {
+    return socket_.Write(data, size).bytes;
+  }
   void Close() {
     watcher_.reset();
     socket_.Close();
