End a stream that sends many bytes without an event

Cause: only the bytes of an incomplete event were limited. Empty lines and comments complete no event, but were passed on and buffered for the caller.

Change: one limit of 256 KiB for everything that a stream sends since its last complete event. The attempt fails and the engine counts as failing; a stream that may be resumed goes on elsewhere.

AStreamWithCommentsBetweenItsEventsIsPassedOn shows that keep-alives between events add up to nothing.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -89,8 +89,11 @@
  * smallest VM.
  */
 constexpr std::size_t kMaximumBufferedBytes = 16 * 1024 * 1024;
-/** Limit for the bytes of an incomplete event; an event holds a few tokens. */
-constexpr std::size_t kMaximumEventBytes = 256 * 1024;
+/**
+ * Limit for the bytes of a stream without a complete event: those of an
+ * incomplete one, which holds a few tokens, of comments and of empty lines.
+ */
+constexpr std::size_t kMaximumBytesWithoutEvent = 256 * 1024;
 /**
  * A sidecar tells within some tens of milliseconds whether the engine of a lost
  * run has ended; a slowed one may not answer at all.
@@ -251,6 +254,8 @@
     net::body_end body_end = net::body_end::framed;
     std::string body;
     stream::event_splitter events;
+    /** Received since the last complete event. */
+    std::size_t bytes_without_event = 0;
 
     // Response to the caller.
     bool response_started = false;
@@ -1187,6 +1192,7 @@
     request->forwards_events = false;
     request->events.BeginContinuation();
     request->events_before_attempt = request->events.Count();
+    request->bytes_without_event = 0;
     request->answer_went_on = false;
     ++request->attempts;
     const bool was_sent_there = std::any_of(
@@ -1444,9 +1450,15 @@
       return;
     }
     // Only complete events count as progress.
-    if (request->events.Count() > events_before) OnProgress(*request);
-    if (request->events.Rest().size() > kMaximumEventBytes) {
-      FailAttempt(request, "an event of the response exceeds the size limit");
+    if (request->events.Count() > events_before) {
+      OnProgress(*request);
+      request->bytes_without_event = request->events.Rest().size();
+    } else {
+      request->bytes_without_event += data.size();
+    }
+    if (request->bytes_without_event > kMaximumBytesWithoutEvent) {
+      FailAttempt(request,
+                  "the stream has sent too many bytes without an event");
       return;
     }
     ForwardEvents(request, std::move(complete_events));
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -597,6 +597,40 @@
   EXPECT_EQ(caller->written, "id: 1\n\n");
 }
 
+/** Bytes that a stream sends without end and that hold no event. */
+class endless_stream_test : public request_forwarder_test,
+                            public ::testing::WithParamInterface<const char*> {
+};
+
+TEST_P(endless_stream_test, IsCancelledAfterItsEvents) {
+  const auto caller = Send("/stream/a");
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  std::string piece;
+  while (piece.size() < std::size_t{64} * 1024) piece += GetParam();
+  for (int i = 0; i < 64 && !http_.calls[0].cancelled; ++i) http_.Data(piece);
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  EXPECT_TRUE(caller->aborted);
+  EXPECT_EQ(caller->written.substr(0, 7), "id: 1\n\n");
+  EXPECT_LE(caller->written.size(), std::size_t{512} * 1024);
+}
+
+INSTANTIATE_TEST_SUITE_P(answers, endless_stream_test,
+                         ::testing::Values("\n", "\r\n", ":\n\n", ": comment\n",
+                                           "\r"));
+
+// Keep-alives between events are rare and short, but there may be many.
+TEST_F(request_forwarder_test, AStreamWithCommentsBetweenItsEventsIsPassedOn) {
+  const auto caller = Send("/stream/a");
+  http_.Headers(200, Own());
+  for (int event = 1; event <= 1000; ++event) {
+    for (int i = 0; i < 20; ++i) http_.Data(": keep-alive\n\n");
+    http_.Data("id: " + std::to_string(event) + "\n\n");
+  }
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
 // Single bytes are no progress; complete events are, however slow.
 TEST_F(request_forwarder_test, ResumesElsewhereWhenAStreamOnlyDripsBytes) {
   Send("/resume/a");
