Let endpoints wait for callers that read slowly

Cause: what an endpoint sent was read at once and kept until the caller read it, up to 4 MiB for each stream; only then the caller was cut off.

Change: with 128 KiB pending for its caller a stream is read no further, so that the endpoint waits (`http_client_interface::Hold`); it goes on when 32 KiB are left (`http_exchange::OnDrained`). Meanwhile the endpoint is not taken for a silent one. A caller that reads nothing at all for as long as callers wait for a stream is cut off, as one that leaves 4 MiB unread was before.

Tests: unread_stream_test (waits, is no silence, ends), ACallOnHoldIsNotRead, TellsWhenASlowReaderHasRead.

--- a/src/agent/test_doubles.h
+++ b/src/agent/test_doubles.h
@@ -33,6 +33,8 @@
   MOCK_METHOD(net::http_call_id, Start,
               (net::http_call call, net::http_callbacks callbacks), (override));
   MOCK_METHOD(void, Cancel, (net::http_call_id call), (override));
+  MOCK_METHOD(void, Hold, (net::http_call_id call), (override));
+  MOCK_METHOD(void, Release, (net::http_call_id call), (override));
 
   /** Open calls whose URL contains the text, oldest first. */
   std::vector<net::http_call_id> Open(const std::string& text) const {
--- a/src/entry/fake_exchange.h
+++ b/src/entry/fake_exchange.h
@@ -34,6 +34,10 @@
     client_gone = std::move(callback);
   }
   std::size_t PendingBytes() const override { return 0; }
+  void OnDrained(std::size_t /*bytes*/,
+                 std::function<void()> callback) override {
+    callback();
+  }
 
   net::http_response recorded_response;
   int response_count = 0;
--- a/src/gateway/forwarder_fixture_test.h
+++ b/src/gateway/forwarder_fixture_test.h
@@ -105,7 +105,11 @@
   void OnClientGone(std::function<void()> callback) override {
     gone = std::move(callback);
   }
-  std::size_t PendingBytes() const override { return 0; }
+  std::size_t PendingBytes() const override { return pending; }
+  void OnDrained(std::size_t bytes, std::function<void()> callback) override {
+    drained_at = bytes;
+    drained = std::move(callback);
+  }
 
   net::http_request request;
   net::http_response response;
@@ -115,6 +119,10 @@
   bool ended = false;
   bool aborted = false;
   std::function<void()> gone;
+  /** Set by tests. */
+  std::size_t pending = 0;
+  std::size_t drained_at = 0;
+  std::function<void()> drained;
 };
 
 class fake_http final : public net::http_client_interface {
@@ -123,6 +131,7 @@
     net::http_call call;
     net::http_callbacks callbacks;
     bool cancelled = false;
+    bool held = false;
   };
   net::http_call_id Start(net::http_call call,
                           net::http_callbacks callbacks) override {
@@ -130,6 +139,8 @@
     return calls.size();
   }
   void Cancel(net::http_call_id id) override { calls[id - 1].cancelled = true; }
+  void Hold(net::http_call_id id) override { calls[id - 1].held = true; }
+  void Release(net::http_call_id id) override { calls[id - 1].held = false; }
 
   void Headers(int status, net::header_map headers) {
     const auto callback = calls.back().callbacks.on_headers;
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -75,10 +75,12 @@
  */
 constexpr int kStalledStreamFactor = 2;
 /**
- * A caller's connection is aborted when more unread bytes than this are
- * pending.
+ * No more of a stream is read from its endpoint while more bytes than this wait
+ * for the caller to read them; some hundred events.
  */
-constexpr std::size_t kMaximumPendingBytes = 4 * 1024 * 1024;
+constexpr std::size_t kHoldPendingBytes = 128 * 1024;
+/** Reading goes on when no more than this is left. */
+constexpr std::size_t kReleasePendingBytes = 32 * 1024;
 /**
  * Limit for one response that is buffered rather than streamed. Responses of
  * plain services are small.
@@ -256,6 +258,11 @@
     stream::event_splitter events;
     /** Received since the last complete event. */
     std::size_t bytes_without_event = 0;
+    /** The endpoint waits until the caller has read more. */
+    bool is_held = false;
+    /** Fewest bytes that were pending since then, and since when. */
+    std::size_t unread_bytes = 0;
+    core::time_point caller_read_at;
 
     // Response to the caller.
     bool response_started = false;
@@ -1193,6 +1200,7 @@
     request->events.BeginContinuation();
     request->events_before_attempt = request->events.Count();
     request->bytes_without_event = 0;
+    request->is_held = false;
     request->answer_went_on = false;
     ++request->attempts;
     const bool was_sent_there = std::any_of(
@@ -1519,14 +1527,59 @@
         request->events_before_attempt + kEventsToGoOn) {
       NoteAnswerWentOn(*request);
     }
-    if (request->exchange->PendingBytes() > kMaximumPendingBytes) {
-      CancelAttempt(*request);
-      request->exchange->Abort();
-      Finish(request, line_class::failure, "broken_off",
-             "caller_does_not_read");
+    request->exchange->Write(std::move(complete_events));
+    HoldForCaller(request);
+  }
+
+  // Back-pressure: a stream that its caller reads more slowly than the endpoint
+  // sends it waits at the endpoint, not in this process.
+
+  void HoldForCaller(const request_pointer& request) {
+    const std::size_t pending = request->exchange->PendingBytes();
+    if (request->is_held || request->call == 0 ||
+        pending <= kHoldPendingBytes) {
       return;
     }
-    request->exchange->Write(std::move(complete_events));
+    request->is_held = true;
+    request->unread_bytes = pending;
+    request->caller_read_at = loop.Now();
+    http.Hold(request->call);
+    metrics.Count("gateway_streams_held_total");
+    request->exchange->OnDrained(
+        kReleasePendingBytes,
+        [this, number = request->number, attempt = request->attempts,
+         still_alive = alive] {
+          if (!*still_alive) return;
+          const auto target = Find(number, attempt);
+          if (!target || !target->is_held) return;
+          target->is_held = false;
+          // The endpoint could not make progress.
+          target->last_progress = loop.Now();
+          http.Release(target->call);
+        });
+  }
+
+  /** A caller that reads nothing for the time that callers wait is gone. */
+  void AbortUnreadStreams(core::time_point now) {
+    std::vector<request_pointer> unread;
+    for (const auto& [number, request] : requests) {
+      if (!request->is_held) continue;
+      const std::size_t pending = request->exchange->PendingBytes();
+      if (pending < request->unread_bytes) {
+        request->unread_bytes = pending;
+        request->caller_read_at = now;
+      } else if (now - request->caller_read_at >=
+                 request->timeouts.caller_idle_timeout) {
+        unread.push_back(request);
+      }
+    }
+    for (const request_pointer& request : unread) AbortUnread(request);
+  }
+
+  void AbortUnread(const request_pointer& request) {
+    CancelAttempt(*request);
+    request->exchange->Abort();
+    Finish(request, line_class::failure, "broken_off", "caller_does_not_read");
   }
 
   void OnDone(const request_pointer& request, const net::http_result& result) {
@@ -1820,6 +1873,7 @@
 
   void Tick() {
     const auto now = loop.Now();
+    AbortUnreadStreams(now);
     ReportStalledStreams(now);
     CloseUnansweredLinks(now);
     CheckVerdictTimeouts(now);
@@ -1841,6 +1895,7 @@
     for (const auto& [number, request] : requests) {
       if (now >= request->deadline ||
           (request->state == phase::sent && request->call != 0 &&
+           !request->is_held &&
            now - request->last_progress > request->timeouts.stall_timeout &&
            request->route->MayRetry())) {
         due.push_back(request);
@@ -1916,7 +1971,7 @@
     for (const auto& [number, request] : requests) {
       const auto gap = request->route->event_gap_target;
       if (request->grant_number != 0 && request->call != 0 &&
-          request->run_started_sent && gap.count() > 0 &&
+          request->run_started_sent && gap.count() > 0 && !request->is_held &&
           now - request->last_output > gap / kStalledStreamFactor &&
           now - request->last_output < gap * kStalledStreamFactor) {
         stalled.insert(request->sidecar_ip);
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -631,6 +631,81 @@
   EXPECT_TRUE(caller->ended);
 }
 
+/** A stream whose caller reads more slowly than the endpoint sends. */
+class unread_stream_test : public request_forwarder_test {
+ protected:
+  static constexpr std::size_t kEventBytes = std::size_t{64} * 1024;
+
+  void StartStream() {
+    caller_ = Send("/resume/a", "20000");
+    http_.Headers(200, Own());
+  }
+  /** The caller reads nothing of what the endpoint sends until it is held. */
+  std::size_t SendUntilHeld() {
+    std::size_t sent = 0;
+    while (!http_.calls[0].held && !http_.calls[0].cancelled &&
+           sent < 64 * kEventBytes) {
+      const std::string event = "id: " + std::to_string(++events_) +
+                                "\ndata: " + std::string(kEventBytes, 'd') +
+                                "\n\n";
+      caller_->pending += event.size();
+      sent += event.size();
+      http_.Data(event);
+    }
+    return sent;
+  }
+  /** The caller reads all but `left` bytes. */
+  void Read(std::size_t left) {
+    caller_->pending = left;
+    if (left > caller_->drained_at || !caller_->drained) return;
+    std::exchange(caller_->drained, nullptr)();
+  }
+
+  std::shared_ptr<fake_exchange> caller_;
+  int events_ = 0;
+};
+
+// Callers that read slowly must not make the gateway keep what endpoints send:
+// the endpoint waits instead, and goes on when the caller has read.
+TEST_F(unread_stream_test, WaitsAtItsEndpoint) {
+  StartStream();
+  EXPECT_LE(SendUntilHeld(), std::size_t{256} * 1024);
+  EXPECT_TRUE(http_.calls[0].held);
+  Read(100 * 1000);
+  EXPECT_TRUE(http_.calls[0].held);
+  Read(0);
+  EXPECT_FALSE(http_.calls[0].held);
+  EXPECT_GT(SendUntilHeld(), 0U);
+  Read(0);
+  http_.Done();
+  EXPECT_TRUE(caller_->ended);
+}
+
+// The silence of an endpoint that must wait is not its own.
+TEST_F(unread_stream_test, IsNotTakenForASilentEndpoint) {
+  StartStream();
+  SendUntilHeld();
+  for (int i = 1; i <= 6; ++i) {
+    Wait(milliseconds(400));
+    Read(130 * 1000 - static_cast<std::size_t>(i) * 1000);
+  }
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  EXPECT_EQ(http_.calls.size(), 1U);
+}
+
+// A caller that reads nothing would hold its endpoint's capacity for ever.
+TEST_F(unread_stream_test, EndsWhenItsCallerReadsNothing) {
+  StartStream();
+  SendUntilHeld();
+  Wait(milliseconds(1500));
+  EXPECT_FALSE(caller_->aborted);
+  Wait(milliseconds(1000));
+  EXPECT_TRUE(caller_->aborted);
+  EXPECT_TRUE(http_.calls[0].cancelled);
+  log_.Flush();
+  EXPECT_NE(log_text_.find("caller_does_not_read"), std::string::npos);
+}
+
 // Single bytes are no progress; complete events are, however slow.
 TEST_F(request_forwarder_test, ResumesElsewhereWhenAStreamOnlyDripsBytes) {
   Send("/resume/a");
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -88,6 +88,17 @@
     }
   }
 
+  void Hold(http_call_id id) {
+    const auto found = transfers.find(id);
+    if (found != transfers.end()) found->second->Hold();
+  }
+
+  void Release(http_call_id id) {
+    const auto found = transfers.find(id);
+    if (found == transfers.end() || !found->second->Release()) return;
+    Defer([this, id] { Resume(id); });
+  }
+
   std::unique_ptr<http_transfer> Remove(http_call_id id) {
     const auto found = transfers.find(id);
     if (found == transfers.end()) return nullptr;
@@ -268,4 +279,8 @@
 
 void http_client::Cancel(http_call_id call) { impl_->Cancel(call); }
 
+void http_client::Hold(http_call_id call) { impl_->Hold(call); }
+
+void http_client::Release(http_call_id call) { impl_->Release(call); }
+
 }  // namespace comfreyspring::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -98,6 +98,13 @@
   virtual http_call_id Start(http_call call, http_callbacks callbacks) = 0;
   /** Aborts a call without calling `on_done`; closes its connection. */
   virtual void Cancel(http_call_id call) = 0;
+  /**
+   * Stops reading the body of a call, so that its peer has to wait. At most one
+   * more piece of the body (16 KiB) is kept. The call's timeouts go on.
+   */
+  virtual void Hold(http_call_id call) = 0;
+  /** Continues to read the body. */
+  virtual void Release(http_call_id call) = 0;
 };
 
 /** libcurl multi-socket client on an event loop. */
@@ -108,6 +115,8 @@
 
   http_call_id Start(http_call call, http_callbacks callbacks) override;
   void Cancel(http_call_id call) override;
+  void Hold(http_call_id call) override;
+  void Release(http_call_id call) override;
 
  private:
   struct impl;
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -351,6 +351,37 @@
   EXPECT_GE(loop_.Now() - began, milliseconds(120));
 }
 
+// A call on hold leaves its peer waiting; nothing of the response is lost.
+TEST_F(http_client_test, ACallOnHoldIsNotRead) {
+  constexpr std::size_t kBodyBytes = 16 * 1024 * 1024;
+  http_call_id call = 0;
+  std::size_t received = 0;
+  http_callbacks callbacks;
+  callbacks.on_data = [&](std::string_view data) {
+    if (received == 0) client_.Hold(call);
+    received += data.size();
+  };
+  callbacks.on_done = [this](const http_result& result) { result_ = result; };
+  call = client_.Start({.url = Url()}, callbacks);
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+             std::to_string(kBodyBytes) + "\r\n\r\n");
+  const std::string piece(64 * 1024, 'x');
+  std::size_t sent = 0;
+  const auto send = [&] {
+    sent +=
+        peer->Write(piece.data(), std::min(piece.size(), kBodyBytes - sent));
+    return result_.has_value();
+  };
+  EXPECT_FALSE(loop_.RunUntil(send, milliseconds(300)));
+  EXPECT_LE(received, 64U * 1024);
+  client_.Release(call);
+  ASSERT_TRUE(loop_.RunUntil(send, kLimit));
+  EXPECT_EQ(result_->failure, http_failure::none);
+  EXPECT_EQ(received, kBodyBytes);
+}
+
 // A late duplicate of a response on an idle connection must not be taken for
 // the response to the next call.
 TEST_F(http_client_test, DuplicateResponseIsNotUsedForTheNextCall) {
--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <utility>
 
 #include "core/text.h"
 #include "net/tcp_socket.h"
@@ -186,6 +187,7 @@
       state.stream_data_.erase(0, state.stream_sent_);
       state.stream_sent_ = 0;
     }
+    state.ReportDrained();
     return static_cast<ssize_t>(bytes);
   }
   if (state.incomplete_) {
@@ -221,6 +223,21 @@
   Resume();
 }
 
+void http_exchange_state::OnDrained(std::size_t bytes,
+                                    std::function<void()> callback) {
+  drained_bytes_ = bytes;
+  on_drained_ = std::move(callback);
+  ReportDrained();
+}
+
+void http_exchange_state::ReportDrained() {
+  if (!on_drained_ || daemon_ == nullptr || PendingBytes() > drained_bytes_) {
+    return;
+  }
+  // Deferred: the daemon may be reading the stream.
+  daemon_->Loop().Post(std::exchange(on_drained_, nullptr));
+}
+
 void http_exchange_state::EndStream() {
   if (!streaming_) return;
   stream_ended_ = true;
@@ -292,6 +309,7 @@
 }
 
 void http_exchange_state::Detach() {
+  on_drained_ = nullptr;
   disconnect_watcher_.reset();
   watch_ended_ = true;
   connection_ = nullptr;
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -77,6 +77,7 @@
   std::size_t PendingBytes() const {
     return stream_data_.size() - stream_sent_;
   }
+  void OnDrained(std::size_t bytes, std::function<void()> callback);
 
  private:
   /** Value of the Content-Length header; 0 if there is none. */
@@ -93,6 +94,7 @@
   bool QueueStream();
   void Suspend();
   void Resume();
+  void ReportDrained();
   void WatchForDisconnect();
   void CheckForDisconnect();
 
@@ -115,6 +117,8 @@
   std::string stream_data_;
   std::size_t stream_sent_ = 0;
   bool stream_ended_ = false;
+  std::size_t drained_bytes_ = 0;
+  std::function<void()> on_drained_;
   /** The end of the stream is no complete response. */
   bool incomplete_ = false;
   bool aborted_ = false;
@@ -156,6 +160,9 @@
     state_->OnClientGone(std::move(callback));
   }
   std::size_t PendingBytes() const override { return state_->PendingBytes(); }
+  void OnDrained(std::size_t bytes, std::function<void()> callback) override {
+    state_->OnDrained(bytes, std::move(callback));
+  }
 
  private:
   std::shared_ptr<http_exchange_state> state_;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -57,6 +57,11 @@
   virtual void OnClientGone(std::function<void()> callback) = 0;
   /** Bytes written and not yet read by the daemon for sending. */
   virtual std::size_t PendingBytes() const = 0;
+  /**
+   * Calls `callback` once, in a later turn of the loop, when at most `bytes`
+   * are pending. Replaces an earlier callback.
+   */
+  virtual void OnDrained(std::size_t bytes, std::function<void()> callback) = 0;
 };
 
 struct http_server_options {
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -649,6 +649,39 @@
   EXPECT_EQ(seen, large);
 }
 
+// A handler that waits for its client hears of it once, when the client has read
+// enough.
+TEST_F(http_server_test, TellsWhenASlowReaderHasRead) {
+  constexpr std::size_t kBytes = 32 * 1024 * 1024;
+  std::shared_ptr<http_exchange> kept;
+  int drained = 0;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    kept = exchange;
+    exchange->BeginStream(200, {});
+    exchange->Write(std::string(kBytes, 'p'));
+    exchange->OnDrained(kBytes / 2, [&] { ++drained; });
+  });
+  tcp_socket slow =
+      tcp_socket::Connect(socket_address("127.0.0.1", server_->Port()));
+  loop_.RunUntil([&] { return slow.ConnectError() == 0; }, kLimit);
+  const std::string request = "GET / HTTP/1.0\r\nHost: test\r\n\r\n";
+  slow.Write(request.data(), request.size());
+  ASSERT_TRUE(loop_.RunUntil([&] { return kept != nullptr; }, kLimit));
+  EXPECT_FALSE(loop_.RunUntil([&] { return drained > 0; }, milliseconds(50)));
+  std::string buffer(65536, '\0');
+  const timer_id reader = loop_.SchedulePeriodic(
+      milliseconds(1), [&] { slow.Read(buffer.data(), buffer.size()); });
+  EXPECT_TRUE(loop_.RunUntil([&] { return drained > 0; }, kLimit));
+  EXPECT_LE(kept->PendingBytes(), kBytes / 2);
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return kept->PendingBytes() == 0; }, kLimit));
+  loop_.Cancel(reader);
+  EXPECT_EQ(drained, 1);
+  kept->OnDrained(0, [&] { ++drained; });
+  EXPECT_EQ(drained, 1);
+  EXPECT_TRUE(loop_.RunUntil([&] { return drained == 2; }, kLimit));
+}
+
 // Output for a slow reader must stay pending and be delivered completely.
 TEST_F(http_server_test, StreamsToASlowReader) {
   constexpr std::size_t kPieces = 400;
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -259,6 +259,10 @@
   auto& transfer = *static_cast<http_transfer*>(self);
   const std::size_t bytes = size * count;
   if (transfer.cancelled_) return 0;
+  if (transfer.is_held_) {
+    transfer.has_stopped_ = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
   if (const auto wait = transfer.HoldFor(bytes)) {
     return transfer.Guarded([&] { transfer.on_hold_(*wait); })
                ? CURL_WRITEFUNC_PAUSE
@@ -307,6 +311,14 @@
   on_hold_ = std::move(callback);
 }
 
+void http_transfer::Hold() { is_held_ = true; }
+
+bool http_transfer::Release() {
+  is_held_ = false;
+  last_activity_ = loop_.Now();
+  return std::exchange(has_stopped_, false);
+}
+
 CURLcode http_transfer::Resume() {
   return curl_easy_pause(easy_.get(), CURLPAUSE_CONT);
 }
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -39,6 +39,10 @@
    * one turn, or until the given time has passed. No more is read until Resume.
    */
   void OnHold(std::function<void(core::milliseconds wait)> callback);
+  /** Reads no more of the body until Release. */
+  void Hold();
+  /** @returns true if reading has stopped, so that Resume must be called. */
+  bool Release();
   /** Continues to read the body; passes on what the library has kept. */
   CURLcode Resume();
   /**
@@ -114,6 +118,9 @@
   std::function<void()> on_idle_;
   std::function<void(core::milliseconds wait)> on_hold_;
   int pieces_until_hold_;
+  bool is_held_ = false;
+  /** The library keeps a piece of the body that was not taken on hold. */
+  bool has_stopped_ = false;
   core::time_point last_activity_;
   timer_id idle_timer_ = 0;
 };
--- a/tests/process/raw_http_server.cc
+++ b/tests/process/raw_http_server.cc
@@ -85,6 +85,10 @@
     on_gone_ = std::move(callback);
   }
   std::size_t PendingBytes() const override { return 0; }
+  void OnDrained(std::size_t /*bytes*/,
+                 std::function<void()> callback) override {
+    callback();
+  }
   void SetFraming(stream_framing framing) override { framing_ = framing; }
   std::uint64_t Connection() const override { return connection_; }
   void SendRaw(std::string bytes) override;
