Free full buffers at the expense of the largest responses

Streams that wait for their callers did not count at all.

Cause: the limit was checked against the response that grew last, and covered the bodies of plain responses only.

Change: bodies, unfinished events, kept error responses and what waits for callers count together. Beyond the limit the largest is given up: the attempt fails, or the caller that does not read is cut off.

Tests: FullBuffersAreFreedOfTheLargestResponses and FullBuffersAreFreedOfUnreadStreams failed before. LimitsTheMemoryOfManyEndlessResponses counted what had ever been accepted, which is no longer what is kept; it now counts what is kept, after each piece, against the same limit.

--- a/src/gateway/forwarder_fixture_test.h
+++ b/src/gateway/forwarder_fixture_test.h
@@ -98,7 +98,10 @@
     response = {status, std::move(headers), ""};
     streaming = true;
   }
-  void Write(std::string data) override { written += data; }
+  void Write(std::string data) override {
+    if (!reads) pending += data.size();
+    written += data;
+  }
   void EndStream() override { ended = true; }
   void EndIncomplete() override { aborted = true; }
   void Abort() override { aborted = true; }
@@ -119,7 +122,8 @@
   bool ended = false;
   bool aborted = false;
   std::function<void()> gone;
-  /** Set by tests. */
+  /** Whether the caller reads what is written. */
+  bool reads = true;
   std::size_t pending = 0;
   std::size_t drained_at = 0;
   std::function<void()> drained;
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1436,13 +1436,12 @@
   void OnData(const request_pointer& request, std::string_view data) {
     if (!request->forwards_events) {
       OnProgress(*request);
-      if (request->body.size() + data.size() > kMaximumResponseBytes ||
-          buffered_bytes + data.size() > kMaximumBufferedBytes) {
+      if (request->body.size() + data.size() > kMaximumResponseBytes) {
         FailAttempt(request, "the response exceeds the buffer limit");
         return;
       }
       request->body.append(data);
-      buffered_bytes += data.size();
+      LimitBufferedBytes(data.size());
       return;
     }
     const std::size_t events_before = request->events.Count();
@@ -1470,6 +1469,53 @@
       return;
     }
     ForwardEvents(request, std::move(complete_events));
+    LimitBufferedBytes(data.size());
+  }
+
+  /** Bytes of responses that are kept for a request. */
+  static std::size_t BufferedBytes(const active_request& request) {
+    return request.body.size() + request.events.Rest().size() +
+           request.exchange->PendingBytes() +
+           (request.fallback ? request.fallback->body.size() : 0);
+  }
+
+  /**
+   * Keeps all buffered responses together within their limit, at the expense of
+   * the largest ones.
+   * @param added bytes that have been received since the last call.
+   */
+  void LimitBufferedBytes(std::size_t added) {
+    // What callers have read meanwhile is subtracted only when it matters.
+    buffered_bytes += added;
+    while (buffered_bytes > kMaximumBufferedBytes) {
+      buffered_bytes = 0;
+      request_pointer largest;
+      std::size_t most = 0;
+      for (const auto& [number, request] : requests) {
+        const std::size_t bytes = BufferedBytes(*request);
+        buffered_bytes += bytes;
+        if (bytes <= most) continue;
+        most = bytes;
+        largest = request;
+      }
+      if (buffered_bytes <= kMaximumBufferedBytes) return;
+      DropBuffer(largest);
+    }
+  }
+
+  void DropBuffer(const request_pointer& request) {
+    metrics.Count("gateway_buffers_dropped_total");
+    if (request->exchange->PendingBytes() > BufferedBytes(*request) / 2) {
+      AbortUnread(request);
+      return;
+    }
+    request->fallback.reset();
+    if (request->call != 0) {
+      FailAttempt(request, "the buffers for responses are full");
+    }
+    // It may wait for another endpoint.
+    DiscardBody(*request);
+    request->events.DropRest();
   }
 
   void OnProgress(active_request& request) {
@@ -1478,8 +1524,7 @@
     WithdrawStandby(request);
   }
 
-  void DiscardBody(active_request& request) {
-    buffered_bytes -= request.body.size();
+  static void DiscardBody(active_request& request) {
     std::string().swap(request.body);
   }
 
@@ -2368,7 +2413,7 @@
   /** Limit the requests to endpoints whose requests no sidecar counts. */
   std::map<limits::endpoint_incarnation, limits::token_bucket> probes;
   core::time_point notices_cleaned_at;
-  /** Bytes of the buffered responses. */
+  /** At least the bytes of the buffered responses. */
   std::size_t buffered_bytes = 0;
   std::set<std::string> linked_ips;
   std::map<core::service_id, retry_budget> budgets;
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -565,17 +566,21 @@
   std::vector<std::shared_ptr<fake_exchange>> callers;
   for (int i = 0; i < 40; ++i) callers.push_back(Send("/once/a"));
   const std::string piece(1024 * 1024, 'x');
-  std::size_t held = 0;
+  std::vector<std::size_t> received(40);
   for (std::size_t call = 0; call < 40; ++call) {
     const auto on_headers = http_.calls[call].callbacks.on_headers;
     on_headers(200, Own());
     const auto on_data = http_.calls[call].callbacks.on_data;
     for (int i = 0; i < 4 && !http_.calls[call].cancelled; ++i) {
       on_data(piece);
-      if (!http_.calls[call].cancelled) held += piece.size();
+      received[call] += piece.size();
+      std::size_t held = 0;
+      for (std::size_t other = 0; other < 40; ++other) {
+        if (!http_.calls[other].cancelled) held += received[other];
+      }
+      ASSERT_LE(held, 16U * 1024 * 1024);
     }
   }
-  EXPECT_LE(held, 16U * 1024 * 1024);
   for (std::size_t call = 0; call < 40; ++call) {
     if (http_.calls[call].cancelled) continue;
     const auto on_done = http_.calls[call].callbacks.on_done;
@@ -586,6 +591,57 @@
   EXPECT_EQ(caller->response.status, 200);
 }
 
+// Responses without end that fill the buffers must not take the place of small
+// ones.
+TEST_F(request_forwarder_test, FullBuffersAreFreedOfTheLargestResponses) {
+  const auto sound = Send("/once/a");
+  const net::http_callbacks of_sound = http_.calls[0].callbacks;
+  of_sound.on_headers(200, Own());
+  of_sound.on_data("first half, ");
+  std::vector<std::shared_ptr<fake_exchange>> callers;
+  // Smaller and smaller pieces, until not a byte is free.
+  for (std::size_t size = 512 * 1024; size > 0; size /= 8) {
+    const std::string piece(size, 'x');
+    for (int i = 0; i < 40; ++i) {
+      callers.push_back(Send("/once/a"));
+      http_.Headers(200, Own());
+      http_.Data(piece);
+    }
+  }
+  of_sound.on_data("second half");
+  EXPECT_FALSE(http_.calls[0].cancelled);
+  of_sound.on_done({});
+  EXPECT_EQ(sound->response.status, 200);
+  EXPECT_EQ(sound->response.body, "first half, second half");
+  const auto failed = std::count_if(
+      callers.begin(), callers.end(),
+      [](const auto& caller) { return caller->response.status == 502; });
+  EXPECT_GE(failed, 8);
+}
+
+// A caller that reads nothing of a stream counts with what waits for it.
+TEST_F(request_forwarder_test, FullBuffersAreFreedOfUnreadStreams) {
+  const auto start_stream = [&](int events) {
+    auto caller = Send("/stream/a");
+    caller->reads = false;
+    http_.Headers(200, Own());
+    for (int event = 1; event <= events && !caller->aborted; ++event) {
+      http_.Data("id: " + std::to_string(event) +
+                 "\ndata: " + std::string(200 * 1000, 'x') + "\n\n");
+    }
+    return caller;
+  };
+  const auto unread = start_stream(45);
+  const auto answer = Send("/once/a");
+  http_.Headers(200, Own());
+  http_.Data(std::string(1000 * 1000, 'x'));
+  EXPECT_FALSE(unread->aborted);
+  const auto other = start_stream(40);
+  EXPECT_TRUE(unread->aborted);
+  EXPECT_FALSE(other->aborted);
+  EXPECT_FALSE(http_.calls[1].cancelled);
+}
+
 TEST_F(request_forwarder_test, CancelsAnEndlessEvent) {
   const auto caller = Send("/stream/a");
   http_.Headers(200, Own());
@@ -638,6 +694,7 @@
 
   void StartStream() {
     caller_ = Send("/resume/a", "20000");
+    caller_->reads = false;
     http_.Headers(200, Own());
   }
   /** The caller reads nothing of what the endpoint sends until it is held. */
@@ -648,7 +705,6 @@
       const std::string event = "id: " + std::to_string(++events_) +
                                 "\ndata: " + std::string(kEventBytes, 'd') +
                                 "\n\n";
-      caller_->pending += event.size();
       sent += event.size();
       http_.Data(event);
     }
