Bound the whole responses that clients have not read

What callers could see: responses of a few megabytes to clients that do not read them were each kept until the connection's idle timeout (60 s), twice, without a common limit.

Change: the server's own copy of a response is released when the daemon has taken it over, and beyond 16 MiB of unread responses the connections of the largest are closed, of equal ones those without progress for longest. Responses up to 64 KiB are never closed for that.

--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -151,6 +151,8 @@
   queued_ = true;
   const response_pointer response(MHD_create_response_from_buffer(
       response_->body.size(), response_->body.data(), MHD_RESPMEM_MUST_COPY));
+  queued_bytes_ = response_->body.size();
+  std::string().swap(response_->body);
   return Queue(connection_, response_->status, response_->headers, response);
 }
 
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -60,6 +60,8 @@
    * is one. @returns false if the connection is to be closed.
    */
   bool Answer();
+  /** Bytes of a whole response that is being sent. */
+  std::size_t QueuedBytes() const { return queued_bytes_; }
   /** Clears the connection when the daemon has completed the request. */
   void Detach();
   void ReportGone();
@@ -123,6 +125,7 @@
   bool incomplete_ = false;
   bool aborted_ = false;
   bool queued_ = false;
+  std::size_t queued_bytes_ = 0;
 
   // The daemon does not poll a suspended connection, so a watcher detects a
   // disconnect.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "net/http_exchange_state.h"
 #include "net/io_watcher.h"
@@ -41,6 +42,9 @@
 // Maximum time that the end of a server waits for its clients.
 constexpr core::milliseconds kMaximumFlushTime{100};
 
+/** Responses up to this size are not closed for being unread. */
+constexpr std::size_t kSmallResponseBytes = 64 * 1024;
+
 bool IsClosedByPeer(int descriptor) {
   char byte = 0;
   return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
@@ -203,7 +207,34 @@
       return accepted ? MHD_YES : MHD_NO;
     }
     if (!exchange.IsDispatched()) server->Dispatch(exchange);
-    return exchange.Answer() ? MHD_YES : MHD_NO;
+    const bool is_kept = exchange.Answer();
+    if (exchange.QueuedBytes() > kSmallResponseBytes) server->LimitUnread();
+    return is_kept ? MHD_YES : MHD_NO;
+  }
+
+  /** Closes the connections of the largest responses beyond the limit. */
+  void LimitUnread() {
+    std::size_t total = 0;
+    std::vector<std::pair<std::size_t, MHD_Connection*>> unread;
+    for (const auto& [connection, exchange] : exchanges) {
+      const std::size_t bytes = exchange->QueuedBytes();
+      total += bytes;
+      if (bytes > kSmallResponseBytes) unread.emplace_back(bytes, connection);
+    }
+    if (total <= options.maximum_unread_bytes) return;
+    // Of responses of one size, the one that has made no progress for longest.
+    std::sort(unread.begin(), unread.end(),
+              [this](const auto& one, const auto& other) {
+                if (one.first != other.first) return one.first > other.first;
+                return connections[one.second].progress_at <
+                       connections[other.second].progress_at;
+              });
+    for (const auto& [bytes, connection] : unread) {
+      if (total <= options.maximum_unread_bytes) return;
+      total -= bytes;
+      // The daemon closes it on the event that this causes.
+      ::shutdown(DescriptorOf(connection), SHUT_RDWR);
+    }
   }
 
   MHD_Result BeginRequest(MHD_Connection* connection, const char* url,
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -74,6 +74,11 @@
   /** Memory limit for the request line and headers of one connection. */
   std::size_t maximum_header_bytes = 32 * 1024;
   unsigned maximum_connections = 4096;
+  /**
+   * Limit for all whole responses that clients have not read. Beyond it the
+   * connections of the largest ones are closed.
+   */
+  std::size_t maximum_unread_bytes = 16 * 1024 * 1024;
   /**
    * A request or a response without progress is closed after this. Also the
    * first value of the timeouts that may change.
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -649,8 +649,8 @@
   EXPECT_EQ(seen, large);
 }
 
-// A handler that waits for its client hears of it once, when the client has read
-// enough.
+// A handler that waits for its client hears of it once, when the client has
+// read enough.
 TEST_F(http_server_test, TellsWhenASlowReaderHasRead) {
   constexpr std::size_t kBytes = 32 * 1024 * 1024;
   std::shared_ptr<http_exchange> kept;
@@ -682,6 +682,31 @@
   EXPECT_TRUE(loop_.RunUntil([&] { return drained == 2; }, kLimit));
 }
 
+// Clients that do not read large responses must not fill the memory; those that
+// do read get theirs.
+TEST_F(http_server_test, BoundsTheResponsesThatClientsDoNotRead) {
+  constexpr std::size_t kBytes = 16 * 1024 * 1024;
+  http_server_options options;
+  options.maximum_unread_bytes = 4 * kBytes;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->Respond({200, {}, std::string(kBytes, 'p')});
+  });
+  const std::string request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+  std::vector<tcp_socket> silent;
+  for (int i = 0; i < 12; ++i) {
+    silent.push_back(
+        tcp_socket::Connect(socket_address("127.0.0.1", server_->Port())));
+    loop_.RunUntil([&] { return silent.back().ConnectError() == 0; }, kLimit);
+    silent.back().Write(request.data(), request.size());
+    loop_.RunUntil([] { return false; }, milliseconds(20));
+    EXPECT_LE(server_->UnfinishedCount(), 4U);
+  }
+  test_peer reader(loop_, server_->Port());
+  reader.Send(request);
+  EXPECT_TRUE(loop_.RunUntil([&] { return reader.Received().size() > kBytes; },
+                             kLimit));
+}
+
 // Output for a slow reader must stay pending and be delivered completely.
 TEST_F(http_server_test, StreamsToASlowReader) {
   constexpr std::size_t kPieces = 400;
