Count the framing of a connection by what was read from it

Change: the connection's whole life is counted, after any event on its socket, without what still waits in the receive buffer. The library's buffer is 4 KiB in place of 16, so that it reads at most 400 KiB before it returns.

--- a/src/net/connection_table.h
+++ b/src/net/connection_table.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <set>
 
+#include "net/framing_meter.h"
+
 namespace comfreyspring::net {
 
 /**
@@ -21,6 +23,13 @@
    * the next request.
    */
   bool HasUnexpectedInput(std::uint16_t local_port);
+  /**
+   * Called after the HTTP library has used the connection.
+   * @param delivered bytes of headers and bodies since the last call.
+   * @returns false if the peer has sent too many bytes that are neither, such
+   *     as extensions of chunks.
+   */
+  bool AcceptsFraming(int descriptor, std::uint64_t delivered);
 
  private:
   int Find(std::uint16_t local_port);
@@ -28,6 +37,7 @@
   /** Sockets not in `descriptors_`; the port is unknown until they connect. */
   std::set<int> unmapped_;
   std::map<std::uint16_t, int> descriptors_;
+  std::map<int, framing_meter> meters_;
 };
 
 }  // namespace comfreyspring::net
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -169,9 +169,10 @@
     ReportFinished();
   }
 
-  /** Reads from the connection of a call. */
-  void Read(curl_socket_t socket, http_call_id id) {
-    ProcessSocketAction(socket, CURL_CSELECT_IN);
+  /** The library may read from the connection of a call on any event. */
+  void OnSocketEvent(curl_socket_t socket, int events) {
+    const http_call_id id = watchers.at(socket).call;
+    ProcessSocketAction(socket, events);
     const auto found = transfers.find(id);
     if (found != transfers.end() && !found->second->CheckFraming(socket)) {
       Finish(id, CURLE_WRITE_ERROR);
@@ -244,8 +245,8 @@
     auto watcher = std::make_unique<io_watcher>(
         loop, socket, interest,
         io_watcher::callbacks{
-            [this, socket] { Read(socket, watchers.at(socket).call); },
-            [this, socket] { ProcessSocketAction(socket, CURL_CSELECT_OUT); }});
+            [this, socket] { OnSocketEvent(socket, CURL_CSELECT_IN); },
+            [this, socket] { OnSocketEvent(socket, CURL_CSELECT_OUT); }});
     watchers[socket] = {std::move(watcher), id};
   }
 
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "core/text.h"
-#include "net/transfer_count.h"
 
 namespace comfreyspring::net {
 namespace {
@@ -18,6 +17,12 @@
 
 constexpr long kKeepaliveSeconds = 10;
 
+/**
+ * The library reads up to 100 times this from a connection before it returns,
+ * without a callback if the bytes are framing.
+ */
+constexpr long kReadBytes = 4 * 1024;
+
 /**
  * Pieces of a body, such as chunks, after which the loop turns to other work. A
  * peer that sends faster than the body is read would hold the loop otherwise.
@@ -116,6 +121,7 @@
 void http_transfer::SetLimits() {
   CURL* easy = easy_.get();
   SetOption(easy, CURLOPT_NOSIGNAL, 1L);
+  SetOption(easy, CURLOPT_BUFFERSIZE, kReadBytes);
   SetOption(easy, CURLOPT_TCP_NODELAY, 1L);
   SetOption(easy, CURLOPT_CONNECTTIMEOUT_MS,
             static_cast<long>(call_.connect_timeout.count()));
@@ -189,6 +195,7 @@
   transfer.last_activity_ = transfer.loop_.Now();
   const std::size_t bytes = size * count;
   transfer.header_bytes_ += bytes;
+  transfer.delivered_bytes_ += bytes;
   if (transfer.header_bytes_ > transfer.call_.maximum_header_bytes) {
     transfer.abort_reason_ = "the response headers are too large";
     return 0;
@@ -268,7 +275,7 @@
                ? CURL_WRITEFUNC_PAUSE
                : 0;
   }
-  transfer.body_bytes_ += bytes;
+  transfer.delivered_bytes_ += bytes;
   transfer.last_activity_ = transfer.loop_.Now();
   if (!transfer.callbacks_.on_data && transfer.result_.body.size() + bytes >
                                           transfer.call_.maximum_body_bytes) {
@@ -297,9 +304,8 @@
 }
 
 bool http_transfer::CheckFraming(int descriptor) {
-  const std::uint64_t delivered = header_bytes_ + body_bytes_;
-  if (!framing_.IsCheckDue(delivered)) return true;
-  if (framing_.Accepts(TransferCountOf(descriptor).received, delivered)) {
+  if (connections_.AcceptsFraming(descriptor,
+                                  std::exchange(delivered_bytes_, 0))) {
     return true;
   }
   abort_reason_ = "the response consists mostly of framing";
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -9,7 +9,6 @@
 #include <string>
 
 #include "net/connection_table.h"
-#include "net/framing_meter.h"
 #include "net/http_client.h"
 #include "net/read_pacer.h"
 
@@ -46,9 +45,8 @@
   /** Continues to read the body; passes on what the library has kept. */
   CURLcode Resume();
   /**
-   * Called after the library has read from the call's connection.
-   * @returns false if the peer has sent too many bytes that are neither headers
-   *     nor body, such as extensions of chunks, so that the call must fail.
+   * Called after the library has used the call's connection.
+   * @returns false if the call must fail, since its peer sends mostly framing.
    */
   bool CheckFraming(int descriptor);
   /** Suppresses all further callbacks; the library aborts the transfer. */
@@ -108,8 +106,8 @@
   /** Why the client aborted the call. */
   std::string abort_reason_;
   std::size_t header_bytes_ = 0;
-  std::uint64_t body_bytes_ = 0;
-  framing_meter framing_;
+  /** Bytes of headers and body since the latest check of the framing. */
+  std::uint64_t delivered_bytes_ = 0;
   http_result result_;
   bool headers_reported_ = false;
   int times_sent_ = 0;
--- a/src/net/transfer_count.cc
+++ b/src/net/transfer_count.cc
@@ -3,8 +3,11 @@
 // The C library's <netinet/tcp.h> has an older structure without the counts.
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace comfreyspring::net {
 
 transfer_count TransferCountOf(int descriptor) {
@@ -16,4 +19,12 @@
   return {info.tcpi_bytes_received, info.tcpi_bytes_acked};
 }
 
+std::uint64_t ReadBytesOf(int descriptor) {
+  const std::uint64_t received = TransferCountOf(descriptor).received;
+  // Asked for last: bytes that arrive in between must not count as read.
+  int waiting = 0;
+  if (::ioctl(descriptor, FIONREAD, &waiting) != 0) return 0;
+  return received - std::min(received, static_cast<std::uint64_t>(waiting));
+}
+
 }  // namespace comfreyspring::net
--- a/src/net/transfer_count.h
+++ b/src/net/transfer_count.h
@@ -15,4 +15,10 @@
 /** @returns zeros for a descriptor that is no TCP connection. */
 transfer_count TransferCountOf(int descriptor);
 
+/**
+ * Bytes that have been read from a TCP connection; those that wait in the
+ * receive buffer do not count.
+ */
+std::uint64_t ReadBytesOf(int descriptor);
+
 }  // namespace comfreyspring::net
