Test sound requests beside an endpoint that sends without end

endless_bytes_test: 40 requests a second go to an endpoint that sends a header, an extension of a chunk, many of them, a body, empty lines, comments or events without end, some to callers that read nothing; 25 streams a second go to a sound engine with a sidecar. Each must be answered whole, and the gateway may grow by at most 64 MB.

--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -14,8 +14,11 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <ostream>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "engine_stand_in.h"
@@ -97,6 +100,16 @@
                                          {"GoalMs", 600},
                                          {"Priority", 0},
                                          {"Service", "plain"},
+                                         {"Attempts", 1}},
+                                        {{"Name", "f"},
+                                         {"Host", "h.example"},
+                                         {"Prefix", "/f/"},
+                                         {"Kind", "stream"},
+                                         {"TimeoutMs", 3000},
+                                         {"GoalMs", 600},
+                                         {"GapTargetMs", 300},
+                                         {"Priority", 0},
+                                         {"Service", "plain"},
                                          {"Attempts", 1}}})},
                 {"Services",
                  json::array({{{"Name", "s"},
@@ -556,16 +569,26 @@
   std::size_t Open() const { return open_.size(); }
 
  private:
+  struct flooded_connection {
+    net::tcp_socket socket;
+    /** In the piece that is written again and again. */
+    std::size_t position = 0;
+  };
+
   void AcceptAndWrite() {
     for (auto next = socket_.Accept(); next.IsValid();
          next = socket_.Accept()) {
       ++accepted_;
       next.Write(start_.data(), start_.size());
-      open_.push_back(std::move(next));
+      open_.push_back({std::move(next)});
     }
-    std::erase_if(open_, [this](net::tcp_socket& connection) {
-      return connection.Write(piece_.data(), piece_.size()).outcome ==
-             net::transfer_result::kind::ended;
+    std::erase_if(open_, [this](flooded_connection& connection) {
+      const auto written =
+          connection.socket.Write(piece_.data() + connection.position,
+                                  piece_.size() - connection.position);
+      connection.position =
+          (connection.position + written.bytes) % piece_.size();
+      return written.outcome == net::transfer_result::kind::ended;
     });
   }
 
@@ -573,7 +596,7 @@
   std::string start_;
   std::string piece_;
   net::tcp_socket socket_;
-  std::vector<net::tcp_socket> open_;
+  std::vector<flooded_connection> open_;
   std::size_t accepted_ = 0;
   net::timer_id timer_ = 0;
 };
@@ -637,6 +660,146 @@
   }
 }
 
+struct endless_bytes {
+  const char* name;
+  /** Sent once on each connection, and then `piece` without end. */
+  std::string start;
+  std::string piece;
+  const char* target = "/q/x";
+  /** The callers of the faulty endpoint read nothing. */
+  bool is_unread = false;
+};
+
+void PrintTo(const endless_bytes& bytes, std::ostream* out) {
+  *out << bytes.name;
+}
+
+/** One endpoint sends bytes without end; the sidecar's engine is sound. */
+class endless_bytes_test : public users_platform_test,
+                           public ::testing::WithParamInterface<endless_bytes> {
+ protected:
+  void SendFaulty() {
+    auto call = std::make_shared<net::http_call_id>(0);
+    net::http_callbacks callbacks;
+    callbacks.on_data = [this, call](std::string_view) {
+      if (GetParam().is_unread) http_.Hold(*call);
+    };
+    callbacks.on_done = [this](const net::http_result&) { ++faulty_ended_; };
+    *call = http_.Start({.method = "POST",
+                         .url = "http://" + Address(caller_port_) + "/",
+                         .target = GetParam().target,
+                         .headers = {{"host", "h.example"},
+                                     {"request-id", "r1"},
+                                     {"deadline-ms", "3000"}},
+                         .total_timeout = milliseconds(4000),
+                         .fresh_connection = true},
+                        std::move(callbacks));
+    ++faulty_;
+  }
+  void SendSound() {
+    const std::string id = "s" + std::to_string(sound_++);
+    http_.Start({.method = "POST",
+                 .url = "http://" + Address(caller_port_) + "/",
+                 .target = "/p/x",
+                 .headers = {{"host", "h.example"},
+                             {"request-id", id},
+                             {"model", "m/a1"},
+                             {"token-count", "100,20"},
+                             {"deadline-ms", "5000"}},
+                 .total_timeout = milliseconds(6000)},
+                {.on_done = [this](const net::http_result& done) {
+                  ++sound_ended_;
+                  const bool is_whole =
+                      done.failure == net::http_failure::none &&
+                      done.status == 200;
+                  sound_answered_ += is_whole ? 1 : 0;
+                  ++sound_outcomes_[is_whole ? "whole"
+                                             : std::to_string(done.status) +
+                                                   ' ' + done.error_message];
+                }});
+  }
+
+  int faulty_ = 0;
+  int faulty_ended_ = 0;
+  int sound_ = 0;
+  int sound_ended_ = 0;
+  int sound_answered_ = 0;
+  std::map<std::string, int> sound_outcomes_;
+};
+
+// Guards against a faulty endpoint whose bytes take the gateway's loop or its
+// memory, so that the requests of other callers end without an answer.
+TEST_P(endless_bytes_test, SoundRequestsBesideThemAreAnswered) {
+  // Well within the memory available on the smallest entry VMs (160 MB).
+  constexpr long kMemoryKib = 64L * 1024;
+  flooding_service service(loop_, GetParam().start, GetParam().piece);
+  store_.Put("servers/i-f", {{"Service", "plain"},
+                             {"Addr", Address(service.Port())},
+                             {"Zone", "z"},
+                             {"Slots", 500},
+                             {"State", "ready"},
+                             {"born", 7}});
+  WaitUntilReady();
+  loop_.RunUntil([] { return false; }, milliseconds(600));
+  const long before = gateway_->ResidentKib();
+  long most = before;
+  const auto faulty =
+      loop_.SchedulePeriodic(milliseconds(25), [this] { SendFaulty(); });
+  const auto sound =
+      loop_.SchedulePeriodic(milliseconds(40), [this] { SendSound(); });
+  const auto measure = [&] {
+    most = std::max(most, gateway_->ResidentKib());
+    return false;
+  };
+  loop_.RunUntil(measure, milliseconds(5000));
+  loop_.Cancel(faulty);
+  loop_.Cancel(sound);
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] {
+        measure();
+        return sound_ended_ == sound_ && faulty_ended_ == faulty_;
+      },
+      kTimeout))
+      << sound_ended_ << " of " << sound_ << ", " << faulty_ended_ << " of "
+      << faulty_;
+  EXPECT_EQ(sound_answered_, sound_)
+      << ::testing::PrintToString(sound_outcomes_);
+  EXPECT_GT(sound_, 50);
+  EXPECT_LT(most - before, kMemoryKib);
+  EXPECT_FALSE(gateway_->HasEnded());
+}
+
+const std::string kAnswerHead =
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\nrequest-id: r1\r\n";
+const std::string kStreamHead = kAnswerHead +
+                                "content-type: text/event-stream\r\n"
+                                "connection: close\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    engines, endless_bytes_test,
+    ::testing::Values(
+        endless_bytes{"header", kAnswerHead + "x: ", "y"},
+        endless_bytes{
+            "extension",
+            kAnswerHead + "transfer-encoding: chunked\r\n\r\n5;a=", "x"},
+        endless_bytes{"extensions",
+                      kAnswerHead + "transfer-encoding: chunked\r\n\r\n",
+                      "1;" + std::string(20'000, 'x') + "\r\nb\r\n"},
+        endless_bytes{"body", kAnswerHead + "\r\n", "body"},
+        endless_bytes{"unread_body",
+                      kAnswerHead + "content-length: 4000000\r\n\r\n", "body",
+                      "/q/x", true},
+        endless_bytes{"empty_lines", kStreamHead, "\n", "/f/x"},
+        endless_bytes{"comments", kStreamHead, ": comment\n\n", "/f/x"},
+        endless_bytes{"events", kStreamHead,
+                      "data: " + std::string(128 * 1024, 'd') + "\n\n", "/f/x"},
+        endless_bytes{"unread_events", kStreamHead,
+                      "data: " + std::string(128 * 1024, 'd') + "\n\n", "/f/x",
+                      true},
+        endless_bytes{"small_unread_events", kStreamHead, "data: d\n\n", "/f/x",
+                      true}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 // Guards against a refusal that an endpoint writes once more on a kept
 // connection: the request that is due there runs, so its caller must not be
 // told that it has not, and it must not run again elsewhere.
