Test clients whose requests do not end

Ten forms of a request without an end, from 20 clients at once, as fast as the server reads; other clients are answered meanwhile.

--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -740,6 +741,79 @@
   EXPECT_LT(received, kPieces * piece.size() + 1000);
 }
 
+struct endless_request {
+  const char* name;
+  /** Sent once, and then `piece` without end. */
+  std::string start;
+  std::string piece;
+};
+
+void PrintTo(const endless_request& request, std::ostream* out) {
+  *out << request.name;
+}
+
+class endless_request_test
+    : public http_server_test,
+      public ::testing::WithParamInterface<endless_request> {};
+
+// Guards against a client whose request does not end: it must be closed, or at
+// least be read so slowly that others are answered in time.
+TEST_P(endless_request_test, OtherClientsAreAnsweredBesideIt) {
+  http_server_options options;
+  options.maximum_body_bytes = 64 * 1024;
+  StartServer(options, [](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->Respond({200, {}, "ok"});
+  });
+  std::vector<std::unique_ptr<test_peer>> endless;
+  std::string many;
+  while (many.size() < 64 * 1024) many += GetParam().piece;
+  for (int i = 0; i < 20; ++i) {
+    endless.push_back(std::make_unique<test_peer>(loop_, server_->Port()));
+    endless.back()->Send(GetParam().start);
+  }
+  std::vector<std::size_t> position(endless.size());
+  const timer_id pour = loop_.SchedulePeriodic(milliseconds(1), [&] {
+    for (std::size_t i = 0; i < endless.size(); ++i) {
+      if (endless[i]->IsClosedByPeer()) continue;
+      position[i] += endless[i]->Write(many.data() + position[i],
+                                       many.size() - position[i]);
+      position[i] %= many.size();
+    }
+  });
+  for (int i = 0; i < 50; ++i) {
+    const auto began = loop_.Now();
+    const http_result result = Call({.url = Url("/")});
+    EXPECT_EQ(result.status, 200);
+    EXPECT_LT(loop_.Now() - began, milliseconds(1000));
+  }
+  loop_.Cancel(pour);
+  std::size_t received = 0;
+  for (const auto& peer : endless) received += peer->Received().size();
+  EXPECT_LT(received, 64U * 1024 * 1024);
+}
+
+const std::string kChunkedRequest =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    clients, endless_request_test,
+    ::testing::Values(
+        endless_request{"target", "GET /", "x"},
+        endless_request{"header", "GET / HTTP/1.1\r\nHost: h\r\nX: ", "x"},
+        endless_request{"headers", "GET / HTTP/1.1\r\nHost: h\r\n", "A: b\r\n"},
+        endless_request{"empty_lines", "", "\r\n"},
+        endless_request{"extension", kChunkedRequest + "5;a=", "x"},
+        endless_request{"extensions", kChunkedRequest,
+                        "1;" + std::string(7'000, 'e') + "\r\nx\r\n"},
+        endless_request{"chunks", kChunkedRequest, "1\r\nx\r\n"},
+        endless_request{"trailers", kChunkedRequest + "0\r\n", "A: b\r\n"},
+        endless_request{"body",
+                        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                        "999999999999\r\n\r\n",
+                        "x"},
+        endless_request{"pipelined", "", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"}),
+    [](const auto& test) { return std::string(test.param.name); });
+
 TEST_F(http_server_test, SurvivesGarbage) {
   StartServer([](const std::shared_ptr<http_exchange>& e) { Echo(e); });
   test_peer peer(loop_, server_->Port());
