Leave the loop time for others at a fifth of a core

Cause: each call could read 32 KiB in 20 ms of its own, so 120 faulty ones 190 MB/s, whatever was left to share; a stream could send 256 KiB of empty lines, each of which is looked at.

Change: a call may read 64 KiB at once and 100 kB/s after that, and shares 13 MB/s with all others beyond it. Comments and empty lines between two events are limited to 16 KiB; an incomplete event to 256 KiB as before.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -91,11 +91,10 @@
  * smallest VM.
  */
 constexpr std::size_t kMaximumBufferedBytes = 16 * 1024 * 1024;
-/**
- * Limit for the bytes of a stream without a complete event: those of an
- * incomplete one, which holds a few tokens, of comments and of empty lines.
- */
-constexpr std::size_t kMaximumBytesWithoutEvent = 256 * 1024;
+/** Limit for the bytes of an incomplete event; an event holds a few tokens. */
+constexpr std::size_t kMaximumEventBytes = 256 * 1024;
+/** Limit for comments and empty lines between two events. */
+constexpr std::size_t kMaximumBytesBetweenEvents = 16 * 1024;
 /**
  * A sidecar tells within some tens of milliseconds whether the engine of a lost
  * run has ended; a slowed one may not answer at all.
@@ -256,8 +255,8 @@
     net::body_end body_end = net::body_end::framed;
     std::string body;
     stream::event_splitter events;
-    /** Received since the last complete event. */
-    std::size_t bytes_without_event = 0;
+    /** Comments and empty lines since the last event. */
+    std::size_t bytes_between_events = 0;
     /** The endpoint waits until the caller has read more. */
     bool is_held = false;
     /** Fewest bytes that were pending since then, and since when. */
@@ -1199,7 +1198,7 @@
     request->forwards_events = false;
     request->events.BeginContinuation();
     request->events_before_attempt = request->events.Count();
-    request->bytes_without_event = 0;
+    request->bytes_between_events = 0;
     request->is_held = false;
     request->answer_went_on = false;
     ++request->attempts;
@@ -1459,11 +1458,15 @@
     // Only complete events count as progress.
     if (request->events.Count() > events_before) {
       OnProgress(*request);
-      request->bytes_without_event = request->events.Rest().size();
+      request->bytes_between_events = 0;
     } else {
-      request->bytes_without_event += data.size();
+      request->bytes_between_events += complete_events.size();
+    }
+    if (request->events.Rest().size() > kMaximumEventBytes) {
+      FailAttempt(request, "an event of the response exceeds the size limit");
+      return;
     }
-    if (request->bytes_without_event > kMaximumBytesWithoutEvent) {
+    if (request->bytes_between_events > kMaximumBytesBetweenEvents) {
       FailAttempt(request,
                   "the stream has sent too many bytes without an event");
       return;
--- a/src/net/read_pacer.h
+++ b/src/net/read_pacer.h
@@ -8,21 +8,21 @@
 
 /**
  * Divides the time in which a loop reads responses among the calls of a client.
- * A call that reads little is never held back. Calls that read more share what
- * is left of a period, so that peers that send as fast as they are read,
+ * A call that reads little is never held back. Calls that read more share a
+ * budget for each period, so that peers that send as fast as they are read,
  * however many there are, leave the loop time for other work.
  */
 class read_pacer {
  public:
-  /** What one call has read in its latest period. */
+  /** What one call may still read of its own. */
   class usage {
    public:
-    usage() = default;
+    usage();
 
    private:
     friend class read_pacer;
-    core::time_point period_;
-    std::size_t bytes_ = 0;
+    std::size_t allowance_;
+    core::time_point refilled_at_;
   };
 
   /**
