--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -100,7 +100,7 @@
   virtual void Cancel(http_call_id call) = 0;
   /**
    * Stops reading the body of a call, so that its peer has to wait. At most one
-   * more piece of the body (16 KiB) is kept. The call's timeouts go on.
+   * more piece of the body (4 KiB) is kept. The call's timeouts go on.
    */
   virtual void Hold(http_call_id call) = 0;
   /** Continues to read the body. */
