Check connections with much framing after every event

Cause: an event that delivers a byte was checked only every 16th time, and one event may read 400 kB, so a connection with long extensions was read for 6 MB.

Change: the number of events between two checks doubles, up to 16, while little of what is received is framing, and is one otherwise.

--- a/src/net/framing_meter.h
+++ b/src/net/framing_meter.h
@@ -14,19 +14,20 @@
   /**
    * Called after the library has used the connection.
    * @param delivered bytes of headers and bodies since the last call.
-   * @returns true if `Accepts` must be asked: nothing was delivered, or many
-   *     calls were not checked.
+   * @returns true if `Accepts` must be asked.
    */
   bool IsCheckDue(std::uint64_t delivered);
   /**
    * @param received all bytes that have been read from the connection.
    * @returns false if too many of them were framing.
    */
-  bool Accepts(std::uint64_t received) const;
+  bool Accepts(std::uint64_t received);
 
  private:
   std::uint64_t delivered_ = 0;
   int unchecked_calls_ = 0;
+  /** Grows while little of what is received is framing. */
+  int calls_between_checks_ = 1;
 };
 
 }  // namespace comfreyspring::net
