--- a/src/catalog/route.h
+++ b/src/catalog/route.h
@@ -48,6 +48,8 @@
   core::milliseconds event_gap_target{0};
   /** 0 is the most urgent. */
   int priority = 0;
+  /** Callers need no API key. */
+  bool is_public = false;
   /** Maximum number of endpoints to which one request is sent. */
   int maximum_endpoints = 1;
   std::vector<destination> destinations;
@@ -97,12 +99,37 @@
   core::milliseconds idle_timeout{15000};
 };
 
+/** What a tenant's requests may use over all gateways together. */
+struct tenant_quota {
+  enum class unit { requests, tokens };
+  unit counted_in = unit::requests;
+  /** Units a second; 0 if there is no limit. */
+  double rate = 0.0;
+  /** Units beyond the rate that may be used at once. */
+  double burst = 0.0;
+  /** Units of a request that names no tokens; only used for tokens. */
+  double plain_tokens = 0.0;
+
+  bool IsLimited() const { return rate > 0.0; }
+};
+
+/** A tenant and the keys by which its callers are known. */
+struct tenant {
+  core::tenant_id id;
+  std::vector<std::string> api_keys;
+  /** Replaces the priority of the routes. */
+  std::optional<int> priority;
+  tenant_quota quota;
+};
+
 /** One version of the operators' configuration. */
 struct configuration {
   std::int64_t version = 0;
   std::vector<route> routes;
   std::vector<service> services;
   client_limits limits;
+  /** Not set if callers need no keys. */
+  std::optional<std::vector<tenant>> tenants;
 };
 
 /** Identifies an adapter across models. */
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -56,6 +56,8 @@
 using request_id = strong_id<struct request_tag>;
 /** One attempt to run a request on an endpoint; retries have their own ids. */
 using attempt_id = strong_id<struct attempt_tag>;
+/** A customer of the platform, whose callers share keys and a quota. */
+using tenant_id = strong_id<struct tenant_tag>;
 /** A process of this system; the id is kept across restarts. */
 using process_id = strong_id<struct process_tag>;
 /** Key chosen by the caller for a call that must not run more than once. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,9 +8,10 @@
  * retries and stream resumption, and gives each request its final response.
  * Endpoint choice, retry budget and retry policy do no I/O and take the time as
  * an argument. Owns the requests in flight and the links to the sidecars of the
- * engines. Depends on catalog, grants, net, stream, settings and telemetry.
+ * engines. Depends on catalog, grants, net, stream, settings, tenants and telemetry.
  */
 
+#include "gateway/caller_admission.h"
 #include "gateway/caller_limits.h"
 #include "gateway/endpoint_choice.h"
 #include "gateway/endpoint_notices.h"
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -7,6 +7,7 @@
 
 #include "catalog/catalog_follower.h"
 #include "core/error.h"
+#include "gateway/caller_admission.h"
 #include "gateway/caller_limits.h"
 #include "gateway/request_forwarder.h"
 #include "gateway/sidecar_links.h"
@@ -87,6 +88,7 @@
         follower(loop, source,
                  {.change_bound = settings.change_bound, .random_seed = Seed()},
                  *this, log),
+        admission(settings, follower, metrics, core::random_source(Seed())),
         forwarder(loop, settings, protocol, http, follower, log, metrics),
         links(loop,
               {.gateway = settings.node,
@@ -103,6 +105,7 @@
               exchange->Respond({IsReady() ? 200 : 503, {}, ""});
             }) {
     forwarder.SetLinks(links);
+    forwarder.SetAdmission(admission);
     if (settings.admin_listener) {
       admin_server.emplace(
           loop, ServerOptions(settings.admin_listener, "admin"),
@@ -292,6 +295,7 @@
   core::time_point stop_requested_at;
   std::optional<core::time_point> listener_closed_at;
   catalog::catalog_follower follower;
+  caller_admission admission;
   request_forwarder forwarder;
   sidecar_links links;
   caller_limits limits_in_force{{.maximum_header_bytes = kHeaderMemoryBytes,
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -11,6 +11,7 @@
 
 #include "core/hash.h"
 #include "core/overloaded.h"
+#include "gateway/caller_admission.h"
 #include "gateway/endpoint_choice.h"
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
@@ -274,6 +275,8 @@
     std::optional<net::http_response> fallback;
     std::optional<core::milliseconds> retry_after;
     std::string refusal;
+
+    admitted_caller caller;
   };
   using request_pointer = std::shared_ptr<active_request>;
 
@@ -379,6 +382,7 @@
 
   void OnConfiguration() {
     UpdateLinks();
+    RefuseRemovedKeys();
     if (held_requests.empty()) return;
     // The same read delivers the endpoints after the configuration.
     loop.Post([this, still_alive = alive] {
@@ -403,13 +407,65 @@
                                .message = "No route matches the request."});
       return;
     }
-    Accept(request);
+    if (admission == nullptr) {
+      Accept(request);
+      return;
+    }
+    // The caller may leave before the decision.
+    const auto is_gone = std::make_shared<bool>(false);
+    request->exchange->OnClientGone([is_gone] { *is_gone = true; });
+    admission->Admit(request->metadata, *request->route,
+                     [this, request, is_gone,
+                      still_alive = alive](admission_decision decision) {
+                       if (!*still_alive) return;
+                       OnAdmission(request, std::move(decision), *is_gone);
+                     });
+  }
+
+  void OnAdmission(const request_pointer& request, admission_decision decision,
+                   bool is_gone) {
+    if (decision.refusal) {
+      ReplyUnrouted(*request, *decision.refusal);
+      return;
+    }
+    request->caller = std::move(decision.caller);
+    if (is_gone) {
+      ReturnUnusedQuota(*request);
+    } else {
+      Accept(request);
+    }
+  }
+
+  static void ReturnUnusedQuota(active_request& request) {
+    if (request.caller.on_not_run) {
+      std::exchange(request.caller.on_not_run, nullptr)();
+    }
+  }
+
+  /** Refuses requests whose keys were removed before they were sent. */
+  void RefuseRemovedKeys() {
+    if (admission == nullptr) return;
+    std::vector<request_pointer> removed;
+    for (const auto& [number, request] : requests) {
+      if (request->attempts == 0 &&
+          !admission->IsStillAdmitted(request->caller)) {
+        removed.push_back(request);
+      }
+    }
+    for (const request_pointer& request : removed) {
+      Respond(request, caller_admission::UnknownKeyReply());
+    }
+  }
+
+  static int PriorityOf(const active_request& request) {
+    return request.caller.priority.value_or(request.route->priority);
   }
 
   void ReplyUnrouted(active_request& request, const local_reply& reply) {
     metrics.Count("gateway_unrouted_total{cause=\"" + reply.type + "\"}");
     log.Request(line_class::failure, "unrouted", request.metadata.id.Value())
         .Add("cause", reply.type)
+        .Add("status", reply.status)
         .Add("host", request.metadata.host)
         .Add("target", request.exchange->Request().target)
         .Add("configuration",
@@ -753,7 +809,7 @@
         .request_id = request.metadata.id.Value(),
         .adapter = request.metadata.adapter,
         .minimum_version = follower.VersionOf(request.metadata.adapter),
-        .priority = request.route->priority,
+        .priority = PriorityOf(request),
         .prompt_tokens = request.metadata.prompt_tokens,
         .output_tokens = request.metadata.expected_output_tokens,
         .event_gap_target = request.route->event_gap_target,
@@ -1050,7 +1106,7 @@
             .endpoint = limits::IncarnationOf(record),
             .is_fallback = asked->is_fallback,
             .rate = limit,
-            .priority = request->route->priority,
+            .priority = PriorityOf(*request),
             .deadline_in = may_wait ? longest_wait : core::milliseconds(0),
             .maximum_retry_after =
                 core::ToMilliseconds(request->deadline - now) /
@@ -1214,7 +1270,8 @@
                           .instance = record->instance,
                           .time_left = left,
                           .adapter_version = announced};
-    if (NeedsEngine(*request)) fields.priority = request->route->priority;
+    if (NeedsEngine(*request)) fields.priority = PriorityOf(*request);
+    fields.tenant = request->caller.tenant;
     if (request->events_sent > 0) fields.last_event = request->events.LastId();
     net::http_call call =
         protocol.MakeCall(request->exchange->Request(), fields);
@@ -1230,6 +1287,8 @@
         log.Request(line_class::routine, "sent", request->metadata.id.Value());
     line.Add("route", request->route->name)
         .Add("configuration", request->table->Version())
+        .Add("tenant",
+             request->caller.tenant.value_or(core::tenant_id()).Value())
         .Add("endpoint", request->endpoint.Value())
         .Add("granted", request->grant_number != 0)
         .Add("permitted", request->permit_number != 0)
@@ -1903,6 +1962,9 @@
     }
     if (!cause.empty()) line.Add("cause", cause);
     if (retry_after) line.Add("retry_after_ms", retry_after->count());
+    const bool is_refused =
+        request->status == 503 && !request->may_have_run && !request->fallback;
+    if (request->attempts == 0 || is_refused) ReturnUnusedQuota(*request);
     ReleaseGrant(*request, false);
     WithdrawStandby(*request);
     lost_runs.erase(request->lost_number);
@@ -2403,6 +2465,8 @@
   telemetry::metrics& metrics;
   core::random_source random;
   sidecar_links* links = nullptr;
+  /** Null: every caller is admitted. */
+  caller_admission* admission = nullptr;
   std::map<std::uint64_t, request_pointer> requests;
   std::map<std::uint64_t, request_pointer> open_grants;
   std::map<catalog::instance_id, endpoint_view> views;
@@ -2451,6 +2515,10 @@
   impl_->links = &links;
 }
 
+void request_forwarder::SetAdmission(caller_admission& admission) {
+  impl_->admission = &admission;
+}
+
 void request_forwarder::OnRequest(
     std::shared_ptr<net::http_exchange> exchange) {
   impl_->OnRequest(std::move(exchange));
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -17,6 +17,7 @@
 
 namespace comfreyspring::gateway {
 
+class caller_admission;
 class sidecar_links;
 
 /**
@@ -42,6 +43,8 @@
 
   /** Must be set before the first request. */
   void SetLinks(sidecar_links& links);
+  /** Without it every caller is admitted. It must outlive the forwarder. */
+  void SetAdmission(caller_admission& admission);
 
   // Event handlers.
 
--- a/src/gateway/traffic_protocol.h
+++ b/src/gateway/traffic_protocol.h
@@ -29,6 +29,10 @@
   std::int64_t maximum_output_tokens = 0;
   /** The caller's estimate; the maximum if it gives none. */
   std::int64_t expected_output_tokens = 0;
+  /** The request states its tokens. */
+  bool names_tokens = false;
+  /** Key by which the caller identifies itself; empty if it gives none. */
+  std::string api_key;
   /** Parts of the prompt that other requests may share, from its beginning. */
   std::vector<core::prompt_part_id> shared_parts;
   /**
@@ -57,6 +61,11 @@
    * header.
    */
   std::string last_event;
+  /**
+   * Tenant of the caller; empty on public routes. Not set if the configuration
+   * has no tenants: then the caller's headers are forwarded unchanged.
+   */
+  std::optional<core::tenant_id> tenant;
 };
 
 /** What the headers of an endpoint's response establish. */
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -48,6 +48,10 @@
   core::milliseconds retry_window{10000};
   /** Time within which a configuration or endpoint change must be known. */
   core::milliseconds change_bound{2000};
+  /** Removed keys must stop working, whether or not the store is reachable ... */
+  bool strict_revocation = false;
+  /** ... for requests that are sent this long after their removal. */
+  core::milliseconds revocation_bound{5000};
   /** An engine's orders may come from another sender after this silence. */
   core::milliseconds order_lease{3000};
   /** Whether engines reject orders with an outdated fencing number. */
