Leave earlier instances of restarted engines; await the first engine

Cause: after a loss of power the catalog still lists the instances of before. Change: sidecars report when their engine started; an entry is not used once a later start is known at its address (superseded_entries).

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -15,10 +15,12 @@
 #include "gateway/endpoint_choice.h"
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
+#include "gateway/endpoint_wait.h"
 #include "gateway/prompt_quarantine.h"
 #include "gateway/retry_budget.h"
 #include "gateway/retry_policy.h"
 #include "gateway/sidecar_links.h"
+#include "gateway/superseded_entries.h"
 #include "limits/token_bucket.h"
 #include "stream/event_splitter.h"
 
@@ -112,6 +114,8 @@
 constexpr const char* kStoppingCause = "stopping";
 /** Interval between removals of expired drain and backoff notices. */
 constexpr core::milliseconds kNoticeCleanupPeriod{5000};
+/** Longest time between two attempts to place requests without an endpoint. */
+constexpr core::milliseconds kPlacementPeriod{100};
 /** Number of gateways until a sidecar reports how many are connected to it. */
 constexpr std::size_t kAssumedGateways = 32;
 
@@ -192,6 +196,8 @@
      * knew.
      */
     bool view_was_outdated = false;
+    /** Waits until any endpoint can be used. */
+    bool awaits_endpoint = false;
     /** Part of the wait for the grant that was due to loading the adapter. */
     core::milliseconds load_wait{0};
     int grant_requests = 0;
@@ -754,10 +760,12 @@
         request->retry_after = std::max(
             request->retry_after.value_or(core::milliseconds(0)), *wait);
       }
+      if (AwaitEndpoint(*request)) return;
       GiveUp(request,
              request->refusal.empty() ? "no_endpoint" : request->refusal);
       return;
     }
+    request->awaits_endpoint = false;
     request->endpoint = chosen->record.instance;
     if (NeedsEngine(*request) && chosen->has_sidecar) {
       RequestGrant(request, choice);
@@ -766,6 +774,51 @@
     }
   }
 
+  // Requests that wait until any endpoint can be used.
+
+  /** @returns false if the request is better refused. */
+  bool AwaitEndpoint(active_request& request) {
+    if (!NeedsEngine(request)) return false;
+    const auto now = loop.Now();
+    unplaced_request unplaced{
+        .waited = core::ToMilliseconds(now - request.last_output),
+        .maximum_wait = request.timeouts.maximum_grant_wait,
+        .has_started = HasStarted(request) || request.attempts > 0 ||
+                       !request.refusal.empty() || request.retry_after};
+    follower.Endpoints().ForEachUsable(
+        [&](const catalog::endpoint_record& record) {
+          // Draining endpoints do not come back, and backoffs have their own
+          // refusal.
+          if (record.service == request.service &&
+              !notices.IsDraining(record) &&
+              notices.BackoffLeft(record, now).count() == 0) {
+            ++unplaced.returning_endpoints;
+          }
+        });
+    for (const auto& [number, other] : requests) {
+      if (other->awaits_endpoint) ++unplaced.waiting;
+    }
+    if (!MayAwaitEndpoint(unplaced)) return false;
+    if (!std::exchange(request.awaits_endpoint, true)) {
+      metrics.Count("gateway_endpoint_waits_total");
+    }
+    request.state = phase::waiting;
+    return true;
+  }
+
+  void PlaceWaiting(core::time_point now) {
+    if (!std::exchange(endpoints_changed, false) &&
+        now - waiting_placed_at < kPlacementPeriod) {
+      return;
+    }
+    waiting_placed_at = now;
+    std::vector<request_pointer> waiting;
+    for (const auto& [number, request] : requests) {
+      if (request->awaits_endpoint) waiting.push_back(request);
+    }
+    for (const request_pointer& request : waiting) Dispatch(request);
+  }
+
   // Grants.
 
   void RequestGrant(const request_pointer& request,
@@ -1333,7 +1386,7 @@
 
   /** Nothing that the endpoint said to this gateway forbids new requests. */
   bool IsAvailable(const catalog::endpoint_record& record) const {
-    return !notices.IsDraining(record) &&
+    return !notices.IsDraining(record) && !superseded.IsSuperseded(record) &&
            notices.BackoffLeft(record, loop.Now()).count() == 0;
   }
 
@@ -1988,6 +2041,7 @@
     CloseUnansweredLinks(now);
     CheckVerdictTimeouts(now);
     CheckHeldDeadlines(now);
+    PlaceWaiting(now);
     if (StartsNoMore()) RefuseWaiting();
     if (now - quarantine_checked_at >= kQuarantinePeriod) {
       quarantine_checked_at = now;
@@ -2214,11 +2268,14 @@
                     std::string(ToString(change.what)) + "\"}");
     }
     if (change.what == kind::gone) {
+      superseded.OnGone(change.record);
       RerouteWaiting(instance);
       views.erase(instance);
       UpdateLinks();
       return;
     }
+    superseded.OnListed(change.record);
+    endpoints_changed = true;
     const auto [position, inserted] = views.try_emplace(instance);
     endpoint_view& view = position->second;
     view.record = change.record;
@@ -2379,7 +2436,11 @@
             .Add("waiting", report.status.waiting);
       }
       const bool was_linked = std::exchange(view.has_sidecar, true);
+      endpoints_changed |=
+          !was_linked || view.status.serving != report.status.serving;
       view.status = report.status;
+      superseded.OnReported(ip, view.record.service,
+                            report.status.engine_started_unix_ms);
       if (!was_linked) SendCrashRecords(ip);
       if (!was_linked && !report.status.limit) {
         // Before the first grant request: a sidecar that has just started may
@@ -2471,6 +2532,7 @@
   std::map<std::uint64_t, request_pointer> open_grants;
   std::map<catalog::instance_id, endpoint_view> views;
   endpoint_notices notices;
+  superseded_entries superseded;
   prompt_quarantine quarantine;
   core::time_point quarantine_checked_at;
   /** Requests that await a verdict, by the number of the lost grant. */
@@ -2490,6 +2552,9 @@
   /** Set while the gateway is stopping. */
   std::optional<drain_times> drain;
   bool refuses_new = false;
+  /** Endpoints were listed, linked or began to serve since the last tick. */
+  bool endpoints_changed = false;
+  core::time_point waiting_placed_at;
   /** The first read of the configuration may still complete in time. */
   bool awaiting_first_read = true;
   net::timer_id first_read_timer = 0;
--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -931,6 +931,7 @@
     if (IsReady(request)) tokens_ahead += request.prompt_tokens;
   }
   status.prefill_wait = pacer_.PrefillTime(tokens_ahead);
+  if (state_) status.engine_started_unix_ms = state_->started_unix_ms;
   status.limit = Limit();
   status.limit_wait = LimitWait(static_cast<double>(waiting_.size() + 1), now);
   status.adapters_revision = slots_.Revision();
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -213,6 +213,8 @@
   core::milliseconds limit_wait{0};
   /** Number of gateways linked to the agent. */
   std::size_t gateways = 0;
+  /** Start of the engine; 0 if unknown. */
+  std::int64_t engine_started_unix_ms = 0;
   /** Changes whenever the list of adapters changes. */
   std::uint64_t adapters_revision = 0;
   /** Adapters that are loaded or being loaded. */
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -134,6 +134,7 @@
     for (const auto& name : status.adapters) out.Add(name);
   }
   out.Add(status.limit).Add(status.limit_wait).Add(report.limits_observed);
+  out.Add(status.engine_started_unix_ms);
   return out.Finish();
 }
 
@@ -384,6 +385,7 @@
     status.limit_wait = in.Time();
     report.limits_observed = in.Size();
   }
+  if (!in.AtEnd()) status.engine_started_unix_ms = in.Integer();
   return report;
 }
 
