Send gateways the changes of an engine's adapters instead of the list

Cause: each change of an adapter sent the whole list of 18 names to all gateways. Change: a sidecar keeps what it has told each gateway and sends additions and removals; the whole list first on a link, every 5 s, and when it is shorter. Reports carry the two lists at their end, so earlier versions ignore them until the next whole list.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -2460,6 +2460,11 @@
         view.adapters = {report.status.adapters.begin(),
                          report.status.adapters.end()};
       }
+      for (const auto& name : report.adapters_removed) {
+        view.adapters.erase(name);
+      }
+      view.adapters.insert(report.adapters_added.begin(),
+                           report.adapters_added.end());
     }
   }
 
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -135,6 +135,10 @@
   }
   out.Add(status.limit).Add(status.limit_wait).Add(report.limits_observed);
   out.Add(status.engine_started_unix_ms);
+  for (const auto* names : {&report.adapters_added, &report.adapters_removed}) {
+    out.Add(names->size());
+    for (const auto& name : *names) out.Add(name);
+  }
   return out.Finish();
 }
 
@@ -386,6 +390,12 @@
     report.limits_observed = in.Size();
   }
   if (!in.AtEnd()) status.engine_started_unix_ms = in.Integer();
+  for (auto* names : {&report.adapters_added, &report.adapters_removed}) {
+    if (in.AtEnd()) break;
+    for (std::size_t left = in.Length(2); left > 0; --left) {
+      names->push_back(in.Adapter());
+    }
+  }
   return report;
 }
 
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -120,6 +120,9 @@
 struct status_report {
   engine_status status;
   bool has_adapters = false;
+  /** Changes of the adapters since the previous report of the link. */
+  std::vector<catalog::adapter_name> adapters_added;
+  std::vector<catalog::adapter_name> adapters_removed;
   /** Time until the next report. */
   core::milliseconds next_in{0};
   /** Rank of the receiving gateway among the readers of the catalog. */
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -108,6 +108,18 @@
   EXPECT_EQ(decoded.reader_rank, 4U);
 }
 
+TEST(messages_test, RoundTripOfChangesOfAdapters) {
+  status_report report;
+  report.status.engine_started_unix_ms = 1767374709625;
+  report.adapters_added = {Adapter("a3")};
+  report.adapters_removed = {Adapter("a1"), Adapter("a2")};
+  const status_report decoded = RoundTrip(report);
+  EXPECT_FALSE(decoded.has_adapters);
+  EXPECT_EQ(decoded.status.engine_started_unix_ms, 1767374709625);
+  EXPECT_EQ(decoded.adapters_added, report.adapters_added);
+  EXPECT_EQ(decoded.adapters_removed, report.adapters_removed);
+}
+
 TEST(messages_test, RoundTripOfALimit) {
   status_report report;
   report.has_adapters = true;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -11,6 +11,7 @@
  * persists nothing. Depends on grants, net, settings and telemetry.
  */
 
+#include "sidecar/adapter_list_updates.h"
 #include "sidecar/catalog_relay.h"
 #include "sidecar/engine_port.h"
 #include "sidecar/scheduler_driver.h"
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -12,6 +12,7 @@
 #include "grants/messages.h"
 #include "net/frame_link.h"
 #include "net/http_server.h"
+#include "sidecar/adapter_list_updates.h"
 #include "sidecar/catalog_relay.h"
 #include "sidecar/scheduler_driver.h"
 #include "telemetry/metrics.h"
@@ -55,7 +56,7 @@
   struct gateway_link {
     std::shared_ptr<net::frame_link> link;
     std::string gateway;
-    std::optional<std::uint64_t> sent_revision;
+    adapter_list_updates adapters;
     core::time_point last_seen;
     core::milliseconds timeout = kGatewayTimeout;
     core::time_point status_due;
@@ -254,10 +255,8 @@
     report.status.gateways = links.size();
     report.reader_rank = gateway.reader_rank;
     report.limits_observed = gateway.limits_observed;
-    report.has_adapters =
-        gateway.sent_revision != report.status.adapters_revision;
+    gateway.adapters.Complete(report, loop.Now());
     report.next_in = waits ? kStatusPeriod : StatusPeriod();
-    gateway.sent_revision = report.status.adapters_revision;
     gateway.status_due = loop.Now() + report.next_in;
     gateway.link->Send(grants::Encode(report));
   }
