--- /dev/null
+++ b/src/quotas/quota_bucket.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/time.h"
+
+namespace comfreyspring::quotas {
+
+/**
+ * Token bucket that counts units against a rate and a burst.
+ *
+ * An amount beyond the burst can be taken from a full bucket, which is then in
+ * debt: otherwise a request that is larger than the burst could never run.
+ */
+class quota_bucket {
+ public:
+  /**
+   * A bucket holds at least the rate times this. Covers the time between two
+   * ticks of a slow process, which would otherwise lose what comes in between.
+   */
+  static constexpr double kMinimumSeconds = 0.1;
+
+  /** Keeps the tokens, as far as they fit. */
+  void SetLimit(double rate, double burst, core::time_point now);
+  /** Sets the tokens of a bucket that has just been created. */
+  void Fill(double tokens) { tokens_ = tokens; }
+
+  /**
+   * Takes at least `minimum` and at most `wanted`.
+   * @returns the amount taken; 0 if it has fewer tokens than the minimum.
+   */
+  std::int64_t Take(std::int64_t minimum, std::int64_t wanted,
+                    core::time_point now);
+  double Capacity() const { return capacity_; }
+  double Available(core::time_point now) const;
+  /** Time until the amount can be taken; rounded up. */
+  core::milliseconds TimeUntil(double amount, core::time_point now) const;
+
+ private:
+  double rate_ = 0.0;
+  /** Tokens of a full bucket. */
+  double capacity_ = 0.0;
+  double tokens_ = 0.0;
+  core::time_point refilled_at_;
+};
+
+}  // namespace comfreyspring::quotas
