--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -1,5 +1,6 @@
 #include "grants/messages.h"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -32,6 +33,8 @@
   limit_notice = 14,
   run_checked = 15,
   crash = 16,
+  quota_ask = 17,
+  quota_answer = 18,
 };
 
 /** Loads are transmitted as integers in units of 1/kLoadScale. */
@@ -42,6 +45,13 @@
 /** Far above the number of crashes that any part survives. */
 constexpr std::int64_t kMaximumLevel = 1'000'000;
 
+/** Far above any quota; keeps scaled values within an integer. */
+constexpr double kMaximumQuota = 9e12;
+
+std::int64_t ScaledQuota(double value) {
+  return std::llround(std::clamp(value, 0.0, kMaximumQuota) * kRateScale);
+}
+
 // Encoding.
 
 class field_writer {
@@ -147,6 +157,21 @@
   return out.Finish();
 }
 
+std::string EncodeQuotaAsk(const quota_ask& ask) {
+  return field_writer(message_kind::quota_ask)
+      .Add(ask.number)
+      .Add(ask.tenant.Value())
+      .Add(ask.amount)
+      .Add(ask.minimum)
+      .Add(ScaledQuota(ask.rate))
+      .Add(ScaledQuota(ask.burst))
+      .Add(ask.configuration)
+      .Add(ask.priority)
+      .Add(ask.is_fallback)
+      .Add(ask.deadline_in)
+      .Finish();
+}
+
 std::string EncodeBatch(const change_batch& batch) {
   field_writer out(message_kind::catalog);
   out.Add(batch.after)
@@ -442,6 +467,27 @@
   return {std::move(record)};
 }
 
+std::int64_t ReadAmount(field_reader& in) {
+  const std::int64_t amount = in.Integer();
+  if (amount < 0) throw core::invalid_value_error("negative amount");
+  return amount;
+}
+
+quota_ask ReadQuotaAsk(field_reader& in) {
+  quota_ask ask;
+  ask.number = in.Size();
+  ask.tenant = core::tenant_id(in.Text());
+  ask.amount = ReadAmount(in);
+  ask.minimum = ReadAmount(in);
+  ask.rate = static_cast<double>(ReadAmount(in)) / kRateScale;
+  ask.burst = static_cast<double>(ReadAmount(in)) / kRateScale;
+  ask.configuration = in.Integer();
+  ask.priority = static_cast<int>(in.Integer());
+  ask.is_fallback = in.Boolean();
+  ask.deadline_in = in.Time();
+  return ask;
+}
+
 message ReadMessage(field_reader& in) {
   const std::int64_t kind = in.Integer();
   switch (static_cast<message_kind>(kind)) {
@@ -484,6 +530,14 @@
     }
     case message_kind::crash:
       return ReadCrash(in);
+    case message_kind::quota_ask:
+      return ReadQuotaAsk(in);
+    case message_kind::quota_answer: {
+      quota_answer answer{in.Size(), core::tenant_id(in.Text())};
+      answer.granted = ReadAmount(in);
+      answer.retry_after = in.Time();
+      return answer;
+    }
     case message_kind::limit_notice: {
       limit_notice notice{in.Incarnation()};
       notice.rate = in.Rate();
@@ -594,7 +648,16 @@
                 .Finish();
           },
           [](const status_report& report) { return EncodeStatus(report); },
-          [](const change_batch& batch) { return EncodeBatch(batch); }},
+          [](const change_batch& batch) { return EncodeBatch(batch); },
+          [](const quota_ask& ask) { return EncodeQuotaAsk(ask); },
+          [](const quota_answer& answer) {
+            return field_writer(message_kind::quota_answer)
+                .Add(answer.number)
+                .Add(answer.tenant.Value())
+                .Add(answer.granted)
+                .Add(answer.retry_after)
+                .Finish();
+          }},
       value);
 }
 
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -91,6 +91,25 @@
   /** Time since the response was received. */
   core::milliseconds age{0};
 };
+/**
+ * Requests a lease for the requests of a tenant with a quota. Answered with
+ * `quota_answer`.
+ */
+struct quota_ask {
+  std::uint64_t number = 0;
+  core::tenant_id tenant;
+  /** The amount that is wanted, and the least that is of any use. */
+  std::int64_t amount = 0;
+  std::int64_t minimum = 0;
+  /** The quota in the version of the configuration that the gateway knows. */
+  double rate = 0.0;
+  double burst = 0.0;
+  std::int64_t configuration = 0;
+  int priority = 0;
+  /** The gateway does not reach the sidecar that counts first. */
+  bool is_fallback = false;
+  core::milliseconds deadline_in{0};
+};
 
 // From the agent to a gateway.
 
@@ -141,6 +160,15 @@
   std::optional<limits::request_rate> rate;
 };
 
+struct quota_answer {
+  std::uint64_t number = 0;
+  core::tenant_id tenant;
+  /** 0: refused. */
+  std::int64_t granted = 0;
+  /** Refused: the minimum would be available after this time. */
+  core::milliseconds retry_after{0};
+};
+
 // In both directions.
 
 /** The sender has learnt of a crash, or more about a known one. */
@@ -156,7 +184,8 @@
     std::variant<gateway_hello, grant_request, grant_withdrawn, run_started,
                  run_ended, streams_stalled, permit_request, limit_observed,
                  grant_queued, grant_issued, grant_refused, status_report,
-                 run_checked, limit_notice, crash_notice, change_batch>;
+                 run_checked, limit_notice, crash_notice, change_batch,
+                 quota_ask, quota_answer>;
 
 /**
  * Encodes a message as one flat CBOR array: the message kind, then the fields
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -208,6 +208,29 @@
   }
 }
 
+TEST(messages_test, RoundTripOfAQuotaAskAndItsAnswer) {
+  const quota_ask ask{.number = 7,
+                      .tenant = core::tenant_id("t"),
+                      .amount = 2400,
+                      .minimum = 1120,
+                      .rate = 344'204.25,
+                      .burst = 5.5,
+                      .configuration = 12,
+                      .priority = 2,
+                      .is_fallback = true,
+                      .deadline_in = milliseconds(60)};
+  EXPECT_EQ(json::from_cbor(Encode(ask)),
+            json::array({17, 7, "t", 2400, 1120, 344'204'250'000, 5'500'000, 12,
+                         2, true, 60}));
+  const quota_ask decoded = RoundTrip(ask);
+  EXPECT_EQ(Encode(decoded), Encode(ask));
+  EXPECT_DOUBLE_EQ(decoded.rate, 344'204.25);
+  const quota_answer answer{7, core::tenant_id("t"), 1120, milliseconds(40)};
+  EXPECT_EQ(json::from_cbor(Encode(answer)),
+            json::array({18, 7, "t", 1120, 40}));
+  EXPECT_EQ(Encode(RoundTrip(answer)), Encode(answer));
+}
+
 // Earlier versions read a batch up to the fields that they know.
 TEST(messages_test, TheEraOfABatchIsItsLastField) {
   change_batch batch{.after = 40, .revision = 44, .era = 6};
@@ -233,6 +256,7 @@
         json::array({3, nullptr}), json::array({99, 1}), json::array({3}),
         json::array({3, "number"}), json::array({3, -1}),
         json::array({11, 40, 44, 3, false, 0, -1}),
+        json::array({18, 7, "t", -1, 40}),
         // The length exceeds the remaining fields.
         json::array({11, 1, 2, 0, false, 1'000'000'000})}) {
     const auto frame = json::to_cbor(form);
