Charge requests to the quotas of their tenants

A tenant's quota holds over all gateways. After the key check a gateway charges the request to leases of the sidecar that counts the tenant; over the quota the caller gets 429 with Retry-After. Only tenants with a limit cost messages.

--- a/src/gateway/caller_admission.cc
+++ b/src/gateway/caller_admission.cc
@@ -12,9 +12,11 @@
 
 caller_admission::caller_admission(const settings::node_settings& settings,
                                    const catalog::catalog_follower& follower,
+                                   quota_client& quotas,
                                    telemetry::metrics& metrics,
                                    core::random_source random)
     : follower_(follower),
+      quotas_(quotas),
       metrics_(metrics),
       random_(random),
       guard_({.strict = settings.strict_revocation,
@@ -61,9 +63,44 @@
     on_decision({.refusal = UnknownKeyReply()});
     return;
   }
-  on_decision({.caller = {.tenant = tenant->id,
-                          .priority = tenant->priority,
-                          .api_key = request.api_key}});
+  admitted_caller caller{.tenant = tenant->id,
+                         .priority = tenant->priority,
+                         .api_key = request.api_key};
+  if (!tenant->quota.IsLimited()) {
+    on_decision({.caller = std::move(caller)});
+    return;
+  }
+  ChargeQuota(request, *tenant, tenant->priority.value_or(route.priority),
+              std::move(caller), on_decision);
+}
+
+void caller_admission::ChargeQuota(const request_metadata& request,
+                                   const catalog::tenant& tenant, int priority,
+                                   admitted_caller caller,
+                                   const decision_callback& on_decision) {
+  quotas_.Charge(
+      tenant, table_->Version(), request, priority,
+      [this, caller = std::move(caller),
+       on_decision](const quota_decision& decision) {
+        if (!decision.is_admitted) {
+          on_decision({.refusal = local_reply{
+                           .status = 429,
+                           .type = "quota_exceeded",
+                           .message = "The tenant's quota is used up; the "
+                                      "request has not run.",
+                           .retry_after = decision.retry_after}});
+          return;
+        }
+        admitted_caller admitted = caller;
+        admitted.on_not_run = decision.on_not_run;
+        // The key may have been removed while the request waited.
+        if (!IsStillAdmitted(admitted)) {
+          admitted.on_not_run();
+          on_decision({.refusal = UnknownKeyReply()});
+          return;
+        }
+        on_decision({.caller = std::move(admitted)});
+      });
 }
 
 bool caller_admission::IsStillAdmitted(const admitted_caller& caller) {
--- a/src/gateway/caller_admission.h
+++ b/src/gateway/caller_admission.h
@@ -7,6 +7,7 @@
 
 #include "catalog/catalog_follower.h"
 #include "core/random_source.h"
+#include "gateway/quota_client.h"
 #include "gateway/traffic_protocol.h"
 #include "settings/node_settings.h"
 #include "telemetry/metrics.h"
@@ -48,7 +49,8 @@
   /** The referenced objects must outlive the admission. */
   caller_admission(const settings::node_settings& settings,
                    const catalog::catalog_follower& follower,
-                   telemetry::metrics& metrics, core::random_source random);
+                   quota_client& quotas, telemetry::metrics& metrics,
+                   core::random_source random);
   ~caller_admission();
   caller_admission(const caller_admission&) = delete;
   caller_admission& operator=(const caller_admission&) = delete;
@@ -71,8 +73,13 @@
 
  private:
   const tenants::key_directory& Keys();
+  void ChargeQuota(const request_metadata& request,
+                   const catalog::tenant& tenant, int priority,
+                   admitted_caller caller,
+                   const decision_callback& on_decision);
 
   const catalog::catalog_follower& follower_;
+  quota_client& quotas_;
   telemetry::metrics& metrics_;
   core::random_source random_;
   tenants::revocation_guard guard_;
--- a/src/gateway/caller_admission_test.cc
+++ b/src/gateway/caller_admission_test.cc
@@ -20,8 +20,12 @@
     Route("/public/", "plain", {.is_public = true});
     configuration_.tenants = {
         {.id = core::tenant_id("t1"), .api_keys = {"k1"}, .priority = 4},
-        {.id = core::tenant_id("t2"), .api_keys = {"k2"}}};
-    admission_.emplace(settings_, follower_, metrics_, core::random_source(1));
+        {.id = core::tenant_id("t2"), .api_keys = {"k2"}},
+        {.id = core::tenant_id("limited"),
+         .api_keys = {"k4"},
+         .quota = {.rate = 32.0 / quotas::kLocalShare * 20.0, .burst = 1}}};
+    admission_.emplace(settings_, follower_, quotas_, metrics_,
+                       core::random_source(1));
     forwarder_.SetAdmission(*admission_);
     request_forwarder_test::SetUp();
   }
@@ -36,6 +40,7 @@
     return decision.value_or(admission_decision{});
   }
 
+  quota_client quotas_{loop_, log_, metrics_, core::random_source(1)};
   std::optional<caller_admission> admission_;
 };
 
@@ -93,9 +98,37 @@
   EXPECT_FALSE(Decide("k9", "/once/").refusal);
 }
 
+// No sidecar counts here, so the gateway uses its part of the local share: 20
+// requests a second, of which none has accumulated at first.
+TEST_F(caller_admission_test, RefusesWhatIsOverTheQuotaOfATenant) {
+  const auto refused = Decide("k4", "/once/");
+  ASSERT_TRUE(refused.refusal);
+  EXPECT_EQ(refused.refusal->status, 429);
+  EXPECT_EQ(refused.refusal->type, "quota_exceeded");
+  EXPECT_GE(refused.refusal->retry_after, milliseconds(500));
+  EXPECT_EQ(Send("/once/")->response.status, 401);
+  Wait(milliseconds(100));
+  const auto admitted = Decide("k4", "/once/");
+  ASSERT_FALSE(admitted.refusal);
+  EXPECT_EQ(admitted.caller.tenant, core::tenant_id("limited"));
+  EXPECT_TRUE(admitted.caller.on_not_run);
+  EXPECT_FALSE(Decide("k1", "/once/").refusal);
+}
+
+TEST_F(caller_admission_test, ARequestCountsItsTokensOrThePlainAmount) {
+  const catalog::tenant_quota tokens{
+      .counted_in = catalog::tenant_quota::unit::tokens, .plain_tokens = 200};
+  request_metadata request{.prompt_tokens = 826, .maximum_output_tokens = 294};
+  EXPECT_EQ(quota_client::AmountOf(tokens, request), 200);
+  EXPECT_EQ(quota_client::AmountOf({}, request), 1);
+  request.names_tokens = true;
+  EXPECT_EQ(quota_client::AmountOf(tokens, request), 1120);
+}
+
 // Deployments without tenants are served as if this part did not exist.
 TEST_F(request_forwarder_test, WithoutTenantsEveryCallerIsAdmitted) {
-  caller_admission admission(settings_, follower_, metrics_,
+  quota_client quotas(loop_, log_, metrics_, core::random_source(1));
+  caller_admission admission(settings_, follower_, quotas, metrics_,
                              core::random_source(1));
   forwarder_.SetAdmission(admission);
   Send("/once/");
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -9,6 +9,7 @@
 #include "core/error.h"
 #include "gateway/caller_admission.h"
 #include "gateway/caller_limits.h"
+#include "gateway/quota_client.h"
 #include "gateway/request_forwarder.h"
 #include "gateway/sidecar_links.h"
 #include "net/http_server.h"
@@ -88,7 +89,9 @@
         follower(loop, source,
                  {.change_bound = settings.change_bound, .random_seed = Seed()},
                  *this, log),
-        admission(settings, follower, metrics, core::random_source(Seed())),
+        quotas(loop, log, metrics, core::random_source(Seed())),
+        admission(settings, follower, quotas, metrics,
+                  core::random_source(Seed())),
         forwarder(loop, settings, protocol, http, follower, log, metrics),
         links(loop,
               {.gateway = settings.node,
@@ -105,6 +108,7 @@
               exchange->Respond({IsReady() ? 200 : 503, {}, ""});
             }) {
     forwarder.SetLinks(links);
+    quotas.SetLinks(links);
     forwarder.SetAdmission(admission);
     if (settings.admin_listener) {
       admin_server.emplace(
@@ -208,6 +212,7 @@
   void OnSidecarLost(const std::string& ip) override {
     follower.SetReaderRank(links.ReaderRank());
     forwarder.OnSidecarLost(ip);
+    quotas.OnSidecarLost(ip);
   }
   void OnSidecarMessage(const std::string& ip,
                         const grants::message& value) override {
@@ -215,6 +220,8 @@
       follower.OnPeerRead(*batch);
       return;
     }
+    quotas.OnSidecarMessage(value);
+    if (std::holds_alternative<grants::quota_answer>(value)) return;
     if (std::holds_alternative<grants::status_report>(value)) {
       follower.SetReaderRank(links.ReaderRank());
     }
@@ -229,6 +236,11 @@
           {200, {{"content-type", "application/json"}}, forwarder.Dump()});
       return;
     }
+    if (exchange.Request().path == "/debug/quotas") {
+      exchange.Respond(
+          {200, {{"content-type", "application/json"}}, quotas.Dump()});
+      return;
+    }
     if (exchange.Request().path == "/metrics") {
       forwarder.UpdateMetrics();
       metrics.SetGauge("log_lines_dropped", static_cast<double>(log.Dropped()));
@@ -236,7 +248,8 @@
           {200, {{"content-type", "text/plain"}}, metrics.ToText()});
       return;
     }
-    exchange.Respond({404, {}, "unknown path; try /metrics, /debug/state\n"});
+    exchange.Respond(
+        {404, {}, "unknown path; try /metrics, /debug/state, /debug/quotas\n"});
   }
 
   // Shutdown.
@@ -295,6 +308,7 @@
   core::time_point stop_requested_at;
   std::optional<core::time_point> listener_closed_at;
   catalog::catalog_follower follower;
+  quota_client quotas;
   caller_admission admission;
   request_forwarder forwarder;
   sidecar_links links;
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -39,6 +39,7 @@
   peer& target = position->second;
   target.config = config;
   if (inserted) {
+    ++targets_version_;
     Connect(ip, target);
   } else if (target.open) {
     SendHello(target);
@@ -50,6 +51,7 @@
   if (found == peers_.end()) return;
   if (found->second.link) found->second.link->Close();
   peers_.erase(found);
+  ++targets_version_;
   ChooseRelays();
 }
 
@@ -64,6 +66,19 @@
                     [](const auto& entry) { return entry.second.open; }));
 }
 
+std::pair<std::string, std::string> sidecar_links::FirstTargets(
+    std::string_view key) const {
+  std::pair<std::uint64_t, std::string> first;
+  std::pair<std::uint64_t, std::string> second;
+  for (const auto& [ip, target] : peers_) {
+    std::pair<std::uint64_t, std::string> each{core::RendezvousWeight(key, ip),
+                                               ip};
+    if (each > first) std::swap(each, first);
+    if (each > second) std::swap(each, second);
+  }
+  return {first.second, second.second};
+}
+
 bool sidecar_links::Send(const std::string& ip, const grants::message& value) {
   const auto found = peers_.find(ip);
   if (found == peers_.end() || !found->second.open) return false;
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "catalog/endpoint_record.h"
@@ -72,6 +74,13 @@
   bool IsOpen(const std::string& ip) const;
   std::size_t OpenCount() const;
   std::size_t TargetCount() const { return peers_.size(); }
+  /** Changes whenever a sidecar is added or removed; never 0. */
+  std::uint64_t TargetsVersion() const { return targets_version_; }
+  /**
+   * The first two sidecars in rendezvous order for a key, reachable or not.
+   * Empty where there are fewer. Gateways with the same catalog agree on them.
+   */
+  std::pair<std::string, std::string> FirstTargets(std::string_view key) const;
   /** @returns false if there is no open link. */
   bool Send(const std::string& ip, const grants::message& value);
   /** Sends to the sidecars that relay the message to all gateways. */
@@ -119,6 +128,7 @@
   telemetry::event_log& log_;
   core::random_source random_;
   std::map<std::string, peer> peers_;
+  std::uint64_t targets_version_ = 1;
   /** Relays in use. Gateways with the same open links choose the same ones. */
   std::vector<std::string> relays_;
   net::timer_id tick_timer_ = 0;
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -13,6 +13,7 @@
 #include "net/frame_link.h"
 #include "net/http_server.h"
 #include "sidecar/catalog_relay.h"
+#include "sidecar/quota_counter.h"
 #include "sidecar/scheduler_driver.h"
 #include "telemetry/metrics.h"
 
@@ -77,6 +78,12 @@
             },
             [this](const grants::message& value) { SendToAll(value); }, log,
             metrics),
+        tenant_quotas(
+            loop,
+            [this](std::uint64_t link, const grants::message& value) {
+              Send(link, value);
+            },
+            log, metrics),
         listener(loop, settings.ip, settings.first_internal_port,
                  {.maximum_pending_bytes = 1024 * 1024}, kMaximumLinks,
                  [this](const std::shared_ptr<net::frame_link>& link) {
@@ -137,6 +144,7 @@
     links.erase(id);
     AssignReaderRanks();
     driver.OnLinkLost(id);
+    tenant_quotas.OnLinkLost(id);
   }
 
   void CloseTimedOutLinks() {
@@ -161,6 +169,10 @@
         SendBatches(relay.OnBatch(*batch, loop.Now()));
         return;
       }
+      if (const auto* ask = std::get_if<grants::quota_ask>(&value)) {
+        tenant_quotas.OnAsk(id, *ask);
+        return;
+      }
       if (std::holds_alternative<grants::limit_observed>(value)) {
         ++links.at(id).limits_observed;
       }
@@ -266,6 +278,7 @@
 
   void AnswerAdmin(net::http_exchange& exchange) {
     driver.UpdateMetrics();
+    tenant_quotas.UpdateMetrics();
     metrics.SetGauge("sidecar_gateway_links",
                      static_cast<double>(links.size()));
     metrics.SetGauge("log_lines_dropped", static_cast<double>(log.Dropped()));
@@ -291,6 +304,7 @@
   std::map<std::uint64_t, gateway_link> links;
   std::uint64_t last_link = 0;
   scheduler_driver driver;
+  quota_counter tenant_quotas;
   catalog_relay relay{kConfirmationPeriod};
   net::frame_listener listener;
   net::http_server admin;
--- a/src/sidecar/sidecar_program_test.cc
+++ b/src/sidecar/sidecar_program_test.cc
@@ -55,12 +55,16 @@
       batches.push_back(*batch);
     }
     if (std::holds_alternative<grants::grant_refused>(value)) ++refusals;
+    if (const auto* answer = std::get_if<grants::quota_answer>(&value)) {
+      quota_answers.push_back(*answer);
+    }
   }
   int lost = 0;
   int statuses = 0;
   int refusals = 0;
   std::size_t rank = 0;
   std::vector<grants::change_batch> batches;
+  std::vector<grants::quota_answer> quota_answers;
 };
 
 class sidecar_program_test : public ::testing::Test {
@@ -146,6 +150,33 @@
 }
 
 // An error caused by one request must not end the agent for all others.
+// Two gateways share one quota; what cannot be served at once waits.
+TEST_F(sidecar_program_test, CountsTheQuotaOfATenantOverItsGateways) {
+  Connect(2);
+  grants::quota_ask ask{.number = 5,
+                        .tenant = core::tenant_id("t"),
+                        .amount = 50,
+                        .minimum = 50,
+                        .rate = 500,
+                        .burst = 100,
+                        .configuration = 1,
+                        .deadline_in = milliseconds(0)};
+  gateways_[0]->links->Send("127.0.0.1", ask);
+  Wait(milliseconds(20));
+  ask.number = 6;
+  ask.amount = ask.minimum = 60;
+  ask.deadline_in = milliseconds(200);
+  gateways_[1]->links->Send("127.0.0.1", ask);
+  const auto& first = gateways_[0]->counter.quota_answers;
+  const auto& second = gateways_[1]->counter.quota_answers;
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return second.size() == 1; }, milliseconds(1000)));
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first[0].granted, 50);
+  EXPECT_EQ(second[0].number, 6U);
+  EXPECT_EQ(second[0].granted, 60);
+}
+
 TEST_F(sidecar_program_test, SurvivesAnErrorInAnOrder) {
   Connect(1);
   Wait(milliseconds(200));
