Measure the time per output token of an engine

Cause: engines of a service differ in speed by a factor of up to 2.4, and neither sidecars nor gateways know it, so long answers start on engines that cannot end them before their deadline.

Change: gateways report the output tokens of runs that ended well, the sidecar estimates the time per token from them and reports it, and a grant request may name when the answer is due. A request that cannot end by then even with 0.7 of the estimated time is refused as cannot_finish. All fields are appended; frames without them are accepted.

--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -120,9 +120,13 @@
                kIsolatedStartTime * static_cast<int>(IsolatedWaiting()));
     return out;
   }
+  const auto wait = ExpectedWait(request, now);
+  if (CannotFinish(request, wait, now)) {
+    refuse_for(refusal_reason::cannot_finish, wait);
+    return out;
+  }
   request.is_retry = TakeReservation(request.adapter, now);
   if (!request.is_retry) {
-    const auto wait = ExpectedWait(request, now);
     if (now + wait > request.deadline) {
       const bool is_limited =
           now + QueueWaitForLimit(request, now) > request.deadline;
@@ -142,6 +146,16 @@
   return out;
 }
 
+bool grant_scheduler::CannotFinish(const engine_request& request,
+                                   core::milliseconds wait,
+                                   core::time_point now) const {
+  if (!request.answer_due || speed_.TokenTime().count() == 0) return false;
+  const auto expected = wait + pacer_.PrefillTime(request.prompt_tokens) +
+                        speed_.TokenTime() * request.output_tokens;
+  return kCertainShare * std::chrono::duration<double>(expected) >
+         *request.answer_due - now;
+}
+
 bool grant_scheduler::ExceedsLoadBound(const engine_request& request,
                                        core::time_point now) const {
   if (request.load_bound <= 0.0 || request.is_retry) return false;
@@ -204,6 +218,7 @@
   if (found == running_.end() || found->second.started) return out;
   running_item& item = found->second;
   item.started = true;
+  item.started_at = now;
   if (item.prefills_alone) {
     pacer_.OnFirstOutput(item.request.prompt_tokens,
                          core::ToMilliseconds(now - item.granted_at));
@@ -214,12 +229,14 @@
 
 grant_scheduler::actions grant_scheduler::OnEnded(const request_key& key,
                                                   bool adapter_missing,
-                                                  core::time_point now) {
+                                                  core::time_point now,
+                                                  std::int64_t output_tokens) {
   actions out;
   const auto found = running_.find(key);
   if (found == running_.end()) return out;
   if (found->second.started) {
     run_time_.Add(core::ToMilliseconds(now - found->second.granted_at));
+    speed_.OnRunEnded(output_tokens, now - found->second.started_at, now);
   }
   RemoveRunning(found, now);
   // The next report shows which adapters are loaded.
@@ -931,6 +948,8 @@
     if (IsReady(request)) tokens_ahead += request.prompt_tokens;
   }
   status.prefill_wait = pacer_.PrefillTime(tokens_ahead);
+  status.token_time = speed_.TokenTime();
+  status.prefill_rate = pacer_.Rate();
   status.limit = Limit();
   status.limit_wait = LimitWait(static_cast<double>(waiting_.size() + 1), now);
   status.adapters_revision = slots_.Revision();
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -10,6 +10,7 @@
 
 #include "core/random_source.h"
 #include "core/time.h"
+#include "grants/engine_speed.h"
 #include "grants/grant_types.h"
 #include "grants/prompt_pacer.h"
 #include "grants/slot_table.h"
@@ -87,6 +88,8 @@
  * - Prompts that may end the engine: one at a time is ahead of its first
  *   output, so that a crash tells which one it was; few wait for their turn,
  *   the rest is refused immediately.
+ * - Long answers on a slow engine: a request whose answer cannot end in time
+ *   here is returned immediately, so that its gateway chooses a faster engine.
  * - Restart of the engine or the agent: no adapter is assumed to be loaded
  *   until the engine has reported its state.
  */
@@ -108,9 +111,10 @@
   /**
    * A granted request has ended.
    * @param adapter_missing the engine did not have the adapter loaded.
+   * @param output_tokens after its first output; 0 if it did not end well.
    */
   actions OnEnded(const request_key& key, bool adapter_missing,
-                  core::time_point now);
+                  core::time_point now, std::int64_t output_tokens = 0);
   /** A gateway has detected that the engine's streams are stalled. */
   void OnStreamsStalled(core::time_point now) { pacer_.OnStreamsStalled(now); }
   /** The connection to a gateway was lost. Its requests are dropped. */
@@ -174,11 +178,14 @@
   core::milliseconds RunTime() const { return run_time_.Value(); }
   /** Prompt tokens that the engine prefills per millisecond. */
   double PrefillRate() const { return pacer_.Rate(); }
+  /** Time per output token; 0 if unknown. */
+  core::microseconds TokenTime() const { return speed_.TokenTime(); }
 
  private:
   struct running_item {
     engine_request request;
     core::time_point granted_at;
+    core::time_point started_at;
     bool started = false;
     /** The grant was counted against the limit. */
     bool took_token = false;
@@ -206,6 +213,9 @@
   core::milliseconds QueueWaitForLimit(const engine_request& request,
                                        core::time_point now) const;
   bool IsServing(core::time_point now) const;
+  /** The answer ends after it is due even if the estimate is far too long. */
+  bool CannotFinish(const engine_request& request, core::milliseconds wait,
+                    core::time_point now) const;
   bool ExceedsLoadBound(const engine_request& request,
                         core::time_point now) const;
   bool HoldsModel(const core::model_id& model) const;
@@ -289,6 +299,7 @@
   smoothed_time warm_load_time_;
   smoothed_time run_time_;
   prompt_pacer pacer_;
+  engine_speed speed_;
 };
 
 }  // namespace comfreyspring::grants
--- a/src/grants/grant_scheduler_test.cc
+++ b/src/grants/grant_scheduler_test.cc
@@ -209,6 +209,48 @@
   EXPECT_TRUE(engine.IsGranted(engine.Submit("a1")));
 }
 
+// Guards against a long answer that starts on a slow engine and is broken off
+// at its deadline. What may still end in time, or is not to be refused, runs.
+TEST(grant_scheduler_test, RefusesAnswersThatCannotEndInTime) {
+  core::time_point now{std::chrono::seconds(100)};
+  grant_scheduler scheduler{{}};
+  scheduler.SetConfig(Config());
+  scheduler.OnState(
+      {.started_unix_ms = 1, .models = {{core::model_id("m"), {}}}}, now, now);
+  std::uint64_t number = 0;
+  const auto submit = [&](std::int64_t tokens, milliseconds due_in) {
+    engine_request request{.key = {1, ++number},
+                           .adapter = {core::model_id("m"), core::adapter_id()},
+                           .prompt_tokens = 800,
+                           .output_tokens = tokens,
+                           .first_output_due = now + milliseconds(800),
+                           .deadline = now + milliseconds(1700)};
+    if (due_in.count() > 0) request.answer_due = now + due_in;
+    const auto actions = scheduler.OnRequest(request, now);
+    const auto* denied = std::get_if<refusal>(&actions.at(0));
+    return denied == nullptr ? "granted" : ToString(denied->reason);
+  };
+  const auto end = [&](std::int64_t tokens, milliseconds took) {
+    scheduler.OnStarted({1, number}, now);
+    now += took;
+    scheduler.OnState(
+        {.started_unix_ms = 1, .models = {{core::model_id("m"), {}}}}, now,
+        now);
+    scheduler.OnEnded({1, number}, false, now, tokens);
+  };
+  EXPECT_EQ(submit(90000, milliseconds(12000)), "granted");
+  end(300, milliseconds(3000));
+  for (int i = 0; i < 40; ++i) {
+    EXPECT_EQ(submit(300, milliseconds(12000)), "granted");
+    end(300, milliseconds(3000));
+  }
+  EXPECT_EQ(scheduler.Status(now).token_time, milliseconds(10));
+  EXPECT_EQ(submit(1800, milliseconds(12000)), "cannot_finish");
+  EXPECT_EQ(submit(1800, milliseconds(0)), "granted");
+  end(300, milliseconds(3000));
+  EXPECT_EQ(submit(1600, milliseconds(12000)), "granted");
+}
+
 TEST(grant_scheduler_test, LoadsRequestedAdapters) {
   engine_model engine(Config());
   engine.Report();
--- a/src/grants/grant_types.cc
+++ b/src/grants/grant_types.cc
@@ -10,7 +10,8 @@
     refusal_reason::wait_too_long,       refusal_reason::wait_expired,
     refusal_reason::engine_down,         refusal_reason::model_absent,
     refusal_reason::adapter_unavailable, refusal_reason::stopping,
-    refusal_reason::fuller_than_known,   refusal_reason::rate_limited};
+    refusal_reason::fuller_than_known,   refusal_reason::cannot_finish,
+    refusal_reason::rate_limited};
 
 }  // namespace
 
@@ -48,6 +49,8 @@
       return "stopping";
     case refusal_reason::fuller_than_known:
       return "fuller_than_known";
+    case refusal_reason::cannot_finish:
+      return "cannot_finish";
     case refusal_reason::rate_limited:
       return "rate_limited";
   }
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -66,6 +66,11 @@
   bool isolated = false;
   /** Parts of its prompt to blame if the engine ends before its answer. */
   std::vector<quarantine::suspected_part> blamed_parts;
+  /**
+   * The end of the answer is due by then. Nothing: it is not refused because
+   * of its length.
+   */
+  std::optional<core::time_point> answer_due;
   /** Set by the scheduler. */
   core::time_point received_at;
 };
@@ -155,6 +160,8 @@
   stopping,
   /** It would have to wait, and the gateway knows of less loaded engines. */
   fuller_than_known,
+  /** Its answer would end after its deadline here. */
+  cannot_finish,
   /** The endpoint's request rate limit is used up for longer than it can wait.
    */
   rate_limited,
@@ -207,6 +214,10 @@
   std::size_t loads_waiting = 0;
   /** Time until the engine has prefilled the prompts ahead of a new one. */
   core::milliseconds prefill_wait{0};
+  /** See `engine_speed`; 0 if unknown. */
+  core::microseconds token_time{0};
+  /** Prompt tokens that the engine prefills per millisecond; 0 if unknown. */
+  double prefill_rate = 0.0;
   /** The engine's request rate limit, over all gateways. */
   std::optional<limits::request_rate> limit;
   /** Time until this limit would let a new request start. */
--- a/src/grants/grants.h
+++ b/src/grants/grants.h
@@ -8,10 +8,11 @@
  * granted, which are refused and when to retry them, and which adapters are
  * loaded and unloaded. It also defines the messages between gateways and the
  * agent. Owns the queue, the table of running requests and the view of the
- * engine's adapter slots. Performs no I/O: takes events and the time, returns
+ * engine's adapter slots and speed. Performs no I/O: takes events and the time, returns
  * actions. Depends on core, catalog (names), adapters (eviction) and limits.
  */
 
+#include "grants/engine_speed.h"
 #include "grants/fencing_counter.h"
 #include "grants/grant_scheduler.h"
 #include "grants/grant_types.h"
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -38,6 +38,8 @@
 constexpr double kLoadScale = 1000.0;
 /** Rates are transmitted as integers in units of 1/kRateScale per second. */
 constexpr double kRateScale = 1e6;
+/** Prefill rates are transmitted in tokens per second. */
+constexpr double kPrefillRateScale = 1000.0;
 
 /** Far above the number of crashes that any part survives. */
 constexpr std::int64_t kMaximumLevel = 1'000'000;
@@ -134,6 +136,9 @@
     for (const auto& name : status.adapters) out.Add(name);
   }
   out.Add(status.limit).Add(status.limit_wait).Add(report.limits_observed);
+  out.Add(std::int64_t{status.token_time.count()})
+      .Add(static_cast<std::int64_t>(
+          std::llround(status.prefill_rate * kPrefillRateScale)));
   return out.Finish();
 }
 
@@ -341,6 +346,7 @@
     request.isolated = in.Boolean();
     request.blamed_parts = in.Parts();
   }
+  if (!in.AtEnd()) request.answer_due_in = in.Time();
   return request;
 }
 
@@ -384,6 +390,12 @@
     status.limit_wait = in.Time();
     report.limits_observed = in.Size();
   }
+  // Senders of earlier versions do not measure the speed.
+  if (!in.AtEnd()) {
+    status.token_time =
+        core::microseconds(static_cast<std::int64_t>(in.Size()));
+    status.prefill_rate = static_cast<double>(in.Size()) / kPrefillRateScale;
+  }
   return report;
 }
 
@@ -454,9 +466,13 @@
     case message_kind::started:
       return run_started{in.Size()};
     case message_kind::ended: {
-      const std::uint64_t number = in.Size();
-      const bool adapter_missing = in.Boolean();
-      return run_ended{number, adapter_missing, !in.AtEnd() && in.Boolean()};
+      run_ended ended{in.Size()};
+      ended.adapter_missing = in.Boolean();
+      if (!in.AtEnd()) ended.lost = in.Boolean();
+      if (!in.AtEnd()) {
+        ended.output_tokens = static_cast<std::int64_t>(in.Size());
+      }
+      return ended;
     }
     case message_kind::stalled:
       return streams_stalled{};
@@ -517,6 +533,7 @@
                     std::llround(request.load_bound * kLoadScale)))
                 .Add(request.isolated)
                 .Add(request.blamed_parts)
+                .Add(request.answer_due_in)
                 .Finish();
           },
           [](const grant_withdrawn& withdrawn) {
@@ -534,6 +551,7 @@
                 .Add(ended.number)
                 .Add(ended.adapter_missing)
                 .Add(ended.lost)
+                .Add(ended.output_tokens)
                 .Finish();
           },
           [](const streams_stalled&) {
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -45,6 +45,11 @@
   /** See `engine_request`. */
   bool isolated = false;
   std::vector<quarantine::suspected_part> blamed_parts;
+  /**
+   * Time until the end of the answer is due. 0: the engine may not refuse
+   * because of it.
+   */
+  core::milliseconds answer_due_in{0};
 };
 struct grant_withdrawn {
   std::uint64_t number = 0;
@@ -62,6 +67,10 @@
    * `run_checked`.
    */
   bool lost = false;
+  /**
+   * Output tokens forwarded after `run_started`; 0 if the run did not end well.
+   */
+  std::int64_t output_tokens = 0;
 };
 /**
  * Requests a permit for one request to an endpoint that limits its rate and
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -71,6 +71,41 @@
   EXPECT_TRUE(RoundTrip(run_ended{7, false, true}).lost);
 }
 
+// During a rolling restart, frames of earlier versions lack the last fields.
+TEST(messages_test, SpeedFieldsAreOptional) {
+  const auto without_last = [](const message& value, std::size_t count) {
+    const std::string frame = Encode(value);
+    json fields = json::from_cbor(frame);
+    fields.get_ref<json::array_t&>().resize(fields.size() - count);
+    std::string shortened;
+    json::to_cbor(fields, shortened);
+    return Decode(shortened);
+  };
+  grant_request request;
+  request.answer_due_in = milliseconds(11800);
+  request.blamed_parts = {{core::prompt_part_id("p"), 2}};
+  EXPECT_EQ(RoundTrip(request).answer_due_in, milliseconds(11800));
+  const auto old_request = std::get<grant_request>(without_last(request, 1));
+  EXPECT_EQ(old_request.answer_due_in, milliseconds(0));
+  EXPECT_EQ(old_request.blamed_parts, request.blamed_parts);
+  const run_ended ended{7, false, true, 287};
+  EXPECT_EQ(RoundTrip(ended).output_tokens, 287);
+  const auto old_ended = std::get<run_ended>(without_last(ended, 1));
+  EXPECT_TRUE(old_ended.lost);
+  EXPECT_EQ(old_ended.output_tokens, 0);
+  status_report report;
+  report.status.token_time = core::microseconds(8360);
+  report.status.prefill_rate = 27.1;
+  report.limits_observed = 4;
+  EXPECT_EQ(RoundTrip(report).status.token_time.count(), 8360);
+  EXPECT_DOUBLE_EQ(RoundTrip(report).status.prefill_rate, 27.1);
+  const auto old_report = std::get<status_report>(without_last(report, 2));
+  EXPECT_EQ(old_report.status.token_time.count(), 0);
+  EXPECT_EQ(old_report.limits_observed, 4U);
+  EXPECT_EQ(RoundTrip(grant_refused{1, refusal_reason::cannot_finish}).reason,
+            refusal_reason::cannot_finish);
+}
+
 // Guards against a frame that exhausts the stack of its reader.
 TEST(messages_test, RejectsDeeplyNestedFrames) {
   constexpr std::size_t kSize = 1'000'000;
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -128,7 +128,10 @@
        .load_bound = request.load_bound,
        .maximum_retry_after = request.maximum_retry_after,
        .isolated = request.isolated,
-       .blamed_parts = request.blamed_parts},
+       .blamed_parts = request.blamed_parts,
+       .answer_due = request.answer_due_in.count() > 0
+                         ? std::optional(now + request.answer_due_in)
+                         : std::nullopt},
       now));
   if (scheduler_.IsWaiting({link, request.number})) {
     send_(link, grants::grant_queued{request.number});
@@ -245,7 +248,8 @@
     }
     ReadStateNow();
   }
-  Perform(scheduler_.OnEnded(key, ended.adapter_missing, now));
+  Perform(
+      scheduler_.OnEnded(key, ended.adapter_missing, now, ended.output_tokens));
 }
 
 void scheduler_driver::Perform(const crash_watch::findings& found) {
@@ -454,6 +458,7 @@
       .Add("load_time_ms", scheduler_.LoadTime().count())
       .Add("prompt_tokens_per_s",
            static_cast<std::int64_t>(scheduler_.PrefillRate() * 1e3))
+      .Add("token_time_us", scheduler_.TokenTime().count())
       .Add("state_age_ms",
            core::ToMilliseconds(loop_.Now() - last_answer_at_).count());
 }
@@ -482,6 +487,8 @@
   metrics_.SetGauge("sidecar_run_time_ms",
                     static_cast<double>(scheduler_.RunTime().count()));
   metrics_.SetGauge("sidecar_prompt_tokens_per_ms", scheduler_.PrefillRate());
+  metrics_.SetGauge("sidecar_token_time_us",
+                    static_cast<double>(scheduler_.TokenTime().count()));
 }
 
 }  // namespace comfreyspring::sidecar
