Place requests by the relative speed of engines

Cause: slow engines fill up while fast ones have room, and long answers on slow engines are broken off at their deadline.

Change: where engines differ, the batch load is divided by the relative speed, rendezvous weights are scaled by it, and an engine is preferred on which the answer is expected to end in time. A request that no engine can finish is refused at once. Where all speeds are 1 the choice is as before.

With speeds of 1.0, 1.0 and 1.3 the decisions are the same. gateway_test (157) passes.

--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -37,8 +37,17 @@
  * weight store.
  */
 constexpr double kCongestedLoads = 1.0;
-/** Above this load a request has to wait for a batch slot. */
-constexpr double kFullLoad = 0.95;
+/**
+ * Share of the time to its deadline that an answer is preferably expected to
+ * take. The rest covers moments at which the engine is slower, and the prompts
+ * of requests that follow.
+ */
+constexpr double kComfortableShare = 1.0 / 1.5;
+/**
+ * Share of that time up to which an answer is likely to be in time. Estimates
+ * are for an undisturbed engine, so the answer takes longer than that.
+ */
+constexpr double kLikelyShare = 0.8;
 /**
  * Preference for endpoints in the same data centre, in outstanding requests.
  */
@@ -82,11 +91,29 @@
 struct candidate {
   const endpoint_view* view = nullptr;
   double load = 0.0;
+  /** Relative to its peers. */
+  double speed = 1.0;
   bool holds_adapter = false;
   bool has_free_slot = false;
   std::uint64_t weight = 0;
 };
 
+engine_capacity CapacityOf(const candidate& each) {
+  const endpoint_view& view = *each.view;
+  return {view.status, view.record.slots, view.grants_requested_since_status,
+          each.speed};
+}
+
+/** Relative speeds, in the order of the engines. */
+std::vector<double> SpeedsOf(const endpoint_views& engines) {
+  std::vector<core::microseconds> token_times;
+  token_times.reserve(engines.size());
+  for (const endpoint_view* view : engines) {
+    token_times.push_back(view->status.token_time);
+  }
+  return RelativeSpeeds(token_times);
+}
+
 bool IsExcluded(const endpoint_view& view, const choice_request& request) {
   return request.excluded != nullptr &&
          request.excluded->count(view.record.instance) > 0;
@@ -95,18 +122,17 @@
 /** @returns nothing if the engine cannot serve the request. */
 std::optional<candidate> Evaluate(const endpoint_view& view,
                                   const choice_request& request,
-                                  const peer_medians& medians,
+                                  const peer_medians& medians, double speed,
                                   core::time_point now) {
   const bool needs_adapter = !request.adapter.adapter.empty();
-  candidate result{.view = &view};
+  candidate result{.view = &view, .speed = speed};
   result.holds_adapter =
       !needs_adapter || view.adapters.count(request.adapter) > 0;
   const double slots =
       static_cast<double>(std::max<std::size_t>(1, view.record.slots));
   if (view.has_sidecar) {
     if (!view.status.serving) return std::nullopt;
-    result.load = grants::LoadOf(view.status, view.record.slots,
-                                 view.grants_requested_since_status);
+    result.load = CapacityOf(result).Load();
     result.has_free_slot = view.status.free_adapter_slots > 0;
   } else {
     // Without its sidecar an engine can only serve the adapters that it holds.
@@ -146,10 +172,14 @@
                            const choice_request& request,
                            core::time_point now) {
   const peer_medians medians = MediansOf(engines, now);
+  const std::vector<double> speeds = SpeedsOf(engines);
+  const bool speeds_differ = std::any_of(
+      speeds.begin(), speeds.end(), [](double speed) { return speed != 1.0; });
   std::vector<candidate> all;
-  for (const endpoint_view* view : engines) {
-    if (IsExcluded(*view, request)) continue;
-    const auto evaluated = Evaluate(*view, request, medians, now);
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    if (IsExcluded(*engines[i], request)) continue;
+    const auto evaluated =
+        Evaluate(*engines[i], request, medians, speeds[i], now);
     if (evaluated) all.push_back(*evaluated);
   }
   if (all.empty()) return {};
@@ -179,45 +209,94 @@
           : std::min(kFullLoad,
                      std::max(mean * kLoadFactor, mean + kLoadHeadroom));
 
-  const auto less_loaded = [](const candidate& left, const candidate& right) {
-    return left.load != right.load ? left.load < right.load
-                                   : left.weight > right.weight;
+  const bool considers_finish = speeds_differ && request.answer_due_in;
+  if (considers_finish) {
+    std::erase_if(all, [&](const candidate& each) {
+      const auto shortest = CapacityOf(each).ShortestFinishIn(request.size);
+      return shortest && !MayFinish(*shortest, *request.answer_due_in);
+    });
+    if (all.empty()) return {.speeds_differ = true, .cannot_finish = true};
+  }
+  const auto is_home_before = [](const candidate& left,
+                                 const candidate& right) {
+    return left.speed == right.speed ? left.weight > right.weight
+                                     : HomeScore(left.weight, left.speed) >
+                                           HomeScore(right.weight, right.speed);
   };
-  const auto by_rendezvous_weight = [](const candidate& left,
-                                       const candidate& right) {
-    return left.weight > right.weight;
+  const auto less_loaded = [&](const candidate& left, const candidate& right) {
+    return left.load != right.load ? left.load < right.load
+                                   : is_home_before(left, right);
   };
-  const auto best_where = [&](const auto& matches, const auto& is_better) {
+  // Share of the time left that the answer may take; nothing: not considered.
+  using share = std::optional<double>;
+  const auto best_where = [&](share limit, const auto& matches,
+                              const auto& is_better) {
     std::vector<candidate> matching;
     for (const candidate& each : all) {
-      if (matches(each)) matching.push_back(each);
+      if (!matches(each)) continue;
+      const auto finish = limit ? CapacityOf(each).FinishIn(request.size)
+                                : std::optional<core::milliseconds>();
+      if (finish &&
+          static_cast<double>(finish->count()) >
+              *limit * static_cast<double>(request.answer_due_in->count())) {
+        continue;
+      }
+      matching.push_back(each);
     }
     const candidate* best = BestOf(matching, is_better);
-    return best == nullptr ? nullptr : best->view;
+    return best == nullptr ? std::optional<candidate>() : *best;
+  };
+  const auto within_bound = [&](share limit) {
+    // The least loaded engine that holds the adapter.
+    const auto holder = best_where(
+        limit,
+        [&](const candidate& each) {
+          return each.holds_adapter && each.load <= bound;
+        },
+        less_loaded);
+    if (holder) return holder;
+    // The first engine in rendezvous order with a free adapter slot.
+    return best_where(
+        limit,
+        [&](const candidate& each) {
+          return each.has_free_slot && each.load <= bound;
+        },
+        is_home_before);
   };
-  // The least loaded engine that holds the adapter, within the bound.
-  const auto* found = best_where(
-      [&](const candidate& each) {
-        return each.holds_adapter && each.load <= bound;
-      },
-      less_loaded);
-  if (found != nullptr) return {found, bound};
-  // The first engine in rendezvous order with a free adapter slot, within the
-  // bound.
-  found = best_where(
-      [&](const candidate& each) {
-        return each.has_free_slot && each.load <= bound;
-      },
-      by_rendezvous_weight);
-  if (found != nullptr) return {found, bound};
-  // All engines are above the bound or have no free adapter slot.
-  found = best_where([&](const candidate& each) { return each.holds_adapter; },
-                     less_loaded);
-  if (found != nullptr) return {found};
-  found = best_where([&](const candidate& each) { return each.has_free_slot; },
-                     less_loaded);
-  if (found != nullptr) return {found};
-  return {BestOf(all, less_loaded)->view};
+  // If all engines are above the bound or have no free adapter slot.
+  const auto above_bound = [&](share limit) {
+    auto found = best_where(
+        limit, [](const candidate& each) { return each.holds_adapter; },
+        less_loaded);
+    if (found) return found;
+    found = best_where(
+        limit, [](const candidate& each) { return each.has_free_slot; },
+        less_loaded);
+    if (found) return found;
+    return best_where(
+        limit, [](const candidate&) { return true; }, less_loaded);
+  };
+  const auto chosen = [&](const candidate& each, double load_bound) {
+    const engine_capacity capacity = CapacityOf(each);
+    return engine_choice{.view = each.view,
+                         .load_bound = load_bound > 0.0
+                                           ? capacity.SidecarBound(load_bound)
+                                           : 0.0,
+                         .relative_speed = each.speed,
+                         .finish_in = capacity.FinishIn(request.size),
+                         .speeds_differ = speeds_differ};
+  };
+  if (considers_finish) {
+    for (const double limit : {kComfortableShare, kLikelyShare}) {
+      if (const auto found = within_bound(limit)) return chosen(*found, bound);
+    }
+    if (const auto found = above_bound(kLikelyShare))
+      return chosen(*found, 0.0);
+  }
+  if (const auto found = within_bound(std::nullopt)) {
+    return chosen(*found, bound);
+  }
+  return chosen(*above_bound(std::nullopt), 0.0);
 }
 
 const endpoint_view* ChooseIsolationEngine(const endpoint_views& engines,
--- a/src/gateway/endpoint_choice.h
+++ b/src/gateway/endpoint_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -8,6 +9,7 @@
 #include "core/random_source.h"
 #include "core/time.h"
 #include "gateway/endpoint_view.h"
+#include "gateway/engine_capacity.h"
 
 namespace comfreyspring::gateway {
 
@@ -19,6 +21,9 @@
   const std::set<catalog::instance_id>* excluded = nullptr;
   /** Number of gateways that send to the same endpoints. */
   std::size_t gateways = 1;
+  answer_size size;
+  /** Time until the end of the answer is due; nothing if not considered. */
+  std::optional<core::milliseconds> answer_due_in;
 };
 
 using endpoint_views = std::vector<const endpoint_view*>;
@@ -32,6 +37,17 @@
    * are as loaded.
    */
   double load_bound = 0.0;
+  /** See `RelativeSpeeds`. */
+  double relative_speed = 1.0;
+  /** Estimated time to the end of the answer, if known. */
+  std::optional<core::milliseconds> finish_in;
+  /**
+   * The engines differ in speed, so another one may finish what this one
+   * cannot.
+   */
+  bool speeds_differ = false;
+  /** There is none because the answer would end late at all of them. */
+  bool cannot_finish = false;
 };
 
 /**
@@ -44,6 +60,11 @@
  * those that hold it are clearly more loaded than the mean. Engines without a
  * free adapter slot, with more failures than their peers, or silent while
  * requests are outstanding are avoided.
+ *
+ * Where engines differ in speed (see `engine_capacity`), faster ones take more
+ * load and more adapters, and an answer goes to an engine on which it is
+ * expected to end in time, also if a slower one holds its adapter. Where they
+ * do not differ, the length of the answer has no influence.
  */
 engine_choice ChooseEngine(const endpoint_views& engines,
                            const choice_request& request, core::time_point now);
--- a/src/gateway/endpoint_choice_test.cc
+++ b/src/gateway/endpoint_choice_test.cc
@@ -1,11 +1,14 @@
 #include "gateway/endpoint_choice.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <map>
 #include <memory>
 #include <string>
 
+#include "core/hash.h"
+
 namespace comfreyspring::gateway {
 namespace {
 
@@ -131,6 +134,87 @@
   EXPECT_NE(Engine("a1"), "e2");
 }
 
+class engine_length_test : public endpoint_choice_test {
+ protected:
+  engine_length_test() {
+    Add("fast").status.token_time = core::microseconds(3500);
+    Add("slow0").status.token_time = core::microseconds(9000);
+    Add("slow1").status.token_time = core::microseconds(9000);
+  }
+  engine_choice Choose(std::int64_t output_tokens) {
+    return ChooseEngine(All(),
+                        {.adapter = Name("a1"),
+                         .excluded = &excluded_,
+                         .gateways = 2,
+                         .size = {800, output_tokens},
+                         .answer_due_in = milliseconds(12000)},
+                        now_);
+  }
+  std::string EngineFor(std::int64_t output_tokens) {
+    return Choose(output_tokens).view->record.instance.Value();
+  }
+};
+
+// Guards against a long answer on the slow engine that holds its adapter, where
+// it would miss its deadline.
+TEST_F(engine_length_test, LongAnswersGoToFastEngines) {
+  views_.at("slow0")->adapters.insert(Name("a1"));
+  EXPECT_EQ(EngineFor(294), "slow0");
+  EXPECT_EQ(EngineFor(952), "fast");
+  // A full fast engine still ends it earlier than a slow one.
+  views_.at("fast")->status.running = 10;
+  EXPECT_EQ(EngineFor(1300), "fast");
+  // With estimates that are a little too long, a slow one may still end it.
+  excluded_.insert(catalog::instance_id("fast"));
+  EXPECT_EQ(EngineFor(1500), "slow0");
+}
+
+// Only a request that cannot be served in time at any engine is refused.
+TEST_F(engine_length_test, RefusesOnlyWhatNoEngineCanFinish) {
+  EXPECT_EQ(EngineFor(4000), "fast");
+  const auto choice = Choose(6000);
+  EXPECT_EQ(choice.view, nullptr);
+  EXPECT_TRUE(choice.cannot_finish);
+  views_.at("slow1")->status.token_time = core::microseconds(0);
+  EXPECT_EQ(EngineFor(6000), "slow1");
+}
+
+// Among equal engines the length of an answer must change nothing, and the
+// first choice of an idle service is the highest rendezvous weight.
+RC_GTEST_FIXTURE_PROP(endpoint_choice_test, SimilarSpeedsChangeNothing, ()) {
+  const int engines = *rc::gen::inRange(1, 8);
+  const bool is_idle = *rc::gen::arbitrary<bool>();
+  std::string home;
+  std::uint64_t highest = 0;
+  for (int i = 0; i < engines; ++i) {
+    auto& view = Add("e" + std::to_string(i));
+    const auto weight =
+        core::RendezvousWeight("m/a1", view.record.address.ToString());
+    if (weight > highest) home = view.record.instance.Value();
+    highest = std::max(highest, weight);
+    if (is_idle) continue;
+    view.status.running = *rc::gen::inRange<std::size_t>(0, 14);
+    view.status.free_adapter_slots = *rc::gen::inRange<std::size_t>(0, 3);
+    view.status.prefill_wait = milliseconds(*rc::gen::inRange(0, 300));
+    if (*rc::gen::arbitrary<bool>()) view.adapters.insert(Name("a1"));
+  }
+  const std::string before = Engine("a1");
+  if (is_idle) RC_ASSERT(before == home);
+  for (auto& [name, view] : views_) {
+    view->status.token_time =
+        core::microseconds(*rc::gen::element(0, 4500, 5850));
+  }
+  const auto after = ChooseEngine(All(),
+                                  {.adapter = Name("a1"),
+                                   .excluded = &excluded_,
+                                   .gateways = 2,
+                                   .size = {800, 90000},
+                                   .answer_due_in = milliseconds(12000)},
+                                  now_);
+  RC_ASSERT(after.view->record.instance.Value() == before);
+  RC_ASSERT(!after.speeds_differ);
+}
+
 // The endpoint accepts connections but sends no responses.
 TEST_F(endpoint_choice_test, AvoidsASilentPlainEndpoint) {
   Add("s0");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/endpoint_choice.h"
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
+#include "gateway/engine_capacity.h"
 #include "gateway/gateway_program.h"
 #include "gateway/request_forwarder.h"
 #include "gateway/retry_budget.h"
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -194,6 +194,9 @@
     bool view_was_outdated = false;
     /** Part of the wait for the grant that was due to loading the adapter. */
     core::milliseconds load_wait{0};
+    /** Of the engine that was asked last; see `engine_choice`. */
+    double relative_speed = 1.0;
+    std::optional<core::milliseconds> finish_in;
     int grant_requests = 0;
     /** The current grant request is one for a permit. */
     bool awaits_permit = false;
@@ -713,10 +716,16 @@
   engine_choice ChooseEndpoint(const active_request& request,
                                const std::set<catalog::instance_id>& excluded) {
     const auto now = loop.Now();
-    const choice_request wanted{.adapter = request.metadata.adapter,
-                                .data_centre = settings.data_centre,
-                                .excluded = &excluded,
-                                .gateways = GatewayCount()};
+    choice_request wanted{.adapter = request.metadata.adapter,
+                          .data_centre = settings.data_centre,
+                          .excluded = &excluded,
+                          .gateways = GatewayCount(),
+                          .size = {request.metadata.prompt_tokens,
+                                   request.metadata.expected_output_tokens}};
+    // The rest of an answer that has been started is shorter than that.
+    if (request.events_sent == 0) {
+      wanted.answer_due_in = core::ToMilliseconds(request.deadline - now);
+    }
     const auto candidates = ViewsOf(request.service);
     if (request.isolation) {
       return {ChooseIsolationEngine(candidates, wanted, *request.isolation)};
@@ -750,6 +759,7 @@
     }
     const endpoint_view* chosen = choice.view;
     if (chosen == nullptr) {
+      if (choice.cannot_finish) request->refusal = "cannot_finish";
       if (const auto wait = ShortestBackoff(request->service)) {
         request->retry_after = std::max(
             request->retry_after.value_or(core::milliseconds(0)), *wait);
@@ -786,7 +796,12 @@
     auto message = MakeGrantRequest(*request, request->grant_number);
     if (request->grant_requests < kMaximumGrantRequests) {
       message.load_bound = choice.load_bound;
+      if (choice.speeds_differ && request->events_sent == 0) {
+        message.answer_due_in = core::ToMilliseconds(request->deadline - now);
+      }
     }
+    request->relative_speed = choice.relative_speed;
+    request->finish_in = choice.finish_in;
     links->Send(request->sidecar_ip, std::move(message));
   }
 
@@ -975,7 +990,8 @@
     }
     request->excluded.insert(request->endpoint);
     request->refusal = std::string(grants::ToString(refused.reason));
-    if (refused.reason == grants::refusal_reason::fuller_than_known) {
+    if (refused.reason == grants::refusal_reason::fuller_than_known ||
+        refused.reason == grants::refusal_reason::cannot_finish) {
       metrics.Count("gateway_asks_sent_back_total");
       request->view_was_outdated = true;
       Dispatch(request);
@@ -1190,14 +1206,15 @@
    * sidecar.
    */
   void ReleaseGrant(active_request& request, bool adapter_missing,
-                    bool lost = false) {
+                    bool lost = false, std::int64_t output_tokens = 0) {
     if (request.grant_number == 0) return;
     if (request.state == phase::waiting) {
       links->Send(request.sidecar_ip,
                   grants::grant_withdrawn{request.grant_number});
     } else {
-      links->Send(request.sidecar_ip, grants::run_ended{request.grant_number,
-                                                        adapter_missing, lost});
+      links->Send(request.sidecar_ip,
+                  grants::run_ended{request.grant_number, adapter_missing, lost,
+                                    output_tokens});
     }
     open_grants.erase(request.grant_number);
     request.grant_number = 0;
@@ -1299,6 +1316,10 @@
         .Add("waited_ms", core::ToMilliseconds(now - request->arrived).count())
         .Add("load_wait_ms", request->load_wait.count())
         .Add("left_ms", left.count())
+        .Add("engine_speed_percent",
+             static_cast<int>(100.0 * request->relative_speed))
+        .Add("finish_ms",
+             request->finish_in.value_or(core::milliseconds(-1)).count())
         .Add("catalog_age_ms", follower.Age().count());
     if (const auto limit = notices.LimitOf(*record)) {
       line.Add("limit_per_s", limits::ToText(limit));
@@ -1705,7 +1726,7 @@
                                   now);
         }
       }
-      ReleaseGrant(*request, false);
+      ReleaseGrant(*request, false, false, TokensAfterFirstEvent(*request));
       NoteAnswerWentOn(*request);
       Succeed(request);
       return;
@@ -1716,6 +1737,16 @@
                     ended_early);
   }
 
+  /** @returns output tokens of the current attempt after its first event. */
+  static std::int64_t TokensAfterFirstEvent(const active_request& request) {
+    const auto* service = request.table->FindService(request.service);
+    const std::size_t events =
+        request.events.Count() - request.events_before_attempt;
+    if (service == nullptr || !service->engine || events == 0) return 0;
+    return static_cast<std::int64_t>(events - 1) *
+           service->engine->tokens_per_event;
+  }
+
   /** @returns why the response is incomplete; nothing if it is complete. */
   static std::optional<std::string> DefectOf(const active_request& request,
                                              const net::http_result& result) {
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -864,12 +864,12 @@
   void Grant(std::uint64_t number) {
     forwarder_.OnSidecarMessage("", grants::grant_issued{.number = number});
   }
-  void Refuse(std::uint64_t number) {
+  void Refuse(std::uint64_t number, grants::refusal_reason reason =
+                                        grants::refusal_reason::wait_too_long) {
     forwarder_.OnSidecarMessage(
-        "",
-        grants::grant_refused{.number = number,
-                              .reason = grants::refusal_reason::wait_too_long,
-                              .retry_after = milliseconds(500)});
+        "", grants::grant_refused{.number = number,
+                                  .reason = reason,
+                                  .retry_after = milliseconds(500)});
   }
   /** Starts a stream that falls silent after its first event. */
   std::shared_ptr<fake_exchange> StartSilentStream() {
@@ -884,6 +884,21 @@
   }
 };
 
+// An engine that is too slow for an answer says nothing about the others, and
+// one that may be fast enough must be asked at once.
+TEST_F(granted_stream_test, AnAnswerThatCannotEndInTimeIsSentElsewhere) {
+  const auto caller = SendTokens();
+  Refuse(1, grants::refusal_reason::cannot_finish);
+  Refuse(2, grants::refusal_reason::cannot_finish);
+  EXPECT_TRUE(http_.calls.empty());
+  Grant(3);
+  ASSERT_EQ(http_.calls.size(), 1U);
+  http_.Headers(200, Own());
+  http_.Data("id: 1\n\n");
+  http_.Done();
+  EXPECT_TRUE(caller->ended);
+}
+
 TEST_F(granted_stream_test, ASilentStreamThatNoOtherEngineTakesGoesOn) {
   const auto caller = StartSilentStream();
   Refuse(2);
