--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,7 +8,8 @@
  * retries and stream resumption, and gives each request its final response.
  * Endpoint choice, retry budget and retry policy do no I/O and take the time as
  * an argument. Owns the requests in flight and the links to the sidecars of the
- * engines. Depends on catalog, grants, net, stream, settings, tenants and telemetry.
+ * engines. Depends on catalog, grants, net, stream, settings, tenants and
+ * telemetry.
  */
 
 #include "gateway/caller_admission.h"
--- a/src/grants/grants.h
+++ b/src/grants/grants.h
@@ -8,8 +8,9 @@
  * granted, which are refused and when to retry them, and which adapters are
  * loaded and unloaded. It also defines the messages between gateways and the
  * agent. Owns the queue, the table of running requests and the view of the
- * engine's adapter slots and speed. Performs no I/O: takes events and the time, returns
- * actions. Depends on core, catalog (names), adapters (eviction) and limits.
+ * engine's adapter slots and speed. Performs no I/O: takes events and the time,
+ * returns actions. Depends on core, catalog (names), adapters (eviction) and
+ * limits.
  */
 
 #include "grants/engine_speed.h"
