--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
 #include "gateway/endpoint_wait.h"
+#include "gateway/engine_capacity.h"
 #include "gateway/gateway_program.h"
 #include "gateway/quota_client.h"
 #include "gateway/request_forwarder.h"
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -41,6 +41,8 @@
 constexpr double kLoadScale = 1000.0;
 /** Rates are transmitted as integers in units of 1/kRateScale per second. */
 constexpr double kRateScale = 1e6;
+/** Prefill rates are transmitted in tokens per second. */
+constexpr double kPrefillRateScale = 1000.0;
 
 /** Far above the number of crashes that any part survives. */
 constexpr std::int64_t kMaximumLevel = 1'000'000;
@@ -149,6 +151,9 @@
     out.Add(names->size());
     for (const auto& name : *names) out.Add(name);
   }
+  out.Add(std::int64_t{status.token_time.count()})
+      .Add(static_cast<std::int64_t>(
+          std::llround(status.prefill_rate * kPrefillRateScale)));
   return out.Finish();
 }
 
@@ -371,6 +376,7 @@
     request.isolated = in.Boolean();
     request.blamed_parts = in.Parts();
   }
+  if (!in.AtEnd()) request.answer_due_in = in.Time();
   return request;
 }
 
@@ -421,6 +427,12 @@
       names->push_back(in.Adapter());
     }
   }
+  // Senders of earlier versions do not measure the speed.
+  if (!in.AtEnd()) {
+    status.token_time =
+        core::microseconds(static_cast<std::int64_t>(in.Size()));
+    status.prefill_rate = static_cast<double>(in.Size()) / kPrefillRateScale;
+  }
   return report;
 }
 
@@ -512,9 +524,13 @@
     case message_kind::started:
       return run_started{in.Size()};
     case message_kind::ended: {
-      const std::uint64_t number = in.Size();
-      const bool adapter_missing = in.Boolean();
-      return run_ended{number, adapter_missing, !in.AtEnd() && in.Boolean()};
+      run_ended ended{in.Size()};
+      ended.adapter_missing = in.Boolean();
+      if (!in.AtEnd()) ended.lost = in.Boolean();
+      if (!in.AtEnd()) {
+        ended.output_tokens = static_cast<std::int64_t>(in.Size());
+      }
+      return ended;
     }
     case message_kind::stalled:
       return streams_stalled{};
@@ -583,6 +599,7 @@
                     std::llround(request.load_bound * kLoadScale)))
                 .Add(request.isolated)
                 .Add(request.blamed_parts)
+                .Add(request.answer_due_in)
                 .Finish();
           },
           [](const grant_withdrawn& withdrawn) {
@@ -600,6 +617,7 @@
                 .Add(ended.number)
                 .Add(ended.adapter_missing)
                 .Add(ended.lost)
+                .Add(ended.output_tokens)
                 .Finish();
           },
           [](const streams_stalled&) {
