Queue the requests of plain services at one sidecar

Gateways that do not know of each other sent more requests to a plain service than its endpoints accept. The endpoints turned a third of them away, and each of these was sent again at the cost of the retry budget.

One sidecar per plain service, chosen by rendezvous hashing, now gives slots to the requests of all gateways, ordered by priority and by whether they can still be on time. Requests that cannot be answered before their deadline are refused at once.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,4 +21,5 @@
 #include "gateway/retry_budget.h"
 #include "gateway/retry_policy.h"
 #include "gateway/sidecar_links.h"
+#include "gateway/slot_client.h"
 #include "gateway/traffic_protocol.h"
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -19,6 +19,7 @@
 #include "gateway/retry_budget.h"
 #include "gateway/retry_policy.h"
 #include "gateway/sidecar_links.h"
+#include "gateway/slot_client.h"
 #include "limits/token_bucket.h"
 #include "stream/event_splitter.h"
 
@@ -201,6 +202,10 @@
     bool has_permit = false;
     /** Number of the permit of the current attempt; 0 if there is none. */
     std::uint64_t permit_number = 0;
+    /** Number of the ask for a slot, or of the slot; 0 if there is none. */
+    std::uint64_t slot_number = 0;
+    /** The next attempt is made without a slot. */
+    bool skips_slot = false;
 
     /**
      * The request may end its engine, so it runs at the one engine that this
@@ -732,6 +737,7 @@
    */
   void Dispatch(const request_pointer& request) {
     const auto now = loop.Now();
+    ReleaseSlot(*request, overload::slot_result::unused);
     if (now >= request->deadline) {
       OnDeadline(request);
       return;
@@ -761,7 +767,7 @@
     request->endpoint = chosen->record.instance;
     if (NeedsEngine(*request) && chosen->has_sidecar) {
       RequestGrant(request, choice);
-    } else {
+    } else if (!RequestSlot(request)) {
       Send(request);
     }
   }
@@ -1014,6 +1020,143 @@
             next->adapters.count(request.metadata.adapter) > 0);
   }
 
+  // Slots: the requests to a plain service wait at one sidecar until one of its
+  // endpoints can run them.
+
+  /** @returns false if the request is to be sent without a slot. */
+  bool RequestSlot(const request_pointer& request) {
+    const bool skips = std::exchange(request->skips_slot, false);
+    const catalog::service* service = ServiceOf(*request);
+    if (!settings.sheds_by_value || skips || service == nullptr ||
+        service->engine) {
+      return false;
+    }
+    const auto ip = slot_client::SidecarOf(request->service, linked_ips);
+    if (!ip || !IsUsableSidecar(*ip)) return false;
+    auto candidates = SlotCandidatesOf(*request);
+    if (candidates.empty()) return false;
+    const auto now = loop.Now();
+    const auto left = core::ToMilliseconds(request->deadline - now);
+    const auto target = request->route->first_output_target;
+    const std::uint64_t number = ++last_grant_number;
+    grants::slot_ask ask{
+        .number = number,
+        .service = request->service,
+        .priority = PriorityOf(*request),
+        .answer_due_in =
+            target.count() > 0
+                ? target - core::ToMilliseconds(now - request->arrived)
+                : left,
+        .deadline_in = left,
+        .maximum_retry_after = left / kRetryTimeDivisor,
+        .candidates = std::move(candidates)};
+    if (!slots.Ask(*ip, request->number, std::move(ask), now)) return false;
+    request->state = phase::waiting;
+    request->slot_number = number;
+    return true;
+  }
+
+  /**
+   * The endpoints of the request's service; those of this data centre first.
+   * @returns nothing if one limits its rate: permits are for that.
+   */
+  std::vector<overload::slot_candidate> SlotCandidatesOf(
+      const active_request& request) const {
+    std::vector<overload::slot_candidate> near;
+    std::vector<overload::slot_candidate> far;
+    bool is_limited = false;
+    follower.Endpoints().ForEachUsable(
+        [&](const catalog::endpoint_record& record) {
+          if (record.service != request.service) return;
+          is_limited |= notices.LimitOf(record).has_value();
+          auto& list = record.data_centre == settings.data_centre ? near : far;
+          list.push_back(
+              {.endpoint = limits::IncarnationOf(record),
+               .slots = record.slots,
+               .is_usable = IsAvailable(record) &&
+                            request.excluded.count(record.instance) == 0});
+        });
+    if (is_limited) return {};
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+  }
+
+  void OnSlotIssued(const std::string& ip, const grants::slot_issued& issued) {
+    const auto slot = slots.OnIssued(ip, issued, loop.Now());
+    if (!slot) return;
+    metrics.Observe("gateway_slot_wait_ms",
+                    static_cast<double>(slot->waited.count()));
+    const request_pointer request = requests.at(slot->request);
+    request->endpoint = slot->endpoint.instance;
+    Send(request);
+  }
+
+  /** @returns false if it is not an ask for a slot that is refused. */
+  bool OnSlotRefused(const grants::grant_refused& refused) {
+    const auto ask = slots.OnRefused(refused.number);
+    if (!ask) return false;
+    const request_pointer request = requests.at(ask->request);
+    request->slot_number = 0;
+    const std::string reason(grants::ToString(refused.reason));
+    metrics.Count("gateway_slots_refused_total{reason=\"" + reason + "\"}");
+    log.Request(line_class::failure, "slot_refused",
+                request->metadata.id.Value())
+        .Add("service", request->service.Value())
+        .Add("sidecar", ask->sidecar_ip)
+        .Add("reason", reason)
+        .Add("expected_wait_ms", refused.expected_wait.count())
+        .Add("retry_after_ms", refused.retry_after.count());
+    if (refused.reason == grants::refusal_reason::stopping) {
+      link_states[ask->sidecar_ip].is_stopping = true;
+      Dispatch(request);
+      return true;
+    }
+    request->retry_after = refused.retry_after;
+    GiveUp(request, reason);
+    return true;
+  }
+
+  void ReleaseSlot(active_request& request, overload::slot_result result) {
+    if (request.slot_number == 0) return;
+    slots.Release(std::exchange(request.slot_number, 0), result);
+  }
+
+  /** Sends requests that will not get a slot. */
+  void SendWithoutSlots(const std::vector<std::uint64_t>& numbers,
+                        const char* cause) {
+    for (const std::uint64_t number : numbers) {
+      const auto found = requests.find(number);
+      if (found == requests.end()) continue;
+      const request_pointer request = found->second;
+      metrics.Count(std::string("gateway_slot_asks_lost_total{cause=\"") +
+                    cause + "\"}");
+      log.Request(line_class::failure, "slot_lost",
+                  request->metadata.id.Value())
+          .Add("service", request->service.Value())
+          .Add("cause", cause);
+      request->slot_number = 0;
+      request->skips_slot = true;
+      Dispatch(request);
+    }
+  }
+
+  static overload::slot_result SlotResultOf(attempt_failure failure,
+                                            int status) {
+    if (failure == attempt_failure::not_run) {
+      return overload::slot_result::turned_away;
+    }
+    // An error other than 5xx is the caller's.
+    return failure == attempt_failure::failed && status < 500
+               ? overload::slot_result::answered
+               : overload::slot_result::failed;
+  }
+
+  bool IsUsableSidecar(const std::string& ip) const {
+    if (!links->IsOpen(ip)) return false;
+    const auto state = link_states.find(ip);
+    return state == link_states.end() || !state->second.is_stopping;
+  }
+
   // Permits: the requests of a rate-limited endpoint whose own sidecar cannot
   // be asked, or that has none, are counted by a sidecar that all gateways
   // choose alike.
@@ -1047,9 +1190,7 @@
       }
     }
     const auto is_usable = [&](const std::string* ip) {
-      if (ip == nullptr || !links->IsOpen(*ip)) return false;
-      const auto state = link_states.find(*ip);
-      return state == link_states.end() || !state->second.is_stopping;
+      return ip != nullptr && IsUsableSidecar(*ip);
     };
     if (is_usable(first)) return coordinator{*first, has_own};
     if (!has_own && is_usable(second)) return coordinator{*second, true};
@@ -1292,6 +1433,7 @@
         .Add("endpoint", request->endpoint.Value())
         .Add("granted", request->grant_number != 0)
         .Add("permitted", request->permit_number != 0)
+        .Add("has_slot", request->slot_number != 0)
         .Add("fresh_connection", was_sent_there)
         .Add("adapter", request->metadata.adapter.adapter.Value())
         .Add("version", announced)
@@ -1706,6 +1848,7 @@
         }
       }
       ReleaseGrant(*request, false);
+      ReleaseSlot(*request, overload::slot_result::answered);
       NoteAnswerWentOn(*request);
       Succeed(request);
       return;
@@ -1766,6 +1909,7 @@
     const bool is_lost = ended_early && !request->answer_went_on;
     const std::uint64_t lost_number = is_lost ? request->grant_number : 0;
     ReleaseGrant(*request, missing, is_lost);
+    ReleaseSlot(*request, SlotResultOf(failure, request->status));
     if (failure == attempt_failure::not_sent) {
       if (request->is_first_at_endpoint) request->used.erase(request->endpoint);
     } else if (failure != attempt_failure::not_run) {
@@ -1966,6 +2110,7 @@
         request->status == 503 && !request->may_have_run && !request->fallback;
     if (request->attempts == 0 || is_refused) ReturnUnusedQuota(*request);
     ReleaseGrant(*request, false);
+    ReleaseSlot(*request, overload::slot_result::unused);
     WithdrawStandby(*request);
     lost_runs.erase(request->lost_number);
     DiscardBody(*request);
@@ -1988,6 +2133,7 @@
     CloseUnansweredLinks(now);
     CheckVerdictTimeouts(now);
     CheckHeldDeadlines(now);
+    SendWithoutSlots(slots.OnTick(now), "unanswered");
     if (StartsNoMore()) RefuseWaiting();
     if (now - quarantine_checked_at >= kQuarantinePeriod) {
       quarantine_checked_at = now;
@@ -2048,6 +2194,7 @@
       request->verdict_due = loop.Now() + kVerdictTimeout;
       WithdrawStandby(*request);
     }
+    slots.OnPaused(loop.Now());
     RenewGrantsUnderLimits();
   }
 
@@ -2098,6 +2245,9 @@
                                   ? kStoppingCause
                                   : "time_limit";
     CancelAttempt(*request);
+    if (request->state == phase::sent) {
+      ReleaseSlot(*request, overload::slot_result::failed);
+    }
     if (request->response_started) {
       AbortStream(request, cause);
       return;
@@ -2343,16 +2493,25 @@
       request->awaits_permit = false;
       Dispatch(request);
     }
+    SendWithoutSlots(slots.OnSidecarLost(ip), "link_lost");
   }
 
   void OnSidecarMessage(const std::string& ip, const grants::message& value) {
     std::visit(
         core::overloaded{
-            [&](const grants::grant_queued& queued) { OnQueued(queued); },
+            [&](const grants::grant_queued& queued) {
+              OnQueued(queued);
+              slots.OnQueued(queued.number);
+            },
             [&](const grants::grant_issued& granted) {
               OnGranted(ip, granted);
             },
-            [&](const grants::grant_refused& refused) { OnRefused(refused); },
+            [&](const grants::grant_refused& refused) {
+              if (!OnSlotRefused(refused)) OnRefused(refused);
+            },
+            [&](const grants::slot_issued& issued) {
+              OnSlotIssued(ip, issued);
+            },
             [&](const grants::status_report& report) { OnStatus(ip, report); },
             [&](const grants::limit_notice& notice) { OnLimitNotice(notice); },
             [&](const grants::run_checked& checked) { OnRunChecked(checked); },
@@ -2465,6 +2624,10 @@
   telemetry::metrics& metrics;
   core::random_source random;
   sidecar_links* links = nullptr;
+  slot_client slots{
+      [this](const std::string& ip, const grants::message& value) {
+        return links->Send(ip, value);
+      }};
   /** Null: every caller is admitted. */
   caller_admission* admission = nullptr;
   std::map<std::uint64_t, request_pointer> requests;
@@ -2583,6 +2746,10 @@
   impl_->metrics.SetGauge(
       "gateway_suspected_prompt_parts",
       static_cast<double>(parts.size()) - static_cast<double>(quarantined));
+  impl_->metrics.SetGauge("gateway_slots_waiting",
+                          static_cast<double>(impl_->slots.Waiting()));
+  impl_->metrics.SetGauge("gateway_slots_in_use",
+                          static_cast<double>(impl_->slots.InUse()));
   impl_->metrics.SetGauge("gateway_sidecars_open",
                           static_cast<double>(impl_->links->OpenCount()));
   impl_->metrics.SetGauge("gateway_sidecars_wanted",
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +8,7 @@
 
 #include "catalog/endpoint_record.h"
 #include "catalog/route.h"
+#include "core/request_key.h"
 #include "core/time.h"
 #include "limits/endpoint_incarnation.h"
 #include "limits/limit_announcement.h"
@@ -17,17 +17,7 @@
 
 namespace comfreyspring::grants {
 
-/**
- * Identifies a grant request by the gateway's link and its number on that link.
- */
-struct request_key {
-  std::uint64_t link = 0;
-  std::uint64_t number = 0;
-  // clang-tidy 14 mistakes the compiler's own comparison with 0 for a pointer.
-  // NOLINTBEGIN(modernize-use-nullptr)
-  friend auto operator<=>(const request_key&, const request_key&) = default;
-  // NOLINTEND(modernize-use-nullptr)
-};
+using core::request_key;
 
 /** A request that is to run on the engine. */
 struct engine_request {
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -32,6 +32,9 @@
   limit_notice = 14,
   run_checked = 15,
   crash = 16,
+  slot_ask = 17,
+  slot_released = 18,
+  slot_issued = 19,
 };
 
 /** Loads are transmitted as integers in units of 1/kLoadScale. */
@@ -147,6 +150,21 @@
   return out.Finish();
 }
 
+std::string EncodeSlotAsk(const slot_ask& ask) {
+  field_writer out(message_kind::slot_ask);
+  out.Add(ask.number)
+      .Add(ask.service.Value())
+      .Add(ask.priority)
+      .Add(ask.answer_due_in)
+      .Add(ask.deadline_in)
+      .Add(ask.maximum_retry_after)
+      .Add(ask.candidates.size());
+  for (const auto& each : ask.candidates) {
+    out.Add(each.endpoint).Add(each.slots).Add(each.is_usable);
+  }
+  return out.Finish();
+}
+
 std::string EncodeBatch(const change_batch& batch) {
   field_writer out(message_kind::catalog);
   out.Add(batch.after)
@@ -442,6 +460,32 @@
   return {std::move(record)};
 }
 
+slot_ask ReadSlotAsk(field_reader& in) {
+  slot_ask ask;
+  ask.number = in.Size();
+  ask.service = core::service_id(in.Text());
+  ask.priority = static_cast<int>(in.Integer());
+  ask.answer_due_in = in.Time();
+  ask.deadline_in = in.Time();
+  ask.maximum_retry_after = in.Time();
+  for (std::size_t left = in.Length(4); left > 0; --left) {
+    overload::slot_candidate candidate;
+    candidate.endpoint = in.Incarnation();
+    candidate.slots = in.Size();
+    candidate.is_usable = in.Boolean();
+    ask.candidates.push_back(std::move(candidate));
+  }
+  return ask;
+}
+
+slot_released ReadSlotReleased(field_reader& in) {
+  slot_released released{in.Size()};
+  const auto result = overload::ParseSlotResult(in.Text());
+  if (!result) throw core::invalid_value_error("unknown result of a slot");
+  released.result = *result;
+  return released;
+}
+
 message ReadMessage(field_reader& in) {
   const std::int64_t kind = in.Integer();
   switch (static_cast<message_kind>(kind)) {
@@ -489,6 +533,14 @@
       notice.rate = in.Rate();
       return notice;
     }
+    case message_kind::slot_ask:
+      return ReadSlotAsk(in);
+    case message_kind::slot_released:
+      return ReadSlotReleased(in);
+    case message_kind::slot_issued: {
+      const std::uint64_t number = in.Size();
+      return slot_issued{number, in.Size()};
+    }
   }
   throw core::invalid_value_error("unknown message kind " +
                                   std::to_string(kind));
@@ -593,6 +645,19 @@
                 .Add(refused.expected_wait)
                 .Finish();
           },
+          [](const slot_ask& ask) { return EncodeSlotAsk(ask); },
+          [](const slot_released& released) {
+            return field_writer(message_kind::slot_released)
+                .Add(released.number)
+                .Add(std::string(ToString(released.result)))
+                .Finish();
+          },
+          [](const slot_issued& issued) {
+            return field_writer(message_kind::slot_issued)
+                .Add(issued.number)
+                .Add(issued.candidate)
+                .Finish();
+          },
           [](const status_report& report) { return EncodeStatus(report); },
           [](const change_batch& batch) { return EncodeBatch(batch); }},
       value);
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "grants/grant_types.h"
+#include "overload/slot_types.h"
 
 namespace comfreyspring::grants {
 
@@ -92,8 +93,34 @@
   core::milliseconds age{0};
 };
 
+/**
+ * Requests a slot at one of a plain service's endpoints. Answered with
+ * `slot_issued`, or like a grant request.
+ */
+struct slot_ask {
+  std::uint64_t number = 0;
+  core::service_id service;
+  int priority = 0;
+  /** An answer to the caller after this time is late. */
+  core::milliseconds answer_due_in{0};
+  core::milliseconds deadline_in{0};
+  core::milliseconds maximum_retry_after{0};
+  std::vector<overload::slot_candidate> candidates;
+};
+/** The use of a slot has ended. */
+struct slot_released {
+  std::uint64_t number = 0;
+  overload::slot_result result = overload::slot_result::unused;
+};
+
 // From the agent to a gateway.
 
+/** The request may be sent to the endpoint. */
+struct slot_issued {
+  std::uint64_t number = 0;
+  /** Index into the candidates of the ask. */
+  std::size_t candidate = 0;
+};
 /**
  * The request is queued. Sent immediately if it was neither granted nor
  * refused.
@@ -156,7 +183,8 @@
     std::variant<gateway_hello, grant_request, grant_withdrawn, run_started,
                  run_ended, streams_stalled, permit_request, limit_observed,
                  grant_queued, grant_issued, grant_refused, status_report,
-                 run_checked, limit_notice, crash_notice, change_batch>;
+                 run_checked, limit_notice, crash_notice, change_batch,
+                 slot_ask, slot_released, slot_issued>;
 
 /**
  * Encodes a message as one flat CBOR array: the message kind, then the fields
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -163,6 +163,35 @@
 }
 
 // Sidecars of the previous version send statuses without limits.
+// Guards against asks whose candidates get mixed up on the way.
+TEST(messages_test, RoundTripOfASlot) {
+  slot_ask ask{.number = 7,
+               .service = core::service_id("plain"),
+               .priority = 2,
+               .answer_due_in = core::milliseconds(-20),
+               .deadline_in = core::milliseconds(2900),
+               .maximum_retry_after = core::milliseconds(900)};
+  ask.candidates.push_back({{catalog::instance_id("p1"), 5}, 6, true});
+  ask.candidates.push_back({{catalog::instance_id("p2"), 0}, 4, false});
+  const auto read = std::get<slot_ask>(Decode(Encode(ask)));
+  EXPECT_EQ(read.number, 7u);
+  EXPECT_EQ(read.service, ask.service);
+  EXPECT_EQ(read.priority, 2);
+  EXPECT_EQ(read.answer_due_in, ask.answer_due_in);
+  EXPECT_EQ(read.deadline_in, ask.deadline_in);
+  EXPECT_EQ(read.maximum_retry_after, ask.maximum_retry_after);
+  ASSERT_EQ(read.candidates.size(), 2u);
+  EXPECT_EQ(read.candidates[0].endpoint, ask.candidates[0].endpoint);
+  EXPECT_EQ(read.candidates[1].slots, 4u);
+  EXPECT_TRUE(read.candidates[0].is_usable);
+  EXPECT_FALSE(read.candidates[1].is_usable);
+  const auto issued = std::get<slot_issued>(Decode(Encode(slot_issued{7, 1})));
+  EXPECT_EQ(issued.candidate, 1u);
+  const auto released = std::get<slot_released>(
+      Decode(Encode(slot_released{7, overload::slot_result::turned_away})));
+  EXPECT_EQ(released.result, overload::slot_result::turned_away);
+}
+
 TEST(messages_test, ReadsAStatusWithoutALimit) {
   const auto frame = json::to_cbor(
       json::array({9, true, 3, 1, 64, 2, 0, 40, 4, 7, 100, 0, false}));
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -60,6 +60,11 @@
   double load_rate_allowance = 1.0;
   /** ... within any window of this length. */
   core::milliseconds load_rate_window{5000};
+  /**
+   * When capacity is insufficient, requests are delayed and refused by what
+   * callers lose, not by arrival.
+   */
+  bool sheds_by_value = false;
 };
 
 }  // namespace comfreyspring::settings
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -14,6 +14,7 @@
 #include "net/http_server.h"
 #include "sidecar/catalog_relay.h"
 #include "sidecar/scheduler_driver.h"
+#include "sidecar/slot_driver.h"
 #include "telemetry/metrics.h"
 
 namespace comfreyspring::sidecar {
@@ -77,6 +78,12 @@
             },
             [this](const grants::message& value) { SendToAll(value); }, log,
             metrics),
+        slots(
+            loop,
+            [this](std::uint64_t link, const grants::message& value) {
+              Send(link, value);
+            },
+            log, metrics),
         listener(loop, settings.ip, settings.first_internal_port,
                  {.maximum_pending_bytes = 1024 * 1024}, kMaximumLinks,
                  [this](const std::shared_ptr<net::frame_link>& link) {
@@ -95,8 +102,10 @@
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
-    state_timer =
-        loop.SchedulePeriodic(kStateLogPeriod, [this] { driver.LogState(); });
+    state_timer = loop.SchedulePeriodic(kStateLogPeriod, [this] {
+      driver.LogState();
+      slots.LogState();
+    });
     status_timer = loop.SchedulePeriodic(kStatusPeriod, [this] {
       CloseTimedOutLinks();
       SendDueStatuses();
@@ -137,6 +146,7 @@
     links.erase(id);
     AssignReaderRanks();
     driver.OnLinkLost(id);
+    slots.OnLinkLost(id);
   }
 
   void CloseTimedOutLinks() {
@@ -164,7 +174,7 @@
       if (std::holds_alternative<grants::limit_observed>(value)) {
         ++links.at(id).limits_observed;
       }
-      driver.OnMessage(id, value);
+      if (!slots.OnMessage(id, value)) driver.OnMessage(id, value);
     } catch (const std::exception& failure) {
       // An error in one message must not end the process.
       log.SystemEvent("message_unreadable")
@@ -266,6 +276,7 @@
 
   void AnswerAdmin(net::http_exchange& exchange) {
     driver.UpdateMetrics();
+    slots.UpdateMetrics();
     metrics.SetGauge("sidecar_gateway_links",
                      static_cast<double>(links.size()));
     metrics.SetGauge("log_lines_dropped", static_cast<double>(log.Dropped()));
@@ -277,6 +288,7 @@
     stopping = true;
     log.Process("stopping").Add("running", driver.Scheduler().Running());
     driver.Stop();
+    slots.Stop();
     for (auto& [id, gateway] : links) SendStatus(gateway);
     loop.Schedule(kStopDelay, [this] {
       log.Process("stopped");
@@ -291,6 +303,7 @@
   std::map<std::uint64_t, gateway_link> links;
   std::uint64_t last_link = 0;
   scheduler_driver driver;
+  slot_driver slots;
   catalog_relay relay{kConfirmationPeriod};
   net::frame_listener listener;
   net::http_server admin;
