Order and refuse requests for engines by what callers lose

When an engine cannot serve its queue in time, the last to arrive was refused, and requests that had become hopeless kept waiting. A caller's retry also counted as on time for as long as it waited, and since reservations are matched by adapter, other requests did too.

Under sheds_by_value, waiting requests of one priority are ordered by whether they can be on time and by work, one that cannot start in time is refused while it waits, and a newcomer may displace a waiting request of its priority whose refusal costs less. Priorities are strict: the oldest request no longer goes first now and then.

--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -59,6 +59,18 @@
 constexpr core::milliseconds kIsolatedStartTime{150};
 /** Share of refused callers that retry at the same engine. */
 constexpr double kRetryShare = 0.5;
+/**
+ * Share of an estimated wait that is certain: by value, a waiting request is
+ * refused only when its time is shorter than that.
+ */
+constexpr double kCertainWaitShare = 0.7;
+
+double MeanWork(const std::vector<overload::request_prospect>& requests) {
+  double sum = 0.0;
+  for (const auto& each : requests) sum += each.work;
+  return std::max(1.0, sum / static_cast<double>(
+                                 std::max<std::size_t>(1, requests.size())));
+}
 
 double ToDouble(core::milliseconds time) {
   return static_cast<double>(time.count());
@@ -123,7 +135,9 @@
   request.is_retry = TakeReservation(request.adapter, now);
   if (!request.is_retry) {
     const auto wait = ExpectedWait(request, now);
-    if (now + wait > request.deadline) {
+    if (now + wait > request.deadline &&
+        !(options_.sheds_by_value && !ExceedsLoadBound(request, now) &&
+          MakeRoomFor(request, now, out))) {
       const bool is_limited =
           now + QueueWaitForLimit(request, now) > request.deadline;
       refuse_for(is_limited ? refusal_reason::rate_limited
@@ -445,6 +459,7 @@
          reservations_.front().due + kReservationLate <= now) {
     reservations_.pop_front();
   }
+  if (options_.sheds_by_value) RefuseHopeless(now, out);
   Schedule(now, out);
   return out;
 }
@@ -518,6 +533,99 @@
   }
 }
 
+// By value.
+
+overload::request_prospect grant_scheduler::ProspectOf(
+    const engine_request& request, core::time_point now) const {
+  // A reservation is matched by adapter only, so a retry counts as late like
+  // any other request.
+  const auto first_output =
+      now + kStartOverhead + pacer_.PrefillTime(request.prompt_tokens);
+  return {
+      .key = request.key,
+      .priority = request.priority,
+      .can_be_on_time = first_output <= request.first_output_due,
+      .due = request.first_output_due,
+      .deadline = request.deadline,
+      .work = overload::WorkOf(request.prompt_tokens, request.output_tokens),
+      .is_promised = request.is_retry || request.isolated};
+}
+
+std::vector<overload::request_prospect> grant_scheduler::Prospects(
+    core::time_point now) const {
+  std::vector<overload::request_prospect> order;
+  order.reserve(waiting_.size() + 1);
+  for (const auto& [key, request] : waiting_) {
+    order.push_back(ProspectOf(request, now));
+  }
+  std::sort(order.begin(), order.end(), overload::ServesBefore);
+  return order;
+}
+
+bool grant_scheduler::MakeRoomFor(const engine_request& request,
+                                  core::time_point now, actions& out) {
+  auto order = Prospects(now);
+  const auto own = ProspectOf(request, now);
+  std::erase_if(order, [&](const overload::request_prospect& each) {
+    return !overload::ServesBefore(each, own);
+  });
+  order.push_back(own);
+  const std::size_t last = order.size() - 1;
+  const std::size_t least =
+      overload::CheapestToRefuse(order, last, MeanWork(order));
+  if (least == last) return false;
+  auto removed = waiting_.extract(order[least].key);
+  const auto wait = ExpectedWait(request, now);
+  if (now + wait > request.deadline) {
+    waiting_.insert(std::move(removed));
+    return false;
+  }
+  const engine_request refused = std::move(removed.mapped());
+  ++displaced_;
+  Refuse(refused, refusal_reason::wait_too_long, ExpectedWait(refused, now),
+         now, out);
+  return true;
+}
+
+void grant_scheduler::RefuseHopeless(core::time_point now, actions& out) {
+  // No engine or no slots: other rules refuse then.
+  if (waiting_.empty() || !IsServing(now)) return;
+  auto order = Prospects(now);
+  const double mean = MeanWork(order);
+  const std::size_t slots = std::max<std::size_t>(1, config_.batch_slots);
+  const double free =
+      static_cast<double>(slots - std::min(slots, running_.size()));
+  const double turn = ToDouble(run_time_.Value()) / static_cast<double>(slots);
+  // Of those before the current one.
+  double turns = 0.0;
+  std::int64_t tokens = PendingPrefillTokens(now);
+  for (std::size_t index = 0; index < order.size();) {
+    const overload::request_prospect& current = order[index];
+    const double wait = std::max(std::max(0.0, turns + 1.0 - free) * turn,
+                                 ToDouble(pacer_.PrefillTime(tokens)));
+    if (current.is_promised ||
+        now + FromDouble(kCertainWaitShare * wait) <= current.deadline) {
+      turns += current.work / mean;
+      tokens += waiting_.at(current.key).prompt_tokens;
+      ++index;
+      continue;
+    }
+    const std::size_t least = overload::CheapestToRefuse(order, index, mean);
+    const engine_request refused = waiting_.extract(order[least].key).mapped();
+    if (least < index) {
+      turns -= order[least].work / mean;
+      tokens -= refused.prompt_tokens;
+      --index;
+      ++displaced_;
+    } else {
+      ++hopeless_;
+    }
+    order.erase(order.begin() + static_cast<std::ptrdiff_t>(least));
+    Refuse(refused, refusal_reason::wait_too_long, ExpectedWait(refused, now),
+           now, out);
+  }
+}
+
 bool grant_scheduler::TakeReservation(const catalog::adapter_name& adapter,
                                       core::time_point now) {
   const auto found =
@@ -560,6 +668,10 @@
 bool grant_scheduler::ComesBefore(const engine_request& left,
                                   const engine_request& right,
                                   core::time_point now) const {
+  if (options_.sheds_by_value) {
+    return overload::ServesBefore(ProspectOf(left, now),
+                                  ProspectOf(right, now));
+  }
   return std::tuple(left.priority, IsLate(left, now), left.first_output_due,
                     left.key) < std::tuple(right.priority, IsLate(right, now),
                                            right.first_output_due, right.key);
@@ -567,7 +679,9 @@
 
 void grant_scheduler::GrantReady(core::time_point now, actions& out) {
   while (!waiting_.empty()) {
-    const bool oldest_first = grants_since_oldest_ >= kGrantsPerOldest;
+    // By value, priorities are strict, and late requests wait for a lull.
+    const bool oldest_first =
+        !options_.sheds_by_value && grants_since_oldest_ >= kGrantsPerOldest;
     const bool isolation_taken = IsIsolationTaken();
     const engine_request* best = nullptr;
     for (const auto& [key, request] : waiting_) {
@@ -841,7 +955,10 @@
   std::size_t ahead = 0;
   std::int64_t tokens_ahead = PendingPrefillTokens(now);
   for (const auto& [key, other] : waiting_) {
-    if (other.priority > request.priority) continue;
+    if (options_.sheds_by_value ? !ComesBefore(other, request, now)
+                                : other.priority > request.priority) {
+      continue;
+    }
     ++ahead;
     tokens_ahead += other.prompt_tokens;
   }
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -15,6 +15,7 @@
 #include "grants/slot_table.h"
 #include "limits/limit_record.h"
 #include "limits/token_bucket.h"
+#include "overload/request_value.h"
 
 namespace comfreyspring::grants {
 
@@ -64,6 +65,11 @@
   double initial_prefill_rate = 20.0;
   /** Age at which a state report of the engine expires. */
   core::milliseconds state_lifetime{1000};
+  /**
+   * Requests are ordered and refused by what callers lose, not by arrival; see
+   * `overload::request_value`.
+   */
+  bool sheds_by_value = false;
 };
 
 /**
@@ -75,7 +81,10 @@
  * - Overload: requests are served by priority, then those that can still meet
  *   their first-output target before late ones. A request that could not start
  *   before its deadline is refused immediately with a retry time, and a slot is
- *   reserved for that time.
+ *   reserved for that time. With `sheds_by_value`, requests of one priority
+ *   are ordered by what is lost while they wait, are refused while they wait
+ *   once they cannot start in time, and the one whose refusal costs least is
+ *   refused instead of the last to arrive.
  * - Demand that shifts to other adapters, or a congested weight store: the load
  *   with the highest value per load time goes first, with few loads in
  *   parallel, and it replaces only adapters that no request uses or waits for.
@@ -172,6 +181,10 @@
   slot_usage SlotUsage(core::time_point now) const;
   core::milliseconds LoadTime() const { return load_time_.Value(); }
   core::milliseconds RunTime() const { return run_time_.Value(); }
+  /** Requests refused for others that cost more to refuse. */
+  std::size_t Displaced() const { return displaced_; }
+  /** Requests refused while they waited since they could not start in time. */
+  std::size_t Hopeless() const { return hopeless_; }
   /** Prompt tokens that the engine prefills per millisecond. */
   double PrefillRate() const { return pacer_.Rate(); }
 
@@ -222,6 +235,17 @@
   void Reserve(const engine_request& request, core::time_point due);
   void RefuseAll(refusal_reason reason, core::time_point now, actions& out);
   void RefuseExpired(core::time_point now, actions& out);
+  overload::request_prospect ProspectOf(const engine_request& request,
+                                        core::time_point now) const;
+  /** The waiting requests in the order in which they are to be granted. */
+  std::vector<overload::request_prospect> Prospects(core::time_point now) const;
+  /**
+   * Refuses a waiting request that costs less than this one, if this one can
+   * then start in time.
+   */
+  bool MakeRoomFor(const engine_request& request, core::time_point now,
+                   actions& out);
+  void RefuseHopeless(core::time_point now, actions& out);
   void Schedule(core::time_point now, actions& out);
   void GrantReady(core::time_point now, actions& out);
   bool CanHold(const engine_request& request, core::time_point now) const;
@@ -284,6 +308,8 @@
   bool needs_state_ = true;
   int grants_since_oldest_ = 0;
   int loads_since_oldest_ = 0;
+  std::size_t displaced_ = 0;
+  std::size_t hopeless_ = 0;
   /** Load times from the weight store and of recently unloaded adapters. */
   smoothed_time load_time_;
   smoothed_time warm_load_time_;
--- a/src/overload/overload.h
+++ b/src/overload/overload.h
@@ -10,5 +10,6 @@
  * catalog (names), adapters (decayed sums) and limits (endpoint incarnations).
  */
 
+#include "overload/request_value.h"
 #include "overload/slot_queue.h"
 #include "overload/slot_types.h"
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -452,6 +452,8 @@
       .Add("loads_waiting", status.loads_waiting)
       .Add("run_time_ms", scheduler_.RunTime().count())
       .Add("load_time_ms", scheduler_.LoadTime().count())
+      .Add("displaced", scheduler_.Displaced())
+      .Add("hopeless", scheduler_.Hopeless())
       .Add("prompt_tokens_per_s",
            static_cast<std::int64_t>(scheduler_.PrefillRate() * 1e3))
       .Add("state_age_ms",
@@ -481,6 +483,10 @@
                     static_cast<double>(scheduler_.LoadTime().count()));
   metrics_.SetGauge("sidecar_run_time_ms",
                     static_cast<double>(scheduler_.RunTime().count()));
+  metrics_.SetGauge("sidecar_displaced_requests",
+                    static_cast<double>(scheduler_.Displaced()));
+  metrics_.SetGauge("sidecar_hopeless_requests",
+                    static_cast<double>(scheduler_.Hopeless()));
   metrics_.SetGauge("sidecar_prompt_tokens_per_ms", scheduler_.PrefillRate());
 }
 
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -72,7 +72,8 @@
             loop, engine,
             {.node = settings.node,
              .grants = {.random_seed = static_cast<std::uint64_t>(
-                            core::UnixMilliseconds(loop.WallNow()))}},
+                            core::UnixMilliseconds(loop.WallNow())),
+                        .sheds_by_value = settings.sheds_by_value}},
             [this](std::uint64_t link, const grants::message& value) {
               Send(link, value);
             },
