--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -456,6 +456,8 @@
       .Add("loads_waiting", status.loads_waiting)
       .Add("run_time_ms", scheduler_.RunTime().count())
       .Add("load_time_ms", scheduler_.LoadTime().count())
+      .Add("displaced", scheduler_.Displaced())
+      .Add("hopeless", scheduler_.Hopeless())
       .Add("prompt_tokens_per_s",
            static_cast<std::int64_t>(scheduler_.PrefillRate() * 1e3))
       .Add("token_time_us", scheduler_.TokenTime().count())
@@ -486,6 +488,10 @@
                     static_cast<double>(scheduler_.LoadTime().count()));
   metrics_.SetGauge("sidecar_run_time_ms",
                     static_cast<double>(scheduler_.RunTime().count()));
+  metrics_.SetGauge("sidecar_displaced_requests",
+                    static_cast<double>(scheduler_.Displaced()));
+  metrics_.SetGauge("sidecar_hopeless_requests",
+                    static_cast<double>(scheduler_.Hopeless()));
   metrics_.SetGauge("sidecar_prompt_tokens_per_ms", scheduler_.PrefillRate());
   metrics_.SetGauge("sidecar_token_time_us",
                     static_cast<double>(scheduler_.TokenTime().count()));
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -16,6 +16,7 @@
 #include "sidecar/catalog_relay.h"
 #include "sidecar/quota_counter.h"
 #include "sidecar/scheduler_driver.h"
+#include "sidecar/slot_driver.h"
 #include "telemetry/metrics.h"
 
 namespace comfreyspring::sidecar {
@@ -73,7 +74,8 @@
             loop, engine,
             {.node = settings.node,
              .grants = {.random_seed = static_cast<std::uint64_t>(
-                            core::UnixMilliseconds(loop.WallNow()))}},
+                            core::UnixMilliseconds(loop.WallNow())),
+                        .sheds_by_value = settings.sheds_by_value}},
             [this](std::uint64_t link, const grants::message& value) {
               Send(link, value);
             },
@@ -85,6 +87,12 @@
               Send(link, value);
             },
             log, metrics),
+        slots(
+            loop,
+            [this](std::uint64_t link, const grants::message& value) {
+              Send(link, value);
+            },
+            log, metrics),
         listener(loop, settings.ip, settings.first_internal_port,
                  {.maximum_pending_bytes = 1024 * 1024}, kMaximumLinks,
                  [this](const std::shared_ptr<net::frame_link>& link) {
@@ -103,8 +111,10 @@
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
-    state_timer =
-        loop.SchedulePeriodic(kStateLogPeriod, [this] { driver.LogState(); });
+    state_timer = loop.SchedulePeriodic(kStateLogPeriod, [this] {
+      driver.LogState();
+      slots.LogState();
+    });
     status_timer = loop.SchedulePeriodic(kStatusPeriod, [this] {
       CloseTimedOutLinks();
       SendDueStatuses();
@@ -146,6 +156,7 @@
     AssignReaderRanks();
     driver.OnLinkLost(id);
     tenant_quotas.OnLinkLost(id);
+    slots.OnLinkLost(id);
   }
 
   void CloseTimedOutLinks() {
@@ -177,7 +188,7 @@
       if (std::holds_alternative<grants::limit_observed>(value)) {
         ++links.at(id).limits_observed;
       }
-      driver.OnMessage(id, value);
+      if (!slots.OnMessage(id, value)) driver.OnMessage(id, value);
     } catch (const std::exception& failure) {
       // An error in one message must not end the process.
       log.SystemEvent("message_unreadable")
@@ -278,6 +289,7 @@
   void AnswerAdmin(net::http_exchange& exchange) {
     driver.UpdateMetrics();
     tenant_quotas.UpdateMetrics();
+    slots.UpdateMetrics();
     metrics.SetGauge("sidecar_gateway_links",
                      static_cast<double>(links.size()));
     metrics.SetGauge("log_lines_dropped", static_cast<double>(log.Dropped()));
@@ -289,6 +301,7 @@
     stopping = true;
     log.Process("stopping").Add("running", driver.Scheduler().Running());
     driver.Stop();
+    slots.Stop();
     for (auto& [id, gateway] : links) SendStatus(gateway);
     loop.Schedule(kStopDelay, [this] {
       log.Process("stopped");
@@ -304,6 +317,7 @@
   std::uint64_t last_link = 0;
   scheduler_driver driver;
   quota_counter tenant_quotas;
+  slot_driver slots;
   catalog_relay relay{kConfirmationPeriod};
   net::frame_listener listener;
   net::http_server admin;
