Bound the debt of a quota, and read answers before timeouts count

A request far beyond the burst would exceed the window by itself; it is refused. A gateway that was suspended, or runs its timers late, took answers that it had not read yet for a silent sidecar and used the fallback for a second.

--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -121,6 +121,7 @@
       log.SystemEvent("pause_noticed").Add("length_ms", length.count());
       links.OnPaused();
       forwarder.OnPaused();
+      quotas.OnPaused();
       follower.OnPaused(length);
     });
     flush_timer =
--- a/src/gateway/quota_client.cc
+++ b/src/gateway/quota_client.cc
@@ -25,6 +25,13 @@
 constexpr core::milliseconds kMaximumRetryAfter{10'000};
 /** Refusals of one tenant are logged together for this long. */
 constexpr core::milliseconds kRefusalLogPeriod{1000};
+/** Far above any request; keeps sums within an integer. */
+constexpr std::int64_t kMaximumTokens = 1'000'000'000;
+/**
+ * Time between a timeout and its effect. A slow VM runs the timer before it
+ * reads an answer that has arrived in time.
+ */
+constexpr core::milliseconds kReadTime{2};
 
 }  // namespace
 
@@ -42,8 +49,9 @@
                                     const request_metadata& request) {
   if (quota.counted_in == catalog::tenant_quota::unit::requests) return 1;
   if (!request.names_tokens) return std::llround(quota.plain_tokens);
-  return std::max<std::int64_t>(0, request.prompt_tokens) +
-         std::max<std::int64_t>(0, request.maximum_output_tokens);
+  return std::clamp<std::int64_t>(request.prompt_tokens, 0, kMaximumTokens) +
+         std::clamp<std::int64_t>(request.maximum_output_tokens, 0,
+                                  kMaximumTokens);
 }
 
 // Requests.
@@ -75,10 +83,10 @@
 }
 
 void quota_client::RemoveUnused(std::int64_t configuration) {
-  // An account without requests for two versions holds no lease that matters.
   std::erase_if(entries_, [&](const auto& each) {
     return each.second.configuration + 1 < configuration &&
            each.second.account.Waiting() == 0 &&
+           !each.second.account.NextDue() &&
            each.second.account.Held(loop_.Now()) == 0;
   });
 }
@@ -250,6 +258,17 @@
 }
 
 void quota_client::OnTimer() {
+  timer_ = loop_.Schedule(kReadTime, [this] {
+    timer_ = 0;
+    CheckTimeouts();
+  });
+}
+
+void quota_client::OnPaused() {
+  for (auto& [tenant, target] : entries_) target.account.OnPaused(loop_.Now());
+}
+
+void quota_client::CheckTimeouts() {
   const auto now = loop_.Now();
   for (auto& [tenant, target] : entries_) {
     const auto due = target.account.NextDue();
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -60,6 +60,8 @@
   /** Ignores messages that do not concern quotas. */
   void OnSidecarMessage(const grants::message& value);
   void OnSidecarLost(const std::string& ip);
+  /** The process was suspended. */
+  void OnPaused();
 
   /** State of all accounts for operators, as JSON. */
   std::string Dump() const;
@@ -101,7 +103,9 @@
   /** Removes accounts of tenants that the configuration has dropped. */
   void RemoveUnused(std::int64_t configuration);
   void ArmTimer();
+  /** Handles timeouts once the loop has read what has already arrived. */
   void OnTimer();
+  void CheckTimeouts();
   std::size_t GatewayCount() const;
 
   net::event_loop& loop_;
--- a/src/quotas/quota_account.cc
+++ b/src/quotas/quota_account.cc
@@ -149,6 +149,7 @@
   in_flight_ = sent.number;
   asks_[sent.number] = {.sidecar = sent.sidecar,
                         .sent_at = now,
+                        .due = now + kAskTimeout,
                         .minimum = sent.minimum,
                         .is_ahead = is_ahead};
   out.emplace_back(std::move(sent));
@@ -212,7 +213,7 @@
   Expire(now);
   if (in_flight_) {
     const ask& asked = asks_.at(*in_flight_);
-    if (now - asked.sent_at < kAskTimeout) return out;
+    if (now < asked.due) return out;
     // The sidecar may be frozen, or the path to it broken.
     avoided_until_[asked.sidecar] = now + kAvoidance;
     out.emplace_back(note_timeout{asked.sidecar});
@@ -223,6 +224,10 @@
   return out;
 }
 
+void quota_account::OnPaused(core::time_point now) {
+  if (in_flight_) asks_.at(*in_flight_).due = now + kAskTimeout;
+}
+
 quota_account::actions quota_account::OnSidecarLost(
     const std::string& ip, const counting_sidecars& sidecars,
     core::time_point now) {
@@ -258,7 +263,7 @@
 
 std::optional<core::time_point> quota_account::NextDue() const {
   if (!in_flight_) return std::nullopt;
-  return asks_.at(*in_flight_).sent_at + kAskTimeout;
+  return asks_.at(*in_flight_).due;
 }
 
 }  // namespace comfreyspring::quotas
--- a/src/quotas/quota_account.h
+++ b/src/quotas/quota_account.h
@@ -118,6 +118,8 @@
   actions OnSidecarLost(const std::string& ip,
                         const counting_sidecars& sidecars,
                         core::time_point now);
+  /** The process was suspended; answers may still have to be read. */
+  void OnPaused(core::time_point now);
   /** Call at `NextDue`. */
   actions OnTick(const counting_sidecars& sidecars, core::time_point now);
   /** A request that was admitted with this lease end has not run. */
@@ -144,6 +146,7 @@
   struct ask {
     std::string sidecar;
     core::time_point sent_at;
+    core::time_point due;
     std::int64_t minimum = 0;
     bool is_ahead = false;
   };
--- a/src/quotas/quota_account_test.cc
+++ b/src/quotas/quota_account_test.cc
@@ -141,6 +141,15 @@
   EXPECT_EQ(Of<send_ask>(Request(10)).at(0).sidecar, "p");
 }
 
+// After a pause of the gateway the answer is still to be read.
+TEST_F(quota_account_test, APauseIsNotASilentSidecar) {
+  Request(10);
+  now_ += milliseconds(300);
+  account_.OnPaused(now_);
+  EXPECT_TRUE(Pass(milliseconds(99)).empty());
+  EXPECT_EQ(Of<admit_charge>(Answer(1, 10)).size(), 1U);
+}
+
 TEST_F(quota_account_test, ALateAnswerIsUsed) {
   const auto first = Of<send_ask>(Request(10));
   const auto second = Of<send_ask>(Pass(milliseconds(100)));
--- a/src/quotas/quota_bucket.cc
+++ b/src/quotas/quota_bucket.cc
@@ -31,6 +31,7 @@
 
 std::int64_t quota_bucket::Take(std::int64_t minimum, std::int64_t wanted,
                                 core::time_point now) {
+  if (!CanEverTake(minimum)) return 0;
   const double available = Available(now) + kRoundingError;
   if (available < std::min(static_cast<double>(minimum), capacity_)) return 0;
   const auto taken =
@@ -41,6 +42,11 @@
   return taken;
 }
 
+bool quota_bucket::CanEverTake(std::int64_t amount) const {
+  return static_cast<double>(amount) <=
+         capacity_ + std::max(rate_ * kDebtSeconds, kMinimumDebt);
+}
+
 core::milliseconds quota_bucket::TimeUntil(double amount,
                                            core::time_point now) const {
   const double missing = amount - kRoundingError - Available(now);
--- a/src/quotas/quota_bucket.h
+++ b/src/quotas/quota_bucket.h
@@ -10,7 +10,8 @@
  * Token bucket that counts units against a rate and a burst.
  *
  * An amount beyond the burst can be taken from a full bucket, which is then in
- * debt: otherwise a request that is larger than the burst could never run.
+ * debt: otherwise a request that is larger than the burst could never run. The
+ * debt is bounded, because it counts against the platform's tolerance.
  */
 class quota_bucket {
  public:
@@ -20,6 +21,11 @@
    */
   static constexpr double kMinimumSeconds = 0.1;
 
+  /** Largest debt: the rate times this, but not less than the minimum ... */
+  static constexpr double kDebtSeconds = 1.0;
+  /** ... of about half of the amount that the platform tolerates besides. */
+  static constexpr double kMinimumDebt = 8192.0;
+
   /** Keeps the tokens, as far as they fit. */
   void SetLimit(double rate, double burst, core::time_point now);
   /** Sets the tokens of a bucket that has just been created. */
@@ -33,7 +39,9 @@
                     core::time_point now);
   double Capacity() const { return capacity_; }
   double Available(core::time_point now) const;
-  /** Time until the amount can be taken; rounded up. */
+  /** An amount that can be taken at some time. */
+  bool CanEverTake(std::int64_t amount) const;
+  /** Time until there are that many tokens; rounded up. */
   core::milliseconds TimeUntil(double amount, core::time_point now) const;
 
  private:
--- a/src/quotas/quota_table.cc
+++ b/src/quotas/quota_table.cc
@@ -55,7 +55,8 @@
   const bool is_first = place == chosen.waiting.begin();
   const auto wait = chosen.tokens.TimeUntil(
       is_first ? std::min(ahead, chosen.tokens.Capacity()) : ahead, now);
-  if (now + wait > wanted.deadline) {
+  if (now + wait > wanted.deadline ||
+      !chosen.tokens.CanEverTake(wanted.minimum)) {
     out.push_back({.link = wanted.link,
                    .number = wanted.number,
                    .tenant = wanted.tenant,
--- a/src/quotas/quota_table_test.cc
+++ b/src/quotas/quota_table_test.cc
@@ -88,6 +88,14 @@
   EXPECT_EQ(Ask(100, milliseconds(60)).at(0).retry_after, milliseconds(600));
 }
 
+// One request must not exceed what the platform permits in a window.
+TEST_F(quota_table_test, RefusesARequestFarBeyondTheBurst) {
+  Ask(1, milliseconds(0));
+  Pass(milliseconds(1000));
+  EXPECT_EQ(Ask(9193, milliseconds(60)).at(0).granted, 0);
+  EXPECT_EQ(Ask(9192, milliseconds(60)).at(0).granted, 9192);
+}
+
 TEST_F(quota_table_test, TheHighestVersionOfALimitApplies) {
   Ask(1, milliseconds(0));
   request_.limit = {.rate = 100, .burst = 100, .version = 4};
