Keep a reserve of each quota for requests that wait

Leases for requests to come often end unused at several gateways, and a tenant near its limit was refused what it could have used. Amounts beyond the minimum now come only from a bucket that is more than a quarter full.

--- a/src/quotas/quota_account.cc
+++ b/src/quotas/quota_account.cc
@@ -133,10 +133,7 @@
       .role = asks_primary ? quota_role::primary : quota_role::fallback,
       .number = ++last_number_,
       .amount = ahead};
-  if (is_ahead) {
-    const auto used = used_.LastSecond(now);
-    sent.minimum = std::min(ahead, used.amount / used.count);
-  } else {
+  if (!is_ahead) {
     const waiting_charge& first = waiting_.front();
     sent.minimum = first.wanted.amount;
     sent.priority = first.wanted.priority;
@@ -144,8 +141,6 @@
         core::ToMilliseconds(first.arrived + kMaximumWait - now), kMinimumWait);
     for (const auto& each : waiting_) sent.amount += each.wanted.amount;
   }
-  sent.minimum = std::max<std::int64_t>(sent.minimum, 1);
-  sent.amount = std::max(sent.amount, sent.minimum);
   in_flight_ = sent.number;
   asks_[sent.number] = {.sidecar = sent.sidecar,
                         .sent_at = now,
--- a/src/quotas/quota_account.h
+++ b/src/quotas/quota_account.h
@@ -51,6 +51,7 @@
   std::string sidecar;
   quota_role role = quota_role::primary;
   std::uint64_t number = 0;
+  /** 0: the amount is for requests to come. */
   std::int64_t minimum = 0;
   std::int64_t amount = 0;
   int priority = 0;
@@ -69,7 +70,8 @@
  * Holds leases of a counting sidecar. A request is charged to them at once if
  * they suffice; otherwise it waits for an answer of the sidecar. One ask is in
  * flight at a time. While requests come often enough that a lease would be used
- * before it ends, the account asks ahead, so that requests do not wait.
+ * before it ends, the account asks ahead, so that requests do not wait; the
+ * sidecar gives that only while the tenant is not near its limit.
  *
  * Load pattern: a tenant whose requests are spread unevenly over many gateways,
  * some with few requests a second (each is worth a round trip, nothing is held
--- a/src/quotas/quota_bucket.cc
+++ b/src/quotas/quota_bucket.cc
@@ -34,9 +34,9 @@
   if (!CanEverTake(minimum)) return 0;
   const double available = Available(now) + kRoundingError;
   if (available < std::min(static_cast<double>(minimum), capacity_)) return 0;
-  const auto taken =
-      std::clamp(static_cast<std::int64_t>(std::floor(available)), minimum,
-                 std::max(minimum, wanted));
+  const auto spare =
+      static_cast<std::int64_t>(std::floor(available - kReserve * capacity_));
+  const auto taken = std::clamp(spare, minimum, std::max(minimum, wanted));
   tokens_ = Available(now) - static_cast<double>(taken);
   refilled_at_ = std::max(refilled_at_, now);
   return taken;
--- a/src/quotas/quota_bucket.h
+++ b/src/quotas/quota_bucket.h
@@ -21,6 +21,8 @@
    */
   static constexpr double kMinimumSeconds = 0.1;
 
+  /** Share of a full bucket that is kept for minimums. */
+  static constexpr double kReserve = 0.25;
   /** Largest debt: the rate times this, but not less than the minimum ... */
   static constexpr double kDebtSeconds = 1.0;
   /** ... of about half of the amount that the platform tolerates besides. */
@@ -32,7 +34,8 @@
   void Fill(double tokens) { tokens_ = tokens; }
 
   /**
-   * Takes at least `minimum` and at most `wanted`.
+   * Takes at least `minimum` and at most `wanted`; beyond the minimum only what
+   * exceeds the reserve.
    * @returns the amount taken; 0 if it has fewer tokens than the minimum.
    */
   std::int64_t Take(std::int64_t minimum, std::int64_t wanted,
--- a/src/quotas/quota_table.cc
+++ b/src/quotas/quota_table.cc
@@ -41,6 +41,16 @@
   }
   lane& chosen =
       wanted.role == quota_role::primary ? target.primary : target.fallback;
+  decisions out;
+  if (wanted.minimum == 0) {
+    const std::int64_t granted =
+        chosen.waiting.empty() ? chosen.tokens.Take(0, wanted.amount, now) : 0;
+    out.push_back({.link = wanted.link,
+                   .number = wanted.number,
+                   .tenant = wanted.tenant,
+                   .granted = granted});
+    return out;
+  }
   const auto place =
       std::find_if(chosen.waiting.begin(), chosen.waiting.end(),
                    [&](const waiting_request& each) {
@@ -50,7 +60,6 @@
   for (auto each = chosen.waiting.begin(); each != place; ++each) {
     ahead += static_cast<double>(each->request.minimum);
   }
-  decisions out;
   // A full bucket also serves what is larger than the burst.
   const bool is_first = place == chosen.waiting.begin();
   const auto wait = chosen.tokens.TimeUntil(
--- a/src/quotas/quota_table.h
+++ b/src/quotas/quota_table.h
@@ -21,7 +21,10 @@
   core::tenant_id tenant;
   quota_role role = quota_role::primary;
   quota_limit limit;
-  /** Less than this is of no use to the gateway. */
+  /**
+   * Less than this is of no use to the gateway. 0: for requests to come; never
+   * waits, and is only given what is not needed for others.
+   */
   std::int64_t minimum = 0;
   std::int64_t amount = 0;
   /** 0 is the most urgent. */
