--- a/src/quotas/quota_account.cc
+++ b/src/quotas/quota_account.cc
@@ -133,10 +133,7 @@
       .role = asks_primary ? quota_role::primary : quota_role::fallback,
       .number = ++last_number_,
       .amount = ahead};
-  if (is_ahead) {
-    const auto used = used_.LastSecond(now);
-    sent.minimum = std::min(ahead, used.amount / used.count);
-  } else {
+  if (!is_ahead) {
     const waiting_charge& first = waiting_.front();
     sent.minimum = first.wanted.amount;
     sent.priority = first.wanted.priority;
@@ -144,11 +141,10 @@
         core::ToMilliseconds(first.arrived + kMaximumWait - now), kMinimumWait);
     for (const auto& each : waiting_) sent.amount += each.wanted.amount;
   }
-  sent.minimum = std::max<std::int64_t>(sent.minimum, 1);
-  sent.amount = std::max(sent.amount, sent.minimum);
   in_flight_ = sent.number;
   asks_[sent.number] = {.sidecar = sent.sidecar,
                         .sent_at = now,
+                        .due = now + kAskTimeout,
                         .minimum = sent.minimum,
                         .is_ahead = is_ahead};
   out.emplace_back(std::move(sent));
@@ -212,7 +208,7 @@
   Expire(now);
   if (in_flight_) {
     const ask& asked = asks_.at(*in_flight_);
-    if (now - asked.sent_at < kAskTimeout) return out;
+    if (now < asked.due) return out;
     // The sidecar may be frozen, or the path to it broken.
     avoided_until_[asked.sidecar] = now + kAvoidance;
     out.emplace_back(note_timeout{asked.sidecar});
@@ -223,6 +219,10 @@
   return out;
 }
 
+void quota_account::OnPaused(core::time_point now) {
+  if (in_flight_) asks_.at(*in_flight_).due = now + kAskTimeout;
+}
+
 quota_account::actions quota_account::OnSidecarLost(
     const std::string& ip, const counting_sidecars& sidecars,
     core::time_point now) {
@@ -258,7 +258,7 @@
 
 std::optional<core::time_point> quota_account::NextDue() const {
   if (!in_flight_) return std::nullopt;
-  return asks_.at(*in_flight_).sent_at + kAskTimeout;
+  return asks_.at(*in_flight_).due;
 }
 
 }  // namespace comfreyspring::quotas
