--- a/tests/process/settings_program.cc
+++ b/tests/process/settings_program.cc
@@ -7,7 +7,10 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <system_error>
 
 namespace comfreyspring::process_test {
 
@@ -33,15 +36,24 @@
   ::waitpid(pid_, nullptr, 0);
 }
 
-long settings_program::ResidentKib() const {
+long settings_program::StatusKib(const std::string& name) const {
   std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
   std::string line;
   while (std::getline(status, line)) {
-    if (line.rfind("VmRSS:", 0) == 0) return std::stol(line.substr(6));
+    if (line.rfind(name, 0) == 0) return std::stol(line.substr(name.size()));
   }
   return 0;
 }
 
+int settings_program::OpenDescriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator descriptors(
+      "/proc/" + std::to_string(pid_) + "/fd", error);
+  return error ? 0
+               : static_cast<int>(
+                     std::distance(begin(descriptors), end(descriptors)));
+}
+
 void settings_program::Signal(int number) {
   if (!HasEnded()) ::kill(pid_, number);
 }
--- a/tests/process/settings_program.h
+++ b/tests/process/settings_program.h
@@ -26,13 +26,20 @@
 
   void Signal(int number);
   /** Resident memory of the process in KiB; 0 if it has exited. */
-  long ResidentKib() const;
+  long ResidentKib() const { return StatusKib("VmRSS:"); }
+  /** Highest resident memory so far in KiB; 0 if it has exited. */
+  long PeakResidentKib() const { return StatusKib("VmHWM:"); }
+  /** Open file descriptors of the process; 0 if it has exited. */
+  int OpenDescriptors() const;
   /** True once the process has exited; `Status` is valid from then on. */
   bool HasEnded();
   /** Exit code, or the negated number of the signal that killed it. */
   int Status() const { return status_; }
 
  private:
+  /** Value of a line of the process's status; 0 if there is none. */
+  long StatusKib(const std::string& name) const;
+
   pid_t pid_;
   bool ended_ = false;
   int status_ = -1;
--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -60,9 +60,13 @@
   for (const std::string& name : wanted.added) {
     routes.push_back(route(name, "non_idempotent", "plain"));
   }
-  store_.Put("op/config", {{"Version", wanted.version},
-                           {"Routes", std::move(routes)},
-                           {"Services", std::move(services)}});
+  json content = {{"Version", wanted.version},
+                  {"Routes", std::move(routes)},
+                  {"Services", std::move(services)}};
+  if (!options_.caller_limits.is_null()) {
+    content["Limits"] = options_.caller_limits;
+  }
+  store_.Put("op/config", content);
 }
 
 void small_fleet_test::AddEndpoint(int index) {
@@ -126,6 +130,9 @@
     file["Listen"] = {{"Front", at(fleet_layout::kCallerPort)},
                       {"Ready", at(fleet_layout::kReadyPort)},
                       {"Control", at(fleet_layout::kAdminPort)}};
+    if (!options_.machine_limits.is_null()) {
+      file["Limits"] = options_.machine_limits;
+    }
   } else {
     file["app"] = at(fleet_layout::kEndpointPort);
   }
@@ -160,7 +167,7 @@
 }
 
 std::string small_fleet_test::Send(const std::string& route, int gateway,
-                                   net::header_map headers) {
+                                   net::header_map headers, std::string body) {
   const std::string id =
       std::to_string(gateway) + '-' + std::to_string(++sent_);
   headers["host"] = "h.example";
@@ -178,6 +185,7 @@
                       '/',
                .target = '/' + route + "/x",
                .headers = std::move(headers),
+               .body = std::move(body),
                .total_timeout = kTimeout,
                .may_resend = false},
               {.on_done = [this, id, sent_at](const net::http_result& done) {
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,10 @@
   /** Endpoints of a plain service. */
   int plain = 0;
   core::milliseconds plain_time{15};
+  /** `Limits` of the gateways' settings files; left out if null. */
+  nlohmann::json machine_limits;
+  /** `Limits` of the configuration; left out if null. */
+  nlohmann::json caller_limits;
 };
 
 /** What the operator of a fleet configures. */
@@ -82,7 +87,7 @@
   static int GatewayOf(const std::string& id) { return id[0] - '0'; }
   /** Sends a request to the route; its id begins with the gateway's number. */
   std::string Send(const std::string& route, int gateway,
-                   net::header_map headers = {});
+                   net::header_map headers = {}, std::string body = "");
   /** Waits for the answers to all requests. */
   void WaitForAnswers();
   /** Gets a page of the gateway's admin address. */
