Share one budget among the bodies of a server's requests

Cause: each connection held up to the body limit, without a common bound; each attempt copied the body; a full server waited for the idle timeout of clients that did not complete their requests. Change: body_budget (pure) decides which bodies may grow. When the memory for bodies above 16 KiB is used, the incomplete body that holds the most is closed; if complete ones fill it, a new one gets 503 with Retry-After and is not handled. A complete body is a shared_body, which copies of the request and its calls share; its bytes count until the last user releases it. When all connections are in use, incomplete requests without progress for 0.5 s are closed. The server reports each case; comfreyspring_entry counts and logs them.

--- a/src/entry/entry_program.cc
+++ b/src/entry/entry_program.cc
@@ -143,7 +143,7 @@
     return options;
   }
 
-  net::http_server_options ServerOptions() const {
+  net::http_server_options ServerOptions() {
     net::http_server_options options;
     options.address = settings.address;
     options.port = settings.port;
@@ -151,6 +151,15 @@
         settings.limits.maximum_body_bytes + kBodyLimitMargin;
     options.maximum_header_bytes = settings.maximum_header_bytes;
     options.maximum_connections = settings.maximum_connections;
+    options.on_overload = [this](const net::overload_event& event) {
+      metrics.Count(std::string("entry_overload_") + net::ToString(event.what) +
+                    "_total");
+      // A crowd of clients causes many of them.
+      LOG_EVERY_N(WARNING, 100)
+          << "entry.overload: " << net::ToString(event.what) << " after "
+          << event.body_bytes << " bytes of a body; all bodies hold "
+          << event.held_bytes << " bytes.";
+    };
     return options;
   }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -21,7 +21,7 @@
   /** Sent unchanged in place of the path and query of `url`, unless empty. */
   std::string target;
   header_map headers;
-  std::string body;
+  shared_body body;
   core::milliseconds connect_timeout{1000};
   /** Limit for the whole call; 0 for none (streams). */
   core::milliseconds total_timeout{10000};
--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -20,6 +20,14 @@
 constexpr std::size_t kStreamBlockBytes = 16 * 1024;
 // A body larger than this multiple of the limit is not read to its end.
 constexpr std::size_t kDiscardFactor = 4;
+// Bodies ask for memory in steps, since clients may send a byte at a time.
+constexpr std::size_t kBodyStepBytes = 4 * 1024;
+
+/** A body and its share of the budget. */
+struct leased_body {
+  std::string text;
+  body_lease lease;
+};
 
 MHD_Result AddHeader(void* target, MHD_ValueKind /*kind*/, const char* key,
                      const char* value) {
@@ -55,10 +63,14 @@
 
 http_exchange_state::http_exchange_state(http_daemon& daemon,
                                          MHD_Connection* connection,
-                                         std::size_t maximum_body_bytes)
+                                         std::size_t maximum_body_bytes,
+                                         std::shared_ptr<body_budget> budget,
+                                         body_id body)
     : daemon_(&daemon),
       connection_(connection),
-      maximum_body_bytes_(maximum_body_bytes) {}
+      maximum_body_bytes_(maximum_body_bytes),
+      budget_(std::move(budget)),
+      body_(body) {}
 
 // The request.
 
@@ -105,9 +117,12 @@
 
 bool http_exchange_state::AppendBody(std::string_view data) {
   if (queued_) return true;
+  if (body_dropped_) return false;
   body_bytes_ += data.size();
   if (body_bytes_ <= maximum_body_bytes_) {
-    request_.body.append(data);
+    if (body_refused_) return true;
+    if (!ReserveBody()) return !body_dropped_;
+    incoming_body_.append(data);
     return true;
   }
   // The daemon accepts a response only at the end of the body.
@@ -115,6 +130,63 @@
   return body_bytes_ <= maximum_body_bytes_ * kDiscardFactor;
 }
 
+bool http_exchange_state::ReserveBody() {
+  if (body_bytes_ > granted_bytes_) {
+    // Rounded up, but not beyond the limit, which the budget has room for.
+    const std::size_t steps = (body_bytes_ - 1) / kBodyStepBytes + 1;
+    const std::size_t wanted =
+        std::min(steps * kBodyStepBytes, maximum_body_bytes_);
+    if (granted_bytes_ == 0) lease_ = body_lease(budget_, body_);
+    switch (daemon_->GrowBody(body_, wanted)) {
+      case body_budget::verdict::accepted:
+        granted_bytes_ = wanted;
+        break;
+      case body_budget::verdict::refused:
+        body_refused_ = true;
+        Refuse(503, "out_of_memory",
+               "The requests in flight use the memory for bodies.");
+        response_->headers["retry-after"] = "1";
+        return false;
+      case body_budget::verdict::closed:
+        DropBody();
+        return false;
+    }
+  }
+  // The announced length alone takes no memory: a client may never send it.
+  if (body_bytes_ > incoming_body_.capacity()) {
+    const std::size_t announced =
+        std::min(AnnouncedBodyBytes(), maximum_body_bytes_);
+    const bool is_small = body_bytes_ <= body_budget::kSmallBodyBytes;
+    incoming_body_.reserve(std::max(
+        body_bytes_, is_small
+                         ? std::min(announced, body_budget::kSmallBodyBytes)
+                         : announced));
+  }
+  return true;
+}
+
+void http_exchange_state::DropBody() {
+  body_dropped_ = true;
+  DiscardBody();
+}
+
+void http_exchange_state::DiscardBody() {
+  std::string().swap(incoming_body_);
+  lease_.Release();
+  request_.body = {};
+}
+
+void http_exchange_state::MarkDispatched() {
+  dispatched_ = true;
+  if (incoming_body_.empty()) return;
+  budget_->Complete(body_);
+  auto body = std::make_shared<leased_body>();
+  body->text = std::exchange(incoming_body_, {});
+  body->lease = std::move(lease_);
+  request_.body =
+      shared_body(std::shared_ptr<const std::string>(body, &body->text));
+}
+
 void http_exchange_state::RefuseBody() {
   if (body_refused_) return;
   body_refused_ = true;
@@ -128,7 +200,7 @@
 void http_exchange_state::Refuse(int status, const char* type,
                                  const char* message) {
   dispatched_ = true;
-  std::string().swap(request_.body);
+  DiscardBody();
   response_ = http_response{
       status,
       {{"content-type", "application/json"}, {"connection", "close"}},
@@ -153,6 +225,8 @@
       response_->body.size(), response_->body.data(), MHD_RESPMEM_MUST_COPY));
   queued_bytes_ = response_->body.size();
   std::string().swap(response_->body);
+  // The client may take long to read the response.
+  DiscardBody();
   return Queue(connection_, response_->status, response_->headers, response);
 }
 
@@ -316,6 +390,9 @@
   watch_ended_ = true;
   connection_ = nullptr;
   daemon_ = nullptr;
+  // An incomplete body is of no use without its connection.
+  std::string().swap(incoming_body_);
+  lease_.Release();
 }
 
 void http_exchange_state::ReportGone() {
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "net/body_budget.h"
 #include "net/http_server.h"
 #include "net/io_watcher.h"
 
@@ -22,6 +23,11 @@
   virtual event_loop& Loop() = 0;
   /** Schedules a run of the daemon at the end of the turn. */
   virtual void RequestRun() = 0;
+  /**
+   * Asks for memory for a body that holds `bytes` in total. May drop the bodies
+   * of other exchanges.
+   */
+  virtual body_budget::verdict GrowBody(body_id body, std::size_t bytes) = 0;
 };
 
 /**
@@ -31,8 +37,10 @@
 class http_exchange_state
     : public std::enable_shared_from_this<http_exchange_state> {
  public:
+  /** `body` is the number of its body in `budget`. */
   http_exchange_state(http_daemon& daemon, MHD_Connection* connection,
-                      std::size_t maximum_body_bytes);
+                      std::size_t maximum_body_bytes,
+                      std::shared_ptr<body_budget> budget, body_id body);
 
   // Called by the server.
 
@@ -46,13 +54,19 @@
   bool AppendBody(std::string_view data);
   /** Sets a 413 response and discards the body received so far. */
   void RefuseBody();
+  /** Discards an incomplete body; its connection must be closed. */
+  void DropBody();
+  std::size_t ReceivedBodyBytes() const { return body_bytes_; }
+  bool IsBodyDropped() const { return body_dropped_; }
+  body_id Body() const { return body_; }
   /** Sets a 431 response; the body is not read. */
   void RefuseHeaders();
   /** Bytes of the header fields, without the request line. */
   std::size_t HeaderBytes() const { return header_bytes_; }
   /** The connection waits for the response, or for more of it. */
   bool IsSuspended() const { return suspended_; }
-  void MarkDispatched() { dispatched_ = true; }
+  /** The whole request has been received. */
+  void MarkDispatched();
   bool IsDispatched() const { return dispatched_; }
   bool IsAnswered() const { return response_ || streaming_ || aborted_; }
   /**
@@ -92,6 +106,9 @@
   int Descriptor() const;
   /** Sets a response that closes the connection. */
   void Refuse(int status, const char* type, const char* message);
+  /** @returns false if there is no memory for the received bytes. */
+  bool ReserveBody();
+  void DiscardBody();
   bool QueueWhole();
   bool QueueStream();
   void Suspend();
@@ -108,7 +125,15 @@
   std::size_t header_bytes_ = 0;
   std::size_t maximum_body_bytes_;
   std::size_t body_bytes_ = 0;
+  /** The body until it is complete. */
+  std::string incoming_body_;
+  std::shared_ptr<body_budget> budget_;
+  body_id body_;
+  body_lease lease_;
+  /** Bytes that the budget has granted. */
+  std::size_t granted_bytes_ = 0;
   bool body_refused_ = false;
+  bool body_dropped_ = false;
   bool dispatched_ = false;
 
   // The response: whole, or streamed.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -37,8 +37,7 @@
 constexpr core::milliseconds kActivityInterval{250};
 constexpr lingering_sockets::limits kLingerLimits{
     .maximum_time = core::milliseconds(3000),
-    .maximum_bytes = 32 * 1024 * 1024,
-    .maximum_sockets = 256};
+    .maximum_bytes = 32 * 1024 * 1024};
 // Maximum time that the end of a server waits for its clients.
 constexpr core::milliseconds kMaximumFlushTime{100};
 
@@ -55,6 +54,17 @@
   return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/** A caller that has just connected has this long to send its request. */
+constexpr core::milliseconds kMinimumQuietTime{500};
+/** Part (1/n) of the connections that is freed at once when all are used. */
+constexpr std::size_t kFreedConnectionsDivisor = 32;
+
+lingering_sockets::limits LingerLimits(const http_server_options& options) {
+  auto limits = kLingerLimits;
+  limits.maximum_sockets = options.maximum_lingering_connections;
+  return limits;
+}
+
 struct connection_activity {
   transfer_count count;
   /** Bytes received when the latest request ended. */
@@ -63,6 +73,8 @@
   core::time_point progress_at;
   /** When bytes of a next request were first found. */
   std::optional<core::time_point> head_began_at;
+  /** Closed for another connection; the daemon has not ended it yet. */
+  bool is_closing = false;
 };
 
 }  // namespace
@@ -81,6 +93,7 @@
                .maximum_body_bytes = options.maximum_body_bytes,
                .header_timeout = options.idle_timeout,
                .idle_timeout = options.idle_timeout} {
+    LimitBodies();
     StartDaemon();
     const MHD_DaemonInfo* info =
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -201,6 +214,8 @@
       return server->BeginRequest(connection, url, method, version, context);
     }
     auto& exchange = *static_cast<http_exchange_state*>(*context);
+    // Its end may have been read before its connection was closed.
+    if (exchange.IsBodyDropped()) return MHD_NO;
     if (*size > 0) {
       const bool accepted = exchange.AppendBody({data, *size});
       *size = 0;
@@ -237,11 +252,94 @@
     }
   }
 
+  // Memory of bodies.
+
+  void LimitBodies() {
+    // Requests that began under a higher limit may still be on their way.
+    largest_body = std::max(largest_body, limits.maximum_body_bytes);
+    body_budget_limits wanted = options.body_memory;
+    wanted.large_bytes = std::max(wanted.large_bytes, largest_body);
+    bodies->SetLimits(wanted);
+  }
+
+  body_budget::verdict GrowBody(body_id body, std::size_t bytes) override {
+    const auto decision = bodies->Grow(body, bytes, loop.Now());
+    for (const body_id closed : decision.closed) {
+      const auto owner = body_owners.find(closed);
+      if (owner == body_owners.end()) continue;
+      http_exchange_state& exchange = *exchanges.at(owner->second);
+      exchange.DropBody();
+      // The daemon closes it on the event that this causes.
+      ::shutdown(DescriptorOf(owner->second), SHUT_RDWR);
+      Report(overload_event::kind::body_closed, exchange.ReceivedBodyBytes());
+    }
+    if (decision.outcome == body_budget::verdict::refused) {
+      Report(overload_event::kind::body_refused, bytes);
+    }
+    return decision.outcome;
+  }
+
+  void Report(overload_event::kind what, std::size_t body_bytes) const {
+    if (!options.on_overload) return;
+    options.on_overload({.what = what,
+                         .body_bytes = body_bytes,
+                         .held_bytes = bodies->HeldBytes()});
+  }
+
+  // Connections.
+
+  /**
+   * When all connections are used, closes some of those that hold an incomplete
+   * request, the ones without progress for longest.
+   */
+  void LimitConnections() {
+    std::vector<std::pair<core::time_point, MHD_Connection*>> quiet;
+    std::size_t open = 0;
+    for (const auto& [connection, activity] : connections) {
+      if (activity.is_closing) continue;
+      ++open;
+      if (loop.Now() - activity.progress_at >= kMinimumQuietTime &&
+          IsIncomplete(connection, activity)) {
+        quiet.emplace_back(activity.progress_at, connection);
+      }
+    }
+    if (open < options.maximum_connections) return;
+    std::sort(quiet.begin(), quiet.end());
+    const std::size_t count = std::min(
+        quiet.size(), std::max<std::size_t>(1, options.maximum_connections /
+                                                   kFreedConnectionsDivisor));
+    for (std::size_t i = 0; i < count; ++i) {
+      MHD_Connection* connection = quiet[i].second;
+      connections[connection].is_closing = true;
+      const auto exchange = exchanges.find(connection);
+      const std::size_t body_bytes =
+          exchange == exchanges.end() ? 0
+                                      : exchange->second->ReceivedBodyBytes();
+      if (exchange != exchanges.end()) exchange->second->DropBody();
+      // The daemon closes it on the event that this causes.
+      ::shutdown(DescriptorOf(connection), SHUT_RDWR);
+      Report(overload_event::kind::connection_closed, body_bytes);
+    }
+  }
+
+  bool IsIncomplete(MHD_Connection* connection,
+                    const connection_activity& activity) const {
+    const auto exchange = exchanges.find(connection);
+    if (exchange != exchanges.end()) return !exchange->second->IsDispatched();
+    return new_connections.count(connection) > 0 ||
+           activity.head_began_at.has_value();
+  }
+
   MHD_Result BeginRequest(MHD_Connection* connection, const char* url,
                           const char* method, const char* version,
                           void** context) {
+    const auto activity = connections.find(connection);
+    if (activity != connections.end() && activity->second.is_closing) {
+      return MHD_NO;
+    }
+    const body_id body = ++last_body;
     auto exchange = std::make_shared<http_exchange_state>(
-        *this, connection, limits.maximum_body_bytes);
+        *this, connection, limits.maximum_body_bytes, bodies, body);
     const auto target = targets.extract(connection);
     exchange->ReadHead(target.empty() ? std::string(url) : target.mapped(), url,
                        method, version);
@@ -250,6 +348,7 @@
     SchedulePartialRequestCheck();
     http_exchange_state& reference = *exchange;
     exchanges[connection] = std::move(exchange);
+    body_owners[body] = connection;
     if (reference.HeaderBytes() > limits.maximum_header_bytes) {
       reference.RefuseHeaders();
     } else if (reference.MustRefuseUnread()) {
@@ -300,6 +399,9 @@
       for (auto& [connection, activity] : connections) {
         if (HasTimedOut(connection, activity)) Close(connection);
       }
+      if (connections.size() >= options.maximum_connections) {
+        LimitConnections();
+      }
       if (!connections.empty()) ScheduleActivityCheck();
     });
   }
@@ -362,6 +464,7 @@
     if (found == server->exchanges.end()) return;
     const auto exchange = found->second;
     server->exchanges.erase(found);
+    server->body_owners.erase(exchange->Body());
     exchange->Detach();
     server->MarkIdle(connection);
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) exchange->ReportGone();
@@ -383,6 +486,9 @@
       server->connections[connection].progress_at = server->loop.Now();
       server->SchedulePartialRequestCheck();
       server->ScheduleActivityCheck();
+      if (server->connections.size() >= server->options.maximum_connections) {
+        server->LimitConnections();
+      }
     }
   }
 
@@ -405,7 +511,13 @@
   std::unordered_map<MHD_Connection*, std::string> targets;
   std::unordered_map<MHD_Connection*, std::shared_ptr<http_exchange_state>>
       exchanges;
-  lingering_sockets lingering{loop, kLingerLimits};
+  std::shared_ptr<body_budget> bodies =
+      std::make_shared<body_budget>(options.body_memory);
+  std::size_t largest_body = 0;
+  body_id last_body = 0;
+  /** Connections of the requests that have not ended, by body. */
+  std::unordered_map<body_id, MHD_Connection*> body_owners;
+  lingering_sockets lingering{loop, LingerLimits(options)};
   /** Connections without the headers of a first request. */
   std::unordered_set<MHD_Connection*> new_connections;
   timer_id partial_request_timer = 0;
@@ -437,6 +549,7 @@
 
 void http_server::SetLimits(const http_server_limits& limits) {
   impl_->limits = limits;
+  impl_->LimitBodies();
 }
 
 void http_server::StopAccepting() {
@@ -454,4 +567,20 @@
   return impl_->exchanges.size();
 }
 
+std::size_t http_server::BodyBytes() const {
+  return impl_->bodies->HeldBytes();
+}
+
+const char* ToString(overload_event::kind what) {
+  switch (what) {
+    case overload_event::kind::body_closed:
+      return "body_closed";
+    case overload_event::kind::body_refused:
+      return "body_refused";
+    case overload_event::kind::connection_closed:
+      return "connection_closed";
+  }
+  return "unknown";
+}
+
 }  // namespace comfreyspring::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,7 +8,9 @@
 #include <string>
 
 #include "core/time.h"
+#include "net/body_budget.h"
 #include "net/event_loop.h"
+#include "net/shared_body.h"
 
 namespace comfreyspring::net {
 
@@ -23,7 +25,8 @@
   std::string path;
   std::map<std::string, std::string> query;
   header_map headers;
-  std::string body;
+  /** Empty again once a whole response is being sent. */
+  shared_body body;
 };
 
 struct http_response {
@@ -64,6 +67,25 @@
   virtual void OnDrained(std::size_t bytes, std::function<void()> callback) = 0;
 };
 
+/** A request that a server ended to stay within its memory or connections. */
+struct overload_event {
+  enum class kind {
+    /** The connection of an incomplete body was closed. */
+    body_closed,
+    /** A large body gets a 503, because complete ones fill the budget. */
+    body_refused,
+    /** The connection of an incomplete request was closed for a new one. */
+    connection_closed,
+  };
+  kind what = kind::body_closed;
+  /** Bytes of the body that had been received. */
+  std::size_t body_bytes = 0;
+  /** Bytes that bodies hold after the event. */
+  std::size_t held_bytes = 0;
+};
+
+const char* ToString(overload_event::kind what);
+
 struct http_server_options {
   /** IP address to listen on. */
   std::string address = "127.0.0.1";
@@ -73,7 +95,17 @@
   std::size_t maximum_body_bytes = 1024 * 1024;
   /** Memory limit for the request line and headers of one connection. */
   std::size_t maximum_header_bytes = 32 * 1024;
+  /**
+   * When it is reached, connections with an incomplete request are closed that
+   * have made no progress for longest.
+   */
   unsigned maximum_connections = 4096;
+  /** Closed connections that are kept until their clients have read all. */
+  std::size_t maximum_lingering_connections = 256;
+  /** For all bodies together; always has room for one of the largest size. */
+  body_budget_limits body_memory;
+  /** Optional; called for each event. */
+  std::function<void(const overload_event& event)> on_overload;
   /**
    * Limit for all whole responses that clients have not read. Beyond it the
    * connections of the largest ones are closed.
@@ -126,6 +158,8 @@
   std::size_t ConnectionCount() const;
   /** Requests whose responses have not been written completely. */
   std::size_t UnfinishedCount() const;
+  /** Bytes of the bodies of all requests. */
+  std::size_t BodyBytes() const;
 
  private:
   struct impl;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -385,6 +386,150 @@
   ExpectAlive();
 }
 
+// Guards against memory that grows with the number of large bodies: of those
+// that stop short, the largest ones make room, and small requests are served.
+TEST_F(http_server_test, ClosesTheLargestIncompleteBodyWhenMemoryIsShort) {
+  std::vector<overload_event> events;
+  http_server_options options;
+  options.maximum_body_bytes = 64 * 1024;
+  options.body_memory = {.large_bytes = 96 * 1024, .small_bytes = 64 * 1024};
+  options.on_overload = [&](const overload_event& event) {
+    events.push_back(event);
+  };
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: 65536\r\n\r\n";
+  test_peer largest(loop_, server_->Port());
+  largest.Send(head + std::string(60'000, 'x'));
+  test_peer other(loop_, server_->Port());
+  other.Send(head + std::string(30'000, 'x'));
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return server_->BodyBytes() >= 90'000; }, kLimit));
+  const http_result served = Call(
+      {.method = "POST", .url = Url("/"), .body = std::string(50'000, 'y')});
+  EXPECT_EQ(served.body, std::string(50'000, 'y'));
+  EXPECT_TRUE(largest.IsClosedByPeer());
+  EXPECT_FALSE(other.IsClosedByPeer());
+  ASSERT_EQ(events.size(), 1U);
+  EXPECT_EQ(events[0].what, overload_event::kind::body_closed);
+  EXPECT_EQ(events[0].body_bytes, 60'000U);
+  other.Close();
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return server_->BodyBytes() == 0; }, kLimit));
+}
+
+// Guards against requests in flight that lose their bodies, and against a
+// refusal of a request that runs.
+TEST_F(http_server_test, RefusesALargeBodyWhileCompleteOnesFillTheMemory) {
+  http_server_options options;
+  options.maximum_body_bytes = 64 * 1024;
+  options.body_memory = {.large_bytes = 64 * 1024, .small_bytes = 64 * 1024};
+  std::vector<std::shared_ptr<http_exchange>> held;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    held.push_back(exchange);
+    if (exchange->Request().body.size() < 60'000) Echo(exchange);
+  });
+  std::optional<http_result> first;
+  client_->Start(
+      {.method = "POST", .url = Url("/"), .body = std::string(60'000, 'x')},
+      {.on_done = [&](const http_result& done) { first = done; }});
+  ASSERT_TRUE(loop_.RunUntil([&] { return held.size() == 1; }, kLimit));
+  const http_call large{
+      .method = "POST", .url = Url("/"), .body = std::string(40'000, 'y')};
+  const http_result refused = Call(large);
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_EQ(refused.headers.at("retry-after"), "1");
+  EXPECT_NE(refused.body.find("not_run"), std::string::npos);
+  EXPECT_EQ(held.size(), 1U);
+  EXPECT_EQ(Call({.method = "POST", .url = Url("/"), .body = "small"}).body,
+            "small");
+  Echo(held[0]);
+  EXPECT_TRUE(loop_.RunUntil([&] { return first.has_value(); }, kLimit));
+  EXPECT_EQ(first->body.size(), 60'000U);
+  held.clear();
+  EXPECT_EQ(Call(large).status, 200);
+}
+
+// Guards against handling a request whose body was dropped just before its last
+// chunk was read.
+TEST_F(http_server_test, ADroppedBodyIsNotHandledWhenItsEndArrives) {
+  int handled = 0;
+  http_server_options options;
+  options.maximum_body_bytes = 64 * 1024;
+  options.body_memory = {.large_bytes = 64 * 1024, .small_bytes = 64 * 1024};
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    EXPECT_GE(exchange->Request().body.size(), 40'000U);
+    Echo(exchange);
+  });
+  for (int round = 0; round < 20; ++round) {
+    handled = 0;
+    const std::string head = "POST / HTTP/1.1\r\nHost: t\r\n";
+    test_peer chunked(loop_, server_->Port());
+    chunked.Send(head + "Transfer-Encoding: chunked\r\n\r\nc350\r\n" +
+                 std::string(50'000, 'x') + "\r\n");
+    ASSERT_TRUE(
+        loop_.RunUntil([&] { return server_->BodyBytes() >= 50'000; }, kLimit));
+    test_peer other(loop_, server_->Port());
+    other.Send(head + "Content-Length: 40000\r\n\r\n" +
+               std::string(40'000, 'y'));
+    chunked.Send("0\r\n\r\n");
+    const auto has_answer = [](const test_peer& peer) {
+      return peer.Received().find("\r\n\r\n") != std::string::npos;
+    };
+    const auto has_ended = [&](const test_peer& peer) {
+      return peer.IsClosedByPeer() || has_answer(peer);
+    };
+    ASSERT_TRUE(loop_.RunUntil(
+        [&] { return has_ended(chunked) && has_ended(other); }, kLimit));
+    const auto is_served = [](const test_peer& peer) {
+      return peer.Received().find(" 200 ") != std::string::npos;
+    };
+    EXPECT_EQ(handled,
+              (is_served(chunked) ? 1 : 0) + (is_served(other) ? 1 : 0));
+    chunked.Close();
+    other.Close();
+    ASSERT_TRUE(
+        loop_.RunUntil([&] { return server_->BodyBytes() == 0; }, kLimit));
+  }
+}
+
+// Guards against clients that hold all connections with requests that they do
+// not complete; those that wait for a response remain.
+TEST_F(http_server_test, ClosesQuietIncompleteRequestsWhenItIsFull) {
+  http_server_options options;
+  options.maximum_connections = 4;
+  std::shared_ptr<http_exchange> waiting;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    if (exchange->Request().path == "/wait") {
+      waiting = exchange;
+    } else {
+      Echo(exchange);
+    }
+  });
+  test_peer served(loop_, server_->Port());
+  served.Send("GET /wait HTTP/1.1\r\nHost: t\r\n\r\n");
+  std::vector<std::unique_ptr<test_peer>> quiet;
+  for (const std::string half :
+       {"GET / HTTP/1.1\r\nHo", "",
+        "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: 9\r\n\r\nab"}) {
+    quiet.push_back(std::make_unique<test_peer>(loop_, server_->Port()));
+    quiet.back()->Send(half);
+  }
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return server_->ConnectionCount() == 4; }, kLimit));
+  ExpectAlive();
+  EXPECT_TRUE(std::any_of(quiet.begin(), quiet.end(), [](const auto& peer) {
+    return peer->IsClosedByPeer();
+  }));
+  ASSERT_NE(waiting, nullptr);
+  waiting->Respond({200, {}, "late"});
+  EXPECT_TRUE(loop_.RunUntil(
+      [&] { return served.Received().find("late") != std::string::npos; },
+      kLimit));
+}
+
 // Guards against handling a request that its client has not sent completely.
 TEST_F(http_server_test, ARequestCutAtAnyByteIsNotHandled) {
   int handled = 0;
