Limit the callers of a gateway to its machine's memory and descriptors

Cause: no code read Limits.MemoryMb and Limits.MaxFds; 60 callers with bodies of 1 MiB raised a gateway to 147 MB, 400 callers to 427 descriptors. The gateway logs and counts what it closes or refuses. The readiness and admin addresses accept bodies up to 64 KiB on at most 256 connections. The tests send the small request on a new connection now, so that it also needs a free one; crowd and bounds are unchanged.

--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -1,6 +1,8 @@
 #include "gateway/gateway_program.h"
 
+#include <algorithm>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -8,6 +10,7 @@
 #include "catalog/catalog_follower.h"
 #include "core/error.h"
 #include "gateway/caller_admission.h"
+#include "gateway/caller_capacity.h"
 #include "gateway/caller_limits.h"
 #include "gateway/request_forwarder.h"
 #include "gateway/sidecar_links.h"
@@ -51,7 +54,9 @@
 constexpr core::milliseconds kListenerLinger{100};
 /** A request or a response without progress is ended after this. */
 constexpr core::seconds kProgressTimeout{30};
-constexpr unsigned kMaximumConnections = 3000;
+/** For readiness checks and for operators, who send no large bodies. */
+constexpr std::size_t kOperatorBodyBytes = 64 * 1024;
+constexpr unsigned kOperatorConnections = 256;
 /** In force until there is a configuration. */
 constexpr std::size_t kMaximumBodyBytes = 8 * 1024 * 1024;
 /** Memory for the request line, the header fields and their index. */
@@ -70,10 +75,33 @@
           .port = address->port,
           .maximum_body_bytes = kMaximumBodyBytes,
           .maximum_header_bytes = kHeaderMemoryBytes,
-          .maximum_connections = kMaximumConnections,
           .idle_timeout = kProgressTimeout};
 }
 
+net::http_server_options CallerServerOptions(
+    const settings::node_settings& settings,
+    std::function<void(const net::overload_event&)> on_overload) {
+  const caller_capacity capacity = CapacityFor(settings);
+  auto options = ServerOptions(settings.caller_listener, "caller");
+  options.maximum_connections = capacity.connections;
+  options.maximum_lingering_connections = capacity.lingering_connections;
+  options.body_memory = capacity.bodies;
+  options.on_overload = std::move(on_overload);
+  return options;
+}
+
+net::http_server_options OperatorServerOptions(
+    const settings::node_settings& settings,
+    const std::optional<core::network_address>& address, const char* name) {
+  const caller_capacity capacity = CapacityFor(settings);
+  auto options = ServerOptions(address, name);
+  options.maximum_body_bytes = kOperatorBodyBytes;
+  options.maximum_connections =
+      std::min(kOperatorConnections, capacity.connections);
+  options.maximum_lingering_connections = capacity.lingering_connections;
+  return options;
+}
+
 }  // namespace
 
 struct gateway_program::impl : public catalog::follower_listener,
@@ -95,12 +123,17 @@
                .port = settings.first_internal_port,
                .random_seed = Seed()},
               *this, log),
-        caller_server(loop, ServerOptions(settings.caller_listener, "caller"),
-                      [this](std::shared_ptr<net::http_exchange> exchange) {
-                        forwarder.OnRequest(std::move(exchange));
-                      }),
+        caller_server(
+            loop,
+            CallerServerOptions(
+                settings, [this](const auto& event) { OnOverload(event); }),
+            [this](std::shared_ptr<net::http_exchange> exchange) {
+              forwarder.OnRequest(std::move(exchange));
+            }),
         readiness_server(
-            loop, ServerOptions(settings.readiness_listener, "readiness"),
+            loop,
+            OperatorServerOptions(settings, settings.readiness_listener,
+                                  "readiness"),
             [this](const std::shared_ptr<net::http_exchange>& exchange) {
               exchange->Respond({IsReady() ? 200 : 503, {}, ""});
             }) {
@@ -108,7 +141,8 @@
     forwarder.SetAdmission(admission);
     if (settings.admin_listener) {
       admin_server.emplace(
-          loop, ServerOptions(settings.admin_listener, "admin"),
+          loop,
+          OperatorServerOptions(settings, settings.admin_listener, "admin"),
           [this](const std::shared_ptr<net::http_exchange>& exchange) {
             HandleAdminRequest(*exchange);
           });
@@ -121,6 +155,11 @@
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
+    const caller_capacity capacity = CapacityFor(settings);
+    log.SystemEvent("caller_capacity")
+        .Add("connections", static_cast<std::size_t>(capacity.connections))
+        .Add("large_body_bytes", capacity.bodies.large_bytes)
+        .Add("small_body_bytes", capacity.bodies.small_bytes);
     follower.Start();
   }
 
@@ -203,6 +242,15 @@
         });
   }
 
+  void OnOverload(const net::overload_event& event) {
+    const std::string what = net::ToString(event.what);
+    metrics.Count("gateway_overload_" + what + "_total");
+    log.SystemEvent("caller_overload")
+        .Add("action", what)
+        .Add("body_bytes", event.body_bytes)
+        .Add("held_body_bytes", event.held_bytes);
+  }
+
   // sidecar_listener.
 
   void OnSidecarLost(const std::string& ip) override {
@@ -232,6 +280,10 @@
     if (exchange.Request().path == "/metrics") {
       forwarder.UpdateMetrics();
       metrics.SetGauge("log_lines_dropped", static_cast<double>(log.Dropped()));
+      metrics.SetGauge("gateway_body_bytes",
+                       static_cast<double>(caller_server.BodyBytes()));
+      metrics.SetGauge("gateway_caller_connections",
+                       static_cast<double>(caller_server.ConnectionCount()));
       exchange.Respond(
           {200, {{"content-type", "text/plain"}}, metrics.ToText()});
       return;
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -36,6 +37,11 @@
   /** The engine of this VM; set on endpoint VMs. */
   std::optional<core::network_address> engine;
 
+  // Limits of the machine; nothing if they are not known.
+
+  std::optional<std::size_t> memory_bytes;
+  std::optional<std::size_t> maximum_descriptors;
+
   // Limits that the platform guarantees or requires.
 
   /** Time from SIGTERM to SIGKILL. */
@@ -48,7 +54,8 @@
   core::milliseconds retry_window{10000};
   /** Time within which a configuration or endpoint change must be known. */
   core::milliseconds change_bound{2000};
-  /** Removed keys must stop working, whether or not the store is reachable ... */
+  /** Removed keys must stop working, whether or not the store is reachable ...
+   */
   bool strict_revocation = false;
   /** ... for requests that are sent this long after their removal. */
   core::milliseconds revocation_bound{5000};
--- a/tests/process/hostile_callers_test.cc
+++ b/tests/process/hostile_callers_test.cc
@@ -147,11 +147,24 @@
                                              {"MaxFds", kDescriptors}},
                           .caller_limits = {{"BodyBytes", kBodyBytes}}}) {}
 
+  /** Sends a request on a new connection. @returns 0 without an answer. */
   int Status(std::string body) {
-    const std::size_t before = outcomes_.size();
-    Send("order", 0, {}, std::move(body));
-    WaitForAnswers();
-    return outcomes_.size() > before ? outcomes_.back().status : 0;
+    std::optional<net::http_result> result;
+    net::http_client caller(loop_);
+    caller.Start(
+        {.method = "POST",
+         .url =
+             "http://" +
+             fleet_layout::At(layout_.Gateway(0), fleet_layout::kCallerPort) +
+             "/order/x",
+         .headers = {{"host", "h.example"},
+                     {"request-id", "o-" + std::to_string(++sent_)},
+                     {"deadline-ms", "3000"}},
+         .body = std::move(body),
+         .total_timeout = kTimeout},
+        {.on_done = [&](const net::http_result& done) { result = done; }});
+    loop_.RunUntil([&] { return result.has_value(); }, kTimeout);
+    return result ? result->status : 0;
   }
 
   void CheckCrowd(const pattern& what, int callers = kCallers) {
