--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,10 @@
   /** Endpoints of a plain service. */
   int plain = 0;
   core::milliseconds plain_time{15};
+  /** `Limits` of the gateways' settings files; left out if null. */
+  nlohmann::json machine_limits;
+  /** `Limits` of the configuration; left out if null. */
+  nlohmann::json caller_limits;
 };
 
 /** What the operator of a fleet configures. */
