--- a/src/gateway/caller_capacity.cc
+++ b/src/gateway/caller_capacity.cc
@@ -5,11 +5,15 @@
 namespace comfreyspring::gateway {
 namespace {
 
-/** Part (1/n) of the memory for large bodies ... */
+/** For the process itself, which uses 15 MB without load ... */
+constexpr std::size_t kProcessBytes = 24 * 1000 * 1000;
+/** ... but no more than this part (1/n) of a small machine. */
+constexpr std::size_t kProcessShareDivisor = 3;
+/** Part (1/n) of the rest for large bodies ... */
 constexpr std::size_t kBodyShareDivisor = 4;
 /** ... for small ones ... */
 constexpr std::size_t kSmallBodyShareDivisor = 8;
-/** ... and for connections. The process itself uses about 16 MB. */
+/** ... and for connections. */
 constexpr std::size_t kConnectionShareDivisor = 2;
 /** The HTTP server's 40 KiB for a head, and its decoded header fields. */
 constexpr std::size_t kConnectionBytes = 64 * 1024;
@@ -24,13 +28,17 @@
 constexpr std::size_t kDescriptorsPerCaller = 2;
 constexpr std::size_t kMinimumConnections = 16;
 
+std::size_t CallerMemory(std::size_t machine) {
+  return machine - std::min(kProcessBytes, machine / kProcessShareDivisor);
+}
+
 }  // namespace
 
 caller_capacity CapacityFor(const settings::node_settings& settings) {
   caller_capacity result;
   std::size_t connections = result.connections;
   if (settings.memory_bytes) {
-    const std::size_t memory = *settings.memory_bytes;
+    const std::size_t memory = CallerMemory(*settings.memory_bytes);
     connections = std::min(connections,
                            memory / kConnectionShareDivisor / kConnectionBytes);
     result.bodies.large_bytes =
@@ -52,7 +60,7 @@
   if (settings.memory_bytes) {
     result.bodies.small_bytes = std::min(
         result.bodies.small_bytes,
-        std::max(*settings.memory_bytes / kSmallBodyShareDivisor,
+        std::max(CallerMemory(*settings.memory_bytes) / kSmallBodyShareDivisor,
                  kMinimumConnections * net::body_budget::kSmallBodyBytes));
   }
   return result;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -12,6 +12,7 @@
 #include <cstring>
 #include <exception>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -290,26 +291,40 @@
 
   /**
    * When all connections are used, closes some of those that hold an incomplete
-   * request, the ones without progress for longest.
+   * request, the ones without progress for longest; then of those that are idle
+   * between requests. Otherwise new clients would wait for the idle timeout.
    */
   void LimitConnections() {
-    std::vector<std::pair<core::time_point, MHD_Connection*>> quiet;
+    struct candidate {
+      bool is_idle;
+      core::time_point progress_at;
+      MHD_Connection* connection;
+    };
+    std::vector<candidate> quiet;
     std::size_t open = 0;
     for (const auto& [connection, activity] : connections) {
       if (activity.is_closing) continue;
       ++open;
-      if (loop.Now() - activity.progress_at >= kMinimumQuietTime &&
-          IsIncomplete(connection, activity)) {
-        quiet.emplace_back(activity.progress_at, connection);
+      if (loop.Now() - activity.progress_at < kMinimumQuietTime) continue;
+      const bool is_idle = !IsIncomplete(connection, activity);
+      // Keeps connections with a request in progress, or one that has arrived.
+      if (is_idle && (exchanges.count(connection) > 0 ||
+                      HasInput(DescriptorOf(connection)))) {
+        continue;
       }
+      quiet.push_back({is_idle, activity.progress_at, connection});
     }
     if (open < options.maximum_connections) return;
-    std::sort(quiet.begin(), quiet.end());
+    std::sort(quiet.begin(), quiet.end(),
+              [](const candidate& one, const candidate& other) {
+                return std::tie(one.is_idle, one.progress_at) <
+                       std::tie(other.is_idle, other.progress_at);
+              });
     const std::size_t count = std::min(
         quiet.size(), std::max<std::size_t>(1, options.maximum_connections /
                                                    kFreedConnectionsDivisor));
     for (std::size_t i = 0; i < count; ++i) {
-      MHD_Connection* connection = quiet[i].second;
+      MHD_Connection* connection = quiet[i].connection;
       connections[connection].is_closing = true;
       const auto exchange = exchanges.find(connection);
       const std::size_t body_bytes =
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -74,7 +74,10 @@
     body_closed,
     /** A large body gets a 503, because complete ones fill the budget. */
     body_refused,
-    /** The connection of an incomplete request was closed for a new one. */
+    /**
+     * A connection without progress, which held an incomplete request or was
+     * idle, was closed for a new one.
+     */
     connection_closed,
   };
   kind what = kind::body_closed;
@@ -97,7 +100,7 @@
   std::size_t maximum_header_bytes = 32 * 1024;
   /**
    * When it is reached, connections with an incomplete request are closed that
-   * have made no progress for longest.
+   * have made no progress for longest, then those that are idle.
    */
   unsigned maximum_connections = 4096;
   /** Closed connections that are kept until their clients have read all. */
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -530,6 +530,25 @@
       kLimit));
 }
 
+// Guards against idle clients that keep new ones waiting for the idle timeout.
+TEST_F(http_server_test, ClosesIdleConnectionsWhenItIsFull) {
+  http_server_options options;
+  options.maximum_connections = 3;
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  std::vector<std::unique_ptr<test_peer>> idle;
+  for (int i = 0; i < 3; ++i) {
+    idle.push_back(std::make_unique<test_peer>(loop_, server_->Port()));
+    idle.back()->Send("GET / HTTP/1.1\r\nHost: t\r\n\r\n");
+    ASSERT_TRUE(loop_.RunUntil(
+        [&] {
+          return idle.back()->Received().find("200") != std::string::npos;
+        },
+        kLimit));
+  }
+  ExpectAlive();
+}
+
 // Guards against handling a request that its client has not sent completely.
 TEST_F(http_server_test, ARequestCutAtAnyByteIsNotHandled) {
   int handled = 0;
