--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -204,8 +204,6 @@
     std::uint64_t permit_number = 0;
     /** Number of the ask for a slot, or of the slot; 0 if there is none. */
     std::uint64_t slot_number = 0;
-    /** The next attempt is made without a slot. */
-    bool skips_slot = false;
 
     /**
      * The request may end its engine, so it runs at the one engine that this
@@ -1025,10 +1023,8 @@
 
   /** @returns false if the request is to be sent without a slot. */
   bool RequestSlot(const request_pointer& request) {
-    const bool skips = std::exchange(request->skips_slot, false);
     const catalog::service* service = ServiceOf(*request);
-    if (!settings.sheds_by_value || skips || service == nullptr ||
-        service->engine) {
+    if (!settings.sheds_by_value || service == nullptr || service->engine) {
       return false;
     }
     const auto ip = slot_client::SidecarOf(request->service, linked_ips);
@@ -1121,9 +1117,12 @@
     slots.Release(std::exchange(request.slot_number, 0), result);
   }
 
-  /** Sends requests that will not get a slot. */
-  void SendWithoutSlots(const std::vector<std::uint64_t>& numbers,
-                        const char* cause) {
+  /**
+   * Dispatches requests whose asks are lost. They are sent without a slot
+   * unless another sidecar gives the slots by now.
+   */
+  void DispatchWithoutSlots(const std::vector<std::uint64_t>& numbers,
+                            const char* cause) {
     for (const std::uint64_t number : numbers) {
       const auto found = requests.find(number);
       if (found == requests.end()) continue;
@@ -1135,7 +1134,6 @@
           .Add("service", request->service.Value())
           .Add("cause", cause);
       request->slot_number = 0;
-      request->skips_slot = true;
       Dispatch(request);
     }
   }
@@ -2133,7 +2131,7 @@
     CloseUnansweredLinks(now);
     CheckVerdictTimeouts(now);
     CheckHeldDeadlines(now);
-    SendWithoutSlots(slots.OnTick(now), "unanswered");
+    DispatchWithoutSlots(slots.OnTick(now), "unanswered");
     if (StartsNoMore()) RefuseWaiting();
     if (now - quarantine_checked_at >= kQuarantinePeriod) {
       quarantine_checked_at = now;
@@ -2492,7 +2490,7 @@
       request->awaits_permit = false;
       Dispatch(request);
     }
-    SendWithoutSlots(slots.OnSidecarLost(ip), "link_lost");
+    DispatchWithoutSlots(slots.OnSidecarLost(ip), "link_lost");
   }
 
   void OnSidecarMessage(const std::string& ip, const grants::message& value) {
--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -121,6 +121,7 @@
       {"Provider",
        {{"Addr",
          fleet_layout::At(layout_.Store(), fleet_layout::kStorePort)}}}};
+  if (options_.sheds_by_value) file["Contracts"] = {"pressure"};
   file["Listen"] = json::object();
   if (program == "gateway") {
     file["Listen"] = {{"Front", at(fleet_layout::kCallerPort)},
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -26,6 +26,8 @@
   /** Endpoints of a plain service. */
   int plain = 0;
   core::milliseconds plain_time{15};
+  /** The settings name the contract for insufficient capacity. */
+  bool sheds_by_value = false;
 };
 
 /** What the operator of a fleet configures. */
