--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -31,6 +31,8 @@
   nlohmann::json machine_limits;
   /** `Limits` of the configuration; left out if null. */
   nlohmann::json caller_limits;
+  /** The settings name the contract for insufficient capacity. */
+  bool sheds_by_value = false;
 };
 
 /** What the operator of a fleet configures. */
