Send a large catalog batch to one relay only

Change: batches above 64 KiB go to the first relay. Who misses it sees a gap in the next batch and reads the platform.

--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -11,6 +11,11 @@
 
 constexpr core::milliseconds kTickPeriod{50};
 constexpr std::size_t kMaximumPendingBytes = 1024 * 1024;
+/**
+ * A configuration with thousands of routes has some 500 kB. Three copies of it
+ * take more than a second on the 10 Mbit/s of the smallest entry VMs.
+ */
+constexpr std::size_t kLargeMessageBytes = 64 * 1024;
 
 }  // namespace
 
@@ -87,7 +92,10 @@
 
 void sidecar_links::SendToRelays(const grants::message& value) {
   const std::string frame = grants::Encode(value);
-  for (const std::string& ip : relays_) peers_.at(ip).link->Send(frame);
+  for (const std::string& ip : relays_) {
+    peers_.at(ip).link->Send(frame);
+    if (frame.size() > kLargeMessageBytes) return;
+  }
 }
 
 std::optional<std::size_t> sidecar_links::ReaderRank() const {
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -83,7 +83,11 @@
   std::pair<std::string, std::string> FirstTargets(std::string_view key) const;
   /** @returns false if there is no open link. */
   bool Send(const std::string& ip, const grants::message& value);
-  /** Sends to the sidecars that relay the message to all gateways. */
+  /**
+   * Sends to the sidecars that relay the message to all gateways; a large one
+   * to the first only. Whoever misses it sees a gap in the next batch and reads
+   * the platform.
+   */
   void SendToRelays(const grants::message& value);
   /**
    * Rank among the gateways that read the catalog; nothing while no link to a
--- /dev/null
+++ b/src/gateway/sidecar_links_test.cc
@@ -0,0 +1,83 @@
+#include "gateway/sidecar_links.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "net/frame_link.h"
+
+namespace comfreyspring::gateway {
+namespace {
+
+using core::milliseconds;
+
+/** Three sidecars that count the batches that they are sent. */
+class sidecar_links_test : public ::testing::Test, public sidecar_listener {
+ protected:
+  void SetUp() override {
+    for (const char* ip : {"127.0.0.1", "127.0.0.2", "127.0.0.3"}) {
+      listeners_[ip] = std::make_unique<net::frame_listener>(
+          loop_, ip, port_, net::frame_link_options{}, 8,
+          [this, ip](const std::shared_ptr<net::frame_link>& link) {
+            return net::frame_link_callbacks{
+                .on_open =
+                    [link] {
+                      link->Send(grants::Encode(grants::status_report{
+                          .next_in = milliseconds(5000)}));
+                    },
+                .on_frame =
+                    [this, ip](std::string_view frame) {
+                      const auto value = grants::Decode(frame);
+                      if (std::holds_alternative<grants::change_batch>(value)) {
+                        ++batches_[ip];
+                      }
+                    },
+                .on_closed = [](const std::string&) {}};
+          });
+      port_ = listeners_[ip]->Port();
+    }
+    links_.emplace(loop_, sidecar_link_options{.port = port_}, *this, log_);
+    for (const auto& [ip, listener] : listeners_) links_->AddOrUpdate(ip, {});
+    ASSERT_TRUE(loop_.RunUntil([this] { return links_->OpenCount() == 3; },
+                               milliseconds(5000)));
+  }
+
+  int Relayed(std::size_t bytes) {
+    batches_.clear();
+    links_->SendToRelays(
+        grants::change_batch{.documents = {{1, std::string(bytes, 'x')}}});
+    loop_.RunUntil([] { return false; }, milliseconds(100));
+    int count = 0;
+    for (const auto& [ip, batches] : batches_) count += batches;
+    return count;
+  }
+
+  void OnSidecarLost(const std::string&) override {}
+  void OnSidecarMessage(const std::string&, const grants::message&) override {}
+
+  net::event_loop loop_;
+  telemetry::event_log log_{"test",
+                            {},
+                            [] { return core::wall_time(); },
+                            [](std::string_view text) {
+                              return static_cast<std::int64_t>(text.size());
+                            }};
+  std::uint16_t port_ = 0;
+  std::map<std::string, std::unique_ptr<net::frame_listener>> listeners_;
+  std::map<std::string, int> batches_;
+  std::optional<sidecar_links> links_;
+};
+
+// Guards against several copies of a large configuration on the slow links of
+// small entry VMs.
+TEST_F(sidecar_links_test, ALargeBatchGoesToOneRelay) {
+  EXPECT_EQ(Relayed(100), 3);
+  EXPECT_EQ(Relayed(500'000), 1);
+  EXPECT_EQ(Relayed(100), 3);
+}
+
+}  // namespace
+}  // namespace comfreyspring::gateway
