Mark the implicit conversions of shared bodies for the linter

Change: the conversions stay implicit, since a shared body takes the place of a string in calls and requests, and are marked; casts became initializations.

--- a/src/net/shared_body.h
+++ b/src/net/shared_body.h
@@ -18,11 +18,13 @@
 class shared_body {
  public:
   shared_body() = default;
+  // NOLINTBEGIN(google-explicit-constructor)
   shared_body(std::string text)
       : text_(text.empty()
                   ? nullptr
                   : std::make_shared<const std::string>(std::move(text))) {}
   shared_body(const char* text) : shared_body(std::string(text)) {}
+  // NOLINTEND(google-explicit-constructor)
   /** Null for an empty body. */
   explicit shared_body(std::shared_ptr<const std::string> text)
       : text_(std::move(text)) {}
@@ -31,6 +33,7 @@
     static const std::string kEmpty;
     return text_ ? *text_ : kEmpty;
   }
+  // NOLINTNEXTLINE(google-explicit-constructor)
   operator const std::string&() const { return Text(); }
 
   // Named as in std::string.
@@ -43,7 +46,8 @@
 
   template <std::convertible_to<std::string_view> Text>
   friend bool operator==(const shared_body& one, const Text& other) {
-    return one.Text() == std::string_view(other);
+    const std::string_view right = other;
+    return one.Text() == right;
   }
   friend bool operator==(const shared_body& one, const shared_body& other) {
     return one.Text() == other.Text();
