Do recurring work once, and only where it is needed

Cause: the check for superseded entries built a string for each endpoint of each choice; the finish time of an engine was computed up to six times a choice; timers for slots ran in every sidecar; what callers may use was computed four times at the start. Change: addresses are the keys; finish times and capacity are kept; the timers start with the first ask for a slot. Result: gateway_test (179) and sidecar_test (67) pass; not measured.

--- a/src/gateway/endpoint_choice.cc
+++ b/src/gateway/endpoint_choice.cc
@@ -93,6 +93,8 @@
   double load = 0.0;
   /** Relative to its peers. */
   double speed = 1.0;
+  /** See `engine_capacity::FinishIn`. */
+  std::optional<core::milliseconds> finish_in;
   bool holds_adapter = false;
   bool has_free_slot = false;
   std::uint64_t weight = 0;
@@ -216,6 +218,9 @@
       return shortest && !MayFinish(*shortest, *request.answer_due_in);
     });
     if (all.empty()) return {.speeds_differ = true, .cannot_finish = true};
+    for (candidate& each : all) {
+      each.finish_in = CapacityOf(each).FinishIn(request.size);
+    }
   }
   const auto is_home_before = [](const candidate& left,
                                  const candidate& right) {
@@ -234,10 +239,8 @@
     std::vector<candidate> matching;
     for (const candidate& each : all) {
       if (!matches(each)) continue;
-      const auto finish = limit ? CapacityOf(each).FinishIn(request.size)
-                                : std::optional<core::milliseconds>();
-      if (finish &&
-          static_cast<double>(finish->count()) >
+      if (limit && each.finish_in &&
+          static_cast<double>(each.finish_in->count()) >
               *limit * static_cast<double>(request.answer_due_in->count())) {
         continue;
       }
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -80,9 +80,8 @@
 }
 
 net::http_server_options CallerServerOptions(
-    const settings::node_settings& settings,
+    const settings::node_settings& settings, const caller_capacity& capacity,
     std::function<void(const net::overload_event&)> on_overload) {
-  const caller_capacity capacity = CapacityFor(settings);
   auto options = ServerOptions(settings.caller_listener, "caller");
   options.maximum_connections = capacity.connections;
   options.maximum_lingering_connections = capacity.lingering_connections;
@@ -92,9 +91,8 @@
 }
 
 net::http_server_options OperatorServerOptions(
-    const settings::node_settings& settings,
+    const caller_capacity& capacity,
     const std::optional<core::network_address>& address, const char* name) {
-  const caller_capacity capacity = CapacityFor(settings);
   auto options = ServerOptions(address, name);
   options.maximum_body_bytes = kOperatorBodyBytes;
   options.maximum_connections =
@@ -126,16 +124,16 @@
                .port = settings.first_internal_port,
                .random_seed = Seed()},
               *this, log),
-        caller_server(
-            loop,
-            CallerServerOptions(
-                settings, [this](const auto& event) { OnOverload(event); }),
-            [this](std::shared_ptr<net::http_exchange> exchange) {
-              forwarder.OnRequest(std::move(exchange));
-            }),
+        caller_server(loop,
+                      CallerServerOptions(
+                          settings, capacity,
+                          [this](const auto& event) { OnOverload(event); }),
+                      [this](std::shared_ptr<net::http_exchange> exchange) {
+                        forwarder.OnRequest(std::move(exchange));
+                      }),
         readiness_server(
             loop,
-            OperatorServerOptions(settings, settings.readiness_listener,
+            OperatorServerOptions(capacity, settings.readiness_listener,
                                   "readiness"),
             [this](const std::shared_ptr<net::http_exchange>& exchange) {
               exchange->Respond({IsReady() ? 200 : 503, {}, ""});
@@ -146,7 +144,7 @@
     if (settings.admin_listener) {
       admin_server.emplace(
           loop,
-          OperatorServerOptions(settings, settings.admin_listener, "admin"),
+          OperatorServerOptions(capacity, settings.admin_listener, "admin"),
           [this](const std::shared_ptr<net::http_exchange>& exchange) {
             HandleAdminRequest(*exchange);
           });
@@ -160,7 +158,6 @@
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
-    const caller_capacity capacity = CapacityFor(settings);
     log.SystemEvent("caller_capacity")
         .Add("connections", static_cast<std::size_t>(capacity.connections))
         .Add("large_body_bytes", capacity.bodies.large_bytes)
@@ -372,6 +369,7 @@
                                 {.maximum_header_bytes = kHighestHeaderBytes,
                                  .maximum_body_bytes = kHighestBodyBytes},
                                 settings.change_bound / 2};
+  const caller_capacity capacity = CapacityFor(settings);
   net::http_server caller_server;
   net::http_server readiness_server;
   std::optional<net::http_server> admin_server;
--- a/src/gateway/superseded_entries.cc
+++ b/src/gateway/superseded_entries.cc
@@ -5,11 +5,11 @@
 namespace comfreyspring::gateway {
 
 void superseded_entries::OnListed(const catalog::endpoint_record& record) {
-  listed_[record.address.ToString()][record.instance] = record.started_unix_ms;
+  listed_[record.address][record.instance] = record.started_unix_ms;
 }
 
 void superseded_entries::OnGone(const catalog::endpoint_record& record) {
-  const auto found = listed_.find(record.address.ToString());
+  const auto found = listed_.find(record.address);
   if (found == listed_.end()) return;
   found->second.erase(record.instance);
   if (found->second.empty()) listed_.erase(found);
@@ -34,7 +34,7 @@
       reported->second.started_unix_ms > record.started_unix_ms) {
     return true;
   }
-  const auto listed = listed_.find(record.address.ToString());
+  const auto listed = listed_.find(record.address);
   return listed != listed_.end() &&
          std::any_of(listed->second.begin(), listed->second.end(),
                      [&](const auto& entry) {
--- a/src/gateway/superseded_entries.h
+++ b/src/gateway/superseded_entries.h
@@ -6,6 +6,7 @@
 
 #include "catalog/endpoint_record.h"
 #include "core/ids.h"
+#include "core/network_address.h"
 
 namespace comfreyspring::gateway {
 
@@ -38,7 +39,8 @@
 
  private:
   /** Start times of the listed entries of an address, by instance. */
-  std::map<std::string, std::map<catalog::instance_id, std::int64_t>> listed_;
+  std::map<core::network_address, std::map<catalog::instance_id, std::int64_t>>
+      listed_;
   struct reported_start {
     core::service_id service;
     std::int64_t started_unix_ms = 0;
--- a/src/sidecar/slot_driver.cc
+++ b/src/sidecar/slot_driver.cc
@@ -31,7 +31,10 @@
 
 slot_driver::slot_driver(net::event_loop& loop, sender send,
                          telemetry::event_log& log, telemetry::metrics& metrics)
-    : loop_(loop), send_(std::move(send)), log_(log), metrics_(metrics) {
+    : loop_(loop), send_(std::move(send)), log_(log), metrics_(metrics) {}
+
+void slot_driver::StartTimers() {
+  if (tick_timer_ != 0) return;
   tick_timer_ = loop_.SchedulePeriodic(
       kTickPeriod, [this] { Perform(queue_.OnTick(loop_.Now())); });
   change_timer_ =
@@ -63,6 +66,7 @@
 void slot_driver::OnAsk(std::uint64_t link, const grants::slot_ask& ask) {
   const auto now = loop_.Now();
   metrics_.Count("sidecar_slot_asks_total");
+  StartTimers();
   Perform(queue_.OnRequest({.key = {link, ask.number},
                             .service = ask.service,
                             .priority = ask.priority,
--- a/src/sidecar/slot_driver.h
+++ b/src/sidecar/slot_driver.h
@@ -40,6 +40,8 @@
   void LogState();
 
  private:
+  /** Most sidecars are never asked for slots and need no timers for them. */
+  void StartTimers();
   void OnAsk(std::uint64_t link, const grants::slot_ask& ask);
   void Perform(const overload::slot_queue::actions& actions);
   /** Logs endpoints whose allowed number has changed. */
