Share the jitter of retry times and the assumed number of gateways

Cause: caller admission and the quota client wrote both again. Change: core::WithJitter, and one constant beside the links.

--- a/src/gateway/caller_admission.cc
+++ b/src/gateway/caller_admission.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "core/jitter.h"
+
 namespace comfreyspring::gateway {
 namespace {
 
@@ -52,9 +54,8 @@
              .type = "keys_unconfirmed",
              .message = "API keys cannot be confirmed at the moment; the "
                         "request has not run.",
-             .retry_after = core::milliseconds(static_cast<std::int64_t>(
-                 (0.75 + 0.5 * random_.NextUnit()) *
-                 static_cast<double>(kRetryAfterUnconfirmed.count())))}});
+             .retry_after = core::WithJitter(kRetryAfterUnconfirmed, 0.75, 1.25,
+                                             random_)}});
     return;
   }
   const catalog::tenant* tenant = keys.Find(request.api_key);
--- a/src/gateway/quota_client.cc
+++ b/src/gateway/quota_client.cc
@@ -8,13 +8,12 @@
 #include <tuple>
 #include <utility>
 
+#include "core/jitter.h"
 #include "core/overloaded.h"
 
 namespace comfreyspring::gateway {
 namespace {
 
-/** Number of gateways until a sidecar reports how many are connected to it. */
-constexpr std::size_t kAssumedGateways = 32;
 /** Period in which the reported numbers of gateways are compared. */
 constexpr core::seconds kGatewayCountPeriod{10};
 /**
@@ -148,11 +147,8 @@
   LogRefusals(target, refused);
   const auto shortest =
       std::clamp(refused.retry_after, kMinimumRetryAfter, kMaximumRetryAfter);
-  // Jitter keeps the callers from returning at the same time.
   request.on_decision(
-      {.retry_after = core::milliseconds(
-           static_cast<std::int64_t>((1.0 + 0.5 * random_.NextUnit()) *
-                                     static_cast<double>(shortest.count())))});
+      {.retry_after = core::WithJitter(shortest, 1.0, 1.5, random_)});
 }
 
 void quota_client::LogRefusals(entry& target,
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/hash.h"
+#include "core/jitter.h"
 #include "core/overloaded.h"
 #include "gateway/caller_admission.h"
 #include "gateway/endpoint_choice.h"
@@ -117,8 +118,6 @@
 constexpr core::milliseconds kNoticeCleanupPeriod{5000};
 /** Longest time between two attempts to place requests without an endpoint. */
 constexpr core::milliseconds kPlacementPeriod{100};
-/** Number of gateways until a sidecar reports how many are connected to it. */
-constexpr std::size_t kAssumedGateways = 32;
 
 }  // namespace
 
@@ -2131,8 +2130,7 @@
    * together.
    */
   core::milliseconds WithJitter(core::milliseconds time) {
-    return core::milliseconds(static_cast<std::int64_t>(
-        (0.75 + 0.5 * random.NextUnit()) * static_cast<double>(time.count())));
+    return core::WithJitter(time, 0.75, 1.25, random);
   }
 
   void Respond(const request_pointer& request, const local_reply& reply) {
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -20,6 +20,9 @@
 
 namespace comfreyspring::gateway {
 
+/** Number of gateways until a sidecar reports how many are connected to it. */
+inline constexpr std::size_t kAssumedGateways = 32;
+
 struct sidecar_link_options {
   core::process_id gateway;
   /** Port on which the sidecars accept links. */
