Choose the sidecar for slots as that for quotas

Cause: slot_client ranked the sidecars by rendezvous hash in its own loop beside sidecar_links::FirstTargets, which all parts can call. Change: SidecarOf goes; FirstTargets copies no strings while it searches. The check that all gateways choose alike moved to sidecar_links_test.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -1095,8 +1095,9 @@
     if (!settings.sheds_by_value || service == nullptr || service->engine) {
       return false;
     }
-    const auto ip = slot_client::SidecarOf(request->service, linked_ips);
-    if (!ip || !IsUsableSidecar(*ip)) return false;
+    const std::string ip =
+        links->FirstTargets("slots/" + request->service.Value()).first;
+    if (!IsUsableSidecar(ip)) return false;
     auto candidates = SlotCandidatesOf(*request);
     if (candidates.empty()) return false;
     const auto now = loop.Now();
@@ -1114,7 +1115,7 @@
         .deadline_in = left,
         .maximum_retry_after = left / kRetryTimeDivisor,
         .candidates = std::move(candidates)};
-    if (!slots.Ask(*ip, request->number, std::move(ask), now)) return false;
+    if (!slots.Ask(ip, request->number, std::move(ask), now)) return false;
     request->state = phase::waiting;
     request->slot_number = number;
     return true;
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -73,15 +73,23 @@
 
 std::pair<std::string, std::string> sidecar_links::FirstTargets(
     std::string_view key) const {
-  std::pair<std::uint64_t, std::string> first;
-  std::pair<std::uint64_t, std::string> second;
+  using weighed = std::pair<std::uint64_t, const std::string*>;
+  weighed first{0, nullptr};
+  weighed second{0, nullptr};
   for (const auto& [ip, target] : peers_) {
-    std::pair<std::uint64_t, std::string> each{core::RendezvousWeight(key, ip),
-                                               ip};
-    if (each > first) std::swap(each, first);
-    if (each > second) std::swap(each, second);
+    weighed each{core::RendezvousWeight(key, ip), &ip};
+    if (first.second == nullptr || each.first >= first.first) {
+      std::swap(each, first);
+    }
+    if (each.second != nullptr &&
+        (second.second == nullptr || each.first >= second.first)) {
+      second = each;
+    }
   }
-  return {first.second, second.second};
+  const auto name = [](const weighed& each) {
+    return each.second == nullptr ? std::string() : *each.second;
+  };
+  return {name(first), name(second)};
 }
 
 bool sidecar_links::Send(const std::string& ip, const grants::message& value) {
--- a/src/gateway/sidecar_links_test.cc
+++ b/src/gateway/sidecar_links_test.cc
@@ -79,5 +79,22 @@
   EXPECT_EQ(Relayed(100), 3);
 }
 
+// Guards against gateways that ask different sidecars about the same service.
+TEST_F(sidecar_links_test, AllGatewaysChooseTheSameSidecar) {
+  const auto chosen = links_->FirstTargets("slots/plain");
+  ASSERT_FALSE(chosen.first.empty());
+  ASSERT_FALSE(chosen.second.empty());
+  ASSERT_NE(chosen.first, chosen.second);
+  for (const char* ip : {"127.0.0.1", "127.0.0.2", "127.0.0.3"}) {
+    if (ip != chosen.first && ip != chosen.second) links_->Remove(ip);
+  }
+  EXPECT_EQ(links_->FirstTargets("slots/plain"), chosen);
+  links_->Remove(chosen.second);
+  EXPECT_EQ(links_->FirstTargets("slots/plain").first, chosen.first);
+  EXPECT_EQ(links_->FirstTargets("slots/plain").second, "");
+  links_->Remove(chosen.first);
+  EXPECT_EQ(links_->FirstTargets("slots/plain").first, "");
+}
+
 }  // namespace
 }  // namespace comfreyspring::gateway
--- a/src/gateway/slot_client.cc
+++ b/src/gateway/slot_client.cc
@@ -1,26 +1,11 @@
 #include "gateway/slot_client.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
-#include "core/hash.h"
-
 namespace comfreyspring::gateway {
 
-std::optional<std::string> slot_client::SidecarOf(
-    const core::service_id& service, const std::set<std::string>& sidecars) {
-  const std::string* chosen = nullptr;
-  std::uint64_t highest = 0;
-  for (const std::string& ip : sidecars) {
-    const auto weight = core::RendezvousWeight("slots/" + service.Value(), ip);
-    if (chosen != nullptr && weight <= highest) continue;
-    chosen = &ip;
-    highest = weight;
-  }
-  if (chosen == nullptr) return std::nullopt;
-  return *chosen;
-}
-
 bool slot_client::Ask(const std::string& ip, std::uint64_t request,
                       grants::slot_ask ask, core::time_point now) {
   const auto silent = silent_until_.find(ip);
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -5,11 +5,9 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
-#include "core/ids.h"
 #include "core/time.h"
 #include "grants/messages.h"
 #include "limits/endpoint_incarnation.h"
@@ -44,14 +42,6 @@
   /** @param send returns false if there is no open link. */
   explicit slot_client(sender send) : send_(std::move(send)) {}
 
-  /**
-   * The sidecar that gives the slots of a service.
-   * @param sidecars of all listed engines, whether or not they are reachable.
-   * @returns nothing if there is none.
-   */
-  static std::optional<std::string> SidecarOf(
-      const core::service_id& service, const std::set<std::string>& sidecars);
-
   /**
    * Asks for a slot.
    * @param request the gateway's number of the request.
--- a/src/gateway/slot_client_test.cc
+++ b/src/gateway/slot_client_test.cc
@@ -54,19 +54,6 @@
 
 using numbers = std::vector<std::uint64_t>;
 
-// Guards against gateways that ask different sidecars about the same service.
-TEST_F(slot_client_test, AllGatewaysChooseTheSameSidecar) {
-  std::set<std::string> sidecars = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
-  const core::service_id service("plain");
-  const auto chosen = slot_client::SidecarOf(service, sidecars);
-  ASSERT_TRUE(chosen.has_value());
-  for (const std::string ip : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
-    if (ip != *chosen) sidecars.erase(ip);
-  }
-  EXPECT_EQ(slot_client::SidecarOf(service, sidecars), chosen);
-  EXPECT_FALSE(slot_client::SidecarOf(service, {}).has_value());
-}
-
 TEST_F(slot_client_test, PassesOnPermitsAndGivesThemBack) {
   ASSERT_TRUE(Ask(1));
   const auto slot = client_.OnIssued("10.0.0.9", {1, 0}, now_);
