Keep the requests without an engine in a map of their own

Cause: every 100 ms, and after each change of an endpoint, all requests were searched for those that wait, and each of these searched all again to count the others. It also counted itself, so with 512 waiting one was refused too many. Change: a map holds the requests that wait; the flag in each request goes. Result: gateway_test passes (179); not measured.

--- a/src/gateway/endpoint_wait.h
+++ b/src/gateway/endpoint_wait.h
@@ -16,7 +16,7 @@
   bool has_started = false;
   /** Engines of its service that may serve soon: not draining, no backoff. */
   std::size_t returning_endpoints = 0;
-  /** Requests that already wait for an endpoint. */
+  /** Other requests that wait for an endpoint. */
   std::size_t waiting = 0;
 };
 
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -196,8 +196,6 @@
      * knew.
      */
     bool view_was_outdated = false;
-    /** Waits until any endpoint can be used. */
-    bool awaits_endpoint = false;
     /** Part of the wait for the grant that was due to loading the adapter. */
     core::milliseconds load_wait{0};
     /** Of the engine that was asked last; see `engine_choice`. */
@@ -773,12 +771,12 @@
         request->retry_after = std::max(
             request->retry_after.value_or(core::milliseconds(0)), *wait);
       }
-      if (AwaitEndpoint(*request)) return;
+      if (AwaitEndpoint(request)) return;
       GiveUp(request,
              request->refusal.empty() ? "no_endpoint" : request->refusal);
       return;
     }
-    request->awaits_endpoint = false;
+    unplaced.erase(request->number);
     request->endpoint = chosen->record.instance;
     if (NeedsEngine(*request) && chosen->has_sidecar) {
       RequestGrant(request, choice);
@@ -787,48 +785,43 @@
     }
   }
 
-  // Requests that wait until any endpoint can be used.
+  // Requests that wait until any engine can be used.
 
   /** @returns false if the request is better refused. */
-  bool AwaitEndpoint(active_request& request) {
-    if (!NeedsEngine(request)) return false;
+  bool AwaitEndpoint(const request_pointer& request) {
+    if (!NeedsEngine(*request)) return false;
     const auto now = loop.Now();
-    unplaced_request unplaced{
-        .waited = core::ToMilliseconds(now - request.last_output),
-        .maximum_wait = request.timeouts.maximum_grant_wait,
-        .has_started = HasStarted(request) || request.attempts > 0 ||
-                       !request.refusal.empty() || request.retry_after};
+    unplaced_request state{
+        .waited = core::ToMilliseconds(now - request->last_output),
+        .maximum_wait = request->timeouts.maximum_grant_wait,
+        .has_started = HasStarted(*request) || request->attempts > 0 ||
+                       !request->refusal.empty() || request->retry_after,
+        .waiting = unplaced.size() - unplaced.count(request->number)};
     follower.Endpoints().ForEachUsable(
         [&](const catalog::endpoint_record& record) {
           // Draining endpoints do not come back, and backoffs have their own
           // refusal.
-          if (record.service == request.service &&
+          if (record.service == request->service &&
               !notices.IsDraining(record) &&
               notices.BackoffLeft(record, now).count() == 0) {
-            ++unplaced.returning_endpoints;
+            ++state.returning_endpoints;
           }
         });
-    for (const auto& [number, other] : requests) {
-      if (other->awaits_endpoint) ++unplaced.waiting;
-    }
-    if (!MayAwaitEndpoint(unplaced)) return false;
-    if (!std::exchange(request.awaits_endpoint, true)) {
+    if (!MayAwaitEndpoint(state)) return false;
+    if (unplaced.emplace(request->number, request).second) {
       metrics.Count("gateway_endpoint_waits_total");
     }
-    request.state = phase::waiting;
+    request->state = phase::waiting;
     return true;
   }
 
   void PlaceWaiting(core::time_point now) {
-    if (!std::exchange(endpoints_changed, false) &&
-        now - waiting_placed_at < kPlacementPeriod) {
-      return;
-    }
+    const bool is_due = std::exchange(endpoints_changed, false) ||
+                        now - waiting_placed_at >= kPlacementPeriod;
+    if (unplaced.empty() || !is_due) return;
     waiting_placed_at = now;
     std::vector<request_pointer> waiting;
-    for (const auto& [number, request] : requests) {
-      if (request->awaits_endpoint) waiting.push_back(request);
-    }
+    for (const auto& [number, request] : unplaced) waiting.push_back(request);
     for (const request_pointer& request : waiting) Dispatch(request);
   }
 
@@ -2194,6 +2187,7 @@
     ReleaseSlot(*request, overload::slot_result::unused);
     WithdrawStandby(*request);
     lost_runs.erase(request->lost_number);
+    unplaced.erase(request->number);
     DiscardBody(*request);
     requests.erase(request->number);
   }
@@ -2730,6 +2724,8 @@
   superseded_entries superseded;
   prompt_quarantine quarantine;
   core::time_point quarantine_checked_at;
+  /** Requests that wait until any engine can be used, by their number. */
+  std::map<std::uint64_t, request_pointer> unplaced;
   /** Requests that await a verdict, by the number of the lost grant. */
   std::map<std::uint64_t, request_pointer> lost_runs;
   /** State of the current link to each sidecar, by IP address. */
