Keep the text out of the errors of invalid JSON

Cause: the library's message repeats what it read last. A response of the store that is cut within the configuration put it into the log, with API keys of tenants in base64; an entry that cannot be read did the same with its text.

--- a/src/core/json_parser.h
+++ b/src/core/json_parser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 
 #include "core/error.h"
@@ -19,17 +20,30 @@
   return nlohmann::json::parse(text, nullptr, false);
 }
 
+/**
+ * Parses JSON of any depth.
+ * @throws invalid_value_error if the text is invalid. The message names the
+ *     position only: texts may contain keys of callers, and the library's
+ *     message repeats a part of the text.
+ */
+inline nlohmann::json ParseDeepJson(std::string_view text) {
+  try {
+    return nlohmann::json::parse(text);
+  } catch (const nlohmann::json::parse_error& failure) {
+    throw invalid_value_error("invalid JSON at byte " +
+                              std::to_string(failure.byte));
+  } catch (const nlohmann::json::exception&) {
+    throw invalid_value_error("JSON with a number out of range");
+  }
+}
+
 /** @throws invalid_value_error if the text is invalid or nested too deeply. */
 inline nlohmann::json ParseJson(std::string_view text) {
   if (!IsNestedWithin(text, kMaximumJsonDepth)) {
     throw invalid_value_error("JSON is nested more than " +
                               std::to_string(kMaximumJsonDepth) + " deep");
   }
-  try {
-    return nlohmann::json::parse(text);
-  } catch (const nlohmann::json::exception& failure) {
-    throw invalid_value_error(failure.what());
-  }
+  return ParseDeepJson(text);
 }
 
 }  // namespace comfreyspring::core
--- a/src/core/json_parser_test.cc
+++ b/src/core/json_parser_test.cc
@@ -23,6 +23,22 @@
   EXPECT_EQ(ParseJson("[1]")[0], 1);
 }
 
+// The message goes into logs, and a configuration contains API keys.
+TEST(json_parser_test, AnErrorDoesNotRepeatTheText) {
+  for (const char* text :
+       {R"({"ApiKeys":["secret)", R"({"a":secret})", "[\"secret\" 1]",
+        "{\"secret\"}", "[1, secret]"}) {
+    try {
+      ParseJson(text);
+      ADD_FAILURE() << text;
+    } catch (const invalid_value_error& failure) {
+      const std::string message = failure.what();
+      EXPECT_EQ(message.find("secret"), std::string::npos) << message;
+      EXPECT_NE(message.find("byte"), std::string::npos) << message;
+    }
+  }
+}
+
 TEST(json_parser_test, BracketsWithinTextsAreNoNesting) {
   EXPECT_TRUE(IsNestedWithin(R"(["[[[[\"[[[[\\"])", 1));
   EXPECT_FALSE(IsNestedWithin(R"(["\\",[[]]])", 2));
