--- a/src/core/json_parser_test.cc
+++ b/src/core/json_parser_test.cc
@@ -25,9 +25,8 @@
 
 // The message goes into logs, and a configuration contains API keys.
 TEST(json_parser_test, AnErrorDoesNotRepeatTheText) {
-  for (const char* text :
-       {R"({"ApiKeys":["secret)", R"({"a":secret})", "[\"secret\" 1]",
-        "{\"secret\"}", "[1, secret]"}) {
+  for (const char* text : {R"({"ApiKeys":["secret)", R"({"a":secret})",
+                           "[\"secret\" 1]", "{\"secret\"}", "[1, secret]"}) {
     try {
       ParseJson(text);
       ADD_FAILURE() << text;
