Log failed reads of the catalog and gaps in batches of others

Change: catalog_read_failed and catalog_gap, one line a second each, with the number of events since the last one; three metrics.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -86,7 +86,9 @@
       last_contact_(loop.Now()),
       outages_(options.outage_threshold),
       stale_logged_at_(loop.Now() - kAnswerLogPeriod),
-      defect_logged_at_(stale_logged_at_) {}
+      defect_logged_at_(stale_logged_at_),
+      failure_{.logged_at = stale_logged_at_},
+      gap_{.logged_at = stale_logged_at_} {}
 
 catalog_follower::~catalog_follower() {
   *alive_ = false;
@@ -118,7 +120,9 @@
   // Nothing is known of how an earlier era relates to the latest one.
   if (batch.era < latest_era_) return;
   // The changes in a gap before the batch have to be read by this process.
-  if (!complete_ || batch.After() > position_ || batch.Position() < position_) {
+  if (!complete_ || batch.Position() < position_) return;
+  if (batch.After() > position_) {
+    LogGap(batch);
     return;
   }
   const auto waited = backlog_.At(loop_.Now());
@@ -497,9 +501,43 @@
         .Add("reason", read.error)
         .Add("revision", position_.revision);
   }
+  LogFailure(call, read);
   RetryLater();
 }
 
+void catalog_follower::LogFailure(const char* call, const catalog_read& read) {
+  ++statistics_.failed_reads;
+  statistics_.discarded_bytes += read.received_bytes;
+  if (!IsDue(failure_, read.received_bytes)) return;
+  log_.SystemEvent("catalog_read_failed")
+      .Add("call", call)
+      .Add("reason", read.error)
+      .Add("revision", position_.revision)
+      .Add("reads", failure_.count)
+      .Add("bytes", failure_.bytes)
+      .Add("catalog_age_ms", Age().count());
+  failure_ = {.logged_at = loop_.Now()};
+}
+
+void catalog_follower::LogGap(const change_batch& batch) {
+  ++statistics_.batches_after_gap;
+  if (!IsDue(gap_, 0)) return;
+  log_.SystemEvent("catalog_gap")
+      .Add("known", position_.revision)
+      .Add("after", batch.after)
+      .Add("revision", batch.revision)
+      .Add("documents", batch.documents.size())
+      .Add("batches", gap_.count)
+      .Add("catalog_age_ms", Age().count());
+  gap_ = {.logged_at = loop_.Now()};
+}
+
+bool catalog_follower::IsDue(recurring_event& event, std::size_t bytes) {
+  ++event.count;
+  event.bytes += static_cast<std::int64_t>(bytes);
+  return loop_.Now() - event.logged_at >= kAnswerLogPeriod;
+}
+
 void catalog_follower::RetryLater() {
   // Jitter spreads the retries of all processes.
   const double spread = 0.5 + random_.NextUnit();
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -40,6 +40,15 @@
   std::uint64_t random_seed = 1;
 };
 
+/** What it costs a process to follow the catalog, since its start. */
+struct follower_statistics {
+  std::uint64_t failed_reads = 0;
+  /** Bytes of responses that were received in vain. */
+  std::uint64_t discarded_bytes = 0;
+  /** Batches of other processes that begin after the position of this one. */
+  std::uint64_t batches_after_gap = 0;
+};
+
 /** Receives changes of the catalog. */
 class follower_listener {
  public:
@@ -94,8 +103,17 @@
   bool IsComplete() const { return complete_; }
   /** Time since the last confirmation that the view is up to date. */
   core::milliseconds Age() const;
+  const follower_statistics& Statistics() const { return statistics_; }
 
  private:
+  /** Events that recur with each retry are logged once in a period. */
+  struct recurring_event {
+    core::time_point logged_at;
+    /** Events since then. */
+    std::int64_t count = 0;
+    std::int64_t bytes = 0;
+  };
+
   /** Where and when the changes of a read come from. */
   struct read_context {
     const char* origin;
@@ -114,6 +132,13 @@
   void OnAll(catalog_read read);
   void OnChanges(catalog_read read);
   void OnFailure(const char* call, const catalog_read& read);
+  void LogFailure(const char* call, const catalog_read& read);
+  void LogGap(const change_batch& batch);
+  /**
+   * Counts an event that recurs.
+   * @returns true if a line about the events since the last one is due.
+   */
+  bool IsDue(recurring_event& event, std::size_t bytes);
   /** A response that is older than what is known. */
   void OnStaleAnswer(const char* call, const catalog_read& read);
   /** @returns true if the era is later than all known ones. */
@@ -192,6 +217,9 @@
   /** When responses of the kind were last logged. */
   core::time_point stale_logged_at_;
   core::time_point defect_logged_at_;
+  recurring_event failure_;
+  recurring_event gap_;
+  follower_statistics statistics_;
   net::timer_id tick_timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -88,6 +89,8 @@
   std::string error;
   /** Era of the response, also of a failure; 0 if unknown. */
   std::int64_t era = 0;
+  /** Bytes of response bodies that were received, also by a failed read. */
+  std::size_t received_bytes = 0;
 
   catalog_position Position() const { return {era, revision}; }
 };
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -290,6 +290,13 @@
     if (exchange.Request().path == "/metrics") {
       forwarder.UpdateMetrics();
       metrics.SetGauge("log_lines_dropped", static_cast<double>(log.Dropped()));
+      const catalog::follower_statistics& catalog = follower.Statistics();
+      metrics.SetGauge("gateway_catalog_failed_reads_total",
+                       static_cast<double>(catalog.failed_reads));
+      metrics.SetGauge("gateway_catalog_discarded_bytes_total",
+                       static_cast<double>(catalog.discarded_bytes));
+      metrics.SetGauge("gateway_catalog_batches_after_gap_total",
+                       static_cast<double>(catalog.batches_after_gap));
       metrics.SetGauge("gateway_body_bytes",
                        static_cast<double>(caller_server.BodyBytes()));
       metrics.SetGauge("gateway_caller_connections",
