--- a/tests/process/tcp_relay.cc
+++ b/tests/process/tcp_relay.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 #include <utility>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr int kPollMs = 5;
+/** A turn that was delayed makes up for no more than this. */
+constexpr std::chrono::duration<double> kLongestRefill{0.05};
 
 sockaddr_in SocketAddress(const relay_address& address) {
   sockaddr_in result = {};
@@ -97,6 +100,11 @@
   delay_ = delay;
 }
 
+void tcp_relay::SetRate(std::size_t bytes_per_second) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  bytes_per_second_ = bytes_per_second;
+}
+
 void tcp_relay::Cut() {
   cut_ = true;
   SilenceOpenConnections();
@@ -186,20 +194,38 @@
 bool tcp_relay::Deliver(flow& direction) {
   while (!direction.held.empty() &&
          direction.held.front().due <= std::chrono::steady_clock::now()) {
-    const std::string& bytes = direction.held.front().bytes;
-    for (std::size_t sent = 0; sent < bytes.size();) {
+    std::string& bytes = direction.held.front().bytes;
+    const std::size_t allowed = bytes_per_second_ == 0
+                                    ? bytes.size()
+                                    : std::min(bytes.size(), allowance_);
+    for (std::size_t sent = 0; sent < allowed;) {
       const ssize_t step = ::send(direction.to, bytes.data() + sent,
-                                  bytes.size() - sent, MSG_NOSIGNAL);
+                                  allowed - sent, MSG_NOSIGNAL);
       if (step <= 0) return false;
       sent += static_cast<std::size_t>(step);
     }
+    if (bytes_per_second_ > 0) allowance_ -= allowed;
+    if (allowed < bytes.size()) {
+      bytes.erase(0, allowed);
+      return true;
+    }
     direction.held.pop_front();
   }
   return true;
 }
 
-bool tcp_relay::Serve(connection& open, bool client_ready,
-                      bool server_ready) const {
+void tcp_relay::Refill() {
+  const auto now = std::chrono::steady_clock::now();
+  const std::chrono::duration<double> passed =
+      now - std::exchange(refilled_at_, now);
+  const double refill =
+      std::min(passed, kLongestRefill).count() *
+      static_cast<double>(bytes_per_second_);
+  // What was not used in one turn is lost, so that there are no bursts.
+  allowance_ = static_cast<std::size_t>(refill);
+}
+
+bool tcp_relay::Serve(connection& open, bool client_ready, bool server_ready) {
   if (open.reset) return false;
   for (flow* direction : {&open.to_server, &open.to_client}) {
     const bool ready =
@@ -230,6 +256,7 @@
     }
     ::poll(waiting.data(), waiting.size(), kPollMs);
     const std::lock_guard<std::mutex> lock(mutex_);
+    Refill();
     std::vector<connection> kept;
     for (std::size_t i = 0; i < connections_.size(); ++i) {
       connection& open = connections_[i];
--- a/tests/process/tcp_relay.h
+++ b/tests/process/tcp_relay.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -46,6 +47,11 @@
   void ResetOpenConnections(double chance);
   /** Delays bytes received from now on, in both directions. */
   void SetDelay(std::chrono::milliseconds delay);
+  /**
+   * Limits the bytes that all connections carry in a second, in both directions
+   * together; 0 for no limit.
+   */
+  void SetRate(std::size_t bytes_per_second);
   /** Silences open connections for good; closes new ones until `Heal`. */
   void Cut();
   /**
@@ -88,9 +94,11 @@
   bool IsCut(int client) const;
   void Receive(flow& direction) const;
   /** Sends the bytes that are due. @returns false if sending failed. */
-  static bool Deliver(flow& direction);
+  bool Deliver(flow& direction);
   /** Forwards both directions. @returns false once it is to be closed. */
-  bool Serve(connection& open, bool client_ready, bool server_ready) const;
+  bool Serve(connection& open, bool client_ready, bool server_ready);
+  /** Adds to the allowance what the rate permits since the last call. */
+  void Refill();
   bool DrawWithProbability(double chance);
   /** Reads what clients send on silent connections, without forwarding it. */
   void Swallow(flow& to_server);
@@ -104,6 +112,10 @@
   std::atomic<bool> cut_silently_{false};
   std::function<bool(int port)> is_cut_;
   std::chrono::milliseconds delay_{0};
+  std::size_t bytes_per_second_ = 0;
+  /** Bytes that may be sent now, if there is a rate. */
+  std::size_t allowance_ = 0;
+  std::chrono::steady_clock::time_point refilled_at_;
   std::mt19937 random_{1};
   std::mutex mutex_;
   std::vector<connection> connections_;
