Do not cut off reads of the platform that make progress

Callers saw 404 for routes that had been acknowledged seconds before (CONFIG). Cause: the timeout of a read counted the transfer of its response. The changes of an outage take longer than that on a link of 10 Mbit/s, and each read began again at the same position.

--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -102,11 +102,16 @@
 
   virtual ~catalog_source() = default;
 
-  /** Reads the whole catalog. */
+  /**
+   * Reads the whole catalog.
+   * @param timeout time without a byte after which the call fails. Transfers
+   *     that make progress go on.
+   */
   virtual void ReadAll(core::milliseconds timeout, read_callback on_done) = 0;
   /**
    * Waits up to `wait` for changes after `revision`.
-   * @param timeout time after which the call fails, including the wait.
+   * @param timeout time without a byte after which the call fails, including
+   *     the wait. Transfers that make progress go on.
    */
   virtual void ReadChanges(std::int64_t revision, core::milliseconds wait,
                            core::milliseconds timeout,
