Read the catalog instead of a history that is longer

Cause: a gateway that was behind read every version of every value since its position. What that costs grows with the time away, and in a storm of changes faster than a link of 10 Mbit/s reads it. Change: changes of more than twice the size of the catalog, at least 256 KiB, are not read (the response ends at its headers if it names its length); the catalog is read instead. The cost of catching up depends on the state.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -50,6 +50,13 @@
  * era read everything, each at a random time.
  */
 constexpr int kEraReadPeriodsPerBound = 5;
+/**
+ * Changes of more than this many times the size of the whole catalog are not
+ * read: what they have led to is shorter than they are.
+ */
+constexpr std::size_t kChangesPerCatalog = 2;
+/** Changes up to this size are read however small the catalog is. */
+constexpr std::size_t kMinimumChangeBytes = 256 * 1024;
 /** Responses that recur with each retry are logged once in this time. */
 constexpr core::milliseconds kAnswerLogPeriod{1000};
 
@@ -267,11 +274,16 @@
   const std::uint64_t generation = ++generation_;
   // After an outage the first response must not be delayed by waiting.
   const auto wait = connected_ ? MaximumWait() : core::milliseconds(0);
-  source_.ReadChanges(position_.revision, wait, wait + ReadTimeout(),
-                      [this, generation, alive = alive_](catalog_read read) {
-                        if (!*alive || generation != generation_) return;
-                        OnChanges(std::move(read));
-                      });
+  source_.ReadChanges(
+      {.after_revision = position_.revision,
+       .wait = wait,
+       .timeout = wait + ReadTimeout(),
+       .maximum_bytes = std::max(kMinimumChangeBytes,
+                                 kChangesPerCatalog * catalog_bytes_)},
+      [this, generation, alive = alive_](catalog_read read) {
+        if (!*alive || generation != generation_) return;
+        OnChanges(std::move(read));
+      });
 }
 
 void catalog_follower::OnAll(catalog_read read) {
@@ -288,6 +300,7 @@
   const read_context context{"platform", read.Position(), last_contact_};
   OnEra(read.era);
   OnContact(read.Position());
+  catalog_bytes_ = read.received_bytes;
   const catalog_position before = std::exchange(position_, read.Position());
   const bool was_restored = complete_ && before.era < position_.era;
   complete_ = true;
@@ -359,6 +372,15 @@
 }
 
 void catalog_follower::OnChanges(catalog_read read) {
+  if (read.outcome == read_outcome::too_long) {
+    // This response does not list entries, so it must not count as contact.
+    log_.SystemEvent("platform_history_long")
+        .Add("revision", position_.revision)
+        .Add("catalog_bytes", catalog_bytes_)
+        .Add("catalog_age_ms", Age().count());
+    ReadAllAgain();
+    return;
+  }
   if (read.outcome != read_outcome::done &&
       read.outcome != read_outcome::history_lost) {
     OnFailure("read_changes", read);
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -67,8 +67,9 @@
  * Keeps the process's view of the catalog up to date.
  *
  * It reads the whole catalog first, then waits for changes or receives them
- * from other processes that read. If the platform's history is lost or the
- * platform was restored from a copy, it reads everything again. What it knows
+ * from other processes that read. If the platform's history is lost or is longer
+ * than the catalog, or the platform was restored from a copy, it reads everything
+ * again, so that the cost of catching up does not depend on the time away. What it knows
  * is ordered by era and revision; responses and batches of an earlier era than
  * the latest known one are ignored. The view remains in force while the
  * platform is unavailable, and a version of the configuration is never replaced
@@ -197,6 +198,8 @@
   /** Only a read of everything brings the view up to date. */
   bool needs_all_ = false;
   bool reading_all_ = false;
+  /** Size of the whole catalog when it was last read. */
+  std::size_t catalog_bytes_ = 0;
   /** Set once changes could be read since everything was read. */
   bool may_read_all_at_once_ = true;
   /** Responses to reads of an earlier generation are ignored. */
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -74,6 +74,8 @@
   done,
   /** The platform no longer has the history from the requested position on. */
   history_lost,
+  /** The changes exceed the size limit of the read; nothing was read. */
+  too_long,
   /** Rate limited; nothing was read. */
   throttled,
   /** No usable response. */
@@ -95,6 +97,20 @@
   catalog_position Position() const { return {era, revision}; }
 };
 
+/** Which changes to read, and what the read may cost. */
+struct change_query {
+  std::int64_t after_revision = 0;
+  /** Time for which the platform waits for changes if there are none. */
+  core::milliseconds wait{0};
+  /**
+   * Time without a byte after which the call fails, including the wait.
+   * Transfers that make progress go on.
+   */
+  core::milliseconds timeout{0};
+  /** Size of the response above which the outcome is `too_long`. */
+  std::size_t maximum_bytes = 0;
+};
+
 /** Reads the catalog from the platform. Only one call may be in flight. */
 class catalog_source {
  public:
@@ -108,13 +124,8 @@
    *     that make progress go on.
    */
   virtual void ReadAll(core::milliseconds timeout, read_callback on_done) = 0;
-  /**
-   * Waits up to `wait` for changes after `revision`.
-   * @param timeout time without a byte after which the call fails, including
-   *     the wait. Transfers that make progress go on.
-   */
-  virtual void ReadChanges(std::int64_t revision, core::milliseconds wait,
-                           core::milliseconds timeout,
+  /** Waits for changes. */
+  virtual void ReadChanges(const change_query& query,
                            read_callback on_done) = 0;
   /** Decodes a change read by another process. */
   virtual published_change Decode(const change_document& document) const = 0;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -44,7 +44,10 @@
    */
   std::size_t maximum_header_bytes = 16 * 1024;
   std::size_t maximum_headers = 128;
-  /** Limit for a buffered response body; not applied if `on_data` is set. */
+  /**
+   * Limit for a buffered response body; not applied if `on_data` is set. A
+   * response that announces more fails before its body is read.
+   */
   std::size_t maximum_body_bytes = 16 * 1024 * 1024;
 };
 
@@ -72,6 +75,8 @@
   http_failure failure = http_failure::none;
   /** Nothing listens at the peer's address; `failure` is `not_sent`. */
   bool connection_refused = false;
+  /** The body exceeds the limit of the call; `failure` is `broken`. */
+  bool body_too_large = false;
   /** Meaningful if `failure` is `none`. */
   body_end end = body_end::framed;
   /** 0 unless the headers arrived completely. */
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -228,6 +228,29 @@
   EXPECT_EQ(result_->failure, http_failure::broken);
 }
 
+// A thin link would be busy for seconds with a body that nobody keeps.
+TEST_F(http_client_test, ABodyThatIsAnnouncedAsTooLargeIsNotRead) {
+  Start({.url = Url(), .maximum_body_bytes = 1000});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::broken);
+  EXPECT_TRUE(result_->body_too_large);
+  EXPECT_TRUE(result_->body.empty());
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return peer->IsClosedByPeer(); }, kLimit));
+}
+
+TEST_F(http_client_test, TheLengthInAnAnswerToHeadIsNoBody) {
+  Start({.method = "HEAD", .url = Url(), .maximum_body_bytes = 1000});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(result_->failure, http_failure::none);
+}
+
 // An endless response, valid or not, must not hold the call and its connection
 // open or grow without bound.
 class endless_answer_test : public http_client_test,
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -235,6 +235,9 @@
     // Not for interim responses, and not again after trailers.
     const bool is_first = result_.status >= 200 && !headers_reported_;
     if (is_first) headers_reported_ = true;
+    if (is_first && !AcceptsBody(AnnouncedBytes())) {
+      throw net_error(abort_reason_);
+    }
     if (is_first && callbacks_.on_headers) {
       callbacks_.on_headers(result_.status, result_.headers);
     }
@@ -277,11 +280,7 @@
   }
   transfer.delivered_bytes_ += bytes;
   transfer.last_activity_ = transfer.loop_.Now();
-  if (!transfer.callbacks_.on_data && transfer.result_.body.size() + bytes >
-                                          transfer.call_.maximum_body_bytes) {
-    transfer.abort_reason_ = "the response body is too large";
-    return 0;
-  }
+  if (!transfer.AcceptsBody(transfer.result_.body.size() + bytes)) return 0;
   const bool taken = transfer.Guarded([&] {
     if (transfer.callbacks_.on_data) {
       transfer.callbacks_.on_data({data, bytes});
@@ -292,6 +291,20 @@
   return taken && !transfer.cancelled_ ? bytes : 0;
 }
 
+bool http_transfer::AcceptsBody(std::size_t bytes) {
+  if (callbacks_.on_data || bytes <= call_.maximum_body_bytes) return true;
+  result_.body_too_large = true;
+  abort_reason_ = "the response body is too large";
+  return false;
+}
+
+std::size_t http_transfer::AnnouncedBytes() const {
+  if (HasNoBody()) return 0;
+  curl_off_t length = 0;
+  curl_easy_getinfo(easy_.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  return length > 0 ? static_cast<std::size_t>(length) : 0;
+}
+
 std::optional<core::milliseconds> http_transfer::HoldFor(std::size_t bytes) {
   if (pieces_until_hold_ == 0) {
     pieces_until_hold_ = kPiecesBetweenHolds;
@@ -354,11 +367,13 @@
   loop_.Cancel(idle_timer_);
 }
 
+bool http_transfer::HasNoBody() const {
+  return call_.method == "HEAD" || result_.status == kNoContent ||
+         result_.status == kNotModified;
+}
+
 body_end http_transfer::BodyEnd() const {
-  const bool has_no_body = call_.method == "HEAD" ||
-                           result_.status == kNoContent ||
-                           result_.status == kNotModified;
-  if (has_no_body || result_.headers.count("content-length") > 0) {
+  if (HasNoBody() || result_.headers.count("content-length") > 0) {
     return body_end::framed;
   }
   const auto coding = result_.headers.find("transfer-encoding");
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -84,10 +84,16 @@
   void SetHeaders();
   void SetLimits();
   bool IsSafeToRepeat() const;
+  /** @returns false if the call must fail, since the body is too large. */
+  bool AcceptsBody(std::size_t bytes);
+  /** @returns 0 if the response does not name its length. */
+  std::size_t AnnouncedBytes() const;
   void ReadHeaderLine(std::string line);
   /** @returns for how long a piece of the body has to wait; nothing if it may
    * be read now. */
   std::optional<core::milliseconds> HoldFor(std::size_t bytes);
+  /** The response has no body, whatever its headers say. */
+  bool HasNoBody() const;
   body_end BodyEnd() const;
   /** Runs `step`. @returns false if it threw, so that the call must fail. */
   bool Guarded(const std::function<void()>& step) noexcept;
