Use catalog batches that arrive out of order

Callers saw 404 for new routes at gateways that could not read the platform, although other gateways had sent them the change (CONFIG). Cause: a batch that begins after the own position was ignored. A large batch takes longer than a small one after it, which comes by another relay, so gaps arose without any loss; each one stayed until the gateway read the platform. Change: known_history keeps the ranges after a gap, and their changes are in force at once, since each is a whole value that an older one does not replace. ABatchAfterAGapIsNotApplied asserted the opposite; the test in its place checks what it guarded against, that the changes in the gap are still read. Result: BatchesInAnyOrderLeaveNoGap and ChangesAfterAGapAreInForceAtOnce failed before; known_history_test compares with a model in 100 random orders.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -120,18 +120,15 @@
 }
 
 void catalog_follower::OnPeerRead(const change_batch& batch) {
-  if (complete_ && batch.era >= latest_era_ && batch.era > position_.era) {
+  if (complete_ && batch.era >= latest_era_ &&
+      batch.era > history_.Position().era) {
     OnLaterEra(batch);
     return;
   }
   // Nothing is known of how an earlier era relates to the latest one.
   if (batch.era < latest_era_) return;
-  // The changes in a gap before the batch have to be read by this process.
-  if (!complete_ || batch.Position() < position_) return;
-  if (batch.After() > position_) {
-    LogGap(batch);
-    return;
-  }
+  if (!complete_ || batch.Position() < history_.Position()) return;
+  if (batch.After() > history_.Position()) LogGap(batch);
   const auto waited = backlog_.At(loop_.Now());
   // The outage end of a delayed batch is inaccurate. The next batch repeats it.
   if (batch.last_outage && waited.count() == 0 &&
@@ -142,28 +139,31 @@
   }
   std::vector<published_change> changes;
   for (const change_document& document : batch.documents) {
-    if (document.revision > position_.revision) {
+    if (document.revision > history_.Position().revision) {
       changes.push_back(source_.Decode(document));
     }
   }
-  DetectMassRemoval(changes, position_);
+  DetectMassRemoval(changes, std::max(history_.Position(), batch.After()));
+  // Changes after a gap are in force at once: each is a whole value, and one
+  // that is older does not replace it when it is read later.
   std::vector<change_document> ignored;
   Apply(std::move(changes), {"gateway", batch.Position(), last_contact_},
         ignored);
-  position_ = batch.Position();
+  const auto confirmed_at = history_.OnRange(batch.after, batch.revision,
+                                             loop_.Now() - batch.age - waited);
+  if (!confirmed_at) return;
   needs_all_ = false;
-  const auto read_at = loop_.Now() - batch.age - waited;
-  schedule_.OnConfirmed(read_at);
-  last_contact_ = std::max(last_contact_, read_at);
+  schedule_.OnConfirmed(*confirmed_at);
+  last_contact_ = std::max(last_contact_, *confirmed_at);
 }
 
 void catalog_follower::OnLaterEra(const change_batch& batch) {
   if (OnEra(batch.era)) {
     log_.SystemEvent("platform_restored_elsewhere")
         .Add("era", batch.era)
-        .Add("era_before", position_.era)
+        .Add("era_before", history_.Position().era)
         .Add("revision", batch.revision)
-        .Add("revision_before", position_.revision);
+        .Add("revision_before", history_.Position().revision);
     const auto period = options_.change_bound / kEraReadPeriodsPerBound;
     const core::milliseconds delay(static_cast<std::int64_t>(
         random_.NextUnit() * static_cast<double>(period.count())));
@@ -275,11 +275,11 @@
   // After an outage the first response must not be delayed by waiting.
   const auto wait = connected_ ? MaximumWait() : core::milliseconds(0);
   source_.ReadChanges(
-      {.after_revision = position_.revision,
+      {.after_revision = history_.Position().revision,
        .wait = wait,
        .timeout = wait + ReadTimeout(),
-       .maximum_bytes = std::max(kMinimumChangeBytes,
-                                 kChangesPerCatalog * catalog_bytes_)},
+       .maximum_bytes =
+           std::max(kMinimumChangeBytes, kChangesPerCatalog * catalog_bytes_)},
       [this, generation, alive = alive_](catalog_read read) {
         if (!*alive || generation != generation_) return;
         OnChanges(std::move(read));
@@ -293,7 +293,8 @@
   }
   LogDefect("read_all", read);
   if (read.era == 0) read.era = latest_era_;
-  if (read.era < latest_era_ || (complete_ && read.Position() < position_)) {
+  if (read.era < latest_era_ ||
+      (complete_ && read.Position() < history_.Position())) {
     OnStaleAnswer("read_all", read);
     return;
   }
@@ -301,8 +302,9 @@
   OnEra(read.era);
   OnContact(read.Position());
   catalog_bytes_ = read.received_bytes;
-  const catalog_position before = std::exchange(position_, read.Position());
-  const bool was_restored = complete_ && before.era < position_.era;
+  const catalog_position before = history_.Position();
+  history_.OnAllRead(read.Position());
+  const bool was_restored = complete_ && before.era < history_.Position().era;
   complete_ = true;
   needs_all_ = false;
   std::vector<endpoint_table::listed_entry> entries;
@@ -316,7 +318,7 @@
     }
   }
   // Other processes may know a copy that is older than this read.
-  if (before.era < position_.era) {
+  if (before.era < history_.Position().era) {
     unrelayed_.clear();
     for (const auto& each : entries) unrelayed_.insert(each.record.instance);
   }
@@ -325,7 +327,7 @@
   if (was_restored) {
     OnRestored(before, entries, std::move(applied), context);
   } else {
-    Publish(endpoints_.OnSnapshot(entries, GraceFor(position_, context),
+    Publish(endpoints_.OnSnapshot(entries, GraceFor(read.Position(), context),
                                   loop_.Now()));
   }
   ReadChanges();
@@ -336,14 +338,15 @@
     const std::vector<endpoint_table::listed_entry>& entries,
     std::vector<change_document> applied, const read_context& read) {
   loop_.Cancel(std::exchange(era_timer_, 0));
-  if (outages_.OnRestored(position_, read.known_until, loop_.Now())) {
+  if (outages_.OnRestored(history_.Position(), read.known_until, loop_.Now())) {
     LogOutage("restored");
   }
-  endpoints_.OnRestored(position_);
-  removal_grace grace = GraceFor(position_, read);
+  endpoints_.OnRestored(history_.Position());
+  removal_grace grace = GraceFor(history_.Position(), read);
   // What the copy lacks was lost at the latest when the new era began.
-  grace.usable_until = UsableUntil(outages_.Last(), {position_.era, 0},
-                                   read.known_until, GraceLimits());
+  grace.usable_until =
+      UsableUntil(outages_.Last(), {history_.Position().era, 0},
+                  read.known_until, GraceLimits());
   const auto changes = endpoints_.OnSnapshot(entries, grace, loop_.Now());
   const auto lost =
       std::count_if(changes.begin(), changes.end(), [](const auto& change) {
@@ -356,16 +359,16 @@
       });
   log_.SystemEvent("platform_restored")
       .Add("era_before", before.era)
-      .Add("era", position_.era)
+      .Add("era", history_.Position().era)
       .Add("revision_before", before.revision)
-      .Add("revision", position_.revision)
+      .Add("revision", history_.Position().revision)
       .Add("entries", static_cast<std::int64_t>(entries.size()))
       .Add("entries_lost", static_cast<std::int64_t>(lost))
       .Add("entries_departed", static_cast<std::int64_t>(departed));
   Publish(changes);
-  change_batch batch{.after = position_.revision,
-                     .revision = position_.revision,
-                     .era = position_.era};
+  change_batch batch{.after = history_.Position().revision,
+                     .revision = history_.Position().revision,
+                     .era = history_.Position().era};
   batch.last_outage = OutageToReport();
   batch.documents = std::move(applied);
   listener_.OnLocalRead(batch);
@@ -375,7 +378,7 @@
   if (read.outcome == read_outcome::too_long) {
     // This response does not list entries, so it must not count as contact.
     log_.SystemEvent("platform_history_long")
-        .Add("revision", position_.revision)
+        .Add("revision", history_.Position().revision)
         .Add("catalog_bytes", catalog_bytes_)
         .Add("catalog_age_ms", Age().count());
     ReadAllAgain();
@@ -387,18 +390,19 @@
     return;
   }
   if (read.outcome == read_outcome::done) LogDefect("read_changes", read);
-  if (read.era == 0) read.era = position_.era;
+  if (read.era == 0) read.era = history_.Position().era;
   if (read.era < latest_era_) {
     OnStaleAnswer("read_changes", read);
     return;
   }
   // Changes of a later era follow another history than the view.
-  if (read.outcome == read_outcome::history_lost || read.era > position_.era) {
+  if (read.outcome == read_outcome::history_lost ||
+      read.era > history_.Position().era) {
     // This response does not list entries, so it must not count as contact.
     log_.SystemEvent("platform_history_lost")
-        .Add("era", position_.era)
+        .Add("era", history_.Position().era)
         .Add("era_now", read.era)
-        .Add("revision", position_.revision);
+        .Add("revision", history_.Position().revision);
     if (read.outcome == read_outcome::done) OnEra(read.era);
     ReadAllAgain();
     return;
@@ -409,14 +413,15 @@
   may_read_all_at_once_ = true;
   // Changes already received from another process are not applied again.
   std::erase_if(read.changes, [&](const published_change& change) {
-    return change.revision > 0 && change.revision <= position_.revision;
+    return change.revision > 0 &&
+           change.revision <= history_.Position().revision;
   });
   change_batch batch;
-  const catalog_position known_before = position_;
-  position_ = std::max(position_, read.Position());
+  const catalog_position known_before = history_.Position();
+  history_.OnRange(known_before.revision, read.revision, loop_.Now());
   batch.after = known_before.revision;
-  batch.revision = position_.revision;
-  batch.era = position_.era;
+  batch.revision = std::max(known_before.revision, read.revision);
+  batch.era = known_before.era;
   DetectMassRemoval(read.changes, known_before);
   for (published_change& change : read.changes) {
     const bool is_news = IsNewsToOthers(change);
@@ -456,7 +461,7 @@
         .Add("era", read.era)
         .Add("latest_era", latest_era_)
         .Add("revision", read.revision)
-        .Add("known", position_.revision);
+        .Add("known", history_.Position().revision);
   }
   // Changes received from another process have overtaken the read.
   if (read.era == latest_era_) needs_all_ = false;
@@ -473,7 +478,8 @@
 std::optional<reported_outage> catalog_follower::OutageToReport() const {
   const auto& last = outages_.Last();
   // The era of a report is that of its batch.
-  if (!last || last->position.era != position_.era) return std::nullopt;
+  if (!last || last->position.era != history_.Position().era)
+    return std::nullopt;
   return outages_.ToReport(kOutageReportPeriod, loop_.Now());
 }
 
@@ -521,7 +527,7 @@
     log_.Dependency("platform", "lost")
         .Add("call", call)
         .Add("reason", read.error)
-        .Add("revision", position_.revision);
+        .Add("revision", history_.Position().revision);
   }
   LogFailure(call, read);
   RetryLater();
@@ -534,7 +540,7 @@
   log_.SystemEvent("catalog_read_failed")
       .Add("call", call)
       .Add("reason", read.error)
-      .Add("revision", position_.revision)
+      .Add("revision", history_.Position().revision)
       .Add("reads", failure_.count)
       .Add("bytes", failure_.bytes)
       .Add("catalog_age_ms", Age().count());
@@ -545,7 +551,7 @@
   ++statistics_.batches_after_gap;
   if (!IsDue(gap_, 0)) return;
   log_.SystemEvent("catalog_gap")
-      .Add("known", position_.revision)
+      .Add("known", history_.Position().revision)
       .Add("after", batch.after)
       .Add("revision", batch.revision)
       .Add("documents", batch.documents.size())
@@ -712,8 +718,8 @@
           .Add("instance", change.record.instance.Value())
           .Add("service", change.record.service.Value())
           .Add("address", change.record.address.ToString())
-          .Add("era", position_.era)
-          .Add("revision", position_.revision)
+          .Add("era", history_.Position().era)
+          .Add("revision", history_.Position().revision)
           .Add("catalog_age_ms", Age().count());
       if (const auto& last = outages_.Last()) {
         line.Add("outage_ended_ms",
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -9,6 +9,7 @@
 #include "catalog/backlog_age.h"
 #include "catalog/catalog_source.h"
 #include "catalog/endpoint_table.h"
+#include "catalog/known_history.h"
 #include "catalog/outage_record.h"
 #include "catalog/read_schedule.h"
 #include "catalog/route_table.h"
@@ -67,13 +68,13 @@
  * Keeps the process's view of the catalog up to date.
  *
  * It reads the whole catalog first, then waits for changes or receives them
- * from other processes that read. If the platform's history is lost or is longer
- * than the catalog, or the platform was restored from a copy, it reads everything
- * again, so that the cost of catching up does not depend on the time away. What it knows
- * is ordered by era and revision; responses and batches of an earlier era than
- * the latest known one are ignored. The view remains in force while the
- * platform is unavailable, and a version of the configuration is never replaced
- * by a lower one.
+ * from other processes that read. If the platform's history is lost or is
+ * longer than the catalog, or the platform was restored from a copy, it reads
+ * everything again, so that the cost of catching up does not depend on the time
+ * away. What it knows is ordered by era and revision; responses and batches of
+ * an earlier era than the latest known one are ignored. The view remains in
+ * force while the platform is unavailable, and a version of the configuration
+ * is never replaced by a lower one.
  */
 class catalog_follower {
  public:
@@ -186,8 +187,7 @@
   endpoint_table endpoints_;
   adapter_versions versions_;
   bool complete_ = false;
-  /** Everything up to this position is known. */
-  catalog_position position_;
+  known_history history_;
   /**
    * Endpoints of the last full read of a new era whose next entry has not been
    * passed on yet.
