Do not take a link for silent while a large frame arrives

Cause: only whole frames counted as a sign of life. Change: received bytes count, for gateways and sidecars alike. Result: thin_sidecar_link_test.ALinkThatReceivesALargeFrameIsNotSilent failed before (closed after 601 ms) and passes (1.2 MB in 1,015 ms).

--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -138,7 +138,7 @@
 
 void sidecar_links::OnPaused() {
   // Restarts the timers: what arrived during the pause is still to be read.
-  for (auto& [ip, target] : peers_) target.last_received_at = loop_.Now();
+  for (auto& [ip, target] : peers_) target.received.Restart(loop_.Now());
 }
 
 void sidecar_links::Connect(const std::string& ip, peer& target) {
@@ -155,7 +155,7 @@
     peer* opened = current();
     if (opened == nullptr) return;
     opened->open = true;
-    opened->last_received_at = loop_.Now();
+    opened->received.Restart(loop_.Now());
     opened->silence_timeout = options_.silence_timeout;
     ChooseRelays();
     log_.Dependency("sidecar " + ip, "regained");
@@ -164,14 +164,15 @@
   callbacks.on_frame = [this, ip, current](std::string_view frame) {
     peer* sender = current();
     if (sender == nullptr) return;
-    sender->last_received_at = loop_.Now();
+    sender->received.Restart(loop_.Now());
     Receive(ip, frame);
   };
   callbacks.on_closed = [this, ip, current](const std::string& reason) {
     peer* closed = current();
     if (closed != nullptr) CloseLink(ip, *closed, reason);
   };
-  target.last_received_at = loop_.Now();
+  target.received = {};
+  target.received.Restart(loop_.Now());
   target.link =
       net::ConnectFrameLink(loop_, ip, options_.port,
                             {.handshake_timeout = options_.connect_timeout,
@@ -241,7 +242,8 @@
     if (found == peers_.end()) continue;
     peer& target = found->second;
     if (target.open) {
-      if (now - target.last_received_at > target.silence_timeout) {
+      target.received.OnTick(target.link->ReceivedBytes(), now);
+      if (now - target.received.ReceivedAt() > target.silence_timeout) {
         CloseLink(ip, target, "silent");
       } else if (now - target.hello_at >= hello_period) {
         SendHello(target);
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -16,6 +16,7 @@
 #include "grants/messages.h"
 #include "net/event_loop.h"
 #include "net/frame_link.h"
+#include "net/receive_watch.h"
 #include "telemetry/event_log.h"
 
 namespace comfreyspring::gateway {
@@ -110,7 +111,7 @@
     grants::engine_config config;
     std::shared_ptr<net::frame_link> link;
     bool open = false;
-    core::time_point last_received_at;
+    net::receive_watch received;
     core::time_point hello_at;
     core::time_point retry_at;
     /** Silence timeout, as derived from the announced status period. */
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -12,6 +12,7 @@
 #include "grants/messages.h"
 #include "net/frame_link.h"
 #include "net/http_server.h"
+#include "net/receive_watch.h"
 #include "sidecar/adapter_list_updates.h"
 #include "sidecar/catalog_relay.h"
 #include "sidecar/quota_counter.h"
@@ -59,7 +60,7 @@
     std::shared_ptr<net::frame_link> link;
     std::string gateway;
     adapter_list_updates adapters;
-    core::time_point last_seen;
+    net::receive_watch received;
     core::milliseconds timeout = kGatewayTimeout;
     core::time_point status_due;
     std::size_t reader_rank = 0;
@@ -107,7 +108,7 @@
       driver.OnPaused(length);
       relay.OnPaused(length, loop.Now());
       // Messages sent while the process was suspended are still to be read.
-      for (auto& [id, gateway] : links) gateway.last_seen = loop.Now();
+      for (auto& [id, gateway] : links) gateway.received.Restart(loop.Now());
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
@@ -140,8 +141,10 @@
   net::frame_link_callbacks Accept(
       const std::shared_ptr<net::frame_link>& link) {
     const std::uint64_t id = ++last_link;
-    links[id] = {
-        .link = link, .gateway = link->PeerName(), .last_seen = loop.Now()};
+    gateway_link& added = links[id];
+    added.link = link;
+    added.gateway = link->PeerName();
+    added.received.Restart(loop.Now());
     return {
         .on_open = [this, id] { SendStatus(links.at(id)); },
         .on_frame = [this, id](std::string_view frame) { Receive(id, frame); },
@@ -161,8 +164,10 @@
 
   void CloseTimedOutLinks() {
     std::vector<std::uint64_t> idle;
-    for (const auto& [id, gateway] : links) {
-      if (loop.Now() - gateway.last_seen > gateway.timeout) idle.push_back(id);
+    for (auto& [id, gateway] : links) {
+      gateway.received.OnTick(gateway.link->ReceivedBytes(), loop.Now());
+      const auto silence = loop.Now() - gateway.received.ReceivedAt();
+      if (silence > gateway.timeout) idle.push_back(id);
     }
     for (const std::uint64_t id : idle) {
       links.at(id).link->Close();
@@ -171,7 +176,7 @@
   }
 
   void Receive(std::uint64_t id, std::string_view frame) {
-    links.at(id).last_seen = loop.Now();
+    links.at(id).received.Restart(loop.Now());
     try {
       const grants::message value = grants::Decode(frame);
       if (const auto* hello = std::get_if<grants::gateway_hello>(&value)) {
--- a/tests/process/thin_link_test.cc
+++ b/tests/process/thin_link_test.cc
@@ -7,8 +7,11 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <variant>
 
 #include "catalog/catalog_follower.h"
+#include "gateway/sidecar_links.h"
+#include "net/frame_link.h"
 #include "net/http_client.h"
 #include "platform/store_client.h"
 #include "store_stand_in.h"
@@ -156,5 +159,54 @@
   EXPECT_FALSE(IsUsable("i-1"));
 }
 
+class ignoring_listener final : public gateway::sidecar_listener {
+ public:
+  void OnSidecarLost(const std::string& /*ip*/) override { ++lost; }
+  void OnSidecarMessage(const std::string& /*ip*/,
+                        const grants::message& value) override {
+    if (std::holds_alternative<grants::change_batch>(value)) ++batches;
+  }
+
+  int lost = 0;
+  int batches = 0;
+};
+
+// A configuration with many routes takes longer to arrive than the silence that
+// ends a link.
+TEST(thin_sidecar_link_test, ALinkThatReceivesALargeFrameIsNotSilent) {
+  const std::string relay_ip = "127.0.0.2";
+  net::event_loop loop;
+  telemetry::event_log log{"test",
+                           {},
+                           [] { return core::wall_time(); },
+                           [](std::string_view text) {
+                             return static_cast<std::int64_t>(text.size());
+                           }};
+  std::shared_ptr<net::frame_link> sidecar;
+  const net::frame_listener listener(
+      loop, "127.0.0.1", 0, {}, 1,
+      [&](const std::shared_ptr<net::frame_link>& link) {
+        sidecar = link;
+        return net::frame_link_callbacks{
+            .on_open = [] {},
+            .on_frame = [](std::string_view) {},
+            .on_closed = [](const std::string&) {}};
+      });
+  tcp_relay link({.ip = relay_ip}, {.port = listener.Port()});
+  ignoring_listener seen;
+  gateway::sidecar_links links(
+      loop, {.port = static_cast<std::uint16_t>(link.Port())}, seen, log);
+  links.AddOrUpdate(relay_ip, {});
+  ASSERT_TRUE(loop.RunUntil([&] { return links.OpenCount() == 1; },
+                            milliseconds(2000)));
+  link.SetRate(kLinkBytesPerSecond);
+  sidecar->Send(grants::Encode(grants::change_batch{
+      .documents = {{1, std::string(kLinkBytesPerSecond, 'x')}}}));
+  loop.RunUntil([&] { return seen.batches > 0 || seen.lost > 0; },
+                milliseconds(5000));
+  EXPECT_EQ(seen.lost, 0);
+  EXPECT_EQ(seen.batches, 1);
+}
+
 }  // namespace
 }  // namespace comfreyspring::process_test
