Log a fingerprint of requests under which engines end

Change: attempt_failed names a hash of path, caller, prompt and body beside the parts of the prompt.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -2047,9 +2047,9 @@
   static std::string PartsText(const active_request& request) {
     std::string text;
     for (const auto& part : request.metadata.shared_parts) {
-      text += (text.empty() ? "" : " ") + part.Value();
+      text += part.Value() + ' ';
     }
-    return text;
+    return text + request.metadata.fingerprint.Value();
   }
 
   void RestrictToUsed(active_request& request) {
--- a/src/gateway/traffic_protocol.h
+++ b/src/gateway/traffic_protocol.h
@@ -35,6 +35,8 @@
   std::string api_key;
   /** Parts of the prompt that other requests may share, from its beginning. */
   std::vector<core::prompt_part_id> shared_parts;
+  /** Same for all requests that ask for the same; empty if unknown. */
+  core::prompt_part_id fingerprint;
   /**
    * Id of the last event that the caller has received; empty for a new stream.
    */
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -15,3 +15,4 @@
 #include "quarantine/crash_evidence.h"
 #include "quarantine/crash_record.h"
 #include "quarantine/part_history.h"
+#include "quarantine/request_fingerprint.h"
