--- a/tests/process/prompt_quarantine_test.cc
+++ b/tests/process/prompt_quarantine_test.cc
@@ -184,6 +184,101 @@
   EXPECT_GE(SoundShare(FifthCrash() + 2 * kStableTime), 0.98);
 }
 
+/** Requests that crash engines, each of which comes again and again. */
+class repeated_request_test : public prompt_quarantine_test {
+ protected:
+  static constexpr int kRequests = 3;
+  static constexpr std::size_t kCrashesOfRequest = 3;
+
+  void Prepare(engine_stand_in& engine) override {
+    prompt_quarantine_test::Prepare(engine);
+    for (int i = 0; i < kRequests; ++i) engine.deadly_parts.insert(Own(i));
+    const auto count_run = engine.on_run;
+    engine.on_run = [this, count_run](const net::http_request& request) {
+      count_run(request);
+      const auto found = repeats_.find(request.headers.at("request-id"));
+      if (found != repeats_.end()) runs_[found->second].push_back(loop_.Now());
+    };
+    const auto restart = engine.on_crash;
+    engine.on_crash = [this, restart](const std::string& id) {
+      restart(id);
+      const auto found = repeats_.find(id);
+      if (found != repeats_.end()) {
+        crashes_of_[found->second].push_back(loop_.Now());
+      }
+    };
+  }
+  void TearDown() override {
+    loop_.Cancel(repeat_timer_);
+    prompt_quarantine_test::TearDown();
+  }
+
+  static std::string Own(int request) {
+    return "own-deadly" + std::to_string(request);
+  }
+  /** Parts that sound requests have too: of nearly all, or of some. */
+  static std::string SharedParts(int request) {
+    return request == 0 ? "first:100,"
+                        : "first:100,s" + std::to_string(request) + ":50,";
+  }
+  std::string SendAgain(int request, int gateway) {
+    const std::string id =
+        Send("stream", gateway,
+             {{"prompt-prefix", SharedParts(request) + Own(request) + ":60"}});
+    deadly_.insert(id);
+    repeats_[id] = request;
+    return id;
+  }
+  void StartRepeats() {
+    repeat_timer_ = loop_.SchedulePeriodic(kDeadlyPeriod, [this] {
+      const int turn = turns_++;
+      SendAgain(turn % kRequests, turn / kRequests % kGateways);
+    });
+  }
+  void StopRepeats() { loop_.Cancel(std::exchange(repeat_timer_, 0)); }
+  int RunsAfterBound(int request) {
+    const auto& crashes = crashes_of_[request];
+    if (crashes.size() < kCrashesOfRequest) return 0;
+    const auto since = crashes[kCrashesOfRequest - 1] + kStableTime;
+    const auto& runs = runs_[request];
+    return static_cast<int>(std::count_if(
+        runs.begin(), runs.end(), [&](time_point at) { return at > since; }));
+  }
+
+  int turns_ = 0;
+  std::map<std::string, int> repeats_;
+  std::map<int, std::vector<time_point>> runs_;
+  std::map<int, std::vector<time_point>> crashes_of_;
+  net::timer_id repeat_timer_ = 0;
+};
+
+// Guards against a request that ends engines whenever it comes again.
+TEST_F(repeated_request_test, ARequestThatCrashesEnginesIsKeptFromThem) {
+  StartSoundLoad();
+  Wait(milliseconds(2000));
+  StartRepeats();
+  Wait(milliseconds(13000));
+  const auto since = loop_.Now();
+  Wait(milliseconds(2000));
+  std::set<std::string> refused;
+  StopRepeats();
+  for (int gateway = 0; gateway < kGateways; ++gateway) {
+    refused.insert(SendAgain(0, gateway));
+  }
+  StopLoad();
+  for (int request = 0; request < kRequests; ++request) {
+    EXPECT_GE(crashes_of_[request].size(), 1U);
+    EXPECT_LE(RunsAfterBound(request), kAllowedAfter)
+        << "request " << request << ": " << crashes_of_[request].size()
+        << " crashes";
+  }
+  EXPECT_GE(SoundShare(since), 0.98);
+  for (const fleet_outcome& each : OutcomesOf(refused)) {
+    EXPECT_EQ(each.status, 503) << each.id;
+    EXPECT_GT(each.retry_after_s, 20.0) << each.id;
+  }
+}
+
 // Callers that can't be served must not wait, nor return at once.
 TEST_F(prompt_quarantine_test, RequestsWithAQuarantinedPartAreRefusedAtOnce) {
   QuarantineThePart();
