Let the soak repeat requests that crash engines

Cause: the soak's deadly prompts are never alike, so it could not show that a request which comes again ends one engine after the other. Change: family `repeats`: three requests come again beside the faults of `deadly`; each may run at most three times later than 3 s after its third crash.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -139,6 +139,7 @@
         (request.deadly ? std::string(fleet_under_test::kDeadlyPart) + ":30,"
                         : std::string()) +
         id + ":20";
+    if (request.deadly && repeats_) MakeRepeated(request, call);
   }
   call.total_timeout = request.deadline + kTimeoutMargin;
   call.may_resend = false;
@@ -156,6 +157,21 @@
   }
 }
 
+void callers::MakeRepeated(request_record& request, net::http_call& call) {
+  const int number = std::uniform_int_distribution<int>(
+      0, fleet_under_test::kRepeatedRequests - 1)(random_);
+  const std::string own = fleet_under_test::OwnPart(number);
+  request.repeated = number;
+  request.target = request.kind->path + "x%20y?q=" + own;
+  request.body = "body of " + own;
+  request.model = "m/a0";
+  call.target = request.target;
+  call.body = request.body;
+  call.headers["model"] = request.model;
+  call.headers["prompt-prefix"] =
+      "first:100,subject" + std::to_string(number) + ":50," + own + ":20";
+}
+
 void callers::CancelRequest(const std::string& id, net::http_call_id call) {
   if (promises_.IsAnswered(id)) return;
   http_.Cancel(call);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -32,6 +32,8 @@
   void DisableCancellation() { cancel_probability_ = 0; }
   /** Share of the streams whose prompts end engines. */
   void SetDeadlyShare(double share) { deadly_share_ = share; }
+  /** Streams that end engines are few requests that come again and again. */
+  void RepeatDeadlyRequests() { repeats_ = true; }
   /**
    * Calls a route of the newest configuration that must be in force, at each
    * gateway.
@@ -44,6 +46,8 @@
   void ScheduleNext();
   void Send(const request_kind& kind, bool is_retry,
             std::optional<int> gateway = std::nullopt);
+  /** Makes it one of the requests that come again. */
+  void MakeRepeated(request_record& request, net::http_call& call);
   void CancelRequest(const std::string& id, net::http_call_id call);
   void OnAnswer(const std::string& id, const request_kind& kind, bool is_retry,
                 const net::http_result& result);
@@ -59,6 +63,7 @@
   double rate_;
   double cancel_probability_;
   double deadly_share_ = 0;
+  bool repeats_ = false;
   std::size_t open_ = 0;
   std::int64_t last_id_ = 0;
   bool stopped_ = false;
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -14,6 +14,8 @@
 using process_test::store_mode;
 
 // With these gaps and durations, several faults are usually active at once.
+/** Pause between two configurations of a storm. */
+constexpr milliseconds kStormPeriod{400};
 constexpr int kShortestGapMs = 150;
 constexpr int kLongestGapMs = 1200;
 constexpr int kShortestFaultMs = 200;
@@ -60,6 +62,10 @@
     return family < fault_family::leaving || family == drawn_from;
   }
   if (drawn_from == fault_family::silences) return family == drawn_from;
+  if (drawn_from == fault_family::thin) {
+    return family == drawn_from || family == fault_family::links ||
+           family == fault_family::store;
+  }
   if (family == fault_family::processes || family == fault_family::links) {
     return drawn_from >= fault_family::limits || family == drawn_from;
   }
@@ -128,6 +134,9 @@
       {"silent_idle_limit", fault_family::silences, &f::ChangeIdleLimit},
       {"silent_goals", fault_family::silences, &f::ChangeGoals},
       {"restore_drain", fault_family::restores, &f::DrainEndpoint},
+      {"storm", fault_family::thin, &f::StormOfConfigurations},
+      {"storm_again", fault_family::thin, &f::StormOfConfigurations},
+      {"thin_drain", fault_family::thin, &f::DrainEndpoint},
   };
   return kFaults;
 }
@@ -424,6 +433,11 @@
 void fault_schedule::Reconfigure(milliseconds /*length*/) {
   Publish(configuration_change::none);
 }
+void fault_schedule::StormOfConfigurations(milliseconds length) {
+  const auto period = std::make_shared<net::timer_id>(loop_.SchedulePeriodic(
+      kStormPeriod, [this] { Publish(configuration_change::none); }));
+  HealAfter(length, [this, period] { loop_.Cancel(*period); });
+}
 void fault_schedule::Publish(configuration_change change) {
   RecordCrossing(crossing::configuration_changed, std::nullopt,
                  kConfigurationBound);
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -19,7 +19,10 @@
  * `limits` also draws faults of processes and links, `streams` those of
  * endpoints besides, and `deadly` those of `streams`, beside prompts that end
  * engines. `restores` also draws those of `all`; `silences` draws nothing that
- * explains a request without an answer.
+ * explains a request without an answer. `repeats` draws what `deadly` does,
+ * beside requests that end engines whenever they come again. `thin` draws
+ * faults of links and the store and storms of configurations, before store
+ * links with little bandwidth.
  */
 enum class fault_family {
   all,
@@ -34,6 +37,8 @@
   deadly,
   restores,
   silences,
+  repeats,
+  thin,
 };
 
 /**
@@ -95,6 +100,8 @@
   void Reconfigure(core::milliseconds length);
   /** The store is away, and comes back from an older copy. */
   void StoreRestored(core::milliseconds length);
+  /** The operator changes the configuration several times a second. */
+  void StormOfConfigurations(core::milliseconds length);
   void SetStoreMode(process_test::store_mode mode, core::milliseconds length);
 
   // Endpoints.
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -26,7 +26,7 @@
 DEFINE_string(
     faults, "all",
     "all, processes, links, store, endpoints, clocks, leaving, limits, "
-    "streams, deadly, restores or silences");
+    "streams, deadly, restores, silences, repeats or thin");
 DEFINE_string(directory, "",
               "directory for logs; they are kept if the run fails");
 
@@ -57,9 +57,14 @@
     {"streams", fault_family::streams},
     {"deadly", fault_family::deadly},
     {"restores", fault_family::restores},
-    {"silences", fault_family::silences}};
+    {"silences", fault_family::silences},
+    {"repeats", fault_family::repeats},
+    {"thin", fault_family::thin}};
 
-/** Share of streams with a deadly prompt, in the family `deadly`. */
+/** In the family `thin`: 10 Mbit/s, and a configuration of some 200 kB. */
+constexpr std::size_t kThinLinkBytesPerSecond = 1'250'000;
+constexpr int kUnusedRoutes = 900;
+/** Share of streams that end engines, in `deadly` and `repeats`. */
 constexpr double kDeadlyShare = 0.08;
 
 void Wait(net::event_loop& loop, milliseconds length) {
@@ -67,24 +72,31 @@
 }
 
 int Run(const std::filesystem::path& directory) {
+  const bool is_thin = FLAGS_faults == "thin";
   const bool probes_configuration =
-      kFamilies.at(FLAGS_faults) >= fault_family::restores;
+      FLAGS_faults == "restores" || FLAGS_faults == "silences" || is_thin;
   net::event_loop loop;
   promise_record promises(fleet_under_test::kEvents);
-  fleet_under_test fleet(loop, promises,
-                         {.binary_directory = COMFREYSPRING_BINARY_DIRECTORY,
-                          .clock_library = COMFREYSPRING_CLOCK_LIBRARY,
-                          .log_directory = directory,
-                          .gateways = FLAGS_gateways,
-                          .engines = FLAGS_engines,
-                          .plain_endpoints = FLAGS_plain,
-                          .adds_routes = probes_configuration});
+  fleet_under_test fleet(
+      loop, promises,
+      {.binary_directory = COMFREYSPRING_BINARY_DIRECTORY,
+       .clock_library = COMFREYSPRING_CLOCK_LIBRARY,
+       .log_directory = directory,
+       .gateways = FLAGS_gateways,
+       .engines = FLAGS_engines,
+       .plain_endpoints = FLAGS_plain,
+       .adds_routes = probes_configuration,
+       .unused_routes = is_thin ? kUnusedRoutes : 0,
+       .store_bytes_per_second = is_thin ? kThinLinkBytesPerSecond : 0});
   callers load(loop, fleet, promises, FLAGS_seed, FLAGS_rate);
   fault_schedule faults(loop, fleet, promises, FLAGS_seed,
                         kFamilies.at(FLAGS_faults));
   const net::timer_id checks = loop.SchedulePeriodic(
       kProcessCheckInterval, [&fleet] { fleet.CheckProcesses(); });
-  if (FLAGS_faults == "deadly") load.SetDeadlyShare(kDeadlyShare);
+  if (FLAGS_faults == "repeats") load.RepeatDeadlyRequests();
+  if (FLAGS_faults == "deadly" || FLAGS_faults == "repeats") {
+    load.SetDeadlyShare(kDeadlyShare);
+  }
   Wait(loop, kWarmUp);
   load.Start();
   if (probes_configuration) load.StartProbes();
--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -64,6 +64,7 @@
   store_relays_.push_back(std::make_unique<tcp_relay>(
       process_test::relay_address{relay, fleet_layout::kStorePort},
       process_test::relay_address{layout_.Store(), fleet_layout::kStorePort}));
+  store_relays_.back()->SetRate(options_.store_bytes_per_second);
   caller_relays_.push_back(std::make_unique<tcp_relay>(
       process_test::relay_address{relay, fleet_layout::kCallerPort},
       process_test::relay_address{layout_.Gateway(index),
@@ -109,8 +110,11 @@
     promises_.LimitNamed(id, engine.Instance(), loop_.Now());
   };
   engine.deadly_parts = {kDeadlyPart};
-  engine.on_crash = [this, index](const std::string& /*id*/) {
-    OnCrash(static_cast<std::size_t>(index));
+  for (int i = 0; i < kRepeatedRequests; ++i) {
+    engine.deadly_parts.insert(OwnPart(i));
+  }
+  engine.on_crash = [this, index](const std::string& id) {
+    OnCrash(static_cast<std::size_t>(index), id);
   };
   engine.on_violation = [this, index](const std::string& what) {
     promises_.Violation("endpoint " + std::to_string(index) + ' ' + what);
@@ -119,8 +123,8 @@
   Restart(static_cast<std::size_t>(index));
 }
 
-void fleet_under_test::OnCrash(std::size_t endpoint) {
-  promises_.EngineCrashed(loop_.Now());
+void fleet_under_test::OnCrash(std::size_t endpoint, const std::string& id) {
+  promises_.EngineCrashed(id, loop_.Now());
   promises_.EndpointsDisturbed(loop_.Now() + kCrashedTime);
   loop_.Schedule(kCrashedTime, [this, endpoint] {
     // Another fault may have restarted it.
@@ -186,6 +190,10 @@
   for (const auto& [version, kind] : added_kinds_) {
     if (version > version_ - kVersionsWithRoutes) add(kind, kind.path);
   }
+  for (int i = 0; i < options_.unused_routes; ++i) {
+    const std::string name = "unused" + std::to_string(i);
+    add({name, '/' + name + '/', kDesk, false, true, 0}, '/' + name + '/');
+  }
   store_->Put("op/config",
               {{"Version", version_},
                {"Routes", routes},
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -30,6 +30,10 @@
   int plain_endpoints = 2;
   /** Each version of the configuration has a route of its own. */
   bool adds_routes = false;
+  /** Routes that nobody calls, for a configuration of some size. */
+  int unused_routes = 0;
+  /** Of the link between each gateway and the store; 0 for no limit. */
+  std::size_t store_bytes_per_second = 0;
 };
 
 /** What a new configuration changes, besides the routes that it adds. */
@@ -70,6 +74,12 @@
  public:
   /** Part of a prompt that ends the engines. */
   static constexpr const char* kDeadlyPart = "deadly";
+  /** Requests that end the engines whenever they come again. */
+  static constexpr int kRepeatedRequests = 3;
+  /** The last part of the prompt of such a request. */
+  static std::string OwnPart(int request) {
+    return "repeated" + std::to_string(request);
+  }
   /** Number of events in each stream. */
   static constexpr int kEvents = 12;
 
@@ -131,7 +141,7 @@
   void AddGateway(int index);
   void AddEndpoint(int index, const std::string& service, bool generates);
   /** A request has ended the engine; it comes back after some time. */
-  void OnCrash(std::size_t endpoint);
+  void OnCrash(std::size_t endpoint, const std::string& id);
   void PutConfiguration();
   void ExpireEntries();
   nlohmann::json Settings(const program_slot& slot) const;
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -25,6 +25,8 @@
 constexpr int kMaxRunsAfterCancellation = 3;
 /** Crashes after which deadly prompts must be known. */
 constexpr std::size_t kCrashesBeforeBound = 5;
+/** Crashes after which a request that comes again must be known. */
+constexpr std::size_t kCrashesOfRequest = 3;
 
 bool GuaranteesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -134,9 +136,11 @@
   ++request.runs;
   if (request.deadly) {
     const auto interrupted = interrupted_.find(request.gateway);
-    deadly_runs_.emplace_back(now,
-                              interrupted == interrupted_.end() ||
-                                  interrupted->second + kFaultFreeTime < now);
+    const bool is_undisturbed = interrupted == interrupted_.end() ||
+                                interrupted->second + kFaultFreeTime < now;
+    auto& runs =
+        request.repeated ? repeated_runs_[*request.repeated] : deadly_runs_;
+    runs.emplace_back(now, is_undisturbed);
   }
   runs_[service].emplace_back(now, request.runs > 1);
   if (std::find(request.instances.begin(), request.instances.end(), instance) ==
@@ -367,18 +371,35 @@
   CheckDeadlyRequests();
 }
 
+void promise_record::EngineCrashed(const std::string& id,
+                                   core::time_point now) {
+  const auto& repeated = requests_.at(id).repeated;
+  (repeated ? repeated_crashes_[*repeated] : crashes_).push_back(now);
+}
+
 void promise_record::CheckDeadlyRequests() {
-  if (crashes_.size() < kCrashesBeforeBound) return;
-  const auto bound = crashes_[kCrashesBeforeBound - 1] + kFaultFreeTime;
+  CheckRunsAfter(deadly_runs_, crashes_, kCrashesBeforeBound,
+                 "requests with a deadly prompt");
+  for (const auto& [request, crashes] : repeated_crashes_) {
+    CheckRunsAfter(repeated_runs_[request], crashes, kCrashesOfRequest,
+                   "repeats of request " + std::to_string(request));
+  }
+}
+
+void promise_record::CheckRunsAfter(
+    const deadly_runs& runs, const std::vector<core::time_point>& crashes,
+    std::size_t crashes_before, const std::string& what) {
+  if (crashes.size() < crashes_before) return;
+  const auto bound = crashes[crashes_before - 1] + kFaultFreeTime;
   const auto after = std::count_if(
-      deadly_runs_.begin(), deadly_runs_.end(),
+      runs.begin(), runs.end(),
       [&](const auto& run) { return run.first > bound && run.second; });
   if (after > kDeadlyRequestsAllowed) {
-    Violation(std::to_string(after) +
-              " requests with a deadly prompt reached engines later than " +
-              std::to_string(kFaultFreeTime.count()) +
-              " ms after the fifth of " + std::to_string(crashes_.size()) +
-              " crashes");
+    Violation(std::to_string(after) + ' ' + what +
+              " reached engines later than " +
+              std::to_string(kFaultFreeTime.count()) + " ms after crash " +
+              std::to_string(crashes_before) + " of " +
+              std::to_string(crashes.size()));
   }
 }
 
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -76,6 +76,8 @@
   core::milliseconds deadline{0};
   /** Its prompt ends the engines that begin to answer it. */
   bool deadly = false;
+  /** Which of the requests that end engines whenever they come again it is. */
+  std::optional<int> repeated;
   std::optional<core::time_point> cancelled_at;
   std::optional<core::time_point> answered_at;
   int status = 0;
@@ -133,7 +135,8 @@
   void LimitNamed(const std::string& id, const std::string& instance,
                   core::time_point now);
   /** A request has ended its engine. */
-  void EngineCrashed(core::time_point now) { crashes_.push_back(now); }
+  /** The request has ended the engine that ran it. */
+  void EngineCrashed(const std::string& id, core::time_point now);
   /** A request has arrived at an endpoint, whether or not it runs there. */
   void Arrived(const std::string& id, const std::string& instance,
                core::time_point now);
@@ -169,6 +172,8 @@
   double ServedShare(core::time_point since) const;
 
  private:
+  using deadly_runs = std::vector<std::pair<core::time_point, bool>>;
+
   void CheckAnswer(const std::string& id, const request_record& request,
                    const net::http_result& result);
   /** True if no fault affected the gateway from shortly before `since` on. */
@@ -176,6 +181,10 @@
   void CheckRetryBudget();
   void CheckRequestLimits(core::time_point now);
   void CheckDeadlyRequests();
+  /** Few runs may follow, some time after that many crashes. */
+  void CheckRunsAfter(const deadly_runs& runs,
+                      const std::vector<core::time_point>& crashes,
+                      std::size_t crashes_before, const std::string& what);
   bool MustBeInForce(std::int64_t version, const request_record& request) const;
   /** The gravest thing that crossed the request; nullopt for none. */
   std::optional<crossing> CrossingOf(const request_record& request) const;
@@ -197,7 +206,10 @@
   std::map<int, core::time_point> interrupted_;
   std::vector<core::time_point> crashes_;
   /** Runs of deadly requests, and whether their gateway was undisturbed. */
-  std::vector<std::pair<core::time_point, bool>> deadly_runs_;
+  deadly_runs deadly_runs_;
+  /** The same for each of the requests that come again. */
+  std::map<int, std::vector<core::time_point>> repeated_crashes_;
+  std::map<int, deadly_runs> repeated_runs_;
   std::optional<process_test::arrival_record::span> worst_span_;
   /** Requests that were answered after their deadline. */
   std::vector<std::string> late_;
