Keep requests that crash plain endpoints from them when they come again

Cause: only sidecars recorded crashes, and plain endpoints have none. Change: a gateway that loses a connection before any part of the response tries the port; if nothing listens there, it records the requests that it lost with the endpoint. Records of several gateways are merged. A refused plain request gets the same answer as others; running ones are left alone, as they may have run.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -75,9 +75,30 @@
                       });
 }
 
+prompt_quarantine::part_counts prompt_quarantine::CountParts() const {
+  const auto parts = evidence_.Parts();
+  part_counts counts;
+  for (const quarantine::part_change& each : parts) {
+    ++(each.after == part_state::quarantined ? counts.quarantined
+                                             : counts.suspected);
+  }
+  return counts;
+}
+
+std::string ToText(const prompt_quarantine::part_list& parts) {
+  std::string text;
+  for (const core::prompt_part_id& part : parts) {
+    text += (text.empty() ? "" : " ") + part.Value();
+  }
+  return text;
+}
+
 prompt_quarantine::part_list SuspectsOf(const request_metadata& metadata) {
   prompt_quarantine::part_list suspects = metadata.shared_parts;
-  if (!metadata.fingerprint.empty()) suspects.push_back(metadata.fingerprint);
+  suspects.push_back(
+      !metadata.fingerprint.empty()
+          ? metadata.fingerprint
+          : quarantine::RequestFingerprint({metadata.id.Value()}));
   return suspects;
 }
 
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/ids.h"
@@ -73,6 +75,11 @@
               const std::vector<quarantine::suspected_part>& blamed,
               bool is_isolated, core::time_point now) const;
   const quarantine::crash_evidence& Evidence() const { return evidence_; }
+  struct part_counts {
+    std::size_t quarantined = 0;
+    std::size_t suspected = 0;
+  };
+  part_counts CountParts() const;
   std::vector<quarantine::part_change> TakeChanges() {
     return evidence_.TakeChanges();
   }
@@ -82,7 +89,10 @@
   quarantine::part_history history_;
 };
 
-/** What may be to blame if an engine ends under the request. */
+/** For logs. */
+std::string ToText(const prompt_quarantine::part_list& parts);
+
+/** What may be to blame if an engine ends under the request; never empty. */
 prompt_quarantine::part_list SuspectsOf(const request_metadata& metadata);
 
 }  // namespace comfreyspring::gateway
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -17,6 +17,7 @@
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_view.h"
 #include "gateway/endpoint_wait.h"
+#include "gateway/plain_crash_watch.h"
 #include "gateway/prompt_quarantine.h"
 #include "gateway/retry_budget.h"
 #include "gateway/retry_policy.h"
@@ -24,6 +25,7 @@
 #include "gateway/slot_client.h"
 #include "gateway/superseded_entries.h"
 #include "limits/token_bucket.h"
+#include "net/port_probe.h"
 #include "stream/event_splitter.h"
 
 namespace comfreyspring::gateway {
@@ -561,25 +563,21 @@
    * @returns false if it was refused.
    */
   bool Admit(const request_pointer& request) {
-    if (!NeedsEngine(*request)) return true;
-    const auto& parts = request->suspects;
-    const auto judgement = quarantine.Judge(parts, loop.Now());
+    const auto& suspects = request->suspects;
+    const auto judgement = quarantine.Judge(suspects, loop.Now());
     switch (judgement.admission) {
       case prompt_admission::refused:
         RefusePrompt(request, judgement);
         return false;
       case prompt_admission::isolated:
-        request->isolation = judgement.part;
+        // Plain endpoints cannot be asked to run a request apart.
+        if (NeedsEngine(*request)) request->isolation = judgement.part;
         return true;
       case prompt_admission::any:
         break;
     }
     request->isolation.reset();
-    if (request->engines_ended > 0) {
-      request->isolation =
-          parts.empty() ? core::prompt_part_id(request->metadata.id.Value())
-                        : parts.back();
-    }
+    if (request->engines_ended > 0) request->isolation = suspects.back();
     return true;
   }
 
@@ -604,6 +602,22 @@
         request.grant_number != 0 && request.grant_is_isolated, loop.Now());
   }
 
+  /** For an endpoint without a sidecar, which nobody else watches. */
+  void CheckPlainEndpoint(const active_request& request) {
+    const endpoint_view* view = ViewOf(request);
+    if (view == nullptr || view->has_sidecar) return;
+    const catalog::endpoint_record record = view->record;
+    if (!plain_crashes.OnLost(record, request.blamed_parts, loop.Now())) return;
+    metrics.Count("gateway_plain_endpoint_probes_total");
+    port_probes.Start(record.address.ip, record.address.port, kConnectTimeout,
+                      [this, record](net::probe_outcome outcome) {
+                        auto ended = plain_crashes.OnProbed(
+                            record, outcome == net::probe_outcome::refused,
+                            loop.Now());
+                        if (ended) OnCrashNotice({std::move(*ended)});
+                      });
+  }
+
   /** Waits until the sidecar knows whether the engine has ended. */
   void AwaitVerdict(const request_pointer& request, std::uint64_t number) {
     request->state = phase::awaiting_verdict;
@@ -647,9 +661,7 @@
 
   void NoteAnswerWentOn(active_request& request) {
     if (std::exchange(request.answer_went_on, true)) return;
-    const auto& parts = request.suspects;
-    if (parts.empty()) return;
-    for (auto& record : quarantine.OnAnswered(parts, loop.Now())) {
+    for (auto& record : quarantine.OnAnswered(request.suspects, loop.Now())) {
       links->SendToRelays(grants::crash_notice{std::move(record)});
     }
     LogPartChanges("answer");
@@ -687,12 +699,13 @@
     const auto now = loop.Now();
     std::vector<request_pointer> affected;
     for (const auto& [number, request] : requests) {
+      // A plain endpoint may be about to answer.
       const bool began =
           request->state == phase::sent &&
-          request->events.Count() > request->events_before_attempt;
-      if (!began && NeedsEngine(*request) &&
-          quarantine.Judge(request->suspects, now).admission ==
-              prompt_admission::refused) {
+          (!NeedsEngine(*request) ||
+           request->events.Count() > request->events_before_attempt);
+      if (!began && quarantine.Judge(request->suspects, now).admission ==
+                        prompt_admission::refused) {
         affected.push_back(request);
       }
     }
@@ -1435,6 +1448,9 @@
       return;
     }
     if (!std::exchange(request->has_permit, false)) request->permit_number = 0;
+    if (request->grant_number == 0) {
+      request->blamed_parts = quarantine.BlamedParts(request->suspects, now);
+    }
     request->state = phase::sent;
     request->sent_at = now;
     request->last_progress = now;
@@ -1973,6 +1989,7 @@
     }
     const bool is_lost = ended_early && !request->answer_went_on;
     const std::uint64_t lost_number = is_lost ? request->grant_number : 0;
+    if (is_lost && request->status == 0) CheckPlainEndpoint(*request);
     ReleaseGrant(*request, missing, is_lost);
     ReleaseSlot(*request, SlotResultOf(failure, request->status));
     if (failure == attempt_failure::not_sent) {
@@ -2009,7 +2026,7 @@
         .Add("after_ms", core::ToMilliseconds(now - request->sent_at).count())
         .Add("events_passed", request->events_sent)
         .Add("unfinished_event_bytes", request->events.Rest().size())
-        .Add("prompt_parts", PartsText(*request))
+        .Add("prompt_parts", ToText(request->suspects))
         .Add("repeats", decision != retry_decision::give_up);
     if (decision == retry_decision::give_up) {
       GiveUp(request, ToString(failure));
@@ -2034,14 +2051,6 @@
     }
   }
 
-  static std::string PartsText(const active_request& request) {
-    std::string text;
-    for (const auto& part : request.suspects) {
-      text += (text.empty() ? "" : " ") + part.Value();
-    }
-    return text;
-  }
-
   void RestrictToUsed(active_request& request) {
     request.restricted = true;
     request.excluded.clear();
@@ -2713,6 +2722,8 @@
   endpoint_notices notices;
   superseded_entries superseded;
   prompt_quarantine quarantine;
+  plain_crash_watch plain_crashes;
+  net::port_probe port_probes{loop};
   core::time_point quarantine_checked_at;
   /** Requests that wait until any engine can be used, by their number. */
   std::map<std::uint64_t, request_pointer> unplaced;
@@ -2819,16 +2830,11 @@
           impl_->views.begin(), impl_->views.end(), [this](const auto& entry) {
             return impl_->notices.LimitOf(entry.second.record).has_value();
           })));
-  const auto parts = impl_->quarantine.Evidence().Parts();
-  const auto quarantined =
-      std::count_if(parts.begin(), parts.end(), [](const auto& part) {
-        return part.after == quarantine::part_state::quarantined;
-      });
+  const auto [quarantined, suspected] = impl_->quarantine.CountParts();
   impl_->metrics.SetGauge("gateway_quarantined_prompt_parts",
                           static_cast<double>(quarantined));
-  impl_->metrics.SetGauge(
-      "gateway_suspected_prompt_parts",
-      static_cast<double>(parts.size()) - static_cast<double>(quarantined));
+  impl_->metrics.SetGauge("gateway_suspected_prompt_parts",
+                          static_cast<double>(suspected));
   impl_->metrics.SetGauge("gateway_slots_waiting",
                           static_cast<double>(impl_->slots.Waiting()));
   impl_->metrics.SetGauge("gateway_slots_in_use",
--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -229,7 +229,13 @@
 
 void engine_stand_in::AnswerRun(const std::shared_ptr<run>& current) {
   if (!options_.generates) {
-    RunPlain(current);
+    if (deadly_bodies.count(current->exchange->Request().body) == 0) {
+      RunPlain(current);
+      return;
+    }
+    const std::string ended_by = current->id;
+    Crash();
+    if (on_crash) on_crash(ended_by);
     return;
   }
   const exchange_pointer& exchange = current->exchange;
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -121,6 +121,9 @@
    * headers of its answer, and no event.
    */
   std::set<std::string> deadly_parts;
+  /** Bodies of requests on which a plain endpoint ends, in place of an answer.
+   */
+  std::set<std::string> deadly_bodies;
   /** Called when a request has ended the engine; it is down already. */
   std::function<void(const std::string& id)> on_crash;
   /** Reports and stream answers carry the header `server-leaving`. */
--- a/tests/process/prompt_quarantine_test.cc
+++ b/tests/process/prompt_quarantine_test.cc
@@ -279,6 +279,79 @@
   }
 }
 
+/** Plain endpoints, which have no sidecars to tell that they have ended. */
+class repeated_plain_request_test : public small_fleet_test {
+ protected:
+  static constexpr int kPlain = 3;
+  static constexpr const char* kDeadlyBody = "deadly";
+
+  repeated_plain_request_test()
+      : small_fleet_test({.name = "repeated_plain_request",
+                          .gateways = kGateways,
+                          .engines = 2,
+                          .plain = kPlain}) {}
+
+  void TearDown() override {
+    loop_.Cancel(sound_timer_);
+    loop_.Cancel(repeat_timer_);
+    small_fleet_test::TearDown();
+  }
+  void Prepare(engine_stand_in& engine) override {
+    const int index = prepared_++;
+    engine.deadly_bodies = {kDeadlyBody};
+    engine.on_run = [this](const net::http_request& request) {
+      if (request.body == kDeadlyBody) runs_.push_back(loop_.Now());
+    };
+    engine.on_crash = [this, index](const std::string& /*id*/) {
+      crashes_.push_back(loop_.Now());
+      loop_.Schedule(kRestartTime, [this, index] {
+        store_.Remove("servers/" + Engine(index).Instance());
+        Engine(index).Start("i-" + std::to_string(index) + '-' +
+                            std::to_string(++restarts_));
+        Register(index);
+      });
+    };
+  }
+
+  int prepared_ = 0;
+  int restarts_ = 0;
+  std::vector<time_point> runs_;
+  std::vector<time_point> crashes_;
+  net::timer_id sound_timer_ = 0;
+  net::timer_id repeat_timer_ = 0;
+};
+
+// Guards against a request that ends plain endpoints whenever it comes again.
+TEST_F(repeated_plain_request_test, ItIsKeptFromPlainEndpoints) {
+  sound_timer_ = loop_.SchedulePeriodic(kSoundPeriod, [this] {
+    Send("order", sent_ % kGateways, {}, "sound " + std::to_string(sent_));
+  });
+  Wait(milliseconds(1000));
+  repeat_timer_ = loop_.SchedulePeriodic(milliseconds(600), [this] {
+    Send("order", sent_ % kGateways, {}, kDeadlyBody);
+  });
+  Wait(milliseconds(14000));
+  loop_.Cancel(repeat_timer_);
+  const std::string refused = Send("order", 0, {}, kDeadlyBody);
+  const std::string sound = Send("order", 0, {}, "another");
+  loop_.Cancel(sound_timer_);
+  WaitForAnswers();
+  ASSERT_GE(crashes_.size(), 3U);
+  const auto since = crashes_[2] + kStableTime;
+  EXPECT_LE(std::count_if(runs_.begin(), runs_.end(),
+                          [since](time_point at) { return at > since; }),
+            kAllowedAfter)
+      << crashes_.size() << " crashes";
+  for (const fleet_outcome& each : outcomes_) {
+    if (each.id == refused) {
+      EXPECT_EQ(each.status, 503);
+    }
+    if (each.id == sound) {
+      EXPECT_EQ(each.status, 200);
+    }
+  }
+}
+
 // Callers that can't be served must not wait, nor return at once.
 TEST_F(prompt_quarantine_test, RequestsWithAQuarantinedPartAreRefusedAtOnce) {
   QuarantineThePart();
--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -168,7 +168,7 @@
 }
 
 std::string small_fleet_test::Send(const std::string& route, int gateway,
-                                   net::header_map headers) {
+                                   net::header_map headers, std::string body) {
   const std::string id =
       std::to_string(gateway) + '-' + std::to_string(++sent_);
   headers["host"] = "h.example";
@@ -186,6 +186,7 @@
                       '/',
                .target = '/' + route + "/x",
                .headers = std::move(headers),
+               .body = std::move(body),
                .total_timeout = kTimeout,
                .may_resend = false},
               {.on_done = [this, id, sent_at](const net::http_result& done) {
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -89,7 +89,7 @@
   static int GatewayOf(const std::string& id) { return id[0] - '0'; }
   /** Sends a request to the route; its id begins with the gateway's number. */
   std::string Send(const std::string& route, int gateway,
-                   net::header_map headers = {});
+                   net::header_map headers = {}, std::string body = {});
   /** Waits for the answers to all requests. */
   void WaitForAnswers();
   /** Gets a page of the gateway's admin address. */
