Count the crashes of one request once for the parts of its prompt

Cause: each crash of a request that came again counted for its parts, so that three crashes of two requests looked like a deadly part. Change: a crash counts for a part only if none of the requests suspected of it is suspected of an earlier one that counts.

--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -265,8 +265,9 @@
                                 const summary& total,
                                 const std::set<crash_id>& explained) const {
   std::map<int, double> highest;
-  for (const auto& [crash, level] : total.levels) {
-    if (explained.count(crash) > 0) continue;
+  std::set<core::prompt_part_id> requests;
+  for (const auto& [crash, level] : InOrder(total.levels)) {
+    if (explained.count(crash) > 0 || !AddRequests(crash, requests)) continue;
     const auto others = UnexplainedNear(records_.at(crash).at, part);
     const double weight = others == 0   ? kWeightAlone
                           : others == 1 ? kWeightBesideOne
@@ -278,6 +279,26 @@
   return sum;
 }
 
+std::vector<std::pair<crash_id, int>> crash_evidence::InOrder(
+    const std::map<crash_id, int>& levels) {
+  std::vector<std::pair<crash_id, int>> order(levels.begin(), levels.end());
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.second < right.second;
+                   });
+  return order;
+}
+
+bool crash_evidence::AddRequests(
+    const crash_id& crash, std::set<core::prompt_part_id>& requests) const {
+  bool has_known = false;
+  for (const auto& [suspect, each] : records_.at(crash).parts) {
+    if (each.cleared || !IsRequest(suspect)) continue;
+    has_known |= !requests.insert(suspect).second;
+  }
+  return !has_known;
+}
+
 std::size_t crash_evidence::UnexplainedNear(
     core::time_point at, const core::prompt_part_id& part) const {
   const auto explains = [this](const auto& suspected) {
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "quarantine/crash_record.h"
@@ -51,6 +52,10 @@
  * the part, nor with another one that is suspected of several: engines end for
  * other reasons then. At most twice as many crashes are needed.
  *
+ * Crashes that have a suspected request in common count once for a part, since
+ * a request that ends several engines says no more about its parts than one
+ * that ends a single engine.
+ *
  * A crash that a part explains does not speak against others. Parts that have
  * the same crashes can't be told apart, so they are quarantined together: only
  * prompts with all of them. Prompts with some of them remain suspected, and
@@ -154,6 +159,15 @@
   /** Weight of the crashes of a part that are not explained yet. */
   double WeightOf(const core::prompt_part_id& part, const summary& total,
                   const std::set<crash_id>& explained) const;
+  /** The crashes by level. */
+  static std::vector<std::pair<crash_id, int>> InOrder(
+      const std::map<crash_id, int>& levels);
+  /**
+   * Adds the requests that are suspected of the crash.
+   * @returns false if one of them was there already.
+   */
+  bool AddRequests(const crash_id& crash,
+                   std::set<core::prompt_part_id>& requests) const;
   /** Crashes at about this time that neither the part nor another explains. */
   std::size_t UnexplainedNear(core::time_point at,
                               const core::prompt_part_id& part) const;
--- a/src/quarantine/crash_evidence_test.cc
+++ b/src/quarantine/crash_evidence_test.cc
@@ -7,6 +7,8 @@
 #include <random>
 #include <string>
 
+#include "quarantine/request_fingerprint.h"
+
 namespace comfreyspring::quarantine {
 namespace {
 
@@ -56,6 +58,27 @@
   EXPECT_EQ(Quarantine(evidence, kStart), crash_evidence::kFirstQuarantine);
 }
 
+// Two requests that end engines share a rare part, which no answer has cleared.
+TEST(crash_evidence_test, CrashesOfOneRequestCountOnceForItsParts) {
+  const auto first = RequestFingerprint({"first"});
+  const auto second = RequestFingerprint({"second"});
+  crash_evidence evidence;
+  int level = 0;
+  const auto crash = [&](const prompt_part_id& request, int own_level) {
+    auto record = Crash(level, level);
+    ++level;
+    record.parts.push_back({request, own_level});
+    evidence.OnCrash(record, kStart);
+  };
+  crash(first, 0);
+  crash(first, 1);
+  crash(second, 0);
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::suspected);
+  // A third request with the part leaves no other explanation.
+  crash(RequestFingerprint({"third"}), 0);
+  EXPECT_EQ(evidence.StateOf(kPart), part_state::quarantined);
+}
+
 // A rack that loses power ends engines whose requests were sent before any of
 // these crashes was known.
 TEST(crash_evidence_test, EnginesThatEndTogetherCountOnce) {
