Name requests that are found lost after the end of a plain endpoint

Change: a loss at an endpoint whose port refuses connections is checked at once. Result: plain_crash_watch_test.NamesRequestsThatAreFoundLostAfterTheEnd.

--- a/src/gateway/plain_crash_watch.cc
+++ b/src/gateway/plain_crash_watch.cc
@@ -14,7 +14,7 @@
   if (known.losses.size() < kMaximumLosses) {
     known.losses.push_back({now, blamed});
   }
-  if (now - known.probed_at < kProbeInterval) return false;
+  if (now - known.probed_at < kProbeInterval && !known.has_ended) return false;
   known.probed_at = now;
   return true;
 }
@@ -27,6 +27,7 @@
   if (found == endpoints_.end()) return std::nullopt;
   const auto losses = std::move(found->second.losses);
   found->second.losses.clear();
+  found->second.has_ended = refused;
   if (!refused || losses.empty()) return std::nullopt;
   quarantine::crash_record record{
       .crash = {core::process_id(endpoint.instance.Value()),
--- a/src/gateway/plain_crash_watch.h
+++ b/src/gateway/plain_crash_watch.h
@@ -54,6 +54,8 @@
   struct endpoint_losses {
     std::vector<loss> losses;
     core::time_point probed_at;
+    /** It has ended; what is lost from now on was lost with it. */
+    bool has_ended = false;
   };
 
   void Forget(core::time_point now);
--- a/src/gateway/plain_crash_watch_test.cc
+++ b/src/gateway/plain_crash_watch_test.cc
@@ -32,6 +32,17 @@
   EXPECT_EQ(record->parts[1].part.Value(), "b");
 }
 
+// The connections of one endpoint break one after the other.
+TEST_F(plain_crash_watch_test, NamesRequestsThatAreFoundLostAfterTheEnd) {
+  watch_.OnLost(endpoint_, Blamed("a"), now_);
+  ASSERT_TRUE(watch_.OnProbed(endpoint_, true, now_).has_value());
+  EXPECT_TRUE(watch_.OnLost(endpoint_, Blamed("b"), now_ + milliseconds(3)));
+  const auto record = watch_.OnProbed(endpoint_, true, now_ + milliseconds(4));
+  ASSERT_TRUE(record.has_value());
+  ASSERT_EQ(record->parts.size(), 1U);
+  EXPECT_EQ(record->parts[0].part.Value(), "b");
+}
+
 TEST_F(plain_crash_watch_test, AnEndpointThatAcceptsConnectionsHasNotEnded) {
   watch_.OnLost(endpoint_, Blamed("a"), now_);
   EXPECT_FALSE(watch_.OnProbed(endpoint_, false, now_).has_value());
--- a/src/quarantine/crash_record.h
+++ b/src/quarantine/crash_record.h
@@ -12,7 +12,7 @@
 
 /** The end of one run of an engine. */
 struct crash_id {
-  /** Sidecar of the engine. */
+  /** Sidecar of the engine, or instance of an endpoint that has none. */
   core::process_id sidecar;
   std::int64_t engine_started_unix_ms = 0;
   // clang-tidy 14 mistakes the compiler's own comparison with 0 for a pointer.
