Share the set-up of the two outages in thin_link_test

Cause: both tests wrote out the same steps up to the middle of the outage. Change: one function; the assertions are as they were.

--- a/tests/process/thin_link_test.cc
+++ b/tests/process/thin_link_test.cc
@@ -89,6 +89,15 @@
     ASSERT_TRUE(loop_.RunUntil([&] { return follower_.IsComplete(); },
                                milliseconds(5000)));
   }
+  /** Until the middle of an outage; the endpoint i-1 was listed before it. */
+  void CutOffInAStorm() {
+    Configure(1);
+    Register("i-1", "ready");
+    ASSERT_NO_FATAL_FAILURE(StartAndWait());
+    link_.CutSilently();
+    BeginStorm();
+    Wait(kOutage / 2);
+  }
   bool IsUsable(const std::string& instance) const {
     return follower_.Endpoints().FindUsable(catalog::instance_id(instance)) !=
            nullptr;
@@ -126,12 +135,7 @@
 // The changes of an outage did not fit into a read, so that every read of them
 // failed until the store had forgotten them.
 TEST_F(thin_link_test, ReachesThePresentAfterAnOutageInAStorm) {
-  Configure(1);
-  Register("i-1", "ready");
-  StartAndWait();
-  link_.CutSilently();
-  BeginStorm();
-  Wait(kOutage / 2);
+  ASSERT_NO_FATAL_FAILURE(CutOffInAStorm());
   Register("i-1", "draining");
   Wait(kOutage / 2);
   link_.Heal();
@@ -146,12 +150,7 @@
 // The grace period of an entry that may have lapsed in the outage began with
 // the first read after it, not with the end of the outage.
 TEST_F(thin_link_test, EndsTheUseOfAnEndpointThatWasRemovedInAnOutage) {
-  Configure(1);
-  Register("i-1", "ready");
-  StartAndWait();
-  link_.CutSilently();
-  BeginStorm();
-  Wait(kOutage / 2);
+  ASSERT_NO_FATAL_FAILURE(CutOffInAStorm());
   store_.Remove("servers/i-1");
   Wait(kOutage / 2);
   link_.Heal();
