review: case 8, keys of another writer keep gateways from starting

Cause: the key after which the next page of the store's list begins is not encoded in the URL, so that a list with such a key at the end of a page can never be read whole. The scripts share the end of a case.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -14,9 +14,12 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
+import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
@@ -163,7 +166,7 @@
 
     async def answer(self, head, body, reader, writer):
         path, _, query = head.first.split(" ")[1].partition("?")
-        pairs = dict(each.partition("=")[::2] for each in query.split("&"))
+        pairs = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         self.calls.append((now(), path, query))
         if self.down:
             writer.write(response(503, {}))
@@ -684,3 +687,20 @@
 
 def new_id(prefix="c"):
     return "%s-%06d" % (prefix, next(numbers))
+
+
+def run_case(folder, run):
+    """Runs a case and ends with its exit code, 2 for an error of its own."""
+    async def whole():
+        fleet = Fleet(folder)
+        try:
+            return await run(fleet)
+        finally:
+            fleet.close()
+
+    try:
+        code = asyncio.run(whole())
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
