--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -62,8 +62,11 @@
     headers = {}
     for line in lines[1:]:
         name, colon, value = line.partition(":")
-        if colon:
-            headers[name.strip().lower()] = value.strip()
+        if not colon:
+            continue
+        name, value = name.strip().lower(), value.strip()
+        # Lines of one name form a list.
+        headers[name] = ",".join(filter(None, (headers.get(name), value)))
     return Head(lines[0], headers)
 
 
