--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -320,6 +320,8 @@
         if order["Op"] == "unload":
             self.seq += 1
             self.held.pop(name, None)
+            # Also one that is still on its way.
+            self.pending.pop(name, None)
             return 200
         version = order.get("Version") or self.versions.get(name, 1)
         if self.held.get(name, 0) >= version:
