--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -532,6 +532,7 @@
         self.record = Record(case_folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.programs = []
+        self.helpers = []
         self.servers = []
         self.limits = {}
         self.internal = None
@@ -558,6 +559,9 @@
     def close(self):
         for program in self.programs:
             program.end()
+        for helper in self.helpers:
+            if helper.returncode is None:
+                helper.kill()
         for server in self.servers:
             server.stop()
         keep = os.environ.get("REVIEW_KEEP")
@@ -701,6 +705,9 @@
 def run_case(folder, run):
     """Runs a case and ends with its exit code, 2 for an error of its own."""
     async def whole():
+        # A time limit from outside ends the programs too.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         fleet = Fleet(folder)
         try:
             return await run(fleet)
@@ -709,7 +716,7 @@
 
     try:
         code = asyncio.run(whole())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         code = 2
     sys.exit(code)
