Refuse responses with a malformed status line

Callers saw: an endpoint's response with status 600 or 999 as their answer, on unsafe requests, plain streams and streams that are not resumed. Cause: the HTTP client took the status that libcurl had read, which is any three digits after any line that looks like a status line, and checked only that it is at least 200. Change: response_head reads the lines of a head and accepts a status line of HTTP/1 with a code from 100 to 599 (RFC 9110, 15; RFC 9112, 4). Any other one fails the call as broken, before headers or body are reported: no status, no notice, no promise that the request has not run. A request that may be repeated is, any other one is answered 502. All reads of responses go through this class. The case of endless_answer_test that repeats a status line ends earlier now; a case of fields alone keeps the limit of a head tested.

--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -212,6 +212,77 @@
         "HTTP/1.1 304 Not Modified\r\nA: b\r\n\r\n",
         "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"));
 
+// The library frames a body by its own, lenient reading of the head, so a head
+// that breaks the grammar tells nothing about the response.
+class malformed_head_test : public response_end_test,
+                            public ::testing::WithParamInterface<std::string> {
+};
+
+TEST_P(malformed_head_test, IsNoResponse) {
+  for (const char* method : {"GET", "POST"}) {
+    const auto& result = Receive(GetParam(), method);
+    EXPECT_EQ(result.failure, http_failure::broken);
+    EXPECT_EQ(result.status, 0);
+    EXPECT_TRUE(result.headers.empty());
+    EXPECT_EQ(result.body, "");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    status_lines, malformed_head_test,
+    ::testing::Values("HTTP/1.1 000\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1 099 Low\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1 600 High\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1 999 High\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1 20 Short\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1 2000 Long\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1 +20 Sign\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/1.1 200OK\r\nContent-Length: 4\r\n\r\nbody",
+                      "HTTP/2 200 OK\r\nContent-Length: 4\r\n\r\nbody"));
+
+// Unusual, but within the grammar or read alike by all recipients.
+TEST_F(response_end_test, UnusualHeadsAreAccepted) {
+  for (const std::string head :
+       {"HTTP/1.1 200\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nContent-Length:4 \t\r\n\r\n",
+        "HTTP/1.1 200 \xe9t\xe9\r\ncontent-length: 4\r\nA: \xff\tb\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~9z:\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 599 Odd\nContent-Length: 4\n\n",
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n"
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"}) {
+    const auto& result = Receive(head + "body");
+    EXPECT_EQ(result.failure, http_failure::none) << head;
+    EXPECT_EQ(result.body, "body") << head;
+  }
+}
+
+// A stream must not begin with bytes of a body before its head was accepted.
+TEST_F(http_client_test, AMalformedHeadReportsNeitherHeadersNorData) {
+  int reports = 0;
+  http_callbacks callbacks;
+  callbacks.on_headers = [&](int, const header_map&) { ++reports; };
+  callbacks.on_data = [&](std::string_view) { ++reports; };
+  callbacks.on_done = [this](const http_result& result) { result_ = result; };
+  for (const std::string head :
+       {"HTTP/1.1 000\r\n", "HTTP/1.1 099 Low\r\n", "HTTP/1.1 600 High\r\n"}) {
+    result_.reset();
+    client_.Start({.url = Url()}, callbacks);
+    const auto peer = listener_.Accept();
+    ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+    peer->Send(head + "Content-Length: 4\r\n\r\nbody");
+    ASSERT_TRUE(WaitForResult()) << head;
+    EXPECT_EQ(result_->failure, http_failure::broken) << head;
+    EXPECT_TRUE(loop_.RunUntil([&] { return peer->IsClosedByPeer(); }, kLimit));
+  }
+  EXPECT_EQ(reports, 0);
+}
+
 TEST_F(response_end_test, ContradictoryLengthsBreakTheResponse) {
   EXPECT_EQ(Receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
                     "Content-Length: 2\r\n\r\nbody")
@@ -265,6 +336,7 @@
   // Longer than one read, so that some reads bring no byte of the body.
   if (piece == "1;") piece += std::string(20'000, 'e') + "\r\nx\r\n";
   if (piece.rfind("body", 0) == 0) peer->Send("HTTP/1.1 200 OK\r\n\r\n");
+  if (piece.rfind("X-Field", 0) == 0) peer->Send("HTTP/1.1 200 OK\r\n");
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   if (piece.rfind("1\r\n", 0) == 0 || piece.rfind("1;", 0) == 0) {
@@ -290,6 +362,7 @@
     http_client_test, endless_answer_test,
     ::testing::Values("HTTP/1.1 100 Continue\r\n\r\n",
                       "HTTP/1.1 200 OK\r\nX-Number: 1\r\nY: 2\r\n",
+                      "X-Field: 1\r\nY: 2\r\n",
                       "HTTP/1.1 200 OK and no end of the line ",
                       "body without a length\n", "1\r\nx\r\n",
                       " extension of a chunk that does not end", "1;",
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -12,9 +12,6 @@
 namespace comfreyspring::net {
 namespace {
 
-/** Limit for the values of a header that is repeated. */
-constexpr std::size_t kMaximumListedBytes = 16 * 1024;
-
 constexpr long kKeepaliveSeconds = 10;
 
 /**
@@ -49,6 +46,7 @@
       call_(std::move(call)),
       callbacks_(std::move(callbacks)),
       easy_(curl_easy_init()),
+      head_(call_.maximum_headers),
       pieces_until_hold_(kPiecesBetweenHolds),
       last_activity_(loop.Now()) {
   if (!easy_) return;
@@ -200,8 +198,9 @@
     transfer.abort_reason_ = "the response headers are too large";
     return 0;
   }
-  const bool read = transfer.Guarded(
-      [&] { transfer.ReadHeaderLine(std::string(data, bytes)); });
+  const bool read = transfer.Guarded([&] {
+    transfer.ReadHeaderLine({data, bytes});
+  });
   return read && !transfer.cancelled_ ? bytes : 0;
 }
 
@@ -216,51 +215,11 @@
   }
 }
 
-void http_transfer::ReadHeaderLine(std::string line) {
-  if (!line.empty() && line.back() == '\n') line.pop_back();
-  if (!line.empty() && line.back() == '\r') line.pop_back();
-  // The library takes any line that begins with one for the end of the headers.
-  if (line.find('\r') != std::string::npos) {
-    throw net_error("a header line of the response has a bare carriage return");
-  }
-  if (line.rfind("HTTP/", 0) == 0) {
-    // Replaces the headers of an interim response.
-    long status = 0;
-    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
-    result_.status = static_cast<int>(status);
-    result_.headers.clear();
-    return;
-  }
-  if (line.empty()) {
-    // Not for interim responses, and not again after trailers.
-    const bool is_first = result_.status >= 200 && !headers_reported_;
-    if (is_first) headers_reported_ = true;
-    if (is_first && !AcceptsBody(AnnouncedBytes())) {
-      throw net_error(abort_reason_);
-    }
-    if (is_first && callbacks_.on_headers) {
-      callbacks_.on_headers(result_.status, result_.headers);
-    }
-    return;
-  }
-  const std::size_t colon = line.find(':');
-  if (colon == std::string::npos) return;
-  const std::string name = core::ToLower(line.substr(0, colon));
-  const std::size_t start = line.find_first_not_of(" \t", colon + 1);
-  if (result_.headers.size() >= call_.maximum_headers) {
-    throw net_error("the response has too many headers");
-  }
-  std::string value =
-      start == std::string::npos ? std::string() : line.substr(start);
-  const auto [position, inserted] = result_.headers.try_emplace(name, value);
-  if (inserted || position->second == value) return;
-  if (name == "content-length") {
-    throw net_error("the response has two different lengths");
-  }
-  // Different values form a list, so that none of them is lost.
-  position->second += ", " + value;
-  if (position->second.size() > kMaximumListedBytes) {
-    throw net_error("a repeated header of the response is too long");
+void http_transfer::ReadHeaderLine(std::string_view line) {
+  if (!head_.AddLine(line)) return;
+  if (!AcceptsBody(AnnouncedBytes())) throw net_error(abort_reason_);
+  if (callbacks_.on_headers) {
+    callbacks_.on_headers(head_.Status(), head_.Headers());
   }
 }
 
@@ -368,17 +327,17 @@
 }
 
 bool http_transfer::HasNoBody() const {
-  return call_.method == "HEAD" || result_.status == kNoContent ||
-         result_.status == kNotModified;
+  return call_.method == "HEAD" || head_.Status() == kNoContent ||
+         head_.Status() == kNotModified;
 }
 
 body_end http_transfer::BodyEnd() const {
-  if (HasNoBody() || result_.headers.count("content-length") > 0) {
+  if (HasNoBody() || head_.Headers().count("content-length") > 0) {
     return body_end::framed;
   }
-  const auto coding = result_.headers.find("transfer-encoding");
+  const auto coding = head_.Headers().find("transfer-encoding");
   const bool chunked =
-      coding != result_.headers.end() &&
+      coding != head_.Headers().end() &&
       core::ToLower(coding->second).find("chunked") != std::string::npos;
   return chunked ? body_end::framed : body_end::connection;
 }
@@ -388,11 +347,11 @@
   cancelled_ = true;
   result_.end = BodyEnd();
   // The library accepts headers that end with their connection.
-  const bool headers_cut = code == CURLE_OK && !headers_reported_;
+  const bool headers_cut = code == CURLE_OK && !head_.IsComplete();
   if (headers_cut) abort_reason_ = "the response headers are incomplete";
-  if (!headers_reported_) {
-    result_.status = 0;
-    result_.headers.clear();
+  if (head_.IsComplete()) {
+    result_.status = head_.Status();
+    result_.headers = head_.Headers();
   }
   if (code != CURLE_OK || headers_cut) {
     result_.failure =
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -7,10 +7,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "net/connection_table.h"
 #include "net/http_client.h"
 #include "net/read_pacer.h"
+#include "net/response_head.h"
 
 namespace comfreyspring::net {
 
@@ -88,7 +90,7 @@
   bool AcceptsBody(std::size_t bytes);
   /** @returns 0 if the response does not name its length. */
   std::size_t AnnouncedBytes() const;
-  void ReadHeaderLine(std::string line);
+  void ReadHeaderLine(std::string_view line);
   /** @returns for how long a piece of the body has to wait; nothing if it may
    * be read now. */
   std::optional<core::milliseconds> HoldFor(std::size_t bytes);
@@ -114,8 +116,8 @@
   std::size_t header_bytes_ = 0;
   /** Bytes of headers and body since the latest check of the framing. */
   std::uint64_t delivered_bytes_ = 0;
+  response_head head_;
   http_result result_;
-  bool headers_reported_ = false;
   int times_sent_ = 0;
   bool needs_fresh_connection_ = false;
   bool cancelled_ = false;
--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -200,8 +200,8 @@
   running_.insert(current);
   exchange->OnClientGone([this, current] { End(current, false); });
   if (unresponsive) return;
-  if (cut_head) {
-    exchange->SendRaw(*std::exchange(cut_head, std::nullopt));
+  if (raw_answer) {
+    exchange->SendRaw(*std::exchange(raw_answer, std::nullopt));
     exchange->CloseInOrder();
     End(current, false);
     return;
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -115,7 +115,7 @@
    * The next run answers with just these bytes and ends its connection in
    * order.
    */
-  std::optional<std::string> cut_head;
+  std::optional<std::string> raw_answer;
   /**
    * Parts of prompts on which the engine ends: a request with one gets the
    * headers of its answer, and no event.
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -110,7 +110,16 @@
                                          {"GapTargetMs", 300},
                                          {"Priority", 0},
                                          {"Service", "plain"},
-                                         {"Attempts", 1}}})},
+                                         {"Attempts", 1}},
+                                        {{"Name", "i"},
+                                         {"Host", "h.example"},
+                                         {"Prefix", "/i/"},
+                                         {"Kind", "idempotent"},
+                                         {"TimeoutMs", 3000},
+                                         {"GoalMs", 600},
+                                         {"Priority", 0},
+                                         {"Service", "plain"},
+                                         {"Attempts", 2}}})},
                 {"Services",
                  json::array({{{"Name", "s"},
                                {"MaxConns", 100},
@@ -130,6 +139,14 @@
                                {"State", state},
                                {"born", 5}});
   }
+  void PutPlainEndpoint(const engine_stand_in& plain) {
+    store_.Put("servers/" + plain.Instance(), {{"Service", "plain"},
+                                               {"Addr", Address(plain.Port())},
+                                               {"Zone", "z"},
+                                               {"Slots", 500},
+                                               {"State", "ready"},
+                                               {"born", plain.StartedAt()}});
+  }
   static std::string Address(std::uint16_t port,
                              const std::string& ip = kHost) {
     return ip + ':' + std::to_string(port);
@@ -271,12 +288,7 @@
 TEST_F(users_platform_test, AHeadThatBreaksOffIsNoSuccess) {
   engine_stand_in plain(loop_, {.generates = false});
   plain.Start("i-plain");
-  store_.Put("servers/i-plain", {{"Service", "plain"},
-                                 {"Addr", Address(plain.Port())},
-                                 {"Zone", "z"},
-                                 {"Slots", 500},
-                                 {"State", "ready"},
-                                 {"born", plain.StartedAt()}});
+  PutPlainEndpoint(plain);
   WaitUntilReady();
   const std::string head =
       "HTTP/1.1 200 OK\r\nrequest-id: r1\r\nserver-stamp: stamp\r\n";
@@ -289,19 +301,85 @@
     for (const std::string target : {"/q/x", "/o/x", "/p/x"}) {
       engine_stand_in& engine = target == "/q/x" ? plain : engine_;
       engine.runs.clear();
-      engine.cut_head = cut;
+      engine.raw_answer = cut;
       const auto answer = SendStream("r1", "a1", target);
       EXPECT_EQ(answer.failure, net::http_failure::none) << target << cut;
-      EXPECT_FALSE(engine.cut_head) << target << cut;
+      EXPECT_FALSE(engine.raw_answer) << target << cut;
       const bool repeats = target == "/p/x";
       EXPECT_EQ(answer.status, repeats ? 200 : 502) << target << cut;
       EXPECT_EQ(engine.runs["r1"], repeats ? 2 : 1) << target << cut;
       EXPECT_EQ(repeats, answer.body == Events(5)) << target << cut;
-      engine.cut_head.reset();
+      engine.raw_answer.reset();
+    }
+  }
+}
+
+// Heads outside the grammar of HTTP, in answers that are sound otherwise: the
+// engine's stamp, and a whole event that may follow three others.
+const std::string kEvent = "id: 4\ndata: malformed\n\n";
+const std::string kFields =
+    "request-id: r1\r\nserver-stamp: stamp\r\n"
+    "content-type: text/event-stream\r\n";
+const std::string kRest = kFields +
+                          "content-length: " + std::to_string(kEvent.size()) +
+                          "\r\n\r\n" + kEvent;
+const std::vector<std::string> kMalformedAnswers = {
+    "HTTP/1.1 000\r\n" + kRest,
+    "HTTP/1.1 000 No Status\r\n" + kRest,
+    "HTTP/1.1 600 Status\r\n" + kRest,
+    "HTTP/1.1 999 Status\r\n" + kRest,
+};
+
+// Guards against a malformed answer that reaches its caller. The request may
+// have run, whatever its head says, so only requests that may be repeated are.
+TEST_F(users_platform_test, AMalformedAnswerIsNotPassedOn) {
+  engine_stand_in plain(loop_, {.generates = false});
+  plain.Start("i-plain");
+  PutPlainEndpoint(plain);
+  WaitUntilReady();
+  for (const std::string& malformed : kMalformedAnswers) {
+    for (const std::string target : {"/q/x", "/i/x", "/f/x", "/o/x", "/p/x"}) {
+      const bool generates = target == "/o/x" || target == "/p/x";
+      engine_stand_in& engine = generates ? engine_ : plain;
+      engine.runs.clear();
+      engine.raw_answer = malformed;
+      const auto sent_at = loop_.Now();
+      const auto answer = SendStream("r1", "a1", target);
+      EXPECT_FALSE(engine.raw_answer) << target << malformed;
+      EXPECT_EQ(answer.failure, net::http_failure::none) << target << malformed;
+      const bool repeats = target == "/i/x" || target == "/p/x";
+      EXPECT_EQ(answer.status, repeats ? 200 : 502) << target << malformed;
+      EXPECT_EQ(engine.runs["r1"], repeats ? 2 : 1) << target << malformed;
+      const std::string sound = generates ? Events(5) : PlainText("r1");
+      EXPECT_EQ(repeats, answer.body == sound) << target << malformed;
+      EXPECT_EQ(answer.body.find("malformed"), std::string::npos)
+          << target << malformed;
+      // Well before the route's time limit.
+      EXPECT_LT(loop_.Now() - sent_at, milliseconds(1500))
+          << target << malformed;
+      engine.raw_answer.reset();
     }
   }
 }
 
+// Guards against a malformed answer that ends up within a stream that another
+// one has begun.
+TEST_F(users_platform_test, AMalformedAnswerIsNotPartOfAResumedStream) {
+  WaitUntilReady();
+  for (const std::string& malformed : kMalformedAnswers) {
+    engine_.runs.clear();
+    engine_.break_after = 3;
+    engine_.on_run = [&](const net::http_request&) {
+      if (engine_.runs["r1"] == 2) engine_.raw_answer = malformed;
+    };
+    const auto answer = SendStream("r1", "a1");
+    EXPECT_EQ(engine_.runs["r1"], 3) << malformed;
+    EXPECT_EQ(answer.status, 200) << malformed;
+    EXPECT_EQ(answer.failure, net::http_failure::none) << malformed;
+    EXPECT_EQ(answer.body, Events(5)) << malformed;
+  }
+}
+
 TEST_F(users_platform_test, AStreamThatEndsInsideAnEventIsResumed) {
   WaitUntilReady();
   engine_.unframed = true;
