Refuse a response that switches protocols unasked

Cause: libcurl takes 101 for an interim response where no upgrade was requested and waits for another head. Change: response_head refuses the status at once (RFC 9110, 15.2.2: only in answer to an Upgrade field, which no call sends). The call is broken, so the request is repeated or answered 502 without the wait.

--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -230,17 +230,19 @@
 
 INSTANTIATE_TEST_SUITE_P(
     status_lines, malformed_head_test,
-    ::testing::Values("HTTP/1.1 000\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1 099 Low\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1 600 High\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1 999 High\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1 20 Short\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1 2000 Long\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1 +20 Sign\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/1.1 200OK\r\nContent-Length: 4\r\n\r\nbody",
-                      "HTTP/2 200 OK\r\nContent-Length: 4\r\n\r\nbody"));
+    ::testing::Values(
+        "HTTP/1.1 000\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 099 Low\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 600 High\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 999 High\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 20 Short\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 2000 Long\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 +20 Sign\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200OK\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/2 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nbody"));
 
 // Unusual, but within the grammar or read alike by all recipients.
 TEST_F(response_end_test, UnusualHeadsAreAccepted) {
--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -15,6 +15,7 @@
 constexpr int kMinimumStatus = 100;
 constexpr int kMaximumStatus = 599;
 constexpr int kMinimumFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
 
 constexpr const char* kContentLength = "content-length";
 
@@ -64,6 +65,9 @@
     throw net_error("the response has the invalid status code " +
                     std::string(line.substr(kCode, kCodeEnd - kCode)));
   }
+  if (status_ == kSwitchingProtocols) {
+    throw net_error("the response switches to an unrequested protocol");
+  }
   headers_.clear();
   section_ = section::fields;
 }
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -328,6 +328,7 @@
     "HTTP/1.1 000 No Status\r\n" + kRest,
     "HTTP/1.1 600 Status\r\n" + kRest,
     "HTTP/1.1 999 Status\r\n" + kRest,
+    "HTTP/1.1 101 Switching Protocols\r\n" + kRest,
 };
 
 // Guards against a malformed answer that reaches its caller. The request may
