Refuse responses whose fields break the grammar

Callers saw: an endpoint's response with a control byte, or a byte over 0x7f, in a field's name, or a control byte in its value, passed on as it was; with a blank in the name, the body without that line. In the name of the field that frames the body, either made the chunk sizes part of the answer, complete to the caller. A sidecar took the leaving flag of such a report for the engine's word. Cause: the HTTP client kept whatever stands before a colon as a name and skipped lines without one, while libcurl frames the body by its own reading of the same lines; a field that it does not know changes the framing without an error. Change: response_head accepts tokens as names and no control characters other than tabs in values and reason phrases (RFC 9110, 5.1 and 5.5), no line without a colon, no blank ahead of it and no folded line (RFC 9112, 5.1 and 5.2); the same in interim responses and in trailers. Such a call is broken: nothing of the head is believed, so a promise that the request has not run is not either.

--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -228,6 +228,8 @@
   }
 }
 
+const std::string kChunkedBody = "\r\n4\r\nbody\r\n0\r\n\r\n";
+
 INSTANTIATE_TEST_SUITE_P(
     status_lines, malformed_head_test,
     ::testing::Values(
@@ -241,8 +243,39 @@
         "HTTP/1.1 +20 Sign\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/1.1 200OK\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 O\x01K\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/2 200 OK\r\nContent-Length: 4\r\n\r\nbody",
-        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nbody"));
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nA: b\r\nHTTP/1.1 200 OK\r\n"
+        "Content-Length: 4\r\n\r\nbody"));
+
+INSTANTIATE_TEST_SUITE_P(
+    fields, malformed_head_test,
+    ::testing::Values(
+        "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nBad\tName: x\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nBad\x01: x\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nBad\x7f: x\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nBad\xe9: x\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nBad(: x\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nA: b\x01\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nA: b\x7f\r\nContent-Length: 4\r\n\r\nbody",
+        std::string("HTTP/1.1 200 OK\r\nA: b\0c\r\nContent-Length: 4\r\n\r\n"
+                    "body",
+                    50),
+        "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"));
+
+INSTANTIATE_TEST_SUITE_P(
+    framing, malformed_head_test,
+    ::testing::Values(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + kChunkedBody,
+        "HTTP/1.1 200 OK\r\nTransfer\x01-Encoding: chunked\r\n" + kChunkedBody,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n" + kChunkedBody,
+        "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody"));
 
 // Unusual, but within the grammar or read alike by all recipients.
 TEST_F(response_end_test, UnusualHeadsAreAccepted) {
@@ -264,6 +297,19 @@
   }
 }
 
+// The body before a malformed trailer was whole, but the message is not.
+TEST_F(response_end_test, AMalformedTrailerBreaksTheResponse) {
+  for (const std::string trailer :
+       {"Bad Name: x", "A: b\x01", "no colon", "HTTP/1.1 200 OK"}) {
+    EXPECT_EQ(Receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "4\r\nbody\r\n0\r\n" +
+                      trailer + "\r\n\r\n")
+                  .failure,
+              http_failure::broken)
+        << trailer;
+  }
+}
+
 // A stream must not begin with bytes of a body before its head was accepted.
 TEST_F(http_client_test, AMalformedHeadReportsNeitherHeadersNorData) {
   int reports = 0;
@@ -272,7 +318,8 @@
   callbacks.on_data = [&](std::string_view) { ++reports; };
   callbacks.on_done = [this](const http_result& result) { result_ = result; };
   for (const std::string head :
-       {"HTTP/1.1 000\r\n", "HTTP/1.1 099 Low\r\n", "HTTP/1.1 600 High\r\n"}) {
+       {"HTTP/1.1 000\r\n", "HTTP/1.1 099 Low\r\n", "HTTP/1.1 600 High\r\n",
+        "HTTP/1.1 200 OK\r\nBad Name: x\r\n"}) {
     result_.reset();
     client_.Start({.url = Url()}, callbacks);
     const auto peer = listener_.Accept();
--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -1,7 +1,9 @@
 #include "net/response_head.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cstdio>
 
 #include "core/text.h"
 #include "net/event_loop.h"
@@ -11,6 +13,8 @@
 
 /** Limit for the values of a field that is repeated. */
 constexpr std::size_t kMaximumListedBytes = 16 * 1024;
+/** Longest part of a field name in an error text. */
+constexpr std::size_t kMaximumQuotedBytes = 64;
 
 constexpr int kMinimumStatus = 100;
 constexpr int kMaximumStatus = 599;
@@ -21,12 +25,39 @@
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
+bool IsTokenCharacter(char c) {
+  return IsDigit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+/** Control characters other than the tab. */
+bool IsControlCharacter(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return (byte < ' ' && c != '\t') || byte == 0x7f;
+}
+
+std::string ByteText(char c) {
+  std::array<char, 8> text{};
+  std::snprintf(text.data(), text.size(), "0x%02x",
+                static_cast<unsigned>(static_cast<unsigned char>(c)));
+  return text.data();
+}
+
 std::string_view TrimBlanks(std::string_view text) {
   const std::size_t first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) return {};
   return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+/** @throws net_error if `text` contains a control character. */
+void CheckText(std::string_view text, const std::string& what) {
+  const auto* const control =
+      std::find_if(text.begin(), text.end(), IsControlCharacter);
+  if (control == text.end()) return;
+  throw net_error(what + " of the response has the control character " +
+                  ByteText(*control));
+}
+
 }  // namespace
 
 response_head::response_head(std::size_t maximum_fields)
@@ -60,6 +91,7 @@
   if (!is_valid) {
     throw net_error("the status line of the response is malformed");
   }
+  CheckText(line, "the status line");
   std::from_chars(line.data() + kCode, line.data() + kCodeEnd, status_);
   if (status_ < kMinimumStatus || status_ > kMaximumStatus) {
     throw net_error("the response has the invalid status code " +
@@ -82,14 +114,24 @@
 }
 
 void response_head::ReadField(std::string_view line) {
-  // The library takes any line that begins with one for the end of the headers.
-  if (line.find('\r') != std::string_view::npos) {
-    throw net_error("a header line of the response has a bare carriage return");
-  }
   const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return;
+  if (colon == std::string_view::npos) {
+    throw net_error("a header line of the response has no colon");
+  }
   const std::string_view name = line.substr(0, colon);
+  if (name.empty()) {
+    throw net_error("a header field of the response has no name");
+  }
+  // Also a folded line, which begins with a blank.
+  const auto* const invalid =
+      std::find_if_not(name.begin(), name.end(), IsTokenCharacter);
+  if (invalid != name.end()) {
+    throw net_error("a field name of the response has the character " +
+                    ByteText(*invalid));
+  }
   const std::string_view value = TrimBlanks(line.substr(colon + 1));
+  CheckText(value,
+            "the field " + std::string(name.substr(0, kMaximumQuotedBytes)));
   AddField(core::ToLower(std::string(name)), value);
 }
 
--- a/src/net/response_head_test.cc
+++ b/src/net/response_head_test.cc
@@ -39,6 +39,34 @@
   }
 }
 
+TEST(response_head_test, AcceptsTokensAsNames) {
+  const std::string separators = "\"(),/:;<=>?@[\\]{} ";
+  for (int byte = 0; byte < 256; ++byte) {
+    const char c = static_cast<char>(byte);
+    // The name of the field ends with its first colon.
+    if (c == ':') continue;
+    const bool is_token =
+        byte > ' ' && byte < 0x7f && separators.find(c) == std::string::npos;
+    const std::string field = std::string("a") + c + "b: v";
+    EXPECT_EQ(ErrorOf("HTTP/1.1 200 OK", field).empty(), is_token) << byte;
+  }
+  EXPECT_EQ(ErrorOf("HTTP/1.1 200 OK", "bad name: v"),
+            "a field name of the response has the character 0x20");
+}
+
+TEST(response_head_test, AcceptsNoControlCharacterInText) {
+  for (int byte = 0; byte < 256; ++byte) {
+    const std::string text = std::string("x") + static_cast<char>(byte) + "y";
+    const bool is_valid = byte == '\t' || (byte >= ' ' && byte != 0x7f);
+    EXPECT_EQ(ErrorOf("HTTP/1.1 200 OK", "a: " + text).empty(), is_valid)
+        << byte;
+    EXPECT_EQ(ErrorOf("HTTP/1.1 200 " + text, "a: b").empty(), is_valid)
+        << byte;
+  }
+  EXPECT_EQ(ErrorOf("HTTP/1.1 200 OK", "a: \x01"),
+            "the field a of the response has the control character 0x01");
+}
+
 TEST(response_head_test, LeavesOutTheFieldsOfInterimResponses) {
   response_head head(kMaximumFields);
   for (const char* line : {"HTTP/1.1 103 Early Hints", "a: 1", "b: 1", "",
--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -108,7 +108,12 @@
   return headers;
 }
 
-void engine_stand_in::Report(net::http_exchange& exchange) const {
+void engine_stand_in::Report(raw_exchange& exchange) {
+  if (const auto bytes = std::exchange(malformed_report, std::nullopt)) {
+    exchange.SendRaw(*bytes);
+    exchange.CloseInOrder();
+    return;
+  }
   json adapters = json::array();
   for (const auto& name : held) adapters.push_back(name + "@1");
   json pending = json::array();
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -116,6 +116,8 @@
    * order.
    */
   std::optional<std::string> raw_answer;
+  /** The next report consists of just these bytes. */
+  std::optional<std::string> malformed_report;
   /**
    * Parts of prompts on which the engine ends: a request with one gets the
    * headers of its answer, and no event.
@@ -146,7 +148,7 @@
   net::header_map ResponseHeaders(const std::string& id);
   void Listen();
   void Answer(const exchange_pointer& exchange);
-  void Report(net::http_exchange& exchange) const;
+  void Report(raw_exchange& exchange);
   void HandleOrder(net::http_exchange& exchange);
   void Load(const std::string& adapter);
   void Run(const exchange_pointer& exchange);
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -323,12 +323,22 @@
 const std::string kRest = kFields +
                           "content-length: " + std::to_string(kEvent.size()) +
                           "\r\n\r\n" + kEvent;
+const std::string kChunks = "\r\n17\r\n" + kEvent + "\r\n0\r\n\r\n";
 const std::vector<std::string> kMalformedAnswers = {
     "HTTP/1.1 000\r\n" + kRest,
     "HTTP/1.1 000 No Status\r\n" + kRest,
     "HTTP/1.1 600 Status\r\n" + kRest,
     "HTTP/1.1 999 Status\r\n" + kRest,
     "HTTP/1.1 101 Switching Protocols\r\n" + kRest,
+    "HTTP/1.1 200 OK\r\nbad name: x\r\n" + kRest,
+    "HTTP/1.1 200 OK\r\nbad\tname: x\r\n" + kRest,
+    "HTTP/1.1 200 OK\r\nbad\x01name: x\r\n" + kRest,
+    "HTTP/1.1 200 OK\r\nbad\x7fname: x\r\n" + kRest,
+    "HTTP/1.1 200 OK\r\nbad\xe9name: x\r\n" + kRest,
+    "HTTP/1.1 200 OK\r\nvalue: a\x01\r\n" + kRest,
+    "HTTP/1.1 200 OK\r\ntransfer-encoding : chunked\r\n" + kFields + kChunks,
+    "HTTP/1.1 200 OK\r\ntransfer\x01-encoding: chunked\r\n" + kFields + kChunks,
+    "HTTP/1.1 503 Full\r\nnot-run: 1\r\nbad name: x\r\n" + kRest,
 };
 
 // Guards against a malformed answer that reaches its caller. The request may
@@ -381,6 +391,21 @@
   }
 }
 
+// Guards against an engine that leaves the service, or loses its adapters, by
+// the word of malformed reports.
+TEST_F(users_platform_test, AMalformedReportIsNotUsed) {
+  WaitUntilReady();
+  for (const char* line : {"bad name: x", "bad\x01name: x", "bad\xe9: x"}) {
+    engine_.malformed_report =
+        std::string("HTTP/1.1 200 OK\r\nserver-leaving: 1\r\n") + line +
+        "\r\ncontent-length: 2\r\n\r\n{}";
+    ASSERT_TRUE(
+        loop_.RunUntil([&] { return !engine_.malformed_report; }, kTimeout));
+    loop_.RunUntil([] { return false; }, milliseconds(300));
+    EXPECT_EQ(SendStream("r1", "a1").status, 200) << line;
+  }
+}
+
 TEST_F(users_platform_test, AStreamThatEndsInsideAnEventIsResumed) {
   WaitUntilReady();
   engine_.unframed = true;
