Refuse responses whose length or transfer encoding is invalid

Callers saw: the first four bytes as the whole answer where an endpoint named the length "4, 5", "4x" or "+4", and an answer up to the end of the connection where the length does not fit into 64 bits. Where the transfer encoding is unknown the call failed within its body, and the head was believed until then. Cause: libcurl reads the digits at the start of a length and ignores the rest; the HTTP client compared lengths but did not read them, and took any transfer encoding that contains "chunked" for it. Change: response_head accepts a length of digits alone, up to 2^63 - 1, and the transfer encoding chunked, applied once (RFC 9112, 6.1 and 6.3); no other one is offered to endpoints. A transfer encoding still overrides the length.

--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -275,7 +275,21 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + kChunkedBody,
         "HTTP/1.1 200 OK\r\nTransfer\x01-Encoding: chunked\r\n" + kChunkedBody,
         "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n" + kChunkedBody,
-        "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody"));
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n" + kChunkedBody,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n" +
+            kChunkedBody,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        "Transfer-Encoding: chunked\r\n" +
+            kChunkedBody,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n" +
+            kChunkedBody,
+        "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4, 5\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nbody"));
 
 // Unusual, but within the grammar or read alike by all recipients.
 TEST_F(response_end_test, UnusualHeadsAreAccepted) {
@@ -297,6 +311,16 @@
   }
 }
 
+TEST_F(response_end_test, ATransferEncodingOverridesTheLength) {
+  for (const std::string fields :
+       {"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: Chunked\r\n"}) {
+    const auto& result = Receive("HTTP/1.1 200 OK\r\n" + fields + kChunkedBody);
+    EXPECT_EQ(result.failure, http_failure::none) << fields;
+    EXPECT_EQ(result.body, "body") << fields;
+  }
+}
+
 // The body before a malformed trailer was whole, but the message is not.
 TEST_F(response_end_test, AMalformedTrailerBreaksTheResponse) {
   for (const std::string trailer :
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -7,8 +7,6 @@
 #include <cstdint>
 #include <utility>
 
-#include "core/text.h"
-
 namespace comfreyspring::net {
 namespace {
 
@@ -332,14 +330,10 @@
 }
 
 body_end http_transfer::BodyEnd() const {
-  if (HasNoBody() || head_.Headers().count("content-length") > 0) {
-    return body_end::framed;
-  }
-  const auto coding = head_.Headers().find("transfer-encoding");
-  const bool chunked =
-      coding != head_.Headers().end() &&
-      core::ToLower(coding->second).find("chunked") != std::string::npos;
-  return chunked ? body_end::framed : body_end::connection;
+  const bool is_framed = HasNoBody() ||
+                         head_.Headers().count("content-length") > 0 ||
+                         head_.Headers().count("transfer-encoding") > 0;
+  return is_framed ? body_end::framed : body_end::connection;
 }
 
 void http_transfer::ReportDone(CURLcode code) {
--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdint>
 #include <cstdio>
 
 #include "core/text.h"
@@ -22,6 +23,7 @@
 constexpr int kSwitchingProtocols = 101;
 
 constexpr const char* kContentLength = "content-length";
+constexpr const char* kTransferEncoding = "transfer-encoding";
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
@@ -109,6 +111,7 @@
     section_ = section::status_line;
     return false;
   }
+  CheckFraming();
   section_ = section::trailers;
   return true;
 }
@@ -141,6 +144,10 @@
   }
   const auto [position, inserted] = headers_.try_emplace(name, value);
   if (inserted) return;
+  // A coding may be applied repeatedly, so equal values add up.
+  if (name == kTransferEncoding) {
+    throw net_error("the response has two transfer encodings");
+  }
   if (position->second == value) return;
   if (name == kContentLength) {
     throw net_error("the response has two different lengths");
@@ -152,4 +159,22 @@
   }
 }
 
+void response_head::CheckFraming() const {
+  const auto coding = headers_.find(kTransferEncoding);
+  if (coding != headers_.end()) {
+    // The only coding that needs no offer in the request.
+    if (core::ToLower(coding->second) == "chunked") return;
+    throw net_error("the response has an unknown transfer encoding");
+  }
+  const auto length = headers_.find(kContentLength);
+  if (length == headers_.end()) return;
+  const std::string& text = length->second;
+  std::int64_t bytes = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, bytes);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !IsDigit(text[0])) {
+    throw net_error("the length of the response is not a valid number");
+  }
+}
+
 }  // namespace comfreyspring::net
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -49,6 +49,8 @@
   bool EndHead();
   void ReadField(std::string_view line);
   void AddField(const std::string& name, std::string_view value);
+  /** Checks the fields that tell where the body ends. */
+  void CheckFraming() const;
 
   std::size_t maximum_fields_;
   section section_ = section::status_line;
