Refuse links whose handshake has a malformed head

Processes saw: an open link although the peer's response to the handshake had the status +101 or 0101, a blank ahead of a colon, a folded line, or a control byte in a value. Nothing of a link's handshake reaches callers. Cause: as at the HTTP client, a lenient reading of the head; websocketpp trims names and values and converts the status with stream operators. Change: the connecting side reads the head with response_head too, which takes 101 where an upgrade was requested; a malformed one ends the link. Evidence: frame_link_test/malformed_handshake_test has ten heads, each beside the sound one; five of them opened a link on, none does now. Status 000 and 999, and a blank or control byte within a name, were refused before by websocketpp; their tests stay.

--- a/src/net/frame_link_test.cc
+++ b/src/net/frame_link_test.cc
@@ -3,11 +3,14 @@
 #include <gtest/gtest.h>
 #include <sys/resource.h>
 
+#include <cstring>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/test_peer.h"
+#include "net/websocket/websocket_session.h"
 
 namespace comfreyspring::net {
 namespace {
@@ -229,6 +232,51 @@
   EXPECT_FALSE(end.opened);
 }
 
+// A link whose handshake has a malformed head does not open.
+class malformed_handshake_test : public frame_link_test,
+                                 public ::testing::WithParamInterface<
+                                     std::pair<const char*, const char*>> {};
+
+TEST_P(malformed_handshake_test, OpensNoLink) {
+  const auto [sound, malformed] = GetParam();
+  for (const bool is_sound : {true, false}) {
+    test_listener raw(loop_);
+    link_end end;
+    end.link = ConnectFrameLink(loop_, "127.0.0.1", raw.Port(), options_,
+                                end.Callbacks());
+    const auto peer = raw.Accept();
+    const auto has_request = [&] {
+      return peer->Received().find("\r\n\r\n") != std::string::npos;
+    };
+    ASSERT_TRUE(WaitFor(has_request));
+    std::string response;
+    websocket_session::callbacks handlers;
+    handlers.on_output = [&](const char* data, std::size_t size) {
+      response.append(data, size);
+    };
+    const auto session = websocket_session::MakeServer(1000, handlers);
+    session->Receive(peer->Received().data(), peer->Received().size());
+    const std::size_t position = response.find(sound);
+    ASSERT_NE(position, std::string::npos) << response;
+    if (!is_sound) response.replace(position, std::strlen(sound), malformed);
+    peer->Send(response);
+    ASSERT_TRUE(WaitFor([&] { return end.opened || !end.closed.empty(); }));
+    EXPECT_EQ(end.opened, is_sound) << response;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    frame_link_test, malformed_handshake_test,
+    ::testing::Values(
+        std::pair(" 101 ", " 000 "), std::pair(" 101 ", " 999 "),
+        std::pair(" 101 ", " +101 "), std::pair(" 101 ", " 0101 "),
+        std::pair("\r\nUpgrade: ", "\r\nbad name: x\r\nUpgrade: "),
+        std::pair("\r\nUpgrade: ", "\r\nbad\x01name: x\r\nUpgrade: "),
+        std::pair("\r\nUpgrade: ", "\r\nvalue: x\x01\r\nUpgrade: "),
+        std::pair("\r\nUpgrade: ", "\r\nno colon\r\nUpgrade: "),
+        std::pair("\r\nUpgrade: ", "\r\n a: b\r\nUpgrade: "),
+        std::pair("\r\nUpgrade: ", "\r\nUpgrade : ")));
+
 // Guards against a crash on a malformed frame after a valid handshake.
 TEST_F(frame_link_test, SurvivesGarbageAfterTheHandshake) {
   Listen();
--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -62,8 +62,9 @@
 
 }  // namespace
 
-response_head::response_head(std::size_t maximum_fields)
-    : maximum_fields_(maximum_fields) {}
+response_head::response_head(std::size_t maximum_fields,
+                             protocol_upgrade upgrade)
+    : maximum_fields_(maximum_fields), upgrade_(upgrade) {}
 
 bool response_head::AddLine(std::string_view line) {
   if (!line.empty() && line.back() == '\n') line.remove_suffix(1);
@@ -99,15 +100,20 @@
     throw net_error("the response has the invalid status code " +
                     std::string(line.substr(kCode, kCodeEnd - kCode)));
   }
-  if (status_ == kSwitchingProtocols) {
+  if (status_ == kSwitchingProtocols &&
+      upgrade_ == protocol_upgrade::not_requested) {
     throw net_error("the response switches to an unrequested protocol");
   }
   headers_.clear();
   section_ = section::fields;
 }
 
+bool response_head::IsInterim() const {
+  return status_ < kMinimumFinalStatus && status_ != kSwitchingProtocols;
+}
+
 bool response_head::EndHead() {
-  if (status_ < kMinimumFinalStatus) {
+  if (IsInterim()) {
     section_ = section::status_line;
     return false;
   }
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -8,6 +8,9 @@
 
 namespace comfreyspring::net {
 
+/** Whether the request has asked its peer to switch to another protocol. */
+enum class protocol_upgrade { not_requested, requested };
+
 /**
  * Reads the heads of an HTTP/1 response and its trailers, line by line, and
  * accepts only the grammar of RFC 9110 and RFC 9112.
@@ -19,7 +22,9 @@
 class response_head {
  public:
   /** @param maximum_fields limit for the names of fields in one head. */
-  explicit response_head(std::size_t maximum_fields);
+  explicit response_head(
+      std::size_t maximum_fields,
+      protocol_upgrade upgrade = protocol_upgrade::not_requested);
 
   /**
    * Adds a line of the head of an interim response, of the head of the final
@@ -45,6 +50,7 @@
   enum class section { status_line, fields, trailers };
 
   void ReadStatusLine(std::string_view line);
+  bool IsInterim() const;
   /** @returns true if the head is that of the final response. */
   bool EndHead();
   void ReadField(std::string_view line);
@@ -53,6 +59,7 @@
   void CheckFraming() const;
 
   std::size_t maximum_fields_;
+  protocol_upgrade upgrade_;
   section section_ = section::status_line;
   int status_ = 0;
   header_map headers_;
--- a/src/net/websocket_link.cc
+++ b/src/net/websocket_link.cc
@@ -1,5 +1,6 @@
 #include "net/websocket_link.h"
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <cerrno>
@@ -18,6 +19,7 @@
 constexpr std::size_t kEarlyFlushBytes = 256 * 1024;
 // An empty buffer with a larger capacity than this is freed.
 constexpr std::size_t kKeptBufferBytes = 256 * 1024;
+constexpr std::size_t kMaximumHandshakeFields = 64;
 
 }  // namespace
 
@@ -62,6 +64,7 @@
   }
   state_ = state::handshaking;
   watcher_->SetInterest(io_interest::read);
+  handshake_head_.emplace(kMaximumHandshakeFields, protocol_upgrade::requested);
   session_ = websocket_session::MakeClient(
       address_, port_, options_.maximum_frame_bytes, SessionCallbacks());
   if (!session_) {
@@ -123,6 +126,18 @@
       });
 }
 
+void websocket_link::CheckHandshake(std::string_view received) {
+  while (handshake_head_ && !received.empty()) {
+    const std::size_t end = std::min(received.find('\n'), received.size() - 1);
+    handshake_line_ += received.substr(0, end + 1);
+    received.remove_prefix(end + 1);
+    // The session limits the size of the head.
+    if (handshake_line_.back() != '\n') return;
+    if (handshake_head_->AddLine(handshake_line_)) handshake_head_.reset();
+    handshake_line_.clear();
+  }
+}
+
 void websocket_link::Watch(io_interest interest) {
   // The callbacks keep the link alive while they run, because the receiver of
   // a frame may release its last reference.
@@ -153,6 +168,12 @@
       return;
     }
     received_bytes_ += result.bytes;
+    try {
+      CheckHandshake({buffer.data(), result.bytes});
+    } catch (const net_error& failure) {
+      Fail(failure.what());
+      return;
+    }
     const bool was_open = state_ == state::open;
     const bool alive = session_->Receive(buffer.data(), result.bytes);
     if (state_ == state::ended) return;
--- a/src/net/websocket_link.h
+++ b/src/net/websocket_link.h
@@ -4,9 +4,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "net/frame_link.h"
 #include "net/io_watcher.h"
+#include "net/response_head.h"
 #include "net/tcp_socket.h"
 #include "net/websocket/websocket_session.h"
 
@@ -49,6 +51,12 @@
 
   websocket_session::callbacks SessionCallbacks();
   void StartHandshakeTimer();
+  /**
+   * Checks the head of the peer's response to the handshake, which the session
+   * reads leniently.
+   * @throws net_error if it is malformed.
+   */
+  void CheckHandshake(std::string_view received);
   void Watch(io_interest interest);
   void HandleReadable();
   void HandleWritable();
@@ -72,6 +80,10 @@
   tcp_socket socket_;
   std::optional<io_watcher> watcher_;
   std::unique_ptr<websocket_session> session_;
+  /** Set at the connecting side until the handshake's response is read. */
+  std::optional<response_head> handshake_head_;
+  /** The line of the head that is incomplete. */
+  std::string handshake_line_;
   timer_id handshake_timer_ = 0;
   std::string output_;
   std::size_t output_sent_ = 0;
