Malformed heads in the fault soak

Cause: the soak had no endpoint whose heads break the grammar of HTTP, so it could not find that such answers were passed on. Change: the stand-in answers runs and reports with one of 15 malformed heads at a given probability; the family malformed draws it at one or half of the endpoints, beside the faults of processes, links, endpoints and streams. A status over 599 is a violation now.

--- a/tests/process/engine_stand_in.cc
+++ b/tests/process/engine_stand_in.cc
@@ -26,6 +26,35 @@
   return "answer to " + request + std::string(400, '.');
 }
 
+std::vector<std::string> MalformedAnswers(const std::string& request) {
+  const std::string event = "id: 4\ndata: malformed\n\n";
+  const std::string fields = "request-id: " + request +
+                             "\r\nserver-stamp: stamp\r\n"
+                             "content-type: text/event-stream\r\n";
+  const std::string rest = fields +
+                           "content-length: " + std::to_string(event.size()) +
+                           "\r\n\r\n" + event;
+  const std::string chunked = fields + "\r\n" + Chunk(event) + Chunk("");
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  return {
+      "HTTP/1.1 000\r\n" + rest,
+      "HTTP/1.1 000 No Status\r\n" + rest,
+      "HTTP/1.1 600 Status\r\n" + rest,
+      "HTTP/1.1 999 Status\r\n" + rest,
+      "HTTP/1.1 101 Switching Protocols\r\n" + rest,
+      ok + "bad name: x\r\n" + rest,
+      ok + "bad\tname: x\r\n" + rest,
+      ok + "bad\x01name: x\r\n" + rest,
+      ok + "bad\x7fname: x\r\n" + rest,
+      ok + "bad\xe9name: x\r\n" + rest,
+      ok + "value: a\x01\r\n" + rest,
+      ok + "transfer-encoding : chunked\r\n" + chunked,
+      ok + "transfer\x01-encoding: chunked\r\n" + chunked,
+      ok + "content-length: 4x\r\n" + fields + "\r\n" + event,
+      "HTTP/1.1 503 Full\r\nnot-run: 1\r\nbad name: x\r\n" + rest,
+  };
+}
+
 struct engine_stand_in::run {
   exchange_pointer exchange;
   std::string id;
@@ -94,6 +123,17 @@
   }
 }
 
+std::optional<std::string> engine_stand_in::DrawMalformed(
+    const std::string& request) {
+  // Otherwise no number is drawn, so that the runs of older seeds stay.
+  const bool may_be_malformed = malformed_probability > 0;
+  if (!may_be_malformed || !DrawWithProbability(malformed_probability)) {
+    return std::nullopt;
+  }
+  const auto answers = MalformedAnswers(request);
+  return answers[random_() % answers.size()];
+}
+
 net::header_map engine_stand_in::Notices() const {
   net::header_map headers;
   if (leaving) headers["server-leaving"] = "1";
@@ -109,7 +149,8 @@
 }
 
 void engine_stand_in::Report(raw_exchange& exchange) {
-  if (const auto bytes = std::exchange(malformed_report, std::nullopt)) {
+  if (!raw_report) raw_report = DrawMalformed("report");
+  if (const auto bytes = std::exchange(raw_report, std::nullopt)) {
     exchange.SendRaw(*bytes);
     exchange.CloseInOrder();
     return;
@@ -205,6 +246,7 @@
   running_.insert(current);
   exchange->OnClientGone([this, current] { End(current, false); });
   if (unresponsive) return;
+  if (!raw_answer) raw_answer = DrawMalformed(id);
   if (raw_answer) {
     exchange->SendRaw(*std::exchange(raw_answer, std::nullopt));
     exchange->CloseInOrder();
--- a/tests/process/engine_stand_in.h
+++ b/tests/process/engine_stand_in.h
@@ -35,6 +35,12 @@
 std::string EventText(const std::string& request, int event);
 /** Body of a plain answer. */
 std::string PlainText(const std::string& request);
+/**
+ * Whole answers whose heads break the grammar of HTTP, one way each. They are
+ * sound otherwise: they have the stamp of an engine, and their body is an event
+ * that may follow three others.
+ */
+std::vector<std::string> MalformedAnswers(const std::string& request);
 
 /**
  * Stand-in for an engine of the users with one model `m`, or for an endpoint
@@ -94,6 +100,8 @@
   double break_probability = 0;
   /** Probability that a request is refused as not run. */
   double refuse_probability = 0;
+  /** Probability that a run or a report is answered with a malformed head. */
+  double malformed_probability = 0;
   /** Number of requests that are refused as not run. */
   int refuse_next = 0;
   /** How a refusal is written again. */
@@ -117,7 +125,7 @@
    */
   std::optional<std::string> raw_answer;
   /** The next report consists of just these bytes. */
-  std::optional<std::string> malformed_report;
+  std::optional<std::string> raw_report;
   /**
    * Parts of prompts on which the engine ends: a request with one gets the
    * headers of its answer, and no event.
@@ -143,6 +151,9 @@
   using exchange_pointer = std::shared_ptr<raw_exchange>;
   struct run;
 
+  /** Draws an answer with a malformed head; nothing for a sound answer. */
+  std::optional<std::string> DrawMalformed(const std::string& request);
+
   /** Headers that every response carries. */
   net::header_map Notices() const;
   net::header_map ResponseHeaders(const std::string& id);
--- a/tests/process/raw_http_server.cc
+++ b/tests/process/raw_http_server.cc
@@ -15,6 +15,13 @@
 #include "net/tcp_socket.h"
 
 namespace comfreyspring::process_test {
+
+std::string Chunk(const std::string& data) {
+  std::array<char, 20> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+  return size.data() + data + "\r\n";
+}
+
 namespace {
 
 constexpr std::size_t kReadBytes = 64 * 1024;
@@ -58,12 +65,6 @@
   return text;
 }
 
-std::string Chunk(const std::string& data) {
-  std::array<char, 20> size{};
-  std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
-  return size.data() + data + "\r\n";
-}
-
 class connection;
 
 class exchange final : public raw_exchange {
--- a/tests/process/raw_http_server.h
+++ b/tests/process/raw_http_server.h
@@ -13,6 +13,9 @@
 /** What marks the end of a streamed response. */
 enum class stream_framing { chunks, connection };
 
+/** @returns a chunk of a body; the last one if `data` is empty. */
+std::string Chunk(const std::string& data);
+
 /** Exchange that can also violate the protocol. */
 class raw_exchange : public net::http_exchange {
  public:
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -314,33 +314,6 @@
   }
 }
 
-// Heads outside the grammar of HTTP, in answers that are sound otherwise: the
-// engine's stamp, and a whole event that may follow three others.
-const std::string kEvent = "id: 4\ndata: malformed\n\n";
-const std::string kFields =
-    "request-id: r1\r\nserver-stamp: stamp\r\n"
-    "content-type: text/event-stream\r\n";
-const std::string kRest = kFields +
-                          "content-length: " + std::to_string(kEvent.size()) +
-                          "\r\n\r\n" + kEvent;
-const std::string kChunks = "\r\n17\r\n" + kEvent + "\r\n0\r\n\r\n";
-const std::vector<std::string> kMalformedAnswers = {
-    "HTTP/1.1 000\r\n" + kRest,
-    "HTTP/1.1 000 No Status\r\n" + kRest,
-    "HTTP/1.1 600 Status\r\n" + kRest,
-    "HTTP/1.1 999 Status\r\n" + kRest,
-    "HTTP/1.1 101 Switching Protocols\r\n" + kRest,
-    "HTTP/1.1 200 OK\r\nbad name: x\r\n" + kRest,
-    "HTTP/1.1 200 OK\r\nbad\tname: x\r\n" + kRest,
-    "HTTP/1.1 200 OK\r\nbad\x01name: x\r\n" + kRest,
-    "HTTP/1.1 200 OK\r\nbad\x7fname: x\r\n" + kRest,
-    "HTTP/1.1 200 OK\r\nbad\xe9name: x\r\n" + kRest,
-    "HTTP/1.1 200 OK\r\nvalue: a\x01\r\n" + kRest,
-    "HTTP/1.1 200 OK\r\ntransfer-encoding : chunked\r\n" + kFields + kChunks,
-    "HTTP/1.1 200 OK\r\ntransfer\x01-encoding: chunked\r\n" + kFields + kChunks,
-    "HTTP/1.1 503 Full\r\nnot-run: 1\r\nbad name: x\r\n" + kRest,
-};
-
 // Guards against a malformed answer that reaches its caller. The request may
 // have run, whatever its head says, so only requests that may be repeated are.
 TEST_F(users_platform_test, AMalformedAnswerIsNotPassedOn) {
@@ -348,7 +321,7 @@
   plain.Start("i-plain");
   PutPlainEndpoint(plain);
   WaitUntilReady();
-  for (const std::string& malformed : kMalformedAnswers) {
+  for (const std::string& malformed : MalformedAnswers("r1")) {
     for (const std::string target : {"/q/x", "/i/x", "/f/x", "/o/x", "/p/x"}) {
       const bool generates = target == "/o/x" || target == "/p/x";
       engine_stand_in& engine = generates ? engine_ : plain;
@@ -377,7 +350,7 @@
 // one has begun.
 TEST_F(users_platform_test, AMalformedAnswerIsNotPartOfAResumedStream) {
   WaitUntilReady();
-  for (const std::string& malformed : kMalformedAnswers) {
+  for (const std::string& malformed : MalformedAnswers("r1")) {
     engine_.runs.clear();
     engine_.break_after = 3;
     engine_.on_run = [&](const net::http_request&) {
@@ -396,11 +369,10 @@
 TEST_F(users_platform_test, AMalformedReportIsNotUsed) {
   WaitUntilReady();
   for (const char* line : {"bad name: x", "bad\x01name: x", "bad\xe9: x"}) {
-    engine_.malformed_report =
+    engine_.raw_report =
         std::string("HTTP/1.1 200 OK\r\nserver-leaving: 1\r\n") + line +
         "\r\ncontent-length: 2\r\n\r\n{}";
-    ASSERT_TRUE(
-        loop_.RunUntil([&] { return !engine_.malformed_report; }, kTimeout));
+    ASSERT_TRUE(loop_.RunUntil([&] { return !engine_.raw_report; }, kTimeout));
     loop_.RunUntil([] { return false; }, milliseconds(300));
     EXPECT_EQ(SendStream("r1", "a1").status, 200) << line;
   }
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -137,6 +137,9 @@
       {"storm", fault_family::thin, &f::StormOfConfigurations},
       {"storm_again", fault_family::thin, &f::StormOfConfigurations},
       {"thin_drain", fault_family::thin, &f::DrainEndpoint},
+      {"malformed", fault_family::malformed, &f::MalformHeads},
+      {"malformed_again", fault_family::malformed, &f::MalformHeads},
+      {"malformed_many", fault_family::malformed, &f::MalformManyHeads},
   };
   return kFaults;
 }
@@ -596,6 +599,23 @@
   });
 }
 
+void fault_schedule::Malform(std::size_t endpoint, milliseconds length) {
+  auto& engine = *fleet_.Endpoints()[endpoint].engine;
+  RecordCrossing(crossing::engine_failed, std::nullopt, length);
+  engine.malformed_probability = kFailureProbability;
+  HealAfter(length, [&engine] { engine.malformed_probability = 0; });
+}
+
+void fault_schedule::MalformHeads(milliseconds length) {
+  Malform(PickEndpoint(), length);
+}
+
+void fault_schedule::MalformManyHeads(milliseconds length) {
+  for (std::size_t i = 0; i < fleet_.Endpoints().size(); i += 2) {
+    Malform(i, length);
+  }
+}
+
 // Silences, and planned work beside them.
 
 void fault_schedule::Silence(std::size_t endpoint) {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -22,7 +22,8 @@
  * explains a request without an answer. `repeats` draws what `deadly` does,
  * beside requests that end engines whenever they come again. `thin` draws
  * faults of links and the store and storms of configurations, before store
- * links with little bandwidth.
+ * links with little bandwidth. `malformed` draws what `streams` does,
+ * beside malformed heads of answers and reports.
  */
 enum class fault_family {
   all,
@@ -39,6 +40,7 @@
   silences,
   repeats,
   thin,
+  malformed,
 };
 
 /**
@@ -155,6 +157,11 @@
   void UnframeAnswers(core::milliseconds length);
   /** Streams end in order inside an event. */
   void BreakInsideEvents(core::milliseconds length);
+  /** Heads of answers and reports break the grammar of HTTP. */
+  void MalformHeads(core::milliseconds length);
+  /** The same at half of the endpoints. */
+  void MalformManyHeads(core::milliseconds length);
+  void Malform(std::size_t endpoint, core::milliseconds length);
 
   // Clocks.
   void StepClock(core::milliseconds length);
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -117,7 +117,7 @@
                 " of the configuration is not in force at gateway " +
                 std::to_string(request.gateway));
     }
-  } else if (status < 500) {
+  } else if (status < 500 || status > 599) {
     Violation(id + " was rejected with " + std::to_string(status) + ": " +
               result.body);
   }
