--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -81,8 +81,7 @@
 }
 
 void response_head::ReadStatusLine(std::string_view line) {
-  // Any minor version. The space ahead of an empty reason phrase is often left
-  // out.
+  // Recipients treat later minor versions as the one that they support.
   constexpr std::string_view kVersion = "HTTP/1.";
   constexpr std::size_t kCode = kVersion.size() + 2;
   constexpr std::size_t kCodeEnd = kCode + 3;
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -13,7 +13,8 @@
 
 /**
  * Reads the heads of an HTTP/1 response and its trailers, line by line, and
- * accepts only the grammar of RFC 9110 and RFC 9112.
+ * accepts only the grammar of RFC 9110 and RFC 9112. Lines may end with a bare
+ * line feed, and a status line with its code.
  *
  * The HTTP library frames the body by a more lenient reading of the same lines.
  * A head that it may read differently is malformed here, so that no body is
