--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -139,13 +139,14 @@
                                {"State", state},
                                {"born", 5}});
   }
-  void PutPlainEndpoint(const engine_stand_in& plain) {
-    store_.Put("servers/" + plain.Instance(), {{"Service", "plain"},
-                                               {"Addr", Address(plain.Port())},
-                                               {"Zone", "z"},
-                                               {"Slots", 500},
-                                               {"State", "ready"},
-                                               {"born", plain.StartedAt()}});
+  void PutPlainEndpoint(const std::string& instance, std::uint16_t port,
+                        int slots = 500, std::int64_t started_at = 7) {
+    store_.Put("servers/" + instance, {{"Service", "plain"},
+                                       {"Addr", Address(port)},
+                                       {"Zone", "z"},
+                                       {"Slots", slots},
+                                       {"State", "ready"},
+                                       {"born", started_at}});
   }
   static std::string Address(std::uint16_t port,
                              const std::string& ip = kHost) {
@@ -288,7 +289,7 @@
 TEST_F(users_platform_test, AHeadThatBreaksOffIsNoSuccess) {
   engine_stand_in plain(loop_, {.generates = false});
   plain.Start("i-plain");
-  PutPlainEndpoint(plain);
+  PutPlainEndpoint("i-plain", plain.Port(), 500, plain.StartedAt());
   WaitUntilReady();
   const std::string head =
       "HTTP/1.1 200 OK\r\nrequest-id: r1\r\nserver-stamp: stamp\r\n";
@@ -319,7 +320,7 @@
 TEST_F(users_platform_test, AMalformedAnswerIsNotPassedOn) {
   engine_stand_in plain(loop_, {.generates = false});
   plain.Start("i-plain");
-  PutPlainEndpoint(plain);
+  PutPlainEndpoint("i-plain", plain.Port(), 500, plain.StartedAt());
   WaitUntilReady();
   for (const std::string& malformed : MalformedAnswers("r1")) {
     for (const std::string target : {"/q/x", "/i/x", "/f/x", "/o/x", "/p/x"}) {
@@ -695,12 +696,7 @@
         flood{"", "HTTP/1.1 100 Continue\r\n\r\n"}, flood{head, "x"},
         flood{head + "transfer-encoding: chunked\r\n\r\n", "4\r\nmore\r\n"}}) {
     flooding_service service(loop_, each.start, each.piece);
-    store_.Put("servers/i-f", {{"Service", "plain"},
-                               {"Addr", Address(service.Port())},
-                               {"Zone", "z"},
-                               {"Slots", 500},
-                               {"State", "ready"},
-                               {"born", 7}});
+    PutPlainEndpoint("i-f", service.Port());
     WaitUntilReady();
     loop_.RunUntil([] { return false; }, milliseconds(600));
     const long before = gateway_->ResidentKib();
@@ -808,12 +804,7 @@
   // Well within the memory available on the smallest entry VMs (160 MB).
   constexpr long kMemoryKib = 64L * 1024;
   flooding_service service(loop_, GetParam().start, GetParam().piece);
-  store_.Put("servers/i-f", {{"Service", "plain"},
-                             {"Addr", Address(service.Port())},
-                             {"Zone", "z"},
-                             {"Slots", 500},
-                             {"State", "ready"},
-                             {"born", 7}});
+  PutPlainEndpoint("i-f", service.Port());
   WaitUntilReady();
   loop_.RunUntil([] { return false; }, milliseconds(600));
   const long before = gateway_->ResidentKib();
@@ -881,12 +872,7 @@
 TEST_F(users_platform_test, ARepeatedRefusalIsNotTakenForTheNextAnswer) {
   engine_stand_in service(loop_, {.slots = 200, .generates = false});
   service.Start("i-1p");
-  store_.Put("servers/i-1p", {{"Service", "plain"},
-                              {"Addr", Address(service.Port())},
-                              {"Zone", "z"},
-                              {"Slots", 200},
-                              {"State", "ready"},
-                              {"born", 7}});
+  PutPlainEndpoint("i-1p", service.Port(), 200);
   WaitUntilReady();
   loop_.RunUntil([] { return false; }, milliseconds(600));
   const auto order = [&](const std::string& id) {
@@ -921,12 +907,7 @@
 // persistent connections: each accepted request must get its complete answer.
 TEST_F(users_platform_test, AStopUnderLoadLosesNoAnswers) {
   engine_stand_in service(loop_, {.slots = 200, .generates = false});
-  store_.Put("servers/i-1p", {{"Service", "plain"},
-                              {"Addr", Address(service.Port())},
-                              {"Zone", "z"},
-                              {"Slots", 200},
-                              {"State", "ready"},
-                              {"born", 7}});
+  PutPlainEndpoint("i-1p", service.Port(), 200);
   service.Start("i-1p");
   WaitUntilReady();
   loop_.RunUntil([] { return false; }, milliseconds(600));
