Spare copies and error texts when the head of a response is read

Change: the text is built when a control character is found; the result takes the headers of the head. Texts and behaviour are unchanged.

--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -345,7 +345,7 @@
   if (headers_cut) abort_reason_ = "the response headers are incomplete";
   if (head_.IsComplete()) {
     result_.status = head_.Status();
-    result_.headers = head_.Headers();
+    result_.headers = std::move(head_).Headers();
   }
   if (code != CURLE_OK || headers_cut) {
     result_.failure =
--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -51,12 +51,17 @@
   return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-/** @throws net_error if `text` contains a control character. */
-void CheckText(std::string_view text, const std::string& what) {
+/**
+ * @param what,name what the error calls the text; a long name is shortened.
+ * @throws net_error if `text` contains a control character.
+ */
+void CheckText(std::string_view text, const char* what,
+               std::string_view name = {}) {
   const auto* const control =
       std::find_if(text.begin(), text.end(), IsControlCharacter);
   if (control == text.end()) return;
-  throw net_error(what + " of the response has the control character " +
+  throw net_error(what + std::string(name.substr(0, kMaximumQuotedBytes)) +
+                  " of the response has the control character " +
                   ByteText(*control));
 }
 
@@ -138,8 +143,7 @@
                     ByteText(*invalid));
   }
   const std::string_view value = TrimBlanks(line.substr(colon + 1));
-  CheckText(value,
-            "the field " + std::string(name.substr(0, kMaximumQuotedBytes)));
+  CheckText(value, "the field ", name);
   AddField(core::ToLower(std::string(name)), value);
 }
 
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "net/http_server.h"
 
@@ -45,7 +46,8 @@
    * Fields by their names in lower case, without the fields of interim
    * responses. Different values of a repeated field form a list.
    */
-  const header_map& Headers() const { return headers_; }
+  const header_map& Headers() const& { return headers_; }
+  header_map Headers() && { return std::move(headers_); }
 
  private:
   enum class section { status_line, fields, trailers };
