One IsDigit, in core/text.h

Cause: response_head brought a second copy of the function that trace_line had, and documents compares the same range by hand.

--- a/src/config/documents.cc
+++ b/src/config/documents.cc
@@ -10,6 +10,7 @@
 #include "config/validation.h"
 #include "core/hash.h"
 #include "core/json_parser.h"
+#include "core/text.h"
 
 namespace comfreyspring::config {
 namespace {
@@ -355,7 +356,7 @@
   std::uint64_t hash = 0;
   bool is_valid = text.size() == 16;
   for (const char digit : text) {
-    const bool is_number = digit >= '0' && digit <= '9';
+    const bool is_number = core::IsDigit(digit);
     is_valid = is_valid && (is_number || (digit >= 'a' && digit <= 'f'));
     hash = (hash << 4) | static_cast<std::uint64_t>(
                              is_number ? digit - '0' : digit - 'a' + 10);
--- a/src/core/text.h
+++ b/src/core/text.h
@@ -6,6 +6,9 @@
 
 namespace comfreyspring::core {
 
+/** @returns true for ASCII digits, whatever the locale. */
+constexpr bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
 /** @returns `text` with ASCII letters in lower case. */
 inline std::string ToLower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -25,10 +25,8 @@
 constexpr const char* kContentLength = "content-length";
 constexpr const char* kTransferEncoding = "transfer-encoding";
 
-bool IsDigit(char c) { return c >= '0' && c <= '9'; }
-
 bool IsTokenCharacter(char c) {
-  return IsDigit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+  return core::IsDigit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
          std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
 }
 
@@ -92,8 +90,9 @@
   constexpr std::size_t kCodeEnd = kCode + 3;
   const bool is_valid =
       line.substr(0, kVersion.size()) == kVersion && line.size() >= kCodeEnd &&
-      IsDigit(line[kVersion.size()]) && line[kCode - 1] == ' ' &&
-      std::all_of(line.begin() + kCode, line.begin() + kCodeEnd, IsDigit) &&
+      core::IsDigit(line[kVersion.size()]) && line[kCode - 1] == ' ' &&
+      std::all_of(line.begin() + kCode, line.begin() + kCodeEnd,
+                  core::IsDigit) &&
       (line.size() == kCodeEnd || line[kCodeEnd] == ' ');
   if (!is_valid) {
     throw net_error("the status line of the response is malformed");
@@ -181,7 +180,8 @@
   std::int64_t bytes = 0;
   const char* end = text.data() + text.size();
   const auto parsed = std::from_chars(text.data(), end, bytes);
-  if (parsed.ec != std::errc() || parsed.ptr != end || !IsDigit(text[0])) {
+  if (parsed.ec != std::errc() || parsed.ptr != end ||
+      !core::IsDigit(text[0])) {
     throw net_error("the length of the response is not a valid number");
   }
 }
--- a/src/trace/trace_line.cc
+++ b/src/trace/trace_line.cc
@@ -3,15 +3,15 @@
 #include <algorithm>
 #include <charconv>
 
+#include "core/text.h"
+
 namespace comfreyspring::trace {
 namespace {
 
 constexpr std::string_view kHexDigits = "0123456789abcdef";
 
-bool IsDigit(char c) { return c >= '0' && c <= '9'; }
-
 bool IsNameCharacter(char c) {
-  return (c >= 'a' && c <= 'z') || IsDigit(c) || c == '_';
+  return (c >= 'a' && c <= 'z') || core::IsDigit(c) || c == '_';
 }
 
 bool IsPlain(char c) { return c > ' ' && c < '\x7f' && c != '"' && c != '\\'; }
@@ -24,7 +24,7 @@
   trace_line Parse() {
     trace_line line;
     line.number = number_;
-    if (!AtEnd() && IsDigit(text_[position_])) {
+    if (!AtEnd() && core::IsDigit(text_[position_])) {
       line.time_us = ParseTime();
       ExpectSpace();
     }
