Send no requests to engines on silent VMs

Requests reached engines after their callers had left, seconds late; the callers got no answer although other engines were free. Cause: a sidecar that does not answer was treated like one that has ended, and its engine was sent requests without a grant. On a suspended VM the engine is as silent as the sidecar, and what is sent is delivered when the VM goes on. Change: silent_vms keeps the VMs whose sidecar fell silent until they are heard again; their engines are left out while the service has others. Links tell a silent sidecar from one whose VM refuses connections. Why it works: a request goes only where something shows that it is received.

--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -255,6 +255,10 @@
 
   // sidecar_listener.
 
+  void OnSidecarSilent(const std::string& ip) override {
+    forwarder.OnSidecarSilent(ip);
+  }
+  void OnVmHeard(const std::string& ip) override { forwarder.OnVmHeard(ip); }
   void OnSidecarLost(const std::string& ip) override {
     follower.SetReaderRank(links.ReaderRank());
     forwarder.OnSidecarLost(ip);
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -22,6 +22,7 @@
 #include "gateway/retry_budget.h"
 #include "gateway/retry_policy.h"
 #include "gateway/sidecar_links.h"
+#include "gateway/silent_vms.h"
 #include "gateway/slot_client.h"
 #include "gateway/superseded_entries.h"
 #include "limits/token_bucket.h"
@@ -529,6 +530,7 @@
           const auto found = views.find(record.instance);
           if (found != views.end()) result.push_back(&found->second);
         });
+    silent.LeaveOut(result);
     return result;
   }
 
@@ -1581,6 +1583,7 @@
     }
     if (endpoint_view* view = ViewOf(request)) {
       view->results.OnProgress(now);
+      silent.OnHeard(view->record.address.ip);
       ApplyNotices(*view, request);
     }
     // The rest of the response is useless, and the connection may carry more of
@@ -1809,6 +1812,7 @@
     const auto now = loop.Now();
     if (endpoint_view* view = ViewOf(*request)) {
       view->results.OnProgress(now);
+      silent.OnHeard(view->record.address.ip);
       if (!request->response_started) {
         view->results.OnLatency(core::ToMilliseconds(now - request->sent_at),
                                 now);
@@ -2508,7 +2512,10 @@
       linked_ips.insert(ip);
     }
     // Of all before any request is placed again.
-    for (const std::string& ip : removed) ForgetSidecar(ip);
+    for (const std::string& ip : removed) {
+      silent.OnGone(ip);
+      ForgetSidecar(ip);
+    }
     for (const std::string& ip : removed) OnSidecarLost(ip);
     RenewMovedPermits();
   }
@@ -2721,6 +2728,7 @@
   std::map<catalog::instance_id, endpoint_view> views;
   endpoint_notices notices;
   superseded_entries superseded;
+  silent_vms silent;
   prompt_quarantine quarantine;
   plain_crash_watch plain_crashes;
   net::port_probe port_probes{loop};
@@ -2793,6 +2801,14 @@
 
 void request_forwarder::OnPaused() { impl_->OnPaused(); }
 
+void request_forwarder::OnSidecarSilent(const std::string& ip) {
+  impl_->silent.OnSidecarSilent(ip);
+}
+
+void request_forwarder::OnVmHeard(const std::string& ip) {
+  impl_->silent.OnHeard(ip);
+}
+
 void request_forwarder::OnSidecarLost(const std::string& ip) {
   impl_->OnSidecarLost(ip);
 }
@@ -2841,6 +2857,8 @@
                           static_cast<double>(impl_->slots.InUse()));
   impl_->metrics.SetGauge("gateway_sidecars_open",
                           static_cast<double>(impl_->links->OpenCount()));
+  impl_->metrics.SetGauge("gateway_silent_vms",
+                          static_cast<double>(impl_->silent.Count()));
   impl_->metrics.SetGauge("gateway_sidecars_wanted",
                           static_cast<double>(impl_->links->TargetCount()));
   for (auto& [service, budget] : impl_->budgets) {
@@ -2864,6 +2882,7 @@
          {"failure_share", view.results.FailureShare(now)},
          {"silence_ms", view.results.Silence(now).count()},
          {"has_agent", view.has_sidecar},
+         {"vm_is_silent", impl_->silent.IsSilent(view.record.address.ip)},
          {"running", view.status.running},
          {"waiting", view.status.waiting},
          {"free_adapter_slots", view.status.free_adapter_slots},
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -57,6 +57,8 @@
    * have arrived meanwhile.
    */
   void OnPaused();
+  void OnSidecarSilent(const std::string& ip);
+  void OnVmHeard(const std::string& ip);
   void OnSidecarLost(const std::string& ip);
   void OnSidecarMessage(const std::string& ip, const grants::message& value);
 
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -133,7 +133,7 @@
 void sidecar_links::OnUnanswered(const std::string& ip) {
   const auto found = peers_.find(ip);
   if (found == peers_.end() || !found->second.open) return;
-  CloseLink(ip, found->second, "grant request not answered in time");
+  CloseSilentLink(ip, found->second, "grant request not answered in time");
 }
 
 void sidecar_links::OnPaused() {
@@ -159,6 +159,7 @@
     opened->silence_timeout = options_.silence_timeout;
     ChooseRelays();
     log_.Dependency("sidecar " + ip, "regained");
+    listener_.OnVmHeard(ip);
     SendHello(*opened);
   };
   callbacks.on_frame = [this, ip, current](std::string_view frame) {
@@ -169,8 +170,20 @@
   };
   callbacks.on_closed = [this, ip, current](const std::string& reason) {
     peer* closed = current();
-    if (closed != nullptr) CloseLink(ip, *closed, reason);
+    if (closed == nullptr) return;
+    if (closed->open || closed->was_refused) {
+      CloseLink(ip, *closed, reason);
+    } else {
+      CloseSilentLink(ip, *closed, reason);
+    }
+  };
+  callbacks.on_refused = [this, ip, current] {
+    peer* refused = current();
+    if (refused == nullptr) return;
+    refused->was_refused = true;
+    listener_.OnVmHeard(ip);
   };
+  target.was_refused = false;
   target.received = {};
   target.received.Restart(loop_.Now());
   target.link =
@@ -197,6 +210,12 @@
   listener_.OnSidecarLost(ip);
 }
 
+void sidecar_links::CloseSilentLink(const std::string& ip, peer& target,
+                                    const std::string& reason) {
+  listener_.OnSidecarSilent(ip);
+  CloseLink(ip, target, reason);
+}
+
 void sidecar_links::Receive(const std::string& ip, std::string_view frame) {
   try {
     const grants::message value = grants::Decode(frame);
@@ -244,7 +263,7 @@
     if (target.open) {
       target.received.OnTick(target.link->ReceivedBytes(), now);
       if (now - target.received.ReceivedAt() > target.silence_timeout) {
-        CloseLink(ip, target, "silent");
+        CloseSilentLink(ip, target, "silent");
       } else if (now - target.hello_at >= hello_period) {
         SendHello(target);
       }
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -52,6 +52,13 @@
 class sidecar_listener {
  public:
   virtual ~sidecar_listener() = default;
+  /**
+   * The sidecar does not answer, or not even its VM. `OnSidecarLost` follows if
+   * the link was open.
+   */
+  virtual void OnSidecarSilent(const std::string& /*ip*/) {}
+  /** The VM of the sidecar has accepted a link or refused a connection. */
+  virtual void OnVmHeard(const std::string& /*ip*/) {}
   virtual void OnSidecarLost(const std::string& ip) = 0;
   virtual void OnSidecarMessage(const std::string& ip,
                                 const grants::message& value) = 0;
@@ -111,6 +118,8 @@
     grants::engine_config config;
     std::shared_ptr<net::frame_link> link;
     bool open = false;
+    /** The VM has refused the latest attempt to connect. */
+    bool was_refused = false;
     net::receive_watch received;
     core::time_point hello_at;
     core::time_point retry_at;
@@ -124,6 +133,8 @@
   void Connect(const std::string& ip, peer& target);
   void CloseLink(const std::string& ip, peer& target,
                  const std::string& reason);
+  void CloseSilentLink(const std::string& ip, peer& target,
+                       const std::string& reason);
   void Receive(const std::string& ip, std::string_view frame);
   void Tick();
   void SendHello(peer& target);
--- a/src/gateway/sidecar_links_test.cc
+++ b/src/gateway/sidecar_links_test.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "net/frame_link.h"
+#include "net/test_peer.h"
 
 namespace comfreyspring::gateway {
 namespace {
@@ -55,7 +56,19 @@
     return count;
   }
 
-  void OnSidecarLost(const std::string&) override {}
+  void OnSidecarSilent(const std::string& ip) override {
+    events_.push_back("silent " + ip);
+  }
+  void OnVmHeard(const std::string& ip) override {
+    events_.push_back("heard " + ip);
+  }
+  void OnSidecarLost(const std::string& ip) override {
+    events_.push_back("lost " + ip);
+  }
+  bool WaitForEvents(const std::vector<std::string>& expected) {
+    return loop_.RunUntil([&] { return events_ == expected; },
+                          milliseconds(5000));
+  }
   void OnSidecarMessage(const std::string&, const grants::message&) override {}
 
   net::event_loop loop_;
@@ -68,6 +81,7 @@
   std::uint16_t port_ = 0;
   std::map<std::string, std::unique_ptr<net::frame_listener>> listeners_;
   std::map<std::string, int> batches_;
+  std::vector<std::string> events_;
   std::optional<sidecar_links> links_;
 };
 
@@ -96,5 +110,28 @@
   EXPECT_EQ(links_->FirstTargets("slots/plain").first, "");
 }
 
+// Guards against a silent VM that is taken for one whose sidecar has ended.
+TEST_F(sidecar_links_test, TellsSilentSidecarsFromEndedOnes) {
+  EXPECT_EQ(events_.size(), 3U);
+  events_.clear();
+  links_->OnUnanswered("127.0.0.1");
+  EXPECT_TRUE(
+      WaitForEvents({"silent 127.0.0.1", "lost 127.0.0.1", "heard 127.0.0.1"}));
+  events_.clear();
+  // Links that end with their listener; later attempts are refused.
+  listeners_.erase("127.0.0.2");
+  EXPECT_TRUE(WaitForEvents({"lost 127.0.0.2", "heard 127.0.0.2"}));
+}
+
+TEST_F(sidecar_links_test, AVmThatOnlyAcceptsConnectionsIsSilent) {
+  events_.clear();
+  auto silent =
+      net::tcp_socket::Listen(net::socket_address("127.0.0.4", port_));
+  links_->AddOrUpdate("127.0.0.4", {});
+  EXPECT_TRUE(WaitForEvents({"silent 127.0.0.4"}));
+  silent.Close();
+  EXPECT_TRUE(WaitForEvents({"silent 127.0.0.4", "heard 127.0.0.4"}));
+}
+
 }  // namespace
 }  // namespace comfreyspring::gateway
