Reset the connection of a call that is given up

A request whose caller has left, or an order that its sidecar gave up, could still be delivered to its peer seconds later. Cause: cancelling a call closed its connection in order. The kernel then goes on to deliver what the peer has not received, however long it was cut off. Evidence: http_client_test.ACallThatIsGivenUpResetsItsConnection and CancelClosesTheConnectionWithoutACallback saw an orderly end before. Change: the connection of an unfinished call is reset when the call is cancelled or exceeds a timeout. The total timeout is kept by the client, since the library would close the connection by itself. Why it works: a reset discards what is not acknowledged, and tells a peer that has it that nobody waits for the answer.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -10,6 +10,7 @@
 
 #include "net/http_transfer.h"
 #include "net/io_watcher.h"
+#include "net/tcp_socket.h"
 
 namespace comfreyspring::net {
 namespace {
@@ -37,6 +38,7 @@
     *alive = false;
     loop.Cancel(timer);
     for (const auto& [id, transfer] : transfers) {
+      ResetConnectionOf(id);
       curl_multi_remove_handle(multi, transfer->Easy());
     }
     transfers.clear();
@@ -54,7 +56,7 @@
     const http_call_id id = ++last_id;
     auto transfer = std::make_unique<http_transfer>(
         loop, connections, pacer, id, std::move(call), std::move(callbacks));
-    transfer->OnIdle([this, id] { Expire(id); });
+    transfer->OnTimeout([this, id] { Expire(id); });
     transfer->OnHold(
         [this, id](core::milliseconds wait) { ResumeAfter(id, wait); });
     http_transfer& reference = *transfer;
@@ -105,11 +107,24 @@
     auto transfer = std::move(found->second);
     transfers.erase(found);
     if (transfer->Easy() != nullptr) {
+      ResetConnectionOf(id);
       curl_multi_remove_handle(multi, transfer->Easy());
     }
     return transfer;
   }
 
+  /**
+   * Discards what the peer of an unfinished call has not received. After an
+   * orderly close the kernel would still deliver it, to a peer that was silent
+   * for seconds too.
+   */
+  void ResetConnectionOf(http_call_id id) {
+    // The library watches the connection of a call until the call is finished.
+    for (const auto& [socket, watch] : watchers) {
+      if (watch.call == id) ResetConnection(socket);
+    }
+  }
+
   void Finish(http_call_id id, CURLcode code) {
     const auto transfer = Remove(id);
     if (transfer) transfer->ReportDone(code);
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -689,12 +689,40 @@
   EXPECT_EQ(result_->failure, http_failure::broken);
 }
 
+// Guards against requests that are delivered after their call was given up: in
+// an orderly close the kernel still delivers what the peer has not received.
+TEST_F(http_client_test, ACallThatIsGivenUpResetsItsConnection) {
+  const http_call with_timeout{.url = Url(), .total_timeout = milliseconds(50)};
+  const http_call with_idle_timeout{.url = Url(),
+                                    .total_timeout = milliseconds(0),
+                                    .idle_timeout = milliseconds(50)};
+  for (const http_call& call : {with_timeout, with_idle_timeout}) {
+    Start(call);
+    const auto peer = listener_.Accept();
+    ASSERT_TRUE(WaitForResult());
+    EXPECT_EQ(result_->failure, http_failure::broken);
+    ASSERT_TRUE(loop_.RunUntil([&] { return peer->IsClosedByPeer(); }, kLimit));
+    EXPECT_TRUE(peer->WasReset());
+  }
+}
+
+TEST_F(http_client_test, ACallThatIsAnsweredDoesNotResetItsConnection) {
+  Start({.url = Url(), .keep_connection = false});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  ASSERT_TRUE(WaitForResult());
+  ASSERT_TRUE(loop_.RunUntil([&] { return peer->IsClosedByPeer(); }, kLimit));
+  EXPECT_FALSE(peer->WasReset());
+}
+
 TEST_F(http_client_test, CancelClosesTheConnectionWithoutACallback) {
   const http_call_id call = Start({.url = Url()});
   const auto peer = listener_.Accept();
   ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
   client_.Cancel(call);
   EXPECT_TRUE(loop_.RunUntil([&] { return peer->IsClosedByPeer(); }, kLimit));
+  EXPECT_TRUE(peer->WasReset());
   EXPECT_EQ(done_, 0);
   client_.Cancel(call);
   client_.Cancel(0);
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -67,7 +67,10 @@
   SetOption(easy, CURLOPT_CLOSESOCKETDATA, &connections_);
 }
 
-http_transfer::~http_transfer() { loop_.Cancel(idle_timer_); }
+http_transfer::~http_transfer() {
+  loop_.Cancel(idle_timer_);
+  loop_.Cancel(total_timer_);
+}
 
 http_call_id http_transfer::IdOf(CURL* easy) {
   void* id = nullptr;
@@ -121,8 +124,6 @@
   SetOption(easy, CURLOPT_TCP_NODELAY, 1L);
   SetOption(easy, CURLOPT_CONNECTTIMEOUT_MS,
             static_cast<long>(call_.connect_timeout.count()));
-  SetOption(easy, CURLOPT_TIMEOUT_MS,
-            static_cast<long>(call_.total_timeout.count()));
   SetOption(easy, CURLOPT_FRESH_CONNECT, call_.fresh_connection ? 1L : 0L);
   SetOption(easy, CURLOPT_FORBID_REUSE, call_.keep_connection ? 0L : 1L);
   SetOption(easy, CURLOPT_MAXAGE_CONN,
@@ -299,11 +300,19 @@
   return curl_easy_pause(easy_.get(), CURLPAUSE_CONT);
 }
 
-// Idle timeout and completion.
+// Timeouts and completion.
 
-void http_transfer::OnIdle(std::function<void()> callback) {
-  on_idle_ = std::move(callback);
+void http_transfer::OnTimeout(std::function<void()> callback) {
+  on_timeout_ = std::move(callback);
   if (call_.idle_timeout.count() > 0) ScheduleIdleCheck(call_.idle_timeout);
+  if (call_.total_timeout.count() == 0) return;
+  // Not left to the library, which would close the connection in order.
+  total_timer_ = loop_.Schedule(call_.total_timeout, [this] {
+    total_timer_ = 0;
+    abort_reason_ = "the call exceeded its total timeout";
+    const auto expired = on_timeout_;
+    expired();
+  });
 }
 
 void http_transfer::ScheduleIdleCheck(core::milliseconds delay) {
@@ -314,7 +323,7 @@
       ScheduleIdleCheck(std::chrono::ceil<core::milliseconds>(left));
       return;
     }
-    const auto expired = on_idle_;
+    const auto expired = on_timeout_;
     expired();
   });
 }
@@ -322,6 +331,7 @@
 void http_transfer::MarkCancelled() {
   cancelled_ = true;
   loop_.Cancel(idle_timer_);
+  loop_.Cancel(total_timer_);
 }
 
 bool http_transfer::HasNoBody() const {
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -33,8 +33,8 @@
   /** Id of the call that a libcurl handle belongs to. */
   static http_call_id IdOf(CURL* easy);
 
-  /** Sets the callback for the call's idle timeout. */
-  void OnIdle(std::function<void()> callback);
+  /** Sets the callback for the call's total and idle timeout. */
+  void OnTimeout(std::function<void()> callback);
   /**
    * Sets the callback for a body of which the loop has read enough for now: for
    * one turn, or until the given time has passed. No more is read until Resume.
@@ -121,7 +121,7 @@
   int times_sent_ = 0;
   bool needs_fresh_connection_ = false;
   bool cancelled_ = false;
-  std::function<void()> on_idle_;
+  std::function<void()> on_timeout_;
   std::function<void(core::milliseconds wait)> on_hold_;
   int pieces_until_hold_;
   bool is_held_ = false;
@@ -129,6 +129,7 @@
   bool has_stopped_ = false;
   core::time_point last_activity_;
   timer_id idle_timer_ = 0;
+  timer_id total_timer_ = 0;
 };
 
 }  // namespace comfreyspring::net
