--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -92,6 +92,7 @@
               {"Addr", fleet_layout::At(layout_.EndpointRelay(index),
                                         fleet_layout::kEndpointPort)},
               {"Zone", "z"},
+              {"Version", versions_.try_emplace(index, "v1").first->second},
               {"Slots", 8},
               {"State", state},
               {"born", engine.StartedAt()}});
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -100,6 +101,8 @@
   small_fleet_options options_;
   net::event_loop loop_;
   net::http_client http_{loop_};
+  /** Software versions in the entries of endpoints; `v1` if not named. */
+  std::map<int, std::string> versions_;
   fleet_layout layout_;
   store_stand_in store_{loop_, layout_.Store(), fleet_layout::kStorePort};
   std::filesystem::path directory_;
