Resume a stream only at engines of the version that began it

An answer went on with events of another software version after its engine had crashed or broken off. Cause: the version of an endpoint was not read, so the engine for the rest of a stream was chosen as for a new one. Change: entries carry the version. The first event that is passed on binds the stream to that of its engine: choice, standby, wait and the check after a grant consider engines of this version only. Why it works: after the first event no other version is ever a candidate.

--- a/src/catalog/endpoint_record.h
+++ b/src/catalog/endpoint_record.h
@@ -33,6 +33,8 @@
   core::service_id service;
   core::network_address address;
   core::data_centre_id data_centre;
+  /** Of its software, not of its models; empty if it names none. */
+  core::software_version version;
   /** Number of requests that it processes concurrently. */
   std::size_t slots = 1;
   /** It has announced that it is shutting down. */
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -15,7 +15,8 @@
 bool DiffersInUse(const endpoint_record& left, const endpoint_record& right) {
   const auto used = [](const endpoint_record& record) {
     return std::tie(record.service, record.address, record.data_centre,
-                    record.slots, record.leaving, record.started_unix_ms);
+                    record.version, record.slots, record.leaving,
+                    record.started_unix_ms);
   };
   return used(left) != used(right);
 }
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -50,6 +50,8 @@
 using adapter_id = strong_id<struct adapter_tag>;
 /** A version of an adapter. */
 using version_id = strong_id<struct version_tag>;
+/** A version of the software of endpoints; versions have no order. */
+using software_version = strong_id<struct software_version_tag>;
 /** A part of a prompt, which other prompts may share. */
 using prompt_part_id = strong_id<struct prompt_part_tag>;
 /** One request from a caller; unique across all entries. */
--- a/src/gateway/active_request.h
+++ b/src/gateway/active_request.h
@@ -138,6 +138,10 @@
   /** Only endpoints in `used` may be chosen. */
   bool restricted = false;
   bool may_have_run = false;
+  /** Of the software of the endpoint of the current attempt. */
+  core::software_version attempt_version;
+  /** The version that began the stream: no other one may go on with it. */
+  std::optional<core::software_version> stream_version;
 
   // Response of the current attempt.
   int status = 0;
@@ -169,6 +173,11 @@
   std::string refusal;
 
   admitted_caller caller;
+
+  /** Its software fits what the caller has of the stream. */
+  bool MayContinueAt(const catalog::endpoint_record& record) const {
+    return !stream_version || record.version == *stream_version;
+  }
 };
 
 }  // namespace comfreyspring::gateway
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -369,11 +369,15 @@
            !request.metadata.adapter.model.empty();
   }
 
-  endpoint_views ViewsOf(const core::service_id& service) const {
+  /** Endpoints that may be sent the request, or what is left of its stream. */
+  endpoint_views ViewsOf(const active_request& request) const {
     endpoint_views result;
     follower.Endpoints().ForEachUsable(
         [&](const catalog::endpoint_record& record) {
-          if (record.service != service || !IsAvailable(record)) return;
+          if (record.service != request.service || !IsAvailable(record) ||
+              !request.MayContinueAt(record)) {
+            return;
+          }
           const auto found = views.find(record.instance);
           if (found != views.end()) result.push_back(&found->second);
         });
@@ -586,7 +590,7 @@
     if (request.events_sent == 0) {
       wanted.answer_due_in = core::ToMilliseconds(request.deadline - now);
     }
-    const auto candidates = ViewsOf(request.service);
+    const auto candidates = ViewsOf(request);
     if (request.isolation) {
       return {ChooseIsolationEngine(candidates, wanted, *request.isolation)};
     }
@@ -626,8 +630,9 @@
             request->retry_after.value_or(core::milliseconds(0)), *wait);
       }
       if (AwaitEndpoint(request)) return;
-      GiveUp(request,
-             request->refusal.empty() ? "no_endpoint" : request->refusal);
+      const char* cause =
+          request->stream_version ? "no_endpoint_of_version" : "no_endpoint";
+      GiveUp(request, request->refusal.empty() ? cause : request->refusal);
       return;
     }
     unplaced.erase(request->number);
@@ -656,7 +661,7 @@
           // Draining endpoints do not come back, and backoffs have their own
           // refusal.
           if (record.service == request->service &&
-              !notices.IsDraining(record) &&
+              request->MayContinueAt(record) && !notices.IsDraining(record) &&
               notices.BackoffLeft(record, now).count() == 0) {
             ++state.returning_endpoints;
           }
@@ -784,7 +789,8 @@
   void OnStandbyGranted(const request_pointer& request) {
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->standby->endpoint);
-    if (record == nullptr || !IsAvailable(*record) || !MayTakeOver(*request)) {
+    if (record == nullptr || !IsAvailable(*record) ||
+        !request->MayContinueAt(*record) || !MayTakeOver(*request)) {
       WithdrawStandby(*request);
       return;
     }
@@ -1120,7 +1126,7 @@
   }
 
   bool HasUnlimitedAlternative(const active_request& request) const {
-    const auto candidates = ViewsOf(request.service);
+    const auto candidates = ViewsOf(request);
     return std::any_of(
         candidates.begin(), candidates.end(), [&](const endpoint_view* view) {
           return request.excluded.count(view->record.instance) == 0 &&
@@ -1268,9 +1274,10 @@
     }
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->endpoint);
-    if (record == nullptr || !IsAvailable(*record)) {
-      // The endpoint was removed, or started to drain or back off, while the
-      // grant was in transit.
+    if (record == nullptr || !IsAvailable(*record) ||
+        !request->MayContinueAt(*record)) {
+      // The endpoint was removed or replaced, or started to drain or back off,
+      // while the grant was in transit.
       ReleaseGrant(*request, false);
       ReturnPermit(*request);
       request->excluded.insert(request->endpoint);
@@ -1314,6 +1321,7 @@
     request->bytes_between_events = 0;
     request->is_held = false;
     request->answer_went_on = false;
+    request->attempt_version = record->version;
     ++request->attempts;
     const bool was_sent_there = std::any_of(
         request->used.begin(), request->used.end(),
@@ -1672,6 +1680,7 @@
     }
     if (!request->response_started) {
       request->response_started = true;
+      request->stream_version = request->attempt_version;
       request->first_event = core::ToMilliseconds(now - request->arrived);
       metrics.Observe("gateway_first_event_ms",
                       static_cast<double>(request->first_event.count()));
