Let streams that callers take up go on only at their version

Cause: a take-up names the request that began the stream, and no gateway knew which version had run it; a gateway that has been restarted knows nothing. Change: module origins. Before the first event of a resumable stream is passed on, its version is recorded at two sidecars in rendezvous order. A gateway that does not know the origin of a taken-up stream asks six; if none has it, the stream goes on only where the service has had one version for a minute, else it is refused with 503 as not run. The same if no engine of the version is left. Why it works: the record outlives the gateways, and without one nothing is joined.

--- a/src/catalog/route.h
+++ b/src/catalog/route.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -58,6 +59,11 @@
   bool MayRetry() const {
     return retries == retry_rule::idempotent || resumable;
   }
+  bool LeadsTo(const core::service_id& service) const {
+    return std::any_of(
+        destinations.begin(), destinations.end(),
+        [&](const destination& each) { return each.service == service; });
+  }
 };
 
 /** A base model that the engines of a service can load. */
--- a/src/gateway/active_request.h
+++ b/src/gateway/active_request.h
@@ -174,6 +174,14 @@
 
   admitted_caller caller;
 
+  /** The caller has a part of the stream already. */
+  bool TakesUpStream() const {
+    return route->streams && route->resumable && !metadata.last_event.empty();
+  }
+  /** The caller may take the stream up again if it breaks. */
+  bool BeginsResumableStream() const {
+    return route->streams && route->resumable && metadata.last_event.empty();
+  }
   /** Its software fits what the caller has of the stream. */
   bool MayContinueAt(const catalog::endpoint_record& record) const {
     return !stream_version || record.version == *stream_version;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,8 @@
 #include "gateway/retry_budget.h"
 #include "gateway/retry_policy.h"
 #include "gateway/sidecar_links.h"
+#include "gateway/silent_vms.h"
 #include "gateway/slot_client.h"
+#include "gateway/stream_takeups.h"
 #include "gateway/superseded_entries.h"
 #include "gateway/traffic_protocol.h"
--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -15,6 +15,7 @@
 #include "gateway/quota_client.h"
 #include "gateway/request_forwarder.h"
 #include "gateway/sidecar_links.h"
+#include "gateway/stream_takeups.h"
 #include "net/http_server.h"
 #include "telemetry/metrics.h"
 
@@ -118,6 +119,7 @@
         quotas(loop, log, metrics, core::random_source(Seed())),
         admission(settings, follower, quotas, metrics,
                   core::random_source(Seed())),
+        takeups(loop, log, metrics),
         forwarder(loop, settings, protocol, http, follower, log, metrics),
         links(loop,
               {.gateway = settings.node,
@@ -140,7 +142,9 @@
             }) {
     forwarder.SetLinks(links);
     quotas.SetLinks(links);
+    takeups.SetLinks(links);
     forwarder.SetAdmission(admission);
+    forwarder.SetTakeups(takeups);
     if (settings.admin_listener) {
       admin_server.emplace(
           loop,
@@ -204,6 +208,7 @@
     forwarder.OnConfiguration(table);
   }
   void OnEndpoint(const catalog::endpoint_change& change) override {
+    takeups.OnEndpoint(change);
     forwarder.OnEndpoint(change);
   }
 
@@ -272,6 +277,8 @@
     }
     quotas.OnSidecarMessage(value);
     if (std::holds_alternative<grants::quota_answer>(value)) return;
+    takeups.OnSidecarMessage(ip, value);
+    if (std::holds_alternative<grants::origin_answer>(value)) return;
     if (std::holds_alternative<grants::status_report>(value)) {
       follower.SetReaderRank(links.ReaderRank());
     }
@@ -371,6 +378,7 @@
   catalog::catalog_follower follower;
   quota_client quotas;
   caller_admission admission;
+  stream_takeups takeups;
   request_forwarder forwarder;
   sidecar_links links;
   caller_limits limits_in_force{{.maximum_header_bytes = kHeaderMemoryBytes,
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -25,6 +25,7 @@
 #include "gateway/sidecar_links.h"
 #include "gateway/silent_vms.h"
 #include "gateway/slot_client.h"
+#include "gateway/stream_takeups.h"
 #include "gateway/superseded_entries.h"
 #include "limits/token_bucket.h"
 #include "net/port_probe.h"
@@ -354,7 +355,39 @@
         [this, number = request->number, still_alive = alive] {
           if (*still_alive) OnCallerGone(number);
         });
-    if (requests.count(request->number) > 0) Dispatch(request);
+    if (requests.count(request->number) == 0) return;
+    if (takeups != nullptr && request->TakesUpStream()) {
+      TakeUp(request);
+    } else {
+      Dispatch(request);
+    }
+  }
+
+  void TakeUp(const request_pointer& request) {
+    takeups->Decide(request->metadata.id, request->metadata.resumed,
+                    request->service,
+                    [this, number = request->number,
+                     still_alive = alive](const takeup_decision& decision) {
+                      if (!*still_alive) return;
+                      const auto found = requests.find(number);
+                      if (found == requests.end()) return;
+                      OnTakeup(found->second, decision);
+                    });
+  }
+
+  void OnTakeup(const request_pointer& request,
+                const takeup_decision& decision) {
+    if (decision.is_refused ||
+        (decision.origin &&
+         !request->route->LeadsTo(decision.origin->service))) {
+      GiveUp(request, "stream_origin_unknown");
+      return;
+    }
+    if (decision.origin) {
+      request->service = decision.origin->service;
+      request->stream_version = decision.origin->version;
+    }
+    Dispatch(request);
   }
 
   // Choice of an endpoint.
@@ -1681,6 +1714,10 @@
     if (!request->response_started) {
       request->response_started = true;
       request->stream_version = request->attempt_version;
+      if (takeups != nullptr && request->BeginsResumableStream()) {
+        takeups->OnBegan(request->metadata.id,
+                         {request->service, request->attempt_version});
+      }
       request->first_event = core::ToMilliseconds(now - request->arrived);
       metrics.Observe("gateway_first_event_ms",
                       static_cast<double>(request->first_event.count()));
@@ -2579,6 +2616,8 @@
       }};
   /** Null: every caller is admitted. */
   caller_admission* admission = nullptr;
+  /** Null: streams that are taken up again go on anywhere. */
+  stream_takeups* takeups = nullptr;
   std::map<std::uint64_t, request_pointer> requests;
   std::map<std::uint64_t, request_pointer> open_grants;
   std::map<catalog::instance_id, endpoint_view> views;
@@ -2640,6 +2679,10 @@
   impl_->admission = &admission;
 }
 
+void request_forwarder::SetTakeups(stream_takeups& takeups) {
+  impl_->takeups = &takeups;
+}
+
 void request_forwarder::OnRequest(
     std::shared_ptr<net::http_exchange> exchange) {
   impl_->OnRequest(std::move(exchange));
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -19,6 +19,7 @@
 
 class caller_admission;
 class sidecar_links;
+class stream_takeups;
 
 /**
  * Forwards the requests of one gateway, from arrival to final response.
@@ -45,6 +46,11 @@
   void SetLinks(sidecar_links& links);
   /** Without it every caller is admitted. It must outlive the forwarder. */
   void SetAdmission(caller_admission& admission);
+  /**
+   * Without it streams that callers take up again go on at any endpoint. It
+   * must outlive the forwarder.
+   */
+  void SetTakeups(stream_takeups& takeups);
 
   // Event handlers.
 
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -1,6 +1,7 @@
 #include "gateway/sidecar_links.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -92,6 +93,24 @@
   return {name(first), name(second)};
 }
 
+std::vector<sidecar_links::known_sidecar> sidecar_links::FirstTargets(
+    std::string_view key, std::size_t count) const {
+  std::vector<std::pair<std::uint64_t, const std::string*>> order;
+  order.reserve(peers_.size());
+  for (const auto& [ip, entry] : peers_) {
+    order.emplace_back(core::RendezvousWeight(key, ip), &ip);
+  }
+  count = std::min(count, order.size());
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(count),
+                    order.end(), std::greater<>());
+  std::vector<known_sidecar> result;
+  for (std::size_t i = 0; i < count; ++i) {
+    result.push_back({*order[i].second, IsOpen(*order[i].second)});
+  }
+  return result;
+}
+
 bool sidecar_links::Send(const std::string& ip, const grants::message& value) {
   const auto found = peers_.find(ip);
   if (found == peers_.end() || !found->second.open) return false;
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -92,6 +92,13 @@
    * Empty where there are fewer. Gateways with the same catalog agree on them.
    */
   std::pair<std::string, std::string> FirstTargets(std::string_view key) const;
+  struct known_sidecar {
+    std::string ip;
+    bool is_open = false;
+  };
+  /** The first sidecars in rendezvous order for a key, at most `count`. */
+  std::vector<known_sidecar> FirstTargets(std::string_view key,
+                                          std::size_t count) const;
   /** @returns false if there is no open link. */
   bool Send(const std::string& ip, const grants::message& value);
   /**
--- a/src/gateway/sidecar_links_test.cc
+++ b/src/gateway/sidecar_links_test.cc
@@ -110,6 +110,21 @@
   EXPECT_EQ(links_->FirstTargets("slots/plain").first, "");
 }
 
+TEST_F(sidecar_links_test, NamesTheFirstSidecarsForAKey) {
+  const auto all = links_->FirstTargets("key", 9);
+  ASSERT_EQ(all.size(), 3U);
+  EXPECT_EQ(all[0].ip, links_->FirstTargets("key").first);
+  EXPECT_EQ(all[1].ip, links_->FirstTargets("key").second);
+  EXPECT_TRUE(all[2].is_open);
+  const auto two = links_->FirstTargets("key", 2);
+  ASSERT_EQ(two.size(), 2U);
+  EXPECT_EQ(two[1].ip, all[1].ip);
+  listeners_.erase(all[1].ip);
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return !links_->FirstTargets("key", 2)[1].is_open; },
+                     milliseconds(5000)));
+}
+
 // Guards against a silent VM that is taken for one whose sidecar has ended.
 TEST_F(sidecar_links_test, TellsSilentSidecarsFromEndedOnes) {
   EXPECT_EQ(events_.size(), 3U);
--- a/src/gateway/traffic_protocol.h
+++ b/src/gateway/traffic_protocol.h
@@ -41,6 +41,8 @@
    * Id of the last event that the caller has received; empty for a new stream.
    */
   std::string last_event;
+  /** Request that began the stream which this one takes up again, if named. */
+  core::request_id resumed;
 };
 
 /** What the gateway adds to a request that it forwards. */
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -38,6 +38,9 @@
   slot_ask = 19,
   slot_released = 20,
   slot_issued = 21,
+  stream_began = 22,
+  origin_query = 23,
+  origin_answer = 24,
 };
 
 /** Loads are transmitted as integers in units of 1/kLoadScale. */
@@ -100,6 +103,10 @@
     return Add(endpoint.instance.Value()).Add(endpoint.started_unix_ms);
   }
 
+  field_writer& Add(const origins::stream_origin& origin) {
+    return Add(origin.service.Value()).Add(origin.version.Value());
+  }
+
   /** Their number, then part and level of each. */
   field_writer& Add(const std::vector<quarantine::suspected_part>& parts) {
     Add(parts.size());
@@ -323,6 +330,10 @@
     catalog::instance_id instance(Text());
     return {std::move(instance), Integer()};
   }
+  origins::stream_origin Origin() {
+    core::service_id service(Text());
+    return {std::move(service), core::software_version(Text())};
+  }
   std::vector<quarantine::suspected_part> Parts() {
     std::vector<quarantine::suspected_part> parts;
     for (std::size_t left = Length(2); left > 0; --left) {
@@ -623,6 +634,19 @@
       const std::uint64_t number = in.Size();
       return slot_issued{number, in.Size()};
     }
+    case message_kind::stream_began: {
+      const origins::stream_key stream(in.Size());
+      return stream_began{stream, in.Origin()};
+    }
+    case message_kind::origin_query: {
+      const std::uint64_t number = in.Size();
+      return origin_query{number, origins::stream_key(in.Size())};
+    }
+    case message_kind::origin_answer: {
+      origin_answer answer{in.Size(), std::nullopt};
+      if (in.Boolean()) answer.origin = in.Origin();
+      return answer;
+    }
   }
   throw core::invalid_value_error("unknown message kind " +
                                   std::to_string(kind));
@@ -742,6 +766,24 @@
                 .Add(issued.candidate)
                 .Finish();
           },
+          [](const stream_began& began) {
+            return field_writer(message_kind::stream_began)
+                .Add(began.stream.Value())
+                .Add(began.origin)
+                .Finish();
+          },
+          [](const origin_query& query) {
+            return field_writer(message_kind::origin_query)
+                .Add(query.number)
+                .Add(query.stream.Value())
+                .Finish();
+          },
+          [](const origin_answer& answer) {
+            field_writer out(message_kind::origin_answer);
+            out.Add(answer.number).Add(answer.origin.has_value());
+            if (answer.origin) out.Add(*answer.origin);
+            return out.Finish();
+          },
           [](const status_report& report) { return EncodeStatus(report); },
           [](const change_batch& batch) { return EncodeBatch(batch); },
           [](const quota_ask& ask) { return EncodeQuotaAsk(ask); },
--- a/src/grants/messages.h
+++ b/src/grants/messages.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "grants/grant_types.h"
+#include "origins/stream_origin.h"
 #include "overload/slot_types.h"
 
 namespace comfreyspring::grants {
@@ -141,6 +142,17 @@
   overload::slot_result result = overload::slot_result::unused;
 };
 
+/** Records the origin of a stream whose first event is passed on now. */
+struct stream_began {
+  origins::stream_key stream;
+  origins::stream_origin origin;
+};
+/** Asks for the origin of a stream. Answered with `origin_answer`. */
+struct origin_query {
+  std::uint64_t number = 0;
+  origins::stream_key stream;
+};
+
 // From the agent to a gateway.
 
 /** The request may be sent to the endpoint. */
@@ -208,6 +220,12 @@
   core::milliseconds retry_after{0};
 };
 
+struct origin_answer {
+  std::uint64_t number = 0;
+  /** Nothing: the agent has no record of the stream. */
+  std::optional<origins::stream_origin> origin;
+};
+
 // In both directions.
 
 /** The sender has learnt of a crash, or more about a known one. */
@@ -224,7 +242,8 @@
                  run_ended, streams_stalled, permit_request, limit_observed,
                  grant_queued, grant_issued, grant_refused, status_report,
                  run_checked, limit_notice, crash_notice, change_batch,
-                 quota_ask, quota_answer, slot_ask, slot_released, slot_issued>;
+                 quota_ask, quota_answer, slot_ask, slot_released, slot_issued,
+                 stream_began, origin_query, origin_answer>;
 
 /**
  * Encodes a message as one flat CBOR array: the message kind, then the fields
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -239,6 +239,27 @@
   EXPECT_EQ(released.result, overload::slot_result::turned_away);
 }
 
+TEST(messages_test, RoundTripsMessagesAboutOrigins) {
+  const origins::stream_key stream(core::request_id("r1"));
+  const origins::stream_origin origin{core::service_id("s"),
+                                      core::software_version("v1.1")};
+  const auto began =
+      std::get<stream_began>(Decode(Encode(stream_began{stream, origin})));
+  EXPECT_EQ(began.stream, stream);
+  EXPECT_EQ(began.origin, origin);
+  const auto query =
+      std::get<origin_query>(Decode(Encode(origin_query{7, stream})));
+  EXPECT_EQ(query.number, 7U);
+  EXPECT_EQ(query.stream, stream);
+  for (const auto& known :
+       {std::optional(origin), std::optional<origins::stream_origin>()}) {
+    const auto answer =
+        std::get<origin_answer>(Decode(Encode(origin_answer{7, known})));
+    EXPECT_EQ(answer.number, 7U);
+    EXPECT_EQ(answer.origin, known);
+  }
+}
+
 TEST(messages_test, ReadsAStatusWithoutALimit) {
   const auto frame = json::to_cbor(
       json::array({9, true, 3, 1, 64, 2, 0, 40, 4, 7, 100, 0, false}));
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -13,6 +13,7 @@
 #include "net/frame_link.h"
 #include "net/http_server.h"
 #include "net/receive_watch.h"
+#include "origins/origin_table.h"
 #include "sidecar/adapter_list_updates.h"
 #include "sidecar/catalog_relay.h"
 #include "sidecar/quota_counter.h"
@@ -190,6 +191,16 @@
         tenant_quotas.OnAsk(id, *ask);
         return;
       }
+      if (const auto* began = std::get_if<grants::stream_began>(&value)) {
+        stream_origins.Add(began->stream, began->origin, loop.Now());
+        return;
+      }
+      if (const auto* query = std::get_if<grants::origin_query>(&value)) {
+        Send(id, grants::origin_answer{
+                     query->number,
+                     stream_origins.Find(query->stream, loop.Now())});
+        return;
+      }
       if (std::holds_alternative<grants::limit_observed>(value)) {
         ++links.at(id).limits_observed;
       }
@@ -295,6 +306,8 @@
     driver.UpdateMetrics();
     tenant_quotas.UpdateMetrics();
     slots.UpdateMetrics();
+    metrics.SetGauge("sidecar_stream_origins",
+                     static_cast<double>(stream_origins.Size()));
     metrics.SetGauge("sidecar_gateway_links",
                      static_cast<double>(links.size()));
     metrics.SetGauge("log_lines_dropped", static_cast<double>(log.Dropped()));
@@ -323,6 +336,7 @@
   scheduler_driver driver;
   quota_counter tenant_quotas;
   slot_driver slots;
+  origins::origin_table stream_origins;
   catalog_relay relay{kConfirmationPeriod};
   net::frame_listener listener;
   net::http_server admin;
