Suspended VMs in the fault soak

Cause: the soak stopped sidecars and silenced engines, but never both of one VM. Change: the family suspensions: one VM of an engine at a time stands still, beside kills of gateways, changed settings and configurations. More than two requests that reach its engine later than 700 ms are a broken promise.

--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -61,7 +61,10 @@
   if (drawn_from == fault_family::restores) {
     return family < fault_family::leaving || family == drawn_from;
   }
-  if (drawn_from == fault_family::silences) return family == drawn_from;
+  if (drawn_from == fault_family::silences ||
+      drawn_from == fault_family::suspensions) {
+    return family == drawn_from;
+  }
   if (drawn_from == fault_family::thin) {
     return family == drawn_from || family == fault_family::links ||
            family == fault_family::store;
@@ -140,6 +143,11 @@
       {"malformed", fault_family::malformed, &f::MalformHeads},
       {"malformed_again", fault_family::malformed, &f::MalformHeads},
       {"malformed_many", fault_family::malformed, &f::MalformManyHeads},
+      {"suspend", fault_family::suspensions, &f::SuspendVm},
+      {"suspend_again", fault_family::suspensions, &f::SuspendVm},
+      {"suspend_kill", fault_family::suspensions, &f::KillGateway},
+      {"suspend_hangup", fault_family::suspensions, &f::Hangup},
+      {"suspend_reconfigure", fault_family::suspensions, &f::Reconfigure},
   };
   return kFaults;
 }
@@ -616,6 +624,44 @@
   }
 }
 
+// Suspended VMs.
+
+void fault_schedule::SuspendVm(milliseconds length) {
+  if (std::exchange(has_suspended_vm_, true)) return;
+  std::vector<program_slot*> sidecars;
+  for (auto& slot : fleet_.Programs()) {
+    if (!slot.is_gateway) sidecars.push_back(&slot);
+  }
+  program_slot& sidecar =
+      *sidecars[static_cast<std::size_t>(Pick(sidecars.size()))];
+  SetTarget(sidecar.name);
+  auto& engine =
+      *fleet_.Endpoints()[static_cast<std::size_t>(sidecar.index)].engine;
+  const std::string instance = engine.Instance();
+  RecordCrossing(crossing::killed, std::nullopt, length);
+  RecordDisturbance(sidecar, length);
+  sidecar.is_paused = true;
+  sidecar.process->Signal(SIGSTOP);
+  engine.Silence(length);
+  promises_.VmSuspended(instance, loop_.Now());
+  HealAfter(length, [this, &sidecar, instance] {
+    has_suspended_vm_ = false;
+    promises_.VmResumed(instance);
+    sidecar.is_paused = false;
+    sidecar.process->Signal(SIGCONT);
+  });
+}
+
+void fault_schedule::KillGateway(milliseconds length) {
+  const int wanted = Pick(fleet_.StoreRelays().size());
+  for (auto& slot : fleet_.Programs()) {
+    if (!slot.is_gateway || slot.index != wanted || slot.is_stopping) continue;
+    SetTarget(slot.name);
+    Kill(slot, length);
+    return;
+  }
+}
+
 // Silences, and planned work beside them.
 
 void fault_schedule::Silence(std::size_t endpoint) {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -23,7 +23,9 @@
  * beside requests that end engines whenever they come again. `thin` draws
  * faults of links and the store and storms of configurations, before store
  * links with little bandwidth. `malformed` draws what `streams` does,
- * beside malformed heads of answers and reports.
+ * beside malformed heads of answers and reports. `suspensions` draws kills of
+ * gateways and planned work beside VMs of engines that stand still, one at a
+ * time.
  */
 enum class fault_family {
   all,
@@ -41,6 +43,7 @@
   repeats,
   thin,
   malformed,
+  suspensions,
 };
 
 /**
@@ -126,6 +129,11 @@
   void BreakAnswers(core::milliseconds length);
   void RefuseRequests(core::milliseconds length);
 
+  // Suspended VMs.
+  /** The sidecar stands still and the engine sends nothing. */
+  void SuspendVm(core::milliseconds length);
+  void KillGateway(core::milliseconds length);
+
   // Silences, and planned work beside them.
   void SilenceEngine(core::milliseconds length);
   /** Half of the endpoints fall silent at the same time. */
@@ -195,6 +203,7 @@
   std::map<std::size_t, std::string> limited_;
   bool stopped_ = false;
   std::string target_;
+  bool has_suspended_vm_ = false;
   std::vector<std::string> history_;
   std::vector<std::shared_ptr<std::function<void()>>> pending_;
 };
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -26,7 +26,8 @@
 DEFINE_string(
     faults, "all",
     "all, processes, links, store, endpoints, clocks, leaving, limits, "
-    "streams, deadly, restores, silences, repeats, thin or malformed");
+    "streams, deadly, restores, silences, repeats, thin, malformed or "
+    "suspensions");
 DEFINE_string(directory, "",
               "directory for logs; they are kept if the run fails");
 
@@ -60,7 +61,8 @@
     {"silences", fault_family::silences},
     {"repeats", fault_family::repeats},
     {"thin", fault_family::thin},
-    {"malformed", fault_family::malformed}};
+    {"malformed", fault_family::malformed},
+    {"suspensions", fault_family::suspensions}};
 
 /** In the family `thin`: 10 Mbit/s, and a configuration of some 200 kB. */
 constexpr std::size_t kThinLinkBytesPerSecond = 1'250'000;
--- a/tests/soak/promise_record.cc
+++ b/tests/soak/promise_record.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kLossSlack{200};
 /** Cancelled requests that may still reach an endpoint late. */
 constexpr int kMaxRunsAfterCancellation = 3;
+/** Gateways know by then that a VM does not answer grant requests. */
+constexpr milliseconds kSilenceNoticed{700};
+constexpr int kMaxArrivalsAtSilentVm = 2;
 /** Crashes after which deadly prompts must be known. */
 constexpr std::size_t kCrashesBeforeBound = 5;
 /** Crashes after which a request that comes again must be known. */
@@ -325,6 +328,28 @@
   if (found != requests_.end()) {
     found->second.arrived = true;
     arrivals_.Arrived(instance, found->second.gateway, now);
+    CheckSuspension(found->second, instance, now);
+  }
+}
+
+void promise_record::VmSuspended(const std::string& instance,
+                                 core::time_point now) {
+  suspended_[instance] = {.since = now};
+}
+
+void promise_record::CheckSuspension(const request_record& request,
+                                     const std::string& instance,
+                                     core::time_point now) {
+  const auto found = suspended_.find(instance);
+  if (found == suspended_.end() ||
+      now - found->second.since < kSilenceNoticed ||
+      !WasFaultFree(request.gateway, found->second.since)) {
+    return;
+  }
+  if (++found->second.arrivals == kMaxArrivalsAtSilentVm + 1) {
+    Violation("more than " + std::to_string(kMaxArrivalsAtSilentVm) +
+              " requests reached " + instance +
+              ", whose VM had been silent for long");
   }
 }
 
--- a/tests/soak/promise_record.h
+++ b/tests/soak/promise_record.h
@@ -140,6 +140,9 @@
   /** A request has ended its engine. */
   /** The request has ended the engine that ran it. */
   void EngineCrashed(const std::string& id, core::time_point now);
+  /** The VM of this engine stands still from now on. */
+  void VmSuspended(const std::string& instance, core::time_point now);
+  void VmResumed(const std::string& instance) { suspended_.erase(instance); }
   /** A request has arrived at an endpoint, whether or not it runs there. */
   void Arrived(const std::string& id, const std::string& instance,
                core::time_point now);
@@ -181,6 +184,8 @@
                    const net::http_result& result);
   /** True if no fault affected the gateway from shortly before `since` on. */
   bool WasFaultFree(int gateway, core::time_point since) const;
+  void CheckSuspension(const request_record& request,
+                       const std::string& instance, core::time_point now);
   void CheckRetryBudget();
   void CheckRequestLimits(core::time_point now);
   void CheckDeadlyRequests();
@@ -195,6 +200,13 @@
   int events_;
   std::map<std::string, request_record> requests_;
   std::map<std::string, core::time_point> leaving_;
+  struct suspension {
+    core::time_point since;
+    /** Requests that arrived when the VM was known to be silent. */
+    int arrivals = 0;
+  };
+  /** By the instance of the engine. */
+  std::map<std::string, suspension> suspended_;
   std::vector<crossing_span> crossings_;
   /** When each version of the configuration was acknowledged last. */
   std::map<std::int64_t, core::time_point> configured_;
