Let unnamed take-ups go on where one version is known

Cause: a take-up without the name was treated like one whose origin is lost. Change: without a name, a stream is refused only if several versions of the service are known. A named one without a record still needs a minute of one version. Why it works: callers that meet several versions name their streams.

--- a/src/gateway/stream_takeups.cc
+++ b/src/gateway/stream_takeups.cc
@@ -125,11 +125,15 @@
 void stream_takeups::OnFound(const pending_decision& pending,
                              const std::optional<stream_origin>& origin,
                              const char* source) {
-  const auto only = history_.OnlyVersion(pending.service, loop_.Now());
+  const auto now = loop_.Now();
   takeup_decision decision{.origin = origin};
   if (!origin) {
-    decision.is_refused = !only;
-    source = only ? "only_version" : "unknown";
+    // A caller that names no stream does not expect several versions.
+    const bool goes_on = pending.stream.empty()
+                             ? !history_.HasSeveral(pending.service, now)
+                             : history_.HasOnlyOne(pending.service, now);
+    decision.is_refused = !goes_on;
+    source = goes_on ? "only_version" : "unknown";
   }
   metrics_.Count(std::string("gateway_streams_taken_up_total{origin=\"") +
                  source + "\"}");
@@ -140,8 +144,7 @@
       .Add("origin", source)
       .Add("service", origin ? origin->service.Value() : std::string())
       .Add("software_version", origin ? origin->version.Value() : std::string())
-      .Add("waited_ms",
-           core::ToMilliseconds(loop_.Now() - pending.started).count());
+      .Add("waited_ms", core::ToMilliseconds(now - pending.started).count());
   pending.on_decision(decision);
 }
 
--- a/src/origins/version_history.h
+++ b/src/origins/version_history.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
 
 #include "core/ids.h"
@@ -11,8 +11,8 @@
 namespace comfreyspring::origins {
 
 /**
- * The software versions that each service had while streams of today may have
- * begun. Only a process that has watched for that long can tell.
+ * The software versions that each service had while the streams that last may
+ * have begun. Only a process that has watched for that long knows them all.
  */
 class version_history {
  public:
@@ -24,9 +24,10 @@
                 core::time_point now);
   void OnGone(const std::string& instance, core::time_point now);
 
-  /** @returns nothing if there were several, or earlier ones may be unknown. */
-  std::optional<core::software_version> OnlyVersion(
-      const core::service_id& service, core::time_point now) const;
+  /** Whether several versions are known, which others may have preceded. */
+  bool HasSeveral(const core::service_id& service, core::time_point now) const;
+  /** Whether there certainly was no more than one version. */
+  bool HasOnlyOne(const core::service_id& service, core::time_point now) const;
 
  private:
   struct usage {
@@ -34,6 +35,9 @@
     core::time_point last_used;
   };
 
+  std::size_t CountVersions(const core::service_id& service,
+                            core::time_point now) const;
+
   core::time_point watching_since_;
   std::map<std::string, stream_origin> listed_;
   std::map<core::service_id, std::map<core::software_version, usage>> versions_;
