Send a sidecar the configuration of its engine only if it has changed

Cause: each entry of an endpoint that was read made the gateway send a hello to all sidecars. When all 47 engines register again that is 2,209 messages, 40 ms of a thin gateway's time an entry; meanwhile it adopts no configuration either. SendsAConfigurationOnlyIfItHasChanged saw 150 hellos where none is needed. Change: a hello is sent on a new link, when the engine's configuration has changed and as a heartbeat, which is due by the period that the latest one announced. Why it works: reading n entries costs n entries. Result: the test passes; gateway_test and sidecar_test pass.

--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -43,11 +43,12 @@
                                 const grants::engine_config& config) {
   const auto [position, inserted] = peers_.try_emplace(ip);
   peer& target = position->second;
+  const bool has_changed = inserted || target.config != config;
   target.config = config;
   if (inserted) {
     ++targets_version_;
     Connect(ip, target);
-  } else if (target.open) {
+  } else if (target.open && has_changed) {
     SendHello(target);
   }
 }
@@ -259,9 +260,10 @@
 }
 
 void sidecar_links::SendHello(peer& target) {
-  target.hello_at = loop_.Now();
+  const auto period = HelloPeriod();
+  target.hello_due = loop_.Now() + period;
   target.link->Send(grants::Encode(
-      grants::gateway_hello{options_.gateway, target.config, HelloPeriod()}));
+      grants::gateway_hello{options_.gateway, target.config, period}));
 }
 
 core::milliseconds sidecar_links::HelloPeriod() const {
@@ -272,7 +274,6 @@
 
 void sidecar_links::Tick() {
   const auto now = loop_.Now();
-  const auto hello_period = HelloPeriod();
   std::vector<std::string> addresses;
   for (const auto& [ip, target] : peers_) addresses.push_back(ip);
   for (const std::string& ip : addresses) {
@@ -283,7 +284,7 @@
       target.received.OnTick(target.link->ReceivedBytes(), now);
       if (now - target.received.ReceivedAt() > target.silence_timeout) {
         CloseSilentLink(ip, target, "silent");
-      } else if (now - target.hello_at >= hello_period) {
+      } else if (now >= target.hello_due) {
         SendHello(target);
       }
     } else if (!target.link && now >= target.retry_at) {
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -78,7 +78,7 @@
 
   /**
    * Opens a link to the sidecar at this address if there is none, and sends it
-   * what the configuration says of its engine.
+   * what the configuration says of its engine if that has changed.
    */
   void AddOrUpdate(const std::string& ip, const grants::engine_config& config);
   void Remove(const std::string& ip);
@@ -128,7 +128,8 @@
     /** The VM has refused the latest attempt to connect. */
     bool was_refused = false;
     net::receive_watch received;
-    core::time_point hello_at;
+    /** The next hello is due as the latest one has announced. */
+    core::time_point hello_due;
     core::time_point retry_at;
     /** Silence timeout, as derived from the announced status period. */
     core::milliseconds silence_timeout{0};
--- a/src/gateway/sidecar_links_test.cc
+++ b/src/gateway/sidecar_links_test.cc
@@ -35,6 +35,10 @@
                       if (std::holds_alternative<grants::change_batch>(value)) {
                         ++batches_[ip];
                       }
+                      if (std::holds_alternative<grants::gateway_hello>(
+                              value)) {
+                        ++hellos_;
+                      }
                     },
                 .on_closed = [](const std::string&) {}};
           });
@@ -82,6 +86,7 @@
   std::map<std::string, std::unique_ptr<net::frame_listener>> listeners_;
   std::map<std::string, int> batches_;
   std::vector<std::string> events_;
+  int hellos_ = 0;
   std::optional<sidecar_links> links_;
 };
 
@@ -110,6 +115,24 @@
   EXPECT_EQ(links_->FirstTargets("slots/plain").first, "");
 }
 
+// Guards against a message to every sidecar for each entry that is read: when
+// all engines start again, a gateway would be busy with them for seconds.
+TEST_F(sidecar_links_test, SendsAConfigurationOnlyIfItHasChanged) {
+  const auto hellos_after = [this](const grants::engine_config& config) {
+    hellos_ = 0;
+    for (int i = 0; i < 50; ++i) {
+      for (const auto& [ip, listener] : listeners_) {
+        links_->AddOrUpdate(ip, config);
+      }
+    }
+    loop_.RunUntil([] { return false; }, milliseconds(100));
+    return hellos_;
+  };
+  loop_.RunUntil([this] { return hellos_ == 3; }, milliseconds(500));
+  EXPECT_EQ(hellos_after({}), 0);
+  EXPECT_EQ(hellos_after({.adapter_slots = 4}), 3);
+}
+
 TEST_F(sidecar_links_test, NamesTheFirstSidecarsForAKey) {
   const auto all = links_->FirstTargets("key", 9);
   ASSERT_EQ(all.size(), 3U);
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -78,6 +78,8 @@
   std::size_t adapter_slots = 0;
   std::int64_t cache_tokens = 0;
   std::vector<core::model_id> models;
+
+  friend bool operator==(const engine_config&, const engine_config&) = default;
 };
 
 /** State that the engine reports. */
