--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -335,6 +335,7 @@
           options_.binary_directory + "/platform/comfreyspring_" +
               (slot.is_gateway ? "gateway" : "sidecar"),
           File(slot, ".json"), File(slot, ".log"), options_.clock_library});
+  slot.started_at = loop_.Now();
   slot.is_stopping = false;
   slot.is_paused = false;
   slot.stop_was_disturbed = false;
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -51,6 +51,7 @@
   bool is_paused = false;
   /** A fault affected its stop, so that the grace period is not checked. */
   bool stop_was_disturbed = false;
+  core::time_point started_at;
   core::time_point stopping_since;
 };
 
