One ranking of the sidecars for a key

Cause: FirstTargets had a second implementation for more than two sidecars; every resumable stream sorted all sidecars to find two that keep its record; stream_takeups passed a source that was never used. Change: FirstTargets of two is that of any number, which takes a filter and orders only as many as are asked for.

--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -1,7 +1,7 @@
 #include "gateway/sidecar_links.h"
 
 #include <algorithm>
-#include <functional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -75,39 +75,32 @@
 
 std::pair<std::string, std::string> sidecar_links::FirstTargets(
     std::string_view key) const {
-  using weighed = std::pair<std::uint64_t, const std::string*>;
-  weighed first{0, nullptr};
-  weighed second{0, nullptr};
-  for (const auto& [ip, target] : peers_) {
-    weighed each{core::RendezvousWeight(key, ip), &ip};
-    if (first.second == nullptr || each.first >= first.first) {
-      std::swap(each, first);
-    }
-    if (each.second != nullptr &&
-        (second.second == nullptr || each.first >= second.first)) {
-      second = each;
-    }
-  }
-  const auto name = [](const weighed& each) {
-    return each.second == nullptr ? std::string() : *each.second;
+  const auto targets = FirstTargets(key, 2);
+  const auto name = [&targets](std::size_t index) {
+    return index < targets.size() ? targets[index].ip : std::string();
   };
-  return {name(first), name(second)};
+  return {name(0), name(1)};
 }
 
 std::vector<sidecar_links::known_sidecar> sidecar_links::FirstTargets(
-    std::string_view key, std::size_t count) const {
-  std::vector<std::pair<std::uint64_t, const std::string*>> order;
-  order.reserve(peers_.size());
+    std::string_view key, std::size_t count,
+    const sidecar_filter& accepts) const {
+  std::vector<std::pair<std::uint64_t, known_sidecar>> order;
   for (const auto& [ip, entry] : peers_) {
-    order.emplace_back(core::RendezvousWeight(key, ip), &ip);
+    known_sidecar each{ip, entry.open};
+    if (accepts && !accepts(each)) continue;
+    order.emplace_back(core::RendezvousWeight(key, ip), std::move(each));
   }
   count = std::min(count, order.size());
   std::partial_sort(order.begin(),
                     order.begin() + static_cast<std::ptrdiff_t>(count),
-                    order.end(), std::greater<>());
+                    order.end(), [](const auto& left, const auto& right) {
+                      return std::tie(left.first, left.second.ip) >
+                             std::tie(right.first, right.second.ip);
+                    });
   std::vector<known_sidecar> result;
   for (std::size_t i = 0; i < count; ++i) {
-    result.push_back({*order[i].second, IsOpen(*order[i].second)});
+    result.push_back(std::move(order[i].second));
   }
   return result;
 }
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -96,9 +96,14 @@
     std::string ip;
     bool is_open = false;
   };
-  /** The first sidecars in rendezvous order for a key, at most `count`. */
-  std::vector<known_sidecar> FirstTargets(std::string_view key,
-                                          std::size_t count) const;
+  using sidecar_filter = std::function<bool(const known_sidecar&)>;
+  /**
+   * The first sidecars in rendezvous order for a key, at most `count`.
+   * @param accepts without it, any sidecar.
+   */
+  std::vector<known_sidecar> FirstTargets(
+      std::string_view key, std::size_t count,
+      const sidecar_filter& accepts = nullptr) const;
   /** @returns false if there is no open link. */
   bool Send(const std::string& ip, const grants::message& value);
   /**
--- a/src/gateway/stream_takeups.cc
+++ b/src/gateway/stream_takeups.cc
@@ -1,7 +1,6 @@
 #include "gateway/stream_takeups.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 #include <variant>
 
@@ -14,6 +13,11 @@
 
 constexpr core::milliseconds kTickPeriod{20};
 
+/** For the rendezvous order of the sidecars with records of a stream. */
+std::string RankingKey(const stream_key& stream) {
+  return "stream/" + std::to_string(stream.Value());
+}
+
 }  // namespace
 
 stream_takeups::stream_takeups(net::event_loop& loop, telemetry::event_log& log,
@@ -26,12 +30,12 @@
                              const stream_origin& origin) {
   const stream_key key(stream);
   own_.Add(key, origin, loop_.Now());
-  std::size_t copies = 0;
+  const auto keeps_records = [this](const auto& sidecar) {
+    return sidecar.is_open && !IsLeaving(sidecar.ip);
+  };
   for (const auto& sidecar :
-       Candidates(key, std::numeric_limits<std::size_t>::max())) {
-    if (!sidecar.is_open || IsLeaving(sidecar.ip)) continue;
+       links_->FirstTargets(RankingKey(key), origins::kCopies, keeps_records)) {
     links_->Send(sidecar.ip, grants::stream_began{key, origin});
-    if (++copies == origins::kCopies) break;
   }
 }
 
@@ -43,7 +47,7 @@
   const pending_decision pending{request, stream, service, now,
                                  std::move(on_decision)};
   if (stream.empty()) {
-    OnFound(pending, std::nullopt, "unnamed");
+    OnFound(pending, std::nullopt);
     return;
   }
   const stream_key key(stream);
@@ -80,16 +84,6 @@
                             FirstCandidates(), loop_.Now()));
 }
 
-std::vector<origin_lookups::sidecar> stream_takeups::Candidates(
-    const stream_key& stream, std::size_t count) const {
-  std::vector<origin_lookups::sidecar> result;
-  for (const auto& target : links_->FirstTargets(
-           "stream/" + std::to_string(stream.Value()), count)) {
-    result.push_back({target.ip, target.is_open});
-  }
-  return result;
-}
-
 bool stream_takeups::IsLeaving(const std::string& ip) const {
   return std::any_of(leaving_.begin(), leaving_.end(),
                      [&](const auto& entry) { return entry.second == ip; });
@@ -97,7 +91,12 @@
 
 origin_lookups::candidates stream_takeups::FirstCandidates() const {
   return [this](const stream_key& stream) {
-    return Candidates(stream, origin_lookups::kAsked);
+    std::vector<origin_lookups::sidecar> result;
+    for (const auto& sidecar :
+         links_->FirstTargets(RankingKey(stream), origin_lookups::kAsked)) {
+      result.push_back({sidecar.ip, sidecar.is_open});
+    }
+    return result;
   };
 }
 
@@ -109,7 +108,7 @@
     const auto found = pending_.find(result.number);
     const pending_decision pending = std::move(found->second);
     pending_.erase(found);
-    OnFound(pending, result.origin, "sidecar");
+    OnFound(pending, result.origin);
   }
 }
 
--- a/src/gateway/stream_takeups.h
+++ b/src/gateway/stream_takeups.h
@@ -73,16 +73,15 @@
     decision_callback on_decision;
   };
 
-  std::vector<origins::origin_lookups::sidecar> Candidates(
-      const origins::stream_key& stream, std::size_t count) const;
   /** The sidecar soon cannot be asked any more. */
   bool IsLeaving(const std::string& ip) const;
   origins::origin_lookups::candidates FirstCandidates() const;
   void Perform(const origins::origin_lookups::actions& actions);
   void ScheduleTick();
+  /** @param source where the origin was found, if it was. */
   void OnFound(const pending_decision& pending,
                const std::optional<origins::stream_origin>& origin,
-               const char* source);
+               const char* source = "sidecar");
 
   net::event_loop& loop_;
   telemetry::event_log& log_;
