One condition for using an endpoint, and one ranking for permits

Cause: three places repeated whether an endpoint is available and fits the stream; two repeated what an endpoint's output tells; CoordinatorOf ranked the sidecars by a loop of its own. Change: MayUse, NoteOutput; CoordinatorOf asks sidecar_links::FirstTargets.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -407,8 +407,7 @@
     endpoint_views result;
     follower.Endpoints().ForEachUsable(
         [&](const catalog::endpoint_record& record) {
-          if (record.service != request.service || !IsAvailable(record) ||
-              !request.MayContinueAt(record)) {
+          if (record.service != request.service || !MayUse(request, record)) {
             return;
           }
           const auto found = views.find(record.instance);
@@ -822,8 +821,8 @@
   void OnStandbyGranted(const request_pointer& request) {
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->standby->endpoint);
-    if (record == nullptr || !IsAvailable(*record) ||
-        !request->MayContinueAt(*record) || !MayTakeOver(*request)) {
+    if (record == nullptr || !MayUse(*request, *record) ||
+        !MayTakeOver(*request)) {
       WithdrawStandby(*request);
       return;
     }
@@ -1120,31 +1119,20 @@
   /** @returns nothing if no sidecar that counts for it can be reached. */
   std::optional<coordinator> CoordinatorOf(
       const catalog::endpoint_record& record) const {
-    const std::string* first = nullptr;
-    const std::string* second = nullptr;
-    std::uint64_t first_weight = 0;
-    std::uint64_t second_weight = 0;
     // An engine's own sidecar may still grant requests of other gateways.
     const auto* service = follower.Routes()
                               ? follower.Routes()->FindService(record.service)
                               : nullptr;
     const bool has_own = service != nullptr && service->engine.has_value();
-    for (const std::string& ip : linked_ips) {
-      if (has_own && ip == record.address.ip) continue;
-      const auto weight = core::RendezvousWeight(record.instance.Value(), ip);
-      if (first == nullptr || weight > first_weight) {
-        second = std::exchange(first, &ip);
-        second_weight = std::exchange(first_weight, weight);
-      } else if (second == nullptr || weight > second_weight) {
-        second = &ip;
-        second_weight = weight;
+    const auto targets = links->FirstTargets(
+        record.instance.Value(), has_own ? 1 : 2, [&](const auto& sidecar) {
+          return !has_own || sidecar.ip != record.address.ip;
+        });
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      if (IsUsableSidecar(targets[i].ip)) {
+        return coordinator{targets[i].ip, has_own || i > 0};
       }
     }
-    const auto is_usable = [&](const std::string* ip) {
-      return ip != nullptr && IsUsableSidecar(*ip);
-    };
-    if (is_usable(first)) return coordinator{*first, has_own};
-    if (!has_own && is_usable(second)) return coordinator{*second, true};
     return std::nullopt;
   }
 
@@ -1307,8 +1295,7 @@
     }
     const catalog::endpoint_record* record =
         follower.Endpoints().FindUsable(request->endpoint);
-    if (record == nullptr || !IsAvailable(*record) ||
-        !request->MayContinueAt(*record)) {
+    if (record == nullptr || !MayUse(*request, *record)) {
       // The endpoint was removed or replaced, or started to drain or back off,
       // while the grant was in transit.
       ReleaseGrant(*request, false);
@@ -1440,6 +1427,11 @@
            notices.BackoffLeft(record, loop.Now()).count() == 0;
   }
 
+  bool MayUse(const active_request& request,
+              const catalog::endpoint_record& record) const {
+    return IsAvailable(record) && request.MayContinueAt(record);
+  }
+
   request_pointer Find(std::uint64_t number, int attempt) const {
     const auto found = requests.find(number);
     if (found == requests.end() || found->second->attempts != attempt ||
@@ -1454,10 +1446,15 @@
     return found == views.end() ? nullptr : &found->second;
   }
 
+  /** The endpoint has sent a part of an answer. */
+  void NoteOutput(endpoint_view& view) {
+    view.results.OnProgress(loop.Now());
+    silent.OnHeard(view.record.address.ip);
+  }
+
   void OnHeaders(const request_pointer& target, int status,
                  const net::header_map& headers) {
     active_request& request = *target;
-    const auto now = loop.Now();
     OnProgress(request);
     request.status = status;
     request.headers = headers;
@@ -1470,8 +1467,7 @@
                               core::seconds(1), idle_limit);
     }
     if (endpoint_view* view = ViewOf(request)) {
-      view->results.OnProgress(now);
-      silent.OnHeard(view->record.address.ip);
+      NoteOutput(*view);
       ApplyNotices(*view, request);
     }
     // The rest of the response is useless, and the connection may carry more of
@@ -1699,8 +1695,7 @@
     if (complete_events.empty()) return;
     const auto now = loop.Now();
     if (endpoint_view* view = ViewOf(*request)) {
-      view->results.OnProgress(now);
-      silent.OnHeard(view->record.address.ip);
+      NoteOutput(*view);
       if (!request->response_started) {
         view->results.OnLatency(core::ToMilliseconds(now - request->sent_at),
                                 now);
