One fixture for tests with linked sidecars

Cause: stream_takeups_test repeated the listeners of sidecar_links_test. Change: linked_sidecars_test; a constant of the soak stands beside its kind. No assertion changes.

--- a/src/gateway/sidecar_links_test.cc
+++ b/src/gateway/sidecar_links_test.cc
@@ -3,11 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <map>
-#include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
-#include "net/frame_link.h"
+#include "gateway/linked_sidecars_test.h"
 #include "net/test_peer.h"
 
 namespace comfreyspring::gateway {
@@ -15,39 +15,16 @@
 
 using core::milliseconds;
 
-/** Three sidecars that count the batches that they are sent. */
-class sidecar_links_test : public ::testing::Test, public sidecar_listener {
+/** Three sidecars that count the batches and hellos that they are sent. */
+class sidecar_links_test : public test::linked_sidecars_test {
  protected:
-  void SetUp() override {
-    for (const char* ip : {"127.0.0.1", "127.0.0.2", "127.0.0.3"}) {
-      listeners_[ip] = std::make_unique<net::frame_listener>(
-          loop_, ip, port_, net::frame_link_options{}, 8,
-          [this, ip](const std::shared_ptr<net::frame_link>& link) {
-            return net::frame_link_callbacks{
-                .on_open =
-                    [link] {
-                      link->Send(grants::Encode(grants::status_report{
-                          .next_in = milliseconds(5000)}));
-                    },
-                .on_frame =
-                    [this, ip](std::string_view frame) {
-                      const auto value = grants::Decode(frame);
-                      if (std::holds_alternative<grants::change_batch>(value)) {
-                        ++batches_[ip];
-                      }
-                      if (std::holds_alternative<grants::gateway_hello>(
-                              value)) {
-                        ++hellos_;
-                      }
-                    },
-                .on_closed = [](const std::string&) {}};
-          });
-      port_ = listeners_[ip]->Port();
-    }
-    links_.emplace(loop_, sidecar_link_options{.port = port_}, *this, log_);
-    for (const auto& [ip, listener] : listeners_) links_->AddOrUpdate(ip, {});
-    ASSERT_TRUE(loop_.RunUntil([this] { return links_->OpenCount() == 3; },
-                               milliseconds(5000)));
+  sidecar_links_test()
+      : linked_sidecars_test({"127.0.0.1", "127.0.0.2", "127.0.0.3"}) {}
+
+  void OnGatewayMessage(const std::string& ip, net::frame_link& /*link*/,
+                        const grants::message& value) override {
+    if (std::holds_alternative<grants::change_batch>(value)) ++batches_[ip];
+    if (std::holds_alternative<grants::gateway_hello>(value)) ++hellos_;
   }
 
   int Relayed(std::size_t bytes) {
@@ -73,21 +50,10 @@
     return loop_.RunUntil([&] { return events_ == expected; },
                           milliseconds(5000));
   }
-  void OnSidecarMessage(const std::string&, const grants::message&) override {}
-
-  net::event_loop loop_;
-  telemetry::event_log log_{"test",
-                            {},
-                            [] { return core::wall_time(); },
-                            [](std::string_view text) {
-                              return static_cast<std::int64_t>(text.size());
-                            }};
-  std::uint16_t port_ = 0;
-  std::map<std::string, std::unique_ptr<net::frame_listener>> listeners_;
+
   std::map<std::string, int> batches_;
   std::vector<std::string> events_;
   int hellos_ = 0;
-  std::optional<sidecar_links> links_;
 };
 
 // Guards against several copies of a large configuration on the slow links of
--- a/src/gateway/stream_takeups_test.cc
+++ b/src/gateway/stream_takeups_test.cc
@@ -2,11 +2,11 @@
 
 #include <gtest/gtest.h>
 
-#include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
-#include "net/frame_link.h"
+#include "gateway/linked_sidecars_test.h"
 
 namespace comfreyspring::gateway {
 namespace {
@@ -16,36 +16,17 @@
 const core::service_id kService("s");
 
 /** A gateway and two sidecars that keep records for all gateways. */
-class stream_takeups_test : public ::testing::Test, public sidecar_listener {
+class stream_takeups_test : public test::linked_sidecars_test {
  protected:
+  stream_takeups_test() : linked_sidecars_test({"127.0.0.1", "127.0.0.2"}) {}
+
   void SetUp() override {
-    for (const char* ip : {"127.0.0.1", "127.0.0.2"}) {
-      listeners_[ip] = std::make_unique<net::frame_listener>(
-          loop_, ip, port_, net::frame_link_options{}, 8,
-          [this](const std::shared_ptr<net::frame_link>& link) {
-            return net::frame_link_callbacks{
-                .on_open =
-                    [link] {
-                      link->Send(grants::Encode(grants::status_report{
-                          .next_in = milliseconds(5000)}));
-                    },
-                .on_frame =
-                    [this, link](std::string_view frame) {
-                      OnFrame(*link, frame);
-                    },
-                .on_closed = [](const std::string&) {}};
-          });
-      port_ = listeners_[ip]->Port();
-    }
-    links_.emplace(loop_, sidecar_link_options{.port = port_}, *this, log_);
-    for (const auto& [ip, listener] : listeners_) links_->AddOrUpdate(ip, {});
-    ASSERT_TRUE(loop_.RunUntil([this] { return links_->OpenCount() == 2; },
-                               milliseconds(5000)));
+    linked_sidecars_test::SetUp();
     Restart();
   }
 
-  void OnFrame(net::frame_link& link, std::string_view frame) {
-    const auto value = grants::Decode(frame);
+  void OnGatewayMessage(const std::string& /*ip*/, net::frame_link& link,
+                        const grants::message& value) override {
     if (const auto* began = std::get_if<grants::stream_began>(&value)) {
       ++copies_;
       records_.Add(began->stream, began->origin, loop_.Now());
@@ -87,25 +68,14 @@
     return outcome;
   }
 
-  void OnSidecarLost(const std::string&) override {}
   void OnSidecarMessage(const std::string& ip,
                         const grants::message& value) override {
     if (takeups_) takeups_->OnSidecarMessage(ip, value);
   }
 
-  net::event_loop loop_;
-  telemetry::event_log log_{"test",
-                            {},
-                            [] { return core::wall_time(); },
-                            [](std::string_view text) {
-                              return static_cast<std::int64_t>(text.size());
-                            }};
   telemetry::metrics metrics_;
-  std::uint16_t port_ = 0;
-  std::map<std::string, std::unique_ptr<net::frame_listener>> listeners_;
   origins::origin_table records_;
   int copies_ = 0;
-  std::optional<sidecar_links> links_;
   std::optional<stream_takeups> takeups_;
 };
 
--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -14,10 +14,10 @@
 using process_test::store_mode;
 
 // With these gaps and durations, several faults are usually active at once.
-/** Time in which a program is loaded. */
-constexpr milliseconds kProgramLoadTime{300};
 /** Pause between two configurations of a storm. */
 constexpr milliseconds kStormPeriod{400};
+/** Time in which a program is loaded. */
+constexpr milliseconds kProgramLoadTime{300};
 constexpr int kShortestGapMs = 150;
 constexpr int kLongestGapMs = 1200;
 constexpr int kShortestFaultMs = 200;
