Wait for a listening address instead of ending

What callers saw: a VM without a gateway, or an engine without a sidecar, for good. Cause: listeners were opened once, in constructors. An address that was held at that moment, by a predecessor that still drained, by a connection that had the port as its local port or by another program, ended the process with exit code 2 ("cannot listen on ...: Address already in use"); nothing starts it again. An address that comes up after the process did the same. Readiness, admin and metrics addresses are not needed for serving (net::persistent_http_server).

--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -17,6 +17,7 @@
 #include "gateway/sidecar_links.h"
 #include "gateway/stream_takeups.h"
 #include "net/http_server.h"
+#include "net/persistent_http_server.h"
 #include "telemetry/metrics.h"
 
 namespace comfreyspring::gateway {
@@ -108,7 +109,8 @@
                                public sidecar_listener {
   impl(net::event_loop& owning_loop, const settings::node_settings& node,
        catalog::catalog_source& source, const traffic_protocol& protocol,
-       net::http_client_interface& http, telemetry::event_log& event_log)
+       net::http_client_interface& http, telemetry::event_log& event_log,
+       net::tcp_socket caller_listener)
       : loop(owning_loop),
         settings(node),
         log(event_log),
@@ -126,20 +128,23 @@
                .port = settings.first_internal_port,
                .random_seed = Seed()},
               *this, log),
-        caller_server(loop,
-                      CallerServerOptions(
-                          settings, capacity,
-                          [this](const auto& event) { OnOverload(event); }),
-                      [this](std::shared_ptr<net::http_exchange> exchange) {
-                        forwarder.OnRequest(std::move(exchange));
-                      }),
+        caller_server(
+            loop,
+            CallerServerOptions(
+                settings, capacity,
+                [this](const auto& event) { OnOverload(event); }),
+            [this](std::shared_ptr<net::http_exchange> exchange) {
+              forwarder.OnRequest(std::move(exchange));
+            },
+            std::move(caller_listener)),
         readiness_server(
             loop,
             OperatorServerOptions(capacity, settings.readiness_listener,
                                   "readiness"),
             [this](const std::shared_ptr<net::http_exchange>& exchange) {
               exchange->Respond({IsReady() ? 200 : 503, {}, ""});
-            }) {
+            },
+            LogOf("readiness listener")) {
     forwarder.SetLinks(links);
     quotas.SetLinks(links);
     takeups.SetLinks(links);
@@ -151,7 +156,8 @@
           OperatorServerOptions(capacity, settings.admin_listener, "admin"),
           [this](const std::shared_ptr<net::http_exchange>& exchange) {
             HandleAdminRequest(*exchange);
-          });
+          },
+          LogOf("admin listener"));
     }
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       log.SystemEvent("pause_noticed").Add("length_ms", length.count());
@@ -182,6 +188,13 @@
     return static_cast<std::uint64_t>(core::UnixMilliseconds(loop.WallNow()));
   }
 
+  std::function<void(const net::listen_event&)> LogOf(std::string listener) {
+    return [this, listener = std::move(listener)](const auto& event) {
+      log.Dependency(listener, event.is_listening ? "regained" : "lost")
+          .Add("reason", event.reason);
+    };
+  }
+
   bool IsReady() {
     if (stopping || !follower.Routes() || !follower.IsComplete()) return false;
     if (!was_ready) {
@@ -390,8 +403,8 @@
                                 settings.change_bound / 2};
   const caller_capacity capacity = CapacityFor(settings);
   net::http_server caller_server;
-  net::http_server readiness_server;
-  std::optional<net::http_server> admin_server;
+  net::persistent_http_server readiness_server;
+  std::optional<net::persistent_http_server> admin_server;
   net::timer_id flush_timer = 0;
   net::timer_id drain_timer = 0;
   net::timer_id limits_timer = 0;
@@ -402,9 +415,10 @@
                                  catalog::catalog_source& source,
                                  const traffic_protocol& protocol,
                                  net::http_client_interface& http,
-                                 telemetry::event_log& log)
-    : impl_(std::make_unique<impl>(loop, settings, source, protocol, http,
-                                   log)) {}
+                                 telemetry::event_log& log,
+                                 net::tcp_socket caller_listener)
+    : impl_(std::make_unique<impl>(loop, settings, source, protocol, http, log,
+                                   std::move(caller_listener))) {}
 
 gateway_program::~gateway_program() = default;
 
--- a/src/gateway/gateway_program.h
+++ b/src/gateway/gateway_program.h
@@ -8,6 +8,7 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/tcp_socket.h"
 #include "settings/node_settings.h"
 #include "telemetry/event_log.h"
 
@@ -20,14 +21,17 @@
  public:
   /**
    * The referenced objects must outlive the program.
-   * @throws net_error if an address cannot be bound.
+   * @param caller_listener accepts callers. It excludes a second gateway on the
+   *     VM, so nothing is read or sent before it is open.
+   * @throws net::listen_error if an address of the settings cannot be used.
    * @throws core::invalid_value_error if the settings lack a listener.
    */
   gateway_program(net::event_loop& loop,
                   const settings::node_settings& settings,
                   catalog::catalog_source& source,
                   const traffic_protocol& protocol,
-                  net::http_client_interface& http, telemetry::event_log& log);
+                  net::http_client_interface& http, telemetry::event_log& log,
+                  net::tcp_socket caller_listener);
   ~gateway_program();
   gateway_program(const gateway_program&) = delete;
   gateway_program& operator=(const gateway_program&) = delete;
--- a/src/net/frame_link.h
+++ b/src/net/frame_link.h
@@ -9,6 +9,7 @@
 
 #include "core/time.h"
 #include "net/event_loop.h"
+#include "net/tcp_socket.h"
 
 namespace comfreyspring::net {
 
@@ -73,6 +74,10 @@
   frame_listener(event_loop& loop, const std::string& address,
                  std::uint16_t port, frame_link_options options,
                  std::size_t maximum_links, accept_handler on_accept);
+  /** Accepts from a listening socket. */
+  frame_listener(event_loop& loop, tcp_socket listener,
+                 frame_link_options options, std::size_t maximum_links,
+                 accept_handler on_accept);
   ~frame_listener();
   frame_listener(const frame_listener&) = delete;
   frame_listener& operator=(const frame_listener&) = delete;
--- a/src/net/frame_listener.cc
+++ b/src/net/frame_listener.cc
@@ -17,14 +17,14 @@
 }  // namespace
 
 struct frame_listener::impl {
-  impl(event_loop& owning_loop, const socket_address& address,
+  impl(event_loop& owning_loop, tcp_socket listener,
        frame_link_options link_options, std::size_t maximum,
        accept_handler handler)
       : loop(owning_loop),
         options(link_options),
         maximum_links(maximum),
         on_accept(std::move(handler)),
-        socket(tcp_socket::Listen(address)),
+        socket(std::move(listener)),
         port(socket_address::OfLocal(socket.Descriptor()).Port()) {
     Watch();
   }
@@ -88,7 +88,14 @@
                                std::uint16_t port, frame_link_options options,
                                std::size_t maximum_links,
                                accept_handler on_accept)
-    : impl_(std::make_unique<impl>(loop, socket_address(address, port), options,
+    : frame_listener(loop, tcp_socket::Listen({address, port}), options,
+                     maximum_links, std::move(on_accept)) {}
+
+frame_listener::frame_listener(event_loop& loop, tcp_socket listener,
+                               frame_link_options options,
+                               std::size_t maximum_links,
+                               accept_handler on_accept)
+    : impl_(std::make_unique<impl>(loop, std::move(listener), options,
                                    maximum_links, std::move(on_accept))) {}
 
 frame_listener::~frame_listener() = default;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -86,7 +87,7 @@
  */
 struct http_server::impl : public http_daemon {
   impl(event_loop& owning_loop, http_server_options settings,
-       handler request_handler)
+       handler request_handler, tcp_socket listener)
       : loop(owning_loop),
         options(std::move(settings)),
         on_request(std::move(request_handler)),
@@ -95,13 +96,11 @@
                .header_timeout = options.idle_timeout,
                .idle_timeout = options.idle_timeout} {
     LimitBodies();
-    StartDaemon();
+    StartDaemon(std::move(listener));
     const MHD_DaemonInfo* info =
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
     epoll_descriptor = info->epoll_fd;
     Watch();
-    info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
-    port = info->port;
     RequestRun();
   }
 
@@ -125,22 +124,26 @@
   impl(const impl&) = delete;
   impl& operator=(const impl&) = delete;
 
-  void StartDaemon() {
-    socket_address address(options.address, options.port);
+  void StartDaemon(tcp_socket listener) {
+    const auto address = socket_address::OfLocal(listener.Descriptor());
+    port = address.Port();
     unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     if (address.IsIpv6()) flags |= MHD_USE_IPv6;
+    const int descriptor = listener.Release();
     daemon = MHD_start_daemon(
-        flags, options.port, nullptr, nullptr, &impl::OnAccess, this,
-        MHD_OPTION_SOCK_ADDR, address.Get(), MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        options.maximum_header_bytes, MHD_OPTION_CONNECTION_LIMIT,
-        options.maximum_connections, MHD_OPTION_URI_LOG_CALLBACK,
-        &impl::OnTarget, this, MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted,
-        this, MHD_OPTION_NOTIFY_CONNECTION, &impl::OnConnection, this,
+        flags, 0, nullptr, nullptr, &impl::OnAccess, this,
+        MHD_OPTION_LISTEN_SOCKET, descriptor,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.maximum_header_bytes,
+        MHD_OPTION_CONNECTION_LIMIT, options.maximum_connections,
+        MHD_OPTION_URI_LOG_CALLBACK, &impl::OnTarget, this,
+        MHD_OPTION_NOTIFY_COMPLETED, &impl::OnCompleted, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &impl::OnConnection, this,
         MHD_OPTION_END);
     if (daemon == nullptr) {
-      throw net_error("cannot listen on " + options.address + " port " +
-                      std::to_string(options.port) + ": " +
-                      std::strerror(errno));
+      const std::string reason = std::strerror(errno);
+      // Whether the daemon closes the socket depends on where it fails.
+      if (::fcntl(descriptor, F_GETFD) >= 0) ::close(descriptor);
+      throw net_error("cannot serve on " + address.ToString() + ": " + reason);
     }
   }
 
@@ -542,24 +545,18 @@
 
 http_server::http_server(event_loop& loop, http_server_options options,
                          handler on_request)
+    : impl_(std::make_unique<impl>(
+          loop, options, std::move(on_request),
+          tcp_socket::Listen({options.address, options.port}))) {}
+
+http_server::http_server(event_loop& loop, http_server_options options,
+                         handler on_request, tcp_socket listener)
     : impl_(std::make_unique<impl>(loop, std::move(options),
-                                   std::move(on_request))) {}
+                                   std::move(on_request),
+                                   std::move(listener))) {}
 
 http_server::~http_server() = default;
 
-std::unique_ptr<http_server> http_server::TryListen(event_loop& loop,
-                                                    http_server_options options,
-                                                    handler on_request,
-                                                    std::string& reason) {
-  try {
-    return std::make_unique<http_server>(loop, std::move(options),
-                                         std::move(on_request));
-  } catch (const net_error& failure) {
-    reason = failure.what();
-    return nullptr;
-  }
-}
-
 std::uint16_t http_server::Port() const { return impl_->port; }
 
 void http_server::SetLimits(const http_server_limits& limits) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -11,6 +11,7 @@
 #include "net/body_budget.h"
 #include "net/event_loop.h"
 #include "net/shared_body.h"
+#include "net/tcp_socket.h"
 
 namespace comfreyspring::net {
 
@@ -144,12 +145,10 @@
   /** @throws net_error if the address cannot be bound. */
   http_server(event_loop& loop, http_server_options options,
               handler on_request);
+  /** Accepts from a listening socket; the address of the options is unused. */
+  http_server(event_loop& loop, http_server_options options, handler on_request,
+              tcp_socket listener);
   ~http_server();
-  /** @returns null, with the reason, if the address cannot be bound. */
-  static std::unique_ptr<http_server> TryListen(event_loop& loop,
-                                                http_server_options options,
-                                                handler on_request,
-                                                std::string& reason);
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -13,17 +13,16 @@
 namespace comfreyspring::net {
 namespace {
 
-constexpr int kBacklog = 1024;
-
 std::string ErrorText(int number) { return std::strerror(number); }
 
-tcp_socket Open(const socket_address& address) {
-  tcp_socket result(::socket(address.Family(),
-                             SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!result.IsValid()) {
-    throw net_error("cannot open a socket: " + ErrorText(errno));
-  }
-  return result;
+int Open(const socket_address& address) {
+  return ::socket(address.Family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+                  0);
+}
+
+bool MayPassByItself(int number) {
+  return number != EACCES && number != EPERM && number != EINVAL &&
+         number != EAFNOSUPPORT;
 }
 
 void SetFlag(int descriptor, int level, int option) {
@@ -39,6 +38,11 @@
   ::connect(descriptor, &none, sizeof(none));
 }
 
+listen_error::listen_error(const socket_address& address, int number)
+    : net_error("cannot listen on " + address.ToString() + ": " +
+                ErrorText(number)),
+      may_pass_(MayPassByItself(number)) {}
+
 tcp_socket::tcp_socket(int descriptor) : descriptor_(descriptor) {
   if (IsValid()) SetFlag(descriptor_, IPPROTO_TCP, TCP_NODELAY);
 }
@@ -58,8 +62,13 @@
   if (IsValid()) ::close(std::exchange(descriptor_, -1));
 }
 
+int tcp_socket::Release() { return std::exchange(descriptor_, -1); }
+
 tcp_socket tcp_socket::Connect(const socket_address& address) {
-  tcp_socket result = Open(address);
+  tcp_socket result(Open(address));
+  if (!result.IsValid()) {
+    throw net_error("cannot open a socket: " + ErrorText(errno));
+  }
   if (::connect(result.Descriptor(), address.Get(), address.Size()) != 0 &&
       errno != EINPROGRESS) {
     throw net_error("cannot connect to " + address.ToString() + ": " +
@@ -69,14 +78,14 @@
 }
 
 tcp_socket tcp_socket::Listen(const socket_address& address) {
-  tcp_socket result = Open(address);
+  tcp_socket result(Open(address));
   // Lets a restarted process listen while old connections are in TIME_WAIT; a
   // second listener on the port still fails.
   SetFlag(result.Descriptor(), SOL_SOCKET, SO_REUSEADDR);
-  if (::bind(result.Descriptor(), address.Get(), address.Size()) != 0 ||
-      ::listen(result.Descriptor(), kBacklog) != 0) {
-    throw net_error("cannot listen on " + address.ToString() + ": " +
-                    ErrorText(errno));
+  if (!result.IsValid() ||
+      ::bind(result.Descriptor(), address.Get(), address.Size()) != 0 ||
+      ::listen(result.Descriptor(), SOMAXCONN) != 0) {
+    throw listen_error(address, errno);
   }
   return result;
 }
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <string>
 
+#include "net/event_loop.h"
 #include "net/socket_address.h"
 
 namespace comfreyspring::net {
@@ -22,7 +23,23 @@
  */
 void ResetConnection(int descriptor);
 
-/** Owns a non-blocking TCP socket with TCP_NODELAY. */
+/** A listening socket that could not be opened. */
+class listen_error : public net_error {
+ public:
+  /** @param number the value of errno. */
+  listen_error(const socket_address& address, int number);
+
+  /**
+   * False for errors that only other settings or permissions remove, true for
+   * an address that is taken or missing and for a lack of resources.
+   */
+  bool MayPass() const { return may_pass_; }
+
+ private:
+  bool may_pass_;
+};
+
+/** Owns a non-blocking TCP socket; connections have TCP_NODELAY. */
 class tcp_socket {
  public:
   tcp_socket() = default;
@@ -36,12 +53,14 @@
 
   /** Starts to connect. @throws net_error on an immediate failure. */
   static tcp_socket Connect(const socket_address& address);
-  /** Opens a listening socket. @throws net_error */
+  /** Opens a listening socket. @throws listen_error */
   static tcp_socket Listen(const socket_address& address);
 
   int Descriptor() const { return descriptor_; }
   bool IsValid() const { return descriptor_ >= 0; }
   void Close();
+  /** Gives the open descriptor to the caller. */
+  int Release();
 
   /** Outcome of a started connect: 0, EINPROGRESS or the error number. */
   int ConnectError() const;
--- a/src/sidecar/quota_path_test.cc
+++ b/src/sidecar/quota_path_test.cc
@@ -37,7 +37,8 @@
   void SetUp() override {
     settings_.node = core::process_id("sidecar-1");
     settings_.ip = "127.0.0.1";
-    program_.emplace(loop_, settings_, engine_, log_);
+    program_.emplace(loop_, settings_, engine_, log_,
+                     net::tcp_socket::Listen({settings_.ip, 0}));
     links_.emplace(
         loop_,
         gateway::sidecar_link_options{.gateway = core::process_id("g"),
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -11,7 +11,7 @@
 #include "core/hash.h"
 #include "grants/messages.h"
 #include "net/frame_link.h"
-#include "net/http_server.h"
+#include "net/persistent_http_server.h"
 #include "net/receive_watch.h"
 #include "origins/origin_table.h"
 #include "sidecar/adapter_list_updates.h"
@@ -69,7 +69,8 @@
   };
 
   impl(net::event_loop& owning_loop, const settings::node_settings& settings,
-       engine_port& engine, telemetry::event_log& event_log)
+       engine_port& engine, telemetry::event_log& event_log,
+       net::tcp_socket link_listener)
       : loop(owning_loop),
         log(event_log),
         driver(
@@ -95,16 +96,21 @@
               Send(link, value);
             },
             log, metrics),
-        listener(loop, settings.ip, settings.first_internal_port,
+        listener(loop, std::move(link_listener),
                  {.maximum_pending_bytes = 1024 * 1024}, kMaximumLinks,
                  [this](const std::shared_ptr<net::frame_link>& link) {
                    return Accept(link);
                  }),
-        admin(loop,
-              {.address = settings.ip, .port = settings.last_internal_port},
-              [this](const std::shared_ptr<net::http_exchange>& exchange) {
-                AnswerAdmin(*exchange);
-              }) {
+        admin(
+            loop, {.address = settings.ip, .port = settings.last_internal_port},
+            [this](const std::shared_ptr<net::http_exchange>& exchange) {
+              AnswerAdmin(*exchange);
+            },
+            [this](const net::listen_event& event) {
+              log.Dependency("admin listener",
+                             event.is_listening ? "regained" : "lost")
+                  .Add("reason", event.reason);
+            }) {
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       driver.OnPaused(length);
       relay.OnPaused(length, loop.Now());
@@ -339,7 +345,7 @@
   origins::origin_table stream_origins;
   catalog_relay relay{kConfirmationPeriod};
   net::frame_listener listener;
-  net::http_server admin;
+  net::persistent_http_server admin;
   net::timer_id flush_timer = 0;
   net::timer_id status_timer = 0;
   net::timer_id state_timer = 0;
@@ -348,8 +354,10 @@
 
 sidecar_program::sidecar_program(net::event_loop& loop,
                                  const settings::node_settings& settings,
-                                 engine_port& engine, telemetry::event_log& log)
-    : impl_(std::make_unique<impl>(loop, settings, engine, log)) {}
+                                 engine_port& engine, telemetry::event_log& log,
+                                 net::tcp_socket link_listener)
+    : impl_(std::make_unique<impl>(loop, settings, engine, log,
+                                   std::move(link_listener))) {}
 
 sidecar_program::~sidecar_program() = default;
 
--- a/src/sidecar/sidecar_program.h
+++ b/src/sidecar/sidecar_program.h
@@ -4,6 +4,7 @@
 
 #include "net/event_loop.h"
 #include "net/http_server.h"
+#include "net/tcp_socket.h"
 #include "settings/node_settings.h"
 #include "sidecar/engine_port.h"
 #include "telemetry/event_log.h"
@@ -15,11 +16,13 @@
  public:
   /**
    * The referenced objects must outlive the program.
-   * @throws net_error if an address cannot be bound.
+   * @param link_listener accepts gateways. It excludes a second sidecar on the
+   *     VM, so nothing is ordered before it is open.
+   * @throws net::listen_error if an address of the settings cannot be used.
    */
   sidecar_program(net::event_loop& loop,
                   const settings::node_settings& settings, engine_port& engine,
-                  telemetry::event_log& log);
+                  telemetry::event_log& log, net::tcp_socket link_listener);
   ~sidecar_program();
   sidecar_program(const sidecar_program&) = delete;
   sidecar_program& operator=(const sidecar_program&) = delete;
--- a/src/sidecar/sidecar_program_test.cc
+++ b/src/sidecar/sidecar_program_test.cc
@@ -77,7 +77,8 @@
   void SetUp() override {
     settings_.node = core::process_id("sidecar-1");
     settings_.ip = "127.0.0.1";
-    program_.emplace(loop_, settings_, engine_, log_);
+    program_.emplace(loop_, settings_, engine_, log_,
+                     net::tcp_socket::Listen({settings_.ip, 0}));
   }
   void Connect(std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
--- a/src/sidecar/slot_program_test.cc
+++ b/src/sidecar/slot_program_test.cc
@@ -35,7 +35,8 @@
     request_forwarder_test::SetUp();
     sidecar_settings_.node = core::process_id("s1");
     sidecar_settings_.ip = "127.0.0.1";
-    program_.emplace(loop_, sidecar_settings_, engine_, log_);
+    program_.emplace(loop_, sidecar_settings_, engine_, log_,
+                     net::tcp_socket::Listen({sidecar_settings_.ip, 0}));
     program_links_.emplace(
         loop_,
         gateway::sidecar_link_options{.gateway = core::process_id("g1"),
--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -110,6 +110,11 @@
   gateway = Start("gateway", index, layout_.Gateway(index));
 }
 
+std::unique_ptr<settings_program> small_fleet_test::StartSecondGateway(
+    int index) const {
+  return Start("gateway", index, layout_.Gateway(index));
+}
+
 std::unique_ptr<settings_program> small_fleet_test::Start(
     const std::string& program, int index, const std::string& ip) const {
   const std::string name = program + '-' + std::to_string(index);
@@ -210,11 +215,13 @@
 }
 
 std::string small_fleet_test::AdminPage(int gateway, const std::string& path) {
+  return Page(layout_.Gateway(gateway), fleet_layout::kAdminPort, path);
+}
+
+std::string small_fleet_test::Page(const std::string& ip, std::uint16_t port,
+                                   const std::string& path) {
   std::optional<net::http_result> page;
-  http_.Start({.url = "http://" +
-                      fleet_layout::At(layout_.Gateway(gateway),
-                                       fleet_layout::kAdminPort) +
-                      path,
+  http_.Start({.url = "http://" + fleet_layout::At(ip, port) + path,
                .total_timeout = kTimeout},
               {.on_done = [&](const net::http_result& done) { page = done; }});
   EXPECT_TRUE(loop_.RunUntil([&] { return page.has_value(); }, kTimeout));
--- a/tests/process/small_fleet.h
+++ b/tests/process/small_fleet.h
@@ -81,6 +81,8 @@
   settings_program& Sidecar(int index) { return *Slot(index).sidecar; }
   /** Kills the gateway if it runs, and starts it. */
   void StartGateway(int index);
+  /** Starts one more process with the settings of the gateway. */
+  std::unique_ptr<settings_program> StartSecondGateway(int index) const;
   settings_program& Gateway(int index) {
     return *gateways_[static_cast<std::size_t>(index)];
   }
@@ -95,6 +97,9 @@
   void WaitForAnswers();
   /** Gets a page of the gateway's admin address. */
   std::string AdminPage(int gateway, const std::string& path);
+  /** Gets a page of an address. */
+  std::string Page(const std::string& ip, std::uint16_t port,
+                   const std::string& path);
 
   static constexpr core::milliseconds kTimeout{8000};
 
