Let listeners open the local ports of outgoing connections

Cause: the system picks the local ports of our calls and links from the range that may hold a listening port of the same machine. Without SO_REUSEADDR such a connection, and the TIME_WAIT that it leaves for a minute, keep a restarted process from listening. Change: outgoing sockets of the HTTP client and of links set SO_REUSEADDR.

--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -165,6 +165,7 @@
   const int descriptor = ::socket(
       address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
   if (descriptor >= 0) {
+    YieldLocalPort(descriptor);
     static_cast<connection_table*>(table)->OnOpened(descriptor);
   }
   return descriptor;
--- a/src/net/listener_claim_test.cc
+++ b/src/net/listener_claim_test.cc
@@ -76,6 +76,38 @@
   EXPECT_TRUE(listen_error(address, EMFILE).MayPass());
 }
 
+// Guards against a listener that cannot be opened because a connection of the
+// same machine got its port as the local port.
+TEST_F(listener_claim_test, OpensThePortOfAnOutgoingLink) {
+  const tcp_socket peer = tcp_socket::Listen({"127.0.0.1", 0});
+  const tcp_socket link = tcp_socket::Connect({"127.0.0.1", LocalPort(peer)});
+  const listener_claim claim(loop_, {"127.0.0.1", LocalPort(link)},
+                             Callbacks());
+  EXPECT_TRUE(opened_.IsValid()) << reasons_.front();
+}
+
+TEST_F(listener_claim_test, OpensThePortOfAnOutgoingCall) {
+  std::uint16_t caller_port = 0;
+  std::shared_ptr<http_exchange> unanswered;
+  http_server server(loop_, {}, [&](std::shared_ptr<http_exchange> exchange) {
+    unanswered = std::move(exchange);
+  });
+  http_client client(loop_);
+  client.Start(
+      {.url = "http://127.0.0.1:" + std::to_string(server.Port()) + "/"},
+      {.on_done = [](const http_result&) {}});
+  ASSERT_TRUE(loop_.RunUntil([&] { return unanswered != nullptr; }, kLimit));
+  for (int descriptor = 3; descriptor < 256 && caller_port == 0; ++descriptor) {
+    const auto peer = socket_address::OfPeer(descriptor);
+    if (peer.Family() == AF_INET && peer.Port() == server.Port()) {
+      caller_port = socket_address::OfLocal(descriptor).Port();
+    }
+  }
+  ASSERT_NE(caller_port, 0);
+  const listener_claim claim(loop_, {"127.0.0.1", caller_port}, Callbacks());
+  EXPECT_TRUE(opened_.IsValid()) << reasons_.front();
+}
+
 TEST_F(listener_claim_test, AServerListensWhenItsPortIsFree) {
   tcp_socket holder = tcp_socket::Listen({"127.0.0.1", 0});
   std::vector<bool> changes;
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -38,6 +38,10 @@
   ::connect(descriptor, &none, sizeof(none));
 }
 
+void YieldLocalPort(int descriptor) {
+  SetFlag(descriptor, SOL_SOCKET, SO_REUSEADDR);
+}
+
 listen_error::listen_error(const socket_address& address, int number)
     : net_error("cannot listen on " + address.ToString() + ": " +
                 ErrorText(number)),
@@ -69,6 +73,7 @@
   if (!result.IsValid()) {
     throw net_error("cannot open a socket: " + ErrorText(errno));
   }
+  YieldLocalPort(result.Descriptor());
   if (::connect(result.Descriptor(), address.Get(), address.Size()) != 0 &&
       errno != EINPROGRESS) {
     throw net_error("cannot connect to " + address.ToString() + ": " +
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -23,6 +23,12 @@
  */
 void ResetConnection(int descriptor);
 
+/**
+ * Lets a listener of this machine open the port that the system chooses as the
+ * local port of a connection. Call before the connection is opened.
+ */
+void YieldLocalPort(int descriptor);
+
 /** A listening socket that could not be opened. */
 class listen_error : public net_error {
  public:
