Log slow reads, the age of what is adopted and the bytes of lost links

Change: catalog_read_slow, catalog_age_ms at configuration_adopted, relay and unsent_bytes at a sidecar that is lost. No logic is changed.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -57,6 +57,11 @@
 constexpr std::size_t kChangesPerCatalog = 2;
 /** Changes up to this size are read however small the catalog is. */
 constexpr std::size_t kMinimumChangeBytes = 256 * 1024;
+/**
+ * The bound divided by the time that a response may take to arrive, besides the
+ * wait for changes, without being logged.
+ */
+constexpr int kUnloggedReadsPerBound = 10;
 /** Responses that recur with each retry are logged once in this time. */
 constexpr core::milliseconds kAnswerLogPeriod{1000};
 
@@ -258,6 +263,8 @@
   loop_.Cancel(std::exchange(read_timer_, 0));
   is_retry_ = false;
   reading_all_ = true;
+  read_began_ = loop_.Now();
+  read_wait_ = core::milliseconds(0);
   const std::uint64_t generation = ++generation_;
   source_.ReadAll(ReadTimeout(),
                   [this, generation, alive = alive_](catalog_read read) {
@@ -274,6 +281,8 @@
   const std::uint64_t generation = ++generation_;
   // After an outage the first response must not be delayed by waiting.
   const auto wait = connected_ ? MaximumWait() : core::milliseconds(0);
+  read_began_ = loop_.Now();
+  read_wait_ = wait;
   source_.ReadChanges(
       {.after_revision = history_.Position().revision,
        .wait = wait,
@@ -292,6 +301,7 @@
     return;
   }
   LogDefect("read_all", read);
+  LogSlowRead("read_all", read);
   if (read.era == 0) read.era = latest_era_;
   if (read.era < latest_era_ ||
       (complete_ && read.Position() < history_.Position())) {
@@ -389,7 +399,10 @@
     OnFailure("read_changes", read);
     return;
   }
-  if (read.outcome == read_outcome::done) LogDefect("read_changes", read);
+  if (read.outcome == read_outcome::done) {
+    LogDefect("read_changes", read);
+    LogSlowRead("read_changes", read);
+  }
   if (read.era == 0) read.era = history_.Position().era;
   if (read.era < latest_era_) {
     OnStaleAnswer("read_changes", read);
@@ -560,6 +573,21 @@
   gap_ = {.logged_at = loop_.Now()};
 }
 
+void catalog_follower::LogSlowRead(const char* call, const catalog_read& read) {
+  const auto duration = core::ToMilliseconds(loop_.Now() - read_began_);
+  if (duration - read_wait_ < options_.change_bound / kUnloggedReadsPerBound) {
+    return;
+  }
+  log_.SystemEvent("catalog_read_slow")
+      .Add("call", call)
+      .Add("read_ms", duration.count())
+      .Add("wait_ms", read_wait_.count())
+      .Add("bytes", read.received_bytes)
+      .Add("known", history_.Position().revision)
+      .Add("revision", read.revision)
+      .Add("catalog_age_ms", Age().count());
+}
+
 bool catalog_follower::IsDue(recurring_event& event, std::size_t bytes) {
   ++event.count;
   event.bytes += static_cast<std::int64_t>(bytes);
@@ -704,7 +732,8 @@
       .Add("version", content.version)
       .Add("before", current)
       .Add("routes", static_cast<std::int64_t>(content.routes.size()))
-      .Add("origin", origin);
+      .Add("origin", origin)
+      .Add("catalog_age_ms", Age().count());
   routes_ = std::make_shared<const route_table>(std::move(content));
   listener_.OnConfiguration(routes_);
   return true;
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -136,6 +136,8 @@
   void OnFailure(const char* call, const catalog_read& read);
   void LogFailure(const char* call, const catalog_read& read);
   void LogGap(const change_batch& batch);
+  /** The response of the current read has taken long to arrive. */
+  void LogSlowRead(const char* call, const catalog_read& read);
   /**
    * Counts an event that recurs.
    * @returns true if a line about the events since the last one is due.
@@ -204,6 +206,10 @@
   bool may_read_all_at_once_ = true;
   /** Responses to reads of an earlier generation are ignored. */
   std::uint64_t generation_ = 0;
+  /** When the read in flight, or the latest one, began and how long it waits.
+   */
+  core::time_point read_began_;
+  core::milliseconds read_wait_{0};
   core::milliseconds retry_delay_;
   core::time_point last_contact_;
   bool connected_ = false;
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -209,6 +209,10 @@
 void sidecar_links::CloseLink(const std::string& ip, peer& target,
                               const std::string& reason) {
   const bool was_open = std::exchange(target.open, false);
+  const bool was_relay =
+      std::find(relays_.begin(), relays_.end(), ip) != relays_.end();
+  const std::size_t unsent_bytes =
+      target.link ? target.link->PendingBytes() : 0;
   ++target.generation;
   if (target.link) target.link->Close();
   target.link.reset();
@@ -219,7 +223,10 @@
                         static_cast<double>(options_.reconnect_delay.count())));
   if (!was_open) return;
   ChooseRelays();
-  log_.Dependency("sidecar " + ip, "lost").Add("reason", reason);
+  log_.Dependency("sidecar " + ip, "lost")
+      .Add("reason", reason)
+      .Add("relay", was_relay)
+      .Add("unsent_bytes", unsent_bytes);
   listener_.OnSidecarLost(ip);
 }
 
