Date what a read has brought by its beginning, not by its arrival

Cause: a response shows the platform as it was when it was sent. Its age was counted from its last byte, so that a read that took a second on a link of 10 Mbit/s made what it brought a second too young: the next read, the grace periods and the age in relayed batches all waited for as long again. Evidence: catalog_age_ms is 0 at front-luzon-b-10 at 14.38, 0.9 s after a departure that this read does not contain; the next one follows at 16.0. Change: a read knows the platform as of its beginning; a read that waited and brought no change, as of the end of its wait. The pause between reads is counted from there too.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -310,7 +310,7 @@
   }
   const read_context context{"platform", read.Position(), last_contact_};
   OnEra(read.era);
-  OnContact(read.Position());
+  OnContact(read.Position(), read_began_);
   catalog_bytes_ = read.received_bytes;
   const catalog_position before = history_.Position();
   history_.OnAllRead(read.Position());
@@ -421,7 +421,8 @@
     return;
   }
   const read_context context{"platform", read.Position(), last_contact_};
-  OnContact(read.Position());
+  const auto known_at = KnownAt(read);
+  OnContact(read.Position(), known_at);
   retry_delay_ = options_.initial_retry_delay;
   may_read_all_at_once_ = true;
   // Changes already received from another process are not applied again.
@@ -431,9 +432,10 @@
   });
   change_batch batch;
   const catalog_position known_before = history_.Position();
-  history_.OnRange(known_before.revision, read.revision, loop_.Now());
+  history_.OnRange(known_before.revision, read.revision, known_at);
   batch.after = known_before.revision;
   batch.revision = std::max(known_before.revision, read.revision);
+  batch.age = core::ToMilliseconds(loop_.Now() - known_at);
   batch.era = known_before.era;
   DetectMassRemoval(read.changes, known_before);
   for (published_change& change : read.changes) {
@@ -515,7 +517,18 @@
                                [this] { ReadWhenDue(); });
 }
 
-void catalog_follower::OnContact(const catalog_position& position) {
+/**
+ * The response may have been on its way for as long as the read has taken. Only
+ * one without changes was sent at the end of the wait.
+ */
+core::time_point catalog_follower::KnownAt(const catalog_read& read) const {
+  const auto wait_ended = read_began_ + read_wait_;
+  return read.changes.empty() && loop_.Now() >= wait_ended ? wait_ended
+                                                           : read_began_;
+}
+
+void catalog_follower::OnContact(const catalog_position& position,
+                                 core::time_point known_at) {
   const auto now = loop_.Now();
   if (!connected_) {
     const auto away = core::ToMilliseconds(now - last_contact_);
@@ -527,8 +540,8 @@
     }
     connected_ = true;
   }
-  last_contact_ = now;
-  schedule_.OnRead(now);
+  last_contact_ = std::max(last_contact_, known_at);
+  schedule_.OnRead(known_at);
 }
 
 void catalog_follower::OnFailure(const char* call, const catalog_read& read) {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -158,7 +158,10 @@
   void ReadAllAgain();
   void LogDefect(const char* call, const catalog_read& read);
   std::optional<reported_outage> OutageToReport() const;
-  void OnContact(const catalog_position& position);
+  /** The latest time at which the response was surely up to date. */
+  core::time_point KnownAt(const catalog_read& read) const;
+  /** @param known_at when the response was up to date. */
+  void OnContact(const catalog_position& position, core::time_point known_at);
   void RetryLater();
   void ReadWhenDue();
   void Apply(std::vector<published_change> changes, const read_context& read,
@@ -211,6 +214,7 @@
   core::time_point read_began_;
   core::milliseconds read_wait_{0};
   core::milliseconds retry_delay_;
+  /** The view contains everything that was written before this time. */
   core::time_point last_contact_;
   bool connected_ = false;
   /** While not connected: time of the first failed read. */
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -500,6 +500,37 @@
   EXPECT_EQ(source_.last_revision, revision);
 }
 
+// A confirmed change stayed out of force: a response that took long to arrive
+// counted as the state at its arrival, so that the next read waited.
+TEST_F(catalog_follower_test, AResponseThatArrivesLateIsAsOldAsItsRead) {
+  follower_.SetReaderRank(9);
+  source_.Answer(Done({Record("i1")}, 40));
+  Wait(milliseconds(150));
+  source_.Answer(Done({Record("i2")}, 41));
+  EXPECT_GE(follower_.Age(), milliseconds(150));
+  ASSERT_FALSE(listener_.batches.empty());
+  EXPECT_GE(listener_.batches.back().age, milliseconds(150));
+  // The limit for a process without confirmation is at most 60 ms here.
+  EXPECT_NE(source_.pending, nullptr);
+}
+
+// The same for the whole catalog, from which the grace periods follow too.
+TEST_F(catalog_follower_test, ACatalogThatArrivesLateIsAsOldAsItsRead) {
+  Wait(milliseconds(150));
+  source_.Answer(Done({Record("i1")}, 40));
+  EXPECT_GE(follower_.Age(), milliseconds(150));
+}
+
+// A platform without changes answers a read at the end of its wait.
+TEST_F(catalog_follower_test, AReadThatWaitedInVainKnowsTheEndOfItsWait) {
+  source_.Answer(Done({Record("i1")}, 40));
+  // The wait is 25 ms here.
+  Wait(milliseconds(40));
+  source_.Answer(Done({}, 40));
+  EXPECT_GE(follower_.Age(), milliseconds(15));
+  EXPECT_LT(follower_.Age(), milliseconds(40));
+}
+
 // Heartbeats are not relayed to other processes.
 TEST_F(catalog_follower_test, RelaysOnlyRelevantChanges) {
   source_.Answer(Done({Record("i1")}, 40));
--- a/src/catalog/read_schedule.cc
+++ b/src/catalog/read_schedule.cc
@@ -15,9 +15,9 @@
 
 void read_schedule::OnRank(std::optional<std::size_t> rank) { rank_ = rank; }
 
-void read_schedule::OnRead(core::time_point now) {
-  read_at_ = now;
-  OnConfirmed(now);
+void read_schedule::OnRead(core::time_point known_at) {
+  read_at_ = known_at;
+  OnConfirmed(known_at);
 }
 
 void read_schedule::OnConfirmed(core::time_point read_at) {
--- a/src/catalog/read_schedule.h
+++ b/src/catalog/read_schedule.h
@@ -15,7 +15,7 @@
    * changes from them.
    */
   std::size_t readers = 4;
-  /** Pause of a reader between two reads. */
+  /** Shortest time between two states that a reader reads. */
   core::milliseconds pause{400};
   /** A process without confirmation for this long reads by itself. */
   core::milliseconds confirmation_limit{800};
@@ -38,8 +38,11 @@
 
   /** Sets the rank of this process among the readers; nullopt if unknown. */
   void OnRank(std::optional<std::size_t> rank);
-  /** A read of this process has succeeded. */
-  void OnRead(core::time_point now);
+  /**
+   * A read of this process has succeeded.
+   * @param known_at when the response was up to date, not when it arrived.
+   */
+  void OnRead(core::time_point known_at);
   /** Another process has read everything up to the state known here. */
   void OnConfirmed(core::time_point read_at);
 
