Add the time that a batch was on its way to its age

Cause: a batch of changes carries the time since its read, measured when it is queued. On a link of 10 Mbit/s it may wait a second behind configurations of 225 kB; the gateway took it for fresh and put its own read off. Change: batches carry the sender's clock; the receiver adds what one takes beyond the fastest recent one of the same link. Earlier versions ignore the field at the end, and their batches are left as they are.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -20,3 +20,4 @@
 #include "catalog/read_schedule.h"
 #include "catalog/route.h"
 #include "catalog/route_table.h"
+#include "catalog/transit_time.h"
--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -379,9 +379,8 @@
   change_batch batch{.after = history_.Position().revision,
                      .revision = history_.Position().revision,
                      .era = history_.Position().era};
-  batch.last_outage = OutageToReport();
   batch.documents = std::move(applied);
-  listener_.OnLocalRead(batch);
+  Report(std::move(batch));
 }
 
 void catalog_follower::OnChanges(catalog_read read) {
@@ -445,9 +444,14 @@
       batch.documents.push_back({change.revision, std::move(change.document)});
     }
   }
+  Report(std::move(batch));
+  ReadWhenDue();
+}
+
+void catalog_follower::Report(change_batch batch) {
   batch.last_outage = OutageToReport();
+  batch.sent_at = core::ToMilliseconds(loop_.Now().time_since_epoch());
   listener_.OnLocalRead(batch);
-  ReadWhenDue();
 }
 
 bool catalog_follower::OnEra(std::int64_t era) {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -158,6 +158,8 @@
   void ReadAllAgain();
   void LogDefect(const char* call, const catalog_read& read);
   std::optional<reported_outage> OutageToReport() const;
+  /** Passes on what this process has read. */
+  void Report(change_batch batch);
   /** The latest time at which the response was surely up to date. */
   core::time_point KnownAt(const catalog_read& read) const;
   /** @param known_at when the response was up to date. */
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -64,6 +64,11 @@
   std::vector<change_document> documents;
   /** Era of all revisions of the batch; 0 if unknown. */
   std::int64_t era = 0;
+  /**
+   * The sender's clock when `age` was measured; comparable only with that of
+   * other batches of the same sender. Earlier versions do not tell it.
+   */
+  std::optional<core::milliseconds> sent_at;
 
   catalog_position After() const { return {era, after}; }
   catalog_position Position() const { return {era, revision}; }
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -198,6 +198,7 @@
   };
   target.was_refused = false;
   target.received = {};
+  target.transit = {};
   target.received.Restart(loop_.Now());
   target.link =
       net::ConnectFrameLink(loop_, ip, options_.port,
@@ -238,8 +239,11 @@
 
 void sidecar_links::Receive(const std::string& ip, std::string_view frame) {
   try {
-    const grants::message value = grants::Decode(frame);
-    if (const auto* report = std::get_if<grants::status_report>(&value)) {
+    grants::message value = grants::Decode(frame);
+    if (auto* batch = std::get_if<grants::change_batch>(&value)) {
+      peers_.at(ip).transit.AddTo(*batch, loop_.Now());
+    } else if (const auto* report =
+                   std::get_if<grants::status_report>(&value)) {
       peer& sender = peers_.at(ip);
       sender.silence_timeout =
           std::max(options_.silence_timeout,
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "catalog/endpoint_record.h"
+#include "catalog/transit_time.h"
 #include "core/ids.h"
 #include "core/random_source.h"
 #include "grants/messages.h"
@@ -133,6 +134,7 @@
     /** The VM has refused the latest attempt to connect. */
     bool was_refused = false;
     net::receive_watch received;
+    catalog::transit_time transit;
     /** The next hello is due as the latest one has announced. */
     core::time_point hello_due;
     core::time_point retry_at;
--- a/src/grants/messages.cc
+++ b/src/grants/messages.cc
@@ -222,6 +222,7 @@
         .Add(batch.last_outage->ended_ago);
   }
   out.Add(batch.era);
+  if (batch.sent_at) out.Add(*batch.sent_at);
   return out.Finish();
 }
 
@@ -488,6 +489,9 @@
   return observed;
 }
 
+/** A monotonic clock that has run for longer than this is not plausible. */
+constexpr core::milliseconds kMaximumClock = std::chrono::years(100);
+
 change_batch ReadBatch(field_reader& in) {
   change_batch batch;
   batch.after = in.Integer();
@@ -506,6 +510,12 @@
   // Senders of earlier versions know no eras.
   if (!in.AtEnd()) batch.era = in.Integer();
   if (batch.era < 0) throw core::invalid_value_error("negative era");
+  if (!in.AtEnd()) {
+    batch.sent_at = in.Time();
+    if (batch.sent_at->count() < 0 || *batch.sent_at > kMaximumClock) {
+      throw core::invalid_value_error("the time of a batch is out of range");
+    }
+  }
   if (batch.last_outage) batch.last_outage->position.era = batch.era;
   return batch;
 }
--- a/src/grants/messages_test.cc
+++ b/src/grants/messages_test.cc
@@ -273,6 +273,7 @@
   change_batch batch{.after = 40, .revision = 44, .age = milliseconds(3)};
   batch.last_outage = {{6, 41}, milliseconds(70)};
   batch.era = 6;
+  batch.sent_at = milliseconds(7'000'000'000);
   batch.documents = {{42, "{}"}, {44, std::string("\xff\0", 2)}};
   const change_batch decoded = RoundTrip(batch);
   EXPECT_EQ(decoded.after, 40);
@@ -280,6 +281,7 @@
   ASSERT_TRUE(decoded.last_outage);
   EXPECT_EQ(decoded.last_outage->position, (catalog::catalog_position{6, 41}));
   EXPECT_EQ(decoded.era, 6);
+  EXPECT_EQ(decoded.sent_at, batch.sent_at);
   EXPECT_EQ(decoded.last_outage->ended_ago, milliseconds(70));
   ASSERT_EQ(decoded.documents.size(), 2U);
   EXPECT_EQ(decoded.documents[0].revision, 42);
@@ -329,13 +331,16 @@
 }
 
 // Earlier versions read a batch up to the fields that they know.
-TEST(messages_test, TheEraOfABatchIsItsLastField) {
+TEST(messages_test, OnlyTheTimeOfABatchFollowsItsEra) {
   change_batch batch{.after = 40, .revision = 44, .era = 6};
   EXPECT_EQ(json::from_cbor(Encode(batch)),
             json::array({11, 40, 44, 0, false, 0, 6}));
   batch.last_outage = {{6, 41}, milliseconds(70)};
   EXPECT_EQ(json::from_cbor(Encode(batch)),
             json::array({11, 40, 44, 0, true, 0, 41, 70, 6}));
+  batch.sent_at = milliseconds(5000);
+  EXPECT_EQ(json::from_cbor(Encode(batch)),
+            json::array({11, 40, 44, 0, true, 0, 41, 70, 6, 5000}));
 }
 
 // Newer peers may append fields that this version does not know.
--- a/src/sidecar/catalog_relay.cc
+++ b/src/sidecar/catalog_relay.cc
@@ -57,6 +57,7 @@
   if (!pending_) return;
   catalog::change_batch& content = pending_->content;
   content.age = core::ToMilliseconds(now - pending_->read_at);
+  content.sent_at = core::ToMilliseconds(now.time_since_epoch());
   if (content.last_outage) {
     content.last_outage->ended_ago =
         core::ToMilliseconds(now - pending_->outage_ended);
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "catalog/transit_time.h"
 #include "core/error.h"
 #include "core/hash.h"
 #include "grants/messages.h"
@@ -62,6 +63,7 @@
     std::string gateway;
     adapter_list_updates adapters;
     net::receive_watch received;
+    catalog::transit_time transit;
     core::milliseconds timeout = kGatewayTimeout;
     core::time_point status_due;
     std::size_t reader_rank = 0;
@@ -185,11 +187,12 @@
   void Receive(std::uint64_t id, std::string_view frame) {
     links.at(id).received.Restart(loop.Now());
     try {
-      const grants::message value = grants::Decode(frame);
+      grants::message value = grants::Decode(frame);
       if (const auto* hello = std::get_if<grants::gateway_hello>(&value)) {
         OnHello(id, *hello);
       }
-      if (const auto* batch = std::get_if<grants::change_batch>(&value)) {
+      if (auto* batch = std::get_if<grants::change_batch>(&value)) {
+        links.at(id).transit.AddTo(*batch, loop.Now());
         SendBatches(relay.OnBatch(*batch, loop.Now()));
         return;
       }
--- a/tests/process/thin_link_test.cc
+++ b/tests/process/thin_link_test.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "catalog/catalog_follower.h"
 #include "gateway/sidecar_links.h"
@@ -158,53 +159,89 @@
   EXPECT_FALSE(IsUsable("i-1"));
 }
 
-class ignoring_listener final : public gateway::sidecar_listener {
- public:
-  void OnSidecarLost(const std::string& /*ip*/) override { ++lost; }
+/** A gateway's link to the sidecar that relays batches to it. */
+class thin_sidecar_link_test : public ::testing::Test,
+                               public gateway::sidecar_listener {
+ protected:
+  void SetUp() override {
+    links_.AddOrUpdate(kRelayIp, {});
+    ASSERT_TRUE(loop_.RunUntil([&] { return links_.OpenCount() == 1; },
+                               milliseconds(2000)));
+  }
+
+  void OnSidecarLost(const std::string& /*ip*/) override { ++lost_; }
   void OnSidecarMessage(const std::string& /*ip*/,
                         const grants::message& value) override {
-    if (std::holds_alternative<grants::change_batch>(value)) ++batches;
+    if (const auto* batch = std::get_if<grants::change_batch>(&value)) {
+      ages_.push_back(batch->age);
+    }
   }
 
-  int lost = 0;
-  int batches = 0;
-};
+  /** Relays a batch that was read just now. */
+  void Relay(std::size_t document_bytes) {
+    grants::change_batch batch{
+        .documents = {{1, std::string(document_bytes, 'x')}}};
+    batch.sent_at = core::ToMilliseconds(loop_.Now().time_since_epoch());
+    sidecar_->Send(grants::Encode(batch));
+  }
+  void WaitForBatches(std::size_t count) {
+    loop_.RunUntil([&] { return ages_.size() >= count || lost_ > 0; },
+                   milliseconds(5000));
+  }
 
-// A configuration with many routes takes longer to arrive than the silence that
-// ends a link.
-TEST(thin_sidecar_link_test, ALinkThatReceivesALargeFrameIsNotSilent) {
-  const std::string relay_ip = "127.0.0.2";
-  net::event_loop loop;
-  telemetry::event_log log{"test",
-                           {},
-                           [] { return core::wall_time(); },
-                           [](std::string_view text) {
-                             return static_cast<std::int64_t>(text.size());
-                           }};
-  std::shared_ptr<net::frame_link> sidecar;
-  const net::frame_listener listener(
-      loop, "127.0.0.1", 0, {}, 1,
-      [&](const std::shared_ptr<net::frame_link>& link) {
-        sidecar = link;
+  static constexpr const char* kRelayIp = "127.0.0.2";
+
+  net::event_loop loop_;
+  telemetry::event_log log_{"test",
+                            {},
+                            [] { return core::wall_time(); },
+                            [](std::string_view text) {
+                              return static_cast<std::int64_t>(text.size());
+                            }};
+  std::shared_ptr<net::frame_link> sidecar_;
+  net::frame_listener listener_{
+      loop_,
+      "127.0.0.1",
+      0,
+      {},
+      1,
+      [this](const std::shared_ptr<net::frame_link>& link) {
+        sidecar_ = link;
         return net::frame_link_callbacks{
             .on_open = [] {},
             .on_frame = [](std::string_view) {},
             .on_closed = [](const std::string&) {}};
-      });
-  tcp_relay link({.ip = relay_ip}, {.port = listener.Port()});
-  ignoring_listener seen;
-  gateway::sidecar_links links(
-      loop, {.port = static_cast<std::uint16_t>(link.Port())}, seen, log);
-  links.AddOrUpdate(relay_ip, {});
-  ASSERT_TRUE(loop.RunUntil([&] { return links.OpenCount() == 1; },
-                            milliseconds(2000)));
-  link.SetRate(kLinkBytesPerSecond);
-  sidecar->Send(grants::Encode(grants::change_batch{
-      .documents = {{1, std::string(kLinkBytesPerSecond, 'x')}}}));
-  loop.RunUntil([&] { return seen.batches > 0 || seen.lost > 0; },
-                milliseconds(5000));
-  EXPECT_EQ(seen.lost, 0);
-  EXPECT_EQ(seen.batches, 1);
+      }};
+  tcp_relay link_{{.ip = kRelayIp}, {.port = listener_.Port()}};
+  gateway::sidecar_links links_{
+      loop_, {.port = static_cast<std::uint16_t>(link_.Port())}, *this, log_};
+  int lost_ = 0;
+  /** Of the batches that have arrived. */
+  std::vector<milliseconds> ages_;
+};
+
+// A configuration with many routes takes longer to arrive than the silence that
+// ends a link.
+TEST_F(thin_sidecar_link_test, ALinkThatReceivesALargeFrameIsNotSilent) {
+  link_.SetRate(kLinkBytesPerSecond);
+  Relay(kLinkBytesPerSecond);
+  WaitForBatches(1);
+  EXPECT_EQ(lost_, 0);
+  EXPECT_EQ(ages_.size(), 1U);
+}
+
+// A batch that had waited behind configurations was taken for a fresh one.
+TEST_F(thin_sidecar_link_test, ABatchThatWasQueuedIsAsOldAsItsWait) {
+  Relay(1);
+  WaitForBatches(1);
+  link_.SetRate(kLinkBytesPerSecond);
+  Relay(kLinkBytesPerSecond);
+  Relay(1);
+  WaitForBatches(3);
+  ASSERT_EQ(ages_.size(), 3U);
+  EXPECT_LT(ages_[0], milliseconds(50));
+  EXPECT_GE(ages_[1], milliseconds(700));
+  EXPECT_GE(ages_[2], milliseconds(700));
 }
 
 }  // namespace
