Let reads of the platform outlive the work of their own process

Cause: a gateway with 0.07 of a core takes over 300 ms to process a configuration with 1,400 routes. The loop reports that as a suspension of the VM, and each suspension gave up the read in flight and read the whole catalog anew. front-abertawe-4 reported 369 such pauses with others and stayed at revision 724 for 11 s; its gaps were never read. Change: a read goes on unless the pause is longer than the longest timeout of a read. Since a response is dated by its read, an old one does no harm.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -121,7 +121,9 @@
 void catalog_follower::OnPaused(core::milliseconds length) {
   backlog_.OnPaused(length, loop_.Now());
   retry_delay_ = options_.initial_retry_delay;
-  ReadAll();
+  // The process's own work is a pause too. A read that is started anew at each
+  // of them never ends.
+  if (length >= MaximumWait() + FullTimeout()) ReadAll();
 }
 
 void catalog_follower::OnPeerRead(const change_batch& batch) {
@@ -250,9 +252,12 @@
   return options_.change_bound / kWaitsPerBound;
 }
 
+core::milliseconds catalog_follower::FullTimeout() const {
+  return std::min(options_.change_bound / kTimeoutsPerBound, kMaximumTimeout);
+}
+
 core::milliseconds catalog_follower::ReadTimeout() {
-  const auto timeout =
-      std::min(options_.change_bound / kTimeoutsPerBound, kMaximumTimeout);
+  const auto timeout = FullTimeout();
   if (connected_ || !complete_ || random_.NextUnit() < kLongReadShare) {
     return timeout;
   }
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -88,7 +88,8 @@
 
   void Start();
   /**
-   * The process was suspended. The connections of reads in flight may be dead.
+   * The process was suspended, or busy for as long. After more than the longest
+   * timeout of a read, the connection of the one in flight may be dead.
    */
   void OnPaused(core::milliseconds length);
   /** Handles a batch read by another process. */
@@ -127,8 +128,10 @@
 
   /** Maximum time for which one read waits for changes. */
   core::milliseconds MaximumWait() const;
-  /** Timeout of a read in addition to its wait. */
+  /** Timeout of the next read in addition to its wait. */
   core::milliseconds ReadTimeout();
+  /** The longest timeout of a read. */
+  core::milliseconds FullTimeout() const;
   void ReadAll();
   void ReadChanges();
   void OnAll(catalog_read read);
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -388,6 +388,19 @@
   EXPECT_EQ(follower_.Routes()->Version(), 5);
 }
 
+// A large configuration keeps a small VM busy for longer than the pause that
+// is noticed. Each time the read in flight was given up and all was read anew,
+// so that none ended and confirmed changes stayed out of force.
+TEST_F(catalog_follower_test, AReadOutlivesThePausesOfItsOwnProcess) {
+  source_.Answer(Done({Configuration(3)}, 40));
+  ASSERT_EQ(source_.change_reads, 1);
+  for (int i = 0; i < 10; ++i) follower_.OnPaused(milliseconds(40));
+  EXPECT_EQ(source_.all_reads, 1);
+  EXPECT_EQ(source_.change_reads, 1);
+  source_.Answer(Done({Configuration(4)}, 41));
+  EXPECT_EQ(follower_.Routes()->Version(), 4);
+}
+
 TEST_F(catalog_follower_test, KeepsTheNewestVersionOfAnAdapter) {
   const adapter_name name{core::model_id("m"), core::adapter_id("a3")};
   source_.Answer(Done({adapter_version_announced{name, 4}}, 40));
