Read the changes of endpoints apart from configurations

Cause: a departure of some hundred bytes waited behind configurations. Change: a process without confirmation for 0.3 of the bound reads the changes of endpoints alone, also while another read is on its way. They are in force at once, as changes after a gap are, and the position stays. A removal that came on two ways is counted once when a mass removal is looked for.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -44,6 +44,11 @@
  * itself. The rest of the bound is for that read.
  */
 constexpr double kConfirmationShareOfBound = 0.4;
+/**
+ * Share of the bound after which it reads the endpoints alone, since that read
+ * may take as long as the configurations that are on the same link.
+ */
+constexpr double kEndpointShareOfBound = 0.3;
 
 /**
  * The bound divided by the period within which processes that hear of a later
@@ -67,9 +72,13 @@
 
 read_schedule_options ScheduleFor(const follower_options& options) {
   const auto bound = options.change_bound;
+  const auto share_of_bound = [bound](double share) {
+    return core::milliseconds(
+        static_cast<std::int64_t>(share * static_cast<double>(bound.count())));
+  };
   return {.pause = bound / kPausesPerBound,
-          .confirmation_limit = core::milliseconds(static_cast<std::int64_t>(
-              kConfirmationShareOfBound * static_cast<double>(bound.count()))),
+          .confirmation_limit = share_of_bound(kConfirmationShareOfBound),
+          .endpoint_limit = share_of_bound(kEndpointShareOfBound),
           .random_seed = options.random_seed};
 }
 
@@ -114,6 +123,7 @@
     const bool is_away =
         !connected_ && Age() > schedule_.MaximumConfirmationGap();
     Publish(endpoints_.OnTick(loop_.Now(), !is_away));
+    ReadEndpointsWhenDue();
   });
   ReadAll();
 }
@@ -429,11 +439,7 @@
   OnContact(read.Position(), known_at);
   retry_delay_ = options_.initial_retry_delay;
   may_read_all_at_once_ = true;
-  // Changes already received from another process are not applied again.
-  std::erase_if(read.changes, [&](const published_change& change) {
-    return change.revision > 0 &&
-           change.revision <= history_.Position().revision;
-  });
+  EraseKnown(read.changes);
   change_batch batch;
   const catalog_position known_before = history_.Position();
   history_.OnRange(known_before.revision, read.revision, known_at);
@@ -459,6 +465,49 @@
   listener_.OnLocalRead(batch);
 }
 
+void catalog_follower::ReadEndpointsWhenDue() {
+  // While the platform does not answer, further calls would add to its load.
+  if (!complete_ || !connected_ || needs_all_ || reading_endpoints_) return;
+  const auto now = loop_.Now();
+  if (now < schedule_.NextEndpointRead()) return;
+  reading_endpoints_ = true;
+  source_.ReadEndpointChanges({.after_revision = history_.Position().revision,
+                               .timeout = FullTimeout(),
+                               .maximum_bytes = kMinimumChangeBytes},
+                              [this, now, alive = alive_](catalog_read read) {
+                                if (!*alive) return;
+                                reading_endpoints_ = false;
+                                OnEndpointChanges(std::move(read), now);
+                              });
+}
+
+void catalog_follower::OnEndpointChanges(catalog_read read,
+                                         core::time_point began) {
+  schedule_.OnEndpointsRead(began);
+  if (read.outcome != read_outcome::done) {
+    // The reads of all changes decide whether the platform is lost.
+    LogFailure("read_endpoints", read);
+    return;
+  }
+  LogDefect("read_endpoints", read);
+  if (read.era == 0) read.era = history_.Position().era;
+  if (read.era != history_.Position().era || read.era < latest_era_) return;
+  EraseKnown(read.changes);
+  DetectMassRemoval(read.changes, history_.Position());
+  // As after a gap: in force at once, while the position stays.
+  std::vector<change_document> ignored;
+  Apply(std::move(read.changes), {"platform", read.Position(), last_contact_},
+        ignored);
+}
+
+void catalog_follower::EraseKnown(
+    std::vector<published_change>& changes) const {
+  std::erase_if(changes, [this](const published_change& change) {
+    return change.revision > 0 &&
+           change.revision <= history_.Position().revision;
+  });
+}
+
 bool catalog_follower::OnEra(std::int64_t era) {
   if (era <= latest_era_) return false;
   latest_era_ = era;
@@ -642,9 +691,11 @@
 void catalog_follower::DetectMassRemoval(
     const std::vector<published_change>& changes,
     const catalog_position& known_before) {
+  // What another way has brought before does not count again.
   const auto removed =
-      std::count_if(changes.begin(), changes.end(), [](const auto& change) {
-        return std::holds_alternative<endpoint_removed>(change.content);
+      std::count_if(changes.begin(), changes.end(), [this](const auto& change) {
+        const auto* gone = std::get_if<endpoint_removed>(&change.content);
+        return gone != nullptr && endpoints_.IsKnown(gone->instance);
       });
   if (removed < 2 || static_cast<std::size_t>(removed) * kMassRemovalShare <=
                          endpoints_.Size()) {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -136,6 +136,12 @@
   void ReadChanges();
   void OnAll(catalog_read read);
   void OnChanges(catalog_read read);
+  /**
+   * Reads the changes of endpoints alone if the view is older than their limit,
+   * beside whatever else is being read.
+   */
+  void ReadEndpointsWhenDue();
+  void OnEndpointChanges(catalog_read read, core::time_point began);
   void OnFailure(const char* call, const catalog_read& read);
   void LogFailure(const char* call, const catalog_read& read);
   void LogGap(const change_batch& batch);
@@ -171,6 +177,8 @@
   void ReadWhenDue();
   void Apply(std::vector<published_change> changes, const read_context& read,
              std::vector<change_document>& applied);
+  /** Changes already received from another process are not applied again. */
+  void EraseKnown(std::vector<published_change>& changes) const;
   bool IsNewsToOthers(const published_change& change);
   /** @returns true if the change has altered the view. */
   bool ApplyOne(published_change& change, const read_context& read);
@@ -208,6 +216,7 @@
   /** Only a read of everything brings the view up to date. */
   bool needs_all_ = false;
   bool reading_all_ = false;
+  bool reading_endpoints_ = false;
   /** Size of the whole catalog when it was last read. */
   std::size_t catalog_bytes_ = 0;
   /** Set once changes could be read since everything was read. */
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -28,6 +28,12 @@
     last_maximum_bytes = query.maximum_bytes;
     pending = std::move(on_done);
   }
+  void ReadEndpointChanges(const change_query& query,
+                           read_callback on_done) override {
+    ++endpoint_reads;
+    endpoint_query = query;
+    pending_endpoints = std::move(on_done);
+  }
   /**
    * "-i1" is the removal of i1, "=5" version 5 of the configuration; any other
    * text is an entry with that name.
@@ -57,6 +63,9 @@
   read_callback pending;
   int all_reads = 0;
   int change_reads = 0;
+  read_callback pending_endpoints;
+  int endpoint_reads = 0;
+  change_query endpoint_query;
   std::int64_t last_revision = 0;
   milliseconds last_timeout{0};
   std::size_t last_maximum_bytes = 0;
@@ -482,6 +491,44 @@
   EXPECT_EQ(source_.last_revision, 64);
 }
 
+// A departure waited for the versions of a large configuration before it, in
+// a read that took longer than the bound allows for.
+TEST_F(catalog_follower_test, EndpointsAreReadBesideARead) {
+  follower_.SetReaderRank(9);
+  source_.Answer(Done({Record("i1"), Record("i2")}, 40));
+  ASSERT_NE(source_.pending, nullptr);
+  // The limit of the bound of 100 ms; ticks come each 100 ms.
+  ASSERT_TRUE(loop_.RunUntil([&] { return source_.endpoint_reads > 0; },
+                             milliseconds(200)));
+  EXPECT_EQ(source_.endpoint_query.after_revision, 40);
+  EXPECT_EQ(source_.endpoint_query.wait, milliseconds(0));
+  catalog_read read{read_outcome::done, {}, 60, ""};
+  read.changes.push_back(source_.Decode({55, "-i1"}));
+  source_.pending_endpoints(std::move(read));
+  EXPECT_EQ(listener_.changes.back(), "i1 gone");
+  // It tells nothing of the configuration, and is not passed on.
+  EXPECT_GE(follower_.Age(), milliseconds(30));
+  EXPECT_TRUE(listener_.batches.empty());
+  read = Done({}, 58);
+  read.changes.push_back(source_.Decode({50, "i1"}));
+  read.changes.push_back(source_.Decode({55, "-i1"}));
+  source_.Answer(std::move(read));
+  EXPECT_EQ(listener_.changes.back(), "i1 gone");
+  WaitForRead();
+  EXPECT_EQ(source_.last_revision, 58);
+}
+
+TEST_F(catalog_follower_test, AFailedReadOfEndpointsIsRepeated) {
+  source_.Answer(Done({Record("i1")}, 40));
+  for (int i = 1; i <= 3; ++i) {
+    ASSERT_TRUE(loop_.RunUntil([&] { return source_.endpoint_reads == i; },
+                               milliseconds(300)));
+    source_.pending_endpoints({read_outcome::unavailable, {}, 0, "no answer"});
+  }
+  EXPECT_NE(source_.pending, nullptr);
+  EXPECT_EQ(follower_.Statistics().failed_reads, 3U);
+}
+
 // A batch that was delayed by a suspension of the process does not confirm the
 // current state.
 TEST_F(catalog_follower_test, AddsASuspensionToTheAgeOfDelayedBatches) {
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -48,6 +48,12 @@
   std::string document;
 };
 
+/** Whether the change is of the entry of an endpoint. */
+inline bool IsOfEndpoint(const published_change& change) {
+  return std::holds_alternative<endpoint_record>(change.content) ||
+         std::holds_alternative<endpoint_removed>(change.content);
+}
+
 /**
  * Changes that a process has read after the revision `after`. A process that
  * knows everything up to `after` is up to date to `revision` once it has
@@ -116,7 +122,10 @@
   std::size_t maximum_bytes = 0;
 };
 
-/** Reads the catalog from the platform. Only one call may be in flight. */
+/**
+ * Reads the catalog from the platform. One call for endpoints may be in flight
+ * beside one other.
+ */
 class catalog_source {
  public:
   using read_callback = std::function<void(catalog_read)>;
@@ -132,6 +141,12 @@
   /** Waits for changes. */
   virtual void ReadChanges(const change_query& query,
                            read_callback on_done) = 0;
+  /**
+   * Reads the changes of endpoints alone, which are small, without waiting for
+   * any. The position that the response names is not reached for other changes.
+   */
+  virtual void ReadEndpointChanges(const change_query& query,
+                                   read_callback on_done) = 0;
   /** Decodes a change read by another process. */
   virtual published_change Decode(const change_document& document) const = 0;
 };
--- a/src/catalog/read_schedule.h
+++ b/src/catalog/read_schedule.h
@@ -19,6 +19,11 @@
   core::milliseconds pause{400};
   /** A process without confirmation for this long reads by itself. */
   core::milliseconds confirmation_limit{800};
+  /**
+   * A process without confirmation for this long reads the endpoints' changes
+   * apart from all others.
+   */
+  core::milliseconds endpoint_limit{600};
   std::uint64_t random_seed = 1;
 };
 
@@ -43,6 +48,8 @@
    * @param known_at when the response was up to date, not when it arrived.
    */
   void OnRead(core::time_point known_at);
+  /** A read of the endpoints' changes alone has succeeded. */
+  void OnEndpointsRead(core::time_point known_at);
   /** Another process has read everything up to the state known here. */
   void OnConfirmed(core::time_point read_at);
 
@@ -54,6 +61,12 @@
   core::milliseconds MaximumConfirmationGap() const;
   /** When the next read is due, if nothing else arrives until then. */
   core::time_point NextRead() const;
+  /**
+   * When the endpoints' changes are due to be read alone. Also due while
+   * another read is on its way: a departure must not wait for a large
+   * configuration.
+   */
+  core::time_point NextEndpointRead() const;
 
  private:
   read_schedule_options options_;
@@ -61,7 +74,9 @@
   std::optional<std::size_t> rank_;
   core::time_point read_at_;
   core::time_point confirmed_at_;
-  /** Random share of the limit by which it is extended; drawn for each wait. */
+  core::time_point endpoints_read_at_;
+  /** Random share of the limits by which they are extended; drawn for each
+   * wait. */
   double spread_ = 0.0;
 };
 
--- a/src/gateway/forwarder_fixture_test.h
+++ b/src/gateway/forwarder_fixture_test.h
@@ -186,6 +186,8 @@
                    read_callback on_done) override {
     pending = std::move(on_done);
   }
+  void ReadEndpointChanges(const catalog::change_query& /*query*/,
+                           read_callback /*on_done*/) override {}
   catalog::published_change Decode(
       const catalog::change_document& document) const override {
     return {document.revision, catalog::unreadable_entry{}, document.text};
--- a/src/sidecar/catalog_restoration_property_test.cc
+++ b/src/sidecar/catalog_restoration_property_test.cc
@@ -192,6 +192,18 @@
                       store_.ReadChanges(query.after_revision),
                       store_.Writes()});
   }
+  void ReadEndpointChanges(const catalog::change_query& query,
+                           read_callback on_done) override {
+    calls_.push_back({query.after_revision,
+                      [on_done = std::move(on_done)](catalog_read read) {
+                        std::erase_if(read.changes, [](const auto& change) {
+                          return !catalog::IsOfEndpoint(change);
+                        });
+                        on_done(std::move(read));
+                      },
+                      store_.ReadChanges(query.after_revision),
+                      store_.Writes()});
+  }
   catalog::published_change Decode(
       const catalog::change_document& document) const override {
     return {document.revision, DecodeText(document.text), document.text};
--- a/src/sidecar/catalog_restore_replay_test.cc
+++ b/src/sidecar/catalog_restore_replay_test.cc
@@ -296,6 +296,15 @@
              return read;
            });
     }
+    void ReadEndpointChanges(const catalog::change_query& query,
+                             read_callback on_done) override {
+      ReadChanges(query, [on_done = std::move(on_done)](catalog_read read) {
+        std::erase_if(read.changes, [](const auto& change) {
+          return !catalog::IsOfEndpoint(change);
+        });
+        on_done(std::move(read));
+      });
+    }
     catalog::published_change Decode(
         const catalog::change_document& document) const override {
       return sidecar::Decode(document.revision, document.text);
--- a/tests/process/store_stand_in.cc
+++ b/tests/process/store_stand_in.cc
@@ -192,10 +192,18 @@
 }
 
 void store_stand_in::SendEvents(net::http_exchange& exchange) const {
-  const auto after = std::stoll(exchange.Request().query.at("after"));
+  const auto& query = exchange.Request().query;
+  const auto after = std::stoll(query.at("after"));
+  const auto prefix = query.find("Prefix");
   json events = json::array();
   for (const auto& event : history_) {
-    if (event.at("Rev").get<std::int64_t>() > after) events.push_back(event);
+    const bool is_asked_for =
+        prefix == query.end() ||
+        event.at("Key").get_ref<const std::string&>().starts_with(
+            prefix->second);
+    if (event.at("Rev").get<std::int64_t>() > after && is_asked_for) {
+      events.push_back(event);
+    }
   }
   Respond(exchange, 200, json{{"events", events}, {"AsOf", revision_}}.dump());
 }
