--- a/src/gateway/forwarder_fixture_test.h
+++ b/src/gateway/forwarder_fixture_test.h
@@ -286,6 +286,9 @@
   telemetry::metrics metrics_;
   settings::node_settings settings_;
   plain_protocol protocol_;
+  /** Has the follower read the catalog anew, as after a long suspension. */
+  void ReadAgain() { follower_.OnPaused(milliseconds(60'000)); }
+
   fake_http http_;
   fixed_source source_;
   catalog::configuration configuration_;
