Let silence of a link accrue between the pauses of a busy process

Cause: each pause of 300 ms, which on the smallest VMs every large configuration is, restarted the silence timers of all links, so that a relay that had stopped stayed in use while the gateway was busy. Change: a pause shifts the timers by its length. Result: sidecar_links_test.ABusyGatewayNoticesASilentSidecar fails with the restart (after 5 s) and passes now.

--- a/src/gateway/gateway_program.cc
+++ b/src/gateway/gateway_program.cc
@@ -161,7 +161,7 @@
     }
     loop.OnPause(kPauseThreshold, [this](core::milliseconds length) {
       log.SystemEvent("pause_noticed").Add("length_ms", length.count());
-      links.OnPaused();
+      links.OnPaused(length);
       forwarder.OnPaused();
       quotas.OnPaused();
       follower.OnPaused(length);
--- a/src/gateway/sidecar_links.cc
+++ b/src/gateway/sidecar_links.cc
@@ -149,9 +149,11 @@
   CloseSilentLink(ip, found->second, "grant request not answered in time");
 }
 
-void sidecar_links::OnPaused() {
-  // Restarts the timers: what arrived during the pause is still to be read.
-  for (auto& [ip, target] : peers_) target.received.Restart(loop_.Now());
+void sidecar_links::OnPaused(core::milliseconds length) {
+  // What arrived during the pause is still to be read.
+  for (auto& [ip, target] : peers_) {
+    target.received.OnPaused(length, loop_.Now());
+  }
 }
 
 void sidecar_links::Connect(const std::string& ip, peer& target) {
--- a/src/gateway/sidecar_links.h
+++ b/src/gateway/sidecar_links.h
@@ -121,10 +121,10 @@
   /** Closes the link of a sidecar that has not answered a message. */
   void OnUnanswered(const std::string& ip);
   /**
-   * Links may have died during a pause of the process: restarts their silence
-   * timers.
+   * The process was suspended or busy for this long, which does not count as
+   * silence of the sidecars.
    */
-  void OnPaused();
+  void OnPaused(core::milliseconds length);
 
  private:
   struct peer {
--- a/src/gateway/sidecar_links_test.cc
+++ b/src/gateway/sidecar_links_test.cc
@@ -137,5 +137,25 @@
   EXPECT_TRUE(WaitForEvents({"silent 127.0.0.4", "heard 127.0.0.4"}));
 }
 
+// A gateway that is busy with a large configuration every now and then took
+// each time for a reason to wait for a silent sidecar from the start.
+TEST_F(sidecar_links_test, ABusyGatewayNoticesASilentSidecar) {
+  const net::frame_listener mute(loop_, "127.0.0.4", port_, {}, 8,
+                                 [](const std::shared_ptr<net::frame_link>&) {
+                                   return net::frame_link_callbacks{
+                                       .on_open = [] {},
+                                       .on_frame = [](std::string_view) {},
+                                       .on_closed = [](const std::string&) {}};
+                                 });
+  links_->AddOrUpdate("127.0.0.4", {});
+  ASSERT_TRUE(loop_.RunUntil([&] { return links_->OpenCount() == 4; },
+                             milliseconds(5000)));
+  events_.clear();
+  const auto timer = loop_.SchedulePeriodic(
+      milliseconds(250), [this] { links_->OnPaused(milliseconds(100)); });
+  EXPECT_TRUE(WaitForEvents({"silent 127.0.0.4", "lost 127.0.0.4"}));
+  loop_.Cancel(timer);
+}
+
 }  // namespace
 }  // namespace comfreyspring::gateway
--- a/src/net/receive_watch.h
+++ b/src/net/receive_watch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 #include "core/time.h"
@@ -12,8 +13,16 @@
  */
 class receive_watch {
  public:
-  /** A frame has arrived, or the time until now does not count as silence. */
+  /** A frame has arrived. */
   void Restart(core::time_point now) { received_at_ = now; }
+  /**
+   * The process was suspended or busy for this long, until now, which does not
+   * count as silence. The silence before it does: a busy process would else
+   * notice none.
+   */
+  void OnPaused(core::milliseconds length, core::time_point now) {
+    received_at_ = std::min(received_at_ + length, now);
+  }
   /**
    * Call more often than the shortest silence that matters.
    * @param received_bytes all bytes that the link has received so far.
--- a/src/sidecar/sidecar_program.cc
+++ b/src/sidecar/sidecar_program.cc
@@ -117,7 +117,9 @@
       driver.OnPaused(length);
       relay.OnPaused(length, loop.Now());
       // Messages sent while the process was suspended are still to be read.
-      for (auto& [id, gateway] : links) gateway.received.Restart(loop.Now());
+      for (auto& [id, gateway] : links) {
+        gateway.received.OnPaused(length, loop.Now());
+      }
     });
     flush_timer =
         loop.SchedulePeriodic(kLogFlushPeriod, [this] { log.Flush(); });
