End the use of endpoints that registered and left unseen

Cause: an entry that is written and removed before the first read after an outage counts as one that the outage removed, and its endpoint was used for the grace period, although this process had never known it, or had seen it registered again: the outage was over when the entry was written. Change: the table keeps the change by which an endpoint was added or returned. If that is later than what was known before the removal was read, the endpoint has left. Heartbeats of known endpoints do not count.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -160,12 +160,13 @@
       changes.push_back(source_.Decode(document));
     }
   }
-  DetectMassRemoval(changes, std::max(history_.Position(), batch.After()));
+  const auto known_before = std::max(history_.Position(), batch.After());
+  DetectMassRemoval(changes, known_before);
   // Changes after a gap are in force at once: each is a whole value, and one
   // that is older does not replace it when it is read later.
   std::vector<change_document> ignored;
-  Apply(std::move(changes), {"gateway", batch.Position(), last_contact_},
-        ignored);
+  Apply(std::move(changes),
+        {"gateway", batch.Position(), last_contact_, known_before}, ignored);
   const auto confirmed_at = history_.OnRange(batch.after, batch.revision,
                                              loop_.Now() - batch.age - waited);
   if (!confirmed_at) return;
@@ -209,8 +210,8 @@
     changes.push_back(source_.Decode(document));
   }
   std::vector<change_document> ignored;
-  Apply(std::move(changes), {"gateway", batch.Position(), known_until},
-        ignored);
+  Apply(std::move(changes),
+        {"gateway", batch.Position(), known_until, batch.After()}, ignored);
 }
 
 void catalog_follower::SetReaderRank(std::optional<std::size_t> rank) {
@@ -236,7 +237,7 @@
   const auto& last = outages_.Last();
   return {UsableUntil(last, removed_at, read.known_until, GraceLimits()),
           last ? last->position : catalog_position(), removed_at,
-          read.known_until};
+          read.known_until, read.known_before};
 }
 
 /**
@@ -323,7 +324,8 @@
     OnStaleAnswer("read_all", read);
     return;
   }
-  const read_context context{"platform", read.Position(), last_contact_};
+  const read_context context{"platform", read.Position(), last_contact_,
+                             history_.Position()};
   OnEra(read.era);
   OnContact(read.Position(), read_began_);
   catalog_bytes_ = read.received_bytes;
@@ -434,7 +436,8 @@
     ReadAllAgain();
     return;
   }
-  const read_context context{"platform", read.Position(), last_contact_};
+  const read_context context{"platform", read.Position(), last_contact_,
+                             history_.Position()};
   const auto known_at = KnownAt(read);
   OnContact(read.Position(), known_at);
   retry_delay_ = options_.initial_retry_delay;
@@ -496,7 +499,8 @@
   DetectMassRemoval(read.changes, history_.Position());
   // As after a gap: in force at once, while the position stays.
   std::vector<change_document> ignored;
-  Apply(std::move(read.changes), {"platform", read.Position(), last_contact_},
+  Apply(std::move(read.changes),
+        {"platform", read.Position(), last_contact_, history_.Position()},
         ignored);
 }
 
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -124,6 +124,8 @@
     catalog_position position;
     /** Everything up to this time was known before the read. */
     core::time_point known_until;
+    /** The history up to this position was known before the read. */
+    catalog_position known_before;
   };
 
   /** Maximum time for which one read waits for changes. */
--- a/src/catalog/endpoint_table.cc
+++ b/src/catalog/endpoint_table.cc
@@ -88,7 +88,9 @@
   using kind = endpoint_change::kind;
   changes out;
   if (HasDeparted(listed)) return out;
-  entry fresh{.record = listed.record, .position = listed.position};
+  entry fresh{.record = listed.record,
+              .position = listed.position,
+              .registered_at = listed.position};
   const endpoint_record& record = fresh.record;
   const auto found = entries_.find(record.instance);
   if (found == entries_.end()) {
@@ -134,6 +136,7 @@
   } else if (differs) {
     out.push_back({kind::updated, record});
   }
+  if (!had_lapsed) fresh.registered_at = known.registered_at;
   known = std::move(fresh);
   return out;
 }
@@ -228,9 +231,12 @@
       known.grace->outage_position.era >= grace.outage_position.era) {
     return;
   }
+  const bool was_registered_unseen =
+      grace.known_before && known.registered_at > *grace.known_before;
   // An endpoint that has announced its shutdown does not come back.
   const bool may_live = grace.usable_until > now && !known.record.leaving &&
-                        known.position <= grace.outage_position;
+                        known.position <= grace.outage_position &&
+                        !was_registered_unseen;
   if (!may_live) {
     Depart(removed, grace.removal_position, now, out);
     return;
--- a/src/catalog/endpoint_table.h
+++ b/src/catalog/endpoint_table.h
@@ -37,6 +37,12 @@
   catalog_position removal_position;
   /** When the entry was last known to be listed. */
   core::time_point listed_at;
+  /**
+   * Position in the history up to which this process knew it before it heard of
+   * the removal. An endpoint that was registered after it and is removed again
+   * has left: entries that an outage removes were registered before.
+   */
+  std::optional<catalog_position> known_before;
 };
 
 /**
@@ -105,6 +111,8 @@
   struct entry {
     endpoint_record record;
     catalog_position position;
+    /** Of the change by which it was added, or returned after a lapse. */
+    catalog_position registered_at;
     /** Set while the entry is missing. */
     std::optional<removal_grace> grace;
     core::time_point removed_at;
--- a/src/catalog/endpoint_table_test.cc
+++ b/src/catalog/endpoint_table_test.cc
@@ -56,6 +56,29 @@
   EXPECT_FALSE(IsUsable("i1"));
 }
 
+// Requests reached endpoints that were registered after an outage and had left
+// before the first read, since their entries were taken for lapsed ones.
+TEST_F(endpoint_table_test, WhatWasRegisteredAndRemovedUnseenHasLeft) {
+  removal_grace grace = MayHaveLapsed();
+  grace.known_before = {1, 6};
+  table_.OnRecord(Listed(Record("before"), 5), now_);
+  table_.OnRecord(Listed(Record("again"), 6), now_);
+  table_.OnRecord(Listed(Record("unseen"), 8), now_);
+  EXPECT_EQ(table_.OnRemoved(instance_id("unseen"), grace, now_)[0].what,
+            kind::gone);
+  EXPECT_EQ(table_.OnRemoved(instance_id("again"), grace, now_)[0].what,
+            kind::lapsed);
+  EXPECT_EQ(table_.OnRecord(Listed(Record("again"), 13), now_)[0].what,
+            kind::returned);
+  grace.outage_position = grace.removal_position = {1, 14};
+  EXPECT_EQ(table_.OnRemoved(instance_id("again"), grace, now_)[0].what,
+            kind::gone);
+  // A heartbeat registers nothing.
+  table_.OnRecord(Listed(Record("before"), 13), now_);
+  EXPECT_EQ(table_.OnRemoved(instance_id("before"), grace, now_)[0].what,
+            kind::lapsed);
+}
+
 // An outage of the platform removes the entries of healthy endpoints.
 TEST_F(endpoint_table_test, AnEntryThatLapsedInAnOutageHasAGracePeriod) {
   table_.OnSnapshot(
