--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -225,8 +225,7 @@
   bool may_read_all_at_once_ = true;
   /** Responses to reads of an earlier generation are ignored. */
   std::uint64_t generation_ = 0;
-  /** When the read in flight, or the latest one, began and how long it waits.
-   */
+  /** Of the read in flight, or else of the latest one. */
   core::time_point read_began_;
   core::milliseconds read_wait_{0};
   core::milliseconds retry_delay_;
--- a/src/catalog/read_schedule.h
+++ b/src/catalog/read_schedule.h
@@ -75,8 +75,7 @@
   core::time_point read_at_;
   core::time_point confirmed_at_;
   core::time_point endpoints_read_at_;
-  /** Random share of the limits by which they are extended; drawn for each
-   * wait. */
+  /** Random share by which the limits are extended; drawn for each wait. */
   double spread_ = 0.0;
 };
 
