--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -89,6 +89,14 @@
                              : read;
 }
 
+/** Endpoints that a read no longer lists. */
+std::int64_t CountLost(const endpoint_table::changes& changes) {
+  return std::count_if(changes.begin(), changes.end(), [](const auto& change) {
+    return change.what == endpoint_change::kind::lapsed ||
+           change.what == endpoint_change::kind::gone;
+  });
+}
+
 }  // namespace
 
 catalog_follower::catalog_follower(net::event_loop& loop,
@@ -108,6 +116,7 @@
       outages_(options.outage_threshold),
       stale_logged_at_(loop.Now() - kAnswerLogPeriod),
       defect_logged_at_(stale_logged_at_),
+      pending_logged_at_(stale_logged_at_),
       failure_{.logged_at = stale_logged_at_},
       gap_{.logged_at = stale_logged_at_} {}
 
@@ -124,6 +133,7 @@
         !connected_ && Age() > schedule_.MaximumConfirmationGap();
     Publish(endpoints_.OnTick(loop_.Now(), !is_away));
     ReadEndpointsWhenDue();
+    LogPendingRead();
   });
   ReadAll();
 }
@@ -336,7 +346,11 @@
   needs_all_ = false;
   std::vector<endpoint_table::listed_entry> entries;
   std::vector<published_change> others;
+  listing listed{.items = read.changes.size()};
   for (published_change& change : read.changes) {
+    if (std::holds_alternative<unreadable_entry>(change.content)) {
+      ++listed.unreadable;
+    }
     if (auto* record = std::get_if<endpoint_record>(&change.content)) {
       const auto position = PositionOf(change, read.Position());
       entries.push_back({std::move(*record), position});
@@ -354,8 +368,11 @@
   if (was_restored) {
     OnRestored(before, entries, std::move(applied), context);
   } else {
-    Publish(endpoints_.OnSnapshot(entries, GraceFor(read.Position(), context),
-                                  loop_.Now()));
+    const auto changes = endpoints_.OnSnapshot(
+        entries, GraceFor(read.Position(), context), loop_.Now());
+    listed.endpoints = entries.size();
+    LogListing(read, listed, changes);
+    Publish(changes);
   }
   ReadChanges();
 }
@@ -375,11 +392,6 @@
       UsableUntil(outages_.Last(), {history_.Position().era, 0},
                   read.known_until, GraceLimits());
   const auto changes = endpoints_.OnSnapshot(entries, grace, loop_.Now());
-  const auto lost =
-      std::count_if(changes.begin(), changes.end(), [](const auto& change) {
-        return change.what == endpoint_change::kind::lapsed ||
-               change.what == endpoint_change::kind::gone;
-      });
   const auto departed =
       std::count_if(entries.begin(), entries.end(), [this](const auto& each) {
         return !endpoints_.IsKnown(each.record.instance);
@@ -390,7 +402,7 @@
       .Add("revision_before", before.revision)
       .Add("revision", history_.Position().revision)
       .Add("entries", static_cast<std::int64_t>(entries.size()))
-      .Add("entries_lost", static_cast<std::int64_t>(lost))
+      .Add("entries_lost", CountLost(changes))
       .Add("entries_departed", static_cast<std::int64_t>(departed));
   Publish(changes);
   change_batch batch{.after = history_.Position().revision,
@@ -663,6 +675,32 @@
       .Add("catalog_age_ms", Age().count());
 }
 
+void catalog_follower::LogPendingRead() {
+  const auto now = loop_.Now();
+  if (!reading_all_ || now - read_began_ < options_.change_bound ||
+      now - pending_logged_at_ < kAnswerLogPeriod) {
+    return;
+  }
+  pending_logged_at_ = now;
+  log_.SystemEvent("catalog_read_pending")
+      .Add("read_ms", core::ToMilliseconds(now - read_began_).count())
+      .Add("known", history_.Position().revision)
+      .Add("catalog_age_ms", Age().count());
+}
+
+void catalog_follower::LogListing(const catalog_read& read,
+                                  const listing& listed,
+                                  const endpoint_table::changes& changes) {
+  log_.SystemEvent("catalog_listed")
+      .Add("revision", read.revision)
+      .Add("pages", read.pages)
+      .Add("bytes", read.received_bytes)
+      .Add("items", listed.items)
+      .Add("endpoints", listed.endpoints)
+      .Add("unreadable", listed.unreadable)
+      .Add("endpoints_lost", CountLost(changes));
+}
+
 bool catalog_follower::IsDue(recurring_event& event, std::size_t bytes) {
   ++event.count;
   event.bytes += static_cast<std::int64_t>(bytes);
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -149,6 +149,16 @@
   void LogGap(const change_batch& batch);
   /** The response of the current read has taken long to arrive. */
   void LogSlowRead(const char* call, const catalog_read& read);
+  /** The read of everything in flight has taken long so far. */
+  void LogPendingRead();
+  /** Items of a read of everything, by what they are to this process. */
+  struct listing {
+    std::size_t items = 0;
+    std::size_t endpoints = 0;
+    std::size_t unreadable = 0;
+  };
+  void LogListing(const catalog_read& read, const listing& listed,
+                  const endpoint_table::changes& changes);
   /**
    * Counts an event that recurs.
    * @returns true if a line about the events since the last one is due.
@@ -245,6 +255,7 @@
   /** When responses of the kind were last logged. */
   core::time_point stale_logged_at_;
   core::time_point defect_logged_at_;
+  core::time_point pending_logged_at_;
   recurring_event failure_;
   recurring_event gap_;
   follower_statistics statistics_;
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -104,6 +104,8 @@
   std::int64_t era = 0;
   /** Bytes of response bodies that were received, also by a failed read. */
   std::size_t received_bytes = 0;
+  /** Responses that a read of the whole catalog has consisted of. */
+  std::size_t pages = 0;
 
   catalog_position Position() const { return {era, revision}; }
 };
--- a/src/telemetry/event_log.cc
+++ b/src/telemetry/event_log.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstdio>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace comfreyspring::telemetry {
@@ -15,20 +15,22 @@
 /** Longer values, such as data from a faulty peer, are truncated. */
 constexpr std::size_t kMaximumValueBytes = 300;
 
-void AppendEscaped(std::string& text, std::string_view value) {
-  for (const char c : value.substr(0, kMaximumValueBytes)) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (c == '"' || c == '\\') {
-      text += '\\';
-      text += c;
-    } else if (byte < 0x20 || byte >= 0x7f) {
-      std::array<char, 8> escaped{};
-      std::snprintf(escaped.data(), escaped.size(), "\\u%04x", byte);
-      text += escaped.data();
-    } else {
-      text += c;
-    }
+bool NeedsEscape(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return byte < 0x20 || byte >= 0x7f || c == '"' || c == '\\';
+}
+
+/** Appends a JSON string in ASCII. Bytes that are no UTF-8 become U+FFFD. */
+void AppendQuoted(std::string& text, std::string_view value) {
+  value = value.substr(0, kMaximumValueBytes);
+  if (std::none_of(value.begin(), value.end(), NeedsEscape)) {
+    text += '"';
+    text += value;
+    text += '"';
+    return;
   }
+  text += nlohmann::json(value).dump(-1, ' ', true,
+                                     nlohmann::json::error_handler_t::replace);
 }
 
 /** Token bucket that limits lines per second; holds one second of tokens. */
@@ -94,9 +96,8 @@
   if (log_ == nullptr) return *this;
   text_ += ",\"";
   text_ += name;
-  text_ += "\":\"";
-  AppendEscaped(text_, value);
-  text_ += '"';
+  text_ += "\":";
+  AppendQuoted(text_, value);
   return *this;
 }
 
--- a/src/telemetry/event_log_test.cc
+++ b/src/telemetry/event_log_test.cc
@@ -58,6 +58,18 @@
   EXPECT_EQ(lines[1]["change"], "lost");
 }
 
+// A key that is not ASCII could not be found in the log: each of its bytes was
+// written as a character.
+TEST_F(event_log_test, WritesTextAsItIs) {
+  auto log = Make();
+  const std::string text = "servers/\xc3\xa9\xf0\x9f\x98\x80\x7f";
+  log.SystemEvent("entry_unreadable").Add("key", text);
+  log.SystemEvent("entry_unreadable").Add("key", "cut\xc3");
+  log.Flush();
+  EXPECT_EQ(Lines().at(0)["key"], text);
+  EXPECT_EQ(Lines().at(1)["key"], "cut\xef\xbf\xbd");
+}
+
 // Guards against unbounded memory use when the reader of the log is stuck.
 TEST_F(event_log_test, BoundsTheBufferWithoutAReader) {
   auto log =
