--- a/tests/process/store_stand_in.cc
+++ b/tests/process/store_stand_in.cc
@@ -1,6 +1,7 @@
 #include "store_stand_in.h"
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
 #include <utility>
 
@@ -33,6 +34,30 @@
   return out;
 }
 
+/** @returns nothing if a byte should have been encoded. */
+std::optional<std::string> DecodePercent(const std::string& text) {
+  static const std::string kPlain =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/:";
+  std::string decoded;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    if (text[at] != '%') {
+      if (kPlain.find(text[at]) == std::string::npos) return std::nullopt;
+      decoded += text[at];
+      continue;
+    }
+    unsigned byte = 0;
+    const char* digits = text.data() + at + 1;
+    const char* end = text.data() + std::min(text.size(), at + 3);
+    const auto parsed = std::from_chars(digits, end, byte, 16);
+    if (parsed.ec != std::errc() || parsed.ptr != digits + 2) {
+      return std::nullopt;
+    }
+    decoded += static_cast<char>(byte);
+    at += 2;
+  }
+  return decoded;
+}
+
 }  // namespace
 
 store_stand_in::store_stand_in(net::event_loop& loop, const std::string& ip,
@@ -156,24 +181,64 @@
   }
 }
 
+std::optional<store_stand_in::parameters> store_stand_in::ReadQuery(
+    const net::http_request& request) {
+  parameters query;
+  const std::size_t begin = request.target.find('?');
+  std::string rest = begin == std::string::npos
+                         ? std::string()
+                         : request.target.substr(begin + 1);
+  while (!rest.empty()) {
+    const std::string field = rest.substr(0, rest.find('&'));
+    rest.erase(0, field.size() + 1);
+    const std::size_t equals = field.find('=');
+    if (equals == std::string::npos) return std::nullopt;
+    auto value = DecodePercent(field.substr(equals + 1));
+    const std::string name = field.substr(0, equals);
+    if (!value || !query.emplace(name, std::move(*value)).second) {
+      return std::nullopt;
+    }
+  }
+  return query;
+}
+
 void store_stand_in::AnswerNow(exchange_pointer exchange) {
-  if (exchange->Request().path == "/v1/kv-range") {
-    AnswerRange(*exchange);
+  const auto query = ReadQuery(exchange->Request());
+  if (!query || query->count("Prefix") == 0) {
+    Respond(*exchange, 400);
+  } else if (exchange->Request().path == "/v1/kv-range") {
+    AnswerRange(*exchange, *query);
   } else {
-    AnswerWatch(std::move(exchange));
+    AnswerWatch(std::move(exchange), *query);
   }
 }
 
-void store_stand_in::AnswerRange(net::http_exchange& exchange) const {
+void store_stand_in::AnswerRange(net::http_exchange& exchange,
+                                 const parameters& query) const {
+  const std::string& prefix = query.at("Prefix");
+  const auto after = query.find("after");
+  const bool restarts = after != query.end() && !restarts_after_.empty() &&
+                        after->second == restarts_after_;
+  auto next = after == query.end() || restarts
+                  ? items_.lower_bound(prefix)
+                  : items_.upper_bound(std::max(after->second, prefix));
+  const auto is_listed = [&] {
+    return next != items_.end() && next->first.starts_with(prefix);
+  };
   json items = json::array();
-  for (const auto& [key, item] : items_) items.push_back(item);
-  Respond(
-      exchange, 200,
-      json{{"items", items}, {"Truncated", false}, {"AsOf", revision_}}.dump());
+  for (; is_listed() && items.size() < page_items_; ++next) {
+    items.push_back(next->second);
+  }
+  const bool is_truncated = is_listed();
+  Respond(exchange, 200,
+          json{{"items", std::move(items)},
+               {"Truncated", is_truncated},
+               {"AsOf", revision_}}
+              .dump());
 }
 
-void store_stand_in::AnswerWatch(exchange_pointer exchange) {
-  const auto& query = exchange->Request().query;
+void store_stand_in::AnswerWatch(exchange_pointer exchange,
+                                 const parameters& query) {
   const std::int64_t after = std::stoll(query.at("after"));
   if (after < oldest_revision_ || after > revision_) {
     Respond(*exchange, 410);
@@ -192,16 +257,13 @@
 }
 
 void store_stand_in::SendEvents(net::http_exchange& exchange) const {
-  const auto& query = exchange.Request().query;
+  const parameters query = ReadQuery(exchange.Request()).value();
   const auto after = std::stoll(query.at("after"));
-  const auto prefix = query.find("Prefix");
   json events = json::array();
   for (const auto& event : history_) {
-    const bool is_asked_for =
-        prefix == query.end() ||
+    if (event.at("Rev").get<std::int64_t>() > after &&
         event.at("Key").get_ref<const std::string&>().starts_with(
-            prefix->second);
-    if (event.at("Rev").get<std::int64_t>() > after && is_asked_for) {
+            query.at("Prefix"))) {
       events.push_back(event);
     }
   }
--- a/tests/process/store_stand_in.h
+++ b/tests/process/store_stand_in.h
@@ -5,7 +5,9 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/time.h"
@@ -46,6 +48,10 @@
   void Restore(core::milliseconds age);
   /** Older stores name no era. */
   void HideEra() { names_era_ = false; }
+  /** A list has at most this many items in one response. */
+  void SetPageItems(std::size_t items) { page_items_ = items; }
+  /** Lists that would go on after this key begin anew, unless it is empty. */
+  void RestartListsAfter(std::string key) { restarts_after_ = std::move(key); }
   std::uint16_t Port() const { return server_.Port(); }
   /** Keys of all items that begin with the prefix. */
   std::vector<std::string> Keys(const std::string& prefix) const;
@@ -58,6 +64,7 @@
 
  private:
   using exchange_pointer = std::shared_ptr<net::http_exchange>;
+  using parameters = std::map<std::string, std::string>;
 
   /** What the store held from some time on. */
   struct copy {
@@ -70,8 +77,13 @@
 
   void Answer(exchange_pointer exchange);
   void AnswerNow(exchange_pointer exchange);
-  void AnswerRange(net::http_exchange& exchange) const;
-  void AnswerWatch(exchange_pointer exchange);
+  /**
+   * Decodes the query strictly: nothing that readers of URLs might take for
+   * something else is accepted.
+   */
+  static std::optional<parameters> ReadQuery(const net::http_request& request);
+  void AnswerRange(net::http_exchange& exchange, const parameters& query) const;
+  void AnswerWatch(exchange_pointer exchange, const parameters& query);
   void SendEvents(net::http_exchange& exchange) const;
   void Record(nlohmann::json event);
   void KeepCopy();
@@ -91,6 +103,8 @@
   int calls_ = 0;
   int range_calls_ = 0;
   store_mode mode_ = store_mode::up;
+  std::size_t page_items_ = 500;
+  std::string restarts_after_;
   std::vector<exchange_pointer> pending_watches_;
   std::vector<exchange_pointer> unanswered_;
   net::http_server server_;
