Let calls take URLs whose parts are encoded only

http_call::url is a net::url now, so that the compiler rejects raw text at each of these places. An id is one segment of a path, also ".." (libcurl resolved it); a path is encoded segment by segment. A URL of the command line may end with a slash, and one with blanks is refused with the flag's name.

Evidence: TheIdOfAStreamStaysOneSegment and ThePathOfACallIsEncoded fail with the strings joined as before ("/streams/../a b?c#d?offset=1", "http://s/a b/?c#d/…") and pass now. http_client_test had a call to "not a url", which cannot be written any more: url_test.RejectsWhatIsNoHttpUrl has it, and the call is made without a URL. Unit tests of net, agent, entry, ctl, config, settings, gateway and platform pass.

--- a/bench/load/load_main.cc
+++ b/bench/load/load_main.cc
@@ -23,6 +23,7 @@
 
 namespace bench = comfreyspring::bench;
 namespace core = comfreyspring::core;
+namespace net = comfreyspring::net;
 namespace settings = comfreyspring::settings;
 
 void CheckFlags() {
@@ -43,7 +44,7 @@
 
 bench::load_options OptionsFromFlags() {
   bench::load_options options;
-  options.url = FLAGS_url;
+  options.url = net::url::Parse(FLAGS_url);
   options.requests = static_cast<std::size_t>(FLAGS_requests);
   options.concurrency = static_cast<std::size_t>(FLAGS_concurrency);
   options.adapters = static_cast<std::size_t>(FLAGS_adapters);
--- a/bench/load/load_run.cc
+++ b/bench/load/load_run.cc
@@ -59,7 +59,7 @@
       {"stream", options_.stream}};
   net::http_call call;
   call.method = "POST";
-  call.url = options_.url + "/v1/completions";
+  call.url = net::url(options_.url).AddPath("/v1/completions");
   call.headers = {{"content-type", "application/json"}};
   call.body = body.dump();
   call.total_timeout = options_.request_timeout;
--- a/bench/load/load_run.h
+++ b/bench/load/load_run.h
@@ -14,7 +14,7 @@
 
 struct load_options {
   /** Base URL of an entry, `http://ip:port`. */
-  std::string url;
+  net::url url;
   std::size_t requests = 1000;
   std::size_t concurrency = 16;
   /** Number of adapters; adapter-0000 is the most popular. */
--- a/bench/load/load_test.cc
+++ b/bench/load/load_test.cc
@@ -34,7 +34,8 @@
   void Serve(net::http_server::handler handler) {
     server_ = std::make_unique<net::http_server>(
         loop_, net::http_server_options{}, std::move(handler));
-    options_.url = "http://127.0.0.1:" + std::to_string(server_->Port());
+    options_.url =
+        net::url::Parse("http://127.0.0.1:" + std::to_string(server_->Port()));
   }
   nlohmann::json Run() {
     load_run run(loop_, client_, options_);
--- a/src/agent/agent_main.cc
+++ b/src/agent/agent_main.cc
@@ -50,6 +50,7 @@
 using comfreyspring::agent::agent_program;
 using comfreyspring::agent::agent_settings;
 namespace core = comfreyspring::core;
+namespace net = comfreyspring::net;
 namespace settings = comfreyspring::settings;
 
 constexpr int kMaximumPort = 65535;
@@ -102,12 +103,12 @@
   chosen.links.port = static_cast<std::uint16_t>(FLAGS_link_port);
   chosen.links.maximum_links = static_cast<std::size_t>(FLAGS_maximum_links);
   chosen.admin_port = static_cast<std::uint16_t>(FLAGS_admin_port);
-  chosen.engine.stream.url = FLAGS_endpoint_url;
+  chosen.engine.stream.url = net::url::Parse(FLAGS_endpoint_url);
   chosen.engine.stream.first_token_timeout =
       core::milliseconds(FLAGS_first_token_timeout_ms);
   chosen.engine.stream.idle_timeout = core::milliseconds(FLAGS_idle_timeout_ms);
   chosen.engine.status_period = core::milliseconds(FLAGS_status_period_ms);
-  chosen.service.url = FLAGS_endpoint_url;
+  chosen.service.url = net::url::Parse(FLAGS_endpoint_url);
   chosen.service.concurrency =
       static_cast<std::size_t>(FLAGS_service_concurrency);
   chosen.service.call_timeout = core::milliseconds(FLAGS_call_timeout_ms);
--- a/src/agent/agent_program_test.cc
+++ b/src/agent/agent_program_test.cc
@@ -90,7 +90,7 @@
     settings.endpoint = kEndpoint;
     settings.kind = core::endpoint_kind::plain_service;
     settings.service.url =
-        "http://127.0.0.1:" + std::to_string(service_.Port());
+        net::url::Parse("http://127.0.0.1:" + std::to_string(service_.Port()));
     settings.drain_timeout = core::seconds(5);
     agent_ = std::make_unique<agent_program>(loop_, settings);
     entry_ = Connect(1);
@@ -292,9 +292,10 @@
     std::optional<net::http_result> result;
     net::http_callbacks callbacks;
     callbacks.on_done = [&](const net::http_result& done) { result = done; };
-    client.Start({.url = "http://127.0.0.1:" +
-                         std::to_string(agent_->AdminPort()) + path},
-                 callbacks);
+    client.Start(
+        {.url = net::url::Parse(
+             "http://127.0.0.1:" + std::to_string(agent_->AdminPort()) + path)},
+        callbacks);
     EXPECT_TRUE(WaitUntil([&] { return result.has_value(); }));
     return result.value_or(net::http_result());
   };
--- a/src/agent/engine_controller.cc
+++ b/src/agent/engine_controller.cc
@@ -81,10 +81,11 @@
       ScheduleStatus(options.status_period);
       OnStatusDone(result, validation, commands);
     };
-    status_call = http.Start({.url = options.stream.url + "/status",
-                              .connect_timeout = options.stream.connect_timeout,
-                              .total_timeout = options.status_timeout},
-                             std::move(callbacks));
+    status_call =
+        http.Start({.url = net::url(options.stream.url).AddPath("/status"),
+                    .connect_timeout = options.stream.connect_timeout,
+                    .total_timeout = options.status_timeout},
+                   std::move(callbacks));
   }
 
   void OnStatusDone(const net::http_result& result, int validation,
@@ -185,14 +186,14 @@
       control_call = 0;
       OnControlResponse(result.status, sent_number);
     };
-    control_call =
-        http.Start({.method = "POST",
-                    .url = options.stream.url + "/adapters/unload",
-                    .headers = {{"content-type", "application/json"}},
-                    .body = body.dump(),
-                    .connect_timeout = options.stream.connect_timeout,
-                    .total_timeout = options.status_timeout},
-                   std::move(callbacks));
+    control_call = http.Start(
+        {.method = "POST",
+         .url = net::url(options.stream.url).AddPath("/adapters/unload"),
+         .headers = {{"content-type", "application/json"}},
+         .body = body.dump(),
+         .connect_timeout = options.stream.connect_timeout,
+         .total_timeout = options.status_timeout},
+        std::move(callbacks));
   }
 
   void OnControlResponse(int status, std::int64_t sent_number) {
@@ -271,7 +272,7 @@
 
   // Commands.
 
-  void SendCommand(const std::string& path,
+  void SendCommand(net::url::literal path,
                    const core::adapter_reference& adapter,
                    std::function<void(const net::http_result&)> on_done) {
     const int id = ++next_command;
@@ -289,7 +290,7 @@
         };
     command_calls[id] =
         http.Start({.method = "POST",
-                    .url = options.stream.url + path,
+                    .url = net::url(options.stream.url).AddPath(path),
                     .headers = {{"content-type", "application/json"}},
                     .body = body.dump(),
                     .connect_timeout = options.stream.connect_timeout,
@@ -449,7 +450,7 @@
 bool engine_controller::IsReady() const { return impl_->IsReady(); }
 
 nlohmann::json engine_controller::ToJson() const {
-  return {{"url", impl_->options.stream.url},
+  return {{"url", impl_->options.stream.url.Text()},
           {"up", impl_->up},
           {"ready", impl_->IsReady()},
           {"yielding", impl_->yielding},
--- a/src/agent/engine_controller_test.cc
+++ b/src/agent/engine_controller_test.cc
@@ -34,7 +34,7 @@
 
   static engine_options Options() {
     engine_options options;
-    options.stream.url = "http://e";
+    options.stream.url = net::url::Parse("http://e");
     options.stream.first_token_timeout = milliseconds(300);
     options.stream.idle_timeout = milliseconds(200);
     options.stream.retry_delay = milliseconds(1);
@@ -174,6 +174,17 @@
   http_.Event(resumed, DoneEvent(3));
 }
 
+// The id of a stream could change the path and the query of calls to it.
+TEST_F(engine_controller_test, TheIdOfAStreamStaysOneSegment) {
+  AnswerStatus(Status());
+  const auto call = Run();
+  json first = FirstEvent();
+  first["stream_id"] = "../a b?c#d";
+  http_.Event(call, first);
+  http_.Fail(call, net::http_failure::broken);
+  WaitForCall("/streams/..%2Fa%20b%3Fc%23d?offset=1");
+}
+
 // Guards against a truncated response that looks complete.
 TEST_F(engine_controller_test, AStreamThatCannotBeResumedIsIncomplete) {
   AnswerStatus(Status());
--- a/src/agent/engine_stream.cc
+++ b/src/agent/engine_stream.cc
@@ -99,19 +99,24 @@
   void StartCompletion() {
     last_activity = loop.Now();
     OpenStream({.method = "POST",
-                .url = options.url + "/v1/completions",
+                .url = net::url(options.url).AddPath("/v1/completions"),
                 .headers = {{"content-type", "application/json"}},
                 .body = CompletionBody()});
   }
 
+  /** The engine may name its streams as it likes. */
+  net::url StreamUrl() const {
+    return net::url(options.url).AddPath("/streams").AddSegment(stream_id);
+  }
+
   void Resume() {
     resume_timer = 0;
     if (phase != stream_phase::broken) return;
     ++resumes;
     phase = stream_phase::streaming;
     last_activity = loop.Now();
-    OpenStream({.url = options.url + "/streams/" + stream_id +
-                       "?offset=" + std::to_string(next_offset)});
+    OpenStream({.url = StreamUrl().AddParameter("offset",
+                                                std::to_string(next_offset))});
   }
 
   void OpenStream(net::http_call request) {
@@ -346,14 +351,13 @@
       alive->impl_->OnCancelDone(result);
     };
     const json body = {{"fencing_number", host.FencingNumber()}};
-    cancel_call =
-        http.Start({.method = "POST",
-                    .url = options.url + "/streams/" + stream_id + "/cancel",
-                    .headers = {{"content-type", "application/json"}},
-                    .body = body.dump(),
-                    .connect_timeout = options.connect_timeout,
-                    .total_timeout = kCancelTimeout},
-                   std::move(callbacks));
+    cancel_call = http.Start({.method = "POST",
+                              .url = StreamUrl().AddPath("/cancel"),
+                              .headers = {{"content-type", "application/json"}},
+                              .body = body.dump(),
+                              .connect_timeout = options.connect_timeout,
+                              .total_timeout = kCancelTimeout},
+                             std::move(callbacks));
   }
 
   void OnCancelDone(const net::http_result& result) {
--- a/src/agent/engine_stream.h
+++ b/src/agent/engine_stream.h
@@ -12,7 +12,7 @@
 namespace comfreyspring::agent {
 
 struct engine_stream_options {
-  std::string url;
+  net::url url;
   /** Timeout for the first event of the stream. */
   core::milliseconds first_token_timeout{10000};
   /** Timeout between two events. */
--- a/src/agent/service_controller.cc
+++ b/src/agent/service_controller.cc
@@ -15,8 +15,15 @@
                        const service_options& options) {
   net::http_call call;
   call.method = request.method.empty() ? "POST" : request.method;
-  const bool absolute = !request.path.empty() && request.path.front() == '/';
-  call.url = options.url + (absolute ? "" : "/") + request.path;
+  call.url = options.url;
+  // The entry has decoded the path.
+  std::string_view rest = request.path;
+  if (rest.starts_with('/')) rest.remove_prefix(1);
+  for (std::size_t end = 0; end != std::string_view::npos;) {
+    end = rest.find('/');
+    call.url.AddSegment(rest.substr(0, end));
+    if (end != std::string_view::npos) rest.remove_prefix(end + 1);
+  }
   if (!request.content_type.empty()) {
     call.headers["content-type"] = request.content_type;
   }
@@ -140,7 +147,7 @@
 bool service_controller::IsReady() const { return impl_->up; }
 
 nlohmann::json service_controller::ToJson() const {
-  return {{"url", impl_->options.url},
+  return {{"url", impl_->options.url.Text()},
           {"up", impl_->up},
           {"calls_running", impl_->calls.size()},
           {"calls_sent", impl_->sent},
--- a/src/agent/service_controller.h
+++ b/src/agent/service_controller.h
@@ -10,7 +10,7 @@
 namespace comfreyspring::agent {
 
 struct service_options {
-  std::string url;
+  net::url url;
   /** Maximum number of concurrent calls. */
   std::size_t concurrency = 16;
   core::milliseconds connect_timeout{1000};
--- a/src/agent/service_controller_test.cc
+++ b/src/agent/service_controller_test.cc
@@ -20,14 +20,15 @@
     service_.Begin();
   }
 
-  net::http_call_id Run(bool idempotent) {
+  net::http_call_id Run(bool idempotent,
+                        const std::string& path = "/orders/7") {
     auto request = std::make_shared<wire::submit>();
     request->attempt = kAttempt;
     request->kind = core::request_kind::service_call;
     request->idempotent = idempotent;
     request->key = core::idempotency_key("key-1");
     request->method = "PUT";
-    request->path = "/orders/7";
+    request->path = path;
     request->content_type = "application/json";
     request->body = "{}";
     service_.Run({.request = request});
@@ -37,16 +38,16 @@
   net::event_loop loop_;
   NiceMock<mock_http_client> http_;
   NiceMock<mock_endpoint_listener> listener_;
-  service_controller service_{
-      loop_,
-      http_,
-      {.url = "http://s", .down_duration = core::milliseconds(20)}};
+  service_controller service_{loop_,
+                              http_,
+                              {.url = net::url::Parse("http://s"),
+                               .down_duration = core::milliseconds(20)}};
 };
 
 TEST_F(service_controller_test, ForwardsTheCallAndItsKey) {
   const auto call = Run(false);
   EXPECT_EQ(http_.CallOf(call).method, "PUT");
-  EXPECT_EQ(http_.CallOf(call).url, "http://s/orders/7");
+  EXPECT_EQ(http_.CallOf(call).url.Text(), "http://s/orders/7");
   EXPECT_EQ(http_.CallOf(call).headers.at("idempotency-key"), "key-1");
   EXPECT_EQ(http_.CallOf(call).headers.at("content-type"), "application/json");
   EXPECT_EQ(http_.CallOf(call).body, "{}");
@@ -55,6 +56,13 @@
   http_.Answer(call, 503, "busy");
 }
 
+// A path with a space was never sent; one with '?' reached another path.
+TEST_F(service_controller_test, ThePathOfACallIsEncoded) {
+  const auto call = Run(true, "/a b/?c#d/%2F/\r\n/");
+  EXPECT_EQ(http_.CallOf(call).url.Text(),
+            "http://s/a%20b/%3Fc%23d/%252F/%0D%0A/");
+}
+
 // Guards against a second run: the HTTP library may resend a call on a reused
 // connection.
 TEST_F(service_controller_test, ANonRepeatableCallUsesAFreshConnection) {
--- a/src/agent/test_doubles.h
+++ b/src/agent/test_doubles.h
@@ -40,7 +40,8 @@
   std::vector<net::http_call_id> Open(const std::string& text) const {
     std::vector<net::http_call_id> found;
     for (const auto& [id, entry] : calls_) {
-      if (entry.first.url.find(text) != std::string::npos) found.push_back(id);
+      if (entry.first.url.Text().find(text) != std::string::npos)
+        found.push_back(id);
     }
     return found;
   }
--- a/src/ctl/state_command.cc
+++ b/src/ctl/state_command.cc
@@ -44,7 +44,7 @@
                                     std::ostream& errors) {
   std::optional<net::http_result> result;
   net::http_call call;
-  call.url = url;
+  call.url = net::url::Parse(url);
   call.total_timeout = kCallTimeout;
   client.Start(call, {.on_done = [&result](const net::http_result& done) {
                  result = done;
--- a/src/entry/config_controller.cc
+++ b/src/entry/config_controller.cc
@@ -30,11 +30,11 @@
 
 struct config_controller::impl {
   impl(net::event_loop& event_loop, net::http_client_interface& client,
-       std::string url, config::reader_selection readers,
+       net::url platform, config::reader_selection readers,
        send_function send_message, adopted_function adopted_callback)
       : loop(event_loop),
         http(client),
-        platform_url(std::move(url)),
+        platform_url(std::move(platform)),
         selection(std::move(readers)),
         send(std::move(send_message)),
         on_adopted(std::move(adopted_callback)) {}
@@ -55,7 +55,7 @@
 
   void ExecuteAction(const config::fetch_manifest& action) {
     if (action.source == kPlatformSource) {
-      ReadPlatform("manifest", std::nullopt);
+      ReadPlatform(ManifestUrl(), std::nullopt);
       return;
     }
     RequestFromAgent(action.source, std::nullopt);
@@ -63,7 +63,10 @@
 
   void ExecuteAction(const config::fetch_part& action) {
     if (action.source == kPlatformSource) {
-      ReadPlatform(config::PartKey(action.hash), action.hash);
+      ReadPlatform(net::url(platform_url)
+                       .AddPath("/config/part")
+                       .AddSegment(config::HashText(action.hash)),
+                   action.hash);
       return;
     }
     RequestFromAgent(action.source, action.hash);
@@ -95,10 +98,10 @@
   // Platform.
 
   net::http_call_id StartCall(
-      const std::string& path, core::milliseconds timeout,
+      net::url url, core::milliseconds timeout,
       std::function<void(const net::http_result&)> on_done) {
     net::http_call call;
-    call.url = platform_url + path;
+    call.url = std::move(url);
     call.total_timeout = timeout;
     auto id = std::make_shared<net::http_call_id>(0);
     net::http_callbacks callbacks;
@@ -135,9 +138,13 @@
     return response;
   }
 
-  void ReadPlatform(const std::string& key, std::optional<std::uint64_t> hash) {
+  net::url ManifestUrl() const {
+    return net::url(platform_url).AddPath("/config/manifest");
+  }
+
+  void ReadPlatform(net::url url, std::optional<std::uint64_t> hash) {
     StartCall(
-        "/config/" + key, kReadTimeout,
+        std::move(url), kReadTimeout,
         [this, hash](const net::http_result& result) {
           const std::optional<json> response = ParseResponse(result);
           if (!response) {
@@ -164,13 +171,13 @@
           loop.Schedule(kReaderCheckPeriod, [this] { WatchManifest(); });
       return;
     }
-    std::string path = "/config/manifest";
+    net::url url = ManifestUrl();
     if (watched_revision >= 0) {
-      path += "?watch_after=" + std::to_string(watched_revision) +
-              "&timeout_ms=" + std::to_string(kWatchTimeout.count());
+      url.AddParameter("watch_after", std::to_string(watched_revision))
+          .AddParameter("timeout_ms", std::to_string(kWatchTimeout.count()));
     }
     StartCall(
-        path, kWatchTimeout + kReadTimeout,
+        std::move(url), kWatchTimeout + kReadTimeout,
         [this](const net::http_result& result) { OnWatchResponse(result); });
   }
 
@@ -192,7 +199,7 @@
 
   net::event_loop& loop;
   net::http_client_interface& http;
-  std::string platform_url;
+  net::url platform_url;
   config::reader_selection selection;
   std::optional<core::time_point> last_service_read;
   send_function send;
@@ -207,7 +214,7 @@
 
 config_controller::config_controller(net::event_loop& loop,
                                      net::http_client_interface& http,
-                                     std::string platform_url,
+                                     net::url platform_url,
                                      config::reader_selection selection,
                                      send_function send,
                                      adopted_function on_adopted)
--- a/src/entry/config_controller.h
+++ b/src/entry/config_controller.h
@@ -32,9 +32,8 @@
 
   /** @param platform_url if empty, configurations come from agents only. */
   config_controller(net::event_loop& loop, net::http_client_interface& http,
-                    std::string platform_url,
-                    config::reader_selection selection, send_function send,
-                    adopted_function on_adopted);
+                    net::url platform_url, config::reader_selection selection,
+                    send_function send, adopted_function on_adopted);
   ~config_controller();
   config_controller(const config_controller&) = delete;
   config_controller& operator=(const config_controller&) = delete;
--- a/src/entry/entry_main.cc
+++ b/src/entry/entry_main.cc
@@ -44,6 +44,7 @@
 using comfreyspring::entry::entry_program;
 using comfreyspring::entry::entry_settings;
 namespace core = comfreyspring::core;
+namespace net = comfreyspring::net;
 namespace settings = comfreyspring::settings;
 
 constexpr int kMaximumPort = 65535;
@@ -88,7 +89,9 @@
   result.data_centre = core::data_centre_id(FLAGS_data_centre);
   result.address = FLAGS_address;
   result.port = static_cast<std::uint16_t>(FLAGS_port);
-  result.platform_url = FLAGS_platform_url;
+  if (!FLAGS_platform_url.empty()) {
+    result.platform_url = net::url::Parse(FLAGS_platform_url);
+  }
   result.seed_agents =
       settings::ParseAddresses("seed_agents", FLAGS_seed_agents);
   result.vm_list_period = core::milliseconds(FLAGS_vm_list_period_ms);
--- a/src/entry/entry_program.h
+++ b/src/entry/entry_program.h
@@ -8,6 +8,7 @@
 #include "core/ids.h"
 #include "entry/filters.h"
 #include "net/event_loop.h"
+#include "net/url.h"
 #include "settings/flag_checks.h"
 
 namespace comfreyspring::entry {
@@ -20,7 +21,7 @@
   /** 0 selects a free port. */
   std::uint16_t port = 0;
   /** If empty, configuration and VM list come from agents only. */
-  std::string platform_url;
+  net::url platform_url;
   std::vector<settings::socket_address> seed_agents;
   core::milliseconds vm_list_period{2000};
   request_limits limits;
--- a/src/entry/membership_controller.cc
+++ b/src/entry/membership_controller.cc
@@ -32,7 +32,7 @@
 
 membership_controller::membership_controller(net::event_loop& loop,
                                              net::http_client_interface& http,
-                                             std::string platform_url,
+                                             net::url platform_url,
                                              core::milliseconds poll_period)
     : loop_(loop),
       http_(http),
@@ -73,7 +73,7 @@
     return;
   }
   net::http_call call;
-  call.url = platform_url_ + "/vms";
+  call.url = net::url(platform_url_).AddPath("/vms");
   call.total_timeout = core::milliseconds(2000);
   net::http_callbacks callbacks;
   callbacks.on_done = [this](const net::http_result& result) {
--- a/src/entry/membership_controller.h
+++ b/src/entry/membership_controller.h
@@ -17,8 +17,7 @@
  public:
   /** @param platform_url if empty, the VM list comes from agents only. */
   membership_controller(net::event_loop& loop, net::http_client_interface& http,
-                        std::string platform_url,
-                        core::milliseconds poll_period);
+                        net::url platform_url, core::milliseconds poll_period);
   ~membership_controller();
   membership_controller(const membership_controller&) = delete;
   membership_controller& operator=(const membership_controller&) = delete;
@@ -43,7 +42,7 @@
 
   net::event_loop& loop_;
   net::http_client_interface& http_;
-  std::string platform_url_;
+  net::url platform_url_;
   core::milliseconds poll_period_;
   membership::endpoint_directory directory_;
   wire::vm_list list_;
--- a/src/gateway/forwarder_fixture_test.h
+++ b/src/gateway/forwarder_fixture_test.h
@@ -40,7 +40,7 @@
                           const forward_fields& fields) const override {
     net::http_call call;
     call.method = request.method;
-    call.url = fields.address.ToString();
+    call.url = net::url(fields.address);
     call.target = request.target;
     call.headers["id"] = request.headers.at("id");
     call.headers["instance"] = fields.instance.Value();
--- a/src/gateway/late_response_property_test.cc
+++ b/src/gateway/late_response_property_test.cc
@@ -129,7 +129,7 @@
   void Receive(std::size_t index) {
     const net::http_call& call = http_.calls[index].call;
     const std::string id = call.headers.at("id");
-    open_call open{.index = index, .address = call.url};
+    open_call open{.index = index, .address = call.url.Text()};
     auto& kept = kept_[open.address];
     if (!call.fresh_connection && !kept.empty()) {
       open.used = std::move(kept.back());
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -9,6 +9,7 @@
 #include "core/time.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
+#include "net/url.h"
 
 namespace comfreyspring::net {
 
@@ -17,7 +18,7 @@
 
 struct http_call {
   std::string method = "GET";
-  std::string url;
+  net::url url;
   /** Sent unchanged in place of the path and query of `url`, unless empty. */
   std::string target;
   header_map headers;
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -17,9 +17,7 @@
 
 class http_client_test : public ::testing::Test {
  protected:
-  std::string Url() const {
-    return "http://127.0.0.1:" + std::to_string(listener_.Port()) + "/";
-  }
+  url Url() const { return url({"127.0.0.1", listener_.Port()}); }
   http_call_id Start(http_call call) {
     result_.reset();
     http_callbacks callbacks;
@@ -47,17 +45,17 @@
 
 // `not_sent` proves to callers that the request was not run.
 TEST_F(http_client_test, ReportsARefusedConnectionAsNotSent) {
-  std::string url;
+  url unused;
   {
     const test_listener closed(loop_);
-    url = "http://127.0.0.1:" + std::to_string(closed.Port()) + "/";
+    unused = url({"127.0.0.1", closed.Port()});
   }
-  Start({.url = url});
+  Start({.url = unused});
   ASSERT_TRUE(WaitForResult());
   EXPECT_EQ(result_->failure, http_failure::not_sent);
   EXPECT_TRUE(result_->connection_refused);
   EXPECT_FALSE(result_->error_message.empty());
-  Start({.url = "not a url"});
+  Start({.url = url()});
   ASSERT_TRUE(WaitForResult());
   EXPECT_EQ(result_->failure, http_failure::not_sent);
   EXPECT_FALSE(result_->connection_refused);
@@ -156,10 +154,9 @@
                     bool reused) {
     // The library may open another connection when a reused one breaks.
     test_listener listener(loop_);
-    const http_call call{
-        .method = method,
-        .url = "http://127.0.0.1:" + std::to_string(listener.Port()) + "/",
-        .may_resend = false};
+    const http_call call{.method = method,
+                         .url = url({"127.0.0.1", listener.Port()}),
+                         .may_resend = false};
     Start(call);
     const auto peer = listener.Accept();
     ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -34,8 +34,9 @@
     StartServer(http_server_options{}, std::move(handler));
   }
 
-  std::string Url(const std::string& path) const {
-    return "http://127.0.0.1:" + std::to_string(server_->Port()) + path;
+  url Url(const std::string& path) const {
+    return url::Parse("http://127.0.0.1:" + std::to_string(server_->Port()) +
+                      path);
   }
 
   http_result Call(http_call call) {
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -82,10 +82,12 @@
 
 void http_transfer::SetUrlAndMethod() {
   CURL* easy = easy_.get();
-  SetOption(easy, CURLOPT_URL, call_.url.c_str());
+  SetOption(easy, CURLOPT_URL, call_.url.Text().c_str());
   if (!call_.target.empty()) {
     SetOption(easy, CURLOPT_REQUEST_TARGET, call_.target.c_str());
   }
+  // An id of "." or ".." is a segment like any other.
+  SetOption(easy, CURLOPT_PATH_AS_IS, 1L);
   SetOption(easy, CURLOPT_PROTOCOLS_STR, "http");
   SetOption(easy, CURLOPT_NOPROXY, "*");
   SetOption(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
--- a/src/net/listener_claim_test.cc
+++ b/src/net/listener_claim_test.cc
@@ -93,9 +93,9 @@
     unanswered = std::move(exchange);
   });
   http_client client(loop_);
-  client.Start(
-      {.url = "http://127.0.0.1:" + std::to_string(server.Port()) + "/"},
-      {.on_done = [](const http_result&) {}});
+  client.Start({.url = net::url::Parse(
+                    "http://127.0.0.1:" + std::to_string(server.Port()) + "/")},
+               {.on_done = [](const http_result&) {}});
   ASSERT_TRUE(loop_.RunUntil([&] { return unanswered != nullptr; }, kLimit));
   for (int descriptor = 3; descriptor < 256 && caller_port == 0; ++descriptor) {
     const auto peer = socket_address::OfPeer(descriptor);
@@ -125,9 +125,9 @@
   EXPECT_EQ(changes, (std::vector<bool>{false, true}));
   http_client client(loop_);
   std::optional<http_result> result;
-  client.Start(
-      {.url = "http://127.0.0.1:" + std::to_string(server.Port()) + "/"},
-      {.on_done = [&](const http_result& done) { result = done; }});
+  client.Start({.url = net::url::Parse(
+                    "http://127.0.0.1:" + std::to_string(server.Port()) + "/")},
+               {.on_done = [&](const http_result& done) { result = done; }});
   ASSERT_TRUE(loop_.RunUntil([&] { return result.has_value(); }, kLimit));
   EXPECT_EQ(result->status, 200);
 }
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -15,3 +15,4 @@
 #include "net/frame_link.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/url.h"
--- a/src/net/url.cc
+++ b/src/net/url.cc
@@ -43,6 +43,8 @@
   }
   url result;
   result.has_query_ = text.find('?') != std::string::npos;
+  // What is added to the path begins with a slash.
+  while (!result.has_query_ && text.back() == '/') text.pop_back();
   result.text_ = std::move(text);
   return result;
 }
--- a/src/net/url.h
+++ b/src/net/url.h
@@ -31,7 +31,7 @@
   url() = default;
   explicit url(const core::network_address& address, literal path = "/");
   /**
-   * Takes a URL from the settings or the command line.
+   * Takes a URL from the settings or the command line, to whose path calls add.
    * @throws core::invalid_value_error if it is not an absolute http URL.
    */
   static url Parse(std::string text);
@@ -45,6 +45,7 @@
   /** Appends a parameter to the query. */
   url& AddParameter(literal name, std::string_view value);
 
+  bool empty() const { return text_.empty(); }
   const std::string& Text() const { return text_; }
 
  private:
--- a/src/net/url_test.cc
+++ b/src/net/url_test.cc
@@ -21,6 +21,8 @@
                 .AddParameter("to", "")
                 .Text(),
             "http://10.0.0.1:80/list?from=a&to=");
+  EXPECT_EQ(url::Parse("http://h/").AddPath("/status").Text(),
+            "http://h/status");
   EXPECT_EQ(url::Parse("http://h/list?a=1").AddParameter("b", "2").Text(),
             "http://h/list?a=1&b=2");
 }
--- a/src/settings/flag_checks.cc
+++ b/src/settings/flag_checks.cc
@@ -82,7 +82,11 @@
 void RequireUrl(const std::string& flag, const std::string& value,
                 bool optional) {
   if (optional && value.empty()) return;
-  if (value.rfind("http://", 0) == 0 && value.size() > 7) return;
+  const bool is_printable = std::all_of(
+      value.begin(), value.end(), [](char c) { return c > ' ' && c < 0x7f; });
+  if (is_printable && value.rfind("http://", 0) == 0 && value.size() > 7) {
+    return;
+  }
   throw settings_error(flag, value, "http://ip:port, with an optional path");
 }
 
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -24,6 +24,7 @@
 namespace {
 
 namespace core = comfreyspring::core;
+namespace net = comfreyspring::net;
 namespace settings = comfreyspring::settings;
 using comfreyspring::standins::engine_options;
 
@@ -52,7 +53,9 @@
   options.batch_limit = static_cast<std::size_t>(FLAGS_batch_limit);
   options.checks_fencing = FLAGS_checks_fencing;
   options.token_time = core::milliseconds(FLAGS_token_ms);
-  options.weights_url = FLAGS_weights_url;
+  if (!FLAGS_weights_url.empty()) {
+    options.weights_url = net::url::Parse(FLAGS_weights_url);
+  }
   options.load_time = core::milliseconds(FLAGS_load_ms);
   options.load_report_lag = core::milliseconds(FLAGS_load_report_lag_ms);
   return options;
--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -193,7 +193,9 @@
     return;
   }
   net::http_call call;
-  call.url = options_.weights_url + '/' + adapter.first + '/' + adapter.second;
+  call.url = net::url(options_.weights_url)
+                 .AddSegment(adapter.first)
+                 .AddSegment(adapter.second);
   call.total_timeout = core::milliseconds(60000);
   net::http_callbacks callbacks;
   callbacks.on_done = [finish](const net::http_result& result) {
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -26,7 +26,7 @@
   /** Duration of a step with an empty batch; larger batches take longer. */
   core::milliseconds token_time{10};
   /** Weight store; a load is GET <weights_url>/<adapter>/<version>. */
-  std::string weights_url;
+  net::url weights_url;
   /** Load time without a weight store. */
   core::milliseconds load_time{250};
   core::milliseconds load_report_lag{500};
--- a/standins/engine_server_test.cc
+++ b/standins/engine_server_test.cc
@@ -246,8 +246,7 @@
     exchange->Respond({reads == 1 ? 503 : 200, {}, "weights"});
   });
   engine_options options;
-  options.weights_url =
-      "http://127.0.0.1:" + std::to_string(store.Port()) + "/weights";
+  options.weights_url = net::url({"127.0.0.1", store.Port()}, "/weights");
   Start(options);
   EXPECT_EQ(Load("a"), 502);
   EXPECT_EQ(Load("a"), 200);
--- a/standins/test_client.h
+++ b/standins/test_client.h
@@ -39,7 +39,7 @@
       call->result = result;
     };
     call->id = client_.Start({.method = method,
-                              .url = base_ + path,
+                              .url = net::url::Parse(base_ + path),
                               .headers = std::move(headers),
                               .body = body},
                              callbacks);
--- a/tests/process/hostile_callers_test.cc
+++ b/tests/process/hostile_callers_test.cc
@@ -153,10 +153,10 @@
     net::http_client caller(loop_);
     caller.Start(
         {.method = "POST",
-         .url =
+         .url = net::url::Parse(
              "http://" +
              fleet_layout::At(layout_.Gateway(0), fleet_layout::kCallerPort) +
-             "/order/x",
+             "/order/x"),
          .headers = {{"host", "h.example"},
                      {"request-id", "o-" + std::to_string(++sent_)},
                      {"deadline-ms", "3000"}},
--- a/tests/process/small_fleet.cc
+++ b/tests/process/small_fleet.cc
@@ -156,10 +156,10 @@
   for (int tries = 0; tries < 100 && status != 200; ++tries) {
     std::optional<net::http_result> result;
     http_.Start(
-        {.url = "http://" +
-                fleet_layout::At(layout_.Gateway(gateway),
-                                 fleet_layout::kReadyPort) +
-                "/ready",
+        {.url = net::url::Parse("http://" +
+                                fleet_layout::At(layout_.Gateway(gateway),
+                                                 fleet_layout::kReadyPort) +
+                                "/ready"),
          .total_timeout = milliseconds(500)},
         {.on_done = [&](const net::http_result& done) { result = done; }});
     loop_.RunUntil([&] { return result.has_value(); }, kTimeout);
@@ -185,27 +185,28 @@
     headers.try_emplace("token-count", "100,20");
   }
   const auto sent_at = loop_.Now();
-  http_.Start({.method = "POST",
-               .url = "http://" +
-                      fleet_layout::At(layout_.Gateway(gateway),
-                                       fleet_layout::kCallerPort) +
-                      '/',
-               .target = '/' + route + "/x",
-               .headers = std::move(headers),
-               .body = std::move(body),
-               .total_timeout = kTimeout,
-               .may_resend = false},
-              {.on_done = [this, id, sent_at](const net::http_result& done) {
-                fleet_outcome result{id, done.status,
-                                     done.failure == net::http_failure::none,
-                                     sent_at, loop_.Now()};
-                const auto retry = done.headers.find("retry-after");
-                if (retry != done.headers.end()) {
-                  result.retry_after_s = std::stod(retry->second);
-                }
-                result.was_sent = done.failure != net::http_failure::not_sent;
-                outcomes_.push_back(result);
-              }});
+  http_.Start(
+      {.method = "POST",
+       .url = net::url::Parse("http://" +
+                              fleet_layout::At(layout_.Gateway(gateway),
+                                               fleet_layout::kCallerPort) +
+                              '/'),
+       .target = '/' + route + "/x",
+       .headers = std::move(headers),
+       .body = std::move(body),
+       .total_timeout = kTimeout,
+       .may_resend = false},
+      {.on_done = [this, id, sent_at](const net::http_result& done) {
+        fleet_outcome result{id, done.status,
+                             done.failure == net::http_failure::none, sent_at,
+                             loop_.Now()};
+        const auto retry = done.headers.find("retry-after");
+        if (retry != done.headers.end()) {
+          result.retry_after_s = std::stod(retry->second);
+        }
+        result.was_sent = done.failure != net::http_failure::not_sent;
+        outcomes_.push_back(result);
+      }});
   return id;
 }
 
@@ -221,9 +222,10 @@
 std::string small_fleet_test::Page(const std::string& ip, std::uint16_t port,
                                    const std::string& path) {
   std::optional<net::http_result> page;
-  http_.Start({.url = "http://" + fleet_layout::At(ip, port) + path,
-               .total_timeout = kTimeout},
-              {.on_done = [&](const net::http_result& done) { page = done; }});
+  http_.Start(
+      {.url = net::url::Parse("http://" + fleet_layout::At(ip, port) + path),
+       .total_timeout = kTimeout},
+      {.on_done = [&](const net::http_result& done) { page = done; }});
   EXPECT_TRUE(loop_.RunUntil([&] { return page.has_value(); }, kTimeout));
   return page ? page->body : std::string();
 }
--- a/tests/process/store_stand_in_test.cc
+++ b/tests/process/store_stand_in_test.cc
@@ -19,7 +19,8 @@
   net::http_result Get(const std::string& path) {
     std::optional<net::http_result> result;
     http_.Start(
-        {.url = "http://127.0.0.1:" + std::to_string(store_.Port()) + path,
+        {.url = net::url::Parse(
+             "http://127.0.0.1:" + std::to_string(store_.Port()) + path),
          .total_timeout = kTimeout},
         {.on_done = [&](const net::http_result& done) { result = done; }});
     EXPECT_TRUE(loop_.RunUntil([&] { return result.has_value(); }, kTimeout));
--- a/tests/process/users_platform_test.cc
+++ b/tests/process/users_platform_test.cc
@@ -190,17 +190,20 @@
   }
   net::http_result SendStream(const std::string& id, const std::string& adapter,
                               const std::string& target = "/p/x%20y?q=1") {
-    return Call({.method = "POST",
-                 .url = "http://" + Address(caller_port_) + "/",
-                 .target = target,
-                 .headers = {{"host", "h.example"},
-                             {"request-id", id},
-                             {"model", "m/" + adapter},
-                             {"token-count", "100,20"},
-                             {"deadline-ms", "5000"}}});
+    return Call(
+        {.method = "POST",
+         .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
+         .target = target,
+         .headers = {{"host", "h.example"},
+                     {"request-id", id},
+                     {"model", "m/" + adapter},
+                     {"token-count", "100,20"},
+                     {"deadline-ms", "5000"}}});
   }
   int Readiness() {
-    return Call({.url = "http://" + Address(ready_port_) + "/ready"}).status;
+    return Call({.url = net::url::Parse("http://" + Address(ready_port_) +
+                                        "/ready")})
+        .status;
   }
   void WaitUntilReady() {
     for (int i = 0; i < 100 && Readiness() != 200; ++i) {
@@ -485,7 +488,7 @@
                          std::optional<net::http_result>& result) {
     http_.Start(
         {.method = "POST",
-         .url = "http://" + Address(caller_port_) + "/",
+         .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
          .target = "/p/x",
          .headers = {{"host", "h.example"},
                      {"request-id", id},
@@ -531,7 +534,7 @@
   std::optional<net::http_result> result;
   http_.Start(
       {.method = "POST",
-       .url = "http://" + Address(caller_port_) + "/",
+       .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
        .target = "/p/x",
        .headers = {{"host", "h.example"},
                    {"request-id", "r1"},
@@ -703,16 +706,17 @@
     long most = before;
     std::vector<int> statuses;
     for (int i = 0; i < kCallers; ++i) {
-      http_.Start({.method = "POST",
-                   .url = "http://" + Address(caller_port_) + "/",
-                   .target = "/q/x",
-                   .headers = {{"host", "h.example"},
-                               {"request-id", "r1"},
-                               {"deadline-ms", "3000"}},
-                   .total_timeout = kTimeout},
-                  {.on_done = [&](const net::http_result& done) {
-                    statuses.push_back(done.status);
-                  }});
+      http_.Start(
+          {.method = "POST",
+           .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
+           .target = "/q/x",
+           .headers = {{"host", "h.example"},
+                       {"request-id", "r1"},
+                       {"deadline-ms", "3000"}},
+           .total_timeout = kTimeout},
+          {.on_done = [&](const net::http_result& done) {
+            statuses.push_back(done.status);
+          }});
     }
     EXPECT_TRUE(loop_.RunUntil(
         [&] {
@@ -756,38 +760,39 @@
       if (GetParam().is_unread) http_.Hold(*call);
     };
     callbacks.on_done = [this](const net::http_result&) { ++faulty_ended_; };
-    *call = http_.Start({.method = "POST",
-                         .url = "http://" + Address(caller_port_) + "/",
-                         .target = GetParam().target,
-                         .headers = {{"host", "h.example"},
-                                     {"request-id", "r1"},
-                                     {"deadline-ms", "3000"}},
-                         .total_timeout = milliseconds(4000),
-                         .fresh_connection = true},
-                        std::move(callbacks));
+    *call = http_.Start(
+        {.method = "POST",
+         .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
+         .target = GetParam().target,
+         .headers = {{"host", "h.example"},
+                     {"request-id", "r1"},
+                     {"deadline-ms", "3000"}},
+         .total_timeout = milliseconds(4000),
+         .fresh_connection = true},
+        std::move(callbacks));
     ++faulty_;
   }
   void SendSound() {
     const std::string id = "s" + std::to_string(sound_++);
-    http_.Start({.method = "POST",
-                 .url = "http://" + Address(caller_port_) + "/",
-                 .target = "/p/x",
-                 .headers = {{"host", "h.example"},
-                             {"request-id", id},
-                             {"model", "m/a1"},
-                             {"token-count", "100,20"},
-                             {"deadline-ms", "5000"}},
-                 .total_timeout = milliseconds(6000)},
-                {.on_done = [this](const net::http_result& done) {
-                  ++sound_ended_;
-                  const bool is_whole =
-                      done.failure == net::http_failure::none &&
-                      done.status == 200;
-                  sound_answered_ += is_whole ? 1 : 0;
-                  ++sound_outcomes_[is_whole ? "whole"
-                                             : std::to_string(done.status) +
-                                                   ' ' + done.error_message];
-                }});
+    http_.Start(
+        {.method = "POST",
+         .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
+         .target = "/p/x",
+         .headers = {{"host", "h.example"},
+                     {"request-id", id},
+                     {"model", "m/a1"},
+                     {"token-count", "100,20"},
+                     {"deadline-ms", "5000"}},
+         .total_timeout = milliseconds(6000)},
+        {.on_done = [this](const net::http_result& done) {
+          ++sound_ended_;
+          const bool is_whole =
+              done.failure == net::http_failure::none && done.status == 200;
+          sound_answered_ += is_whole ? 1 : 0;
+          ++sound_outcomes_[is_whole ? "whole"
+                                     : std::to_string(done.status) + ' ' +
+                                           done.error_message];
+        }});
   }
 
   int faulty_ = 0;
@@ -876,12 +881,13 @@
   WaitUntilReady();
   loop_.RunUntil([] { return false; }, milliseconds(600));
   const auto order = [&](const std::string& id) {
-    return Call({.method = "POST",
-                 .url = "http://" + Address(caller_port_) + "/",
-                 .target = "/q/x",
-                 .headers = {{"host", "h.example"},
-                             {"request-id", id},
-                             {"deadline-ms", "3000"}}})
+    return Call(
+               {.method = "POST",
+                .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
+                .target = "/q/x",
+                .headers = {{"host", "h.example"},
+                            {"request-id", id},
+                            {"deadline-ms", "3000"}}})
         .status;
   };
   using repeated = engine_stand_in::repeated_refusal;
@@ -919,7 +925,7 @@
     const std::string id = "s" + std::to_string(++number);
     http_.Start(
         {.method = "POST",
-         .url = "http://" + Address(caller_port_) + "/",
+         .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
          .target = "/q/x",
          .headers = {{"host", "h.example"},
                      {"request-id", id},
@@ -981,14 +987,15 @@
     return core::ToMilliseconds(loop_.Now() - connection.opened_at);
   }
   int StatusOf(std::size_t header_bytes, std::size_t body_bytes) {
-    return Call({.method = "POST",
-                 .url = "http://" + Address(caller_port_) + "/",
-                 .target = "/q/x",
-                 .headers = {{"host", "h.example"},
-                             {"request-id", "r1"},
-                             {"deadline-ms", "3000"},
-                             {"x-large", std::string(header_bytes, 'x')}},
-                 .body = std::string(body_bytes, 'x')})
+    return Call(
+               {.method = "POST",
+                .url = net::url::Parse("http://" + Address(caller_port_) + "/"),
+                .target = "/q/x",
+                .headers = {{"host", "h.example"},
+                            {"request-id", "r1"},
+                            {"deadline-ms", "3000"},
+                            {"x-large", std::string(header_bytes, 'x')}},
+                .body = std::string(body_bytes, 'x')})
         .status;
   }
   void Wait(int ms) {
@@ -1054,7 +1061,9 @@
                                {"IdleTimeoutMs", odd}});
     Wait(500);
     const auto state =
-        Call({.url = "http://" + Address(admin_port_) + "/debug/state"}).body;
+        Call({.url = net::url::Parse("http://" + Address(admin_port_) +
+                                     "/debug/state")})
+            .body;
     EXPECT_NE(state.find("\"configuration_version\": " +
                          std::to_string(version) + ','),
               std::string::npos)
@@ -1098,8 +1107,8 @@
   settings_program wrong({Binary("gateway"), Path("gateway"), Path("bad.log")});
   ::unsetenv("COMFREYSPRING_METRICS_PORT");
   WaitUntilReady();
-  const auto answer =
-      Call({.url = "http://" + Address(OwnPort(5)) + "/metrics"});
+  const auto answer = Call(
+      {.url = net::url::Parse("http://" + Address(OwnPort(5)) + "/metrics")});
   EXPECT_EQ(answer.status, 200);
   EXPECT_NE(answer.body.find("gateway_catalog_age_ms"), std::string::npos);
   ASSERT_TRUE(loop_.RunUntil([&] { return wrong.HasEnded(); }, kTimeout));
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -70,7 +70,7 @@
   for (std::size_t i = 0; i < fleet_.CallerRelays().size(); ++i) {
     const int gateway = static_cast<int>(i);
     readiness_http_.Start(
-        {.url = fleet_.ReadinessUrl(gateway),
+        {.url = net::url::Parse(fleet_.ReadinessUrl(gateway)),
          .connect_timeout = milliseconds(500),
          .total_timeout = milliseconds(900)},
         {.on_done = [this, gateway](const net::http_result& result) {
@@ -118,7 +118,7 @@
   request.deadline = DeadlineOf(kind);
   net::http_call call;
   call.method = "POST";
-  call.url = fleet_.CallerUrl(request.gateway) + '/';
+  call.url = net::url::Parse(fleet_.CallerUrl(request.gateway));
   call.target = request.target;
   call.body = request.body;
   call.headers = {{"host", "soak.example"},
