Accept the path of a URL without a default argument

clang 14 does not take a literal as the default argument of its own class's member, so that the linter failed on every file that includes net/url.h; g++ 12 does. A second constructor has the default instead. Lint of the files that failed is clean.

--- a/src/net/url.cc
+++ b/src/net/url.cc
@@ -24,6 +24,8 @@
 
 }  // namespace
 
+url::url(const core::network_address& address) : url(address, "/") {}
+
 url::url(const core::network_address& address, literal path)
     : text_("http://" + address.ToString()) {
   AddPath(path);
--- a/src/net/url.h
+++ b/src/net/url.h
@@ -29,7 +29,9 @@
 
   /** No URL; calls to it fail. */
   url() = default;
-  explicit url(const core::network_address& address, literal path = "/");
+  /** `http://ADDRESS/` */
+  explicit url(const core::network_address& address);
+  url(const core::network_address& address, literal path);
   /**
    * Takes a URL from the settings or the command line, to whose path calls add.
    * @throws core::invalid_value_error if it is not an absolute http URL.
