Read everything after changes that cannot be decoded

A gateway read the same changes again and again when their response could not be decoded, so that its view stayed as old as the last one before. It reads the whole catalog now, which consists of the catalog's own items only and ends behind these changes.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -424,6 +424,8 @@
   }
   if (read.outcome != read_outcome::done &&
       read.outcome != read_outcome::history_lost) {
+    // The same changes would be read again.
+    if (read.is_undecodable) needs_all_ = true;
     OnFailure("read_changes", read);
     return;
   }
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -320,6 +320,18 @@
 }
 
 // A dead connection must not hide a change for longer than the bound.
+// Changes that could not be decoded were read again and again.
+TEST_F(catalog_follower_test, ReadsAllInsteadOfChangesThatCannotBeDecoded) {
+  source_.Answer(Done({Record("i1")}, 40));
+  WaitForRead();
+  catalog_read undecodable{.error = "invalid JSON"};
+  undecodable.is_undecodable = true;
+  source_.Answer(std::move(undecodable));
+  WaitForRead();
+  EXPECT_EQ(source_.all_reads, 2);
+  EXPECT_EQ(source_.change_reads, 1);
+}
+
 TEST_F(catalog_follower_test, AHungReadTimesOutWithinTheBound) {
   recording_listener listener;
   scripted_source source;
