Let the stand-in's watches wait for events of their prefix

A watch of a prefix was answered, without events, whenever anything was written. The platform answers as soon as there is an event, or at the end of the wait.

--- a/tests/process/store_stand_in.cc
+++ b/tests/process/store_stand_in.cc
@@ -149,7 +149,11 @@
   history_.push_back(std::move(event));
   KeepCopy();
   for (const auto& exchange : std::exchange(pending_watches_, {})) {
-    SendEvents(*exchange);
+    if (EventsFor(ReadQuery(exchange->Request()).value()).empty()) {
+      pending_watches_.push_back(exchange);
+    } else {
+      SendEvents(*exchange);
+    }
   }
 }
 
@@ -250,7 +254,7 @@
     Respond(*exchange, 410);
     return;
   }
-  if (after < revision_) {
+  if (!EventsFor(query).empty()) {
     SendEvents(*exchange);
     return;
   }
@@ -262,8 +266,7 @@
   });
 }
 
-void store_stand_in::SendEvents(net::http_exchange& exchange) const {
-  const parameters query = ReadQuery(exchange.Request()).value();
+json store_stand_in::EventsFor(const parameters& query) const {
   const auto after = std::stoll(query.at("after"));
   json events = json::array();
   for (const auto& event : history_) {
@@ -273,6 +276,11 @@
       events.push_back(event);
     }
   }
+  return events;
+}
+
+void store_stand_in::SendEvents(net::http_exchange& exchange) const {
+  const json events = EventsFor(ReadQuery(exchange.Request()).value());
   Respond(exchange, 200, json{{"events", events}, {"AsOf", revision_}}.dump());
 }
 
--- a/tests/process/store_stand_in.h
+++ b/tests/process/store_stand_in.h
@@ -84,6 +84,8 @@
   static std::optional<parameters> ReadQuery(const net::http_request& request);
   void AnswerRange(net::http_exchange& exchange, const parameters& query) const;
   void AnswerWatch(exchange_pointer exchange, const parameters& query);
+  /** The events that a watch asks for. */
+  nlohmann::json EventsFor(const parameters& query) const;
   void SendEvents(net::http_exchange& exchange) const;
   void Record(nlohmann::json event);
   void KeepCopy();
