Keep no items that are of no use

Changes of other writers were decoded and logged, a line each: 500 small writes a second filled the log's limit, which configurations and endpoints share.

Items outside the families are counted only, also by the date of a read, which takes a response with them for one that did not wait.

--- a/src/catalog/catalog_follower.cc
+++ b/src/catalog/catalog_follower.cc
@@ -346,7 +346,7 @@
   needs_all_ = false;
   std::vector<endpoint_table::listed_entry> entries;
   std::vector<published_change> others;
-  listing listed{.items = read.changes.size()};
+  listing listed{.items = read.changes.size() + read.ignored_items};
   for (published_change& change : read.changes) {
     if (std::holds_alternative<unreadable_entry>(change.content)) {
       ++listed.unreadable;
@@ -599,8 +599,8 @@
  */
 core::time_point catalog_follower::KnownAt(const catalog_read& read) const {
   const auto wait_ended = read_began_ + read_wait_;
-  return read.changes.empty() && loop_.Now() >= wait_ended ? wait_ended
-                                                           : read_began_;
+  const bool is_empty = read.changes.empty() && read.ignored_items == 0;
+  return is_empty && loop_.Now() >= wait_ended ? wait_ended : read_began_;
 }
 
 void catalog_follower::OnContact(const catalog_position& position,
--- a/src/catalog/catalog_source.h
+++ b/src/catalog/catalog_source.h
@@ -106,6 +106,8 @@
   std::size_t received_bytes = 0;
   /** Responses that a read of the whole catalog has consisted of. */
   std::size_t pages = 0;
+  /** Items that are of no interest, such as those of other writers. */
+  std::size_t ignored_items = 0;
   /** The read has failed because a response could not be decoded. */
   bool is_undecodable = false;
 
