Share the items of the store's copies in the stand-in

Each write keeps a copy of all items and of the whole history for 60 s, so that a writer of large items several times a second takes gigabytes. The copies now share the documents, which nothing changes once they are written.

--- a/tests/process/store_stand_in.cc
+++ b/tests/process/store_stand_in.cc
@@ -74,17 +74,19 @@
 
 void store_stand_in::PutBytes(const std::string& key,
                               const std::string& value) {
-  items_[key] = {{"Key", key},
-                 {"Value", Base64(value)},
-                 {"Rev", revision_ + 1},
-                 {"Created", 1},
-                 {"Lease", 0}};
-  Record(items_[key]);
+  const auto item = std::make_shared<const json>(json{{"Key", key},
+                                                      {"Value", Base64(value)},
+                                                      {"Rev", revision_ + 1},
+                                                      {"Created", 1},
+                                                      {"Lease", 0}});
+  items_[key] = item;
+  Record(item);
 }
 
 void store_stand_in::Remove(const std::string& key) {
   if (items_.erase(key) == 0) return;
-  Record({{"Key", key}, {"Rev", revision_ + 1}, {"Deleted", true}});
+  Record(std::make_shared<const json>(
+      json{{"Key", key}, {"Rev", revision_ + 1}, {"Deleted", true}}));
 }
 
 void store_stand_in::ForgetHistory() {
@@ -144,7 +146,7 @@
   }
 }
 
-void store_stand_in::Record(json event) {
+void store_stand_in::Record(document event) {
   ++revision_;
   history_.push_back(std::move(event));
   KeepCopy();
@@ -233,7 +235,7 @@
   };
   json items = json::array();
   for (; is_listed() && items.size() < page_items_; ++next) {
-    items.push_back(next->second);
+    items.push_back(*next->second);
   }
   const bool is_truncated = is_listed();
   Respond(exchange, 200,
@@ -267,10 +269,10 @@
   const auto after = std::stoll(query.at("after"));
   json events = json::array();
   for (const auto& event : history_) {
-    if (event.at("Rev").get<std::int64_t>() > after &&
-        event.at("Key").get_ref<const std::string&>().starts_with(
+    if (event->at("Rev").get<std::int64_t>() > after &&
+        event->at("Key").get_ref<const std::string&>().starts_with(
             query.at("Prefix"))) {
-      events.push_back(event);
+      events.push_back(*event);
     }
   }
   Respond(exchange, 200, json{{"events", events}, {"AsOf", revision_}}.dump());
--- a/tests/process/store_stand_in.h
+++ b/tests/process/store_stand_in.h
@@ -65,12 +65,14 @@
  private:
   using exchange_pointer = std::shared_ptr<net::http_exchange>;
   using parameters = std::map<std::string, std::string>;
+  /** Shared by all copies. */
+  using document = std::shared_ptr<const nlohmann::json>;
 
   /** What the store held from some time on. */
   struct copy {
     core::time_point since;
-    std::map<std::string, nlohmann::json> items;
-    std::vector<nlohmann::json> history;
+    std::map<std::string, document> items;
+    std::vector<document> history;
     std::int64_t revision = 0;
     std::int64_t oldest_revision = 0;
   };
@@ -85,15 +87,15 @@
   void AnswerRange(net::http_exchange& exchange, const parameters& query) const;
   void AnswerWatch(exchange_pointer exchange, const parameters& query);
   void SendEvents(net::http_exchange& exchange) const;
-  void Record(nlohmann::json event);
+  void Record(document event);
   void KeepCopy();
   void AbortWatches();
   void Respond(net::http_exchange& exchange, int status,
                std::string body = "") const;
 
   net::event_loop& loop_;
-  std::map<std::string, nlohmann::json> items_;
-  std::vector<nlohmann::json> history_;
+  std::map<std::string, document> items_;
+  std::vector<document> history_;
   std::int64_t revision_ = 100;
   std::int64_t oldest_revision_ = 100;
   std::int64_t era_ = 1;
