Soak the platform's store beside another writer

The family `keys` adds a writer of odd keys and values, short pages, lists that go round and a limit for memory, beside kills, planned work and faults of the store. The expiry after a restore now removes the entries of the fleet's own instances only.

--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -47,6 +47,10 @@
 constexpr int kLongestSilenceMs = 1600;
 /** Greatest age of a restored copy when the store goes away. */
 constexpr int kOldestCopyMs = 9000;
+/** Items on a page beside another writer. */
+constexpr int kLongestPage = 5;
+/** Keys that another writer writes at once. */
+constexpr int kBurst = 20;
 /** Time within which a configuration is in force (ConfigApplyMs). */
 constexpr milliseconds kConfigurationBound{2000};
 
@@ -64,7 +68,8 @@
     return family < fault_family::leaving || family == drawn_from;
   }
   if (drawn_from == fault_family::silences ||
-      drawn_from == fault_family::suspensions) {
+      drawn_from == fault_family::suspensions ||
+      drawn_from == fault_family::keys) {
     return family == drawn_from;
   }
   if (drawn_from == fault_family::thin) {
@@ -150,6 +155,21 @@
       {"suspend_kill", fault_family::suspensions, &f::KillGateway},
       {"suspend_hangup", fault_family::suspensions, &f::Hangup},
       {"suspend_reconfigure", fault_family::suspensions, &f::Reconfigure},
+      {"keys_pages", fault_family::keys, &f::ChangePages},
+      {"keys_pages_again", fault_family::keys, &f::ChangePages},
+      {"keys_burst", fault_family::keys, &f::BurstOfKeys},
+      {"keys_burst_again", fault_family::keys, &f::BurstOfKeys},
+      {"keys_round", fault_family::keys, &f::ListsGoRound},
+      {"keys_forgets", fault_family::keys, &f::StoreForgets},
+      {"keys_restored", fault_family::keys, &f::StoreRestored},
+      {"keys_unavailable", fault_family::keys, &f::StoreUnavailable},
+      {"keys_kill", fault_family::keys, &f::KillGateway},
+      {"keys_kill_all", fault_family::keys, &f::KillGateways},
+      {"keys_terminate", fault_family::keys, &f::TerminateOne},
+      {"keys_hangup", fault_family::keys, &f::Hangup},
+      {"keys_reconfigure", fault_family::keys, &f::Reconfigure},
+      {"keys_reconfigure_again", fault_family::keys, &f::Reconfigure},
+      {"keys_drain", fault_family::keys, &f::DrainEndpoint},
   };
   return kFaults;
 }
@@ -168,11 +188,20 @@
         drawn_from == fault_family::restores && known.family == drawn_from;
     choices_.insert(choices_.end(), is_own ? kOwnWeight : 1, &known);
   }
+  if (drawn_from == fault_family::keys) {
+    writer_.emplace(loop, fleet.Store(), seed);
+  }
 }
 
 fault_schedule::~fault_schedule() = default;
 
-void fault_schedule::Start() { ScheduleNext(); }
+void fault_schedule::Start() {
+  if (writer_) {
+    writer_->Start();
+    ChangePages(milliseconds(0));
+  }
+  ScheduleNext();
+}
 
 void fault_schedule::ScheduleNext() {
   const milliseconds gap(std::uniform_int_distribution<int>(
@@ -667,6 +696,35 @@
   }
 }
 
+// Another writer of the store.
+
+void fault_schedule::KillGateways(milliseconds length) {
+  for (auto& slot : fleet_.Programs()) {
+    if (slot.is_gateway) Kill(slot, length);
+  }
+}
+
+void fault_schedule::ChangePages(milliseconds /*length*/) {
+  page_items_ = 1 + static_cast<std::size_t>(Pick(kLongestPage));
+  SetTarget(std::to_string(page_items_) + " items a page");
+  fleet_.Store().SetPageItems(page_items_);
+}
+
+void fault_schedule::ListsGoRound(milliseconds length) {
+  const auto keys =
+      fleet_.Store().Keys(Pick(2) == 0 ? std::string("op/") : "servers/");
+  if (keys.size() <= page_items_) return;
+  const std::size_t next_pages = (keys.size() - 1) / page_items_;
+  const std::size_t page = 1 + static_cast<std::size_t>(Pick(next_pages));
+  promises_.StoreDisturbed(loop_.Now() + length);
+  fleet_.Store().RestartListsAfter(keys[page * page_items_ - 1]);
+  HealAfter(length, [this] { fleet_.Store().RestartListsAfter(""); });
+}
+
+void fault_schedule::BurstOfKeys(milliseconds /*length*/) {
+  for (int i = 0; i < kBurst; ++i) writer_->Write();
+}
+
 // Silences, and planned work beside them.
 
 void fault_schedule::Silence(std::size_t endpoint) {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -9,6 +9,7 @@
 
 #include "fleet_under_test.h"
 #include "net/event_loop.h"
+#include "other_writer.h"
 #include "promise_record.h"
 
 namespace comfreyspring::soak {
@@ -25,7 +26,8 @@
  * links with little bandwidth. `malformed` draws what `streams` does,
  * beside malformed heads of answers and reports. `suspensions` draws kills of
  * gateways and planned work beside VMs of engines that stand still, one at a
- * time.
+ * time. `keys` draws kills of gateways, planned work and faults of the store
+ * beside another writer of the store, whose lists have short pages.
  */
 enum class fault_family {
   all,
@@ -44,6 +46,7 @@
   thin,
   malformed,
   suspensions,
+  keys,
 };
 
 /**
@@ -134,6 +137,13 @@
   void SuspendVm(core::milliseconds length);
   void KillGateway(core::milliseconds length);
 
+  // Another writer of the store.
+  void KillGateways(core::milliseconds length);
+  void ChangePages(core::milliseconds length);
+  /** The pages of one family's list go round. */
+  void ListsGoRound(core::milliseconds length);
+  void BurstOfKeys(core::milliseconds length);
+
   // Silences, and planned work beside them.
   void SilenceEngine(core::milliseconds length);
   /** Half of the endpoints fall silent at the same time. */
@@ -204,6 +214,8 @@
   bool stopped_ = false;
   std::string target_;
   bool has_suspended_vm_ = false;
+  std::optional<other_writer> writer_;
+  std::size_t page_items_ = 0;
   std::vector<std::string> history_;
   std::vector<std::shared_ptr<std::function<void()>>> pending_;
 };
--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -26,8 +26,8 @@
 DEFINE_string(
     faults, "all",
     "all, processes, links, store, endpoints, clocks, leaving, limits, "
-    "streams, deadly, restores, silences, repeats, thin, malformed or "
-    "suspensions");
+    "streams, deadly, restores, silences, repeats, thin, malformed, "
+    "suspensions or keys");
 DEFINE_string(directory, "",
               "directory for logs; they are kept if the run fails");
 
@@ -62,11 +62,14 @@
     {"repeats", fault_family::repeats},
     {"thin", fault_family::thin},
     {"malformed", fault_family::malformed},
-    {"suspensions", fault_family::suspensions}};
+    {"suspensions", fault_family::suspensions},
+    {"keys", fault_family::keys}};
 
 /** In the family `thin`: 10 Mbit/s, and a configuration of some 200 kB. */
 constexpr std::size_t kThinLinkBytesPerSecond = 1'250'000;
 constexpr int kUnusedRoutes = 900;
+/** Memory that a program may use, in `keys`. */
+constexpr long kMaximumKib = 128 * 1024;
 /** Share of streams that end engines, in `deadly` and `repeats`. */
 constexpr double kDeadlyShare = 0.08;
 
@@ -76,8 +79,9 @@
 
 int Run(const std::filesystem::path& directory) {
   const bool is_thin = FLAGS_faults == "thin";
-  const bool probes_configuration =
-      FLAGS_faults == "restores" || FLAGS_faults == "silences" || is_thin;
+  const bool probes_configuration = FLAGS_faults == "restores" ||
+                                    FLAGS_faults == "silences" ||
+                                    FLAGS_faults == "keys" || is_thin;
   net::event_loop loop;
   promise_record promises(fleet_under_test::kEvents);
   fleet_under_test fleet(
@@ -90,7 +94,8 @@
        .plain_endpoints = FLAGS_plain,
        .adds_routes = probes_configuration,
        .unused_routes = is_thin ? kUnusedRoutes : 0,
-       .store_bytes_per_second = is_thin ? kThinLinkBytesPerSecond : 0});
+       .store_bytes_per_second = is_thin ? kThinLinkBytesPerSecond : 0,
+       .maximum_kib = FLAGS_faults == "keys" ? kMaximumKib : 0});
   callers load(loop, fleet, promises, FLAGS_seed, FLAGS_rate);
   fault_schedule faults(loop, fleet, promises, FLAGS_seed,
                         kFamilies.at(FLAGS_faults));
--- a/tests/soak/fleet_under_test.cc
+++ b/tests/soak/fleet_under_test.cc
@@ -240,7 +240,9 @@
       registered.insert("servers/" + slot.engine->Instance());
     }
   }
-  for (const std::string& key : store_->Keys("servers/")) {
+  // The entries of other writers stay.
+  for (int i = 1; i <= last_instance_; ++i) {
+    const std::string key = "servers/instance-" + std::to_string(i);
     if (registered.count(key) == 0) store_->Remove(key);
   }
 }
@@ -358,6 +360,11 @@
                           std::to_string(status));
       Start(slot);
     }
+    if (!ended && options_.maximum_kib > 0 &&
+        slot.process->PeakResidentKib() > options_.maximum_kib) {
+      promises_.Violation(slot.name + " uses more than " +
+                          std::to_string(options_.maximum_kib) + " KiB");
+    }
     const auto since = loop_.Now() - slot.stopping_since;
     if (!ended && slot.is_stopping && !slot.is_paused &&
         !slot.stop_was_disturbed && since > kStopGrace + kStopSlack) {
--- a/tests/soak/fleet_under_test.h
+++ b/tests/soak/fleet_under_test.h
@@ -34,6 +34,8 @@
   int unused_routes = 0;
   /** Of the link between each gateway and the store; 0 for no limit. */
   std::size_t store_bytes_per_second = 0;
+  /** Memory that a program may use; 0 for no limit. */
+  long maximum_kib = 0;
 };
 
 /** What a new configuration changes, besides the routes that it adds. */
