Refuse requests whose heads are not in the grammar of HTTP

Cause: the daemon accepts blanks and control bytes in a target or a method, control bytes (also a lone carriage return) in values, and any byte in names.

Change: such a request gets a 400 with outcome not_run before its body is read, and its connection is closed. The text names the field but not its value. The grammar moves from response_head to head_grammar, so that there is one copy. Bytes from 0x80 on and tabs in values pass as before.

What the daemon cuts or joins by itself is not seen: a zero byte ends a value, and a folded line is added to the name.

--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "core/text.h"
+#include "net/head_grammar.h"
 #include "net/tcp_socket.h"
 
 namespace comfreyspring::net {
@@ -197,8 +198,18 @@
   Refuse(431, "headers_too_large", "The headers are too large.");
 }
 
+bool http_exchange_state::RefuseMalformed() {
+  try {
+    CheckRequestHead(request_.method, request_.target, request_.headers);
+  } catch (const net_error& failure) {
+    Refuse(400, "malformed_request", std::string(failure.what()) + '.');
+    return true;
+  }
+  return false;
+}
+
 void http_exchange_state::Refuse(int status, const char* type,
-                                 const char* message) {
+                                 const std::string& message) {
   dispatched_ = true;
   DiscardBody();
   response_ = http_response{
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -61,6 +61,12 @@
   body_id Body() const { return body_; }
   /** Sets a 431 response; the body is not read. */
   void RefuseHeaders();
+  /**
+   * Sets a 400 response if the head is not in the grammar of HTTP; the body is
+   * not read. The daemon accepts such heads, which other servers read in other
+   * ways. @returns true if it has set a response.
+   */
+  bool RefuseMalformed();
   /** Bytes of the header fields, without the request line. */
   std::size_t HeaderBytes() const { return header_bytes_; }
   /** The connection waits for the response, or for more of it. */
@@ -105,7 +111,7 @@
   void MarkIncomplete() const;
   int Descriptor() const;
   /** Sets a response that closes the connection. */
-  void Refuse(int status, const char* type, const char* message);
+  void Refuse(int status, const char* type, const std::string& message);
   /** @returns false if there is no memory for the received bytes. */
   bool ReserveBody();
   void DiscardBody();
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -369,10 +369,9 @@
     body_owners[body] = connection;
     if (reference.HeaderBytes() > limits.maximum_header_bytes) {
       reference.RefuseHeaders();
-    } else if (reference.MustRefuseUnread()) {
+    } else if (!reference.RefuseMalformed()) {
+      if (!reference.MustRefuseUnread()) return MHD_YES;
       reference.RefuseBody();
-    } else {
-      return MHD_YES;
     }
     return reference.Answer() ? MHD_YES : MHD_NO;
   }
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -99,6 +99,39 @@
   EXPECT_EQ(seen, targets);
 }
 
+// What a caller may not send would fail the call that passes it on, at one
+// endpoint after the other.
+TEST_F(http_server_test, RefusesHeadsThatAreNoHttp) {
+  int handled = 0;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    exchange->Respond({200, {}, ""});
+  });
+  const auto answer_to = [&](const std::string& request_line,
+                             const std::string& field = "x-a: 1") {
+    test_peer peer(loop_, server_->Port());
+    peer.Send(request_line + " HTTP/1.1\r\nHost: a\r\n" + field + "\r\n\r\n");
+    loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, milliseconds(100));
+    return peer.Received().substr(0, peer.Received().find(" ", 9));
+  };
+  const std::string refused = "HTTP/1.1 400";
+  for (const char* line : {"GET /a b", "GET /a\tb", "GET /a\x01", "GET /a\x7f",
+                           "GET /a\rb", "G(T /a", "G\x01T /a"}) {
+    EXPECT_EQ(answer_to(line), refused) << line;
+  }
+  for (const char* field :
+       {"x-a: \x01", "x-a: \x7f", "x-a: a\rhold: 1", "x a: 1", "x(a: 1",
+        "x\xc3\xa9: 1", "transfer-encoding : chunked", "hold : 1"}) {
+    EXPECT_EQ(answer_to("GET /", field), refused) << field;
+  }
+  EXPECT_EQ(handled, 0);
+  for (const char* field : {"x-a: a\tb", "x-a: \xc3\xa9",
+                            "x-a:", "x-a:  ", "!#$%&'*+-.^_`|~09: 1"}) {
+    EXPECT_EQ(answer_to("GET /%20?a=\xc3\xa9\"<>", field), "HTTP/1.1 200")
+        << field;
+  }
+}
+
 // The response may be sent several turns later, from a timer.
 TEST_F(http_server_test, AnswersLater) {
   StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -1,21 +1,18 @@
 #include "net/response_head.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <cstdint>
-#include <cstdio>
 
 #include "core/text.h"
 #include "net/event_loop.h"
+#include "net/head_grammar.h"
 
 namespace comfreyspring::net {
 namespace {
 
 /** Limit for the values of a field that is repeated. */
 constexpr std::size_t kMaximumListedBytes = 16 * 1024;
-/** Longest part of a field name in an error text. */
-constexpr std::size_t kMaximumQuotedBytes = 64;
 
 constexpr int kMinimumStatus = 100;
 constexpr int kMaximumStatus = 599;
@@ -25,42 +22,17 @@
 constexpr const char* kContentLength = "content-length";
 constexpr const char* kTransferEncoding = "transfer-encoding";
 
-bool IsTokenCharacter(char c) {
-  return core::IsDigit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-}
-
-/** Control characters other than the tab. */
-bool IsControlCharacter(char c) {
-  const auto byte = static_cast<unsigned char>(c);
-  return (byte < ' ' && c != '\t') || byte == 0x7f;
-}
-
-std::string ByteText(char c) {
-  std::array<char, 8> text{};
-  std::snprintf(text.data(), text.size(), "0x%02x",
-                static_cast<unsigned>(static_cast<unsigned char>(c)));
-  return text.data();
-}
-
-std::string_view TrimBlanks(std::string_view text) {
-  const std::size_t first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /**
  * @param what,name what the error calls the text; a long name is shortened.
  * @throws net_error if `text` contains a control character.
  */
 void CheckText(std::string_view text, const char* what,
                std::string_view name = {}) {
-  const auto* const control =
-      std::find_if(text.begin(), text.end(), IsControlCharacter);
-  if (control == text.end()) return;
-  throw net_error(what + std::string(name.substr(0, kMaximumQuotedBytes)) +
+  const std::size_t control = FindControl(text);
+  if (control == std::string_view::npos) return;
+  throw net_error(what + std::string(Quoted(name)) +
                   " of the response has the control character " +
-                  ByteText(*control));
+                  ByteText(text[control]));
 }
 
 }  // namespace
@@ -135,11 +107,10 @@
     throw net_error("a header field of the response has no name");
   }
   // Also a folded line, which begins with a blank.
-  const auto* const invalid =
-      std::find_if_not(name.begin(), name.end(), IsTokenCharacter);
-  if (invalid != name.end()) {
+  const std::size_t invalid = FindNonToken(name);
+  if (invalid != std::string_view::npos) {
     throw net_error("a field name of the response has the character " +
-                    ByteText(*invalid));
+                    ByteText(name[invalid]));
   }
   const std::string_view value = TrimBlanks(line.substr(colon + 1));
   CheckText(value, "the field ", name);
