Do not send calls whose heads are not in the grammar of HTTP

Change: such a call fails with not_sent before anything is sent, by the usual callback. Its error names the header but not the value, which may be a key.

Evidence: http_client_test.ACallWithTextThatIsNoHttpIsNotSent; before, the first of its calls sent "x-a: key" and "x-b: 1" as two lines, and all failed with "the call exceeded its total timeout" instead of their own errors.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -101,6 +101,10 @@
 class http_client_interface {
  public:
   virtual ~http_client_interface() = default;
+  /**
+   * Starts a call. One whose method, target or headers are not in the grammar
+   * of HTTP is not sent.
+   */
   virtual http_call_id Start(http_call call, http_callbacks callbacks) = 0;
   /** Aborts a call without calling `on_done`; closes its connection. */
   virtual void Cancel(http_call_id call) = 0;
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -61,6 +61,49 @@
   EXPECT_FALSE(result_->connection_refused);
 }
 
+// A value with a line break would add lines, or a whole request, to what the
+// peer reads.
+TEST_F(http_client_test, ACallWithTextThatIsNoHttpIsNotSent) {
+  const auto fail = [&](http_call call, const std::string& message) {
+    SCOPED_TRACE(message);
+    call.url = Url();
+    call.total_timeout = milliseconds(100);
+    Start(std::move(call));
+    EXPECT_FALSE(result_.has_value());
+    ASSERT_TRUE(WaitForResult());
+    EXPECT_EQ(result_->failure, http_failure::not_sent);
+    EXPECT_FALSE(result_->connection_refused);
+    EXPECT_EQ(result_->error_message, message);
+  };
+  const std::string value = "the field x-a of the request has the control ";
+  fail({.headers = {{"x-a", "key\r\nx-b: 1"}}}, value + "character 0x0d");
+  fail({.headers = {{"x-a", "key\n"}}}, value + "character 0x0a");
+  fail({.headers = {{"x-a", std::string("key\0", 4)}}},
+       value + "character 0x00");
+  fail({.headers = {{"x-a", "\x7f"}}}, value + "character 0x7f");
+  const std::string name = "a field name of the request has the character ";
+  fail({.headers = {{"x-a: key\r\nx-b", "1"}}}, name + "0x3a after x-a");
+  fail({.headers = {{"x a", "1"}}}, name + "0x20 after x");
+  fail({.headers = {{"x\xc3\xa9", "1"}}}, name + "0xc3 after x");
+  fail({.headers = {{"", "1"}}}, "a field of the request has no name");
+  fail({.method = "GET / HTTP/1.1\r\nx-b: 1\r\n\r\nGET"},
+       "the method of the request has the character 0x20");
+  fail({.method = ""}, "the request has no method");
+  const std::string target = "the target of the request has the character ";
+  fail({.target = "/a HTTP/1.1\r\nx-b: 1"}, target + "0x20");
+  fail({.target = "/a\r\nx-b: 1"}, target + "0x0d");
+  fail({.target = std::string("/a\0b", 4)}, target + "0x00");
+  fail({.target = "/\x7f"}, target + "0x7f");
+
+  // Nothing was sent before.
+  Start({.url = Url(), .headers = {{"x-a", "a\tb \xc3\xa9"}, {"x-empty", ""}}});
+  const auto peer = listener_.Accept();
+  ASSERT_TRUE(WaitForBytes(*peer, "\r\n\r\n"));
+  EXPECT_NE(peer->Received().find("\r\nx-a: a\tb \xc3\xa9\r\nx-empty:\r\n"),
+            std::string::npos)
+      << peer->Received();
+}
+
 TEST_F(http_client_test, ReportsAClosedConnectionAsBroken) {
   Start({.url = Url()});
   const auto peer = listener_.Accept();
--- a/src/net/http_transfer.cc
+++ b/src/net/http_transfer.cc
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <utility>
 
+#include "net/head_grammar.h"
+
 namespace comfreyspring::net {
 namespace {
 
@@ -47,6 +49,11 @@
       head_(call_.maximum_headers),
       pieces_until_hold_(kPiecesBetweenHolds),
       last_activity_(loop.Now()) {
+  if (!Guarded([this] {
+        CheckRequestHead(call_.method, call_.target, call_.headers);
+      })) {
+    easy_.reset();
+  }
   if (!easy_) return;
   SetUrlAndMethod();
   SetHeaders();
--- a/src/net/http_transfer.h
+++ b/src/net/http_transfer.h
@@ -28,7 +28,10 @@
   http_transfer& operator=(const http_transfer&) = delete;
 
   http_call_id Id() const { return id_; }
-  /** Null if libcurl could not create a handle. */
+  /**
+   * Null if libcurl could not create a handle, or if the head of the request
+   * would be malformed.
+   */
   CURL* Easy() const { return easy_.get(); }
   /** Id of the call that a libcurl handle belongs to. */
   static http_call_id IdOf(CURL* easy);
