Do not lose fields of responses without a word

The daemon refuses a field with a line break, or without a value, by a return value that was not read: the response was sent without it. A zero byte cut a value ("1" for "1\0"), and a name with a control byte was sent as it is, which ends the call at its reader.

Change: a response with a field outside the grammar becomes a 500 that names the field, as for a handler that gives no response. A field without a value is sent with a blank, which is not part of a value.

Evidence: http_server_test.HeadersOfAResponseAreNotLost; before, an empty field of a response was missing, and "x-a: 1\r\nx-b: 2" gave a 200 without it.

--- a/src/net/head_grammar.cc
+++ b/src/net/head_grammar.cc
@@ -104,4 +104,8 @@
   CheckFields(headers, "request");
 }
 
+void CheckResponseFields(const header_map& headers) {
+  CheckFields(headers, "response");
+}
+
 }  // namespace comfreyspring::net
--- a/src/net/head_grammar.h
+++ b/src/net/head_grammar.h
@@ -28,5 +28,10 @@
  */
 void CheckRequestHead(std::string_view method, std::string_view target,
                       const header_map& headers);
+/**
+ * Checks the fields of a response that is sent.
+ * @throws net_error with a text that contains no value of a field.
+ */
+void CheckResponseFields(const header_map& headers);
 
 }  // namespace comfreyspring::net
--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -54,7 +54,9 @@
 bool Queue(MHD_Connection* connection, int status, const header_map& headers,
            const response_pointer& response) {
   for (const auto& [name, value] : headers) {
-    MHD_add_response_header(response.get(), name.c_str(), value.c_str());
+    // The daemon leaves out fields without a value; a blank is not part of one.
+    MHD_add_response_header(response.get(), name.c_str(),
+                            value.empty() ? " " : value.c_str());
   }
   return MHD_queue_response(connection, static_cast<unsigned>(status),
                             response.get()) == MHD_YES;
@@ -287,19 +289,30 @@
 }
 
 void http_exchange_state::Respond(http_response response) {
-  if (IsAnswered()) return;
+  if (IsAnswered() || !AcceptFields(response.headers)) return;
   response_ = std::move(response);
   Resume();
 }
 
 void http_exchange_state::BeginStream(int status, header_map headers) {
-  if (IsAnswered()) return;
+  if (IsAnswered() || !AcceptFields(headers)) return;
   streaming_ = true;
   stream_status_ = status;
   stream_headers_ = std::move(headers);
   Resume();
 }
 
+bool http_exchange_state::AcceptFields(const header_map& headers) {
+  try {
+    CheckResponseFields(headers);
+    return true;
+  } catch (const net_error& failure) {
+    response_ = http_response{500, {}, std::string(failure.what()) + ".\n"};
+    Resume();
+    return false;
+  }
+}
+
 void http_exchange_state::Write(std::string data) {
   if (connection_ == nullptr || gone_ || !streaming_ || stream_ended_) return;
   if (stream_data_.empty()) {
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -112,6 +112,8 @@
   int Descriptor() const;
   /** Sets a response that closes the connection. */
   void Refuse(int status, const char* type, const std::string& message);
+  /** @returns false after setting a 500 response if a field is malformed. */
+  bool AcceptFields(const header_map& headers);
   /** @returns false if there is no memory for the received bytes. */
   bool ReserveBody();
   void DiscardBody();
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -132,6 +132,43 @@
   }
 }
 
+// The daemon leaves out what it refuses and sends the rest.
+TEST_F(http_server_test, HeadersOfAResponseAreNotLost) {
+  http_response response;
+  bool streams = false;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    if (!streams) {
+      exchange->Respond(response);
+      return;
+    }
+    exchange->BeginStream(response.status, response.headers);
+    exchange->Write("data");
+    exchange->EndStream();
+  });
+  for (const bool each : {false, true}) {
+    streams = each;
+    response = {
+        200, {{"x-tab", "a\tb"}, {"x-empty", ""}, {"x-b", "1"}}, "data"};
+    auto result = Get("/");
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, "data");
+    EXPECT_EQ(result.headers["x-tab"], "a\tb");
+    EXPECT_EQ(result.headers["x-b"], "1");
+    EXPECT_EQ(result.headers.count("x-empty"), 1U);
+
+    for (const auto& [name, value] : header_map{{"x-a", "1\r\nx-b: 2"},
+                                                {"x-c", std::string("1\0", 2)},
+                                                {"x-d: 1", "2"},
+                                                {"x\x01", "1"}}) {
+      response.headers = {{name, value}};
+      result = Get("/");
+      EXPECT_EQ(result.status, 500) << name;
+      EXPECT_NE(result.body, "data") << name;
+      EXPECT_EQ(result.headers.count(name), 0U) << name;
+    }
+  }
+}
+
 // The response may be sent several turns later, from a timer.
 TEST_F(http_server_test, AnswersLater) {
   StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
