--- a/tests/process/keys_of_others_test.cc
+++ b/tests/process/keys_of_others_test.cc
@@ -90,6 +90,15 @@
                        ("gateway-" + std::to_string(gateway) + ".log"));
     return {std::istreambuf_iterator<char>(file), {}};
   }
+  int CountInLog(int gateway, const std::string& text) const {
+    const std::string log = LogOf(gateway);
+    int count = 0;
+    for (std::size_t at = log.find(text); at != std::string::npos;
+         at = log.find(text, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
 
   /** Requests that arrived, by instance. */
   std::map<std::string, int> arrivals_;
@@ -118,6 +127,42 @@
   ExpectService("added");
 }
 
+// Guards against requests to endpoints whose ids end the line of their header.
+TEST_F(keys_of_others_test, IdsThatNoHeaderHoldsNameNoEndpoints) {
+  for (const char* id : {"", "i-9\r\nHold: 1", "i-9\x01", "i-9\x7f"}) {
+    store_.Put(std::string("servers/") + id,
+               {{"Service", "plain"},
+                {"Addr", fleet_layout::At(layout_.EndpointRelay(0),
+                                          fleet_layout::kEndpointPort)},
+                {"Zone", "z"},
+                {"Slots", 8},
+                {"State", "ready"}});
+  }
+  Wait(kChangeBound);
+  ExpectService("order");
+  for (int i = 0; i < kGateways; ++i) {
+    EXPECT_EQ(LogOf(i).find("\"attempt_failed\""), std::string::npos);
+    EXPECT_EQ(CountInLog(i, "no header can hold the id"), 4);
+  }
+}
+
+// Guards against requests with a header line that the name of their tenant has
+// added.
+TEST_F(keys_of_others_test, ATenantThatNoHeaderHoldsIsNotAdopted) {
+  store_.Put("op/config", {{"Version", 2},
+                           {"Routes", json::array()},
+                           {"Services", json::array()},
+                           {"Tenants", {{{"Name", "t\r\nHold: 1"}}}}});
+  Wait(kChangeBound);
+  ExpectService("order");
+  for (int i = 0; i < kGateways; ++i) {
+    EXPECT_EQ(CountInLog(i, "no header can hold the name of a tenant"), 1);
+  }
+  PutConfiguration({.version = 3, .added = {"added"}});
+  Wait(kChangeBound);
+  ExpectService("added");
+}
+
 // Guards against gateways that keep the pages of a list that goes round until
 // they are ended for their memory.
 TEST_F(keys_of_others_test, AListThatGoesRoundIsGivenUp) {
