Escape names from outside in labels of metrics

Change: telemetry::WithLabel writes a value as the text exposition format prescribes; the label of the histogram buckets goes through it too. All other labels are texts of the program, or reasons that agents give to entries, which are texts of the program as well.

Evidence: Metrics.EscapesTheValueOfALabel.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -2756,9 +2756,9 @@
   impl_->metrics.SetGauge("gateway_sidecars_wanted",
                           static_cast<double>(impl_->links->TargetCount()));
   for (auto& [service, budget] : impl_->budgets) {
-    impl_->metrics.SetGauge(
-        "gateway_repeats_left{service=\"" + service.Value() + "\"}",
-        budget.Available(impl_->GatewayCount(), now));
+    impl_->metrics.SetGauge(telemetry::WithLabel("gateway_repeats_left",
+                                                 "service", service.Value()),
+                            budget.Available(impl_->GatewayCount(), now));
   }
 }
 
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -49,13 +49,6 @@
   return name.substr(0, name.find('{'));
 }
 
-std::string WithLabel(const std::string& name, const std::string& label) {
-  if (name.back() == '}') {
-    return name.substr(0, name.size() - 1) + "," + label + "}";
-  }
-  return name + "{" + label + "}";
-}
-
 std::string WithSuffix(const std::string& name, const std::string& suffix) {
   const std::size_t brace = name.find('{');
   if (brace == std::string::npos) return name + suffix;
@@ -64,6 +57,26 @@
 
 }  // namespace
 
+std::string WithLabel(const std::string& name, const std::string& label,
+                      const std::string& value) {
+  std::string result = name;
+  if (result.back() == '}') {
+    result.back() = ',';
+  } else {
+    result += '{';
+  }
+  result += label + "=\"";
+  for (const char c : value) {
+    if (c == '\\' || c == '"') result += '\\';
+    if (c == '\n') {
+      result += "\\n";
+    } else {
+      result += c;
+    }
+  }
+  return result + "\"}";
+}
+
 struct metrics::impl {
   std::map<std::string, std::uint64_t> counters;
   std::map<std::string, double> gauges;
@@ -113,12 +126,12 @@
     std::uint64_t up_to = 0;
     for (std::size_t i = 0; i < kBuckets.size(); ++i) {
       up_to += observed.buckets[i];
-      std::ostringstream label;
-      label << "le=\"" << kBuckets[i] << '"';
-      text << WithLabel(bucket, label.str()) << ' ' << up_to << '\n';
+      std::ostringstream bound;
+      bound << kBuckets[i];
+      text << WithLabel(bucket, "le", bound.str()) << ' ' << up_to << '\n';
     }
     const auto count = acc::count(observed.values);
-    text << WithLabel(bucket, "le=\"+Inf\"") << ' ' << count << '\n';
+    text << WithLabel(bucket, "le", "+Inf") << ' ' << count << '\n';
     text << WithSuffix(name, "_sum") << ' ' << acc::sum(observed.values)
          << '\n';
     text << WithSuffix(name, "_count") << ' ' << count << '\n';
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -9,9 +9,17 @@
 
 namespace comfreyspring::telemetry {
 
+/**
+ * Adds a label to the name of a metric. The value may be any text: it is
+ * written as the text exposition format prescribes.
+ */
+std::string WithLabel(const std::string& name, const std::string& label,
+                      const std::string& value);
+
 /**
  * Registry of metrics. Names are in `snake_case`, include the unit and may have
- * labels in braces, such as `entry_requests_total{class="urgent"}`.
+ * labels in braces, such as `entry_requests_total{class="urgent"}`;
+ * `WithLabel` makes those whose labels the program does not contain itself.
  */
 class metrics {
  public:
--- a/src/telemetry/metrics_test.cc
+++ b/src/telemetry/metrics_test.cc
@@ -20,6 +20,17 @@
   EXPECT_NE(text.find("wait_ms_count 1000\n"), std::string::npos);
 }
 
+// A name from outside must end neither its label nor its line.
+TEST(Metrics, EscapesTheValueOfALabel) {
+  metrics registry;
+  registry.SetGauge(WithLabel("left", "service", "s\"} 1\nup 0\n\\"), 3);
+  EXPECT_EQ(registry.ToText(),
+            "# TYPE left gauge\n"
+            "left{service=\"s\\\"} 1\\nup 0\\n\\\\\"} 3\n");
+  EXPECT_EQ(WithLabel("wait_ms{class=\"urgent\"}", "le", "+Inf"),
+            "wait_ms{class=\"urgent\",le=\"+Inf\"}");
+}
+
 // Guards against latencies being exported as quantiles, which cannot be
 // aggregated over processes; histogram buckets can.
 TEST(Metrics, WritesHistograms) {
