--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -99,6 +99,76 @@
   EXPECT_EQ(seen, targets);
 }
 
+// What a caller may not send would fail the call that passes it on, at one
+// endpoint after the other.
+TEST_F(http_server_test, RefusesHeadsThatAreNoHttp) {
+  int handled = 0;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    exchange->Respond({200, {}, ""});
+  });
+  const auto answer_to = [&](const std::string& request_line,
+                             const std::string& field = "x-a: 1") {
+    test_peer peer(loop_, server_->Port());
+    peer.Send(request_line + " HTTP/1.1\r\nHost: a\r\n" + field + "\r\n\r\n");
+    loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, milliseconds(100));
+    return peer.Received().substr(0, peer.Received().find(" ", 9));
+  };
+  const std::string refused = "HTTP/1.1 400";
+  for (const char* line : {"GET /a b", "GET /a\tb", "GET /a\x01", "GET /a\x7f",
+                           "GET /a\rb", "G(T /a", "G\x01T /a"}) {
+    EXPECT_EQ(answer_to(line), refused) << line;
+  }
+  for (const char* field :
+       {"x-a: \x01", "x-a: \x7f", "x-a: a\rhold: 1", "x a: 1", "x(a: 1",
+        "x\xc3\xa9: 1", "transfer-encoding : chunked", "hold : 1"}) {
+    EXPECT_EQ(answer_to("GET /", field), refused) << field;
+  }
+  EXPECT_EQ(handled, 0);
+  for (const char* field : {"x-a: a\tb", "x-a: \xc3\xa9",
+                            "x-a:", "x-a:  ", "!#$%&'*+-.^_`|~09: 1"}) {
+    EXPECT_EQ(answer_to("GET /%20?a=\xc3\xa9\"<>", field), "HTTP/1.1 200")
+        << field;
+  }
+}
+
+// The daemon leaves out what it refuses and sends the rest.
+TEST_F(http_server_test, HeadersOfAResponseAreNotLost) {
+  http_response response;
+  bool streams = false;
+  StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
+    if (!streams) {
+      exchange->Respond(response);
+      return;
+    }
+    exchange->BeginStream(response.status, response.headers);
+    exchange->Write("data");
+    exchange->EndStream();
+  });
+  for (const bool each : {false, true}) {
+    streams = each;
+    response = {
+        200, {{"x-tab", "a\tb"}, {"x-empty", ""}, {"x-b", "1"}}, "data"};
+    auto result = Get("/");
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, "data");
+    EXPECT_EQ(result.headers["x-tab"], "a\tb");
+    EXPECT_EQ(result.headers["x-b"], "1");
+    EXPECT_EQ(result.headers.count("x-empty"), 1U);
+
+    for (const auto& [name, value] : header_map{{"x-a", "1\r\nx-b: 2"},
+                                                {"x-c", std::string("1\0", 2)},
+                                                {"x-d: 1", "2"},
+                                                {"x\x01", "1"}}) {
+      response.headers = {{name, value}};
+      result = Get("/");
+      EXPECT_EQ(result.status, 500) << name;
+      EXPECT_NE(result.body, "data") << name;
+      EXPECT_EQ(result.headers.count(name), 0U) << name;
+    }
+  }
+}
+
 // The response may be sent several turns later, from a timer.
 TEST_F(http_server_test, AnswersLater) {
   StartServer([&](const std::shared_ptr<http_exchange>& exchange) {
