Show the state also while a request's id is no text

The page of a gateway's state failed ("The handler released the request without a response") while a caller's Request-Id held a byte that is not UTF-8: ids are any bytes, and the JSON library refuses them. They are shown with U+FFFD, as in the agent's and the entry's pages; the page of quotas likewise.

--- a/src/gateway/quota_client.cc
+++ b/src/gateway/quota_client.cc
@@ -288,7 +288,7 @@
   }
   return nlohmann::json{{"gateways", GatewayCount()},
                         {"tenants", std::move(tenants)}}
-      .dump(2);
+      .dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace comfreyspring::gateway
--- a/src/gateway/request_forwarder_test.cc
+++ b/src/gateway/request_forwarder_test.cc
@@ -551,6 +551,13 @@
   EXPECT_NE(log_text_.find("\"change\":\"unreadable\""), std::string::npos);
 }
 
+// The page of the state failed while such a request was in progress.
+TEST_F(request_forwarder_test, TheStateHoldsIdsThatAreNoText) {
+  Send("/once/a", "1000", "r\xff");
+  const auto state = nlohmann::json::parse(forwarder_.Dump());
+  EXPECT_EQ(state.at("requests").size(), 1U);
+}
+
 TEST_F(request_forwarder_test, CancelsAnEndlessResponse) {
   const auto caller = Send("/once/a");
   http_.Headers(200, Own());
--- a/src/telemetry/event_log_test.cc
+++ b/src/telemetry/event_log_test.cc
@@ -58,9 +58,9 @@
   EXPECT_EQ(lines[1]["change"], "lost");
 }
 
-// A key that is not ASCII could not be found in the log: each of its bytes was
+// Readers of the JSON did not get a key that is not ASCII: each of its bytes was
 // written as a character.
-TEST_F(event_log_test, WritesTextAsItIs) {
+TEST_F(event_log_test, ReadersGetTextAsItIs) {
   auto log = Make();
   const std::string text = "servers/\xc3\xa9\xf0\x9f\x98\x80\x7f";
   log.SystemEvent("entry_unreadable").Add("key", text);
