--- a/src/telemetry/event_log_test.cc
+++ b/src/telemetry/event_log_test.cc
@@ -58,8 +58,8 @@
   EXPECT_EQ(lines[1]["change"], "lost");
 }
 
-// Readers of the JSON did not get a key that is not ASCII: each of its bytes was
-// written as a character.
+// Readers of the JSON did not get a key that is not ASCII: each of its bytes
+// was written as a character.
 TEST_F(event_log_test, ReadersGetTextAsItIs) {
   auto log = Make();
   const std::string text = "servers/\xc3\xa9\xf0\x9f\x98\x80\x7f";
