--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -2817,7 +2817,6 @@
       {"prompt_quarantines", std::move(quarantines)},
       {"endpoints", std::move(endpoints)},
       {"requests", std::move(requests)}};
-  // Ids of requests are any bytes.
   return dump.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
