--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,133 +1,166 @@
-"""A sidecar is stopped and started again, as planned, while its engine still
-carries out an order of the stopped one. See claim.txt."""
+"""Many callers at once, whose requests have many short header lines. See
+claim.txt."""
 
 import asyncio
 import os
-import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-3"))
 
-from stand_ins import (Engine, Fleet, configuration, engine_service, route,
-                       send)
+from stand_ins import (Engine, Fleet, configuration, engine_service,
+                       read_answer, route)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PLACES = 4
-ROUNDS = 6
+# The smallest entry machines of the deployment.
+MEMORY_MB = 120
+DESCRIPTORS = 3075
+ENGINES = 24
+SLOTS = 32
+CALLERS = 700
+# All second requests are sent within this time; each takes some 4 s.
+BURST_S = 2.0
+# Header lines of a request beside those of the protocol: the same number of
+# bytes in many lines, or in few.
+LINES = 500 if TROUBLE else 10
+VALUE = "1" if TROUBLE else "1" * 431
+ALLOWED = 3
 
 
 class Case:
     def __init__(self):
         self.fleet = Fleet(HERE)
         self.front = self.fleet.address(2)
-        # Streams of 3 s, so that a replacement waits that long for its runs.
-        self.engine = Engine(self.fleet.address(10), self.fleet.APP, "i-1",
-                             self.fleet.record, adapter_slots=PLACES, slots=16,
-                             load_s=0.15, events=60, event_s=0.05)
-        self.sent = 0
-        self.tasks = []
-        self.answers = {}
+        # Streams of some 4 s.
+        self.engines = [
+            Engine(self.fleet.address(10 + i), self.fleet.APP, f"i-{i}",
+                   self.fleet.record, slots=SLOTS, load_s=0.15, events=14,
+                   event_s=0.28) for i in range(ENGINES)]
+        for engine in self.engines:
+            engine.held = {"a1": 1}
+        self.fields = "".join(f"x{i:03}: {VALUE}\r\n" for i in range(LINES))
+        self.results = {}
+        self.ready = 0
+        self.lost = 0
+        self.most_bytes = 0
+        self.killed = False
 
-    def ask(self, adapter):
-        self.sent += 1
-        self.tasks.append(asyncio.create_task(self.call(adapter, self.sent)))
-
-    async def call(self, adapter, number):
-        identity = f"r{number}"
-        self.fleet.record(f"client: sends {identity} for {adapter}")
-        answer = await send(self.fleet, self.front, "/quote/x", identity,
-                            {"Model": f"m/{adapter}", "Token-Count": "100,300"},
-                            deadline_ms=6000)
-        status = answer[0] if answer else "no whole answer"
-        self.answers[status] = self.answers.get(status, 0) + 1
-        self.fleet.record(f"client: {identity} gets {status}")
-
-    def announce(self, adapter, version):
-        self.fleet.record(f"operator: announces {adapter} version {version}")
-        self.fleet.store.put(f"op/version/m.{adapter}",
-                             {"Model": "m", "Adapter": adapter,
-                              "Version": version})
-        self.engine.newest[adapter] = version
+    def resident_bytes(self, process):
+        try:
+            with open(f"/proc/{process.pid}/status") as file:
+                for line in file:
+                    if line.startswith("VmRSS:"):
+                        return int(line.split()[1]) * 1024
+        except OSError:
+            pass
+        return 0
 
-    def start_sidecar(self):
-        self.fleet.start("sidecar", "side-1", self.engine.ip, service="model")
+    async def limit_memory(self, process):
+        """A process that exceeds the memory of its machine is killed."""
+        while process.poll() is None:
+            used = self.resident_bytes(process)
+            self.most_bytes = max(self.most_bytes, used)
+            if used > MEMORY_MB * 1000 * 1000:
+                self.killed = True
+                self.fleet.record(f"platform: kills the gateway, which uses "
+                                  f"{used} bytes of {MEMORY_MB} MB")
+                process.kill()
+                return
+            await asyncio.sleep(0.02)
 
-    async def wait_for(self, condition, limit_s):
-        for _ in range(int(limit_s / 0.01)):
-            if condition() or self.engine.crashed:
-                return True
-            await asyncio.sleep(0.01)
-        return condition()
+    async def stream(self, connection, number, fields):
+        reader, writer = connection
+        try:
+            writer.write((
+                "POST /quote/x HTTP/1.1\r\nHost: h.example\r\n"
+                f"Request-Id: {number}\r\nDeadline-Ms: 12000\r\nModel: m/a1\r\n"
+                f"Token-Count: 20,60\r\nContent-Length: 0\r\n{fields}\r\n")
+                .encode())
+            answer = await asyncio.wait_for(read_answer(reader), 14)
+        except (ConnectionError, asyncio.TimeoutError):
+            return None
+        return answer[0] if answer else None
 
-    async def round(self, index):
-        """One announcement, restart and rise of demand."""
-        version = 2 * index + 2
-        new = f"n{index}"
-        self.ask("a1")
-        await self.wait_for(lambda: self.engine.users.get("a1", 0) > 0, 3)
-        self.announce("a1", version)
-        await asyncio.sleep(1.0)
-        # Makes the sidecar order the replacement, which waits for the run.
-        self.ask("a1")
-        await self.wait_for(lambda: "a1" in self.engine.pending, 1)
-        if TROUBLE:
-            self.fleet.signal("side-1", signal.SIGTERM)
-            self.announce("a1", version + 1)
-            process = self.fleet.processes["side-1"]
-            await self.wait_for(lambda: process.poll() is not None, 8)
-            self.start_sidecar()
-        else:
-            self.announce("a1", version + 1)
-        await asyncio.sleep(0.6)
-        # Callers go on asking for a1, and a new adapter becomes popular.
-        for step in range(4):
-            if self.engine.crashed:
+    async def caller(self, index):
+        try:
+            connection = await asyncio.open_connection(self.front,
+                                                       self.fleet.CALLERS)
+        except OSError:
+            self.count("not connected")
+            return
+        try:
+            # Makes it a kept connection.
+            if await self.stream(connection, f"c{index}-first", "") != 200:
+                self.count("first one not served")
                 return
-            self.ask("a1")
-            await asyncio.sleep(0.02)
-            for _ in range(3):
-                self.ask(f"{new}{step}")
-            await asyncio.sleep(0.23)
-        await self.wait_for(
-            lambda: not self.engine.running and not self.engine.pending, 8)
+            self.ready += 1
+            await self.start.wait()
+            await asyncio.sleep(index * BURST_S / CALLERS)
+            number = f"c{index}-second"
+            status = await self.stream(connection, number, self.fields)
+            ran = any(number in engine.runs for engine in self.engines)
+            self.count(f"{status}, ran {ran}")
+            if status is None and ran:
+                self.lost += 1
+        finally:
+            connection[1].close()
+
+    def count(self, result):
+        self.results[result] = self.results.get(result, 0) + 1
 
     async def run(self):
         fleet = self.fleet
+        self.start = asyncio.Event()
         try:
             await fleet.store.start()
-            await self.engine.start()
-            self.engine.held = {f"a{i}": 1 for i in range(1, PLACES + 1)}
-            fleet.store.put("servers/i-1", self.engine.entry("model"))
+            for index, engine in enumerate(self.engines):
+                await engine.start()
+                fleet.store.put(f"servers/i-{index}", engine.entry("model"))
+                fleet.start("sidecar", f"side-{index}", engine.ip,
+                            service="model")
             fleet.store.put("op/config", configuration(
                 7, [route("quote", "stream", "model", Resumable=True,
-                          GapTargetMs=300)],
-                [engine_service("model", slots=16, adapter_slots=PLACES)]))
-            self.start_sidecar()
-            fleet.start("gateway", "front-1", self.front)
+                          TimeoutMs=12000, GoalMs=800, GapTargetMs=300)],
+                [engine_service("model", slots=SLOTS)]))
+            process = fleet.start("gateway", "front-1", self.front,
+                                  memory_mb=MEMORY_MB,
+                                  descriptors=DESCRIPTORS)
             if not await fleet.wait_ready(self.front):
                 return 2
-            await asyncio.sleep(1)
-            self.ask("a1")
-            await asyncio.wait_for(asyncio.gather(*self.tasks), 10)
-            if 200 not in self.answers:
-                return 2
-            for index in range(ROUNDS):
-                await self.round(index)
-                if self.engine.crashed:
+            limiting = asyncio.create_task(self.limit_memory(process))
+            await asyncio.sleep(1.5)
+            callers = []
+            for index in range(CALLERS):
+                callers.append(asyncio.create_task(self.caller(index)))
+                await asyncio.sleep(0.008)
+            # Clients reuse connections that were idle for up to 12 s.
+            for _ in range(80):
+                if self.ready + len(self.results) >= CALLERS:
                     break
-            await asyncio.wait_for(asyncio.gather(*self.tasks), 15)
-            fleet.record(f"answers: {self.answers}")
-            if any(p.poll() is not None for p in fleet.processes.values()):
+                await asyncio.sleep(0.1)
+            fleet.record(f"head of a second request: {len(self.fields)} bytes "
+                         f"in {LINES} lines; so far {self.results}, "
+                         f"{self.most_bytes} bytes used")
+            self.start.set()
+            await asyncio.gather(*callers)
+            fleet.record(f"results: {self.results}; at most {self.most_bytes} "
+                         f"bytes of {MEMORY_MB} MB used")
+            if not self.killed:
+                if process.poll() is not None:
+                    return 2
+                process.kill()
+            await limiting
+            served = sum(count for result, count in self.results.items()
+                         if result.startswith("200"))
+            if not self.killed and served < CALLERS / 2:
                 return 2
-            if self.engine.crashed:
-                fleet.record("LIMIT broken: the engine was "
-                             + self.engine.crashed)
-                return 1
-            fleet.record("LIMIT held")
-            return 0
+            broken = self.killed and self.lost > ALLOWED
+            fleet.record(f"LOST {'broken' if broken else 'held'}: "
+                         f"{self.lost} requests on kept connections")
+            return 1 if broken else 0
         finally:
-            await self.engine.stop()
+            for engine in self.engines:
+                await engine.stop()
             await fleet.close()
 
 
--- a/review/standins-3/stand_ins.py
+++ b/review/standins-3/stand_ins.py
@@ -292,7 +292,8 @@
     def record(self, text):
         self.lines.append("%9.3f %s" % (time.monotonic() - self.started, text))
 
-    def settings(self, role, name, ip, service=None, memory_mb=260):
+    def settings(self, role, name, ip, service=None, memory_mb=260,
+                 descriptors=4100):
         front = role == "gateway"
         value = {
             "Node": name, "Role": role, "Class": "front" if front else "side",
@@ -305,7 +306,8 @@
             "InternalPorts": self.INTERNAL, "Seeds": [], "Bootstrap": True,
             "LossCounted": False,
             "Limits": {"CpuShare": 0.2, "Cores": 1,
-                       "MemoryMb": memory_mb if front else 192, "MaxFds": 4100,
+                       "MemoryMb": memory_mb if front else 192,
+                       "MaxFds": descriptors,
                        "LinkMbps": 1000.0, "DiskMb": 0},
             "DataDir": None, "Discovery": "platform", "Entry": "vip",
             "BeatIntervalMs": 1200,
