Review: a script that fails in another way than by the rule exits with 2

Cause: an exception ended a script with 1, which means a broken rule, and a time limit left its processes.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-3"))
 
 from stand_ins import (Fleet, Plain, configuration, entry, plain_service,
-                       read_answer, route)
+                       read_answer, route, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Orders that one lookup names. Without the trouble, lookups are smaller.
@@ -102,4 +102,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(Case().run()))
+    sys.exit(run_case(Case()))
--- a/review/found-3/restarted_sidecar/case.py
+++ b/review/found-3/restarted_sidecar/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "..", "standins-3"))
 
 from stand_ins import (Engine, Fleet, configuration, engine_service, route,
-                       send)
+                       run_case, send)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PLACES = 4
@@ -132,4 +132,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(Case().run()))
+    sys.exit(run_case(Case()))
--- a/review/standins-3/stand_ins.py
+++ b/review/standins-3/stand_ins.py
@@ -10,6 +10,7 @@
 import subprocess
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -636,3 +637,21 @@
         return None
     finally:
         writer.close()
+
+
+def run_case(case):
+    """Runs a case and returns its exit code: 2 if it fails in another way than
+    by the rule, or is ended by SIGTERM. Its processes are ended in any case."""
+
+    async def main():
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
+        return await case.run()
+
+    try:
+        return asyncio.run(main())
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        return 2
+    except Exception:
+        traceback.print_exc()
+        return 2
