Keep room for the answer before a request is passed on

Cause: one pool of the connection holds the head, a record for each field, parameter and cookie, what was read ahead, and the head of the answer. A request was accepted by its bytes, before it was known whether the answer has room; a refusal without room closed the connection silently.

Change: net/head_memory counts what a head takes; 4 KiB are kept for the answer, and a head that does not leave them gets 414 or 431 at once. Where the library closes a connection with nothing sent, the server answers on the socket: 414, 431 or 400, or 502 for an answer that has no room. Each writes request_not_accepted.

--- a/src/net/http_exchange_state.cc
+++ b/src/net/http_exchange_state.cc
@@ -23,6 +23,8 @@
 // Bodies ask for memory in steps, since clients may send a byte at a time.
 constexpr std::size_t kBodyStepBytes = 4 * 1024;
 
+constexpr int kFirstErrorStatus = 400;
+
 /** A body and its share of the budget. */
 struct leased_body {
   std::string text;
@@ -75,6 +77,14 @@
       budget_(std::move(budget)),
       body_(body) {}
 
+http_response RefusalResponse(const refusal_event& event,
+                              const std::string& outcome) {
+  return {event.status,
+          {{"content-type", "application/json"}, {"connection", "close"}},
+          R"({"error":{"type":")" + event.type + R"(","message":")" +
+              event.reason + R"(","outcome":")" + outcome + R"("}})"};
+}
+
 // The request.
 
 void http_exchange_state::ReadHead(std::string target, const char* url,
@@ -84,8 +94,8 @@
   request_.method = method;
   request_.target = std::move(target);
   request_.path = url;
-  MHD_get_connection_values(connection_, MHD_GET_ARGUMENT_KIND, &AddArgument,
-                            &request_.query);
+  head_memory_.parameters = static_cast<std::size_t>(MHD_get_connection_values(
+      connection_, MHD_GET_ARGUMENT_KIND, &AddArgument, &request_.query));
   const std::size_t request_line = request_.method.size() +
                                    request_.target.size() + version.size() +
                                    std::string_view("  \r\n").size();
@@ -94,6 +104,7 @@
                               MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
           ->header_size;
   header_bytes_ = head - std::min(head, request_line);
+  head_memory_.text_bytes = head;
   // The method is the start of the head.
   ReadFields({method, head}, request_line, version);
 }
@@ -103,11 +114,18 @@
                                      std::string_view version) {
   std::vector<field_view> fields;
   MHD_get_connection_values_n(connection_, MHD_HEADER_KIND, &AddField, &fields);
+  head_memory_.fields =
+      fields.size() + static_cast<std::size_t>(MHD_get_connection_values(
+                          connection_, MHD_COOKIE_KIND, nullptr, nullptr));
   try {
     CheckLayout(head, request_line_bytes, fields);
     framing_ = FramingOf(version, fields);
     request_.headers = JoinFields(fields);
     CheckRequestHead(request_.method, request_.target, request_.headers);
+    const auto cookies = request_.headers.find("cookie");
+    if (cookies != request_.headers.end()) {
+      head_memory_.copied_bytes = cookies->second.size();
+    }
   } catch (const head_error& failure) {
     malformed_ = failure;
   } catch (const net_error& failure) {
@@ -212,6 +230,15 @@
   Refuse(431, "headers_too_large", "The headers are too large.");
 }
 
+void http_exchange_state::RefuseManyParts() {
+  if (IsTargetLarger(request_.target.size(), head_memory_.parameters,
+                     head_memory_)) {
+    Refuse(414, "target_too_large", "The target has too many parameters.");
+  } else {
+    Refuse(431, "headers_too_large", "The request has too many headers.");
+  }
+}
+
 bool http_exchange_state::RefuseMalformed() {
   if (!malformed_) return false;
   Refuse(malformed_->Status(), "malformed_request",
@@ -223,12 +250,25 @@
                                  const std::string& message) {
   dispatched_ = true;
   DiscardBody();
-  daemon_->ReportRefusal({status, type, message});
-  response_ = http_response{
-      status,
-      {{"content-type", "application/json"}, {"connection", "close"}},
-      std::string(R"({"error":{"type":")") + type + R"(","message":")" +
-          message + R"(","outcome":"not_run"}})"};
+  const refusal_event event{status, type, message};
+  daemon_->ReportRefusal(event);
+  response_ = RefusalResponse(event);
+}
+
+std::optional<http_response> http_exchange_state::ResponseForClose() const {
+  // A request without a queued response was closed on purpose.
+  if (!queued_ || aborted_ || gone_ || body_dropped_ || stream_read_) {
+    return std::nullopt;
+  }
+  const refusal_event event{
+      502, "response_too_large",
+      "The head of the response has no room beside that of the request."};
+  daemon_->ReportRefusal(event);
+  const int status = response_ ? response_->status : stream_status_;
+  auto result = RefusalResponse(event, "unknown");
+  // An error tells the caller whether it may repeat the request.
+  if (status >= kFirstErrorStatus) result.status = status;
+  return result;
 }
 
 // The response.
@@ -272,6 +312,7 @@
                                         std::size_t capacity) noexcept {
   http_exchange_state& state =
       **static_cast<std::shared_ptr<http_exchange_state>*>(self);
+  state.stream_read_ = true;
   if (state.aborted_ || state.gone_) {
     state.MarkIncomplete();
     return MHD_CONTENT_READER_END_WITH_ERROR;
--- a/src/net/http_exchange_state.h
+++ b/src/net/http_exchange_state.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "net/body_budget.h"
+#include "net/head_memory.h"
 #include "net/http_server.h"
 #include "net/io_watcher.h"
 #include "net/request_head.h"
@@ -32,6 +33,10 @@
   virtual void ReportRefusal(const refusal_event& event) = 0;
 };
 
+/** A response with a JSON body that closes its connection. */
+http_response RefusalResponse(const refusal_event& event,
+                              const std::string& outcome = "not_run");
+
 /**
  * Server side of one request. The connection is suspended while there is
  * nothing to send, and resumed when a response or more data is available.
@@ -63,6 +68,13 @@
   body_id Body() const { return body_; }
   /** Sets a 431 response; the body is not read. */
   void RefuseHeaders();
+  /**
+   * Sets a 414 or 431 response; the body is not read. For a head after which
+   * the pool of the connection has no room for the head of a response.
+   */
+  void RefuseManyParts();
+  /** What the head of the request takes from the pool of the connection. */
+  const head_memory& HeadMemory() const { return head_memory_; }
   /**
    * Sets a 400 or 501 response if the head is not in the grammar of HTTP, or
    * doesn't tell where the body ends; the body is not read. The daemon accepts
@@ -85,6 +97,11 @@
   bool Answer();
   /** Bytes of a whole response that is being sent. */
   std::size_t QueuedBytes() const { return queued_bytes_; }
+  /**
+   * The response for a daemon that closes the connection by itself before it
+   * has sent any of the response; nothing if there should be none.
+   */
+  std::optional<http_response> ResponseForClose() const;
   /** Clears the connection when the daemon has completed the request. */
   void Detach();
   void ReportGone();
@@ -137,6 +154,7 @@
   /** Streams to the client end with the connection, without a last chunk. */
   bool lacks_chunks_ = false;
   std::size_t header_bytes_ = 0;
+  head_memory head_memory_;
   body_framing framing_;
   std::optional<head_error> malformed_;
   std::size_t maximum_body_bytes_;
@@ -166,6 +184,8 @@
   bool incomplete_ = false;
   bool aborted_ = false;
   bool queued_ = false;
+  /** The daemon has begun to send the body of a stream. */
+  bool stream_read_ = false;
   std::size_t queued_bytes_ = 0;
 
   // The daemon does not poll a suspended connection, so a watcher detects a
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -19,6 +19,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/head_memory.h"
 #include "net/http_exchange_state.h"
 #include "net/io_watcher.h"
 #include "net/lingering_sockets.h"
@@ -51,6 +52,29 @@
   return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+std::size_t ParametersOf(const std::string& target) {
+  return static_cast<std::size_t>(
+      1 + std::count(target.begin(), target.end(), '&'));
+}
+
+/** The text of a response whose connection is closed behind it. */
+std::string ToText(const http_response& response) {
+  const char* reason =
+      MHD_get_reason_phrase_for(static_cast<unsigned>(response.status));
+  std::string text =
+      "HTTP/1.1 " + std::to_string(response.status) + ' ' + reason + "\r\n";
+  for (const auto& [name, value] : response.headers) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+  text += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+  return text + "\r\n" + response.body;
+}
+
+const refusal_event kUnreadableHead{400, "malformed_request",
+                                    "The head of the request is malformed."};
+/** A field of 4 bytes takes 68 bytes of the pool. */
+constexpr std::size_t kMaximumBytesPerHeadByte = 17;
+
 bool HasInput(int descriptor) {
   char byte = 0;
   return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
@@ -69,8 +93,11 @@
 
 struct connection_activity {
   transfer_count count;
-  /** Bytes received when the latest request ended. */
+  /** Bytes received and written when the latest request ended. */
   std::uint64_t received_before = 0;
+  std::uint64_t written_before = 0;
+  /** Bytes of all requests so far, without the framing of their chunks. */
+  std::uint64_t request_bytes = 0;
   /** When `count` was last found changed. */
   core::time_point progress_at;
   /** When bytes of a next request were first found. */
@@ -203,7 +230,15 @@
   /** Called by the daemon with the request line, before the headers. */
   static void* OnTarget(void* self, const char* target,
                         MHD_Connection* connection) noexcept {
-    static_cast<impl*>(self)->targets[connection] = target;
+    auto* server = static_cast<impl*>(self);
+    const std::string& text = server->targets[connection] = target;
+    // The daemon ends a connection without room for its parameters only in the
+    // run after this one.
+    const head_memory head{.text_bytes = text.size(),
+                           .parameters = ParametersOf(text)};
+    if (2 * BytesOf(head) > server->options.maximum_header_bytes) {
+      server->RequestRun();
+    }
     return nullptr;
   }
 
@@ -373,6 +408,8 @@
     body_owners[body] = connection;
     if (reference.HeaderBytes() > limits.maximum_header_bytes) {
       reference.RefuseHeaders();
+    } else if (!HasRoomForResponse(connection, reference)) {
+      reference.RefuseManyParts();
     } else if (!reference.RefuseMalformed()) {
       if (!reference.MustRefuseUnread()) return MHD_YES;
       reference.RefuseBody();
@@ -380,6 +417,81 @@
     return reference.Answer() ? MHD_YES : MHD_NO;
   }
 
+  /** What the pool holds of the head is known; a next request may share it. */
+  bool HasRoomForResponse(MHD_Connection* connection,
+                          const http_exchange_state& exchange) {
+    head_memory head = exchange.HeadMemory();
+    const std::size_t pool = options.maximum_header_bytes;
+    // The library reads no more than half of the pool ahead.
+    const std::size_t most_ahead = pool / 2;
+    head.read_ahead_bytes = most_ahead;
+    if (LeavesRoomForResponse(head, pool)) return true;
+    const auto activity = connections.find(connection);
+    const std::uint64_t read = ReadBytesOf(DescriptorOf(connection));
+    const std::uint64_t used =
+        head.text_bytes +
+        (activity == connections.end() ? 0 : activity->second.request_bytes);
+    head.read_ahead_bytes = static_cast<std::size_t>(
+        std::min<std::uint64_t>(read - std::min(read, used), most_ahead));
+    return LeavesRoomForResponse(head, pool);
+  }
+
+  // The daemon closes a connection without a response if its pool has no room
+  // for the head of one.
+
+  void AnswerUnanswered(MHD_Connection* connection,
+                        const http_response& response) {
+    const int descriptor = DescriptorOf(connection);
+    const std::string text = ToText(response);
+    // A client that has gone, or does not read, gets none.
+    static_cast<void>(::send(descriptor, text.data(), text.size(),
+                             MSG_NOSIGNAL | MSG_DONTWAIT));
+  }
+
+  /** Nothing was sent since the last request, and the client is there. */
+  bool IsUnanswered(MHD_Connection* connection) {
+    const auto activity = connections.find(connection);
+    if (closing || activity == connections.end() ||
+        activity->second.is_closing) {
+      return false;
+    }
+    const int descriptor = DescriptorOf(connection);
+    return !HasEnded(descriptor) &&
+           WrittenBytesOf(descriptor) == activity->second.written_before;
+  }
+
+  /** Of a request whose head the daemon could not read to its end. */
+  refusal_event RefusalOfHead(MHD_Connection* connection) {
+    const std::size_t pool = options.maximum_header_bytes;
+    const auto received =
+        static_cast<std::size_t>(ReadBytesOf(DescriptorOf(connection)) -
+                                 connections[connection].received_before);
+    const auto target = targets.find(connection);
+    if (target == targets.end()) {
+      if (received < pool / 2) return kUnreadableHead;
+      return {414, "target_too_large", "The target is too large."};
+    }
+    const std::size_t parameters = ParametersOf(target->second);
+    const head_memory head{.text_bytes = received, .parameters = parameters};
+    if (2 * BytesOf(head) > pool &&
+        IsTargetLarger(target->second.size(), parameters, head)) {
+      return {414, "target_too_large", "The target has too many parameters."};
+    }
+    if (received < pool / kMaximumBytesPerHeadByte) return kUnreadableHead;
+    return {431, "headers_too_large", "The request has too many headers."};
+  }
+
+  void RefuseUnreadHead(MHD_Connection* connection) {
+    if (!IsUnanswered(connection)) return;
+    const bool has_begun = targets.count(connection) > 0 ||
+                           ReadBytesOf(DescriptorOf(connection)) >
+                               connections[connection].received_before;
+    if (!has_begun) return;
+    const refusal_event event = RefusalOfHead(connection);
+    ReportRefusal(event);
+    AnswerUnanswered(connection, RefusalResponse(event));
+  }
+
   // The daemon misses a FIN that arrives together with part of a request: it
   // does not read until the end of file and gets no further event. Without this
   // check such connections would count towards the connection limit until the
@@ -456,12 +568,21 @@
     ::shutdown(descriptor, SHUT_RDWR);
   }
 
+  void CountRequest(MHD_Connection* connection,
+                    const http_exchange_state& exchange) {
+    const auto found = connections.find(connection);
+    if (found == connections.end()) return;
+    found->second.request_bytes +=
+        exchange.HeadMemory().text_bytes + exchange.ReceivedBodyBytes();
+  }
+
   void MarkIdle(MHD_Connection* connection) {
     const auto found = connections.find(connection);
     if (found == connections.end()) return;
     connection_activity& activity = found->second;
     activity.count = TransferCountOf(DescriptorOf(connection));
     activity.received_before = activity.count.received;
+    activity.written_before = WrittenBytesOf(DescriptorOf(connection));
     activity.progress_at = loop.Now();
   }
 
@@ -480,10 +601,20 @@
                           void** /*context*/,
                           MHD_RequestTerminationCode code) noexcept {
     auto* server = static_cast<impl*>(self);
-    server->targets.erase(connection);
+    const bool has_failed = code == MHD_REQUEST_TERMINATED_WITH_ERROR;
     const auto found = server->exchanges.find(connection);
-    if (found == server->exchanges.end()) return;
+    if (found == server->exchanges.end()) {
+      if (has_failed) server->RefuseUnreadHead(connection);
+      server->targets.erase(connection);
+      return;
+    }
+    server->targets.erase(connection);
     const auto exchange = found->second;
+    if (has_failed && server->IsUnanswered(connection)) {
+      const auto response = exchange->ResponseForClose();
+      if (response) server->AnswerUnanswered(connection, *response);
+    }
+    server->CountRequest(connection, *exchange);
     server->exchanges.erase(found);
     server->body_owners.erase(exchange->Body());
     exchange->Detach();
@@ -498,6 +629,7 @@
     server->connection_changed = true;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
       server->connection_closed = true;
+      server->RefuseUnreadHead(connection);
       server->lingering.Add(DescriptorOf(connection));
       server->new_connections.erase(connection);
       server->connections.erase(connection);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -106,7 +106,11 @@
   std::uint16_t port = 0;
   /** A larger body gets a 413; the handler is not called. */
   std::size_t maximum_body_bytes = 1024 * 1024;
-  /** Memory limit for the request line and headers of one connection. */
+  /**
+   * Memory of one connection for the request line, the headers, a record for
+   * each header, cookie and parameter, and the head of the response. A request
+   * that leaves no room for a response gets a 414 or 431.
+   */
   std::size_t maximum_header_bytes = 32 * 1024;
   /**
    * When it is reached, connections with an incomplete request are closed that
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -170,6 +170,153 @@
   EXPECT_EQ(refusals, (std::map<int, int>{{400, 6}, {501, 1}}));
 }
 
+struct head_of_parts {
+  const char* name;
+  /** What the request line and the fields repeat. */
+  std::string parameter;
+  std::string field;
+  std::string cookie;
+};
+
+class head_of_parts_test : public http_server_test,
+                           public ::testing::WithParamInterface<head_of_parts> {
+ protected:
+  static std::string Request(const head_of_parts& head, int parts) {
+    const auto repeat = [&](const std::string& text) {
+      std::string result;
+      for (int i = 0; i < parts; ++i) result += text;
+      return result;
+    };
+    const std::string cookies = repeat(head.cookie);
+    return "GET /p?" + repeat(head.parameter) + " HTTP/1.1\r\nHost: h\r\n" +
+           repeat(head.field) +
+           (cookies.empty() ? "" : "Cookie: " + cookies + "\r\n") + "\r\n";
+  }
+};
+
+// Guards against requests that are run and never answered, and against callers
+// that learn nothing, because of the number of parts of a head (review/15).
+TEST_P(head_of_parts_test, EachSizeIsAnswered) {
+  constexpr int kMostParts = 1640;
+  int handled = 0;
+  const header_map fields{{"x-large", std::string(3800, 'x')}};
+  http_server_options options;
+  options.maximum_header_bytes = 40 * 1024;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    exchange->Respond({200, handled % 2 == 0 ? fields : header_map(), "ok"});
+  });
+  std::map<std::string, int> statuses;
+  int served = 0;
+  for (int parts = 1; parts <= kMostParts; parts += parts < 400 ? 7 : 1) {
+    const int handled_before = handled;
+    test_peer peer(loop_, server_->Port());
+    // On a kept connection, with a next request behind it.
+    peer.Send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(loop_.RunUntil(
+        [&] { return peer.Received().find("ok") != std::string::npos; },
+        kLimit));
+    const std::size_t start = peer.Received().size();
+    peer.Send(Request(GetParam(), parts));
+    ASSERT_TRUE(loop_.RunUntil(
+        [&] {
+          return peer.IsClosedByPeer() ||
+                 peer.Received().find("ok", start) != std::string::npos;
+        },
+        kLimit))
+        << parts;
+    const std::string answer = peer.Received().substr(start, 12);
+    ++statuses[answer];
+    const bool was_run = handled == handled_before + 2;
+    EXPECT_EQ(answer == "HTTP/1.1 200", was_run) << parts << ' ' << answer;
+    served += was_run ? 1 : 0;
+  }
+  for (const auto& [answer, count] : statuses) {
+    EXPECT_THAT(answer, ::testing::AnyOf("HTTP/1.1 200", "HTTP/1.1 414",
+                                         "HTTP/1.1 431"))
+        << count;
+  }
+  EXPECT_GT(served, 10);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    parts, head_of_parts_test,
+    ::testing::Values(head_of_parts{"parameters", "i=1&", "", ""},
+                      head_of_parts{"empty_parameters", "&", "", ""},
+                      head_of_parts{"fields", "", "x: 1\r\n", ""},
+                      head_of_parts{"cookies", "", "", "a=1; "},
+                      head_of_parts{"both", "i&", "x: 1\r\n", ""}),
+    [](const auto& test) { return std::string(test.param.name); });
+
+// The library reads ahead, so a next request takes memory from this one.
+TEST_F(http_server_test, AnswersBesideALargeNextRequest) {
+  int handled = 0;
+  http_server_options options;
+  options.maximum_header_bytes = 40 * 1024;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    handled += exchange->Request().path == "/p" ? 1 : 0;
+    exchange->Respond({200, {{"x-large", std::string(3800, 'x')}}, "ok"});
+  });
+  for (int parts = 150; parts < 560; ++parts) {
+    handled = 0;
+    std::string request = "GET /p?";
+    for (int i = 0; i < parts; ++i) request += "i&";
+    request += " HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string next =
+        "GET / HTTP/1.1\r\nX: " + std::string(30'000, 'x') + "\r\n\r\n";
+    test_peer peer(loop_, server_->Port());
+    peer.Send(request + next);
+    ASSERT_TRUE(loop_.RunUntil(
+        [&] {
+          return peer.IsClosedByPeer() ||
+                 peer.Received().find("ok") != std::string::npos;
+        },
+        kLimit))
+        << parts;
+    const std::string answer = peer.Received().substr(0, 12);
+    EXPECT_THAT(answer, ::testing::AnyOf("HTTP/1.1 200", "HTTP/1.1 414",
+                                         "HTTP/1.1 431"))
+        << parts;
+    EXPECT_EQ(answer == "HTTP/1.1 200", handled > 0) << parts << ' ' << answer;
+  }
+}
+
+// A response may be too large for what the request has left.
+TEST_F(http_server_test, AnswersThatAResponseHasNoRoom) {
+  std::vector<refusal_event> refusals;
+  http_server_options options;
+  options.maximum_header_bytes = 40 * 1024;
+  options.on_refusal = [&](const refusal_event& event) {
+    refusals.push_back(event);
+  };
+  int status = 200;
+  bool streams = false;
+  StartServer(options, [&](const std::shared_ptr<http_exchange>& exchange) {
+    const header_map fields{{"x-large", std::string(30'000, 'x')}};
+    if (!streams) return exchange->Respond({status, fields, "ok"});
+    exchange->BeginStream(status, fields);
+    exchange->Write("ok");
+    exchange->EndStream();
+  });
+  const std::string request =
+      "GET / HTTP/1.1\r\nX: " + std::string(14'000, 'x') + "\r\n\r\n";
+  for (const auto& [handler_status, expected] :
+       std::vector<std::pair<int, std::string>>{{200, "HTTP/1.1 502"},
+                                                {503, "HTTP/1.1 503"}}) {
+    for (const bool streamed : {false, true}) {
+      status = handler_status;
+      streams = streamed;
+      test_peer peer(loop_, server_->Port());
+      peer.Send(request);
+      ASSERT_TRUE(
+          loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, kLimit));
+      EXPECT_EQ(peer.Received().substr(0, 12), expected);
+      EXPECT_THAT(peer.Received(), ::testing::HasSubstr("unknown"));
+    }
+  }
+  EXPECT_EQ(refusals.size(), 4U);
+}
+
 // The daemon leaves out what it refuses and sends the rest.
 TEST_F(http_server_test, HeadersOfAResponseAreNotLost) {
   http_response response;
--- a/src/net/lingering_sockets.cc
+++ b/src/net/lingering_sockets.cc
@@ -11,6 +11,8 @@
 #include <thread>
 #include <utility>
 
+#include "net/transfer_count.h"
+
 namespace comfreyspring::net {
 namespace {
 
@@ -19,12 +21,6 @@
 constexpr int kBlocksPerTurn = 16;
 constexpr core::milliseconds kFlushInterval{2};
 
-bool HasEnded(int descriptor) {
-  char byte = 0;
-  const ssize_t size = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
-}
-
 bool HasUnsentBytes(int descriptor) {
   int bytes = 0;
   return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
--- a/src/net/transfer_count.cc
+++ b/src/net/transfer_count.cc
@@ -1,12 +1,14 @@
 #include "net/transfer_count.h"
 
 // The C library's <netinet/tcp.h> has an older structure without the counts.
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace comfreyspring::net {
 
@@ -27,4 +29,17 @@
   return received - std::min(received, static_cast<std::uint64_t>(waiting));
 }
 
+bool HasEnded(int descriptor) {
+  char byte = 0;
+  const ssize_t size = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+std::uint64_t WrittenBytesOf(int descriptor) {
+  int unacknowledged = 0;
+  if (::ioctl(descriptor, SIOCOUTQ, &unacknowledged) != 0) return 0;
+  return TransferCountOf(descriptor).acknowledged +
+         static_cast<std::uint64_t>(unacknowledged);
+}
+
 }  // namespace comfreyspring::net
--- a/src/net/transfer_count.h
+++ b/src/net/transfer_count.h
@@ -21,4 +21,10 @@
  */
 std::uint64_t ReadBytesOf(int descriptor);
 
+/** The peer has closed the connection, or the connection is broken. */
+bool HasEnded(int descriptor);
+
+/** Bytes that have been written to a TCP connection, sent or not. */
+std::uint64_t WrittenBytesOf(int descriptor);
+
 }  // namespace comfreyspring::net
