Rest each order to an engine on what the engine has told

Cause: three constants decided what an engine holds after an order without an answer, a report was believed without an order among reports, and a refused load freed the place of the version that was still there.

Change: an order rests on a report that was requested after the end of the order before, and carries its Seq as Expect. An order without an answer keeps its place and is sent again until the engine's answer or a later report shows what became of it. A refusal restores what was there. A report with a lower Seq is ignored; three in a row show a restart. No timer frees a place.

Two tests of slot_table_test asked that a place without an answer is freed after 300 ms, which is the fault; their successors ask that it is kept for any time, and ARefusedReplacementKeepsItsSlot is new.

--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -41,6 +41,8 @@
  */
 constexpr double kCongestedFactor = 1.6;
 constexpr core::milliseconds kOrderBackoff{50};
+/** Successive reports of fewer orders that show a restart of the engine. */
+constexpr int kReportsOfARestart = 3;
 /**
  * Time until a load is retried for an adapter that the engine does not know.
  */
@@ -80,6 +82,26 @@
   return core::milliseconds(std::llround(std::min(milliseconds, 1e7)));
 }
 
+/** @returns true if the order has been carried out or is in progress. */
+bool ShowsEffect(const engine_state& state, const engine_order& order) {
+  const auto held = std::find_if(
+      state.models.begin(), state.models.end(),
+      [&](const auto& each) { return each.model == order.subject.model; });
+  if (order.subject.adapter.empty())
+    return state.busy || held != state.models.end();
+  const bool is_loading = std::find(state.loading.begin(), state.loading.end(),
+                                    order.subject) != state.loading.end();
+  const bool is_held =
+      held != state.models.end() &&
+      std::any_of(held->adapters.begin(), held->adapters.end(),
+                  [&](const auto& each) {
+                    return each.adapter == order.subject.adapter &&
+                           each.version >= order.version;
+                  });
+  return order.what == engine_order::kind::load ? is_loading || is_held
+                                                : !is_loading && !is_held;
+}
+
 }  // namespace
 
 void smoothed_time::Add(core::milliseconds sample) {
@@ -254,7 +276,7 @@
   }
   RemoveRunning(found, now);
   // The next report shows which adapters are loaded.
-  if (adapter_missing) needs_state_ = true;
+  if (adapter_missing) RequireState(now);
   Schedule(now, out);
   return out;
 }
@@ -295,21 +317,26 @@
                                                   core::time_point requested_at,
                                                   core::time_point now) {
   actions out;
+  const auto started_before = state_ ? state_->started_unix_ms : 0;
+  const bool had_state = state_.has_value();
+  const auto orders_before = orders_accepted_;
+  // A report that is too old tells nothing, not even that the engine serves.
+  if (!IsCurrent(state, requested_at)) return out;
   const bool restarted =
-      state_ && (state.started_unix_ms != state_->started_unix_ms ||
-                 state.orders_accepted < state_->orders_accepted);
-  if (restarted) slots_.Clear();
+      had_state && (state.started_unix_ms != started_before ||
+                    state.orders_accepted < orders_before);
   const bool is_other_incarnation =
       limit_started_unix_ms_ != 0 && state.started_unix_ms != 0 &&
       limit_started_unix_ms_ != state.started_unix_ms;
   if (restarted || is_other_incarnation) ForgetLimit();
+  ResolveOrder(state);
   for (const auto& done : slots_.Reconcile(state, requested_at, now)) {
     (done.warm ? warm_load_time_ : load_time_).Add(done.took);
   }
   if (!state.models.empty()) last_model_ = state.models.front().model;
   state_ = state;
   state_at_ = now;
-  needs_state_ = false;
+  if (requested_at >= needs_state_since_) needs_state_ = false;
   const limits::response_interval generated{requested_at, now};
   if (state.limit.rate) {
     reports_name_limit_ = true;
@@ -322,6 +349,51 @@
   return out;
 }
 
+bool grant_scheduler::IsCurrent(const engine_state& state,
+                                core::time_point requested_at) {
+  if (!state_) {
+    orders_accepted_ = state.orders_accepted;
+    return true;
+  }
+  bool has_restarted = state.started_unix_ms != state_->started_unix_ms;
+  if (!has_restarted && state.orders_accepted < orders_accepted_) {
+    if (requested_at >= needs_state_since_) ++older_reports_;
+    // One report may be a late copy; an engine that keeps its start time when
+    // it restarts goes on to report so.
+    if (older_reports_ < kReportsOfARestart) return false;
+    has_restarted = true;
+  }
+  older_reports_ = 0;
+  orders_accepted_ = state.orders_accepted;
+  if (has_restarted) {
+    slots_.Clear();
+    open_order_.reset();
+    is_order_sent_ = false;
+  }
+  return true;
+}
+
+void grant_scheduler::ResolveOrder(const engine_state& state) {
+  // An answer that is on its way tells more.
+  if (!open_order_ || is_order_sent_ || !open_order_->orders_before ||
+      state.orders_accepted <= *open_order_->orders_before) {
+    return;
+  }
+  if (!ShowsEffect(state, *open_order_)) {
+    // The engine has accepted another order, so this one rests on an older
+    // report and is refused if it arrives.
+    open_order_->orders_before = state.orders_accepted;
+    return;
+  }
+  slots_.OnOrderAccepted(*open_order_);
+  open_order_.reset();
+}
+
+void grant_scheduler::RequireState(core::time_point now) {
+  needs_state_ = true;
+  needs_state_since_ = now;
+}
+
 grant_scheduler::actions grant_scheduler::OnLimitObserved(
     const limit_observation& observation, core::time_point now) {
   actions out;
@@ -425,7 +497,7 @@
 
 grant_scheduler::actions grant_scheduler::OnEngineDown(core::time_point now) {
   actions out;
-  needs_state_ = true;
+  RequireState(now);
   state_at_ = now - options_.state_lifetime;
   RefuseAll(refusal_reason::engine_down, now, out);
   return out;
@@ -434,8 +506,23 @@
 grant_scheduler::actions grant_scheduler::OnOrderEnded(
     const engine_order& order, order_result result, core::time_point now) {
   actions out;
-  order_in_flight_.reset();
-  if (!order.subject.adapter.empty()) {
+  if (!open_order_ || open_order_->number != order.number) return out;
+  is_order_sent_ = false;
+  const bool is_accepted =
+      result == order_result::accepted || result == order_result::done;
+  // A refusal of a copy does not tell what becomes of the one before.
+  const bool is_settled =
+      is_accepted || result == order_result::impossible ||
+      (result != order_result::unknown && !may_arrive_late_);
+  if (result == order_result::accepted && order.orders_before) {
+    orders_accepted_ = std::max(orders_accepted_, *order.orders_before + 1);
+  }
+  if (is_settled) {
+    open_order_.reset();
+  } else {
+    may_arrive_late_ = true;
+  }
+  if (!order.subject.adapter.empty() && is_settled) {
     slots_.OnOrderEnded(order, result, now);
     if (result == order_result::impossible &&
         order.what == engine_order::kind::load) {
@@ -451,15 +538,14 @@
       }
     }
   }
-  if (result != order_result::accepted && result != order_result::done) {
-    order_backoff_until_ = now + kOrderBackoff;
-    needs_state_ = result == order_result::unknown;
-  }
+  if (!is_accepted) order_backoff_until_ = now + kOrderBackoff;
+  // The next order rests on what the engine reports after this one.
+  RequireState(now);
   Schedule(now, out);
   return out;
 }
 
-void grant_scheduler::OnPaused() { needs_state_ = true; }
+void grant_scheduler::OnPaused(core::time_point now) { RequireState(now); }
 
 grant_scheduler::actions grant_scheduler::OnStopping(core::time_point now) {
   actions out;
@@ -803,7 +889,12 @@
 }
 
 void grant_scheduler::PlanOrder(core::time_point now, actions& out) {
-  if (order_in_flight_ || needs_state_ || now < order_backoff_until_) return;
+  if (is_order_sent_ || needs_state_ || now < order_backoff_until_) return;
+  if (open_order_) {
+    // Asks for nothing that the copy before did not ask for.
+    Send(out);
+    return;
+  }
   if (state_->models.empty()) {
     PlanModelLoad(now, out);
     return;
@@ -911,18 +1002,26 @@
   Issue({engine_order::kind::load, {model, core::adapter_id()}, 0}, now, out);
 }
 
-void grant_scheduler::Issue(const engine_order& order, core::time_point now,
+void grant_scheduler::Issue(engine_order order, core::time_point now,
                             actions& out) {
-  order_in_flight_ = order;
+  order.number = ++last_order_;
+  order.orders_before = state_->orders_accepted;
+  may_arrive_late_ = false;
   if (order.subject.adapter.empty()) {
     // Prevents the order from being repeated before the engine has reported.
-    needs_state_ = true;
+    RequireState(now);
   } else if (order.what == engine_order::kind::load) {
     slots_.OnLoadOrdered(order.subject, now);
   } else {
     slots_.OnUnloadOrdered(order.subject, now);
   }
-  out.push_back(order);
+  open_order_ = std::move(order);
+  Send(out);
+}
+
+void grant_scheduler::Send(actions& out) {
+  is_order_sent_ = true;
+  out.push_back(*open_order_);
 }
 
 // Estimates.
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -146,7 +146,9 @@
    * The process was suspended. No orders are issued until the engine has
    * reported its state again.
    */
-  void OnPaused();
+  void OnPaused(core::time_point now);
+  /** A new report would allow the next order. */
+  bool NeedsState() const { return needs_state_; }
   /** Refuses all waiting and future requests. */
   actions OnStopping(core::time_point now);
   /**
@@ -279,7 +281,18 @@
   core::milliseconds LoadTimeOf(const catalog::adapter_name& adapter,
                                 core::time_point now) const;
   void PlanModelLoad(core::time_point now, actions& out);
-  void Issue(const engine_order& order, core::time_point now, actions& out);
+  void Issue(engine_order order, core::time_point now, actions& out);
+  void Send(actions& out);
+  /** No order is issued before a report that is requested from now on. */
+  void RequireState(core::time_point now);
+  /**
+   * Whether the report shows the engine as it is after the answered orders; a
+   * late copy of an earlier report does not. Clears what a restarted engine has
+   * lost.
+   */
+  bool IsCurrent(const engine_state& state, core::time_point requested_at);
+  /** Ends an order whose answer was lost if the engine has accepted it. */
+  void ResolveOrder(const engine_state& state);
   bool IsDueSoon(const reservation& reserved, core::time_point now) const;
   bool IsInUse(const catalog::adapter_name& adapter,
                core::time_point now) const;
@@ -305,7 +318,17 @@
   std::optional<engine_state> state_;
   core::time_point state_at_;
   core::model_id last_model_;
-  std::optional<engine_order> order_in_flight_;
+  /** The order that was sent and whose effect is not known. */
+  std::optional<engine_order> open_order_;
+  /** It was sent and has not been answered; otherwise it is sent again. */
+  bool is_order_sent_ = false;
+  /** An earlier copy of it may still reach the engine. */
+  bool may_arrive_late_ = false;
+  std::uint64_t last_order_ = 0;
+  /** Orders that the engine is known to have accepted since its start. */
+  std::int64_t orders_accepted_ = 0;
+  /** Successive reports that show fewer orders than are known. */
+  int older_reports_ = 0;
   core::time_point order_backoff_until_;
   std::map<catalog::adapter_name, core::time_point> unavailable_until_;
   limits::limit_record limit_;
@@ -316,6 +339,7 @@
   limits::token_bucket tokens_;
   bool stopping_ = false;
   bool needs_state_ = true;
+  core::time_point needs_state_since_{core::time_point::min()};
   int grants_since_oldest_ = 0;
   int loads_since_oldest_ = 0;
   std::size_t displaced_ = 0;
--- a/src/grants/grant_scheduler_test.cc
+++ b/src/grants/grant_scheduler_test.cc
@@ -539,7 +539,7 @@
   engine_model engine(Config());
   engine.Report();
   engine.reports = false;
-  engine.scheduler.OnPaused();
+  engine.scheduler.OnPaused(engine.now);
   engine.Submit("a1");
   engine.Run(milliseconds(100));
   EXPECT_TRUE(engine.orders.empty());
--- a/src/grants/grant_types.h
+++ b/src/grants/grant_types.h
@@ -112,6 +112,13 @@
   catalog::adapter_name subject;
   /** 0 selects the newest version. */
   std::int64_t version = 0;
+  /** Different for each decision; an order that is sent again keeps it. */
+  std::uint64_t number = 0;
+  /**
+   * Number of orders that the engine has accepted before this one. An engine
+   * that has accepted others refuses it.
+   */
+  std::optional<std::int64_t> orders_before;
 };
 
 /** Result of an order. */
--- a/src/grants/slot_table.cc
+++ b/src/grants/slot_table.cc
@@ -10,11 +10,6 @@
 /** Short half-life, so that the demand reflects the last few seconds. */
 constexpr core::milliseconds kDemandHalfLife{10'000};
 constexpr std::size_t kMaximumDemandEntries = 8192;
-/** An order without a response may still reach the engine within this time. */
-constexpr core::milliseconds kLateOrderWindow{300};
-/** An accepted order appears in the engine's reports within this time. */
-constexpr core::milliseconds kListLag{150};
-
 /** An engine keeps a copy of an unloaded adapter for at least this time. */
 constexpr core::milliseconds kWarmTime{30'000};
 constexpr std::size_t kMaximumDropped = 1024;
@@ -97,7 +92,9 @@
 
 void slot_table::OnLoadOrdered(const catalog::adapter_name& adapter,
                                core::time_point now) {
-  adapter_slot& slot = slots_[adapter];
+  const auto [position, inserted] = slots_.try_emplace(adapter);
+  adapter_slot& slot = position->second;
+  slot.replaces = !inserted;
   slot.phase = slot_state::loading;
   slot.changed_at = now;
   slot.last_used = now;
@@ -136,16 +133,20 @@
       return;
     default:
       // The order had no effect on the engine.
-      if (loads) {
+      if (loads && !slot.replaces) {
         slots_.erase(order.subject);
-        ++revision_;
       } else {
         slot.phase = slot_state::resident;
-        ++revision_;
       }
+      ++revision_;
   }
 }
 
+void slot_table::OnOrderAccepted(const engine_order& order) {
+  const auto found = slots_.find(order.subject);
+  if (found != slots_.end()) found->second.unanswered = false;
+}
+
 std::vector<slot_table::finished_load> slot_table::Reconcile(
     const engine_state& state, core::time_point requested_at,
     core::time_point now) {
@@ -168,15 +169,11 @@
       if (inserted || newer) slot.version = held.version;
       // The previous version stays listed until its replacement is loaded.
       if (slot.phase == slot_state::loading && loading.count(name) == 0 &&
-          (newer || slot.changed_at <= requested_at)) {
+          (newer || (!slot.unanswered && slot.changed_at <= requested_at))) {
         finished.push_back(
             {name, core::ToMilliseconds(now - slot.changed_at), slot.warm});
         slot.phase = slot_state::resident;
         slot.changed_at = now;
-      } else if (slot.phase == slot_state::unloading && slot.unanswered &&
-                 slot.changed_at + kLateOrderWindow <= requested_at) {
-        slot.phase = slot_state::resident;
-        ++revision_;
       }
     }
   }
@@ -189,9 +186,8 @@
   for (auto entry = slots_.begin(); entry != slots_.end();) {
     const auto next = std::next(entry);
     const auto& [name, slot] = *entry;
-    const auto lag = slot.unanswered ? kLateOrderWindow : kListLag;
     if (listed.count(name) == 0 && loading.count(name) == 0 &&
-        slot.changed_at + lag <= requested_at) {
+        !slot.unanswered && slot.changed_at < requested_at) {
       Erase(catalog::adapter_name(name), now);
     }
     entry = next;
--- a/src/grants/slot_table.h
+++ b/src/grants/slot_table.h
@@ -22,8 +22,13 @@
   /** Time of the last order or response that concerns the adapter. */
   core::time_point changed_at;
   core::time_point last_used;
-  /** An order for the adapter was sent and has not been answered. */
+  /**
+   * An order for the adapter was sent, and the engine has not told what became
+   * of it. The slot stays as it is until then.
+   */
   bool unanswered = false;
+  /** The engine held the adapter when its load was ordered. */
+  bool replaces = false;
   /**
    * The engine still has a copy of the adapter, so that loading it is quick.
    */
@@ -95,8 +100,14 @@
                      core::time_point now);
   void OnUnloadOrdered(const catalog::adapter_name& adapter,
                        core::time_point now);
+  /** The order is known to have been carried out, or to have no effect. */
   void OnOrderEnded(const engine_order& order, order_result result,
                     core::time_point now);
+  /**
+   * The engine has accepted the order, whose answer was lost. The next report
+   * shows its effect.
+   */
+  void OnOrderAccepted(const engine_order& order);
 
   /** A completed load and the time it took. */
   struct finished_load {
@@ -106,9 +117,9 @@
   };
 
   /**
-   * Updates the table from a state report of the engine.
-   * @param requested_at time at which the report was requested. The report may
-   *     not include orders issued later.
+   * Updates the table from a state report of the engine that includes all
+   * answered orders.
+   * @param requested_at time at which the report was requested.
    */
   std::vector<finished_load> Reconcile(const engine_state& state,
                                        core::time_point requested_at,
--- a/src/grants/slot_table_test.cc
+++ b/src/grants/slot_table_test.cc
@@ -57,29 +57,45 @@
   EXPECT_TRUE(slots_.IsReady(Name("a2"), 0));
 }
 
-// An order whose response was lost may have been accepted.
-TEST_F(slot_table_test, AnUnansweredLoadKeepsItsSlotUntilReportsExcludeIt) {
+// An order whose response was lost may still be accepted, however late.
+TEST_F(slot_table_test, AnUnansweredLoadKeepsItsSlotUntilItIsResolved) {
   const auto order = Load("a1");
   slots_.OnOrderEnded(order, order_result::unknown, now_);
-  now_ += milliseconds(200);
-  Report(Holding({}));
-  EXPECT_EQ(slots_.Size(), 1U);
-  now_ += milliseconds(200);
+  for (int i = 0; i < 20; ++i) {
+    now_ += milliseconds(1000);
+    Report(Holding({}));
+    EXPECT_EQ(slots_.Size(), 1U);
+    EXPECT_FALSE(slots_.IsReady(Name("a1"), 0));
+  }
+  slots_.OnOrderAccepted(order);
   Report(Holding({}));
   EXPECT_EQ(slots_.Size(), 0U);
 }
 
-TEST_F(slot_table_test, AnUnansweredUnloadKeepsItsSlotUntilReported) {
+TEST_F(slot_table_test, AnUnansweredUnloadKeepsItsSlotUntilItIsResolved) {
   Report(Holding({"a1"}));
   const auto order = Unload("a1");
   slots_.OnOrderEnded(order, order_result::unknown, now_);
-  EXPECT_EQ(slots_.Size(), 1U);
-  EXPECT_FALSE(slots_.IsReady(Name("a1"), 0));
-  now_ += milliseconds(400);
-  Report(Holding({"a1"}));
+  for (int i = 0; i < 20; ++i) {
+    now_ += milliseconds(1000);
+    Report(Holding({"a1"}));
+    EXPECT_EQ(slots_.Size(), 1U);
+    // The engine may drop it at any moment.
+    EXPECT_FALSE(slots_.IsReady(Name("a1"), 0));
+  }
+  slots_.OnOrderEnded(order, order_result::conflict, now_);
   EXPECT_TRUE(slots_.IsReady(Name("a1"), 0));
 }
 
+// An engine that refuses to load a newer version still holds the older one.
+TEST_F(slot_table_test, ARefusedReplacementKeepsItsSlot) {
+  Report(Holding({"a1", "a2"}));
+  slots_.OnOrderEnded(Load("a1", 2), order_result::conflict, now_);
+  EXPECT_FALSE(slots_.HasFreeSlot());
+  EXPECT_TRUE(slots_.IsReady(Name("a1"), 1));
+  EXPECT_FALSE(slots_.IsReady(Name("a1"), 2));
+}
+
 TEST_F(slot_table_test, ARefusedOrderChangesNothing) {
   Report(Holding({"a1"}));
   slots_.OnOrderEnded(Unload("a1"), order_result::conflict, now_);
--- a/src/sidecar/scheduler_driver.cc
+++ b/src/sidecar/scheduler_driver.cc
@@ -63,7 +63,7 @@
 
 void scheduler_driver::OnPaused(core::milliseconds length) {
   log_.SystemEvent("pause_noticed").Add("length_ms", length.count());
-  scheduler_.OnPaused();
+  scheduler_.OnPaused(loop_.Now());
 }
 
 grants::engine_status scheduler_driver::Status() const {
@@ -339,6 +339,8 @@
                       .Add("subject", NameOf(order.subject))
                       .Add("version", order.version)
                       .Add("fencing", fencing)
+                      .Add("number", order.number)
+                      .Add("orders_before", order.orders_before.value_or(-1))
                       .Add("result", std::string(grants::ToString(result)))
                       .Add("answer", text);
                   metrics_.Count(std::string("sidecar_orders_total{order=\"") +
@@ -348,6 +350,8 @@
                     fencing_.OnStale(loop_.WallNow());
                   }
                   Perform(scheduler_.OnOrderEnded(order, result, loop_.Now()));
+                  // The next order waits for it.
+                  ReadStateNow();
                 });
 }
 
