Answer pipelined heads that the library cannot read

Cause: the bytes of a head that the library gave up were counted from all that had been received before, so that a pipelined head counted as a huge one and got 431 for what is malformed.

Change: the difference is bounded by zero. A test sends heads without room as the first request of a connection: 414, 414, 431, and 400 for no request.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -417,7 +417,11 @@
     return reference.Answer() ? MHD_YES : MHD_NO;
   }
 
-  /** What the pool holds of the head is known; a next request may share it. */
+  /**
+   * What the pool holds of the head is known. Bytes of a next request that were
+   * read with it are in the pool too; the framing of chunks of earlier bodies
+   * counts as such bytes.
+   */
   bool HasRoomForResponse(MHD_Connection* connection,
                           const http_exchange_state& exchange) {
     head_memory head = exchange.HeadMemory();
@@ -463,9 +467,10 @@
   /** Of a request whose head the daemon could not read to its end. */
   refusal_event RefusalOfHead(MHD_Connection* connection) {
     const std::size_t pool = options.maximum_header_bytes;
-    const auto received =
-        static_cast<std::size_t>(ReadBytesOf(DescriptorOf(connection)) -
-                                 connections[connection].received_before);
+    // Bytes of a pipelined request may have been received before.
+    const std::uint64_t read = ReadBytesOf(DescriptorOf(connection));
+    const auto received = static_cast<std::size_t>(
+        read - std::min(read, connections[connection].received_before));
     const auto target = targets.find(connection);
     if (target == targets.end()) {
       if (received < pool / 2) return kUnreadableHead;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -248,6 +248,34 @@
                       head_of_parts{"both", "i&", "x: 1\r\n", ""}),
     [](const auto& test) { return std::string(test.param.name); });
 
+// The library closes these connections without an answer of its own.
+TEST_F(http_server_test, AnswersAFirstRequestWithoutRoom) {
+  std::vector<std::string> refusals;
+  http_server_options options;
+  options.maximum_header_bytes = 40 * 1024;
+  options.on_refusal = [&](const refusal_event& event) {
+    refusals.push_back(event.type);
+  };
+  StartServer(options,
+              [](const std::shared_ptr<http_exchange>& e) { Echo(e); });
+  const auto answer_to = [&](const std::string& request) {
+    test_peer peer(loop_, server_->Port());
+    peer.Send(request);
+    EXPECT_TRUE(loop_.RunUntil([&] { return peer.IsClosedByPeer(); }, kLimit));
+    return peer.Received().substr(0, 12);
+  };
+  const std::string fields = " HTTP/1.1\r\nHost: h\r\n";
+  EXPECT_EQ(answer_to("GET /?" + std::string(700, '&') + fields + "\r\n"),
+            "HTTP/1.1 414");
+  EXPECT_EQ(answer_to("GET /" + std::string(60'000, 'a') + fields + "\r\n"),
+            "HTTP/1.1 414");
+  EXPECT_EQ(answer_to("GET /" + fields + "X: " + std::string(60'000, 'a') +
+                      "\r\n\r\n"),
+            "HTTP/1.1 431");
+  EXPECT_EQ(answer_to("no request\r\n\r\n"), "HTTP/1.1 400");
+  EXPECT_THAT(refusals, ::testing::Contains("target_too_large"));
+}
+
 // The library reads ahead, so a next request takes memory from this one.
 TEST_F(http_server_test, AnswersBesideALargeNextRequest) {
   int handled = 0;
