--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -87,8 +87,9 @@
   const auto held = std::find_if(
       state.models.begin(), state.models.end(),
       [&](const auto& each) { return each.model == order.subject.model; });
-  if (order.subject.adapter.empty())
+  if (order.subject.adapter.empty()) {
     return state.busy || held != state.models.end();
+  }
   const bool is_loading = std::find(state.loading.begin(), state.loading.end(),
                                     order.subject) != state.loading.end();
   const bool is_held =
@@ -510,7 +511,7 @@
   is_order_sent_ = false;
   const bool is_accepted =
       result == order_result::accepted || result == order_result::done;
-  // A refusal of a copy does not tell what becomes of the one before.
+  // A refusal of a copy does not tell what becomes of the one before it.
   const bool is_settled =
       is_accepted || result == order_result::impossible ||
       (result != order_result::unknown && !may_arrive_late_);
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -147,8 +147,6 @@
    * reported its state again.
    */
   void OnPaused(core::time_point now);
-  /** A new report would allow the next order. */
-  bool NeedsState() const { return needs_state_; }
   /** Refuses all waiting and future requests. */
   actions OnStopping(core::time_point now);
   /**
