Read the counts of a connection once at the end of a request

At the end of each request the server asked the kernel twice for the same counts, and looked the connection up twice. MarkIdle does both once. No change of behaviour.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -461,7 +461,8 @@
     }
     const int descriptor = DescriptorOf(connection);
     return !HasEnded(descriptor) &&
-           WrittenBytesOf(descriptor) == activity->second.written_before;
+           WrittenBytesOf(descriptor, TransferCountOf(descriptor)) ==
+               activity->second.written_before;
   }
 
   /** Of a request whose head the daemon could not read to its end. */
@@ -573,21 +574,17 @@
     ::shutdown(descriptor, SHUT_RDWR);
   }
 
-  void CountRequest(MHD_Connection* connection,
-                    const http_exchange_state& exchange) {
-    const auto found = connections.find(connection);
-    if (found == connections.end()) return;
-    found->second.request_bytes +=
-        exchange.HeadMemory().text_bytes + exchange.ReceivedBodyBytes();
-  }
-
-  void MarkIdle(MHD_Connection* connection) {
+  /** @param ended the request that has ended. */
+  void MarkIdle(MHD_Connection* connection, const http_exchange_state& ended) {
     const auto found = connections.find(connection);
     if (found == connections.end()) return;
     connection_activity& activity = found->second;
-    activity.count = TransferCountOf(DescriptorOf(connection));
+    const int descriptor = DescriptorOf(connection);
+    activity.count = TransferCountOf(descriptor);
     activity.received_before = activity.count.received;
-    activity.written_before = WrittenBytesOf(DescriptorOf(connection));
+    activity.written_before = WrittenBytesOf(descriptor, activity.count);
+    activity.request_bytes +=
+        ended.HeadMemory().text_bytes + ended.ReceivedBodyBytes();
     activity.progress_at = loop.Now();
   }
 
@@ -619,11 +616,10 @@
       const auto response = exchange->ResponseForClose();
       if (response) server->AnswerUnanswered(connection, *response);
     }
-    server->CountRequest(connection, *exchange);
     server->exchanges.erase(found);
     server->body_owners.erase(exchange->Body());
     exchange->Detach();
-    server->MarkIdle(connection);
+    server->MarkIdle(connection, *exchange);
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) exchange->ReportGone();
   }
 
--- a/src/net/transfer_count.cc
+++ b/src/net/transfer_count.cc
@@ -35,11 +35,10 @@
   return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-std::uint64_t WrittenBytesOf(int descriptor) {
+std::uint64_t WrittenBytesOf(int descriptor, const transfer_count& count) {
   int unacknowledged = 0;
   if (::ioctl(descriptor, SIOCOUTQ, &unacknowledged) != 0) return 0;
-  return TransferCountOf(descriptor).acknowledged +
-         static_cast<std::uint64_t>(unacknowledged);
+  return count.acknowledged + static_cast<std::uint64_t>(unacknowledged);
 }
 
 }  // namespace comfreyspring::net
--- a/src/net/transfer_count.h
+++ b/src/net/transfer_count.h
@@ -24,7 +24,10 @@
 /** The peer has closed the connection, or the connection is broken. */
 bool HasEnded(int descriptor);
 
-/** Bytes that have been written to a TCP connection, sent or not. */
-std::uint64_t WrittenBytesOf(int descriptor);
+/**
+ * Bytes that have been written to a TCP connection, sent or not.
+ * @param count what was just read of the connection.
+ */
+std::uint64_t WrittenBytesOf(int descriptor, const transfer_count& count);
 
 }  // namespace comfreyspring::net
