Decide once whether a report shows a restart

OnState derived from copies of the former state what IsCurrent had just decided. Compare returns it: current, restarted or outdated. No change of behaviour.

--- a/src/grants/grant_scheduler.cc
+++ b/src/grants/grant_scheduler.cc
@@ -318,14 +318,17 @@
                                                   core::time_point requested_at,
                                                   core::time_point now) {
   actions out;
-  const auto started_before = state_ ? state_->started_unix_ms : 0;
-  const bool had_state = state_.has_value();
-  const auto orders_before = orders_accepted_;
-  // A report that is too old tells nothing, not even that the engine serves.
-  if (!IsCurrent(state, requested_at)) return out;
-  const bool restarted =
-      had_state && (state.started_unix_ms != started_before ||
-                    state.orders_accepted < orders_before);
+  const report_kind kind = Compare(state, requested_at);
+  // It tells nothing, not even that the engine serves.
+  if (kind == report_kind::outdated) return out;
+  older_reports_ = 0;
+  orders_accepted_ = state.orders_accepted;
+  const bool restarted = kind == report_kind::restarted;
+  if (restarted) {
+    slots_.Clear();
+    open_order_.reset();
+    is_order_sent_ = false;
+  }
   const bool is_other_incarnation =
       limit_started_unix_ms_ != 0 && state.started_unix_ms != 0 &&
       limit_started_unix_ms_ != state.started_unix_ms;
@@ -350,28 +353,18 @@
   return out;
 }
 
-bool grant_scheduler::IsCurrent(const engine_state& state,
-                                core::time_point requested_at) {
-  if (!state_) {
-    orders_accepted_ = state.orders_accepted;
-    return true;
-  }
-  bool has_restarted = state.started_unix_ms != state_->started_unix_ms;
-  if (!has_restarted && state.orders_accepted < orders_accepted_) {
-    if (requested_at >= needs_state_since_) ++older_reports_;
-    // One report may be a late copy; an engine that keeps its start time when
-    // it restarts goes on to report so.
-    if (older_reports_ < kReportsOfARestart) return false;
-    has_restarted = true;
+grant_scheduler::report_kind grant_scheduler::Compare(
+    const engine_state& state, core::time_point requested_at) {
+  if (!state_) return report_kind::current;
+  if (state.started_unix_ms != state_->started_unix_ms) {
+    return report_kind::restarted;
   }
-  older_reports_ = 0;
-  orders_accepted_ = state.orders_accepted;
-  if (has_restarted) {
-    slots_.Clear();
-    open_order_.reset();
-    is_order_sent_ = false;
-  }
-  return true;
+  if (state.orders_accepted >= orders_accepted_) return report_kind::current;
+  if (requested_at >= needs_state_since_) ++older_reports_;
+  // One report may be a late copy; an engine that keeps its start time when it
+  // restarts goes on to report so.
+  return older_reports_ < kReportsOfARestart ? report_kind::outdated
+                                             : report_kind::restarted;
 }
 
 void grant_scheduler::ResolveOrder(const engine_state& state) {
--- a/src/grants/grant_scheduler.h
+++ b/src/grants/grant_scheduler.h
@@ -283,12 +283,16 @@
   void Send(actions& out);
   /** No order is issued before a report that is requested from now on. */
   void RequireState(core::time_point now);
-  /**
-   * Whether the report shows the engine as it is after the answered orders; a
-   * late copy of an earlier report does not. Clears what a restarted engine has
-   * lost.
-   */
-  bool IsCurrent(const engine_state& state, core::time_point requested_at);
+  /** What a report shows, compared with what is known of the engine. */
+  enum class report_kind {
+    /** The engine after the answered orders. */
+    current,
+    /** An engine that has lost its adapters and orders. */
+    restarted,
+    /** An earlier state, as a late copy of a report does. */
+    outdated,
+  };
+  report_kind Compare(const engine_state& state, core::time_point requested_at);
   /** Ends an order whose answer was lost if the engine has accepted it. */
   void ResolveOrder(const engine_state& state);
   bool IsDueSoon(const reservation& reserved, core::time_point now) const;
